--- /dev/null
+++ b/Makefile
@@ -0,0 +1,58 @@
+# Targets for developers; README.md explains the two that everyone needs.
+GO ?= go
+BIN := $(CURDIR)/bin
+export PATH := $(BIN):$(PATH)
+
+PROTO := internal/peer/peerpb/peer.proto
+
+.PHONY: build test check fmt-check vet lint gen gen-check spec unit fuzz smoke run matrix bench slopes
+
+build:
+	$(GO) build -o $(BIN)/ ./cmd/...
+
+# test is the whole verdict of the project; .ci/run calls it.
+test: check spec unit fuzz smoke
+
+check: fmt-check vet lint gen-check
+
+fmt-check:
+	@unformatted=$$(gofmt -l cmd internal); \
+	if [ -n "$$unformatted" ]; then echo "not formatted: $$unformatted"; exit 1; fi
+
+vet:
+	$(GO) vet ./...
+
+lint:
+	$(GO) tool staticcheck ./...
+
+# gen writes the generated code, which is committed.
+gen:
+	scripts/generate.sh
+
+# gen-check fails when the committed generated code is not what gen writes.
+gen-check:
+	scripts/generate.sh --check
+
+spec:
+	scripts/spec.sh
+
+unit:
+	scripts/unit.sh
+
+fuzz:
+	scripts/fuzz.sh
+
+smoke: build
+	scripts/smoke.sh --end
+
+run: build
+	scripts/smoke.sh --stay
+
+matrix:
+	scripts/matrix.sh
+
+bench: build
+	scripts/bench.sh
+
+slopes: build
+	scripts/slopes.sh
--- /dev/null
+++ b/cmd/dogwoodpond-standin/main.go
@@ -0,0 +1,4 @@
+// Command dogwoodpond-standin is a part of dogwoodpond.
+package main
+
+func main() {}
--- /dev/null
+++ b/cmd/dogwoodpondctl/main.go
@@ -0,0 +1,4 @@
+// Command dogwoodpondctl is a part of dogwoodpond.
+package main
+
+func main() {}
--- /dev/null
+++ b/cmd/dogwoodpondd/main.go
@@ -0,0 +1,4 @@
+// Command dogwoodpondd is a part of dogwoodpond.
+package main
+
+func main() {}
--- /dev/null
+++ b/internal/contract/snapshot.go
@@ -0,0 +1,114 @@
+package contract
+
+import (
+	"maps"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"dogwoodpond/internal/fault"
+)
+
+// EditKind tells what an edit changes.
+type EditKind string
+
+// The kinds of edits.
+const (
+	EditContract EditKind = "contract"
+	EditGrant    EditKind = "grant"
+	EditWithdraw EditKind = "withdraw"
+)
+
+// Entry is one accepted edit in the configuration log.
+type Entry struct {
+	Revision Revision `json:"revision"`
+	// EditID makes a repeat of the same edit return the first answer.
+	EditID string   `json:"editId"`
+	Kind   EditKind `json:"kind"`
+	// Who made the edit and When, in wall time, for the board.
+	Who  string    `json:"who"`
+	When time.Time `json:"when"`
+	// Contract is set for EditContract.
+	Contract *Contract `json:"contract,omitempty"`
+	// Key is set for EditGrant and EditWithdraw.
+	Key *Key `json:"key,omitempty"`
+}
+
+// Snapshot is the configuration at one revision. It is immutable.
+type Snapshot struct {
+	Revision  Revision             `json:"revision"`
+	Contracts map[Account]Contract `json:"contracts"`
+	Keys      map[string]Key       `json:"keys"`
+}
+
+// Empty returns the snapshot before the first edit.
+func Empty() *Snapshot {
+	return &Snapshot{Contracts: map[Account]Contract{}, Keys: map[string]Key{}}
+}
+
+// Apply returns the snapshot that follows by the entry. It fails with
+// *fault.RevisionGap unless the entry is the next one: applying entries out of
+// order could bring an older contract back into force.
+func (s *Snapshot) Apply(e Entry) (*Snapshot, error) {
+	if e.Revision != s.Revision+1 {
+		return nil, errors.WithStack(&fault.RevisionGap{Have: uint64(s.Revision), Got: uint64(e.Revision)})
+	}
+	next := &Snapshot{Revision: e.Revision, Contracts: s.Contracts, Keys: s.Keys}
+	if e.Contract != nil {
+		next.Contracts = maps.Clone(s.Contracts)
+		next.Contracts[e.Contract.Account] = *e.Contract
+	}
+	if e.Key != nil {
+		next.Keys = maps.Clone(s.Keys)
+		next.Keys[e.Key.ID] = *e.Key
+	}
+	return next, nil
+}
+
+// Authenticate returns the key and contract for a presented key. It fails with
+// *fault.KeyInvalid, *fault.KeyWithdrawn or *fault.AccountUnknown.
+func (s *Snapshot) Authenticate(p Presented) (Key, Contract, error) {
+	key, known := s.Keys[p.ID]
+	if !key.Matches(p.Secret) || !known {
+		return Key{}, Contract{}, errors.WithStack(&fault.KeyInvalid{})
+	}
+	if key.Withdrawn {
+		return Key{}, Contract{}, errors.WithStack(&fault.KeyWithdrawn{KeyID: key.ID})
+	}
+	c, ok := s.Contracts[key.Account]
+	if !ok {
+		return Key{}, Contract{}, errors.WithStack(&fault.AccountUnknown{Account: string(key.Account)})
+	}
+	return key, c, nil
+}
+
+// View gives readers the snapshot in force without a lock.
+type View struct {
+	current atomic.Pointer[Snapshot]
+}
+
+// NewView returns a view of the empty snapshot.
+func NewView() *View {
+	v := &View{}
+	v.current.Store(Empty())
+	return v
+}
+
+// Load returns the snapshot in force.
+func (v *View) Load() *Snapshot { return v.current.Load() }
+
+// Advance puts next in force unless a snapshot at least as new already is, and
+// reports whether it did. The comparison keeps two racing updaters from
+// reverting the configuration.
+func (v *View) Advance(next *Snapshot) bool {
+	for {
+		now := v.current.Load()
+		if next.Revision <= now.Revision {
+			return false
+		}
+		if v.current.CompareAndSwap(now, next) {
+			return true
+		}
+	}
+}
--- /dev/null
+++ b/internal/event/catalogue.go
@@ -0,0 +1,102 @@
+package event
+
+import "go.uber.org/zap"
+
+// The numbers of all events, a hundred to each subject.
+const (
+	ProcessStarted Number = 1001
+	DrainStarted   Number = 1002
+	ProcessStopped Number = 1003
+	PanicRecovered Number = 1004
+
+	EditAccepted           Number = 1101
+	RevisionApplied        Number = 1102
+	ConfigurationStale     Number = 1103
+	ConfigurationConfirmed Number = 1104
+	KeyWithdrawn           Number = 1105
+
+	LeaseAcquired Number = 1201
+	LeaseReleased Number = 1202
+	LeaseLost     Number = 1203
+
+	RequestAccepted   Number = 1301
+	RequestDispatched Number = 1302
+	AttemptFailed     Number = 1303
+	RequestAnswered   Number = 1304
+	RequestRefused    Number = 1305
+	StreamResumed     Number = 1306
+	ClaimStored       Number = 1307
+
+	StepOpened       Number = 1401
+	StepOwned        Number = 1402
+	SamplesCommitted Number = 1403
+	SamplesDelivered Number = 1404
+	StepCompleted    Number = 1405
+	SampleRejected   Number = 1406
+
+	UpstreamEjected  Number = 1501
+	UpstreamRestored Number = 1502
+	UpstreamLeaving  Number = 1503
+	OrderGiven       Number = 1504
+	OrderFailed      Number = 1505
+	WeightsPublished Number = 1506
+	WeightsLoaded    Number = 1507
+
+	WindowSealed    Number = 1601
+	UsageReported   Number = 1602
+	UsageIncomplete Number = 1603
+
+	PeerSilent   Number = 1701
+	PeerReturned Number = 1702
+)
+
+// Catalogue lists every kind of event in the order of the numbers.
+var Catalogue = []Definition{
+	{ProcessStarted, zap.InfoLevel, "process started", "The process has read its settings and listens."},
+	{DrainStarted, zap.InfoLevel, "drain started", "The process got a stop signal and takes no new work."},
+	{ProcessStopped, zap.InfoLevel, "process stopped", "All running work has ended and the process exits."},
+	{PanicRecovered, zap.ErrorLevel, "panic recovered", "A request handler panicked; only that request failed. Detail gives where."},
+	{EditAccepted, zap.InfoLevel, "edit accepted", "An operator's edit was committed at the revision."},
+	{RevisionApplied, zap.InfoLevel, "revision applied", "The VM has put the revision in force."},
+	{ConfigurationStale, zap.WarnLevel, "configuration stale", "The revision has not been confirmed as current for a long time; the VM may be cut off."},
+	{ConfigurationConfirmed, zap.InfoLevel, "configuration confirmed", "The revision is confirmed as current again."},
+	{KeyWithdrawn, zap.InfoLevel, "key withdrawn", "A withdrawal is in force; running requests of the key are cancelled. Count gives how many."},
+	{LeaseAcquired, zap.InfoLevel, "lease acquired", "The VM holds the lease with the epoch."},
+	{LeaseReleased, zap.InfoLevel, "lease released", "The VM gave the lease back."},
+	{LeaseLost, zap.WarnLevel, "lease lost", "The VM could not renew in time or another VM took the lease."},
+	{RequestAccepted, zap.InfoLevel, "request accepted", "A caller's request was authenticated."},
+	{RequestDispatched, zap.InfoLevel, "request dispatched", "An attempt of the request goes to the upstream."},
+	{AttemptFailed, zap.WarnLevel, "attempt failed", "The attempt failed; Detail gives the code."},
+	{RequestAnswered, zap.InfoLevel, "request answered", "The caller got its whole answer."},
+	{RequestRefused, zap.InfoLevel, "request refused", "The caller got a refusal; Detail gives the code and the execution."},
+	{StreamResumed, zap.InfoLevel, "stream resumed", "A stream goes on at another upstream after Count tokens."},
+	{ClaimStored, zap.InfoLevel, "claim stored", "The claim of a non-idempotent request was stored before its dispatch."},
+	{StepOpened, zap.InfoLevel, "step opened", "A trainer opened the step."},
+	{StepOwned, zap.InfoLevel, "step owned", "The VM owns the step under its lease."},
+	{SamplesCommitted, zap.InfoLevel, "samples committed", "Count samples of the step were committed in one transaction."},
+	{SamplesDelivered, zap.InfoLevel, "samples delivered", "Count samples went to the trainer."},
+	{StepCompleted, zap.InfoLevel, "step completed", "Every slot of the step has a committed sample."},
+	{SampleRejected, zap.WarnLevel, "sample rejected", "A generated sample was stale or could not be attributed and is generated again."},
+	{UpstreamEjected, zap.WarnLevel, "upstream ejected", "The upstream failed too often and gets no work for a while."},
+	{UpstreamRestored, zap.InfoLevel, "upstream restored", "The upstream gets work again."},
+	{UpstreamLeaving, zap.InfoLevel, "upstream leaving", "The upstream is leaving and gets no new work."},
+	{OrderGiven, zap.InfoLevel, "order given", "An order went to the platform or an engine."},
+	{OrderFailed, zap.WarnLevel, "order failed", "An order was refused or its outcome is unknown."},
+	{WeightsPublished, zap.InfoLevel, "weights published", "The weight store has a new version; Count gives it."},
+	{WeightsLoaded, zap.InfoLevel, "weights loaded", "An engine serves the version that Count gives."},
+	{WindowSealed, zap.InfoLevel, "window sealed", "The VM sealed its usage of the window."},
+	{UsageReported, zap.InfoLevel, "usage reported", "The report of the window and account was accepted by billing."},
+	{UsageIncomplete, zap.WarnLevel, "usage incomplete", "The report of the window lacks figures of a VM that died; it says so."},
+	{PeerSilent, zap.WarnLevel, "peer silent", "A peer has not answered for a while."},
+	{PeerReturned, zap.InfoLevel, "peer returned", "A silent peer answers again."},
+}
+
+var catalogue = indexCatalogue()
+
+func indexCatalogue() map[Number]Definition {
+	index := make(map[Number]Definition, len(Catalogue))
+	for _, d := range Catalogue {
+		index[d.Number] = d
+	}
+	return index
+}
--- /dev/null
+++ b/internal/event/clock.go
@@ -0,0 +1,78 @@
+package event
+
+import (
+	"fmt"
+	"sync"
+	"time"
+)
+
+// Stamp is a hybrid logical clock reading. Stamps order events over all
+// processes in agreement with cause and effect: a message carries its
+// sender's stamp, and whatever its receiver does later has a larger one.
+type Stamp struct {
+	// WallMicros is the wall time in microseconds since the Unix epoch, or a
+	// larger value learned from a peer.
+	WallMicros int64 `json:"wallMicros"`
+	// Logical orders stamps with the same WallMicros.
+	Logical uint32 `json:"logical"`
+}
+
+// Before reports whether s is ordered before other.
+func (s Stamp) Before(other Stamp) bool {
+	if s.WallMicros != other.WallMicros {
+		return s.WallMicros < other.WallMicros
+	}
+	return s.Logical < other.Logical
+}
+
+// String returns the stamp as "seconds.micros+logical".
+func (s Stamp) String() string {
+	const microsPerSecond = 1_000_000
+	return fmt.Sprintf("%d.%06d+%d", s.WallMicros/microsPerSecond, s.WallMicros%microsPerSecond, s.Logical)
+}
+
+// ParseStamp reads what String wrote; ok is false when text is not a stamp.
+func ParseStamp(text string) (s Stamp, ok bool) {
+	var seconds, micros int64
+	var logical uint32
+	n, err := fmt.Sscanf(text, "%d.%d+%d", &seconds, &micros, &logical)
+	if err != nil || n != 3 {
+		return Stamp{}, false
+	}
+	return Stamp{WallMicros: seconds*1_000_000 + micros, Logical: logical}, true
+}
+
+// Clock is a hybrid logical clock. It is used for the order of events only;
+// no decision about leases or leadership depends on it.
+type Clock struct {
+	mu   sync.Mutex
+	last Stamp
+	now  func() time.Time
+}
+
+// NewClock returns a clock that reads wall time from now.
+func NewClock(now func() time.Time) *Clock {
+	return &Clock{now: now}
+}
+
+// Now returns a stamp larger than all that the clock returned or saw before.
+func (c *Clock) Now() Stamp {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	wall := c.now().UnixMicro()
+	if wall > c.last.WallMicros {
+		c.last = Stamp{WallMicros: wall}
+		return c.last
+	}
+	c.last.Logical++
+	return c.last
+}
+
+// Observe moves the clock past a stamp that came with a message.
+func (c *Clock) Observe(seen Stamp) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.last.Before(seen) {
+		c.last = seen
+	}
+}
--- /dev/null
+++ b/internal/platform/memory/tables.go
@@ -0,0 +1,107 @@
+// Package memory keeps the table service's rows in memory. The stand-in
+// platform and the unit tests share it.
+package memory
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"sync"
+
+	"github.com/cockroachdb/errors"
+
+	"dogwoodpond/internal/fault"
+	"dogwoodpond/internal/platform"
+)
+
+// Tables implements platform.Tables in memory. It never fails but for
+// preconditions.
+type Tables struct {
+	mu   sync.Mutex
+	rows map[string]platform.Row
+	// last keeps the version of deleted rows, so that versions never repeat.
+	last map[string]uint64
+	keys []string
+
+	reads, commits int64
+}
+
+// NewTables returns empty tables.
+func NewTables() *Tables {
+	return &Tables{rows: make(map[string]platform.Row), last: make(map[string]uint64)}
+}
+
+// Get implements platform.Tables.
+func (t *Tables) Get(_ context.Context, key string) (platform.Row, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.reads++
+	row, ok := t.rows[key]
+	if !ok {
+		return platform.Row{Key: key}, nil
+	}
+	return row, nil
+}
+
+// Scan implements platform.Tables.
+func (t *Tables) Scan(_ context.Context, prefix, after string, limit int) ([]platform.Row, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.reads++
+	start, _ := slices.BinarySearch(t.keys, max(prefix, after))
+	var rows []platform.Row
+	for _, key := range t.keys[start:] {
+		if len(rows) == limit || !strings.HasPrefix(key, prefix) {
+			break
+		}
+		if key <= after {
+			continue
+		}
+		rows = append(rows, t.rows[key])
+	}
+	return rows, nil
+}
+
+// Commit implements platform.Tables.
+func (t *Tables) Commit(_ context.Context, txn platform.Txn) error {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, p := range txn.Preconditions {
+		if have := t.rows[p.Key].Version; have != p.Version {
+			return errors.WithStack(&fault.PreconditionFailed{Row: p.Key, Want: p.Version, Have: have})
+		}
+	}
+	t.commits++
+	for _, w := range txn.Writes {
+		t.apply(txn.Nonce, w)
+	}
+	return nil
+}
+
+func (t *Tables) apply(nonce string, w platform.Write) {
+	at, present := slices.BinarySearch(t.keys, w.Key)
+	if w.Delete {
+		if present {
+			t.keys = slices.Delete(t.keys, at, at+1)
+			delete(t.rows, w.Key)
+		}
+		return
+	}
+	if !present {
+		t.keys = slices.Insert(t.keys, at, w.Key)
+	}
+	t.last[w.Key]++
+	t.rows[w.Key] = platform.Row{
+		Key:     w.Key,
+		Version: t.last[w.Key],
+		Nonce:   nonce,
+		Value:   slices.Clone(w.Value),
+	}
+}
+
+// Counts returns how many reads and commits the tables have served.
+func (t *Tables) Counts() (reads, commits int64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.reads, t.commits
+}
--- /dev/null
+++ b/internal/settings/settings.go
@@ -0,0 +1,152 @@
+// Package settings reads and checks the JSON settings of the daemon. All faults
+// of a file are reported in one failure, and unknown fields are refused.
+package settings
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"os"
+	"reflect"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-playground/validator/v10"
+
+	"dogwoodpond/internal/fault"
+)
+
+// Daemon holds the settings of one dogwoodpondd process. Addresses are IP
+// numbers with a port; port 0 lets the system choose one, and the bound
+// address is printed as an event.
+type Daemon struct {
+	// VM names this VM; unique in the fleet.
+	VM string `json:"vm" validate:"required,max=64"`
+	// FailureDomain names the failure domain that the VM stands in.
+	FailureDomain string `json:"failureDomain" validate:"required,max=64"`
+	// Region names the region of the failure domain.
+	Region string `json:"region" validate:"required,max=64"`
+	// CallerAddress serves callers' HTTP.
+	CallerAddress string `json:"callerAddress" validate:"required,tcp_addr"`
+	// OperatorAddress serves operators' HTTP.
+	OperatorAddress string `json:"operatorAddress" validate:"required,tcp_addr"`
+	// PeerAddress serves the drpc of the other VMs.
+	PeerAddress string `json:"peerAddress" validate:"required,tcp_addr"`
+	// PlatformURL is the base of the platform's HTTP interfaces.
+	PlatformURL string `json:"platformUrl" validate:"required,http_url"`
+	// OperatorTokenSHA256 is the hex SHA-256 of the operators' credential.
+	OperatorTokenSHA256 string `json:"operatorTokenSha256" validate:"required,hexadecimal,len=64"`
+	// Seeds are peer addresses to ask for the configuration while the store
+	// is down and the VM list can't be read.
+	Seeds []string `json:"seeds" validate:"dive,tcp_addr"`
+
+	// LeaseTermMillis is the term of every lease. Default 10000.
+	LeaseTermMillis int `json:"leaseTermMillis" validate:"min=100,max=120000"`
+	// DigestPeriodMillis is the period of the exchange with a peer. Default 1000.
+	DigestPeriodMillis int `json:"digestPeriodMillis" validate:"min=20,max=60000"`
+	// RevisionPollMillis is the shortest period of the poll of the
+	// configuration's revision. Default 1000.
+	RevisionPollMillis int `json:"revisionPollMillis" validate:"min=20,max=60000"`
+	// UsageWindowSeconds is the length of a usage window. Default 300.
+	UsageWindowSeconds int `json:"usageWindowSeconds" validate:"min=1,max=86400"`
+	// UsageFlushMillis is the shortest period of the usage flush. Default 1000.
+	UsageFlushMillis int `json:"usageFlushMillis" validate:"min=20,max=60000"`
+	// DrainSeconds bounds a graceful shutdown. Default 600.
+	DrainSeconds int `json:"drainSeconds" validate:"min=1,max=7200"`
+	// EventCapacity is the number of events kept for the time line. Default 4096.
+	EventCapacity int `json:"eventCapacity" validate:"min=64,max=1000000"`
+	// LogLevel is the lowest level that is logged. Default "info".
+	LogLevel string `json:"logLevel" validate:"oneof=debug info warn error"`
+}
+
+// Default returns the settings that hold where a file names none.
+func Default() Daemon {
+	return Daemon{
+		LeaseTermMillis:    10_000,
+		DigestPeriodMillis: 1_000,
+		RevisionPollMillis: 1_000,
+		UsageWindowSeconds: 300,
+		UsageFlushMillis:   1_000,
+		DrainSeconds:       600,
+		EventCapacity:      4096,
+		LogLevel:           "info",
+	}
+}
+
+// LeaseTerm returns the term of every lease.
+func (d Daemon) LeaseTerm() time.Duration { return millis(d.LeaseTermMillis) }
+
+// DigestPeriod returns the period of the exchange with a peer.
+func (d Daemon) DigestPeriod() time.Duration { return millis(d.DigestPeriodMillis) }
+
+// RevisionPoll returns the shortest period of the poll of the revision.
+func (d Daemon) RevisionPoll() time.Duration { return millis(d.RevisionPollMillis) }
+
+// UsageFlush returns the shortest period of the usage flush.
+func (d Daemon) UsageFlush() time.Duration { return millis(d.UsageFlushMillis) }
+
+// UsageWindow returns the length of a usage window.
+func (d Daemon) UsageWindow() time.Duration { return time.Duration(d.UsageWindowSeconds) * time.Second }
+
+// Drain returns the bound of a graceful shutdown.
+func (d Daemon) Drain() time.Duration { return time.Duration(d.DrainSeconds) * time.Second }
+
+func millis(n int) time.Duration { return time.Duration(n) * time.Millisecond }
+
+// Load reads and checks the settings file at path. The failure is a
+// *fault.SettingsInvalid that lists every fault.
+func Load(path string) (Daemon, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return Daemon{}, errors.WithStack(oneFault("file", path, "a readable file"))
+	}
+	return Parse(text)
+}
+
+// Parse checks the text of a settings file.
+func Parse(text []byte) (Daemon, error) {
+	d := Default()
+	dec := json.NewDecoder(bytes.NewReader(text))
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(&d); err != nil {
+		return Daemon{}, errors.WithStack(oneFault("file", err.Error(), "one JSON object with known fields"))
+	}
+	if dec.More() {
+		return Daemon{}, errors.WithStack(oneFault("file", "text after the object", "one JSON object"))
+	}
+	if err := check(d); err != nil {
+		return Daemon{}, err
+	}
+	return d, nil
+}
+
+func oneFault(field, value, allowed string) *fault.SettingsInvalid {
+	return &fault.SettingsInvalid{Faults: []fault.SettingFault{{Field: field, Value: value, Allowed: allowed}}}
+}
+
+func check(d Daemon) error {
+	v := validator.New(validator.WithRequiredStructEnabled())
+	v.RegisterTagNameFunc(func(f reflect.StructField) string {
+		name, _, _ := strings.Cut(f.Tag.Get("json"), ",")
+		return name
+	})
+	err := v.Struct(d)
+	if err == nil {
+		return nil
+	}
+	var broken validator.ValidationErrors
+	if !errors.As(err, &broken) {
+		return errors.WithStack(&fault.Internal{Where: "settings check"})
+	}
+	failure := &fault.SettingsInvalid{}
+	for _, b := range broken {
+		_, field, _ := strings.Cut(b.Namespace(), ".")
+		failure.Faults = append(failure.Faults, fault.SettingFault{
+			Field:   field,
+			Value:   fmt.Sprint(b.Value()),
+			Allowed: strings.TrimSpace(b.Tag() + " " + b.Param()),
+		})
+	}
+	return errors.WithStack(failure)
+}
--- /dev/null
+++ b/scripts/smoke.sh
@@ -0,0 +1,2 @@
+#!/usr/bin/env bash
+echo "smoke: not built yet"
--- /dev/null
+++ b/scripts/spec.sh
@@ -0,0 +1,30 @@
+#!/usr/bin/env bash
+# Explores every model in spec/ with Spin. Each model must hold, and each of its
+# weakened forms, named by a line "/* weaken: NAME */", must fail.
+set -euo pipefail
+cd "$(dirname "$0")/../spec"
+root=$PWD
+shopt -s nullglob
+for model in *.pml; do
+  work=$(mktemp -d)
+  explore() { # explore <label> [-D...]: prints pan's output
+    (cd "$work" && spin -a "${@}" "$root/$model" >/dev/null && gcc -O2 -DSAFETY -DCOLLAPSE -o pan pan.c && ./pan -m1000000 -w24)
+  }
+  out=$(explore)
+  states=$(grep -oE '[0-9.e+]+ states, stored' <<<"$out" | head -1 || true)
+  if ! grep -q 'errors: 0' <<<"$out" || grep -qE 'max search depth too small|out of memory' <<<"$out"; then
+    echo "$model: FAILED"
+    echo "$out"
+    exit 1
+  fi
+  echo "$model: holds, $states"
+  for switch in $(grep -oE 'weaken: [A-Z_]+' "$model" | cut -d' ' -f2); do
+    out=$(explore "-D$switch")
+    if grep -q 'errors: 0' <<<"$out"; then
+      echo "$model: weakened by $switch did not fail"
+      exit 1
+    fi
+    echo "$model: $switch: expected counterexample found"
+  done
+  rm -rf "$work"
+done
--- /dev/null
+++ b/scripts/unit.sh
@@ -0,0 +1,14 @@
+#!/usr/bin/env bash
+# Runs every test with the race detector, but those that KNOWN-RED.txt lists
+# by name in its first column.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+skip=''
+if [ -s KNOWN-RED.txt ]; then
+  skip=$(cut -d' ' -f1 KNOWN-RED.txt | paste -sd'|')
+fi
+args=(-race -count=1 -timeout=8m)
+if [ -n "$skip" ]; then
+  args+=(-skip "^($skip)\$")
+fi
+go test "${args[@]}" ./...
