--- /dev/null
+++ b/internal/config/editor.go
@@ -0,0 +1,154 @@
+package config
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"dogwoodpond/internal/contract"
+	"dogwoodpond/internal/event"
+	"dogwoodpond/internal/fault"
+	"dogwoodpond/internal/platform"
+)
+
+// Editor commits edits. It is safe for concurrent use, also by several VMs.
+type Editor struct {
+	tables platform.Tables
+	now    func() time.Time
+	events *event.Recorder
+}
+
+// NewEditor returns an editor; now gives the wall time that the history shows.
+func NewEditor(tables platform.Tables, now func() time.Time, events *event.Recorder) *Editor {
+	return &Editor{tables: tables, now: now, events: events}
+}
+
+// editTries bounds how often an edit is tried again when other edits win.
+const editTries = 16
+
+// Apply commits an edit and returns its log entry. A repeat of an accepted edit
+// returns the first entry. It fails with *fault.EditInvalid,
+// *fault.EditConflict or *fault.StoreUnavailable; after the last the operator
+// repeats it with the same ID.
+func (e *Editor) Apply(ctx context.Context, edit contract.Edit) (contract.Entry, error) {
+	if err := edit.Check(); err != nil {
+		return contract.Entry{}, err
+	}
+	var last error
+	for range editTries {
+		entry, err := e.try(ctx, edit)
+		if err == nil || !fault.Is[*fault.PreconditionFailed](err) {
+			return entry, err
+		}
+		last = err
+	}
+	return contract.Entry{}, last
+}
+
+// try runs one transaction. It fails with *fault.PreconditionFailed when
+// another edit was committed meanwhile.
+func (e *Editor) try(ctx context.Context, edit contract.Edit) (contract.Entry, error) {
+	editRow, err := e.tables.Get(ctx, editKeys+edit.ID)
+	if err != nil {
+		return contract.Entry{}, err
+	}
+	if editRow.Exists() {
+		var accepted contract.Entry
+		err = decode(editRow, &accepted)
+		return accepted, err
+	}
+	subjectRow, err := e.tables.Get(ctx, edit.SubjectName())
+	if err != nil {
+		return contract.Entry{}, err
+	}
+	if err := checkBase(edit, subjectRow); err != nil {
+		return contract.Entry{}, err
+	}
+	headRow, err := e.tables.Get(ctx, headKey)
+	if err != nil {
+		return contract.Entry{}, err
+	}
+	return e.commit(ctx, edit, subjectRow, headRow)
+}
+
+// checkBase refuses an edit when its contract or key changed after the revision
+// that the operator saw, so that no operator overwrites another's edit unseen.
+func checkBase(edit contract.Edit, row platform.Row) error {
+	var current contract.Subject
+	if err := decode(row, &current); err != nil {
+		return err
+	}
+	if current.Revision != edit.Base {
+		return errors.WithStack(&fault.EditConflict{
+			Subject: edit.SubjectName(),
+			Base:    uint64(edit.Base),
+			Current: uint64(current.Revision),
+		})
+	}
+	return nil
+}
+
+func (e *Editor) commit(ctx context.Context, edit contract.Edit, subjectRow, headRow platform.Row) (contract.Entry, error) {
+	var at head
+	if err := decode(headRow, &at); err != nil {
+		return contract.Entry{}, err
+	}
+	entry := contract.Entry{
+		Revision: at.Revision + 1,
+		EditID:   edit.ID,
+		Kind:     edit.Kind,
+		Who:      edit.Who,
+		When:     e.now().UTC(),
+		Contract: edit.Contract,
+		Key:      edit.Key,
+	}
+	changed := contract.Subject{Revision: entry.Revision, Contract: edit.Contract, Key: edit.Key}
+	txn := platform.Txn{
+		Nonce: platform.NewNonce(),
+		Preconditions: []platform.Precondition{
+			{Key: editKeys + edit.ID},
+			{Key: headKey, Version: headRow.Version},
+			{Key: subjectRow.Key, Version: subjectRow.Version},
+		},
+		Writes: []platform.Write{
+			{Key: editKeys + edit.ID, Value: encode(entry)},
+			{Key: headKey, Value: encode(head{Revision: entry.Revision})},
+			{Key: logKey(entry.Revision), Value: encode(entry)},
+			{Key: subjectRow.Key, Value: encode(changed)},
+		},
+	}
+	if err := platform.CommitSurely(ctx, e.tables, txn); err != nil {
+		return contract.Entry{}, err
+	}
+	e.events.Emit(event.EditAccepted, event.Subject{Revision: uint64(entry.Revision), Detail: edit.SubjectName()})
+	return entry, nil
+}
+
+// Subject returns the contract or key with the name, straight from the store.
+func (e *Editor) Subject(ctx context.Context, name string) (contract.Subject, error) {
+	var found contract.Subject
+	row, err := e.tables.Get(ctx, name)
+	if err != nil {
+		return found, err
+	}
+	err = decode(row, &found)
+	return found, err
+}
+
+// History returns up to limit accepted edits after a revision, in order.
+func (e *Editor) History(ctx context.Context, after contract.Revision, limit int) ([]contract.Entry, error) {
+	rows, err := e.tables.Scan(ctx, logPrefix, logKey(after), limit)
+	if err != nil {
+		return nil, err
+	}
+	entries := make([]contract.Entry, 0, len(rows))
+	for _, row := range rows {
+		var entry contract.Entry
+		if err := decode(row, &entry); err != nil {
+			return nil, err
+		}
+		entries = append(entries, entry)
+	}
+	return entries, nil
+}
--- /dev/null
+++ b/internal/ctl/client.go
@@ -0,0 +1,89 @@
+// Package ctl is the operators' command-line tool.
+package ctl
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"dogwoodpond/internal/fault"
+	"dogwoodpond/internal/operator"
+)
+
+const callTimeout = 15 * time.Second
+
+// Client calls the operators' API of one VM.
+type Client struct {
+	base  string
+	token string
+	who   string
+	http  *http.Client
+}
+
+// NewClient returns a client for the operators' address.
+func NewClient(address, token, who string) *Client {
+	return &Client{base: "http://" + address, token: token, who: who, http: &http.Client{Timeout: callTimeout}}
+}
+
+// Header is one header of a call.
+type Header struct {
+	Name, Value string
+}
+
+// Call makes one call and decodes the answer into reply.
+func (c *Client) Call(ctx context.Context, method, path string, body, reply any, headers ...Header) error {
+	text, err := json.Marshal(body)
+	if err != nil {
+		return errors.WithStack(&fault.Internal{Where: path})
+	}
+	request, err := http.NewRequestWithContext(ctx, method, c.base+path, bytes.NewReader(text))
+	if err != nil {
+		return errors.WithStack(&fault.BadRequest{Field: "address", Problem: c.base})
+	}
+	request.Header.Set("Authorization", "Bearer "+c.token)
+	request.Header.Set("Content-Type", "application/json")
+	request.Header.Set("Accept", "application/json")
+	request.Header.Set(operator.HeaderEditor, c.who)
+	for _, h := range headers {
+		request.Header.Set(h.Name, h.Value)
+	}
+	response, err := c.http.Do(request)
+	if err != nil {
+		return errors.WithStack(&fault.PeerUnavailable{VM: c.base})
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return refused(response)
+	}
+	if err := json.NewDecoder(response.Body).Decode(reply); err != nil {
+		return errors.WithStack(&fault.Internal{Where: "answer of " + path})
+	}
+	return nil
+}
+
+// Refused is an answer of the operators' API that is not a success.
+type Refused struct {
+	operator.Problem
+	Status int
+}
+
+// Error implements error.
+func (e *Refused) Error() string {
+	return fmt.Sprintf("refused (%s): %s", e.Problem.Code, e.Message)
+}
+
+// Code implements fault.Failure.
+func (e *Refused) Code() fault.Code { return e.Problem.Code }
+
+func refused(response *http.Response) error {
+	failure := &Refused{Status: response.StatusCode}
+	if err := json.NewDecoder(response.Body).Decode(&failure.Problem); err != nil {
+		failure.Problem = operator.Problem{Code: fault.CodeInternal, Message: response.Status}
+	}
+	return errors.WithStack(failure)
+}
--- /dev/null
+++ b/internal/daemon/daemon.go
@@ -0,0 +1,169 @@
+// Package daemon assembles dogwoodpondd and runs its life: start, serve, drain.
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+
+	"dogwoodpond/internal/config"
+	"dogwoodpond/internal/entry"
+	"dogwoodpond/internal/event"
+	"dogwoodpond/internal/fault"
+	"dogwoodpond/internal/operator"
+	"dogwoodpond/internal/peer"
+	"dogwoodpond/internal/platform"
+	"dogwoodpond/internal/rollout"
+	"dogwoodpond/internal/settings"
+	"dogwoodpond/internal/upstream"
+)
+
+// Daemon is one VM's process.
+type Daemon struct {
+	settings  settings.Daemon
+	log       *zap.Logger
+	events    *event.Recorder
+	platform  *platform.Client
+	directory *upstream.Directory
+	syncer    *config.Syncer
+	gossip    *peer.Gossip
+	peers     *peer.Server
+	client    *peer.Client
+	entry     *entry.Server
+	operator  *operator.Server
+	rollouts  *rollout.Manager
+}
+
+const (
+	// listPeriod is the period of the poll of the platform's lists.
+	listPeriod = 500 * time.Millisecond
+	// readHeaderTimeout ends connections that never send a request.
+	readHeaderTimeout = 10 * time.Second
+	// balancerNotice is how long /readyz answers 503 before the listener
+	// closes, so that the balancer has seen it.
+	balancerNotice = 2 * time.Second
+)
+
+// servers are the open listeners of a daemon.
+type servers struct {
+	callers, operators *http.Server
+}
+
+// Run serves until stop ends, then drains. It returns nil after a graceful
+// shutdown.
+func (d *Daemon) Run(stop context.Context) error {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	var loops sync.WaitGroup
+	open, err := d.listen(ctx, &loops)
+	if err != nil {
+		return err
+	}
+	loops.Go(func() { d.syncer.Run(ctx) })
+	loops.Go(func() { d.gossip.Run(ctx) })
+	loops.Go(func() { d.pollLists(ctx) })
+	d.events.Emit(event.ProcessStarted, event.Subject{Detail: "dogwoodpondd"})
+
+	<-stop.Done()
+	err = d.drain(open)
+	cancel()
+	loops.Wait()
+	_ = d.client.Close()
+	d.events.Emit(event.ProcessStopped, event.Subject{})
+	_ = d.log.Sync()
+	return err
+}
+
+func (d *Daemon) listen(ctx context.Context, loops *sync.WaitGroup) (servers, error) {
+	callers, err := bind(d.settings.CallerAddress)
+	if err != nil {
+		return servers{}, err
+	}
+	operators, err := bind(d.settings.OperatorAddress)
+	if err != nil {
+		return servers{}, err
+	}
+	peers, err := bind(d.settings.PeerAddress)
+	if err != nil {
+		return servers{}, err
+	}
+	open := servers{
+		callers:   &http.Server{Handler: d.entry.Handler(), ReadHeaderTimeout: readHeaderTimeout},
+		operators: &http.Server{Handler: d.operator.Handler(), ReadHeaderTimeout: readHeaderTimeout},
+	}
+	loops.Go(func() { _ = open.callers.Serve(callers) })
+	loops.Go(func() { _ = open.operators.Serve(operators) })
+	loops.Go(func() { _ = d.peers.Serve(ctx, peers) })
+	bound := fmt.Sprintf("callers=%s operators=%s peers=%s", callers.Addr(), operators.Addr(), peers.Addr())
+	d.events.Emit(event.ProcessStarted, event.Subject{Detail: bound})
+	return open, nil
+}
+
+func bind(address string) (net.Listener, error) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, errors.WithStack(&fault.SettingsInvalid{Faults: []fault.SettingFault{
+			{Field: "address", Value: address, Allowed: "an address of this VM that no process uses"},
+		}})
+	}
+	return listener, nil
+}
+
+// drain takes no new work, waits for the running requests and stops the loops.
+func (d *Daemon) drain(open servers) error {
+	d.events.Emit(event.DrainStarted, event.Subject{})
+	d.entry.Drain()
+	time.Sleep(balancerNotice)
+	ctx, cancel := context.WithTimeout(context.Background(), d.settings.Drain())
+	defer cancel()
+	if err := open.callers.Shutdown(ctx); err != nil {
+		return errors.WithStack(&fault.DeadlineExceeded{})
+	}
+	d.rollouts.Close()
+	return open.operators.Shutdown(ctx)
+}
+
+// pollLists keeps the lists of VMs and upstreams current. While the platform
+// does not answer, the last lists stay in force.
+func (d *Daemon) pollLists(ctx context.Context) {
+	ticker := time.NewTicker(listPeriod)
+	defer ticker.Stop()
+	for {
+		if vms, err := d.platform.VMs(ctx); err == nil {
+			d.gossip.SetVMs(vms)
+		}
+		if upstreams, err := d.platform.Upstreams(ctx); err == nil {
+			d.directory.Replace(upstreams)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// newLogger writes JSON lines to standard error.
+func newLogger(s settings.Daemon) (*zap.Logger, error) {
+	c := zap.NewProductionConfig()
+	level, err := zap.ParseAtomicLevel(s.LogLevel)
+	if err != nil {
+		return nil, errors.WithStack(&fault.Internal{Where: "log level"})
+	}
+	c.Level = level
+	c.Sampling = nil
+	c.OutputPaths = []string{"stderr"}
+	c.DisableStacktrace = true
+	log, err := c.Build()
+	if err != nil {
+		return nil, errors.WithStack(&fault.Internal{Where: "logger"})
+	}
+	return log.With(zap.String("vm", s.VM), zap.Int("pid", os.Getpid())), nil
+}
--- /dev/null
+++ b/internal/daemon/providers.go
@@ -0,0 +1,138 @@
+package daemon
+
+import (
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"go.uber.org/zap"
+
+	"dogwoodpond/internal/config"
+	"dogwoodpond/internal/contract"
+	"dogwoodpond/internal/dispatch"
+	"dogwoodpond/internal/engine"
+	"dogwoodpond/internal/entry"
+	"dogwoodpond/internal/event"
+	"dogwoodpond/internal/generate"
+	"dogwoodpond/internal/operator"
+	"dogwoodpond/internal/peer"
+	"dogwoodpond/internal/platform"
+	"dogwoodpond/internal/request"
+	"dogwoodpond/internal/rollout"
+	"dogwoodpond/internal/service"
+	"dogwoodpond/internal/settings"
+	"dogwoodpond/internal/upstream"
+	"dogwoodpond/internal/usage"
+)
+
+// hooks break the cycles between parts that call each other back. They are
+// filled in once all parts exist, before any loop runs.
+type hooks struct {
+	entry  *entry.Server
+	syncer *config.Syncer
+}
+
+func (h *hooks) draining() bool { return h.entry.Draining() }
+
+func (h *hooks) poke() { h.syncer.Poke() }
+
+func (h *hooks) revoke(s *contract.Snapshot) { h.entry.Revoke(s) }
+
+// Age implements peer.Ager.
+func (h *hooks) Age() time.Duration { return h.syncer.Age() }
+
+func newHooks() *hooks { return &hooks{} }
+
+func newRecorder(s settings.Daemon, log *zap.Logger) *event.Recorder {
+	return event.NewRecorder(s.VM, s.EventCapacity, event.NewClock(time.Now), log)
+}
+
+func newRegistry() *prometheus.Registry {
+	registry := prometheus.NewRegistry()
+	registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	return registry
+}
+
+func newPlatform(s settings.Daemon) *platform.Client { return platform.NewClient(s.PlatformURL) }
+
+func newScheduler(s settings.Daemon, directory *upstream.Directory) *dispatch.Scheduler {
+	return dispatch.NewScheduler(s.FailureDomain, directory)
+}
+
+func newRunner(view *contract.View, scheduler *dispatch.Scheduler, engines *engine.Client, events *event.Recorder) *generate.Local {
+	return generate.NewLocal(view, scheduler, engines, events)
+}
+
+func newGossip(s settings.Daemon, view *contract.View, client *peer.Client, events *event.Recorder, h *hooks) *peer.Gossip {
+	return peer.NewGossip(peer.GossipConfig{
+		Self:       peer.Identity{VM: s.VM, FailureDomain: s.FailureDomain, PeerAddress: s.PeerAddress},
+		Seeds:      s.Seeds,
+		Period:     s.DigestPeriod(),
+		Events:     events,
+		View:       view,
+		Client:     client,
+		Draining:   h.draining,
+		OnRevision: h.poke,
+		Age:        h.Age,
+	})
+}
+
+func newPeerServer(events *event.Recorder, view *contract.View, h *hooks, runner *generate.Local, gossip *peer.Gossip) *peer.Server {
+	return peer.NewServer(events, view, h, runner, gossip)
+}
+
+func newSyncer(s settings.Daemon, tables *platform.Client, gossip *peer.Gossip, view *contract.View, events *event.Recorder, h *hooks) *config.Syncer {
+	h.syncer = config.NewSyncer(tables, gossip, view, events, s.RevisionPoll(), h.revoke)
+	return h.syncer
+}
+
+func newEditor(tables *platform.Client, events *event.Recorder) *config.Editor {
+	return config.NewEditor(tables, time.Now, events)
+}
+
+func newClaims(tables *platform.Client) *request.Claims { return request.NewClaims(tables) }
+
+func newRollouts(tables *platform.Client, runner *generate.Local, events *event.Recorder) *rollout.Manager {
+	return rollout.NewManager(tables, runner, events)
+}
+
+func newEntry(
+	view *contract.View,
+	syncer *config.Syncer,
+	runner *generate.Local,
+	scheduler *dispatch.Scheduler,
+	services *service.Client,
+	claims *request.Claims,
+	steps *rollout.Manager,
+	tally *usage.Tally,
+	events *event.Recorder,
+	registry *prometheus.Registry,
+	h *hooks,
+) *entry.Server {
+	h.entry = entry.NewServer(entry.Config{
+		View:       view,
+		Ager:       syncer,
+		Runner:     runner,
+		Dispatcher: scheduler,
+		Services:   services,
+		Claims:     claims,
+		Steps:      steps,
+		Usage:      tally,
+		Events:     events,
+		Registry:   registry,
+	})
+	return h.entry
+}
+
+func newOperator(s settings.Daemon, view *contract.View, editor *config.Editor, fleet *peer.Fleet, directory *upstream.Directory, events *event.Recorder, h *hooks) *operator.Server {
+	return operator.NewServer(operator.Config{
+		VM:          s.VM,
+		TokenSHA256: s.OperatorTokenSHA256,
+		View:        view,
+		Editor:      editor,
+		Fleet:       fleet,
+		Upstreams:   directory.Load,
+		Events:      events,
+		Advanced:    h.poke,
+	})
+}
--- /dev/null
+++ b/internal/entry/generate.go
@@ -0,0 +1,198 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/emicklei/go-restful/v3"
+	"github.com/tmaxmax/go-sse"
+
+	"dogwoodpond/internal/event"
+	"dogwoodpond/internal/fault"
+	"dogwoodpond/internal/generate"
+	"dogwoodpond/internal/usage"
+)
+
+const (
+	defaultTimeout = 10 * time.Minute
+	maxTokensLimit = 131072
+)
+
+// GenerateBody is the body of a generate call.
+type GenerateBody struct {
+	Model     string `json:"model"`
+	Adapter   string `json:"adapter,omitempty"`
+	Prompt    string `json:"prompt"`
+	MaxTokens int    `json:"maxTokens"`
+	Seed      int64  `json:"seed,omitempty"`
+	// Group brings calls with a shared prefix to the same engine.
+	Group string `json:"group,omitempty"`
+	// Stream asks for server-sent events.
+	Stream bool `json:"stream,omitempty"`
+	// TimeoutSeconds bounds the call; 0 means ten minutes.
+	TimeoutSeconds int `json:"timeoutSeconds,omitempty"`
+}
+
+// GenerateAnswer is the answer to a generate call, and the last event of a
+// stream, where Text is empty.
+type GenerateAnswer struct {
+	RequestID    string          `json:"requestId"`
+	Text         string          `json:"text,omitempty"`
+	Tokens       int             `json:"tokens"`
+	Spans        []generate.Span `json:"spans"`
+	FinishReason string          `json:"finishReason"`
+	Attempts     int             `json:"attempts"`
+}
+
+func parseGenerate(body []byte) (GenerateBody, error) {
+	var call GenerateBody
+	if err := decodeStrict(body, &call); err != nil {
+		return GenerateBody{}, err
+	}
+	switch {
+	case call.Model == "":
+		return GenerateBody{}, badField("model", "is required")
+	case call.Prompt == "":
+		return GenerateBody{}, badField("prompt", "is required")
+	case call.MaxTokens < 1 || call.MaxTokens > maxTokensLimit:
+		return GenerateBody{}, badField("maxTokens", "must be from 1 to 131072")
+	case call.TimeoutSeconds < 0:
+		return GenerateBody{}, badField("timeoutSeconds", "must not be negative")
+	}
+	return call, nil
+}
+
+func badField(field, problem string) error {
+	return errors.WithStack(&fault.BadRequest{Field: field, Problem: problem})
+}
+
+func decodeStrict(body []byte, into any) error {
+	dec := json.NewDecoder(strings.NewReader(string(body)))
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(into); err != nil || dec.More() {
+		return badField("body", "must be one JSON object with known fields")
+	}
+	return nil
+}
+
+func (s *Server) generate(ctx context.Context, c caller, _ *restful.Request, w *restful.Response) error {
+	call, err := parseGenerate(c.body)
+	if err != nil {
+		return err
+	}
+	request := generate.Request{
+		ID:        c.requestID,
+		Account:   c.contract.Account,
+		Model:     call.Model,
+		Adapter:   call.Adapter,
+		Prompt:    call.Prompt,
+		MaxTokens: call.MaxTokens,
+		Seed:      call.Seed,
+		Group:     call.Group,
+		Timeout:   defaultTimeout,
+	}
+	if call.TimeoutSeconds > 0 {
+		request.Timeout = time.Duration(call.TimeoutSeconds) * time.Second
+	}
+	if call.Stream {
+		return s.generateStream(ctx, c, request, w)
+	}
+	result, err := s.Runner.Generate(ctx, request, nil)
+	if err != nil {
+		return withExecution(causeOf(ctx, err), executionAfter(err))
+	}
+	s.count(c, result)
+	answer := answerOf(result)
+	answer.Text = strings.Join(result.Tokens, "")
+	writeJSON(w, http.StatusOK, answer)
+	return nil
+}
+
+// causeOf prefers the reason why the request was cancelled, such as a withdrawn
+// key, to what the cancelled call returned.
+func causeOf(ctx context.Context, err error) error {
+	var f fault.Failure
+	if cause := context.Cause(ctx); errors.As(cause, &f) {
+		return cause
+	}
+	return err
+}
+
+// executionAfter tells what a failed generation says about its run: whatever the
+// dispatcher refuses has not run.
+func executionAfter(err error) fault.Execution {
+	switch fault.CodeOf(err) {
+	case fault.CodeQueueFull, fault.CodeLimitExceeded, fault.CodeNoUpstream, fault.CodeAccountUnknown:
+		return fault.NotRun
+	default:
+		return fault.Unknown
+	}
+}
+
+func answerOf(result generate.Result) GenerateAnswer {
+	return GenerateAnswer{
+		RequestID:    result.ID,
+		Tokens:       len(result.Tokens),
+		Spans:        result.Spans,
+		FinishReason: result.FinishReason,
+		Attempts:     result.Attempts,
+	}
+}
+
+func (s *Server) count(c caller, result generate.Result) {
+	s.Usage.Add(c.contract.Account, usage.Figures{Requests: 1, Tokens: int64(len(result.Tokens))})
+	s.Events.Emit(event.RequestAnswered, event.Subject{
+		Request: c.requestID,
+		Account: string(c.contract.Account),
+		Count:   int64(len(result.Tokens)),
+	})
+}
+
+// The types of a stream's events.
+const (
+	eventChunk  = "chunk"
+	eventAnswer = "answer"
+	eventError  = "error"
+)
+
+// generateStream passes chunks on as they come. The header is written with the
+// first chunk, so that an earlier failure is still an ordinary refusal.
+func (s *Server) generateStream(ctx context.Context, c caller, request generate.Request, w *restful.Response) error {
+	started := false
+	result, err := s.Runner.Generate(ctx, request, func(chunk generate.Chunk) error {
+		if !started {
+			started = true
+			w.Header().Set("Content-Type", "text/event-stream")
+			w.WriteHeader(http.StatusOK)
+		}
+		return sendEvent(w, eventChunk, chunk)
+	})
+	if err != nil && !started {
+		return withExecution(causeOf(ctx, err), executionAfter(err))
+	}
+	if err != nil {
+		refusal, _ := refusalOf(c.requestID, withExecution(causeOf(ctx, err), fault.Ran))
+		_ = sendEvent(w, eventError, refusal)
+		return nil
+	}
+	s.count(c, result)
+	return sendEvent(w, eventAnswer, answerOf(result))
+}
+
+func sendEvent(w *restful.Response, kind string, value any) error {
+	text, err := json.Marshal(value)
+	if err != nil {
+		return errors.WithStack(&fault.Internal{Where: "event"})
+	}
+	message := sse.Message{Type: sse.Type(kind)}
+	message.AppendData(string(text))
+	if _, err := message.WriteTo(w); err != nil {
+		return errors.WithStack(&fault.CallerGone{})
+	}
+	w.Flush()
+	return nil
+}
--- /dev/null
+++ b/internal/entry/steps.go
@@ -0,0 +1,119 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/emicklei/go-restful/v3"
+	"github.com/go-playground/validator/v10"
+
+	"dogwoodpond/internal/event"
+	"dogwoodpond/internal/sample"
+)
+
+const (
+	mimeNDJSON = "application/x-ndjson"
+	// maxWait bounds how long a pull waits for the first sample.
+	maxWait = 60 * time.Second
+)
+
+// AckBody is the body of an ack.
+type AckBody struct {
+	// Through is the number of the last sample that the trainer has.
+	Through int64 `json:"through"`
+}
+
+var validate = validator.New(validator.WithRequiredStructEnabled())
+
+func (s *Server) routeSteps(ws *restful.WebService) {
+	ws.Route(ws.PUT("/steps/{step}").To(s.authenticated(s.openStep)))
+	ws.Route(ws.GET("/steps/{step}/samples").To(s.authenticated(s.pullSamples)))
+	ws.Route(ws.POST("/steps/{step}/ack").To(s.authenticated(s.ackSamples)))
+}
+
+func (s *Server) openStep(ctx context.Context, c caller, r *restful.Request, w *restful.Response) error {
+	var definition sample.Definition
+	if err := decodeStrict(c.body, &definition); err != nil {
+		return err
+	}
+	if err := checkDefinition(definition); err != nil {
+		return err
+	}
+	status, err := s.Steps.Open(ctx, c.contract.Account, r.PathParameter("step"), definition)
+	if err != nil {
+		return err
+	}
+	writeJSON(w, http.StatusOK, status)
+	return nil
+}
+
+func checkDefinition(d sample.Definition) error {
+	var broken validator.ValidationErrors
+	if err := validate.Struct(d); errors.As(err, &broken) {
+		return badField(broken[0].Namespace(), "must satisfy "+broken[0].Tag()+" "+broken[0].Param())
+	}
+	if len(d.Slots()) > sample.MaxSlots {
+		return badField("groups", "hold more than 2048 samples")
+	}
+	return nil
+}
+
+func (s *Server) pullSamples(ctx context.Context, c caller, r *restful.Request, w *restful.Response) error {
+	after, err := queryNumber(r, "after")
+	if err != nil {
+		return err
+	}
+	seconds, err := queryNumber(r, "wait")
+	if err != nil {
+		return err
+	}
+	wait := min(time.Duration(seconds)*time.Second, maxWait)
+	step := r.PathParameter("step")
+	samples, err := s.Steps.Samples(ctx, c.contract.Account, step, after, wait)
+	if err != nil {
+		return err
+	}
+	w.Header().Set("Content-Type", mimeNDJSON)
+	encoder := json.NewEncoder(w)
+	for _, kept := range samples {
+		if err := encoder.Encode(kept); err != nil {
+			return nil
+		}
+	}
+	s.Events.Emit(event.SamplesDelivered, event.Subject{
+		Request: c.requestID,
+		Account: string(c.contract.Account),
+		Step:    step,
+		Count:   int64(len(samples)),
+	})
+	return nil
+}
+
+// queryNumber reads a non-negative number; an absent one is 0.
+func queryNumber(r *restful.Request, name string) (int64, error) {
+	text := r.QueryParameter(name)
+	if text == "" {
+		return 0, nil
+	}
+	n, err := strconv.ParseInt(text, 10, 64)
+	if err != nil || n < 0 {
+		return 0, badField(name, "must be a number from 0")
+	}
+	return n, nil
+}
+
+func (s *Server) ackSamples(ctx context.Context, c caller, r *restful.Request, w *restful.Response) error {
+	var ack AckBody
+	if err := decodeStrict(c.body, &ack); err != nil {
+		return err
+	}
+	if err := s.Steps.Ack(ctx, c.contract.Account, r.PathParameter("step"), ack.Through); err != nil {
+		return err
+	}
+	writeJSON(w, http.StatusOK, ack)
+	return nil
+}
--- /dev/null
+++ b/internal/operator/operator.go
@@ -0,0 +1,256 @@
+// Package operator serves operators: edits of contracts and keys, and what the
+// fleet is doing. It listens on its own address with its own credential.
+package operator
+
+import (
+	"context"
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/hex"
+	"encoding/json"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/emicklei/go-restful/v3"
+	"github.com/google/uuid"
+
+	"dogwoodpond/internal/contract"
+	"dogwoodpond/internal/event"
+	"dogwoodpond/internal/fault"
+	"dogwoodpond/internal/platform"
+)
+
+// Editor commits edits.
+type Editor interface {
+	Apply(ctx context.Context, edit contract.Edit) (contract.Entry, error)
+	// Subject returns the contract or key named by "contract/<account>" or
+	// "key/<id>", with the revision of its last edit; 0 when there is none.
+	Subject(ctx context.Context, name string) (contract.Subject, error)
+	// History returns the accepted edits after a revision, in order.
+	History(ctx context.Context, after contract.Revision, limit int) ([]contract.Entry, error)
+}
+
+// Fleet tells what is known of the other VMs.
+type Fleet interface {
+	// InForce returns the revision in force on every known VM.
+	InForce() []VMRevision
+	// Events returns the events of all reachable VMs and names the others.
+	Events(ctx context.Context, after event.Stamp) (records []event.Record, missing []string)
+}
+
+// VMRevision tells which revision a VM has in force.
+type VMRevision struct {
+	VM            string            `json:"vm"`
+	FailureDomain string            `json:"failureDomain"`
+	Revision      contract.Revision `json:"revision"`
+	// HeardMillis is how long ago the VM said so.
+	HeardMillis int64 `json:"heardMillis"`
+	Draining    bool  `json:"draining"`
+	// Known is false when the VM has not been heard of.
+	Known bool `json:"known"`
+}
+
+// EditAnswer is the answer to an accepted edit.
+type EditAnswer struct {
+	Entry contract.Entry `json:"entry"`
+	// Confirmed and Pending name the VMs where the edit is, and is not yet
+	// known to be, in force.
+	Confirmed []string `json:"confirmed"`
+	Pending   []string `json:"pending"`
+}
+
+// Status is what an operator sees at a glance.
+type Status struct {
+	VM        string              `json:"vm"`
+	Revision  contract.Revision   `json:"revision"`
+	VMs       []VMRevision        `json:"vms"`
+	Upstreams []platform.Upstream `json:"upstreams"`
+}
+
+// EventsAnswer holds the merged events of the fleet.
+type EventsAnswer struct {
+	Events  []event.Record `json:"events"`
+	Missing []string       `json:"missing"`
+}
+
+// Problem is the body of a refused request.
+type Problem struct {
+	Code    fault.Code `json:"code"`
+	Message string     `json:"message"`
+}
+
+// Config holds what a Server is built from.
+type Config struct {
+	VM          string
+	TokenSHA256 string
+	View        *contract.View
+	Editor      Editor
+	Fleet       Fleet
+	Upstreams   func() []platform.Upstream
+	Events      *event.Recorder
+	// Advanced asks the VM to apply the newest revision at once.
+	Advanced func()
+}
+
+// Server is the operators' API.
+type Server struct {
+	Config
+}
+
+// NewServer returns a server.
+func NewServer(config Config) *Server { return &Server{Config: config} }
+
+// Headers of an edit.
+const (
+	HeaderEditID  = "Edit-Id"
+	HeaderEditor  = "Edit-By"
+	HeaderIfMatch = "If-Match"
+)
+
+const (
+	historyPage = 1000
+	maxBody     = 1 << 20
+	// confirmWait bounds how long an edit's answer waits for the fleet.
+	confirmWait   = 3 * time.Second
+	confirmPeriod = 50 * time.Millisecond
+)
+
+// Handler returns the API's HTTP handler.
+func (s *Server) Handler() http.Handler {
+	container := restful.NewContainer()
+	container.DoNotRecover(false)
+	container.RecoverHandler(func(_ any, w http.ResponseWriter) {
+		s.Events.Emit(event.PanicRecovered, event.Subject{Detail: "operator"})
+		w.WriteHeader(http.StatusInternalServerError)
+	})
+	ws := new(restful.WebService)
+	ws.Path("/v1").Produces(restful.MIME_JSON).Filter(s.authenticate)
+	ws.Route(ws.PUT("/contracts/{account}").To(s.handle(s.putContract)))
+	ws.Route(ws.GET("/contracts/{account}").To(s.handle(s.getContract)))
+	ws.Route(ws.GET("/contracts").To(s.handle(s.listContracts)))
+	ws.Route(ws.PUT("/keys/{id}").To(s.handle(s.grantKey)))
+	ws.Route(ws.DELETE("/keys/{id}").To(s.handle(s.withdrawKey)))
+	ws.Route(ws.GET("/keys").To(s.handle(s.listKeys)))
+	ws.Route(ws.GET("/revisions").To(s.handle(s.history)))
+	ws.Route(ws.GET("/status").To(s.handle(s.status)))
+	ws.Route(ws.GET("/events").To(s.handle(s.eventLine)))
+	container.Add(ws)
+	return container
+}
+
+// authenticate checks the operators' credential in constant time.
+func (s *Server) authenticate(r *restful.Request, w *restful.Response, chain *restful.FilterChain) {
+	token := strings.TrimPrefix(r.Request.Header.Get("Authorization"), "Bearer ")
+	sum := sha256.Sum256([]byte(token))
+	hash := hex.EncodeToString(sum[:])
+	if subtle.ConstantTimeCompare([]byte(hash), []byte(strings.ToLower(s.TokenSHA256))) != 1 {
+		problem(w, errors.WithStack(&fault.KeyInvalid{}))
+		return
+	}
+	chain.ProcessFilter(r, w)
+}
+
+type handler func(r *restful.Request) (any, error)
+
+func (s *Server) handle(next handler) restful.RouteFunction {
+	return func(r *restful.Request, w *restful.Response) {
+		answer, err := next(r)
+		if err != nil {
+			problem(w, err)
+			return
+		}
+		_ = w.WriteHeaderAndJson(http.StatusOK, answer, restful.MIME_JSON)
+	}
+}
+
+var statuses = map[fault.Code]int{
+	fault.CodeBadRequest:       http.StatusBadRequest,
+	fault.CodeEditInvalid:      http.StatusBadRequest,
+	fault.CodeKeyInvalid:       http.StatusUnauthorized,
+	fault.CodeAccountUnknown:   http.StatusNotFound,
+	fault.CodeEditConflict:     http.StatusConflict,
+	fault.CodeStoreUnavailable: http.StatusServiceUnavailable,
+}
+
+func problem(w *restful.Response, err error) {
+	code := fault.CodeOf(err)
+	status, ok := statuses[code]
+	if !ok {
+		status = http.StatusInternalServerError
+	}
+	_ = w.WriteHeaderAndJson(status, Problem{Code: code, Message: err.Error()}, restful.MIME_JSON)
+}
+
+func (s *Server) getContract(r *restful.Request) (any, error) {
+	account := r.PathParameter("account")
+	subject, err := s.Editor.Subject(r.Request.Context(), "contract/"+account)
+	if err != nil {
+		return nil, err
+	}
+	if subject.Contract == nil {
+		return nil, errors.WithStack(&fault.AccountUnknown{Account: account})
+	}
+	return subject, nil
+}
+
+func (s *Server) listContracts(*restful.Request) (any, error) {
+	return s.View.Load().Contracts, nil
+}
+
+func (s *Server) listKeys(*restful.Request) (any, error) {
+	return s.View.Load().Keys, nil
+}
+
+func (s *Server) history(r *restful.Request) (any, error) {
+	after, err := revisionParameter(r.QueryParameter("after"))
+	if err != nil {
+		return nil, err
+	}
+	return s.Editor.History(r.Request.Context(), after, historyPage)
+}
+
+func (s *Server) status(*restful.Request) (any, error) {
+	return Status{
+		VM:        s.VM,
+		Revision:  s.View.Load().Revision,
+		VMs:       s.Fleet.InForce(),
+		Upstreams: s.Upstreams(),
+	}, nil
+}
+
+func (s *Server) eventLine(r *restful.Request) (any, error) {
+	var after event.Stamp
+	if text := r.QueryParameter("after"); text != "" {
+		parsed, ok := event.ParseStamp(text)
+		if !ok {
+			return nil, errors.WithStack(&fault.BadRequest{Field: "after", Problem: "must be a stamp"})
+		}
+		after = parsed
+	}
+	records, missing := s.Fleet.Events(r.Request.Context(), after)
+	return EventsAnswer{Events: records, Missing: missing}, nil
+}
+
+func decodeBody(r *restful.Request, into any) error {
+	dec := json.NewDecoder(http.MaxBytesReader(nil, r.Request.Body, maxBody))
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(into); err != nil {
+		return errors.WithStack(&fault.BadRequest{Field: "body", Problem: "must be one JSON object with known fields"})
+	}
+	return nil
+}
+
+// editOf builds the frame of an edit from the request's headers.
+func editOf(r *restful.Request, kind contract.EditKind) (contract.Edit, error) {
+	base, err := revisionParameter(r.Request.Header.Get(HeaderIfMatch))
+	if err != nil {
+		return contract.Edit{}, err
+	}
+	id := r.Request.Header.Get(HeaderEditID)
+	if id == "" {
+		id = uuid.NewString()
+	}
+	return contract.Edit{ID: id, Kind: kind, Who: r.Request.Header.Get(HeaderEditor), Base: base}, nil
+}
--- /dev/null
+++ b/internal/peer/client.go
@@ -0,0 +1,137 @@
+package peer
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"storj.io/drpc/drpcconn"
+	"storj.io/drpc/drpcpool"
+
+	"dogwoodpond/internal/event"
+	"dogwoodpond/internal/fault"
+	"dogwoodpond/internal/generate"
+	"dogwoodpond/internal/peer/peerpb"
+)
+
+const (
+	dialTimeout = 500 * time.Millisecond
+	// callTimeout bounds the small calls; a generation has its own deadline.
+	callTimeout = 2 * time.Second
+	// idleTime closes connections that were not used for a while.
+	idleTime = 30 * time.Second
+	// idlePerPeer bounds the kept connections to one peer.
+	idlePerPeer = 8
+)
+
+// Client calls other VMs. It is safe for concurrent use.
+type Client struct {
+	events *event.Recorder
+	pool   *drpcpool.Pool[string, *drpcconn.Conn]
+}
+
+// NewClient returns a client; Close frees its connections.
+func NewClient(events *event.Recorder) *Client {
+	return &Client{
+		events: events,
+		pool: drpcpool.New[string, *drpcconn.Conn](drpcpool.Options{
+			Expiration:  idleTime,
+			KeyCapacity: idlePerPeer,
+		}),
+	}
+}
+
+// Close closes the idle connections.
+func (c *Client) Close() error { return c.pool.Close() }
+
+func (c *Client) peer(ctx context.Context, address string) peerpb.DRPCPeerClient {
+	return peerpb.NewDRPCPeerClient(c.pool.Get(ctx, address, dial))
+}
+
+func dial(ctx context.Context, address string) (*drpcconn.Conn, error) {
+	dialer := net.Dialer{Timeout: dialTimeout}
+	raw, err := dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	return drpcconn.New(raw), nil
+}
+
+func unavailable(address string) error {
+	return errors.WithStack(&fault.PeerUnavailable{VM: address})
+}
+
+// Exchange sends a digest and returns the peer's.
+func (c *Client) Exchange(ctx context.Context, address string, digest *peerpb.Digest) (*peerpb.Digest, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	reply, err := c.peer(ctx, address).Exchange(ctx, digest)
+	if err != nil {
+		return nil, unavailable(address)
+	}
+	observe(c.events, reply.GetStamp())
+	return reply, nil
+}
+
+// FetchConfig asks for a snapshot newer than the revision after.
+func (c *Client) FetchConfig(ctx context.Context, address string, after uint64) (*peerpb.FetchConfigReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	reply, err := c.peer(ctx, address).FetchConfig(ctx, &peerpb.FetchConfigRequest{Stamp: stamp(c.events), After: after})
+	if err != nil {
+		return nil, unavailable(address)
+	}
+	observe(c.events, reply.GetStamp())
+	return reply, nil
+}
+
+// Events returns the peer's events after a stamp.
+func (c *Client) Events(ctx context.Context, address string, after event.Stamp) ([]event.Record, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	request := &peerpb.EventsRequest{
+		Stamp: stamp(c.events),
+		After: &peerpb.Stamp{WallMicros: after.WallMicros, Logical: after.Logical},
+	}
+	reply, err := c.peer(ctx, address).Events(ctx, request)
+	if err != nil {
+		return nil, unavailable(address)
+	}
+	observe(c.events, reply.GetStamp())
+	records := make([]event.Record, 0, len(reply.GetRecords()))
+	for _, text := range reply.GetRecords() {
+		var record event.Record
+		if err := json.Unmarshal(text, &record); err != nil {
+			return nil, unavailable(address)
+		}
+		records = append(records, record)
+	}
+	return records, nil
+}
+
+// Generate runs a generation on a peer's upstreams.
+func (c *Client) Generate(ctx context.Context, address string, request generate.Request) (generate.Result, error) {
+	text, err := json.Marshal(request)
+	if err != nil {
+		return generate.Result{}, errors.WithStack(&fault.Internal{Where: "generation"})
+	}
+	reply, err := c.peer(ctx, address).Generate(ctx, &peerpb.GenerateRequest{Stamp: stamp(c.events), Generation: text})
+	if err != nil {
+		return generate.Result{}, unavailable(address)
+	}
+	observe(c.events, reply.GetStamp())
+	if reply.GetCode() != "" {
+		return generate.Result{}, errors.WithStack(&fault.Remote{
+			VM:         address,
+			RemoteCode: fault.Code(reply.GetCode()),
+			Wait:       time.Duration(reply.GetRetryAfterMillis()) * time.Millisecond,
+		})
+	}
+	var result generate.Result
+	if err := json.Unmarshal(reply.GetResult(), &result); err != nil {
+		return generate.Result{}, unavailable(address)
+	}
+	return result, nil
+}
--- /dev/null
+++ b/internal/standin/platform.go
@@ -0,0 +1,365 @@
+package standin
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"dogwoodpond/internal/fault"
+	"dogwoodpond/internal/platform"
+	"dogwoodpond/internal/platform/memory"
+)
+
+// Paths for tests and scripts to steer the stand-in platform.
+const (
+	// PathAddVM registers a platform.VM.
+	PathAddVM = "/stand-in/vms"
+	// PathAddUpstream registers a platform.Upstream; state "spare" hides it
+	// until an order starts it.
+	PathAddUpstream = "/stand-in/upstreams"
+	// PathPublish publishes a platform.WeightVersion; the version is assigned.
+	PathPublish = "/stand-in/weights"
+	// PathReportLog lists the accepted usage reports.
+	PathReportLog = "/stand-in/reports"
+	// PathOrderLog lists the orders that took effect.
+	PathOrderLog = "/stand-in/orders"
+	// PathTableCounts returns the TableCounts.
+	PathTableCounts = "/stand-in/tables"
+)
+
+// stateSpare is an upstream that the platform could start.
+const stateSpare platform.UpstreamState = "spare"
+
+const (
+	probePeriod = 500 * time.Millisecond
+	// probesUntilGone is how many failed probes remove a VM from the list.
+	probesUntilGone = 6
+)
+
+// TableCounts tells the load on the table service.
+type TableCounts struct {
+	Reads   int64 `json:"reads"`
+	Commits int64 `json:"commits"`
+}
+
+type reportKey struct {
+	window  int64
+	account string
+}
+
+// Platform stands in for the users' platform.
+type Platform struct {
+	faults *faults
+	tables *memory.Tables
+
+	mu        sync.Mutex
+	objects   map[string][]byte
+	vms       []platform.VM
+	failures  map[string]int
+	upstreams []platform.Upstream
+	epochs    map[string]uint64
+	ordered   map[string]bool
+	orders    []platform.Order
+	reports   map[reportKey]platform.UsageReport
+	reportLog []platform.UsageReport
+	weights   []platform.WeightVersion
+}
+
+// NewPlatform returns an empty platform.
+func NewPlatform() *Platform {
+	return &Platform{
+		faults:   newFaults(),
+		tables:   memory.NewTables(),
+		objects:  make(map[string][]byte),
+		failures: make(map[string]int),
+		epochs:   make(map[string]uint64),
+		ordered:  make(map[string]bool),
+		reports:  make(map[reportKey]platform.UsageReport),
+	}
+}
+
+// Handler serves the platform's interfaces.
+func (p *Platform) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST "+platform.PathGet, p.get)
+	mux.HandleFunc("POST "+platform.PathScan, p.scan)
+	mux.HandleFunc("POST "+platform.PathCommit, p.commit)
+	mux.HandleFunc("PUT "+platform.PathObjects+"{key}", p.putObject)
+	mux.HandleFunc("GET "+platform.PathObjects+"{key}", p.getObject)
+	mux.HandleFunc("GET "+platform.PathVMs, list(p, func() any { return p.vms }))
+	mux.HandleFunc("GET "+platform.PathUpstreams, list(p, func() any { return p.visible() }))
+	mux.HandleFunc("POST "+platform.PathOrders, p.order)
+	mux.HandleFunc("POST "+platform.PathReports, p.report)
+	mux.HandleFunc("GET "+platform.PathWeights, list(p, func() any { return p.weights }))
+	mux.HandleFunc("POST "+PathAddVM, p.addVM)
+	mux.HandleFunc("POST "+PathAddUpstream, p.addUpstream)
+	mux.HandleFunc("POST "+PathPublish, p.publish)
+	mux.HandleFunc("GET "+PathReportLog, list(p, func() any { return p.reportLog }))
+	mux.HandleFunc("GET "+PathOrderLog, list(p, func() any { return p.orders }))
+	mux.HandleFunc("GET "+PathTableCounts, p.counts)
+	return p.faults.wrap(mux)
+}
+
+// list answers with a value that is read under the lock.
+func list(p *Platform, value func() any) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		writeJSON(w, http.StatusOK, value())
+	}
+}
+
+func (p *Platform) get(w http.ResponseWriter, r *http.Request) {
+	var request platform.GetRequest
+	if !readJSON(w, r, &request) {
+		return
+	}
+	row, _ := p.tables.Get(r.Context(), request.Key)
+	writeJSON(w, http.StatusOK, row)
+}
+
+func (p *Platform) scan(w http.ResponseWriter, r *http.Request) {
+	var request platform.ScanRequest
+	if !readJSON(w, r, &request) {
+		return
+	}
+	rows, _ := p.tables.Scan(r.Context(), request.Prefix, request.After, request.Limit)
+	writeJSON(w, http.StatusOK, rows)
+}
+
+func (p *Platform) commit(w http.ResponseWriter, r *http.Request) {
+	var txn platform.Txn
+	if !readJSON(w, r, &txn) {
+		return
+	}
+	var failed *fault.PreconditionFailed
+	if err := p.tables.Commit(r.Context(), txn); errors.As(err, &failed) {
+		writeJSON(w, http.StatusPreconditionFailed, platform.Problem{Row: failed.Row, Want: failed.Want, Have: failed.Have})
+		return
+	}
+	writeJSON(w, http.StatusOK, struct{}{})
+}
+
+func (p *Platform) counts(w http.ResponseWriter, _ *http.Request) {
+	reads, commits := p.tables.Counts()
+	writeJSON(w, http.StatusOK, TableCounts{Reads: reads, Commits: commits})
+}
+
+func (p *Platform) putObject(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.objects[r.PathValue("key")] = body
+}
+
+func (p *Platform) getObject(w http.ResponseWriter, r *http.Request) {
+	p.mu.Lock()
+	body, ok := p.objects[r.PathValue("key")]
+	p.mu.Unlock()
+	if !ok {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	_, _ = w.Write(body)
+}
+
+func (p *Platform) visible() []platform.Upstream {
+	shown := []platform.Upstream{}
+	for _, u := range p.upstreams {
+		if u.State != stateSpare {
+			shown = append(shown, u)
+		}
+	}
+	return shown
+}
+
+func (p *Platform) order(w http.ResponseWriter, r *http.Request) {
+	var order platform.Order
+	if !readJSON(w, r, &order) {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if order.Epoch < p.epochs[order.FailureDomain] {
+		writeJSON(w, http.StatusPreconditionFailed, platform.Problem{Epoch: p.epochs[order.FailureDomain]})
+		return
+	}
+	p.epochs[order.FailureDomain] = order.Epoch
+	if p.ordered[order.ID] {
+		writeJSON(w, http.StatusOK, struct{}{})
+		return
+	}
+	if !p.carryOut(order) {
+		w.WriteHeader(http.StatusConflict)
+		return
+	}
+	p.ordered[order.ID] = true
+	p.orders = append(p.orders, order)
+	writeJSON(w, http.StatusOK, struct{}{})
+}
+
+// carryOut starts a spare upstream or stops a running one.
+func (p *Platform) carryOut(order platform.Order) bool {
+	for i := range p.upstreams {
+		u := &p.upstreams[i]
+		switch {
+		case order.Kind == platform.OrderStop && u.ID == order.Upstream:
+			u.State = stateSpare
+			return true
+		case order.Kind == platform.OrderStart && startable(*u, order):
+			u.State = platform.UpstreamLive
+			u.Account = order.Account
+			u.OrderID = order.ID
+			return true
+		}
+	}
+	return false
+}
+
+func startable(u platform.Upstream, order platform.Order) bool {
+	return u.State == stateSpare &&
+		u.FailureDomain == order.FailureDomain &&
+		u.Reclaimable == order.Reclaimable &&
+		u.Model == order.Model
+}
+
+func (p *Platform) report(w http.ResponseWriter, r *http.Request) {
+	var report platform.UsageReport
+	if !readJSON(w, r, &report) {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	const reports = "reports"
+	if report.Epoch < p.epochs[reports] {
+		writeJSON(w, http.StatusPreconditionFailed, platform.Problem{Epoch: p.epochs[reports]})
+		return
+	}
+	p.epochs[reports] = report.Epoch
+	key := reportKey{window: report.Window, account: report.Account}
+	if first, ok := p.reports[key]; ok {
+		first.Epoch = report.Epoch
+		if first != report {
+			w.WriteHeader(http.StatusConflict)
+			return
+		}
+		writeJSON(w, http.StatusOK, struct{}{})
+		return
+	}
+	p.reports[key] = report
+	p.reportLog = append(p.reportLog, report)
+	writeJSON(w, http.StatusOK, struct{}{})
+}
+
+func (p *Platform) addVM(w http.ResponseWriter, r *http.Request) {
+	vm := platform.VM{State: platform.VMLive}
+	if !readJSON(w, r, &vm) {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.vms = slices.DeleteFunc(p.vms, func(v platform.VM) bool { return v.ID == vm.ID })
+	p.vms = append(p.vms, vm)
+	p.failures[vm.ID] = 0
+}
+
+func (p *Platform) addUpstream(w http.ResponseWriter, r *http.Request) {
+	u := platform.Upstream{State: platform.UpstreamLive}
+	if !readJSON(w, r, &u) {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.upstreams = slices.DeleteFunc(p.upstreams, func(v platform.Upstream) bool { return v.ID == u.ID })
+	p.upstreams = append(p.upstreams, u)
+}
+
+func (p *Platform) publish(w http.ResponseWriter, r *http.Request) {
+	var published platform.WeightVersion
+	if !readJSON(w, r, &published) {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	published.PublishedAt = time.Now()
+	for i := range p.weights {
+		if p.weights[i].Model == published.Model {
+			published.Version = p.weights[i].Version + 1
+			p.weights[i] = published
+			writeJSON(w, http.StatusOK, published)
+			return
+		}
+	}
+	published.Version = 1
+	p.weights = append(p.weights, published)
+	writeJSON(w, http.StatusOK, published)
+}
+
+// Probe keeps the states of the VM list, a little late, until ctx ends.
+func (p *Platform) Probe(ctx context.Context) {
+	client := &http.Client{Timeout: probePeriod}
+	ticker := time.NewTicker(probePeriod)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			p.probeAll(client)
+		}
+	}
+}
+
+func (p *Platform) probeAll(client *http.Client) {
+	p.mu.Lock()
+	vms := slices.Clone(p.vms)
+	p.mu.Unlock()
+	for _, vm := range vms {
+		status := readiness(client, vm.CallerAddress)
+		p.note(vm.ID, status)
+	}
+}
+
+// readiness returns the status of /readyz, or 0 without an answer.
+func readiness(client *http.Client, address string) int {
+	response, err := client.Get("http://" + address + "/readyz")
+	if err != nil {
+		return 0
+	}
+	_ = response.Body.Close()
+	return response.StatusCode
+}
+
+func (p *Platform) note(id string, status int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	at := slices.IndexFunc(p.vms, func(v platform.VM) bool { return v.ID == id })
+	if at < 0 {
+		return
+	}
+	switch status {
+	case http.StatusOK:
+		p.vms[at].State = platform.VMLive
+		p.failures[id] = 0
+	case 0:
+		p.failures[id]++
+	default:
+		p.vms[at].State = platform.VMLeaving
+	}
+	if p.failures[id] >= probesUntilGone {
+		p.vms = slices.Delete(p.vms, at, at+1)
+	}
+}
+
+// holdsKey reports whether text holds a caller's key.
+func holdsKey(text string) bool { return strings.Contains(text, "dwp_") }
--- a/scripts/smoke.sh
+++ b/scripts/smoke.sh
@@ -1,2 +1,174 @@
 #!/usr/bin/env bash
-echo "smoke: not built yet"
+# Runs the whole path on loopback: a platform, engines and services, and 9
+# daemons in 3 failure domains; then a contract, a key, a generate call, a keyed
+# service call and a step of grouped samples, with one daemon killed in the
+# middle of the step.
+#   --end   ends by itself and fails on any difference from the expected counts
+#   --stay  stays up until Ctrl-C
+set -euo pipefail
+cd "$(dirname "$0")/.."
+mode=${1:---end}
+standin=bin/dogwoodpond-standin
+ctl=bin/dogwoodpondctl
+daemon=bin/dogwoodpondd
+work=$(mktemp -d)
+pids=()
+stop() {
+  for pid in "${pids[@]}"; do kill -CONT "$pid" 2>/dev/null || true; kill -TERM "$pid" 2>/dev/null || true; done
+  wait 2>/dev/null || true
+  rm -rf "$work"
+}
+trap stop EXIT
+
+# await <file> <pattern>: waits until a line of the file matches.
+await() {
+  for _ in $(seq 300); do
+    if grep -qE "$2" "$1" 2>/dev/null; then return 0; fi
+    sleep 0.1
+  done
+  echo "smoke: FAILED: no line '$2' in $1" >&2
+  tail -5 "$1" >&2 || true
+  exit 1
+}
+# start_standin <name> <arguments>: starts one and sets bound to its address.
+start_standin() {
+  local name=$1
+  shift
+  "$standin" "$@" >"$work/$name.out" 2>"$work/$name.err" &
+  pids+=($!)
+  await "$work/$name.out" '^listening '
+  bound=$(sed -n 's/^listening //p' "$work/$name.out" | head -1)
+}
+post() { "$standin" post "$@" >/dev/null; }
+expect() { # expect <what> <got> <wanted>
+  if [ "$2" != "$3" ]; then
+    echo "smoke: FAILED: $1 is '$2', expected '$3'" >&2
+    exit 1
+  fi
+}
+field() { # field <name>: reads a number from JSON on standard input
+  grep -oE "\"$1\": ?[0-9]+" | head -1 | grep -oE '[0-9]+$'
+}
+
+domains=(a b c)
+start_standin platform platform
+platform=http://$bound
+post "$platform/stand-in/weights" '{"model":"berry-1"}'
+engines=()
+upstreams=0
+for d in "${domains[@]}"; do
+  for n in 1 2 3; do
+    reclaimable=false
+    [ "$n" = 3 ] && reclaimable=true
+    fencing=()
+    [ "$n" = 1 ] && fencing=(--checks-fencing)
+    start_standin "engine-$d$n" engine --slots 8 "${fencing[@]}"
+    engines+=("$bound")
+    checks=$([ "$n" = 1 ] && echo true || echo false)
+    post "$platform/stand-in/upstreams" "{\"id\":\"engine-$d$n\",\"kind\":\"engine\",\"failureDomain\":\"$d\",\"address\":\"$bound\",\"model\":\"berry-1\",\"slots\":8,\"reclaimable\":$reclaimable,\"checksFencing\":$checks}"
+    upstreams=$((upstreams + 1))
+  done
+  start_standin "desk-$d" service
+  post "$platform/stand-in/upstreams" "{\"id\":\"desk-$d\",\"kind\":\"service\",\"service\":\"desk\",\"failureDomain\":\"$d\",\"address\":\"$bound\",\"slots\":64}"
+  upstreams=$((upstreams + 1))
+done
+
+token=smoke-operator-token
+token_hash=$(printf %s "$token" | sha256sum | cut -d' ' -f1)
+declare -A vm_pid
+entries=()
+vms=()
+for d in "${domains[@]}"; do
+  for n in 1 2 3; do
+    vm=vm-$d$n
+    cat >"$work/$vm.json" <<J
+{"vm":"$vm","failureDomain":"$d","region":"tayside","callerAddress":"127.0.0.1:0","operatorAddress":"127.0.0.1:0",
+ "peerAddress":"127.0.0.1:0","platformUrl":"$platform","operatorTokenSha256":"$token_hash","leaseTermMillis":2000,
+ "digestPeriodMillis":200,"revisionPollMillis":500,"usageWindowSeconds":5}
+J
+    "$ctl" settings check "$work/$vm.json" >/dev/null
+    "$daemon" --settings "$work/$vm.json" 2>"$work/$vm.log" &
+    vm_pid[$vm]=$!
+    pids+=($!)
+    vms+=("$vm")
+  done
+done
+operator=
+for vm in "${vms[@]}"; do
+  await "$work/$vm.log" 'callers=.* operators=.* peers='
+  bound=$(grep -oE 'callers=[^ "]+ operators=[^ "]+ peers=[^ "]+' "$work/$vm.log" | head -1)
+  callers=$(sed -E 's/callers=([^ ]+) .*/\1/' <<<"$bound")
+  operators=$(sed -E 's/.* operators=([^ ]+) .*/\1/' <<<"$bound")
+  peers=$(sed -E 's/.* peers=([^ ]+)$/\1/' <<<"$bound")
+  entries+=("$callers")
+  [ -n "$operator" ] || operator=$operators
+  d=${vm:3:1}
+  post "$platform/stand-in/vms" "{\"id\":\"$vm\",\"failureDomain\":\"$d\",\"region\":\"tayside\",\"callerAddress\":\"$callers\",\"peerAddress\":\"$peers\"}"
+done
+
+export DOGWOODPOND_ADDRESS=$operator DOGWOODPOND_TOKEN=$token DOGWOODPOND_WHO=smoke
+cat >"$work/contract.json" <<J
+{"account":"strathallan","share":100,"staleness":{"maxVersions":2,"maxSeconds":600},"reclaimable":{"percent":50}}
+J
+"$ctl" contract apply "$work/contract.json" >/dev/null
+DOGWOODPOND_KEY=$("$ctl" key grant strathallan)
+export DOGWOODPOND_KEY
+for entry in "${entries[@]}"; do
+  for _ in $(seq 100); do
+    if "$standin" post --method GET "http://$entry/readyz" >/dev/null 2>&1; then break; fi
+    sleep 0.1
+  done
+done
+
+# One generate call through each daemon.
+served=0
+for entry in "${entries[@]}"; do
+  "$standin" post --header "Authorization: Bearer $DOGWOODPOND_KEY" "http://$entry/v1/generate" \
+    '{"model":"berry-1","prompt":"When do the raspberries open?","maxTokens":32}' >"$work/answer.json"
+  served=$((served + 1))
+done
+request=$(grep -oE '"requestId": ?"[^"]+"' "$work/answer.json" | grep -oE '[0-9a-f-]{36}')
+
+# One keyed service call, repeated through another daemon: it runs once.
+charge() {
+  "$standin" post --header "Authorization: Bearer $DOGWOODPOND_KEY" --header 'Idempotency-Key: tree-17' \
+    "http://$1/v1/services/desk/deposit" '{"tree":17,"cents":2500}'
+}
+first=$(charge "${entries[0]}")
+second=$(charge "${entries[4]}")
+expect 'the repeated charge' "$second" "$first"
+served=$((served + 1))
+
+# A step of grouped samples; one daemon is killed in the middle.
+flags=()
+for entry in "${entries[@]}"; do flags+=(--entry "$entry"); done
+"$standin" trainer "${flags[@]}" --step round-1 --groups 16 --samples 8 --max-tokens 128 >"$work/trainer.json" &
+trainer=$!
+sleep 1
+kill -KILL "${vm_pid[vm-b2]}"
+if ! wait "$trainer"; then
+  echo "smoke: FAILED: the step did not end" >&2
+  cat "$work/trainer.json" >&2
+  exit 1
+fi
+samples=$(field samples <"$work/trainer.json")
+expect 'samples delivered' "$samples" 128
+expect 'samples repeated' "$(field repeated <"$work/trainer.json")" 0
+expect 'samples out of order' "$(field gaps <"$work/trainer.json")" 0
+expect 'samples without weight versions' "$(field unattributed <"$work/trainer.json")" 0
+expect 'wrong samples' "$(field wrong <"$work/trainer.json")" 0
+keys=0
+for e in "${engines[@]}"; do
+  seen=$("$standin" post --method GET "http://$e/stand-in/counts" | field keysSeen)
+  keys=$((keys + seen))
+done
+expect 'requests to engines that held a key' "$keys" 0
+
+echo "time line of request $request:"
+"$ctl" timeline --request "$request"
+echo "smoke: ok: $served requests served, $samples samples delivered once each with their weight versions, ${#vms[@]} daemons (one killed), $upstreams upstreams"
+if [ "$mode" = --stay ]; then
+  echo "callers: ${entries[0]}  operators: $operator  token: $token  key: $DOGWOODPOND_KEY"
+  echo "up until Ctrl-C"
+  wait
+fi
