Process tests; a planned stop refuses nobody during its notice

Cause: SIGTERM made a VM refuse new work at once, while the balancer still sent callers for as long as its view lags. Ruled out: refusals with Retry-After alone; a caller that honours /readyz still sees a failed call. Answers during the notice ask for the connection to be closed.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -116,11 +116,13 @@
 	return listener, nil
 }
 
-// drain takes no new work, waits for the running requests and stops the loops.
+// drain tells the balancer, then takes no new work, waits for the running
+// requests and stops the loops.
 func (d *Daemon) drain(open servers) error {
 	d.events.Emit(event.DrainStarted, event.Subject{})
 	d.entry.Drain()
 	time.Sleep(balancerNotice)
+	d.entry.Refuse()
 	ctx, cancel := context.WithTimeout(context.Background(), d.settings.Drain())
 	defer cancel()
 	if err := open.callers.Shutdown(ctx); err != nil {
--- a/internal/entry/auth.go
+++ b/internal/entry/auth.go
@@ -37,6 +37,10 @@
 	return func(r *restful.Request, w *restful.Response) {
 		id := uuid.NewString()
 		w.Header().Set(headerRequestID, id)
+		if s.Draining() {
+			// A kept connection would be closed under a caller's next request.
+			w.Header().Set("Connection", "close")
+		}
 		err := s.admit(id, next, r, w)
 		if err != nil {
 			s.refuse(w, id, err)
@@ -45,7 +49,7 @@
 }
 
 func (s *Server) admit(id string, next handler, r *restful.Request, w *restful.Response) error {
-	if s.Draining() {
+	if s.refusing.Load() {
 		return errors.WithStack(&fault.Draining{Wait: drainRetryAfter})
 	}
 	presented, err := presentedKey(r.Request)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -62,6 +62,7 @@
 	Config
 	sessions *sessions
 	draining atomic.Bool
+	refusing atomic.Bool
 }
 
 // NewServer returns a server.
@@ -69,10 +70,16 @@
 	return &Server{Config: config, sessions: newSessions()}
 }
 
-// Drain makes /readyz answer 503, so that the balancer sends no more callers,
-// and refuses new work. Running requests go on.
+// Drain makes /readyz answer 503, so that the balancer sends no more callers.
+// Until Refuse is called new work is still served: the balancer looks only now
+// and then, and a caller whom it still sends here would else be refused because
+// of a planned stop.
 func (s *Server) Drain() { s.draining.Store(true) }
 
+// Refuse ends the notice that Drain began: new work is refused as not run.
+// Running requests go on.
+func (s *Server) Refuse() { s.refusing.Store(true) }
+
 // Draining reports whether Drain was called.
 func (s *Server) Draining() bool { return s.draining.Load() }
 
--- /dev/null
+++ b/internal/processtest/cutoff_test.go
@@ -0,0 +1,96 @@
+package processtest
+
+import (
+	"encoding/json"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"dogwoodpond/internal/contract"
+	"dogwoodpond/internal/entry"
+	"dogwoodpond/internal/fault"
+	"dogwoodpond/internal/standin"
+)
+
+// A failure domain loses the platform and the other domains. Its callers would
+// be refused although its own engines are well; or, worse, it would serve keys
+// for ever that have been withdrawn meanwhile.
+func TestCutOffDomainServesWithinItsBound(t *testing.T) {
+	f := startFleet(t, shape{domains: []string{"a", "b"}, vms: 1, engines: 1, desks: 1})
+	bounded := testContract("strathallan")
+	bounded.Isolation.ServeSeconds = 5
+	key := f.grant(bounded)
+	lasting := f.grant(testContract("brazicod"))
+	inside, outside := f.vms[0], f.vms[1]
+	f.network.cut("a", platformPlace)
+	f.network.cut("a", "b")
+	cut := time.Now()
+
+	if status, answer := f.generate(inside, key, "cut off", 16); status != http.StatusOK {
+		t.Errorf("within the bound: %d %s", status, answer)
+	}
+	status, answer := f.charge(inside, key, "tree-1", "charge")
+	wantRefusal(t, "keyed call", status, answer, http.StatusServiceUnavailable, fault.CodeStoreUnavailable, fault.NotRun)
+	if seen := f.counts(f.desks[0]).Started + f.counts(f.desks[1]).Started; seen != 0 {
+		t.Errorf("the desks ran %d calls that were refused as not run", seen)
+	}
+
+	// Meanwhile the operators withdraw a key, from the side that is not cut off.
+	edited := f.operateAt(outside, http.MethodDelete, "/v1/keys/keybrazicod", "", nil)
+	await(t, "the bound passes", func() bool {
+		status, answer = f.generate(inside, key, "cut off", 16)
+		return status != http.StatusOK
+	})
+	t.Logf("refused %v after the cut, the bound is 5s", time.Since(cut).Round(time.Millisecond))
+	wantRefusal(t, "after the bound", status, answer, http.StatusServiceUnavailable, fault.CodeConfigurationStale, fault.NotRun)
+
+	f.network.heal("a", platformPlace)
+	f.network.heal("a", "b")
+	healed := time.Now()
+	await(t, "the edit is in force", func() bool { return f.revision(inside) >= edited })
+	t.Logf("the edit was in force %v after the cut healed", time.Since(healed).Round(time.Millisecond))
+	await(t, "the domain serves again", func() bool {
+		status, _ := f.generate(inside, key, "healed", 16)
+		return status == http.StatusOK
+	})
+	status, answer = f.generate(inside, lasting, "withdrawn", 16)
+	wantRefusal(t, "withdrawn meanwhile", status, answer, http.StatusUnauthorized, fault.CodeKeyWithdrawn, fault.NotRun)
+}
+
+// The platform's store refuses every call for a while. Work that needs no store
+// must not notice; a deposit whose claim can't be stored must not run, and its
+// refusal must say so.
+func TestStoreRefusesEveryCall(t *testing.T) {
+	f := startFleet(t, shape{domains: []string{"a"}, vms: 2, engines: 1, desks: 1})
+	key := f.grant(testContract("strathallan"))
+	f.addFault(f.platURL, standin.Fault{Path: "/tables/", Mode: standin.FaultRefuse})
+	for _, v := range f.vms {
+		if status, answer := f.generate(v, key, "store down", 16); status != http.StatusOK {
+			t.Errorf("%s: %d %s", v.id, status, answer)
+		}
+		status, answer := f.charge(v, key, "tree-1", "charge")
+		wantRefusal(t, v.id, status, answer, http.StatusServiceUnavailable, fault.CodeStoreUnavailable, fault.NotRun)
+	}
+	if seen := f.counts(f.desks[0]).Started; seen != 0 {
+		t.Errorf("the desk ran %d calls that were refused as not run", seen)
+	}
+	f.clearFaults(f.platURL)
+	revision := f.operate(http.MethodPut, "/v1/contracts/late", "", testContract(contract.Account("late")))
+	for _, v := range f.vms {
+		await(t, v.id+" has the edit", func() bool { return f.revision(v) >= revision })
+	}
+}
+
+// wantRefusal checks a refusal's status, code and execution.
+func wantRefusal(t testing.TB, what string, status int, answer []byte, wantStatus int, code fault.Code, execution fault.Execution) {
+	t.Helper()
+	var refusal entry.Refusal
+	if err := json.Unmarshal(answer, &refusal); err != nil {
+		t.Errorf("%s: %d %q is no refusal", what, status, strings.TrimSpace(string(answer)))
+		return
+	}
+	if status != wantStatus || refusal.Code != code || refusal.Execution != execution {
+		t.Errorf("%s: %d %s/%s, want %d %s/%s", what, status, refusal.Code, refusal.Execution, wantStatus, code, execution)
+	}
+}
