What a refusal says about the run travels with the failure

Cause: the execution was guessed from the failure's code. A key withdrawn while a deposit ran was told not_run although the desk had the request; a deadline in the queue was told unknown although nothing ran. Ruled out: a longer table of codes; the same code (deadline_exceeded, upstream_failed) is both, depending on the place. Change: fault.WithExecution marks a failure where it is seen: before a connection was at hand nothing went out (httptrace), 404 of the completions protocol, else unknown, or ran after the first chunk. Without a mark the claim is unknown.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -128,6 +128,7 @@
 	if err := open.callers.Shutdown(ctx); err != nil {
 		return errors.WithStack(&fault.DeadlineExceeded{})
 	}
+	d.entry.Wait()
 	d.rollouts.Close()
 	return open.operators.Shutdown(ctx)
 }
--- a/internal/daemon/providers.go
+++ b/internal/daemon/providers.go
@@ -18,6 +18,7 @@
 	"dogwoodpond/internal/peer"
 	"dogwoodpond/internal/platform"
 	"dogwoodpond/internal/request"
+	"dogwoodpond/internal/retry"
 	"dogwoodpond/internal/rollout"
 	"dogwoodpond/internal/service"
 	"dogwoodpond/internal/settings"
@@ -59,8 +60,12 @@
 	return dispatch.NewScheduler(s.FailureDomain, directory)
 }
 
-func newRunner(view *contract.View, scheduler *dispatch.Scheduler, engines *engine.Client, events *event.Recorder) *generate.Local {
-	return generate.NewLocal(view, scheduler, engines, events)
+func newRetries(registry *prometheus.Registry, events *event.Recorder) *retry.Policy {
+	return retry.NewPolicy(registry, events)
+}
+
+func newRunner(view *contract.View, scheduler *dispatch.Scheduler, engines *engine.Client, retries *retry.Policy, events *event.Recorder) *generate.Local {
+	return generate.NewLocal(view, scheduler, engines, retries, events)
 }
 
 func newGossip(s settings.Daemon, view *contract.View, client *peer.Client, events *event.Recorder, h *hooks) *peer.Gossip {
@@ -101,6 +106,7 @@
 	syncer *config.Syncer,
 	runner *generate.Local,
 	scheduler *dispatch.Scheduler,
+	retries *retry.Policy,
 	services *service.Client,
 	claims *request.Claims,
 	steps *rollout.Manager,
@@ -114,6 +120,7 @@
 		Ager:       syncer,
 		Runner:     runner,
 		Dispatcher: scheduler,
+		Retries:    retries,
 		Services:   services,
 		Claims:     claims,
 		Steps:      steps,
--- a/internal/daemon/wire.go
+++ b/internal/daemon/wire.go
@@ -25,6 +25,7 @@
 		contract.NewView,
 		upstream.NewDirectory,
 		newScheduler,
+		newRetries,
 		engine.NewClient,
 		service.NewClient,
 		newRunner,
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -7,6 +7,9 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptrace"
+	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -23,37 +26,81 @@
 	// engines that ignore fencing.
 	orderTimeout = 10 * time.Second
 	loadTimeout  = time.Second
+	// maxLoad bounds a load report in bytes.
+	maxLoad = 1 << 16
 )
 
+// Patience bounds the silence of a stream. An engine that hangs keeps its
+// connection open, so without a bound its callers would wait for their whole
+// deadline although another engine could go on.
+type Patience struct {
+	// First bounds the wait for the first chunk: an engine queues requests.
+	First time.Duration
+	// Next bounds the wait for each further chunk.
+	Next time.Duration
+}
+
+// DefaultPatience holds unless a client is built with another.
+var DefaultPatience = Patience{First: 2 * time.Minute, Next: 20 * time.Second}
+
 // Client reaches model engines over HTTP. It is safe for concurrent use.
 type Client struct {
-	http *http.Client
+	http     *http.Client
+	patience Patience
 }
 
-// NewClient returns a client.
-func NewClient() *Client {
-	return &Client{http: &http.Client{Transport: &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
-		MaxIdleConnsPerHost: 256,
-		IdleConnTimeout:     time.Minute,
-	}}}
+// NewClient returns a client with the default patience.
+func NewClient() *Client { return NewPatientClient(DefaultPatience) }
+
+// NewPatientClient returns a client with its own bounds of a stream's silence.
+func NewPatientClient(patience Patience) *Client {
+	return &Client{
+		http: &http.Client{Transport: &http.Transport{
+			DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
+			MaxIdleConnsPerHost: 256,
+			IdleConnTimeout:     time.Minute,
+			DisableCompression:  true,
+		}},
+		patience: patience,
+	}
 }
 
 // Stream runs one completion at the engine's address and hands each chunk to
 // sink in the order of the stream. It returns nil only after the terminal
 // event. Else it fails with *fault.UpstreamFailed, *fault.AnswerTruncated, or
-// sink's error.
+// sink's error. Each failure carries what is known about the run.
 func (c *Client) Stream(ctx context.Context, address string, request CompletionRequest, sink func(CompletionChunk) error) error {
 	request.Stream = true
-	response, err := c.post(ctx, address+PathCompletions, request)
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	silence := time.AfterFunc(c.patience.First, cancel)
+	defer silence.Stop()
+	response, err := c.post(ctx, address+PathCompletions, request.RequestID, request)
 	if err != nil {
 		return err
 	}
-	defer response.Body.Close()
+	defer func() { _ = response.Body.Close() }()
 	if response.StatusCode != http.StatusOK {
-		return failed(address, response.Status)
+		return refusedStream(address, response)
+	}
+	heard := false
+	err = readStream(address, request.RequestID, response.Body, func(chunk CompletionChunk) error {
+		heard = true
+		silence.Reset(c.patience.Next)
+		return sink(chunk)
+	})
+	if heard {
+		return fault.WithExecution(err, fault.Ran)
+	}
+	return fault.WithExecution(err, fault.Unknown)
+}
+
+func refusedStream(address string, response *http.Response) error {
+	execution := fault.Unknown
+	if response.StatusCode == StatusNotServed {
+		execution = fault.NotRun
 	}
-	return readStream(address, request.RequestID, response.Body, sink)
+	return fault.WithExecution(failed(address, response.Status), execution)
 }
 
 func failed(address, reason string) error {
@@ -71,12 +118,9 @@
 		if event.Data == DoneEvent {
 			return nil
 		}
-		var chunk CompletionChunk
-		if err := json.Unmarshal([]byte(event.Data), &chunk); err != nil {
-			return failed(address, "an event is not JSON")
-		}
-		if chunk.ID != requestID || len(chunk.Choices) != 1 {
-			return failed(address, "an event of another request")
+		chunk, err := parseChunk(address, requestID, event.Data)
+		if err != nil {
+			return err
 		}
 		if err := sink(chunk); err != nil {
 			return err
@@ -85,6 +129,19 @@
 	return errors.WithStack(&fault.AnswerTruncated{Upstream: address})
 }
 
+// parseChunk reads one event. An event of another request would put another
+// caller's words into this answer; the engine repeats the request's ID in each.
+func parseChunk(address, requestID, data string) (CompletionChunk, error) {
+	var chunk CompletionChunk
+	if err := json.Unmarshal([]byte(data), &chunk); err != nil {
+		return CompletionChunk{}, failed(address, "an event is not JSON")
+	}
+	if chunk.ID != requestID || len(chunk.Choices) != 1 {
+		return CompletionChunk{}, failed(address, "an event of another request")
+	}
+	return chunk, nil
+}
+
 // Load returns the engine's load report.
 func (c *Client) Load(ctx context.Context, address string) (Load, error) {
 	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
@@ -99,7 +156,7 @@
 	}
 	defer response.Body.Close()
 	var load Load
-	if err := json.NewDecoder(response.Body).Decode(&load); err != nil {
+	if err := json.NewDecoder(io.LimitReader(response.Body, maxLoad)).Decode(&load); err != nil {
 		return Load{}, failed(address, "load report is not JSON")
 	}
 	return load, nil
@@ -111,7 +168,7 @@
 func (c *Client) Order(ctx context.Context, address string, order Order) error {
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
-	response, err := c.post(ctx, address+PathOrders, order)
+	response, err := c.post(ctx, address+PathOrders, order.ID, order)
 	if err != nil {
 		return err
 	}
@@ -126,19 +183,32 @@
 	}
 }
 
-func (c *Client) post(ctx context.Context, target string, body any) (*http.Response, error) {
+// post sends a body. Its failures are marked: before a connection was at hand
+// no byte can have gone out.
+func (c *Client) post(ctx context.Context, target, requestID string, body any) (*http.Response, error) {
 	text, err := json.Marshal(body)
 	if err != nil {
-		return nil, errors.WithStack(&fault.Internal{Where: "engine request"})
+		return nil, fault.WithExecution(errors.WithStack(&fault.Internal{Where: "engine request"}), fault.NotRun)
 	}
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+target, bytes.NewReader(text))
+	var connected atomic.Bool
+	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
+	})
+	request, err := http.NewRequestWithContext(traced, http.MethodPost, "http://"+target, bytes.NewReader(text))
 	if err != nil {
-		return nil, failed(target, "address")
+		return nil, fault.WithExecution(failed(target, "address"), fault.NotRun)
 	}
 	request.Header.Set("Content-Type", "application/json")
+	request.Header.Set(HeaderRequestID, requestID)
+	if deadline, ok := ctx.Deadline(); ok {
+		request.Header.Set(HeaderTimeout, strconv.FormatInt(time.Until(deadline).Milliseconds(), 10))
+	}
 	response, err := c.http.Do(request)
-	if err != nil {
-		return nil, failed(target, "no answer")
+	if err == nil {
+		return response, nil
+	}
+	if !connected.Load() {
+		return nil, fault.WithExecution(failed(target, "no connection"), fault.NotRun)
 	}
-	return response, nil
+	return nil, fault.WithExecution(failed(target, "no answer"), fault.Unknown)
 }
--- a/internal/engine/wire.go
+++ b/internal/engine/wire.go
@@ -2,6 +2,8 @@
 // cancel, load reports and orders. The stand-in engine shares its wire types.
 package engine
 
+import "net/http"
+
 // Paths of an engine's HTTP interface.
 const (
 	PathCompletions = "/v1/completions"
@@ -9,6 +11,19 @@
 	PathOrders      = "/orders"
 )
 
+// Headers of a completions request.
+const (
+	HeaderRequestID = "X-Request-Id"
+	// HeaderTimeout gives what remains of the request's deadline in
+	// milliseconds, so that an engine need not finish what nobody waits for.
+	HeaderTimeout = "X-Request-Timeout-Ms"
+)
+
+// StatusNotServed refuses a completions request whose model or adapter the
+// engine does not serve. The protocol defines that nothing of it ran; no other
+// status says so.
+const StatusNotServed = http.StatusNotFound
+
 // CompletionRequest asks for a completions stream. It is built anew for each
 // attempt and never holds a caller's key.
 type CompletionRequest struct {
--- a/internal/entry/auth.go
+++ b/internal/entry/auth.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"bytes"
 	"context"
 	"io"
 	"net/http"
@@ -41,44 +40,55 @@
 			// A kept connection would be closed under a caller's next request.
 			w.Header().Set("Connection", "close")
 		}
-		err := s.admit(id, next, r, w)
+		c, err := s.admit(id, r, w)
 		if err != nil {
+			s.refuse(w, id, fault.WithExecution(err, fault.NotRun))
+			return
+		}
+		if err := s.serve(c, next, r, w); err != nil {
 			s.refuse(w, id, err)
 		}
 	}
 }
 
-func (s *Server) admit(id string, next handler, r *restful.Request, w *restful.Response) error {
+// admit checks everything that comes before a request may cause anything.
+func (s *Server) admit(id string, r *restful.Request, w *restful.Response) (caller, error) {
 	if s.refusing.Load() {
-		return errors.WithStack(&fault.Draining{Wait: drainRetryAfter})
+		return caller{}, errors.WithStack(&fault.Draining{Wait: drainRetryAfter})
 	}
 	presented, err := presentedKey(r.Request)
 	if err != nil {
-		return err
+		return caller{}, err
 	}
-	key, c, err := s.View.Load().Authenticate(presented)
+	snapshot := s.View.Load()
+	key, c, err := snapshot.Authenticate(presented)
 	if err != nil {
-		return err
+		return caller{}, err
 	}
 	if age := s.Ager.Age(); age > c.Isolation.Duration() {
-		return errors.WithStack(&fault.ConfigurationStale{Account: string(c.Account), Age: age})
+		return caller{}, errors.WithStack(&fault.ConfigurationStale{Account: string(c.Account), Age: age})
 	}
-	body, err := readBody(r.Request, c.Limits.BodyBytes)
+	body, err := readBody(w, r.Request, c.Limits.BodyBytes)
 	if err != nil {
-		return err
+		return caller{}, err
 	}
-	if err := checkExposure(r.Request, body, presented.Secret); err != nil {
-		return err
+	if err := checkExposure(r.Request, body, presented.Secret, snapshot); err != nil {
+		return caller{}, err
 	}
-	ctx, end := s.sessions.begin(r.Request.Context(), key.ID)
+	return caller{requestID: id, key: key, contract: c, body: body}, nil
+}
+
+// serve runs the handler in a session of the key, so that a withdrawal ends it.
+func (s *Server) serve(c caller, next handler, r *restful.Request, w *restful.Response) error {
+	ctx, end := s.sessions.begin(r.Request.Context(), c.key.ID)
 	defer end()
 	// The key may have been withdrawn between its check and the start of the
 	// session; then the withdrawal's sweep has missed this request.
-	if s.View.Load().Keys[key.ID].Withdrawn {
-		return errors.WithStack(&fault.KeyWithdrawn{KeyID: key.ID})
+	if s.View.Load().Keys[c.key.ID].Withdrawn {
+		return fault.WithExecution(errors.WithStack(&fault.KeyWithdrawn{KeyID: c.key.ID}), fault.NotRun)
 	}
-	s.Events.Emit(event.RequestAccepted, event.Subject{Request: id, Account: string(c.Account)})
-	return next(ctx, caller{requestID: id, key: key, contract: c, body: body}, r, w)
+	s.Events.Emit(event.RequestAccepted, event.Subject{Request: c.requestID, Account: string(c.contract.Account)})
+	return next(ctx, c, r, w)
 }
 
 // presentedKey reads the key from the Authorization header.
@@ -94,7 +104,15 @@
 	return contract.ParseKey(text)
 }
 
-func readBody(r *http.Request, limit int64) ([]byte, error) {
+// bodyTimeout bounds how long a caller may take to send its body. Without a
+// bound, callers that stop in the middle hold their requests for ever, and a
+// planned stop waits for them.
+const bodyTimeout = time.Minute
+
+func readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, error) {
+	connection := http.NewResponseController(w)
+	// A writer without deadlines, as in tests, has no slow caller either.
+	_ = connection.SetReadDeadline(time.Now().Add(bodyTimeout))
 	body, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
 	if err != nil {
 		return nil, errors.WithStack(&fault.BadRequest{Field: "body", Problem: "can't be read"})
@@ -102,22 +120,6 @@
 	if int64(len(body)) > limit {
 		return nil, errors.WithStack(&fault.BodyTooLarge{Limit: limit})
 	}
+	_ = connection.SetReadDeadline(time.Time{})
 	return body, nil
 }
-
-// checkExposure refuses a request that carries its key's secret outside the
-// Authorization header, since those parts may reach an upstream.
-func checkExposure(r *http.Request, body []byte, secret string) error {
-	if strings.Contains(r.URL.Path, secret) || strings.Contains(r.URL.RawQuery, secret) {
-		return errors.WithStack(&fault.KeyExposed{Part: "path or query"})
-	}
-	if bytes.Contains(body, []byte(secret)) {
-		return errors.WithStack(&fault.KeyExposed{Part: "body"})
-	}
-	for name, values := range r.Header {
-		if name != "Authorization" && strings.Contains(strings.Join(values, " "), secret) {
-			return errors.WithStack(&fault.KeyExposed{Part: "header"})
-		}
-	}
-	return nil
-}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -17,6 +18,7 @@
 	"dogwoodpond/internal/event"
 	"dogwoodpond/internal/generate"
 	"dogwoodpond/internal/request"
+	"dogwoodpond/internal/retry"
 	"dogwoodpond/internal/sample"
 	"dogwoodpond/internal/service"
 	"dogwoodpond/internal/usage"
@@ -49,6 +51,7 @@
 	Ager       Ager
 	Runner     generate.Runner
 	Dispatcher dispatch.Dispatcher
+	Retries    *retry.Policy
 	Services   *service.Client
 	Claims     *request.Claims
 	Steps      Steps
@@ -63,6 +66,8 @@
 	sessions *sessions
 	draining atomic.Bool
 	refusing atomic.Bool
+	// detached counts the keyed calls that outlive their callers.
+	detached sync.WaitGroup
 }
 
 // NewServer returns a server.
@@ -80,6 +85,9 @@
 // Running requests go on.
 func (s *Server) Refuse() { s.refusing.Store(true) }
 
+// Wait waits for the calls that go on after their callers have left.
+func (s *Server) Wait() { s.detached.Wait() }
+
 // Draining reports whether Drain was called.
 func (s *Server) Draining() bool { return s.draining.Load() }
 
@@ -91,7 +99,11 @@
 	container.ServiceErrorHandler(s.unrouted)
 	container.Add(s.health())
 	container.Add(s.api())
-	return container
+	// Dispatch, not ServeHTTP: the container's own mux would answer some paths
+	// with a redirect in place of a route or a typed refusal.
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		container.Dispatch(&trackedWriter{ResponseWriter: w}, r)
+	})
 }
 
 func (s *Server) health() *restful.WebService {
--- a/internal/entry/generate.go
+++ b/internal/entry/generate.go
@@ -9,7 +9,6 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/emicklei/go-restful/v3"
-	"github.com/tmaxmax/go-sse"
 
 	"dogwoodpond/internal/event"
 	"dogwoodpond/internal/fault"
@@ -66,8 +65,9 @@
 	return call, nil
 }
 
+// badField refuses a request whose content can't be understood; it has not run.
 func badField(field, problem string) error {
-	return errors.WithStack(&fault.BadRequest{Field: field, Problem: problem})
+	return fault.WithExecution(errors.WithStack(&fault.BadRequest{Field: field, Problem: problem}), fault.NotRun)
 }
 
 func decodeStrict(body []byte, into any) error {
@@ -103,7 +103,7 @@
 	}
 	result, err := s.Runner.Generate(ctx, request, nil)
 	if err != nil {
-		return withExecution(causeOf(ctx, err), executionAfter(err))
+		return causeOf(ctx, err)
 	}
 	s.count(c, result)
 	answer := answerOf(result)
@@ -113,26 +113,15 @@
 }
 
 // causeOf prefers the reason why the request was cancelled, such as a withdrawn
-// key, to what the cancelled call returned.
+// key, to what the cancelled call returned. What is known about the run stays.
 func causeOf(ctx context.Context, err error) error {
 	var f fault.Failure
 	if cause := context.Cause(ctx); errors.As(cause, &f) {
-		return cause
+		return fault.WithExecution(cause, fault.ExecutionOf(err))
 	}
 	return err
 }
 
-// executionAfter tells what a failed generation says about its run: whatever the
-// dispatcher refuses has not run.
-func executionAfter(err error) fault.Execution {
-	switch fault.CodeOf(err) {
-	case fault.CodeQueueFull, fault.CodeLimitExceeded, fault.CodeNoUpstream, fault.CodeAccountUnknown:
-		return fault.NotRun
-	default:
-		return fault.Unknown
-	}
-}
-
 func answerOf(result generate.Result) GenerateAnswer {
 	return GenerateAnswer{
 		RequestID:    result.ID,
@@ -152,47 +141,24 @@
 	})
 }
 
-// The types of a stream's events.
-const (
-	eventChunk  = "chunk"
-	eventAnswer = "answer"
-	eventError  = "error"
-)
-
 // generateStream passes chunks on as they come. The header is written with the
 // first chunk, so that an earlier failure is still an ordinary refusal.
 func (s *Server) generateStream(ctx context.Context, c caller, request generate.Request, w *restful.Response) error {
-	started := false
+	out := newEventWriter(ctx, w)
+	defer out.close()
 	result, err := s.Runner.Generate(ctx, request, func(chunk generate.Chunk) error {
-		if !started {
-			started = true
-			w.Header().Set("Content-Type", "text/event-stream")
-			w.WriteHeader(http.StatusOK)
-		}
-		return sendEvent(w, eventChunk, chunk)
+		return out.send(eventChunk, chunk)
 	})
-	if err != nil && !started {
-		return withExecution(causeOf(ctx, err), executionAfter(err))
+	if err != nil && !out.started {
+		return causeOf(ctx, err)
 	}
 	if err != nil {
-		refusal, _ := refusalOf(c.requestID, withExecution(causeOf(ctx, err), fault.Ran))
-		_ = sendEvent(w, eventError, refusal)
+		refusal, _ := refusalOf(c.requestID, causeOf(ctx, err))
+		s.noteRefusal(refusal)
+		_ = out.send(eventError, refusal)
 		return nil
 	}
 	s.count(c, result)
-	return sendEvent(w, eventAnswer, answerOf(result))
-}
-
-func sendEvent(w *restful.Response, kind string, value any) error {
-	text, err := json.Marshal(value)
-	if err != nil {
-		return errors.WithStack(&fault.Internal{Where: "event"})
-	}
-	message := sse.Message{Type: sse.Type(kind)}
-	message.AppendData(string(text))
-	if _, err := message.WriteTo(w); err != nil {
-		return errors.WithStack(&fault.CallerGone{})
-	}
-	w.Flush()
+	_ = out.send(eventAnswer, answerOf(result))
 	return nil
 }
--- a/internal/entry/refusal.go
+++ b/internal/entry/refusal.go
@@ -9,6 +9,7 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/emicklei/go-restful/v3"
+	"github.com/google/uuid"
 
 	"dogwoodpond/internal/event"
 	"dogwoodpond/internal/fault"
@@ -27,29 +28,6 @@
 	Message           string `json:"message"`
 }
 
-// executed marks a failure with what is known about the request's run. A
-// failure without a mark happened before any dispatch.
-type executed struct {
-	error
-	execution fault.Execution
-}
-
-// Unwrap returns the failure itself.
-func (e *executed) Unwrap() error { return e.error }
-
-// withExecution marks a failure.
-func withExecution(err error, execution fault.Execution) error {
-	return &executed{error: err, execution: execution}
-}
-
-func executionOf(err error) fault.Execution {
-	var marked *executed
-	if errors.As(err, &marked) {
-		return marked.execution
-	}
-	return fault.NotRun
-}
-
 // statuses maps codes to HTTP statuses; other codes get 500.
 var statuses = map[fault.Code]int{
 	fault.CodeBadRequest:         http.StatusBadRequest,
@@ -85,10 +63,12 @@
 	if !ok {
 		status = http.StatusInternalServerError
 	}
-	refusal := Refusal{Code: code, Execution: executionOf(err), RequestID: id, Message: messageOf(err)}
+	refusal := Refusal{Code: code, Execution: fault.ExecutionOf(err), RequestID: id, Message: messageOf(err)}
+	fallback := time.Duration(0)
 	if status >= http.StatusInternalServerError || status == http.StatusTooManyRequests {
-		refusal.RetryAfterSeconds = int(math.Ceil(fault.RetryAfterOf(err, defaultRetryAfter).Seconds()))
+		fallback = defaultRetryAfter
 	}
+	refusal.RetryAfterSeconds = int(math.Ceil(fault.RetryAfterOf(err, fallback).Seconds()))
 	return refusal, status
 }
 
@@ -104,31 +84,85 @@
 
 func (s *Server) refuse(w *restful.Response, id string, err error) {
 	refusal, status := refusalOf(id, err)
-	s.Events.Emit(event.RequestRefused, event.Subject{
-		Request: id,
-		Detail:  fmt.Sprintf("%s/%s", refusal.Code, refusal.Execution),
-	})
+	s.noteRefusal(refusal)
 	if refusal.RetryAfterSeconds > 0 {
 		w.Header().Set("Retry-After", strconv.Itoa(refusal.RetryAfterSeconds))
 	}
 	writeJSON(w, status, refusal)
 }
 
+func (s *Server) noteRefusal(refusal Refusal) {
+	s.Events.Emit(event.RequestRefused, event.Subject{
+		Request: refusal.RequestID,
+		Detail:  fmt.Sprintf("%s/%s", refusal.Code, refusal.Execution),
+	})
+}
+
 // writeJSON answers with a value; an error means that the caller has gone.
 func writeJSON(w *restful.Response, status int, value any) {
 	_ = w.WriteHeaderAndJson(status, value, restful.MIME_JSON)
 }
 
 // recovered answers after a panic, so that one request's defect ends only that
-// request. The event is how an operator notices.
-func (s *Server) recovered(_ any, w http.ResponseWriter) {
+// request. The event is how an operator notices. A connection on which an
+// answer has begun is cut instead, so that the part is not taken for the whole.
+func (s *Server) recovered(reason any, w http.ResponseWriter) {
+	if reason == http.ErrAbortHandler {
+		panic(http.ErrAbortHandler)
+	}
 	s.Events.Emit(event.PanicRecovered, event.Subject{Detail: "entry"})
-	w.WriteHeader(http.StatusInternalServerError)
+	if started, ok := w.(*trackedWriter); ok && started.began {
+		panic(http.ErrAbortHandler)
+	}
+	s.refuse(restful.NewResponse(w), w.Header().Get(headerRequestID), errors.WithStack(&fault.Internal{Where: "entry"}))
+}
+
+// trackedWriter knows whether an answer has begun.
+type trackedWriter struct {
+	http.ResponseWriter
+	began bool
+}
+
+// WriteHeader implements http.ResponseWriter.
+func (w *trackedWriter) WriteHeader(status int) {
+	w.began = true
+	w.ResponseWriter.WriteHeader(status)
+}
+
+// Write implements http.ResponseWriter.
+func (w *trackedWriter) Write(p []byte) (int, error) {
+	w.began = true
+	return w.ResponseWriter.Write(p)
 }
 
-// unrouted answers for unknown paths and methods.
+// Flush implements http.Flusher.
+func (w *trackedWriter) Flush() {
+	_ = http.NewResponseController(w.ResponseWriter).Flush()
+}
+
+// Unwrap lets http.ResponseController find the connection.
+func (w *trackedWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
+
+// unrouted answers for unknown paths and methods. The path is not repeated: it
+// may hold a key.
 func (s *Server) unrouted(failure restful.ServiceError, r *restful.Request, w *restful.Response) {
-	err := errors.WithStack(&fault.RouteUnknown{Method: r.Request.Method, Path: r.Request.URL.Path})
-	refusal, _ := refusalOf("", err)
+	id := uuid.NewString()
+	w.Header().Set(headerRequestID, id)
+	for name, values := range failure.Header {
+		w.Header()[name] = values
+	}
+	unknown := errors.WithStack(&fault.RouteUnknown{Method: knownMethod(r.Request.Method), Path: "this path"})
+	refusal, _ := refusalOf(id, fault.WithExecution(unknown, fault.NotRun))
+	s.noteRefusal(refusal)
 	writeJSON(w, failure.Code, refusal)
 }
+
+// knownMethod keeps words that a caller made up out of messages.
+func knownMethod(method string) string {
+	switch method {
+	case http.MethodGet, http.MethodHead, http.MethodPost, http.MethodPut, http.MethodPatch, http.MethodDelete, http.MethodOptions:
+		return method
+	default:
+		return "this method"
+	}
+}
--- a/internal/entry/sessions.go
+++ b/internal/entry/sessions.go
@@ -4,6 +4,7 @@
 	"context"
 	"sync"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 
 	"dogwoodpond/internal/contract"
@@ -11,70 +12,93 @@
 	"dogwoodpond/internal/fault"
 )
 
+// shards spread the sessions, so that requests of different keys seldom wait
+// for the same lock.
+const shards = 64
+
 // sessions knows the running requests of each key, so that a withdrawal can
 // cancel them.
 type sessions struct {
+	shards [shards]sessionShard
+}
+
+// sessionShard holds the sessions of some of the keys.
+type sessionShard struct {
 	mu      sync.Mutex
-	next    uint64
-	running map[string]map[uint64]context.CancelCauseFunc
+	running map[string]map[*session]struct{}
+}
+
+// session is one running request.
+type session struct {
+	cancel context.CancelCauseFunc
 }
 
 func newSessions() *sessions {
-	return &sessions{running: make(map[string]map[uint64]context.CancelCauseFunc)}
+	s := &sessions{}
+	for i := range s.shards {
+		s.shards[i].running = make(map[string]map[*session]struct{})
+	}
+	return s
+}
+
+func (s *sessions) shard(keyID string) *sessionShard {
+	return &s.shards[xxhash.Sum64String(keyID)%shards]
 }
 
 // begin returns a context that a withdrawal of the key cancels. end must be
 // called when the request has ended.
 func (s *sessions) begin(parent context.Context, keyID string) (ctx context.Context, end func()) {
 	ctx, cancel := context.WithCancelCause(parent)
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.next++
-	id := s.next
-	if s.running[keyID] == nil {
-		s.running[keyID] = make(map[uint64]context.CancelCauseFunc)
+	one := &session{cancel: cancel}
+	shard := s.shard(keyID)
+	shard.add(keyID, one)
+	return ctx, func() {
+		shard.remove(keyID, one)
+		cancel(nil)
 	}
-	s.running[keyID][id] = cancel
-	return ctx, func() { s.end(keyID, id) }
 }
 
-func (s *sessions) end(keyID string, id uint64) {
+func (s *sessionShard) add(keyID string, one *session) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.running[keyID][id](nil)
-	delete(s.running[keyID], id)
-	if len(s.running[keyID]) == 0 {
-		delete(s.running, keyID)
+	if s.running[keyID] == nil {
+		s.running[keyID] = make(map[*session]struct{})
 	}
+	s.running[keyID][one] = struct{}{}
 }
 
-// cancelKey cancels the running requests of a key and returns how many.
-func (s *sessions) cancelKey(keyID string) int {
+func (s *sessionShard) remove(keyID string, one *session) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for _, cancel := range s.running[keyID] {
-		cancel(errors.WithStack(&fault.KeyWithdrawn{KeyID: keyID}))
+	delete(s.running[keyID], one)
+	if len(s.running[keyID]) == 0 {
+		delete(s.running, keyID)
 	}
-	return len(s.running[keyID])
 }
 
-func (s *sessions) keys() []string {
+// cancelWithdrawn cancels the sessions of withdrawn keys and returns how many
+// each of them had.
+func (s *sessionShard) cancelWithdrawn(snapshot *contract.Snapshot) map[string]int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	keys := make([]string, 0, len(s.running))
-	for k := range s.running {
-		keys = append(keys, k)
+	cancelled := make(map[string]int)
+	for keyID, running := range s.running {
+		if !snapshot.Keys[keyID].Withdrawn {
+			continue
+		}
+		for one := range running {
+			one.cancel(errors.WithStack(&fault.KeyWithdrawn{KeyID: keyID}))
+		}
+		cancelled[keyID] = len(running)
 	}
-	return keys
+	return cancelled
 }
 
 // Revoke cancels the running requests of every key that the snapshot withdraws.
 func (s *Server) Revoke(snapshot *contract.Snapshot) {
-	for _, id := range s.sessions.keys() {
-		if !snapshot.Keys[id].Withdrawn {
-			continue
+	for i := range s.sessions.shards {
+		for keyID, count := range s.sessions.shards[i].cancelWithdrawn(snapshot) {
+			s.Events.Emit(event.KeyWithdrawn, event.Subject{Detail: keyID, Count: int64(count)})
 		}
-		n := s.sessions.cancelKey(id)
-		s.Events.Emit(event.KeyWithdrawn, event.Subject{Detail: id, Count: int64(n)})
 	}
 }
--- a/internal/entry/steps.go
+++ b/internal/entry/steps.go
@@ -12,6 +12,7 @@
 	"github.com/go-playground/validator/v10"
 
 	"dogwoodpond/internal/event"
+	"dogwoodpond/internal/fault"
 	"dogwoodpond/internal/sample"
 )
 
@@ -44,6 +45,9 @@
 		return err
 	}
 	status, err := s.Steps.Open(ctx, c.contract.Account, r.PathParameter("step"), definition)
+	if fault.Is[*fault.StepMismatch](err) {
+		return fault.WithExecution(err, fault.NotRun)
+	}
 	if err != nil {
 		return err
 	}
@@ -75,7 +79,8 @@
 	step := r.PathParameter("step")
 	samples, err := s.Steps.Samples(ctx, c.contract.Account, step, after, wait)
 	if err != nil {
-		return err
+		// A pull reads only the store.
+		return fault.WithExecution(err, fault.NotRun)
 	}
 	w.Header().Set("Content-Type", mimeNDJSON)
 	encoder := json.NewEncoder(w)
@@ -112,7 +117,8 @@
 		return err
 	}
 	if err := s.Steps.Ack(ctx, c.contract.Account, r.PathParameter("step"), ack.Through); err != nil {
-		return err
+		// An ack writes only the store.
+		return fault.WithExecution(err, fault.NotRun)
 	}
 	writeJSON(w, http.StatusOK, ack)
 	return nil
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -26,6 +26,8 @@
 	RequestRefused    Number = 1305
 	StreamResumed     Number = 1306
 	ClaimStored       Number = 1307
+	CircuitOpened     Number = 1308
+	CircuitClosed     Number = 1309
 
 	StepOpened       Number = 1401
 	StepOwned        Number = 1402
@@ -71,6 +73,8 @@
 	{RequestRefused, zap.InfoLevel, "request refused", "The caller got a refusal; Detail gives the code and the execution."},
 	{StreamResumed, zap.InfoLevel, "stream resumed", "A stream goes on at another upstream after Count tokens."},
 	{ClaimStored, zap.InfoLevel, "claim stored", "The claim of a non-idempotent request was stored before its dispatch."},
+	{CircuitOpened, zap.WarnLevel, "circuit opened", "The upstream failed several attempts of callers in a row and gets none for a while."},
+	{CircuitClosed, zap.InfoLevel, "circuit closed", "An attempt proved the upstream well and it gets attempts again."},
 	{StepOpened, zap.InfoLevel, "step opened", "A trainer opened the step."},
 	{StepOwned, zap.InfoLevel, "step owned", "The VM owns the step under its lease."},
 	{SamplesCommitted, zap.InfoLevel, "samples committed", "Count samples of the step were committed in one transaction."},
--- a/internal/service/client.go
+++ b/internal/service/client.go
@@ -8,7 +8,10 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"net/url"
+	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -20,9 +23,11 @@
 type Call struct {
 	RequestID string
 	Method    string
-	// Path starts with a slash.
-	Path  string
-	Query url.Values
+	// Path starts with a slash. RawPath is its escaped form where the plain one
+	// does not tell them apart, as in url.URL.
+	Path    string
+	RawPath string
+	Query   url.Values
 	// ContentType and Accept are the caller's; nothing else of its header is
 	// passed on.
 	ContentType string
@@ -40,8 +45,14 @@
 // maxAnswer bounds an answer in bytes.
 const maxAnswer = 16 << 20
 
-// HeaderRequestID names the request to the service.
-const HeaderRequestID = "X-Request-Id"
+// Headers of a call.
+const (
+	// HeaderRequestID names the request to the service. A service that repeats
+	// it in its answer lets the client notice crossed answers.
+	HeaderRequestID = "X-Request-Id"
+	// HeaderTimeout gives what remains of the call's deadline in milliseconds.
+	HeaderTimeout = "X-Request-Timeout-Ms"
+)
 
 // Client reaches plain services over HTTP. It is safe for concurrent use.
 type Client struct {
@@ -56,6 +67,7 @@
 			DialContext:         (&net.Dialer{Timeout: time.Second}).DialContext,
 			MaxIdleConnsPerHost: 64,
 			IdleConnTimeout:     time.Minute,
+			DisableCompression:  true,
 		},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}}
@@ -63,29 +75,68 @@
 
 // Do makes the call at an address. It fails with *fault.UpstreamFailed or
 // *fault.AnswerTruncated; sent tells whether a byte of the request may have
-// gone out.
+// gone out, and the failure is marked accordingly.
 func (c *Client) Do(ctx context.Context, address string, call Call) (answer Answer, sent bool, err error) {
-	target := url.URL{Scheme: "http", Host: address, Path: call.Path, RawQuery: call.Query.Encode()}
+	var connected atomic.Bool
+	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
+	})
+	request, err := newRequest(traced, address, call)
+	if err != nil {
+		return Answer{}, false, fault.WithExecution(failed(address, "address"), fault.NotRun)
+	}
+	response, err := c.http.Do(request)
+	if err != nil && !connected.Load() {
+		return Answer{}, false, fault.WithExecution(failed(address, "no connection"), fault.NotRun)
+	}
+	if err != nil {
+		return Answer{}, true, fault.WithExecution(failed(address, "no answer"), fault.Unknown)
+	}
+	answer, err = readAnswer(address, call, response)
+	return answer, true, fault.WithExecution(err, fault.Unknown)
+}
+
+// newRequest builds the upstream's request anew, so that nothing of the
+// caller's header reaches the upstream but what is named here.
+func newRequest(ctx context.Context, address string, call Call) (*http.Request, error) {
+	target := url.URL{Scheme: "http", Host: address, Path: call.Path, RawPath: call.RawPath, RawQuery: call.Query.Encode()}
 	request, err := http.NewRequestWithContext(ctx, call.Method, target.String(), bytes.NewReader(call.Body))
 	if err != nil {
-		return Answer{}, false, errors.WithStack(&fault.UpstreamFailed{Upstream: address, Reason: "address"})
+		return nil, err
 	}
 	// Without GetBody the transport can't send the request a second time on
-	// its own when a kept connection turns out to be closed.
+	// its own when a kept connection turns out to be closed. For the same
+	// reason the caller's Idempotency-Key is not passed on: with it the
+	// transport would repeat even a POST without a body.
 	request.GetBody = nil
 	setHeader(request.Header, HeaderRequestID, call.RequestID)
 	setHeader(request.Header, "Content-Type", call.ContentType)
 	setHeader(request.Header, "Accept", call.Accept)
-	response, err := c.http.Do(request)
-	if err != nil {
-		return Answer{}, !refusedConnection(err), errors.WithStack(&fault.UpstreamFailed{Upstream: address, Reason: "no answer"})
+	if deadline, ok := ctx.Deadline(); ok {
+		request.Header.Set(HeaderTimeout, strconv.FormatInt(time.Until(deadline).Milliseconds(), 10))
+	}
+	return request, nil
+}
+
+// readAnswer reads a whole answer. An answer that ends with its connection and
+// has neither a length nor chunks can't be told from a truncated one.
+func readAnswer(address string, call Call, response *http.Response) (Answer, error) {
+	defer func() { _ = response.Body.Close() }()
+	if echoed := response.Header.Get(HeaderRequestID); echoed != "" && echoed != call.RequestID {
+		return Answer{}, failed(address, "an answer to another request")
+	}
+	if response.ContentLength < 0 && len(response.TransferEncoding) == 0 {
+		return Answer{}, errors.WithStack(&fault.AnswerTruncated{Upstream: address})
 	}
-	defer response.Body.Close()
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswer+1))
 	if err != nil || len(body) > maxAnswer {
-		return Answer{}, true, errors.WithStack(&fault.AnswerTruncated{Upstream: address})
+		return Answer{}, errors.WithStack(&fault.AnswerTruncated{Upstream: address})
 	}
-	return Answer{Status: response.StatusCode, ContentType: response.Header.Get("Content-Type"), Body: body}, true, nil
+	return Answer{Status: response.StatusCode, ContentType: response.Header.Get("Content-Type"), Body: body}, nil
+}
+
+func failed(address, reason string) error {
+	return errors.WithStack(&fault.UpstreamFailed{Upstream: address, Reason: reason})
 }
 
 func setHeader(h http.Header, name, value string) {
@@ -93,10 +144,3 @@
 		h.Set(name, value)
 	}
 }
-
-// refusedConnection reports whether no connection came about, so that no byte
-// can have gone out.
-func refusedConnection(err error) bool {
-	var op *net.OpError
-	return errors.As(err, &op) && op.Op == "dial"
-}
