Usage: windows, meter, closer, immutable reports

Cause: billing takes one report per client account and window, and VMs die, pause and lose replies at any moment. Change: a meter writes absolute totals of its incarnation, sealing one window and opening the next in one transaction; a closer first raises a floor below which no VM can open a window, then closes all rows as read and inserts the reports in one transaction; what a wrongly dead VM counted comes as a correction. Not yet: the closer runs in no daemon, since it waits for the lease.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -23,6 +23,7 @@
 	"dogwoodpond/internal/rollout"
 	"dogwoodpond/internal/settings"
 	"dogwoodpond/internal/upstream"
+	"dogwoodpond/internal/usage"
 )
 
 // Daemon is one VM's process.
@@ -39,6 +40,7 @@
 	entry     *entry.Server
 	operator  *operator.Server
 	rollouts  *rollout.Manager
+	meter     *usage.Meter
 }
 
 const (
@@ -69,12 +71,14 @@
 	loops.Go(func() { d.syncer.Run(ctx) })
 	loops.Go(func() { d.gossip.Run(ctx) })
 	loops.Go(func() { d.pollLists(ctx) })
+	loops.Go(func() { d.meter.Run(ctx, d.flushPeriod) })
 	d.events.Emit(event.ProcessStarted, event.Subject{Detail: "dogwoodpondd"})
 
 	<-stop.Done()
 	err = d.drain(open)
 	cancel()
 	loops.Wait()
+	d.sealUsage()
 	_ = d.client.Close()
 	d.events.Emit(event.ProcessStopped, event.Subject{})
 	_ = d.log.Sync()
@@ -130,6 +134,32 @@
 	return open.operators.Shutdown(ctx)
 }
 
+// flushesPerSecond bounds the usage flushes of the whole fleet.
+const flushesPerSecond = 80
+
+// flushPeriod grows with the fleet, so that the store's load does not.
+func (d *Daemon) flushPeriod() time.Duration {
+	byFleet := time.Duration(len(d.gossip.VMs())) * time.Second / flushesPerSecond
+	return max(d.settings.UsageFlush(), byFleet)
+}
+
+const (
+	sealTries  = 5
+	sealPeriod = 200 * time.Millisecond
+)
+
+// sealUsage makes the usage final after the last request. When the store does
+// not answer, the window's report will say that it is incomplete.
+func (d *Daemon) sealUsage() {
+	for range sealTries {
+		if d.meter.Seal(context.Background()) == nil {
+			return
+		}
+		time.Sleep(sealPeriod)
+	}
+	d.events.Emit(event.UsageIncomplete, event.Subject{Detail: "not sealed"})
+}
+
 // pollLists keeps the lists of VMs and upstreams current. While the platform
 // does not answer, the last lists stay in force.
 func (d *Daemon) pollLists(ctx context.Context) {
--- a/internal/daemon/providers.go
+++ b/internal/daemon/providers.go
@@ -90,6 +90,17 @@
 	return config.NewEditor(tables, time.Now, events)
 }
 
+func newMeter(s settings.Daemon, tables *platform.Client, gossip *peer.Gossip, events *event.Recorder) *usage.Meter {
+	return usage.NewMeter(usage.MeterConfig{
+		Tables:      tables,
+		Events:      events,
+		VM:          s.VM,
+		Incarnation: gossip.Incarnation(),
+		Now:         time.Now,
+		Length:      s.UsageWindow(),
+	})
+}
+
 func newClaims(tables *platform.Client) *request.Claims { return request.NewClaims(tables) }
 
 func newRollouts(tables *platform.Client, runner *generate.Local, events *event.Recorder) *rollout.Manager {
@@ -104,7 +115,7 @@
 	services *service.Client,
 	claims *request.Claims,
 	steps *rollout.Manager,
-	tally *usage.Tally,
+	meter *usage.Meter,
 	events *event.Recorder,
 	registry *prometheus.Registry,
 	h *hooks,
@@ -117,7 +128,7 @@
 		Services:   services,
 		Claims:     claims,
 		Steps:      steps,
-		Usage:      tally,
+		Usage:      meter,
 		Events:     events,
 		Registry:   registry,
 	})
--- a/internal/daemon/wire.go
+++ b/internal/daemon/wire.go
@@ -11,7 +11,6 @@
 	"dogwoodpond/internal/service"
 	"dogwoodpond/internal/settings"
 	"dogwoodpond/internal/upstream"
-	"dogwoodpond/internal/usage"
 )
 
 // New assembles a daemon from its settings.
@@ -36,7 +35,7 @@
 		newEditor,
 		newClaims,
 		newRollouts,
-		usage.NewTally,
+		newMeter,
 		newEntry,
 		newOperator,
 		wire.Struct(new(Daemon), "*"),
--- a/internal/daemon/wire_gen.go
+++ b/internal/daemon/wire_gen.go
@@ -13,7 +13,6 @@
 	"dogwoodpond/internal/service"
 	"dogwoodpond/internal/settings"
 	"dogwoodpond/internal/upstream"
-	"dogwoodpond/internal/usage"
 )
 
 // Injectors from wire.go:
@@ -39,9 +38,9 @@
 	serviceClient := service.NewClient()
 	claims := newClaims(client)
 	manager := newRollouts(client, local, recorder)
-	tally := usage.NewTally()
+	meter := newMeter(s, client, gossip, recorder)
 	registry := newRegistry()
-	entryServer := newEntry(view, syncer, local, scheduler, serviceClient, claims, manager, tally, recorder, registry, daemonHooks)
+	entryServer := newEntry(view, syncer, local, scheduler, serviceClient, claims, manager, meter, recorder, registry, daemonHooks)
 	editor := newEditor(client, recorder)
 	fleet := peer.NewFleet(gossip, peerClient, view, recorder)
 	operatorServer := newOperator(s, view, editor, fleet, directory, recorder, daemonHooks)
@@ -58,6 +57,7 @@
 		entry:     entryServer,
 		operator:  operatorServer,
 		rollouts:  manager,
+		meter:     meter,
 	}
 	return daemon, nil
 }
