Orders and reports are written only while their lease is held

Cause: a process paused between its look at the lease and the write sends an order although another process is in charge. Change: package fence asks the lease again once the connection stands and sets the end of the term as the connection's write deadline; orders and reports use a connection once. Ruled out: a request deadline at the term's end, which would also cut replies of orders that were written in time. Not proved: a pause between the kernel's check of the deadline and the bytes leaving the machine.

--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -13,30 +13,36 @@
 	"github.com/tmaxmax/go-sse"
 
 	"dogwoodpond/internal/fault"
+	"dogwoodpond/internal/fence"
 )
 
 const (
 	dialTimeout = time.Second
 	// maxEvent bounds one event of a stream in bytes.
 	maxEvent = 1 << 20
-	// orderTimeout bounds one order; a take-over waits at least as long for
+	// OrderTimeout bounds one order; a take-over waits at least as long for
 	// engines that ignore fencing.
-	orderTimeout = 10 * time.Second
+	OrderTimeout = 10 * time.Second
 	loadTimeout  = time.Second
 )
 
 // Client reaches model engines over HTTP. It is safe for concurrent use.
 type Client struct {
 	http *http.Client
+	// orders sends what a lease guards; see package fence.
+	orders *http.Client
 }
 
 // NewClient returns a client.
 func NewClient() *Client {
-	return &Client{http: &http.Client{Transport: &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
-		MaxIdleConnsPerHost: 256,
-		IdleConnTimeout:     time.Minute,
-	}}}
+	return &Client{
+		http: &http.Client{Transport: &http.Transport{
+			DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
+			MaxIdleConnsPerHost: 256,
+			IdleConnTimeout:     time.Minute,
+		}},
+		orders: fence.NewClient(dialTimeout, OrderTimeout),
+	}
 }
 
 // Stream runs one completion at the engine's address and hands each chunk to
@@ -45,7 +51,7 @@
 // sink's error.
 func (c *Client) Stream(ctx context.Context, address string, request CompletionRequest, sink func(CompletionChunk) error) error {
 	request.Stream = true
-	response, err := c.post(ctx, address+PathCompletions, request)
+	response, err := c.post(ctx, c.http, address+PathCompletions, request)
 	if err != nil {
 		return err
 	}
@@ -109,9 +115,7 @@
 // seen a newer epoch, and with *fault.UpstreamFailed when the outcome is not
 // known; then the order may be repeated with the same ID.
 func (c *Client) Order(ctx context.Context, address string, order Order) error {
-	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
-	defer cancel()
-	response, err := c.post(ctx, address+PathOrders, order)
+	response, err := c.post(ctx, c.orders, address+PathOrders, order)
 	if err != nil {
 		return err
 	}
@@ -126,7 +130,7 @@
 	}
 }
 
-func (c *Client) post(ctx context.Context, target string, body any) (*http.Response, error) {
+func (c *Client) post(ctx context.Context, client *http.Client, target string, body any) (*http.Response, error) {
 	text, err := json.Marshal(body)
 	if err != nil {
 		return nil, errors.WithStack(&fault.Internal{Where: "engine request"})
@@ -136,7 +140,7 @@
 		return nil, failed(target, "address")
 	}
 	request.Header.Set("Content-Type", "application/json")
-	response, err := c.http.Do(request)
+	response, err := client.Do(request)
 	if err != nil {
 		return nil, failed(target, "no answer")
 	}
--- a/internal/platform/http.go
+++ b/internal/platform/http.go
@@ -14,6 +14,7 @@
 	"github.com/cockroachdb/errors"
 
 	"dogwoodpond/internal/fault"
+	"dogwoodpond/internal/fence"
 )
 
 // Paths of the platform's HTTP interfaces.
@@ -30,6 +31,7 @@
 )
 
 const (
+	dialTimeout = time.Second
 	// callTimeout bounds one call to the platform.
 	callTimeout = 3 * time.Second
 	// maxReply bounds the body of a reply in bytes.
@@ -63,18 +65,23 @@
 type Client struct {
 	base string
 	http *http.Client
+	// orders sends what a lease guards; see package fence.
+	orders *http.Client
 }
 
 // NewClient returns a client for the platform at the base URL.
 func NewClient(base string) *Client {
 	transport := &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: time.Second}).DialContext,
+		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
 		MaxIdleConnsPerHost: 32,
 		IdleConnTimeout:     time.Minute,
 	}
 	return &Client{
 		base: strings.TrimSuffix(base, "/"),
 		http: &http.Client{Transport: transport, Timeout: callTimeout},
+		// An order uses its connection once, so that the write deadline of its
+		// lease ends with it.
+		orders: fence.NewClient(dialTimeout, callTimeout),
 	}
 }
 
@@ -94,7 +101,7 @@
 
 // Commit implements Tables.
 func (c *Client) Commit(ctx context.Context, txn Txn) error {
-	status, problem, err := c.send(ctx, PathCommit, txn)
+	status, problem, err := c.send(ctx, c.http, PathCommit, txn)
 	switch {
 	case err != nil:
 		return err
@@ -143,7 +150,7 @@
 
 // Order implements Upstreams.
 func (c *Client) Order(ctx context.Context, order Order) error {
-	status, problem, err := c.send(ctx, PathOrders, order)
+	status, problem, err := c.send(ctx, c.orders, PathOrders, order)
 	if err != nil {
 		return err
 	}
@@ -152,7 +159,7 @@
 
 // Report implements Billing.
 func (c *Client) Report(ctx context.Context, report UsageReport) error {
-	status, problem, err := c.send(ctx, PathReports, report)
+	status, problem, err := c.send(ctx, c.orders, PathReports, report)
 	if err != nil {
 		return err
 	}
@@ -216,12 +223,12 @@
 	return nil
 }
 
-func (c *Client) send(ctx context.Context, path string, request any) (int, Problem, error) {
+func (c *Client) send(ctx context.Context, client *http.Client, path string, request any) (int, Problem, error) {
 	body, err := json.Marshal(request)
 	if err != nil {
 		return 0, Problem{}, errors.WithStack(&fault.Internal{Where: path})
 	}
-	status, answer, err := c.call(ctx, http.MethodPost, path, body)
+	status, answer, err := c.callWith(ctx, client, http.MethodPost, path, body)
 	if err != nil {
 		return 0, Problem{}, err
 	}
@@ -233,16 +240,21 @@
 	return status, problem, nil
 }
 
-// call makes one HTTP call. Whatever goes wrong after the connection was
+// call makes one HTTP call on the kept connections.
+func (c *Client) call(ctx context.Context, method, path string, body []byte) (int, []byte, error) {
+	return c.callWith(ctx, c.http, method, path, body)
+}
+
+// callWith makes one HTTP call. Whatever goes wrong after the connection was
 // tried counts as an unknown effect: the platform may have acted and the
 // reply may have been lost.
-func (c *Client) call(ctx context.Context, method, path string, body []byte) (int, []byte, error) {
+func (c *Client) callWith(ctx context.Context, client *http.Client, method, path string, body []byte) (int, []byte, error) {
 	request, err := http.NewRequestWithContext(ctx, method, c.base+path, bytes.NewReader(body))
 	if err != nil {
 		return 0, nil, errors.WithStack(&fault.Internal{Where: path})
 	}
 	request.Header.Set("Content-Type", "application/json")
-	response, err := c.http.Do(request)
+	response, err := client.Do(request)
 	if err != nil {
 		return 0, nil, errors.WithStack(&fault.StoreUnavailable{Operation: path, EffectUnknown: method != http.MethodGet})
 	}
--- a/internal/usage/closer.go
+++ b/internal/usage/closer.go
@@ -9,17 +9,10 @@
 	"dogwoodpond/internal/contract"
 	"dogwoodpond/internal/event"
 	"dogwoodpond/internal/fault"
+	"dogwoodpond/internal/fence"
 	"dogwoodpond/internal/platform"
 )
 
-// Guard tells whether the closer's lease is still held.
-type Guard interface {
-	// Check fails with *fault.LeaseLost once the lease may have lapsed.
-	Check() error
-	// Epoch is the fencing number of the reports.
-	Epoch() uint64
-}
-
 // Closer closes windows and hands their reports to billing. At most one runs at
 // a time under a lease; two at once could still not insert different reports,
 // since the rows forbid it.
@@ -67,7 +60,7 @@
 }
 
 // Run closes and reports windows until ctx ends or the lease is lost.
-func (c *Closer) Run(ctx context.Context, guard Guard, period time.Duration) {
+func (c *Closer) Run(ctx context.Context, guard fence.Guard, period time.Duration) {
 	for ctx.Err() == nil && guard.Check() == nil {
 		more, err := c.Step(ctx, guard)
 		if more && err == nil {
@@ -82,7 +75,7 @@
 
 // Step takes the oldest open window one stage further. more is true when
 // another step may follow at once.
-func (c *Closer) Step(ctx context.Context, guard Guard) (more bool, err error) {
+func (c *Closer) Step(ctx context.Context, guard fence.Guard) (more bool, err error) {
 	cursor, at, err := readCursor(ctx, c.tables)
 	if err != nil {
 		return false, err
@@ -284,7 +277,7 @@
 
 // report hands every report row of the window to billing, exactly as inserted.
 // A repeat after a lost reply or by a successor sends the same figures.
-func (c *Closer) report(ctx context.Context, guard Guard, w Window, windowAt platform.Row) error {
+func (c *Closer) report(ctx context.Context, guard fence.Guard, w Window, windowAt platform.Row) error {
 	kept, err := scan(ctx, c.tables, reportPrefix(w))
 	if err != nil {
 		return err
@@ -307,12 +300,12 @@
 
 // send asks the lease directly before the report goes out, since the process
 // may have been paused since the last question.
-func (c *Closer) send(ctx context.Context, guard Guard, r Report) error {
+func (c *Closer) send(ctx context.Context, guard fence.Guard, r Report) error {
 	if err := guard.Check(); err != nil {
 		return err
 	}
 	start := int64(r.Window) * int64(c.config.Length/time.Second)
-	err := c.billing.Report(ctx, platform.UsageReport{
+	err := c.billing.Report(fence.Context(ctx, guard), platform.UsageReport{
 		Window:             start,
 		Account:            string(r.Account),
 		Requests:           r.Figures.Requests,
--- a/internal/usage/usage_test.go
+++ b/internal/usage/usage_test.go
@@ -117,8 +117,9 @@
 // held is a lease that is always held.
 type held uint64
 
-func (held) Check() error    { return nil }
-func (h held) Epoch() uint64 { return uint64(h) }
+func (held) Check() error        { return nil }
+func (h held) Epoch() uint64     { return uint64(h) }
+func (held) Deadline() time.Time { return time.Now().Add(time.Hour) }
 
 func newEvents() *event.Recorder {
 	return event.NewRecorder("vm", 64, event.NewClock(time.Now), zap.NewNop())
