--- a/internal/platform/http.go
+++ b/internal/platform/http.go
@@ -26,6 +26,7 @@
 	PathVMs       = "/vms"
 	PathUpstreams = "/upstreams"
 	PathOrders    = "/orders"
+	PathOffers    = "/offers"
 	PathReports   = "/reports"
 	PathWeights   = "/weights"
 )
@@ -148,6 +149,13 @@
 	return upstreams, err
 }
 
+// Offers implements Upstreams.
+func (c *Client) Offers(ctx context.Context) ([]Offer, error) {
+	var offers []Offer
+	err := c.list(ctx, PathOffers, &offers)
+	return offers, err
+}
+
 // Order implements Upstreams.
 func (c *Client) Order(ctx context.Context, order Order) error {
 	status, problem, err := c.send(ctx, c.orders, PathOrders, order)
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -163,6 +163,18 @@
 	Model       string `json:"model,omitempty"`
 	Adapter     string `json:"adapter,omitempty"`
 	Reclaimable bool   `json:"reclaimable,omitempty"`
+	// CentsPerHour is the highest price that a started engine may have.
+	CentsPerHour int64 `json:"centsPerHour,omitempty"`
+}
+
+// Offer is a kind of engine that the platform could start now.
+type Offer struct {
+	FailureDomain string `json:"failureDomain"`
+	Model         string `json:"model"`
+	Reclaimable   bool   `json:"reclaimable"`
+	CentsPerHour  int64  `json:"centsPerHour"`
+	// Available is how many could be started; it may be out of date.
+	Available int `json:"available"`
 }
 
 // Upstreams is the platform's interface for the upstreams of failure domains.
@@ -173,6 +185,8 @@
 	// It fails with *fault.OrderFenced when the platform has seen a newer
 	// epoch for the failure domain.
 	Order(ctx context.Context, order Order) error
+	// Offers returns what could be ordered, in every failure domain.
+	Offers(ctx context.Context) ([]Offer, error)
 }
 
 // UsageReport is the usage of one client account in one window.
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -95,6 +95,7 @@
 	mux.HandleFunc("GET "+platform.PathVMs, list(p, func() any { return p.vms }))
 	mux.HandleFunc("GET "+platform.PathUpstreams, list(p, func() any { return p.visible() }))
 	mux.HandleFunc("POST "+platform.PathOrders, p.order)
+	mux.HandleFunc("GET "+platform.PathOffers, list(p, func() any { return p.offers() }))
 	mux.HandleFunc("POST "+platform.PathReports, p.report)
 	mux.HandleFunc("GET "+platform.PathWeights, list(p, func() any { return p.weights }))
 	mux.HandleFunc("POST "+PathAddVM, p.addVM)
@@ -183,6 +184,22 @@
 	return shown
 }
 
+// offers counts the spare upstreams of each kind.
+func (p *Platform) offers() []platform.Offer {
+	counts := make(map[platform.Offer]int)
+	for _, u := range p.upstreams {
+		if u.State == stateSpare {
+			counts[platform.Offer{FailureDomain: u.FailureDomain, Model: u.Model, Reclaimable: u.Reclaimable, CentsPerHour: u.CentsPerHour}]++
+		}
+	}
+	offers := []platform.Offer{}
+	for o, n := range counts {
+		o.Available = n
+		offers = append(offers, o)
+	}
+	return offers
+}
+
 func (p *Platform) order(w http.ResponseWriter, r *http.Request) {
 	var order platform.Order
 	if !readJSON(w, r, &order) {
@@ -215,6 +232,7 @@
 		switch {
 		case order.Kind == platform.OrderStop && u.ID == order.Upstream:
 			u.State = stateSpare
+			u.Account, u.OrderID = "", ""
 			return true
 		case order.Kind == platform.OrderStart && startable(*u, order):
 			u.State = platform.UpstreamLive
@@ -230,7 +248,8 @@
 	return u.State == stateSpare &&
 		u.FailureDomain == order.FailureDomain &&
 		u.Reclaimable == order.Reclaimable &&
-		u.Model == order.Model
+		u.Model == order.Model &&
+		u.CentsPerHour <= order.CentsPerHour
 }
 
 func (p *Platform) report(w http.ResponseWriter, r *http.Request) {
