Weights: the test of a lost lease leaves room for the next wave

Cause: with the guard's check removed the test still passed, since the first wave filled the room. Red now, without the check (go test ./internal/weights): weights_test.go:215: 4 orders were carried out, want the 2 from before the loss

--- a/internal/weights/weights_test.go
+++ b/internal/weights/weights_test.go
@@ -208,6 +208,7 @@
 		synctest.Wait()
 		before := p.swapping
 		guard.lost = true
+		time.Sleep(2 * swapTime) // The next wave has room now.
 		r.Tick(t.Context(), guard, p.upstreams(), map[string]int64{"berry-1": 2})
 		r.Wait()
 		if got := len(p.orders); got != before {
