--- a/internal/weights/weights_test.go
+++ b/internal/weights/weights_test.go
@@ -206,7 +206,9 @@
 		r := newRoller(p)
 		r.Tick(t.Context(), guard, p.upstreams(), map[string]int64{"berry-1": 2})
 		synctest.Wait()
+		p.mu.Lock()
 		before := p.swapping
+		p.mu.Unlock()
 		guard.lost = true
 		time.Sleep(2 * swapTime) // The next wave has room now.
 		r.Tick(t.Context(), guard, p.upstreams(), map[string]int64{"berry-1": 2})
