Engines move between pools as work moves

Cause: an engine serves one model and adapter; work moves between pools. Change: a planner that moves the idlest engine of a pool that can spare it after requests have waited for a while; orders under the lease, each with an ID of its own. Ruled out: repeating an unanswered order, since the next reports show what the engine serves. Measured: unit tests only; not yet run by a daemon.

--- /dev/null
+++ b/internal/pools/pools_test.go
@@ -0,0 +1,113 @@
+package pools
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+
+	"dogwoodpond/internal/engine"
+	"dogwoodpond/internal/event"
+	"dogwoodpond/internal/fault"
+)
+
+var (
+	replies = Pool{Model: "berry-1", Adapter: "replies"}
+	rotas   = Pool{Model: "berry-1", Adapter: "rotas"}
+)
+
+func enginesOf(pool Pool, n, busy int) []Engine {
+	var list []Engine
+	for i := range n {
+		list = append(list, Engine{
+			ID:        fmt.Sprintf("%s-%d", pool.Adapter, i),
+			Pool:      pool,
+			Adaptable: true,
+			Busy:      busy,
+			Slots:     8,
+		})
+	}
+	return list
+}
+
+// next ticks with a constant queue until a move is planned.
+func next(p *Planner, engines []Engine, queued map[Pool]int, ticks int) (Move, bool) {
+	for range ticks {
+		if move, ok := p.Next(engines, queued); ok {
+			return move, true
+		}
+	}
+	return Move{}, false
+}
+
+func TestEngineOfAnIdlePoolMovesToAShortOne(t *testing.T) {
+	engines := append(enginesOf(replies, 2, 8), enginesOf(rotas, 3, 1)...)
+	move, ok := next(NewPlanner(), engines, map[Pool]int{replies: 5}, moveAfter)
+	if !ok || move.To != replies || move.Engine.Pool != rotas {
+		t.Errorf("got %+v (%v), want an engine of rotas to move to replies", move, ok)
+	}
+}
+
+func TestNothingMovesForAShortPeakOrFromABusyPool(t *testing.T) {
+	idle := append(enginesOf(replies, 2, 8), enginesOf(rotas, 3, 1)...)
+	busy := append(enginesOf(replies, 2, 8), enginesOf(rotas, 3, 6)...)
+	last := append(enginesOf(replies, 2, 8), enginesOf(rotas, 1, 0)...)
+	cases := []struct {
+		name    string
+		engines []Engine
+		queued  map[Pool]int
+		ticks   int
+	}{
+		{name: "short peak", engines: idle, queued: map[Pool]int{replies: 5}, ticks: moveAfter - 1},
+		{name: "busy donor", engines: busy, queued: map[Pool]int{replies: 5}, ticks: 20},
+		{name: "last engine", engines: last, queued: map[Pool]int{replies: 5}, ticks: 20},
+		{name: "donor waits too", engines: idle, queued: map[Pool]int{replies: 5, rotas: 1}, ticks: 20},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			if move, ok := next(NewPlanner(), c.engines, c.queued, c.ticks); ok {
+				t.Errorf("moved %+v", move)
+			}
+		})
+	}
+}
+
+type held struct{}
+
+func (held) Check() error        { return nil }
+func (held) Epoch() uint64       { return 3 }
+func (held) Deadline() time.Time { return time.Now().Add(time.Hour) }
+
+// recorder answers no order and keeps the IDs.
+type recorder struct{ ids []string }
+
+func (r *recorder) Order(_ context.Context, address string, order engine.Order) error {
+	r.ids = append(r.ids, order.ID)
+	return errors.WithStack(&fault.UpstreamFailed{Upstream: address, Reason: "no answer"})
+}
+
+// An order to move has no answer, and the engine stays where it was. A later
+// order with the same ID would be taken for a repeat and ignored, should the
+// first one have taken effect and been undone since.
+func TestEachMoveHasAnIDOfItsOwn(t *testing.T) {
+	orders := &recorder{}
+	events := event.NewRecorder("vm", 64, event.NewClock(time.Now), zap.NewNop())
+	m := NewMover(orders, events)
+	engines := append(enginesOf(replies, 2, 8), enginesOf(rotas, 3, 1)...)
+	for range 3 * moveAfter {
+		_ = m.Tick(t.Context(), held{}, engines, map[Pool]int{replies: 5})
+	}
+	seen := make(map[string]bool)
+	for _, id := range orders.ids {
+		if seen[id] {
+			t.Errorf("the ID %s was used twice", id)
+		}
+		seen[id] = true
+	}
+	if len(orders.ids) < 2 {
+		t.Errorf("%d orders were given, want at least 2", len(orders.ids))
+	}
+}
