--- a/cmd/dogwoodpondctl/main.go
+++ b/cmd/dogwoodpondctl/main.go
@@ -9,8 +9,9 @@
 )
 
 func main() {
-	if err := ctl.NewApp(os.Stdout).Run(os.Args[1:]); err != nil {
+	err := ctl.NewApp(os.Stdout, os.Stderr).Run(os.Args[1:])
+	if err != nil {
 		fmt.Fprintln(os.Stderr, "dogwoodpondctl:", err)
-		os.Exit(1)
 	}
+	os.Exit(ctl.ExitCode(err))
 }
--- a/internal/ctl/client.go
+++ b/internal/ctl/client.go
@@ -6,6 +6,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"net"
 	"net/http"
 	"time"
 
@@ -54,18 +55,40 @@
 	}
 	response, err := c.http.Do(request)
 	if err != nil {
-		return errors.WithStack(&fault.PeerUnavailable{VM: c.base})
+		return c.unanswered(err)
 	}
 	defer response.Body.Close()
 	if response.StatusCode != http.StatusOK {
 		return refused(response)
 	}
 	if err := json.NewDecoder(response.Body).Decode(reply); err != nil {
-		return errors.WithStack(&fault.Internal{Where: "answer of " + path})
+		return errors.WithStack(&AnswerLost{Address: c.base})
 	}
 	return nil
 }
 
+// unanswered tells a VM that was never reached from one whose answer was lost:
+// only the latter may have acted.
+func (c *Client) unanswered(err error) error {
+	var network *net.OpError
+	if errors.As(err, &network) && network.Op == "dial" {
+		return errors.WithStack(&fault.PeerUnavailable{VM: c.base})
+	}
+	return errors.WithStack(&AnswerLost{Address: c.base})
+}
+
+// AnswerLost reports a call that was sent and got no whole answer; it may have
+// taken effect.
+type AnswerLost struct {
+	Address string
+}
+
+// Error implements error.
+func (e *AnswerLost) Error() string { return fmt.Sprintf("the answer of %s was lost", e.Address) }
+
+// Code implements fault.Failure.
+func (*AnswerLost) Code() fault.Code { return fault.CodePeerUnavailable }
+
 // Refused is an answer of the operators' API that is not a success.
 type Refused struct {
 	operator.Problem
--- /dev/null
+++ b/internal/ctl/ctl_test.go
@@ -0,0 +1,379 @@
+package ctl
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"dogwoodpond/internal/config"
+	"dogwoodpond/internal/contract"
+	"dogwoodpond/internal/event"
+	"dogwoodpond/internal/fault"
+	"dogwoodpond/internal/fleetview"
+	"dogwoodpond/internal/operator"
+	"dogwoodpond/internal/platform"
+	"dogwoodpond/internal/platform/memory"
+)
+
+const testToken = "operators-own"
+
+// quietFleet is a fleet of one VM that puts every revision in force at once,
+// beside VMs that are pending.
+type quietFleet struct {
+	events  *event.Recorder
+	pending []operator.VMRevision
+}
+
+func (q *quietFleet) InForce() []operator.VMRevision {
+	return append([]operator.VMRevision{{VM: "vm-1", FailureDomain: "a", Revision: 1 << 40, Known: true}}, q.pending...)
+}
+
+func (q *quietFleet) Events(_ context.Context, after event.Stamp) ([]event.Record, []string) {
+	return q.events.Since(after), []string{"vm-9"}
+}
+
+// bench is an operators' API over tables in memory.
+type bench struct {
+	address string
+	tables  *memory.Tables
+	fleet   *quietFleet
+	// loseAnswers makes that many edits take effect without an answer.
+	loseAnswers atomic.Int32
+}
+
+func newBench(t *testing.T) *bench {
+	t.Helper()
+	events := event.NewRecorder("vm-1", 256, event.NewClock(time.Now), zap.NewNop())
+	b := &bench{tables: memory.NewTables(), fleet: &quietFleet{events: events}}
+	rows := fleetview.NewReader(b.tables)
+	server := operator.NewServer(operator.Config{
+		VM:          "vm-1",
+		TokenSHA256: contract.HashSecret(testToken),
+		View:        contract.NewView(),
+		Editor:      config.NewEditor(b.tables, time.Now, events),
+		Fleet:       b.fleet,
+		Upstreams:   func() []platform.Upstream { return nil },
+		Leases:      rows,
+		Steps:       rows,
+		Usage:       rows,
+		Events:      events,
+		Advanced:    func() {},
+	})
+	handler := server.Handler()
+	listener := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodGet || b.loseAnswers.Add(-1) < 0 {
+			handler.ServeHTTP(w, r)
+			return
+		}
+		handler.ServeHTTP(httptest.NewRecorder(), r)
+		panic(http.ErrAbortHandler)
+	}))
+	t.Cleanup(listener.Close)
+	b.address = strings.TrimPrefix(listener.URL, "http://")
+	return b
+}
+
+// run runs one command line and returns its output, notes and exit code.
+func (b *bench) run(arguments ...string) (out, notes string, code int) {
+	return runWith([]string{"--address", b.address, "--token", testToken, "--who", "ana"}, arguments...)
+}
+
+func runWith(flags []string, arguments ...string) (out, notes string, code int) {
+	var o, n bytes.Buffer
+	err := NewApp(&o, &n).Run(append(flags, arguments...))
+	if err != nil {
+		n.WriteString(err.Error())
+	}
+	return o.String(), n.String(), ExitCode(err)
+}
+
+func (b *bench) mustRun(t *testing.T, arguments ...string) string {
+	t.Helper()
+	out, notes, code := b.run(arguments...)
+	if code != ExitOK {
+		t.Fatalf("%v exits with %d: %s", arguments, code, notes)
+	}
+	return out
+}
+
+func contractFile(t *testing.T, text string) string {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "contract.json")
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return path
+}
+
+func (b *bench) history(t *testing.T) []operator.HistoryEdit {
+	t.Helper()
+	var edits []operator.HistoryEdit
+	if err := json.Unmarshal([]byte(b.mustRun(t, "--output", "json", "contract", "history")), &edits); err != nil {
+		t.Fatal(err)
+	}
+	return edits
+}
+
+func TestContractCommands(t *testing.T) {
+	b := newBench(t)
+	first := contractFile(t, `{"account":"strathallan","share":100}`)
+	second := contractFile(t, `{"account":"strathallan","share":250,"staleness":{"maxVersions":1}}`)
+	if out := b.mustRun(t, "contract", "apply", first); !strings.Contains(out, "revision") {
+		t.Errorf("apply printed %q", out)
+	}
+	out := b.mustRun(t, "contract", "diff", second)
+	if !strings.Contains(out, "share") || !strings.Contains(out, "100") || !strings.Contains(out, "250") || !strings.Contains(out, "staleness.maxVersions") {
+		t.Errorf("diff printed %q", out)
+	}
+	b.mustRun(t, "contract", "apply", second)
+	if out := b.mustRun(t, "contract", "diff", second); !strings.Contains(out, "no change") {
+		t.Errorf("diff after apply printed %q", out)
+	}
+	if out := b.mustRun(t, "contract", "get", "strathallan"); !strings.Contains(out, "250") {
+		t.Errorf("get printed %q", out)
+	}
+	if out := b.mustRun(t, "contract", "history", "strathallan"); !strings.Contains(out, "by ana") || !strings.Contains(out, "share") {
+		t.Errorf("history printed %q", out)
+	}
+	for _, command := range [][]string{{"contract", "list"}, {"key", "list"}, {"status"}, {"steps"}, {"usage"}, {"timeline"}} {
+		b.mustRun(t, command...)
+		if text := b.mustRun(t, append([]string{"--output", "json"}, command...)...); !json.Valid([]byte(text)) {
+			t.Errorf("%v --output json printed %q", command, text)
+		}
+	}
+}
+
+// The network breaks after an edit was accepted and before its answer arrived.
+// The operator can't know whether to repeat; a plain repeat would be a second
+// edit in the history, or a conflict with one's own first.
+func TestRepeatAfterLostAnswerEditsOnce(t *testing.T) {
+	b := newBench(t)
+	file := contractFile(t, `{"account":"brazicod","share":300}`)
+	b.loseAnswers.Store(1)
+	_, notes, code := b.run("contract", "apply", file, "--edit-id", "monday-1")
+	if code != ExitUnknown || !strings.Contains(notes, "--edit-id monday-1") {
+		t.Fatalf("the lost answer exits with %d: %s", code, notes)
+	}
+	b.mustRun(t, "contract", "apply", file, "--edit-id", "monday-1")
+	if edits := b.history(t); len(edits) != 1 {
+		t.Errorf("history has %d edits, want 1", len(edits))
+	}
+}
+
+// The answer to a grant is lost. The key's secret is known to the tool alone, so
+// without the file it would be lost, and a repeat would grant a second key.
+func TestGrantRepeatedAfterLostAnswerKeepsItsKey(t *testing.T) {
+	b := newBench(t)
+	b.mustRun(t, "contract", "apply", contractFile(t, `{"account":"brazicod"}`))
+	file := filepath.Join(t.TempDir(), "key")
+	grant := []string{"key", "grant", "brazicod", "--key-file", file, "--edit-id", "grant-1"}
+	b.loseAnswers.Store(1)
+	if _, notes, code := b.run(grant...); code != ExitUnknown {
+		t.Fatalf("the lost answer exits with %d: %s", code, notes)
+	}
+	before, err := os.ReadFile(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	b.mustRun(t, grant...)
+	after, err := os.ReadFile(file)
+	if err != nil || !bytes.Equal(before, after) {
+		t.Errorf("the key file changed in the repeat (%v)", err)
+	}
+	if edits := b.history(t); len(edits) != 2 {
+		t.Errorf("history has %d edits, want the contract and one grant", len(edits))
+	}
+}
+
+func TestGrantPrintsItsKeyOnceAndWithdrawTakesItsID(t *testing.T) {
+	b := newBench(t)
+	b.mustRun(t, "contract", "apply", contractFile(t, `{"account":"brazicod"}`))
+	key := strings.TrimSpace(b.mustRun(t, "key", "grant", "brazicod"))
+	presented, err := contract.ParseKey(key)
+	if err != nil {
+		t.Fatalf("grant printed %q: %v", key, err)
+	}
+	if _, notes, code := b.run("key", "withdraw", key); code != ExitInvalid || strings.Contains(notes, presented.Secret) {
+		t.Errorf("withdrawing a whole key exits with %d: %s", code, notes)
+	}
+	b.mustRun(t, "key", "withdraw", presented.ID)
+	for _, command := range [][]string{{"key", "list"}, {"contract", "history"}, {"timeline"}, {"status"}} {
+		if out := b.mustRun(t, command...); strings.Contains(out, presented.Secret) || strings.Contains(out, contract.HashSecret(presented.Secret)) {
+			t.Errorf("%v shows the secret or its hash", command)
+		}
+	}
+	taken := filepath.Join(t.TempDir(), "key")
+	if err := os.WriteFile(taken, []byte("something"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if _, _, code := b.run("key", "grant", "brazicod", "--key-file", taken); code != ExitInvalid {
+		t.Errorf("a grant into an existing file exits with %d", code)
+	}
+}
+
+// A failure domain is cut off while an edit is made. An operator who waits must
+// see that the edit is accepted and where it is not yet in force, and a program
+// must be able to tell it from a failure.
+func TestWaitNamesWhereTheEditIsPending(t *testing.T) {
+	b := newBench(t)
+	b.fleet.pending = []operator.VMRevision{{VM: "vm-7", FailureDomain: "c"}}
+	out, notes, code := b.run("contract", "apply", contractFile(t, `{"account":"a"}`), "--wait", "1ms")
+	if code != ExitPending || !strings.Contains(notes, "vm-7") {
+		t.Errorf("exits with %d: %s", code, notes)
+	}
+	if !strings.Contains(out, "failure domain c: vm-7 (cut off)") {
+		t.Errorf("printed %q", out)
+	}
+}
+
+func TestExitCodesOfFailures(t *testing.T) {
+	b := newBench(t)
+	bad := contractFile(t, `{"account":"a","share":0}`)
+	unknownField := contractFile(t, `{"account":"a","sahre":1}`)
+	cases := []struct {
+		line []string
+		code int
+	}{
+		{[]string{"contract", "get", "nobody"}, ExitNotFound},
+		{[]string{"key", "withdraw", "nobody"}, ExitNotFound},
+		{[]string{"explain", "nobody"}, ExitNotFound},
+		{[]string{"contract", "apply", bad}, ExitInvalid},
+		{[]string{"contract", "apply", unknownField}, ExitInvalid},
+		{[]string{"contract", "apply", "/nonexistent"}, ExitInvalid},
+		{[]string{"contrcat", "list"}, ExitInvalid},
+		{[]string{"settings", "check", bad}, ExitInvalid},
+	}
+	for _, c := range cases {
+		if _, notes, code := b.run(c.line...); code != c.code {
+			t.Errorf("%v exits with %d, want %d: %s", c.line, code, c.code, notes)
+		}
+	}
+	if _, _, code := runWith([]string{"--address", b.address, "--token", "wrong"}, "status"); code != ExitCredential {
+		t.Errorf("a wrong credential exits with %d, want %d", code, ExitCredential)
+	}
+	nobody := []string{"--address", b.address, "--token", testToken, "--who", ""}
+	if _, _, code := runWith(nobody, "contract", "apply", contractFile(t, `{"account":"a"}`)); code != ExitInvalid {
+		t.Errorf("an edit by nobody exits with %d, want %d", code, ExitInvalid)
+	}
+	closed := httptest.NewServer(http.NotFoundHandler())
+	address := strings.TrimPrefix(closed.URL, "http://")
+	closed.Close()
+	if _, _, code := runWith([]string{"--address", address}, "status"); code != ExitUnavailable {
+		t.Errorf("a VM that is not there exits with %d, want %d", code, ExitUnavailable)
+	}
+	if code := ExitCode(&fault.EditConflict{}); code != ExitConflict {
+		t.Errorf("a conflict exits with %d, want %d", code, ExitConflict)
+	}
+}
+
+func TestStepsAndUsageShowRows(t *testing.T) {
+	b := newBench(t)
+	rows := map[string]any{
+		"step/strathallan/round-1":      json.RawMessage(`{"definition":{"model":"berry-1","groups":[{"samples":8},{"samples":4}]},"committed":5,"acked":3}`),
+		"report/000000000300/brazicod":  platform.UsageReport{Window: 300, Account: "brazicod", Requests: 7, Tokens: 70, Incomplete: true},
+		"lease/usage-reports":           json.RawMessage(`{"holder":"vm-3","epoch":12}`),
+		"report/000000000600/something": platform.UsageReport{Window: 600, Account: "something"},
+	}
+	for key, value := range rows {
+		text, err := json.Marshal(value)
+		if err != nil {
+			t.Fatal(err)
+		}
+		txn := platform.Txn{Nonce: key, Preconditions: []platform.Precondition{{Key: key}}, Writes: []platform.Write{{Key: key, Value: text}}}
+		if err := b.tables.Commit(context.Background(), txn); err != nil {
+			t.Fatal(err)
+		}
+	}
+	wants := []struct {
+		line []string
+		text string
+	}{
+		{[]string{"steps", "strathallan"}, "berry-1  12     5          3"},
+		{[]string{"usage"}, "brazicod"},
+		{[]string{"usage", "300"}, "70"},
+		{[]string{"status"}, "usage-reports"},
+	}
+	for _, w := range wants {
+		if out := b.mustRun(t, w.line...); !strings.Contains(out, w.text) {
+			t.Errorf("%v does not show %q:\n%s", w.line, w.text, out)
+		}
+	}
+	if out := b.mustRun(t, "usage", "300"); strings.Contains(out, "something") {
+		t.Errorf("usage of one window shows another:\n%s", out)
+	}
+}
+
+// An engine dies in the middle of a request. The caller only sees a slow answer;
+// the operator must be able to see both attempts and the cause in their order.
+func TestExplainTellsARetriedRequest(t *testing.T) {
+	at := func(micros int64, vm string, n event.Number, s event.Subject) event.Record {
+		return event.Record{Stamp: event.Stamp{WallMicros: micros}, VM: vm, Number: n, Subject: s}
+	}
+	line := []event.Record{
+		at(1, "vm-1", event.UpstreamEjected, event.Subject{Upstream: "engine-1"}),
+		at(10, "vm-1", event.RequestAccepted, event.Subject{Request: "r", Account: "strathallan"}),
+		at(11, "vm-1", event.RequestDispatched, event.Subject{Request: "r", Upstream: "engine-1", Attempt: 1}),
+		at(12, "vm-2", event.RequestAccepted, event.Subject{Request: "other"}),
+		at(20, "vm-1", event.AttemptFailed, event.Subject{Request: "r", Upstream: "engine-1", Attempt: 1, Detail: "upstream_failed"}),
+		at(21, "vm-1", event.UpstreamEjected, event.Subject{Upstream: "engine-1"}),
+		at(22, "vm-1", event.RequestDispatched, event.Subject{Request: "r", Upstream: "engine-2", Attempt: 2}),
+		at(23, "vm-1", event.StreamResumed, event.Subject{Request: "r", Upstream: "engine-2", Attempt: 2, Count: 5}),
+		at(30, "vm-1", event.RequestAnswered, event.Subject{Request: "r", Count: 9}),
+		at(40, "vm-1", event.UpstreamRestored, event.Subject{Upstream: "engine-1"}),
+	}
+	told := explain("r", line, []string{"vm-9"})
+	var numbers []event.Number
+	for _, l := range told.Lines {
+		numbers = append(numbers, l.Number)
+	}
+	want := fmt.Sprint([]event.Number{
+		event.RequestAccepted, event.RequestDispatched, event.AttemptFailed, event.UpstreamEjected,
+		event.RequestDispatched, event.StreamResumed, event.RequestAnswered,
+	})
+	if fmt.Sprint(numbers) != want {
+		t.Errorf("told %v, want %v", numbers, want)
+	}
+	if told.Attempts != 2 || told.Outcome != outcomeAnswered || told.Account != "strathallan" {
+		t.Errorf("told %+v", told)
+	}
+	var out bytes.Buffer
+	explainTable(&out, told)
+	for _, part := range []string{"answered, attempts: 2", "attempt 1 at upstream engine-1 failed: upstream_failed", "missing: VM vm-9"} {
+		if !strings.Contains(out.String(), part) {
+			t.Errorf("the account lacks %q:\n%s", part, out.String())
+		}
+	}
+}
+
+// An event of a slow VM comes in after later events of the others. Whoever
+// follows the time line must still see it, and each event once.
+func TestFollowShowsLateEventsOnce(t *testing.T) {
+	at := func(seconds int64, vm string) event.Record {
+		return event.Record{Stamp: event.Stamp{WallMicros: seconds * 1_000_000}, VM: vm}
+	}
+	f := newFollower()
+	if got := f.fresh([]event.Record{at(100, "a"), at(110, "a")}); len(got) != 2 {
+		t.Fatalf("the first turn shows %d events, want 2", len(got))
+	}
+	after := f.after(event.Stamp{})
+	if !after.Before(at(108, "b").Stamp) {
+		t.Errorf("the next turn starts at %s, after a late event", after)
+	}
+	if got := f.fresh([]event.Record{at(108, "b"), at(110, "a")}); len(got) != 1 || got[0].VM != "b" {
+		t.Errorf("the second turn shows %v, want the late event alone", got)
+	}
+	if first, second := f.lost([]string{"x"}), f.lost([]string{"x"}); len(first) != 1 || len(second) != 0 {
+		t.Errorf("a missing VM is named %d and then %d times", len(first), len(second))
+	}
+}
--- /dev/null
+++ b/internal/ctl/exit.go
@@ -0,0 +1,57 @@
+package ctl
+
+import "dogwoodpond/internal/fault"
+
+// The exit codes of dogwoodpondctl, one for each class of failure. They are
+// part of the public interface; docs/OPERATING.md lists them.
+const (
+	ExitOK = 0
+	// ExitInternal is a defect or a failure of no other class.
+	ExitInternal = 1
+	// ExitInvalid is a fault of the arguments, a file or an edit.
+	ExitInvalid = 2
+	// ExitCredential is a refused credential.
+	ExitCredential = 3
+	// ExitNotFound is an unknown client account, key, step or request.
+	ExitNotFound = 4
+	// ExitConflict is an edit that lost against another operator's.
+	ExitConflict = 5
+	// ExitUnavailable is a VM or store that did not answer; nothing was edited.
+	ExitUnavailable = 6
+	// ExitPending is an accepted edit that is not known to be in force
+	// everywhere after the time of --wait.
+	ExitPending = 7
+	// ExitUnknown is an edit whose answer was lost; repeat it with its ID.
+	ExitUnknown = 8
+)
+
+var exitCodes = map[fault.Code]int{
+	fault.CodeBadRequest:         ExitInvalid,
+	fault.CodeEditInvalid:        ExitInvalid,
+	fault.CodeSettingsInvalid:    ExitInvalid,
+	fault.CodeKeyInvalid:         ExitCredential,
+	fault.CodeKeyMissing:         ExitCredential,
+	fault.CodeAccountUnknown:     ExitNotFound,
+	fault.CodeKeyUnknown:         ExitNotFound,
+	fault.CodeStepUnknown:        ExitNotFound,
+	fault.CodeRequestUnknown:     ExitNotFound,
+	fault.CodeRouteUnknown:       ExitNotFound,
+	fault.CodeEditConflict:       ExitConflict,
+	fault.CodePreconditionFailed: ExitConflict,
+	fault.CodeStoreUnavailable:   ExitUnavailable,
+	fault.CodePeerUnavailable:    ExitUnavailable,
+	fault.CodeEditPending:        ExitPending,
+	fault.CodeEditOutcomeUnknown: ExitUnknown,
+}
+
+// ExitCode returns the exit code for the result of Run.
+func ExitCode(err error) int {
+	if err == nil {
+		return ExitOK
+	}
+	code, ok := exitCodes[fault.CodeOf(err)]
+	if !ok {
+		return ExitInternal
+	}
+	return code
+}
--- /dev/null
+++ b/internal/ctl/explain.go
@@ -0,0 +1,146 @@
+package ctl
+
+import (
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+	"github.com/cockroachdb/errors"
+
+	"dogwoodpond/internal/event"
+	"dogwoodpond/internal/fault"
+)
+
+// Explanation is the account of one request.
+type Explanation struct {
+	Request string `json:"request"`
+	Account string `json:"account"`
+	// Attempts is how many dispatches are known.
+	Attempts int `json:"attempts"`
+	// Outcome is "answered", "refused" or "not known".
+	Outcome string        `json:"outcome"`
+	Lines   []ExplainLine `json:"lines"`
+	// Missing names VMs that did not answer; what they did is not told.
+	Missing []string `json:"missing"`
+}
+
+// ExplainLine is one thing that happened to a request, or to an upstream while
+// it worked on the request.
+type ExplainLine struct {
+	At time.Time `json:"at"`
+	// SinceMicros is the time since the request's first event.
+	SinceMicros int64        `json:"sinceMicros"`
+	VM          string       `json:"vm"`
+	Number      event.Number `json:"number"`
+	Text        string       `json:"text"`
+}
+
+// The values of Explanation.Outcome.
+const (
+	outcomeAnswered = "answered"
+	outcomeRefused  = "refused"
+	outcomeNotKnown = "not known"
+)
+
+func (a *App) explainCommand() {
+	command := a.kingpin.Command("explain", "Tell what happened to one request, and why.")
+	request := command.Arg("request", "The request's ID, as in X-Request-Id.").Required().String()
+	command.Action(func(*kingpin.ParseContext) error { return a.explain(*request) })
+}
+
+func (a *App) explain(request string) error {
+	answer, err := a.events(timelineQuery{})
+	if err != nil {
+		return err
+	}
+	told := explain(request, answer.Events, answer.Missing)
+	if len(told.Lines) == 0 {
+		return errors.WithStack(&fault.RequestUnknown{Request: request, Missing: answer.Missing})
+	}
+	return a.show(told, func(w io.Writer) { explainTable(w, told) })
+}
+
+func explainTable(w io.Writer, e Explanation) {
+	_, _ = fmt.Fprintf(w, "request %s of client account %s: %s, attempts: %d\n", e.Request, orNone(e.Account), e.Outcome, e.Attempts)
+	for _, l := range e.Lines {
+		row(w, clock(l.At), fmt.Sprintf("+%.1f ms", float64(l.SinceMicros)/microsPerMilli), l.VM, l.Text)
+	}
+	for _, line := range missingLines(e.Missing) {
+		_, _ = fmt.Fprintln(w, line)
+	}
+}
+
+const microsPerMilli = 1000
+
+// explain picks the events of a request, and those of its upstreams while it
+// ran, from a time line in order.
+func explain(request string, line []event.Record, missing []string) Explanation {
+	told := Explanation{Request: request, Outcome: outcomeNotKnown, Lines: []ExplainLine{}, Missing: missing}
+	upstreams := map[string]bool{}
+	var start event.Stamp
+	for _, e := range line {
+		if e.Request == request {
+			if len(told.Lines) == 0 {
+				start = e.Stamp
+			}
+			told.take(e, start)
+			if e.Upstream != "" {
+				upstreams[e.Upstream] = true
+			}
+			continue
+		}
+		if e.Request == "" && upstreams[e.Upstream] && told.Outcome == outcomeNotKnown {
+			told.add(e, start)
+		}
+	}
+	return told
+}
+
+// take adds an event of the request itself.
+func (x *Explanation) take(e event.Record, start event.Stamp) {
+	if e.Account != "" {
+		x.Account = e.Account
+	}
+	switch e.Number {
+	case event.RequestDispatched:
+		x.Attempts++
+	case event.RequestAnswered:
+		x.Outcome = outcomeAnswered
+	case event.RequestRefused:
+		x.Outcome = outcomeRefused
+	}
+	x.add(e, start)
+}
+
+func (x *Explanation) add(e event.Record, start event.Stamp) {
+	x.Lines = append(x.Lines, ExplainLine{
+		At:          stampTime(e.Stamp),
+		SinceMicros: e.Stamp.WallMicros - start.WallMicros,
+		VM:          e.VM,
+		Number:      e.Number,
+		Text:        sentence(e),
+	})
+}
+
+// sentence tells an event in words.
+func sentence(e event.Record) string {
+	switch e.Number {
+	case event.RequestAccepted:
+		return "the caller's key was accepted"
+	case event.RequestDispatched:
+		return fmt.Sprintf("attempt %d goes to upstream %s", e.Attempt, e.Upstream)
+	case event.StreamResumed:
+		return fmt.Sprintf("the stream goes on at upstream %s after %d tokens", e.Upstream, e.Count)
+	case event.AttemptFailed:
+		return fmt.Sprintf("attempt %d at upstream %s failed: %s", e.Attempt, e.Upstream, e.Detail)
+	case event.RequestAnswered:
+		return fmt.Sprintf("the caller got the whole answer (%d tokens)", e.Count)
+	case event.RequestRefused:
+		return fmt.Sprintf("the caller got a refusal: %s", e.Detail)
+	case event.ClaimStored:
+		return "the claim of the idempotency key was stored"
+	default:
+		return fmt.Sprintf("%s %s: %s", e.Number, e.Name, describe(e.Subject))
+	}
+}
--- /dev/null
+++ b/internal/ctl/output.go
@@ -0,0 +1,65 @@
+package ctl
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"dogwoodpond/internal/event"
+	"dogwoodpond/internal/fault"
+)
+
+// show prints a value as JSON, or lets table print it for people.
+func (a *App) show(value any, table func(w io.Writer)) error {
+	if *a.output == outputJSON {
+		encoder := json.NewEncoder(a.out)
+		encoder.SetIndent("", "  ")
+		return outputFailure(encoder.Encode(value))
+	}
+	w := tabwriter.NewWriter(a.out, 0, 0, columnGap, ' ', 0)
+	table(w)
+	return outputFailure(w.Flush())
+}
+
+// columnGap is the number of blanks between two columns.
+const columnGap = 2
+
+func outputFailure(err error) error {
+	if err != nil {
+		return errors.WithStack(&fault.Internal{Where: "output"})
+	}
+	return nil
+}
+
+// row prints one row of a table. A failed write shows when the table is flushed.
+func row(w io.Writer, cells ...any) {
+	texts := make([]string, len(cells))
+	for i, cell := range cells {
+		texts[i] = fmt.Sprint(cell)
+	}
+	_, _ = fmt.Fprintln(w, strings.Join(texts, "\t"))
+}
+
+// note tells a person something besides the result.
+func (a *App) note(format string, values ...any) {
+	_, _ = fmt.Fprintf(a.notes, format+"\n", values...)
+}
+
+const clockFormat = "2006-01-02 15:04:05.000"
+
+func clock(t time.Time) string { return t.UTC().Format(clockFormat) }
+
+func stampTime(s event.Stamp) time.Time { return time.UnixMicro(s.WallMicros).UTC() }
+
+// orNone shows an empty text as a dash.
+func orNone(text string) string {
+	if text == "" {
+		return "-"
+	}
+	return text
+}
--- a/internal/daemon/providers.go
+++ b/internal/daemon/providers.go
@@ -13,6 +13,7 @@
 	"dogwoodpond/internal/engine"
 	"dogwoodpond/internal/entry"
 	"dogwoodpond/internal/event"
+	"dogwoodpond/internal/fleetview"
 	"dogwoodpond/internal/generate"
 	"dogwoodpond/internal/operator"
 	"dogwoodpond/internal/peer"
@@ -124,7 +125,8 @@
 	return h.entry
 }
 
-func newOperator(s settings.Daemon, view *contract.View, editor *config.Editor, fleet *peer.Fleet, directory *upstream.Directory, events *event.Recorder, h *hooks) *operator.Server {
+func newOperator(s settings.Daemon, tables *platform.Client, view *contract.View, editor *config.Editor, fleet *peer.Fleet, directory *upstream.Directory, events *event.Recorder, h *hooks) *operator.Server {
+	rows := fleetview.NewReader(tables)
 	return operator.NewServer(operator.Config{
 		VM:          s.VM,
 		TokenSHA256: s.OperatorTokenSHA256,
@@ -132,6 +134,9 @@
 		Editor:      editor,
 		Fleet:       fleet,
 		Upstreams:   directory.Load,
+		Leases:      rows,
+		Steps:       rows,
+		Usage:       rows,
 		Events:      events,
 		Advanced:    h.poke,
 	})
--- a/internal/daemon/wire_gen.go
+++ b/internal/daemon/wire_gen.go
@@ -44,7 +44,7 @@
 	entryServer := newEntry(view, syncer, local, scheduler, serviceClient, claims, manager, tally, recorder, registry, daemonHooks)
 	editor := newEditor(client, recorder)
 	fleet := peer.NewFleet(gossip, peerClient, view, recorder)
-	operatorServer := newOperator(s, view, editor, fleet, directory, recorder, daemonHooks)
+	operatorServer := newOperator(s, client, view, editor, fleet, directory, recorder, daemonHooks)
 	daemon := &Daemon{
 		settings:  s,
 		log:       logger,
--- a/internal/fault/types.go
+++ b/internal/fault/types.go
@@ -45,6 +45,10 @@
 	CodeSpendingExceeded     Code = "spending_exceeded"
 	CodeSettingsInvalid      Code = "settings_invalid"
 	CodePeerUnavailable      Code = "peer_unavailable"
+	CodeKeyUnknown           Code = "key_unknown"
+	CodeRequestUnknown       Code = "request_unknown"
+	CodeEditPending          Code = "edit_pending"
+	CodeEditOutcomeUnknown   Code = "edit_outcome_unknown"
 )
 
 // Codes lists every code, for the check of the documents.
@@ -86,6 +90,10 @@
 	CodeSpendingExceeded,
 	CodeSettingsInvalid,
 	CodePeerUnavailable,
+	CodeKeyUnknown,
+	CodeRequestUnknown,
+	CodeEditPending,
+	CodeEditOutcomeUnknown,
 }
 
 // Internal reports a defect of the program itself, such as a recovered panic.
--- /dev/null
+++ b/internal/fleetview/fleetview.go
@@ -0,0 +1,134 @@
+// Package fleetview reads rows of the table service for operators: leases, steps
+// and usage reports. It decodes only the fields that operators see, and writes
+// nothing.
+package fleetview
+
+import (
+	"context"
+	"encoding/json"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+
+	"dogwoodpond/internal/fault"
+	"dogwoodpond/internal/operator"
+	"dogwoodpond/internal/platform"
+)
+
+// Prefixes of the rows.
+const (
+	leasePrefix  = "lease/"
+	stepPrefix   = "step/"
+	reportPrefix = "report/"
+)
+
+// scanPage is how many rows one scan asks for. Rows of steps hold the prompts,
+// so a page must stay small.
+const scanPage = 64
+
+// Reader implements operator.Leases, operator.Steps and operator.Usage.
+type Reader struct {
+	tables platform.Tables
+}
+
+// NewReader returns a reader of the tables.
+func NewReader(tables platform.Tables) *Reader { return &Reader{tables: tables} }
+
+// Leases implements operator.Leases.
+func (r *Reader) Leases(ctx context.Context) ([]operator.Lease, error) {
+	leases := []operator.Lease{}
+	err := r.each(ctx, leasePrefix, func(row platform.Row) error {
+		var lease operator.Lease
+		if err := decode(row, &lease); err != nil {
+			return err
+		}
+		lease.Name = strings.TrimPrefix(row.Key, leasePrefix)
+		leases = append(leases, lease)
+		return nil
+	})
+	return leases, err
+}
+
+// stepRow holds the fields of a step's row that operators see.
+type stepRow struct {
+	Definition struct {
+		Model  string `json:"model"`
+		Groups []struct {
+			Samples int `json:"samples"`
+		} `json:"groups"`
+	} `json:"definition"`
+	Committed int64 `json:"committed"`
+	Acked     int64 `json:"acked"`
+}
+
+// Steps implements operator.Steps.
+func (r *Reader) Steps(ctx context.Context, account string) ([]operator.Step, error) {
+	prefix := stepPrefix
+	if account != "" {
+		prefix += account + "/"
+	}
+	steps := []operator.Step{}
+	err := r.each(ctx, prefix, func(row platform.Row) error {
+		var kept stepRow
+		if err := decode(row, &kept); err != nil {
+			return err
+		}
+		owner, name, _ := strings.Cut(strings.TrimPrefix(row.Key, stepPrefix), "/")
+		step := operator.Step{
+			Account:   owner,
+			Step:      name,
+			Model:     kept.Definition.Model,
+			Committed: kept.Committed,
+			Acked:     kept.Acked,
+		}
+		for _, g := range kept.Definition.Groups {
+			step.Slots += g.Samples
+		}
+		steps = append(steps, step)
+		return nil
+	})
+	return steps, err
+}
+
+// Reports implements operator.Usage.
+func (r *Reader) Reports(ctx context.Context, window int64) ([]platform.UsageReport, error) {
+	reports := []platform.UsageReport{}
+	err := r.each(ctx, reportPrefix, func(row platform.Row) error {
+		var report platform.UsageReport
+		if err := decode(row, &report); err != nil {
+			return err
+		}
+		if window == 0 || report.Window == window {
+			reports = append(reports, report)
+		}
+		return nil
+	})
+	return reports, err
+}
+
+// each calls next for every row with the prefix.
+func (r *Reader) each(ctx context.Context, prefix string, next func(platform.Row) error) error {
+	after := ""
+	for {
+		rows, err := r.tables.Scan(ctx, prefix, after, scanPage)
+		if err != nil {
+			return err
+		}
+		for _, row := range rows {
+			if err := next(row); err != nil {
+				return err
+			}
+			after = row.Key
+		}
+		if len(rows) < scanPage {
+			return nil
+		}
+	}
+}
+
+func decode(row platform.Row, into any) error {
+	if err := json.Unmarshal(row.Value, into); err != nil {
+		return errors.WithStack(&fault.Internal{Where: "row " + row.Key})
+	}
+	return nil
+}
--- a/internal/operator/edits.go
+++ b/internal/operator/edits.go
@@ -60,36 +60,64 @@
 	return s.apply(r.Request.Context(), edit)
 }
 
+// withdrawTries bounds how often a withdrawal is tried again when other edits of
+// the same key win.
+const withdrawTries = 16
+
+// withdrawKey withdraws a key. The withdrawal must win against a racing edit of
+// the same key: it would otherwise be refused as a conflict, and a key that an
+// operator believes withdrawn would go on working. So it reads the key again
+// and repeats itself; with the same edit ID, so that it is accepted once.
 func (s *Server) withdrawKey(r *restful.Request) (any, error) {
 	edit, err := editOf(r, contract.EditWithdraw)
 	if err != nil {
 		return nil, err
 	}
-	subject, err := s.Editor.Subject(r.Request.Context(), "key/"+r.PathParameter("id"))
+	var last error
+	for range withdrawTries {
+		answer, err := s.tryWithdraw(r.Request.Context(), edit, r.PathParameter("id"))
+		if err == nil {
+			return answer, nil
+		}
+		if !fault.Is[*fault.EditConflict](err) {
+			return nil, err
+		}
+		last = err
+	}
+	return nil, last
+}
+
+func (s *Server) tryWithdraw(ctx context.Context, edit contract.Edit, id string) (EditAnswer, error) {
+	subject, err := s.Editor.Subject(ctx, "key/"+id)
 	if err != nil {
-		return nil, err
+		return EditAnswer{}, err
 	}
 	if subject.Key == nil {
-		return nil, errors.WithStack(&fault.KeyInvalid{})
+		return EditAnswer{}, errors.WithStack(&fault.KeyUnknown{KeyID: id})
 	}
 	withdrawn := *subject.Key
 	withdrawn.Withdrawn = true
 	edit.Key = &withdrawn
 	edit.Base = subject.Revision
-	return s.apply(r.Request.Context(), edit)
+	answer, err := s.apply(ctx, edit)
+	if err != nil {
+		return EditAnswer{}, err
+	}
+	answer.ServeSeconds = s.View.Load().Contracts[withdrawn.Account].Isolation.ServeSeconds
+	return answer, nil
 }
 
 // apply commits an edit and waits a little for the fleet to confirm it.
-func (s *Server) apply(ctx context.Context, edit contract.Edit) (any, error) {
+func (s *Server) apply(ctx context.Context, edit contract.Edit) (EditAnswer, error) {
 	entry, err := s.Editor.Apply(ctx, edit)
 	if err != nil {
-		return nil, err
+		return EditAnswer{}, err
 	}
 	s.Advanced()
-	answer := EditAnswer{Entry: entry}
+	answer := EditAnswer{Entry: withoutHash(entry)}
 	deadline := time.Now().Add(confirmWait)
 	for {
-		answer.Confirmed, answer.Pending = s.confirmations(entry.Revision)
+		answer.Confirmation = confirmationOf(s.Fleet.InForce(), entry.Revision)
 		if len(answer.Pending) == 0 || time.Now().After(deadline) {
 			return answer, nil
 		}
@@ -101,14 +129,14 @@
 	}
 }
 
-func (s *Server) confirmations(revision contract.Revision) (confirmed, pending []string) {
-	confirmed, pending = []string{}, []string{}
-	for _, vm := range s.Fleet.InForce() {
-		if vm.Known && vm.Revision >= revision {
-			confirmed = append(confirmed, vm.VM)
-			continue
-		}
-		pending = append(pending, vm.VM)
+// withoutHash returns the entry without the hash of a key's secret, which no
+// reader of an answer needs.
+func withoutHash(entry contract.Entry) contract.Entry {
+	if entry.Key == nil {
+		return entry
 	}
-	return confirmed, pending
+	shown := *entry.Key
+	shown.SecretSHA256 = ""
+	entry.Key = &shown
+	return entry
 }
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -55,24 +55,10 @@
 // EditAnswer is the answer to an accepted edit.
 type EditAnswer struct {
 	Entry contract.Entry `json:"entry"`
-	// Confirmed and Pending name the VMs where the edit is, and is not yet
-	// known to be, in force.
-	Confirmed []string `json:"confirmed"`
-	Pending   []string `json:"pending"`
-}
-
-// Status is what an operator sees at a glance.
-type Status struct {
-	VM        string              `json:"vm"`
-	Revision  contract.Revision   `json:"revision"`
-	VMs       []VMRevision        `json:"vms"`
-	Upstreams []platform.Upstream `json:"upstreams"`
-}
-
-// EventsAnswer holds the merged events of the fleet.
-type EventsAnswer struct {
-	Events  []event.Record `json:"events"`
-	Missing []string       `json:"missing"`
+	Confirmation
+	// ServeSeconds is set for a withdrawn key: how long a VM that is cut off
+	// from the platform and from all other VMs may go on with the key.
+	ServeSeconds int64 `json:"serveSeconds,omitempty"`
 }
 
 // Problem is the body of a refused request.
@@ -89,6 +75,9 @@
 	Editor      Editor
 	Fleet       Fleet
 	Upstreams   func() []platform.Upstream
+	Leases      Leases
+	Steps       Steps
+	Usage       Usage
 	Events      *event.Recorder
 	// Advanced asks the VM to apply the newest revision at once.
 	Advanced func()
@@ -110,8 +99,7 @@
 )
 
 const (
-	historyPage = 1000
-	maxBody     = 1 << 20
+	maxBody = 1 << 20
 	// confirmWait bounds how long an edit's answer waits for the fleet.
 	confirmWait   = 3 * time.Second
 	confirmPeriod = 50 * time.Millisecond
@@ -125,6 +113,7 @@
 		s.Events.Emit(event.PanicRecovered, event.Subject{Detail: "operator"})
 		w.WriteHeader(http.StatusInternalServerError)
 	})
+	container.ServiceErrorHandler(unrouted)
 	ws := new(restful.WebService)
 	ws.Path("/v1").Produces(restful.MIME_JSON).Filter(s.authenticate)
 	ws.Route(ws.PUT("/contracts/{account}").To(s.handle(s.putContract)))
@@ -133,8 +122,13 @@
 	ws.Route(ws.PUT("/keys/{id}").To(s.handle(s.grantKey)))
 	ws.Route(ws.DELETE("/keys/{id}").To(s.handle(s.withdrawKey)))
 	ws.Route(ws.GET("/keys").To(s.handle(s.listKeys)))
-	ws.Route(ws.GET("/revisions").To(s.handle(s.history)))
+	ws.Route(ws.GET("/revisions").To(s.handle(s.revisions)))
+	ws.Route(ws.GET("/revisions/{revision}/confirmation").To(s.handle(s.confirmation)))
+	ws.Route(ws.GET("/history").To(s.handle(s.history)))
 	ws.Route(ws.GET("/status").To(s.handle(s.status)))
+	ws.Route(ws.GET("/steps").To(s.handle(s.listSteps)))
+	ws.Route(ws.GET("/usage").To(s.handle(s.listUsage)))
+	ws.Route(ws.GET("/usage/{window}").To(s.handle(s.listUsage)))
 	ws.Route(ws.GET("/events").To(s.handle(s.eventLine)))
 	container.Add(ws)
 	return container
@@ -170,10 +164,17 @@
 	fault.CodeEditInvalid:      http.StatusBadRequest,
 	fault.CodeKeyInvalid:       http.StatusUnauthorized,
 	fault.CodeAccountUnknown:   http.StatusNotFound,
+	fault.CodeKeyUnknown:       http.StatusNotFound,
 	fault.CodeEditConflict:     http.StatusConflict,
 	fault.CodeStoreUnavailable: http.StatusServiceUnavailable,
 }
 
+// unrouted answers for unknown paths and methods.
+func unrouted(failure restful.ServiceError, r *restful.Request, w *restful.Response) {
+	err := &fault.RouteUnknown{Method: r.Request.Method, Path: r.Request.URL.Path}
+	_ = w.WriteHeaderAndJson(failure.Code, Problem{Code: err.Code(), Message: err.Error()}, restful.MIME_JSON)
+}
+
 func problem(w *restful.Response, err error) {
 	code := fault.CodeOf(err)
 	status, ok := statuses[code]
@@ -199,40 +200,6 @@
 	return s.View.Load().Contracts, nil
 }
 
-func (s *Server) listKeys(*restful.Request) (any, error) {
-	return s.View.Load().Keys, nil
-}
-
-func (s *Server) history(r *restful.Request) (any, error) {
-	after, err := revisionParameter(r.QueryParameter("after"))
-	if err != nil {
-		return nil, err
-	}
-	return s.Editor.History(r.Request.Context(), after, historyPage)
-}
-
-func (s *Server) status(*restful.Request) (any, error) {
-	return Status{
-		VM:        s.VM,
-		Revision:  s.View.Load().Revision,
-		VMs:       s.Fleet.InForce(),
-		Upstreams: s.Upstreams(),
-	}, nil
-}
-
-func (s *Server) eventLine(r *restful.Request) (any, error) {
-	var after event.Stamp
-	if text := r.QueryParameter("after"); text != "" {
-		parsed, ok := event.ParseStamp(text)
-		if !ok {
-			return nil, errors.WithStack(&fault.BadRequest{Field: "after", Problem: "must be a stamp"})
-		}
-		after = parsed
-	}
-	records, missing := s.Fleet.Events(r.Request.Context(), after)
-	return EventsAnswer{Events: records, Missing: missing}, nil
-}
-
 func decodeBody(r *restful.Request, into any) error {
 	dec := json.NewDecoder(http.MaxBytesReader(nil, r.Request.Body, maxBody))
 	dec.DisallowUnknownFields()
--- /dev/null
+++ b/internal/operator/operator_test.go
@@ -0,0 +1,352 @@
+package operator
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"dogwoodpond/internal/contract"
+	"dogwoodpond/internal/event"
+	"dogwoodpond/internal/fault"
+	"dogwoodpond/internal/platform"
+
+	"go.uber.org/zap"
+)
+
+const (
+	testToken = "operators-own"
+	testHash  = "0123456789012345678901234567890123456789012345678901234567890123"
+)
+
+// fakeEditor keeps edits in memory; conflicts makes that many edits lose.
+type fakeEditor struct {
+	subjects  map[string]contract.Subject
+	entries   []contract.Entry
+	conflicts int
+}
+
+func (f *fakeEditor) Apply(_ context.Context, edit contract.Edit) (contract.Entry, error) {
+	name := edit.SubjectName()
+	if f.conflicts > 0 {
+		f.conflicts--
+		changed := f.subjects[name]
+		changed.Revision++
+		f.subjects[name] = changed
+	}
+	if f.subjects[name].Revision != edit.Base {
+		return contract.Entry{}, errors.WithStack(&fault.EditConflict{Subject: name})
+	}
+	entry := contract.Entry{
+		Revision: contract.Revision(len(f.entries) + 1),
+		EditID:   edit.ID,
+		Kind:     edit.Kind,
+		Who:      edit.Who,
+		When:     time.Unix(1000, 0),
+		Contract: edit.Contract,
+		Key:      edit.Key,
+	}
+	f.entries = append(f.entries, entry)
+	f.subjects[name] = contract.Subject{Revision: entry.Revision, Contract: edit.Contract, Key: edit.Key}
+	return entry, nil
+}
+
+func (f *fakeEditor) Subject(_ context.Context, name string) (contract.Subject, error) {
+	return f.subjects[name], nil
+}
+
+func (f *fakeEditor) History(_ context.Context, after contract.Revision, limit int) ([]contract.Entry, error) {
+	rest := slices.Clone(f.entries[min(int(after), len(f.entries)):])
+	return rest[:min(limit, len(rest))], nil
+}
+
+type fakeFleet struct {
+	vms     []VMRevision
+	records []event.Record
+	missing []string
+}
+
+func (f *fakeFleet) InForce() []VMRevision { return f.vms }
+
+func (f *fakeFleet) Events(context.Context, event.Stamp) ([]event.Record, []string) {
+	return slices.Clone(f.records), slices.Clone(f.missing)
+}
+
+// noRows is a store that does not answer.
+type noRows struct{}
+
+func (noRows) Leases(context.Context) ([]Lease, error) {
+	return nil, errors.WithStack(&fault.StoreUnavailable{Operation: "scan"})
+}
+
+func (noRows) Steps(context.Context, string) ([]Step, error) {
+	return nil, errors.WithStack(&fault.StoreUnavailable{Operation: "scan"})
+}
+
+func (noRows) Reports(context.Context, int64) ([]platform.UsageReport, error) {
+	return nil, errors.WithStack(&fault.StoreUnavailable{Operation: "scan"})
+}
+
+type fixture struct {
+	server *Server
+	editor *fakeEditor
+	fleet  *fakeFleet
+}
+
+func newFixture() *fixture {
+	f := &fixture{
+		editor: &fakeEditor{subjects: map[string]contract.Subject{}},
+		fleet:  &fakeFleet{},
+	}
+	f.server = NewServer(Config{
+		VM:          "vm-1",
+		TokenSHA256: contract.HashSecret(testToken),
+		View:        contract.NewView(),
+		Editor:      f.editor,
+		Fleet:       f.fleet,
+		Upstreams:   func() []platform.Upstream { return nil },
+		Leases:      noRows{},
+		Steps:       noRows{},
+		Usage:       noRows{},
+		Events:      event.NewRecorder("vm-1", 64, event.NewClock(time.Now), zap.NewNop()),
+		Advanced:    func() {},
+	})
+	return f
+}
+
+// call makes one call; it decodes the answer into reply and returns the status
+// and the answer's text.
+func (f *fixture) call(t *testing.T, method, path, body string, reply any) (int, string) {
+	t.Helper()
+	request := httptest.NewRequest(method, path, strings.NewReader(body))
+	request.Header.Set("Authorization", "Bearer "+testToken)
+	request.Header.Set("Content-Type", "application/json")
+	request.Header.Set(HeaderEditor, "ana")
+	request.Header.Set(HeaderEditID, "edit-1")
+	response := httptest.NewRecorder()
+	f.server.Handler().ServeHTTP(response, request)
+	text := response.Body.String()
+	if reply != nil {
+		if err := json.Unmarshal([]byte(text), reply); err != nil {
+			t.Fatalf("%s %s answered %d %q: %v", method, path, response.Code, text, err)
+		}
+	}
+	return response.Code, text
+}
+
+func (f *fixture) grant(id string) {
+	f.editor.subjects["key/"+id] = contract.Subject{
+		Revision: 1,
+		Key:      &contract.Key{ID: id, Account: "brazicod", SecretSHA256: testHash},
+	}
+}
+
+// Two operators edit the same key at once, and the other one is faster each
+// time. Without a new try the withdrawal is refused as a conflict, and a key that
+// had to stop goes on working.
+func TestWithdrawalWinsAgainstRacingEdits(t *testing.T) {
+	f := newFixture()
+	f.grant("k1")
+	f.editor.conflicts = 3
+	var answer EditAnswer
+	status, text := f.call(t, http.MethodDelete, "/v1/keys/k1", "", &answer)
+	if status != http.StatusOK {
+		t.Fatalf("withdrawal answered %d %s", status, text)
+	}
+	if !f.editor.subjects["key/k1"].Key.Withdrawn {
+		t.Error("the key is not withdrawn")
+	}
+}
+
+// A failure domain is cut off while a key is withdrawn. An operator who is told
+// only "accepted" would believe that the key works nowhere any more.
+func TestWithdrawalNamesCutOffFailureDomain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture()
+		f.grant("k1")
+		first, _ := contract.Empty().Apply(contract.Entry{
+			Revision: 1,
+			Contract: &contract.Contract{Account: "brazicod", Isolation: contract.Isolation{ServeSeconds: 90}},
+		})
+		f.server.View.Advance(first)
+		f.fleet.vms = []VMRevision{
+			{VM: "vm-1", FailureDomain: "a", Revision: 5, Known: true},
+			{VM: "vm-2", FailureDomain: "a", Revision: 0, Known: true, HeardMillis: 400},
+			{VM: "vm-3", FailureDomain: "b", Revision: 0, Known: true, HeardMillis: 60_000},
+			{VM: "vm-4", FailureDomain: "b"},
+		}
+		var answer EditAnswer
+		f.call(t, http.MethodDelete, "/v1/keys/k1", "", &answer)
+		if !slices.Equal(answer.Confirmed, []string{"vm-1"}) || !slices.Equal(answer.Pending, []string{"vm-2", "vm-3", "vm-4"}) {
+			t.Errorf("confirmed %v, pending %v", answer.Confirmed, answer.Pending)
+		}
+		if len(answer.PendingDomains) != 2 || answer.PendingDomains[0].CutOff || !answer.PendingDomains[1].CutOff {
+			t.Errorf("pending failure domains are %+v, want a reached and b cut off", answer.PendingDomains)
+		}
+		if answer.ServeSeconds != 90 {
+			t.Errorf("ServeSeconds is %d, want the contract's 90", answer.ServeSeconds)
+		}
+	})
+}
+
+// An operator mistypes a key's ID. With an answer that looks like success the
+// real key would go on working unnoticed.
+func TestWithdrawalOfUnknownKey(t *testing.T) {
+	f := newFixture()
+	var answer Problem
+	if status, _ := f.call(t, http.MethodDelete, "/v1/keys/nobody", "", &answer); status != http.StatusNotFound || answer.Code != fault.CodeKeyUnknown {
+		t.Errorf("answer is %d %s", status, answer.Code)
+	}
+}
+
+func TestAnswersHoldNoHashOfASecret(t *testing.T) {
+	f := newFixture()
+	_, granted := f.call(t, http.MethodPut, "/v1/keys/k1", `{"account":"brazicod","secretSha256":"`+testHash+`"}`, nil)
+	snapshot, err := contract.Empty().Apply(f.editor.entries[0])
+	if err != nil {
+		t.Fatal(err)
+	}
+	f.server.View.Advance(snapshot)
+	_, list := f.call(t, http.MethodGet, "/v1/keys", "", nil)
+	_, revisions := f.call(t, http.MethodGet, "/v1/revisions", "", nil)
+	_, history := f.call(t, http.MethodGet, "/v1/history", "", nil)
+	_, withdrawn := f.call(t, http.MethodDelete, "/v1/keys/k1", "", nil)
+	for _, text := range []string{granted, list, revisions, history, withdrawn} {
+		if !strings.Contains(text, "k1") {
+			t.Errorf("the answer does not name the key: %s", text)
+		}
+		if strings.Contains(text, testHash) {
+			t.Errorf("the answer holds the hash: %s", text)
+		}
+	}
+	if f.editor.subjects["key/k1"].Key.SecretSHA256 != testHash {
+		t.Error("the hash was lost from the kept key")
+	}
+}
+
+func TestHistoryShowsWhoWhatAndWhenInForce(t *testing.T) {
+	f := newFixture()
+	f.call(t, http.MethodPut, "/v1/contracts/strathallan", `{"account":"strathallan","share":100}`, nil)
+	f.editor.subjects["contract/strathallan"] = contract.Subject{}
+	f.call(t, http.MethodPut, "/v1/contracts/strathallan", `{"account":"strathallan","share":250}`, nil)
+	f.fleet.vms = []VMRevision{{VM: "vm-1", Known: true}, {VM: "vm-2", Known: true}}
+	f.fleet.records = []event.Record{
+		applied("vm-1", 1, 10), applied("vm-2", 1, 11), applied("vm-1", 2, 20), applied("vm-2", 2, 23),
+	}
+	var edits []HistoryEdit
+	f.call(t, http.MethodGet, "/v1/history?account=strathallan", "", &edits)
+	if len(edits) != 2 {
+		t.Fatalf("history has %d edits, want 2", len(edits))
+	}
+	second := edits[1]
+	if second.Who != "ana" || second.Revision != 2 || second.Subject != "contract/strathallan" {
+		t.Errorf("the edit is %+v", second)
+	}
+	if want := []Change{{Field: "share", Before: "100", After: "250"}}; !slices.Equal(second.Changes, want) {
+		t.Errorf("changes are %v, want %v", second.Changes, want)
+	}
+	if at := second.InForce.Everywhere; at == nil || !at.Equal(time.UnixMicro(23)) {
+		t.Errorf("in force everywhere at %v, want the last VM's time", at)
+	}
+}
+
+func applied(vm string, revision uint64, micros int64) event.Record {
+	return event.Record{
+		VM:      vm,
+		Number:  event.RevisionApplied,
+		Stamp:   event.Stamp{WallMicros: micros},
+		Subject: event.Subject{Revision: revision},
+	}
+}
+
+// A VM was replaced, or its ring has dropped old events, or it is cut off. A time
+// guessed from what is left would tell a board something that nobody saw.
+func TestInForceSaysWhenItIsNotKnown(t *testing.T) {
+	line := appliedOn([]event.Record{
+		applied("whole", 1, 1), applied("whole", 3, 3),
+		applied("replaced", 4, 9),
+	})
+	got := inForce(2, line, []string{"whole", "replaced", "silent"})
+	if got.Everywhere != nil {
+		t.Errorf("in force everywhere at %v, want not known", got.Everywhere)
+	}
+	if !slices.Equal(got.NotKnown, []string{"replaced", "silent"}) {
+		t.Errorf("not known on %v", got.NotKnown)
+	}
+	if want := []VMInForce{{VM: "whole", At: time.UnixMicro(3).UTC()}}; !slices.Equal(got.VMs, want) {
+		t.Errorf("known on %v, want %v", got.VMs, want)
+	}
+}
+
+// The table service is down. Operators need the status most just then, so it
+// must answer with what the VM knows and say what it does not know.
+func TestStatusAnswersWhileTheStoreIsDown(t *testing.T) {
+	f := newFixture()
+	f.fleet.vms = []VMRevision{{VM: "vm-1", FailureDomain: "a", Revision: 7, Known: true}}
+	var status Status
+	if code, text := f.call(t, http.MethodGet, "/v1/status", "", &status); code != http.StatusOK {
+		t.Fatalf("status answered %d %s", code, text)
+	}
+	if !status.LeasesUnknown {
+		t.Error("the status does not say that the leases are not known")
+	}
+	if want := []Domain{{FailureDomain: "a", VMs: 1, Heard: 1, Revision: 7}}; !slices.Equal(status.Domains, want) {
+		t.Errorf("failure domains are %+v, want %+v", status.Domains, want)
+	}
+}
+
+func TestEventsAreFilteredAndMissingVMsNamed(t *testing.T) {
+	f := newFixture()
+	f.fleet.records = []event.Record{
+		{VM: "vm-1", Subject: event.Subject{Request: "r1"}},
+		{VM: "vm-1", Subject: event.Subject{Request: "r2", Step: "s"}},
+		{VM: "vm-2", Subject: event.Subject{Lease: "usage"}},
+	}
+	f.fleet.missing = []string{"vm-9", "vm-3"}
+	for query, want := range map[string]int{"": 3, "?request=r1": 1, "?step=s": 1, "?lease=usage": 1, "?request=r1&step=s": 0} {
+		var answer EventsAnswer
+		f.call(t, http.MethodGet, "/v1/events"+query, "", &answer)
+		if len(answer.Events) != want || !slices.Equal(answer.Missing, []string{"vm-3", "vm-9"}) {
+			t.Errorf("events%s are %d with %v missing, want %d", query, len(answer.Events), answer.Missing, want)
+		}
+	}
+}
+
+func TestWrongCredentialAndBadInput(t *testing.T) {
+	f := newFixture()
+	cases := []struct {
+		method, path, body string
+		status             int
+		code               fault.Code
+	}{
+		{http.MethodGet, "/v1/contracts/nobody", "", http.StatusNotFound, fault.CodeAccountUnknown},
+		{http.MethodPut, "/v1/contracts/a", "{", http.StatusBadRequest, fault.CodeBadRequest},
+		{http.MethodPut, "/v1/contracts/a", `{"account":"a","sahre":1}`, http.StatusBadRequest, fault.CodeBadRequest},
+		{http.MethodPut, "/v1/contracts/a", `{"account":"b"}`, http.StatusBadRequest, fault.CodeBadRequest},
+		{http.MethodGet, "/v1/usage/soon", "", http.StatusBadRequest, fault.CodeBadRequest},
+		{http.MethodGet, "/v1/usage/300", "", http.StatusServiceUnavailable, fault.CodeStoreUnavailable},
+		{http.MethodGet, "/v1/revisions/x/confirmation", "", http.StatusBadRequest, fault.CodeBadRequest},
+		{http.MethodGet, "/v1/nothing", "", http.StatusNotFound, fault.CodeRouteUnknown},
+		{http.MethodPost, "/v1/status", "", http.StatusMethodNotAllowed, fault.CodeRouteUnknown},
+		{http.MethodGet, "/v1/events?after=now", "", http.StatusBadRequest, fault.CodeBadRequest},
+	}
+	for _, c := range cases {
+		var problem Problem
+		status, _ := f.call(t, c.method, c.path, c.body, &problem)
+		if status != c.status || problem.Code != c.code {
+			t.Errorf("%s %s answered %d %s, want %d %s", c.method, c.path, status, problem.Code, c.status, c.code)
+		}
+	}
+	f.server.TokenSHA256 = contract.HashSecret("another")
+	var problem Problem
+	if status, _ := f.call(t, http.MethodGet, "/v1/status", "", &problem); status != http.StatusUnauthorized || problem.Code != fault.CodeKeyInvalid {
+		t.Errorf("a wrong credential answered %d %s", status, problem.Code)
+	}
+}
