Pages held equal to the code: events, metrics, settings; all faults of a file at once

Ruled out: counting in every package on its own (the same event would be counted in several places); reading definitions back from a registry (vectors without values are not exposed, and descriptions can't be read).

Change: internal/metrics with one typed struct, fed from events, by a decorator around the dispatcher and from the list of upstreams; what other packages must still feed says so on the page. Settings are decoded field by field. A port in use names its setting.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 
 PROTO := internal/peer/peerpb/peer.proto
 
-.PHONY: build test check fmt-check vet lint gen gen-check spec unit fuzz smoke run matrix bench slopes
+.PHONY: build test check fmt-check vet lint gen gen-check spec unit fuzz smoke run matrix bench slopes docs
 
 build:
 	$(GO) build -o $(BIN)/ ./cmd/...
@@ -33,6 +33,10 @@
 gen-check:
 	scripts/generate.sh --check
 
+# docs writes the tables of the pages that are held equal to the code.
+docs:
+	DOGWOODPOND_UPDATE_DOCS=1 $(GO) test ./internal/event ./internal/metrics ./internal/settings -run Page -count=1
+
 spec:
 	scripts/spec.sh
 
--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -24,9 +24,13 @@
 	"dogwoodpond/internal/operator"
 	"dogwoodpond/internal/platform"
 	"dogwoodpond/internal/platform/memory"
+	"dogwoodpond/internal/usage"
 )
 
-const testToken = "operators-own"
+const (
+	testToken  = "operators-own"
+	testWindow = 300 * time.Second
+)
 
 // quietFleet is a fleet of one VM that puts every revision in force at once,
 // beside VMs that are pending.
@@ -56,7 +60,7 @@
 	t.Helper()
 	events := event.NewRecorder("vm-1", 256, event.NewClock(time.Now), zap.NewNop())
 	b := &bench{tables: memory.NewTables(), fleet: &quietFleet{events: events}}
-	rows := fleetview.NewReader(b.tables)
+	rows := fleetview.NewReader(b.tables, testWindow)
 	server := operator.NewServer(operator.Config{
 		VM:          "vm-1",
 		TokenSHA256: contract.HashSecret(testToken),
@@ -281,9 +285,9 @@
 	b := newBench(t)
 	rows := map[string]any{
 		"step/strathallan/round-1":      json.RawMessage(`{"definition":{"model":"berry-1","groups":[{"samples":8},{"samples":4}]},"committed":5,"acked":3}`),
-		"report/000000000300/brazicod":  platform.UsageReport{Window: 300, Account: "brazicod", Requests: 7, Tokens: 70, Incomplete: true},
+		"report/000000000001/brazicod":  usage.Report{Window: 1, Account: "brazicod", Figures: usage.Figures{Requests: 7, Tokens: 70}, Incomplete: true},
 		"lease/usage-reports":           json.RawMessage(`{"holder":"vm-3","epoch":12}`),
-		"report/000000000600/something": platform.UsageReport{Window: 600, Account: "something"},
+		"report/000000000002/something": usage.Report{Window: 2, Account: "something"},
 	}
 	for key, value := range rows {
 		text, err := json.Marshal(value)
@@ -300,7 +304,7 @@
 		text string
 	}{
 		{[]string{"steps", "strathallan"}, "berry-1  12     5          3"},
-		{[]string{"usage"}, "brazicod"},
+		{[]string{"usage", "--since", "500000h"}, "something"},
 		{[]string{"usage", "300"}, "70"},
 		{[]string{"status"}, "usage-reports"},
 	}
@@ -309,6 +313,9 @@
 			t.Errorf("%v does not show %q:\n%s", w.line, w.text, out)
 		}
 	}
+	if out := b.mustRun(t, "usage"); strings.Contains(out, "brazicod") {
+		t.Errorf("usage of the last day shows 1970:\n%s", out)
+	}
 	if out := b.mustRun(t, "usage", "300"); strings.Contains(out, "something") {
 		t.Errorf("usage of one window shows another:\n%s", out)
 	}
--- a/internal/ctl/fleet.go
+++ b/internal/ctl/fleet.go
@@ -24,7 +24,8 @@
 
 	usage := a.kingpin.Command("usage", "Show the usage reports.")
 	window := usage.Arg("window", "Only this window: its start in seconds since the Unix epoch.").Int64()
-	usage.Action(func(*kingpin.ParseContext) error { return a.usage(*window) })
+	since := usage.Flag("since", "Go back this far, for example 48h.").Default("24h").Duration()
+	usage.Action(func(*kingpin.ParseContext) error { return a.usage(*window, *since) })
 }
 
 func (a *App) status() error {
@@ -120,8 +121,8 @@
 	})
 }
 
-func (a *App) usage(window int64) error {
-	route := "/v1/usage"
+func (a *App) usage(window int64, since time.Duration) error {
+	route := fmt.Sprintf("/v1/usage?from=%d", time.Now().Add(-since).Unix())
 	if window != 0 {
 		route = fmt.Sprintf("/v1/usage/%d", window)
 	}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -86,15 +86,15 @@
 }
 
 func (d *Daemon) listen(ctx context.Context, loops *sync.WaitGroup) (servers, error) {
-	callers, err := bind(d.settings.CallerAddress)
+	callers, err := bind("callerAddress", d.settings.CallerAddress)
 	if err != nil {
 		return servers{}, err
 	}
-	operators, err := bind(d.settings.OperatorAddress)
+	operators, err := bind("operatorAddress", d.settings.OperatorAddress)
 	if err != nil {
 		return servers{}, err
 	}
-	peers, err := bind(d.settings.PeerAddress)
+	peers, err := bind("peerAddress", d.settings.PeerAddress)
 	if err != nil {
 		return servers{}, err
 	}
@@ -110,11 +110,13 @@
 	return open, nil
 }
 
-func bind(address string) (net.Listener, error) {
+// bind listens on the address of a setting. A port that another process uses is
+// a fault of that setting.
+func bind(setting, address string) (net.Listener, error) {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, errors.WithStack(&fault.SettingsInvalid{Faults: []fault.SettingFault{
-			{Field: "address", Value: address, Allowed: "an address of this VM that no process uses"},
+			{Field: setting, Value: address, Allowed: "an address of this VM that no process uses"},
 		}})
 	}
 	return listener, nil
--- a/internal/daemon/providers.go
+++ b/internal/daemon/providers.go
@@ -15,6 +15,7 @@
 	"dogwoodpond/internal/event"
 	"dogwoodpond/internal/fleetview"
 	"dogwoodpond/internal/generate"
+	"dogwoodpond/internal/metrics"
 	"dogwoodpond/internal/operator"
 	"dogwoodpond/internal/peer"
 	"dogwoodpond/internal/platform"
@@ -56,12 +57,20 @@
 
 func newPlatform(s settings.Daemon) *platform.Client { return platform.NewClient(s.PlatformURL) }
 
+// newMetrics comes before every part that emits events, so that all are counted.
+func newMetrics(events *event.Recorder, registry *prometheus.Registry, directory *upstream.Directory) *metrics.Metrics {
+	m := metrics.New(registry)
+	metrics.RegisterUpstreams(registry, directory.Load)
+	events.Observe(m.Observe)
+	return m
+}
+
 func newScheduler(s settings.Daemon, directory *upstream.Directory) *dispatch.Scheduler {
 	return dispatch.NewScheduler(s.FailureDomain, directory)
 }
 
-func newRunner(view *contract.View, scheduler *dispatch.Scheduler, engines *engine.Client, events *event.Recorder) *generate.Local {
-	return generate.NewLocal(view, scheduler, engines, events)
+func newRunner(view *contract.View, scheduler *dispatch.Scheduler, engines *engine.Client, events *event.Recorder, m *metrics.Metrics) *generate.Local {
+	return generate.NewLocal(view, metrics.NewDispatcher(scheduler, m), engines, events)
 }
 
 func newGossip(s settings.Daemon, view *contract.View, client *peer.Client, events *event.Recorder, h *hooks) *peer.Gossip {
@@ -119,13 +128,14 @@
 	meter *usage.Meter,
 	events *event.Recorder,
 	registry *prometheus.Registry,
+	m *metrics.Metrics,
 	h *hooks,
 ) *entry.Server {
 	h.entry = entry.NewServer(entry.Config{
 		View:       view,
 		Ager:       syncer,
 		Runner:     runner,
-		Dispatcher: scheduler,
+		Dispatcher: metrics.NewDispatcher(scheduler, m),
 		Services:   services,
 		Claims:     claims,
 		Steps:      steps,
@@ -137,7 +147,7 @@
 }
 
 func newOperator(s settings.Daemon, tables *platform.Client, view *contract.View, editor *config.Editor, fleet *peer.Fleet, directory *upstream.Directory, events *event.Recorder, h *hooks) *operator.Server {
-	rows := fleetview.NewReader(tables)
+	rows := fleetview.NewReader(tables, s.UsageWindow())
 	return operator.NewServer(operator.Config{
 		VM:          s.VM,
 		TokenSHA256: s.OperatorTokenSHA256,
--- a/internal/daemon/wire.go
+++ b/internal/daemon/wire.go
@@ -19,6 +19,7 @@
 		newLogger,
 		newRecorder,
 		newRegistry,
+		newMetrics,
 		newHooks,
 		newPlatform,
 		contract.NewView,
--- /dev/null
+++ b/internal/doccheck/doccheck_test.go
@@ -0,0 +1,20 @@
+package doccheck
+
+import (
+	"slices"
+	"strings"
+	"testing"
+)
+
+// A page whose table is read wrongly would pass whatever the code says.
+func TestColumnOfAPage(t *testing.T) {
+	codes := Column(t, "docs/API.md", "codes", 0)
+	if !slices.Contains(codes, "key_withdrawn") || slices.Contains(codes, "code") {
+		t.Errorf("the first column is %v", codes)
+	}
+	for _, status := range Column(t, "docs/API.md", "codes", 1) {
+		if strings.ContainsAny(status, "|`") {
+			t.Errorf("a cell of the second column is %q", status)
+		}
+	}
+}
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -64,6 +64,9 @@
 	clock *Clock
 	log   *zap.Logger
 
+	// observe is set before the first event and never after.
+	observe func(Record)
+
 	mu   sync.Mutex
 	ring []Record
 	next int
@@ -79,11 +82,19 @@
 // Clock returns the clock that stamps the recorder's events.
 func (r *Recorder) Clock() *Clock { return r.clock }
 
+// Observe makes the recorder show each event to an observer, for example to
+// count it. It is called once, before the first event; the observer must be
+// fast and safe for concurrent use.
+func (r *Recorder) Observe(observer func(Record)) { r.observe = observer }
+
 // Emit records an event and returns its stamp.
 func (r *Recorder) Emit(n Number, s Subject) Stamp {
 	def := catalogue[n]
 	rec := Record{Stamp: r.clock.Now(), VM: r.vm, Number: n, Name: def.Name, Subject: s}
 	r.keep(rec)
+	if r.observe != nil {
+		r.observe(rec)
+	}
 	if entry := r.log.Check(def.Level, def.Name); entry != nil {
 		entry.Write(zap.Stringer("event", n), zap.Stringer("stamp", rec.Stamp), zap.Inline(logSubject(s)))
 	}
--- a/internal/fault/types.go
+++ b/internal/fault/types.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"time"
 )
@@ -576,6 +577,11 @@
 	return fmt.Sprintf("settings: %s", joinFaults(e.Faults))
 }
 
+// Names reports whether a fault of the field is listed.
+func (e *SettingsInvalid) Names(field string) bool {
+	return slices.ContainsFunc(e.Faults, func(f SettingFault) bool { return f.Field == field })
+}
+
 // Code implements Failure.
 func (*SettingsInvalid) Code() Code { return CodeSettingsInvalid }
 
--- a/internal/fleetview/fleetview.go
+++ b/internal/fleetview/fleetview.go
@@ -6,20 +6,22 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"strings"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
 	"dogwoodpond/internal/fault"
 	"dogwoodpond/internal/operator"
 	"dogwoodpond/internal/platform"
+	"dogwoodpond/internal/usage"
 )
 
 // Prefixes of the rows.
 const (
-	leasePrefix  = "lease/"
-	stepPrefix   = "step/"
-	reportPrefix = "report/"
+	leasePrefix = "lease/"
+	stepPrefix  = "step/"
 )
 
 // scanPage is how many rows one scan asks for. Rows of steps hold the prompts,
@@ -29,15 +31,19 @@
 // Reader implements operator.Leases, operator.Steps and operator.Usage.
 type Reader struct {
 	tables platform.Tables
+	window time.Duration
 }
 
-// NewReader returns a reader of the tables.
-func NewReader(tables platform.Tables) *Reader { return &Reader{tables: tables} }
+// NewReader returns a reader of the tables; window is the length of a usage
+// window, in whole seconds.
+func NewReader(tables platform.Tables, window time.Duration) *Reader {
+	return &Reader{tables: tables, window: window}
+}
 
 // Leases implements operator.Leases.
 func (r *Reader) Leases(ctx context.Context) ([]operator.Lease, error) {
 	leases := []operator.Lease{}
-	err := r.each(ctx, leasePrefix, func(row platform.Row) error {
+	err := r.each(ctx, leasePrefix, "", func(row platform.Row) error {
 		var lease operator.Lease
 		if err := decode(row, &lease); err != nil {
 			return err
@@ -68,7 +74,7 @@
 		prefix += account + "/"
 	}
 	steps := []operator.Step{}
-	err := r.each(ctx, prefix, func(row platform.Row) error {
+	err := r.each(ctx, prefix, "", func(row platform.Row) error {
 		var kept stepRow
 		if err := decode(row, &kept); err != nil {
 			return err
@@ -92,23 +98,43 @@
 
 // Reports implements operator.Usage.
 func (r *Reader) Reports(ctx context.Context, window int64) ([]platform.UsageReport, error) {
+	return r.reports(ctx, r.windowKey(window)+"/", "")
+}
+
+// ReportsSince implements operator.Usage.
+func (r *Reader) ReportsSince(ctx context.Context, from int64) ([]platform.UsageReport, error) {
+	return r.reports(ctx, usage.ReportPrefix, r.windowKey(from))
+}
+
+// windowKey starts the keys of the reports of the window that holds a time in
+// seconds since the Unix epoch.
+func (r *Reader) windowKey(seconds int64) string {
+	return fmt.Sprintf("%s%012d", usage.ReportPrefix, seconds/int64(r.window/time.Second))
+}
+
+func (r *Reader) reports(ctx context.Context, prefix, after string) ([]platform.UsageReport, error) {
 	reports := []platform.UsageReport{}
-	err := r.each(ctx, reportPrefix, func(row platform.Row) error {
-		var report platform.UsageReport
-		if err := decode(row, &report); err != nil {
+	err := r.each(ctx, prefix, after, func(row platform.Row) error {
+		var kept usage.Report
+		if err := decode(row, &kept); err != nil {
 			return err
 		}
-		if window == 0 || report.Window == window {
-			reports = append(reports, report)
-		}
+		reports = append(reports, platform.UsageReport{
+			Window:             int64(kept.Window) * int64(r.window/time.Second),
+			Account:            string(kept.Account),
+			Requests:           kept.Figures.Requests,
+			Tokens:             kept.Figures.Tokens,
+			CorrectionRequests: kept.Corrections.Requests,
+			CorrectionTokens:   kept.Corrections.Tokens,
+			Incomplete:         kept.Incomplete,
+		})
 		return nil
 	})
 	return reports, err
 }
 
-// each calls next for every row with the prefix.
-func (r *Reader) each(ctx context.Context, prefix string, next func(platform.Row) error) error {
-	after := ""
+// each calls next for every row with the prefix after a key.
+func (r *Reader) each(ctx context.Context, prefix, after string, next func(platform.Row) error) error {
 	for {
 		rows, err := r.tables.Scan(ctx, prefix, after, scanPage)
 		if err != nil {
--- a/internal/operator/fleet.go
+++ b/internal/operator/fleet.go
@@ -43,11 +43,13 @@
 	Steps(ctx context.Context, account string) ([]Step, error)
 }
 
-// Usage lists the reports of a window that starts at a number of seconds since
-// the Unix epoch, or of all windows when window is 0. It fails with
-// *fault.StoreUnavailable.
+// Usage lists usage reports. Times are in seconds since the Unix epoch. Both
+// methods fail with *fault.StoreUnavailable.
 type Usage interface {
-	Reports(ctx context.Context, window int64) ([]platform.UsageReport, error)
+	// Reports lists the reports of the window that holds a time.
+	Reports(ctx context.Context, at int64) ([]platform.UsageReport, error)
+	// ReportsSince lists the reports of that window and all later ones.
+	ReportsSince(ctx context.Context, from int64) ([]platform.UsageReport, error)
 }
 
 // Status is what an operator sees at a glance.
@@ -192,14 +194,37 @@
 	return s.Steps.Steps(r.Request.Context(), r.QueryParameter("account"))
 }
 
+// usageSpan is how far back the list of reports goes unless it is told: the
+// store keeps reports for years, and a list must not read them all.
+const usageSpan = 24 * time.Hour
+
+// listUsage lists the reports since a time.
 func (s *Server) listUsage(r *restful.Request) (any, error) {
-	var window int64
-	if text := r.PathParameter("window"); text != "" {
-		n, err := strconv.ParseInt(text, 10, 64)
-		if err != nil || n <= 0 {
-			return nil, errors.WithStack(&fault.BadRequest{Field: "window", Problem: "must be a positive number of seconds"})
+	from := time.Now().Add(-usageSpan).Unix()
+	if text := r.QueryParameter("from"); text != "" {
+		given, err := secondsParameter("from", text)
+		if err != nil {
+			return nil, err
 		}
-		window = n
+		from = given
+	}
+	return s.Usage.ReportsSince(r.Request.Context(), from)
+}
+
+// windowUsage lists the reports of one window.
+func (s *Server) windowUsage(r *restful.Request) (any, error) {
+	at, err := secondsParameter("window", r.PathParameter("window"))
+	if err != nil {
+		return nil, err
+	}
+	return s.Usage.Reports(r.Request.Context(), at)
+}
+
+// secondsParameter reads a time in seconds since the Unix epoch.
+func secondsParameter(field, text string) (int64, error) {
+	n, err := strconv.ParseInt(text, 10, 64)
+	if err != nil || n < 0 {
+		return 0, errors.WithStack(&fault.BadRequest{Field: field, Problem: "must be a number of seconds since 1970"})
 	}
-	return s.Usage.Reports(r.Request.Context(), window)
+	return n, nil
 }
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -128,7 +128,7 @@
 	ws.Route(ws.GET("/status").To(s.handle(s.status)))
 	ws.Route(ws.GET("/steps").To(s.handle(s.listSteps)))
 	ws.Route(ws.GET("/usage").To(s.handle(s.listUsage)))
-	ws.Route(ws.GET("/usage/{window}").To(s.handle(s.listUsage)))
+	ws.Route(ws.GET("/usage/{window}").To(s.handle(s.windowUsage)))
 	ws.Route(ws.GET("/events").To(s.handle(s.eventLine)))
 	container.Add(ws)
 	return container
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -90,6 +90,10 @@
 	return nil, errors.WithStack(&fault.StoreUnavailable{Operation: "scan"})
 }
 
+func (noRows) ReportsSince(context.Context, int64) ([]platform.UsageReport, error) {
+	return nil, errors.WithStack(&fault.StoreUnavailable{Operation: "scan"})
+}
+
 func (noRows) Reports(context.Context, int64) ([]platform.UsageReport, error) {
 	return nil, errors.WithStack(&fault.StoreUnavailable{Operation: "scan"})
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -3,11 +3,12 @@
 package settings
 
 import (
-	"bytes"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"os"
 	"reflect"
+	"slices"
 	"strings"
 	"time"
 
@@ -104,49 +105,136 @@
 	return Parse(text)
 }
 
-// Parse checks the text of a settings file.
+// Parse checks the text of a settings file. The failure is a
+// *fault.SettingsInvalid that lists every fault: unknown fields, values of the
+// wrong type and values that are not allowed.
 func Parse(text []byte) (Daemon, error) {
 	d := Default()
-	dec := json.NewDecoder(bytes.NewReader(text))
-	dec.DisallowUnknownFields()
-	if err := dec.Decode(&d); err != nil {
-		return Daemon{}, errors.WithStack(oneFault("file", err.Error(), "one JSON object with known fields"))
+	found, err := decode(text, &d)
+	if err != nil {
+		return Daemon{}, err
 	}
-	if dec.More() {
-		return Daemon{}, errors.WithStack(oneFault("file", "text after the object", "one JSON object"))
+	failure := &fault.SettingsInvalid{Faults: found}
+	for _, f := range check(d) {
+		if !failure.Names(f.Field) {
+			failure.Faults = append(failure.Faults, f)
+		}
 	}
-	if err := check(d); err != nil {
-		return Daemon{}, err
+	if len(failure.Faults) > 0 {
+		return Daemon{}, errors.WithStack(failure)
 	}
 	return d, nil
 }
 
+// decode reads the fields one by one, so that a fault in one does not hide the
+// faults of the others. It fails only when the text is not one JSON object.
+func decode(text []byte, into *Daemon) ([]fault.SettingFault, error) {
+	fields := map[string]json.RawMessage{}
+	if err := json.Unmarshal(text, &fields); err != nil || fields == nil {
+		return nil, errors.WithStack(oneFault("file", problemOf(err), "one JSON object"))
+	}
+	var found []fault.SettingFault
+	known := knownFields()
+	for _, name := range slices.Sorted(maps.Keys(fields)) {
+		value := fields[name]
+		kind, ok := known[name]
+		if !ok {
+			found = append(found, fault.SettingFault{Field: name, Value: shorten(value), Allowed: "no such setting"})
+			continue
+		}
+		one, _ := json.Marshal(map[string]json.RawMessage{name: value})
+		if string(value) == "null" || json.Unmarshal(one, into) != nil {
+			found = append(found, fault.SettingFault{Field: name, Value: shorten(value), Allowed: kind})
+		}
+	}
+	return found, nil
+}
+
+func problemOf(err error) string {
+	if err == nil {
+		return "null"
+	}
+	return err.Error()
+}
+
+// shorten keeps a message readable when a value is long.
+func shorten(value json.RawMessage) string {
+	const longest = 80
+	if len(value) > longest {
+		return string(value[:longest]) + "..."
+	}
+	return string(value)
+}
+
+// knownFields maps the name of each setting to the kind of its value.
+func knownFields() map[string]string {
+	known := map[string]string{}
+	for _, f := range reflect.VisibleFields(reflect.TypeFor[Daemon]()) {
+		known[jsonName(f)] = kindOf(f.Type)
+	}
+	return known
+}
+
+func jsonName(f reflect.StructField) string {
+	name, _, _ := strings.Cut(f.Tag.Get("json"), ",")
+	return name
+}
+
+func kindOf(t reflect.Type) string {
+	switch t.Kind() {
+	case reflect.Int:
+		return "a whole number"
+	case reflect.Slice:
+		return "a list of texts"
+	default:
+		return "a text"
+	}
+}
+
 func oneFault(field, value, allowed string) *fault.SettingsInvalid {
 	return &fault.SettingsInvalid{Faults: []fault.SettingFault{{Field: field, Value: value, Allowed: allowed}}}
 }
 
-func check(d Daemon) error {
+// check returns every value that is not allowed.
+func check(d Daemon) []fault.SettingFault {
 	v := validator.New(validator.WithRequiredStructEnabled())
-	v.RegisterTagNameFunc(func(f reflect.StructField) string {
-		name, _, _ := strings.Cut(f.Tag.Get("json"), ",")
-		return name
-	})
-	err := v.Struct(d)
-	if err == nil {
-		return nil
-	}
+	v.RegisterTagNameFunc(jsonName)
 	var broken validator.ValidationErrors
-	if !errors.As(err, &broken) {
-		return errors.WithStack(&fault.Internal{Where: "settings check"})
+	if err := v.Struct(d); !errors.As(err, &broken) {
+		return nil
 	}
-	failure := &fault.SettingsInvalid{}
+	var found []fault.SettingFault
 	for _, b := range broken {
 		_, field, _ := strings.Cut(b.Namespace(), ".")
-		failure.Faults = append(failure.Faults, fault.SettingFault{
+		found = append(found, fault.SettingFault{
 			Field:   field,
 			Value:   fmt.Sprint(b.Value()),
-			Allowed: strings.TrimSpace(b.Tag() + " " + b.Param()),
+			Allowed: Allowed(b.Tag(), b.Param()),
 		})
 	}
-	return errors.WithStack(failure)
+	return found
+}
+
+// allowedTexts tells the rules of the validation in words; %s is the parameter.
+var allowedTexts = map[string]string{
+	"required":    "a value",
+	"min":         "at least %s",
+	"max":         "at most %s",
+	"len":         "exactly %s characters",
+	"oneof":       "one of %s",
+	"tcp_addr":    "an IP number with a port",
+	"http_url":    "an HTTP URL",
+	"hexadecimal": "hexadecimal digits",
+}
+
+// Allowed tells one rule of a setting in words.
+func Allowed(tag, parameter string) string {
+	text, ok := allowedTexts[tag]
+	if !ok {
+		return strings.TrimSpace(tag + " " + parameter)
+	}
+	if !strings.Contains(text, "%s") {
+		return text
+	}
+	return fmt.Sprintf(text, parameter)
 }
--- /dev/null
+++ b/internal/settings/settings_test.go
@@ -0,0 +1,196 @@
+package settings
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"go/ast"
+	"go/parser"
+	"go/token"
+	"maps"
+	"os"
+	"path/filepath"
+	"reflect"
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+
+	"dogwoodpond/internal/doccheck"
+	"dogwoodpond/internal/fault"
+)
+
+// complete returns a text with every required setting, and the given changes.
+// A nil value takes the setting away.
+func complete(t *testing.T, changes map[string]any) []byte {
+	t.Helper()
+	fields := map[string]any{
+		"vm":                  "vm-1",
+		"failureDomain":       "a",
+		"region":              "tayside",
+		"callerAddress":       "127.0.0.1:0",
+		"operatorAddress":     "127.0.0.1:0",
+		"peerAddress":         "127.0.0.1:0",
+		"platformUrl":         "http://127.0.0.1:9",
+		"operatorTokenSha256": strings.Repeat("ab", 32),
+	}
+	maps.Copy(fields, changes)
+	maps.DeleteFunc(fields, func(_ string, value any) bool { return value == nil })
+	text, err := json.Marshal(fields)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return text
+}
+
+func faultsOf(t *testing.T, text []byte) []string {
+	t.Helper()
+	_, err := Parse(text)
+	if err == nil {
+		return nil
+	}
+	var invalid *fault.SettingsInvalid
+	if !errors.As(err, &invalid) {
+		t.Fatalf("Parse fails with %v, want *fault.SettingsInvalid", err)
+	}
+	var names []string
+	for _, f := range invalid.Faults {
+		if f.Allowed == "" {
+			t.Errorf("the fault of %s does not say what is allowed", f.Field)
+		}
+		names = append(names, f.Field)
+	}
+	slices.Sort(names)
+	return names
+}
+
+func TestCompleteSettings(t *testing.T) {
+	got, err := Parse(complete(t, map[string]any{"drainSeconds": 30}))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got.DrainSeconds != 30 || got.LeaseTermMillis != Default().LeaseTermMillis || got.VM != "vm-1" {
+		t.Errorf("settings are %+v", got)
+	}
+}
+
+// An operator writes a new file with several faults. Told one at a time, each
+// start of the VM ends at the next fault.
+func TestAllFaultsAreReportedAtOnce(t *testing.T) {
+	got := faultsOf(t, complete(t, map[string]any{
+		"vm":                  nil,
+		"callerAdress":        "127.0.0.1:1",
+		"callerAddress":       "berry.example:80",
+		"leaseTermMillis":     "ten",
+		"drainSeconds":        0,
+		"logLevel":            "loud",
+		"platformUrl":         "ftp://x",
+		"operatorTokenSha256": "zz",
+		"seeds":               []string{"nowhere"},
+	}))
+	want := []string{
+		"callerAddress", "callerAdress", "drainSeconds", "leaseTermMillis", "logLevel",
+		"operatorTokenSha256", "platformUrl", "seeds[0]", "vm",
+	}
+	if !slices.Equal(got, want) {
+		t.Errorf("faults of %v, want %v", got, want)
+	}
+}
+
+func TestTextsThatAreNotOneObject(t *testing.T) {
+	for _, text := range []string{"", "{", "[]", "null", "7", `{"vm":"a"} {"vm":"b"}`} {
+		if got := faultsOf(t, []byte(text)); !slices.Equal(got, []string{"file"}) {
+			t.Errorf("%q has faults of %v", text, got)
+		}
+	}
+	_, err := Load(filepath.Join(t.TempDir(), "absent.json"))
+	if !fault.Is[*fault.SettingsInvalid](err) {
+		t.Errorf("a missing file fails with %v", err)
+	}
+}
+
+// A setting written as null would silently get its default or be taken for
+// missing; either way the file does not say what the VM does.
+func TestNullIsNoValue(t *testing.T) {
+	text := bytes.Replace(complete(t, nil), []byte(`"vm-1"`), []byte("null"), 1)
+	if got := faultsOf(t, text); !slices.Equal(got, []string{"vm"}) {
+		t.Errorf("faults of %v", got)
+	}
+}
+
+func FuzzParse(f *testing.F) {
+	f.Add([]byte(`{"vm":"a","seeds":["127.0.0.1:1"],"drainSeconds":1}`))
+	f.Add([]byte(`{"vm":null,"x":[{}]}`))
+	f.Add([]byte(`[`))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		got, err := Parse(text)
+		if err != nil && !fault.Is[*fault.SettingsInvalid](err) {
+			t.Errorf("Parse fails with an untyped %v", err)
+		}
+		if err == nil && len(check(got)) > 0 {
+			t.Errorf("Parse accepts %+v", got)
+		}
+	})
+}
+
+// The page is written from the struct: its comments, tags and defaults.
+func TestSettingsPageIsTheStruct(t *testing.T) {
+	comments := commentsOf(t)
+	defaults := reflect.ValueOf(Default())
+	var page strings.Builder
+	page.WriteString("| setting | default | allowed | meaning |\n|---|---|---|---|\n")
+	for _, f := range reflect.VisibleFields(defaults.Type()) {
+		fmt.Fprintf(&page, "| `%s` | %s | %s | %s |\n",
+			jsonName(f), defaultOf(defaults.FieldByIndex(f.Index)), rulesOf(f), comments[f.Name])
+	}
+	doccheck.Section(t, "docs/SETTINGS.md", "settings", page.String())
+}
+
+func defaultOf(value reflect.Value) string {
+	if value.IsZero() {
+		return "none"
+	}
+	return fmt.Sprintf("`%v`", value.Interface())
+}
+
+func rulesOf(f reflect.StructField) string {
+	rules := []string{kindOf(f.Type)}
+	for rule := range strings.SplitSeq(f.Tag.Get("validate"), ",") {
+		tag, parameter, _ := strings.Cut(rule, "=")
+		switch tag {
+		case "required":
+			rules = append(rules, "required")
+		case "dive":
+			rules = append(rules, "each")
+		default:
+			rules = append(rules, Allowed(tag, parameter))
+		}
+	}
+	return strings.Join(rules, ", ")
+}
+
+// commentsOf reads the doc comments of the fields of Daemon.
+func commentsOf(t *testing.T) map[string]string {
+	t.Helper()
+	source, err := os.ReadFile("settings.go")
+	if err != nil {
+		t.Fatal(err)
+	}
+	file, err := parser.ParseFile(token.NewFileSet(), "settings.go", source, parser.ParseComments)
+	if err != nil {
+		t.Fatal(err)
+	}
+	comments := map[string]string{}
+	ast.Inspect(file, func(n ast.Node) bool {
+		declared, ok := n.(*ast.TypeSpec)
+		if !ok || declared.Name.Name != "Daemon" {
+			return true
+		}
+		for _, f := range declared.Type.(*ast.StructType).Fields.List {
+			comments[f.Names[0].Name] = strings.Join(strings.Fields(f.Doc.Text()), " ")
+		}
+		return false
+	})
+	return comments
+}
