--- a/internal/daemon/providers.go
+++ b/internal/daemon/providers.go
@@ -13,7 +13,9 @@
 	"dogwoodpond/internal/engine"
 	"dogwoodpond/internal/entry"
 	"dogwoodpond/internal/event"
+	"dogwoodpond/internal/fleetview"
 	"dogwoodpond/internal/generate"
+	"dogwoodpond/internal/metrics"
 	"dogwoodpond/internal/operator"
 	"dogwoodpond/internal/peer"
 	"dogwoodpond/internal/platform"
@@ -55,12 +57,20 @@
 
 func newPlatform(s settings.Daemon) *platform.Client { return platform.NewClient(s.PlatformURL) }
 
+// newMetrics comes before every part that emits events, so that all are counted.
+func newMetrics(events *event.Recorder, registry *prometheus.Registry, directory *upstream.Directory) *metrics.Metrics {
+	m := metrics.New(registry)
+	metrics.RegisterUpstreams(registry, directory.Load)
+	events.Observe(m.Observe)
+	return m
+}
+
 func newScheduler(s settings.Daemon, directory *upstream.Directory) *dispatch.Scheduler {
 	return dispatch.NewScheduler(s.FailureDomain, directory)
 }
 
-func newRunner(view *contract.View, scheduler *dispatch.Scheduler, engines *engine.Client, events *event.Recorder) *generate.Local {
-	return generate.NewLocal(view, scheduler, engines, events)
+func newRunner(view *contract.View, scheduler *dispatch.Scheduler, engines *engine.Client, events *event.Recorder, m *metrics.Metrics) *generate.Local {
+	return generate.NewLocal(view, metrics.NewDispatcher(scheduler, m), engines, events)
 }
 
 func newGossip(s settings.Daemon, view *contract.View, client *peer.Client, events *event.Recorder, h *hooks) *peer.Gossip {
@@ -118,13 +128,14 @@
 	meter *usage.Meter,
 	events *event.Recorder,
 	registry *prometheus.Registry,
+	m *metrics.Metrics,
 	h *hooks,
 ) *entry.Server {
 	h.entry = entry.NewServer(entry.Config{
 		View:       view,
 		Ager:       syncer,
 		Runner:     runner,
-		Dispatcher: scheduler,
+		Dispatcher: metrics.NewDispatcher(scheduler, m),
 		Services:   services,
 		Claims:     claims,
 		Steps:      steps,
@@ -135,7 +146,8 @@
 	return h.entry
 }
 
-func newOperator(s settings.Daemon, view *contract.View, editor *config.Editor, fleet *peer.Fleet, directory *upstream.Directory, events *event.Recorder, h *hooks) *operator.Server {
+func newOperator(s settings.Daemon, tables *platform.Client, view *contract.View, editor *config.Editor, fleet *peer.Fleet, directory *upstream.Directory, events *event.Recorder, h *hooks) *operator.Server {
+	rows := fleetview.NewReader(tables, s.UsageWindow())
 	return operator.NewServer(operator.Config{
 		VM:          s.VM,
 		TokenSHA256: s.OperatorTokenSHA256,
@@ -143,6 +155,9 @@
 		Editor:      editor,
 		Fleet:       fleet,
 		Upstreams:   directory.Load,
+		Leases:      rows,
+		Steps:       rows,
+		Usage:       rows,
 		Events:      events,
 		Advanced:    h.poke,
 	})
--- a/internal/daemon/wire_gen.go
+++ b/internal/daemon/wire_gen.go
@@ -33,17 +33,18 @@
 	syncer := newSyncer(s, client, gossip, view, recorder, daemonHooks)
 	scheduler := newScheduler(s, directory)
 	engineClient := engine.NewClient()
-	local := newRunner(view, scheduler, engineClient, recorder)
+	registry := newRegistry()
+	metrics := newMetrics(recorder, registry, directory)
+	local := newRunner(view, scheduler, engineClient, recorder, metrics)
 	server := newPeerServer(recorder, view, daemonHooks, local, gossip)
 	serviceClient := service.NewClient()
 	claims := newClaims(client)
 	manager := newRollouts(client, local, recorder)
 	meter := newMeter(s, client, gossip, recorder)
-	registry := newRegistry()
-	entryServer := newEntry(view, syncer, local, scheduler, serviceClient, claims, manager, meter, recorder, registry, daemonHooks)
+	entryServer := newEntry(view, syncer, local, scheduler, serviceClient, claims, manager, meter, recorder, registry, metrics, daemonHooks)
 	editor := newEditor(client, recorder)
 	fleet := peer.NewFleet(gossip, peerClient, view, recorder)
-	operatorServer := newOperator(s, view, editor, fleet, directory, recorder, daemonHooks)
+	operatorServer := newOperator(s, client, view, editor, fleet, directory, recorder, daemonHooks)
 	daemon := &Daemon{
 		settings:  s,
 		log:       logger,
