Orders for upstreams read all ledgers by one scan; engines are observed once a round

Cause: one read for each account and tick would be some 700 reads a second at the target (about 100 accounts in 7 failure domains), a third of the store's budget; the roll-out and the pools would each ask every engine. Change: Provisioner.Run scans the ledgers; Roller.Tick takes what was observed.

--- a/internal/platform/http.go
+++ b/internal/platform/http.go
@@ -33,8 +33,9 @@
 
 const (
 	dialTimeout = time.Second
-	// callTimeout bounds one call to the platform.
-	callTimeout = 3 * time.Second
+	// CallTimeout bounds one call to the platform; no report can be under way for
+	// longer.
+	CallTimeout = 3 * time.Second
 	// maxReply bounds the body of a reply in bytes.
 	maxReply = 64 << 20
 )
@@ -79,10 +80,10 @@
 	}
 	return &Client{
 		base: strings.TrimSuffix(base, "/"),
-		http: &http.Client{Transport: transport, Timeout: callTimeout},
+		http: &http.Client{Transport: transport, Timeout: CallTimeout},
 		// An order uses its connection once, so that the write deadline of its
 		// lease ends with it.
-		orders: fence.NewClient(dialTimeout, callTimeout),
+		orders: fence.NewClient(dialTimeout, CallTimeout),
 	}
 }
 
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -131,6 +131,8 @@
 	Model   string `json:"model,omitempty"`
 	Adapter string `json:"adapter,omitempty"`
 	Role    string `json:"role,omitempty"`
+	// Adaptable engines may be ordered to serve another model or adapter.
+	Adaptable bool `json:"adaptable,omitempty"`
 	// CentsPerHour is the price of the upstream.
 	CentsPerHour int64 `json:"centsPerHour"`
 	// Account is the client account for which the upstream was ordered.
--- a/internal/provision/plan.go
+++ b/internal/provision/plan.go
@@ -36,6 +36,10 @@
 	model, adapter string
 }
 
+func (d Demand) key() poolKey {
+	return poolKey{account: d.Account, model: d.Model, adapter: d.Adapter}
+}
+
 // NewPlanner returns a planner for a failure domain.
 func NewPlanner(domain string) *Planner {
 	return &Planner{domain: domain, high: make(map[poolKey]int), low: make(map[poolKey]int)}
@@ -51,7 +55,7 @@
 // Plan returns at most one action for a demand, so that the effect of each is
 // seen before the next.
 func (p *Planner) Plan(d Demand, c contract.Contract, l Ledger, offers []platform.Offer) (Action, bool) {
-	key := poolKey{account: d.Account, model: d.Model, adapter: d.Adapter}
+	key := d.key()
 	own := p.own(d, l)
 	if over := overSpending(own, l, c); over != nil {
 		return Action{Stop: over}, true
--- a/internal/provision/provision_test.go
+++ b/internal/provision/provision_test.go
@@ -28,9 +28,9 @@
 // market starts and stops upstreams as ordered. It can lose requests and
 // replies, and carry orders out late.
 type market struct {
-	random   *rand.Rand
-	percent  int
-	fences   bool
+	random  *rand.Rand
+	percent int
+	fences  bool
 	// onlyLate lets every hit delay the order.
 	onlyLate bool
 	spare    map[string]int
@@ -177,14 +177,14 @@
 	meanwhile func()
 }
 
-func (i *interleaved) Get(ctx context.Context, key string) (platform.Row, error) {
-	row, err := i.Tables.Get(ctx, key)
+func (i *interleaved) Scan(ctx context.Context, prefix, after string, limit int) ([]platform.Row, error) {
+	rows, err := i.Tables.Scan(ctx, prefix, after, limit)
 	if other := i.meanwhile; other != nil && i.random.IntN(6) == 0 {
 		i.meanwhile = nil
 		other()
 		i.meanwhile = other
 	}
-	return row, err
+	return rows, err
 }
 
 func testContract() contract.Contract {
@@ -197,7 +197,12 @@
 	t.Helper()
 	offers, _ := m.Offers(t.Context())
 	d := Demand{Account: account, Model: model, Queued: queued, Running: running}
-	return p.Tick(t.Context(), held(epoch), d, testContract(), m.listed, offers)
+	return p.Run(t.Context(), held(epoch), Round{
+		Listed:    m.listed,
+		Offers:    offers,
+		Demands:   []Demand{d},
+		Contracts: map[contract.Account]contract.Contract{account: testContract()},
+	})
 }
 
 func TestWorkIsServedUpToTheContractsSpending(t *testing.T) {
@@ -208,7 +213,7 @@
 		for range 60 {
 			for _, p := range []*Provisioner{a, b} {
 				if err := tick(t, p, 1, m, 10, 10); err != nil {
-					t.Fatalf("Tick: %v", err)
+					t.Fatalf("Run: %v", err)
 				}
 			}
 			m.refresh()
@@ -287,7 +292,7 @@
 		first := newProvisioner("a", tables, m)
 		for range startAfter {
 			if err := tick(t, first, 1, m, 5, 0); err != nil {
-				t.Fatalf("Tick: %v", err)
+				t.Fatalf("Run: %v", err)
 			}
 		}
 		if m.starts != 1 {
@@ -296,7 +301,7 @@
 		successor := newProvisioner("a", tables, m)
 		for range 10 {
 			if err := tick(t, successor, 2, m, 5, 0); err != nil {
-				t.Fatalf("Tick: %v", err)
+				t.Fatalf("Run: %v", err)
 			}
 			time.Sleep(time.Second)
 		}
--- a/internal/provision/provisioner.go
+++ b/internal/provision/provisioner.go
@@ -1,6 +1,7 @@
 package provision
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"slices"
@@ -49,57 +50,134 @@
 	}
 }
 
-// Tick brings one demand a step further: it settles what is open, then plans.
-// listed must have been read after the tick began. It fails with
-// *fault.StoreUnavailable, *fault.LeaseLost or *fault.OrderFenced; the next tick
-// goes on from what the ledger says.
-func (p *Provisioner) Tick(ctx context.Context, guard fence.Guard, d Demand, c contract.Contract, listed []platform.Upstream, offers []platform.Offer) error {
-	ledger, row, err := p.read(ctx, d.Account)
+// Round is what a round of orders is decided on.
+type Round struct {
+	// Listed must have been read after the lease was taken.
+	Listed    []platform.Upstream
+	Offers    []platform.Offer
+	Demands   []Demand
+	Contracts map[contract.Account]contract.Contract
+}
+
+// Run settles every open order of the failure domain and gives the new ones. It
+// fails with *fault.StoreUnavailable, *fault.LeaseLost or *fault.OrderFenced;
+// the next round goes on from what the ledgers say.
+func (p *Provisioner) Run(ctx context.Context, guard fence.Guard, round Round) error {
+	accounts, err := p.ledgers(ctx)
 	if err != nil {
 		return err
 	}
-	ledger, row, err = p.reconcile(ctx, ledger, row, listed)
+	for _, d := range p.complete(round, accounts) {
+		kept, ok := accounts[d.Account]
+		if !ok {
+			kept = keptLedger{ledger: Ledger{Account: d.Account}, row: platform.Row{Key: LedgerPrefix + string(d.Account)}}
+		}
+		kept, err := p.step(ctx, guard, round, d, kept)
+		if err != nil {
+			return err
+		}
+		accounts[d.Account] = kept
+	}
+	return nil
+}
+
+// keptLedger is a ledger with the row that it was read from.
+type keptLedger struct {
+	ledger Ledger
+	row    platform.Row
+}
+
+// maxLedgers bounds the accounts of one scan; a fleet has fewer.
+const maxLedgers = 4096
+
+// ledgers reads the ledgers of all accounts by one scan.
+func (p *Provisioner) ledgers(ctx context.Context) (map[contract.Account]keptLedger, error) {
+	rows, err := p.tables.Scan(ctx, LedgerPrefix, LedgerPrefix, maxLedgers)
 	if err != nil {
-		return err
+		return nil, err
 	}
-	if err := p.repeatOrders(ctx, guard, ledger, listed); err != nil {
-		return err
+	accounts := make(map[contract.Account]keptLedger, len(rows))
+	for _, row := range rows {
+		ledger, err := decode(row)
+		if err != nil {
+			return nil, err
+		}
+		accounts[ledger.Account] = keptLedger{ledger: ledger, row: row}
 	}
-	action, ok := p.planner.Plan(d, c, ledger, offers)
-	if !ok {
-		return nil
+	return accounts, nil
+}
+
+func decode(row platform.Row) (Ledger, error) {
+	var ledger Ledger
+	if err := json.Unmarshal(row.Value, &ledger); err != nil {
+		return ledger, errors.WithStack(&fault.Internal{Where: "row " + row.Key})
+	}
+	return ledger, nil
+}
+
+// complete returns the demands of all contracts that pay for upstreams, and
+// empty ones for reservations without work, so that those come to an end.
+func (p *Provisioner) complete(round Round, accounts map[contract.Account]keptLedger) []Demand {
+	var demands []Demand
+	seen := make(map[poolKey]bool)
+	for _, d := range round.Demands {
+		if round.Contracts[d.Account].Spending.CentsPerHour > 0 {
+			demands = append(demands, d)
+			seen[d.key()] = true
+		}
 	}
-	if action.Stop != nil {
-		return p.stop(ctx, guard, ledger, row, *action.Stop)
+	for account, kept := range accounts {
+		for _, r := range kept.ledger.Reservations {
+			idle := Demand{Account: account, Model: r.Model, Adapter: r.Adapter}
+			if r.FailureDomain == p.domain && !seen[idle.key()] {
+				demands = append(demands, idle)
+				seen[idle.key()] = true
+			}
+		}
 	}
-	return p.start(ctx, guard, ledger, row, c, *action.Start)
+	slices.SortFunc(demands, func(a, b Demand) int { return cmp.Compare(a.Account, b.Account) })
+	return demands
 }
 
-func (p *Provisioner) read(ctx context.Context, account contract.Account) (Ledger, platform.Row, error) {
-	ledger := Ledger{Account: account}
-	row, err := p.tables.Get(ctx, LedgerPrefix+string(account))
-	if err != nil || !row.Exists() {
-		return ledger, row, err
+// step settles what is open for a demand, and then plans.
+func (p *Provisioner) step(ctx context.Context, guard fence.Guard, round Round, d Demand, kept keptLedger) (keptLedger, error) {
+	kept, err := p.reconcile(ctx, kept, round.Listed)
+	if err != nil {
+		return kept, err
 	}
-	if err := json.Unmarshal(row.Value, &ledger); err != nil {
-		return ledger, row, errors.WithStack(&fault.Internal{Where: "row " + row.Key})
+	kept, err = p.repeatOrders(ctx, guard, kept, round.Listed)
+	if err != nil {
+		return kept, err
+	}
+	c := round.Contracts[d.Account]
+	action, ok := p.planner.Plan(d, c, kept.ledger, round.Offers)
+	switch {
+	case !ok:
+		return kept, nil
+	case action.Stop != nil:
+		return p.stop(ctx, guard, kept, *action.Stop)
+	default:
+		return p.start(ctx, guard, kept, c, *action.Start)
 	}
-	return ledger, row, nil
 }
 
-// write replaces the ledger if it is still as it was read, and returns its row.
-func (p *Provisioner) write(ctx context.Context, ledger Ledger, row platform.Row) (platform.Row, error) {
+// write replaces a ledger if it is still as it was read.
+func (p *Provisioner) write(ctx context.Context, kept keptLedger, ledger Ledger) (keptLedger, error) {
 	value, err := json.Marshal(ledger)
 	if err != nil {
-		return row, errors.WithStack(&fault.Internal{Where: "ledger"})
+		return kept, errors.WithStack(&fault.Internal{Where: "ledger"})
 	}
 	err = platform.CommitSurely(ctx, p.tables, platform.Txn{
 		Nonce:         platform.NewNonce(),
-		Preconditions: []platform.Precondition{{Key: row.Key, Version: row.Version}},
-		Writes:        []platform.Write{{Key: row.Key, Value: value}},
+		Preconditions: []platform.Precondition{{Key: kept.row.Key, Version: kept.row.Version}},
+		Writes:        []platform.Write{{Key: kept.row.Key, Value: value}},
 	})
-	row.Version++
-	return row, err
+	if err != nil {
+		return kept, err
+	}
+	kept.ledger = ledger
+	kept.row.Version++
+	return kept, nil
 }
 
 // releaseHold is how long money stays reserved for an upstream that is not
@@ -109,18 +187,17 @@
 
 // reconcile writes what the platform's list shows, and releases reservations
 // that had nothing to pay for during the hold.
-func (p *Provisioner) reconcile(ctx context.Context, ledger Ledger, row platform.Row, listed []platform.Upstream) (Ledger, platform.Row, error) {
-	next := ledger.Reconcile(p.domain, listed)
+func (p *Provisioner) reconcile(ctx context.Context, kept keptLedger, listed []platform.Upstream) (keptLedger, error) {
+	next := kept.ledger.Reconcile(p.domain, listed)
 	for _, r := range next.Reservations {
 		if r.FailureDomain == p.domain && p.expired(r, find(r, listed) >= 0) {
 			next = next.with(r.Order, nil)
 		}
 	}
-	if slices.Equal(ledger.Reservations, next.Reservations) {
-		return ledger, row, nil
+	if slices.Equal(kept.ledger.Reservations, next.Reservations) {
+		return kept, nil
 	}
-	row, err := p.write(ctx, next, row)
-	return next, row, err
+	return p.write(ctx, kept, next)
 }
 
 // expired reports whether a reservation has paid for nothing for the whole hold.
@@ -141,50 +218,58 @@
 // repeatOrders sends the orders again whose effect has not been seen, and stops
 // upstreams that nobody pays for. Orders keep their IDs, so one that took effect
 // is not carried out twice.
-func (p *Provisioner) repeatOrders(ctx context.Context, guard fence.Guard, ledger Ledger, listed []platform.Upstream) error {
-	for _, u := range ledger.Orphans(p.domain, listed) {
-		if err := p.send(ctx, guard, stopOrder(p.domain, u.OrderID, u.ID)); err != nil {
-			return err
+func (p *Provisioner) repeatOrders(ctx context.Context, guard fence.Guard, kept keptLedger, listed []platform.Upstream) (keptLedger, error) {
+	for _, u := range kept.ledger.Orphans(p.domain, listed) {
+		if err := p.send(ctx, guard, stopOrder(p.domain, u.OrderID, u.ID)); final(err) {
+			return kept, err
 		}
 	}
-	for _, r := range ledger.Reservations {
+	for _, r := range kept.ledger.Reservations {
 		if r.FailureDomain != p.domain {
 			continue
 		}
 		var err error
 		switch r.State {
 		case Starting:
-			err = p.sendStart(ctx, guard, ledger.Account, r)
+			kept, err = p.sendStart(ctx, guard, kept, r)
 		case Stopping:
 			err = p.send(ctx, guard, stopOrder(p.domain, r.Order, r.Upstream))
 		}
-		if err != nil && !fault.Is[*fault.StoreUnavailable](err) {
-			return err
+		if final(err) {
+			return kept, err
 		}
 	}
-	return nil
+	return kept, nil
+}
+
+// final reports whether a failure ends the round: the lease is gone, or the
+// ledger is not as it was read. Unanswered and refused orders do not.
+func final(err error) bool {
+	unanswered := fault.Is[*fault.StoreUnavailable](err) || fault.Is[*fault.PlatformRefused](err)
+	return err != nil && !unanswered
 }
 
 // start reserves the money, then orders.
-func (p *Provisioner) start(ctx context.Context, guard fence.Guard, ledger Ledger, row platform.Row, c contract.Contract, r Reservation) error {
+func (p *Provisioner) start(ctx context.Context, guard fence.Guard, kept keptLedger, c contract.Contract, r Reservation) (keptLedger, error) {
 	r.Order = uuid.NewString()
-	next, err := ledger.Reserve(r, c.Spending)
+	next, err := kept.ledger.Reserve(r, c.Spending)
 	if err != nil {
-		return err
+		return kept, err
 	}
-	if _, err := p.write(ctx, next, row); err != nil {
-		return err
+	kept, err = p.write(ctx, kept, next)
+	if err != nil {
+		return kept, err
 	}
-	return p.sendStart(ctx, guard, ledger.Account, r)
+	return p.sendStart(ctx, guard, kept, r)
 }
 
 // sendStart sends a start order. A refusal is noted in the ledger.
-func (p *Provisioner) sendStart(ctx context.Context, guard fence.Guard, account contract.Account, r Reservation) error {
+func (p *Provisioner) sendStart(ctx context.Context, guard fence.Guard, kept keptLedger, r Reservation) (keptLedger, error) {
 	err := p.send(ctx, guard, platform.Order{
 		ID:            r.Order,
 		FailureDomain: r.FailureDomain,
 		Kind:          platform.OrderStart,
-		Account:       string(account),
+		Account:       string(kept.ledger.Account),
 		Model:         r.Model,
 		Adapter:       r.Adapter,
 		Reclaimable:   r.Reclaimable,
@@ -194,24 +279,20 @@
 		p.acked[r.Order] = true
 	}
 	if !fault.Is[*fault.PlatformRefused](err) {
-		return err
-	}
-	ledger, row, err := p.read(ctx, account)
-	if err != nil {
-		return err
+		return kept, err
 	}
 	r.State = Refused
-	_, err = p.write(ctx, ledger.with(r.Order, &r), row)
-	return err
+	return p.write(ctx, kept, kept.ledger.with(r.Order, &r))
 }
 
 // stop notes the intent, then orders.
-func (p *Provisioner) stop(ctx context.Context, guard fence.Guard, ledger Ledger, row platform.Row, r Reservation) error {
+func (p *Provisioner) stop(ctx context.Context, guard fence.Guard, kept keptLedger, r Reservation) (keptLedger, error) {
 	r.State = Stopping
-	if _, err := p.write(ctx, ledger.with(r.Order, &r), row); err != nil {
-		return err
+	kept, err := p.write(ctx, kept, kept.ledger.with(r.Order, &r))
+	if err != nil {
+		return kept, err
 	}
-	return p.send(ctx, guard, stopOrder(p.domain, r.Order, r.Upstream))
+	return kept, p.send(ctx, guard, stopOrder(p.domain, r.Order, r.Upstream))
 }
 
 func stopOrder(domain, startOrder, upstream string) platform.Order {
--- a/internal/weights/roller.go
+++ b/internal/weights/roller.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -12,10 +13,9 @@
 	"dogwoodpond/internal/event"
 	"dogwoodpond/internal/fault"
 	"dogwoodpond/internal/fence"
-	"dogwoodpond/internal/platform"
 )
 
-// Engines reaches model engines.
+// Engines reaches model engines; *engine.Client implements it.
 type Engines interface {
 	// Load returns an engine's load report.
 	Load(ctx context.Context, address string) (engine.Load, error)
@@ -25,7 +25,6 @@
 
 // Roller gives weight orders for one failure domain.
 type Roller struct {
-	domain  string
 	engines Engines
 	events  *event.Recorder
 	// loads bounds the loads per second, since every load draws on the weight
@@ -38,10 +37,9 @@
 }
 
 // NewRoller returns a roller that starts at most loadsPerSecond loads a second.
-func NewRoller(domain string, engines Engines, events *event.Recorder, loadsPerSecond float64) *Roller {
+func NewRoller(engines Engines, events *event.Recorder, loadsPerSecond float64) *Roller {
 	burst := max(1, int(loadsPerSecond))
 	return &Roller{
-		domain:  domain,
 		engines: engines,
 		events:  events,
 		loads:   rate.NewLimiter(rate.Limit(loadsPerSecond), burst),
@@ -49,10 +47,12 @@
 	}
 }
 
-// Tick looks at the engines and starts the loads that are due. It does not wait
-// for them; Wait does.
-func (r *Roller) Tick(ctx context.Context, guard fence.Guard, upstreams []platform.Upstream, latest map[string]int64) {
-	for _, target := range Next(r.observe(ctx, upstreams), latest) {
+// Tick starts the loads that are due on the engines as they were just observed.
+// An engine that gave no report must be left out: without its version and
+// incarnation an order would be a guess. Tick does not wait for the loads; Wait
+// does.
+func (r *Roller) Tick(ctx context.Context, guard fence.Guard, engines []Engine, latest map[string]int64) {
+	for _, target := range Next(r.markLoading(engines), latest) {
 		if !r.loads.Allow() {
 			return
 		}
@@ -67,44 +67,15 @@
 // Wait waits for the loads that were started.
 func (r *Roller) Wait() { r.running.Wait() }
 
-// observe asks every live engine of the failure domain for its report. One that
-// does not answer is left alone: without its version and incarnation an order
-// would be a guess.
-func (r *Roller) observe(ctx context.Context, upstreams []platform.Upstream) []Engine {
-	var mu sync.Mutex
-	var asks sync.WaitGroup
-	var engines []Engine
-	for _, u := range upstreams {
-		if u.Kind != platform.KindEngine || u.FailureDomain != r.domain || u.State != platform.UpstreamLive {
-			continue
-		}
-		asks.Go(func() {
-			load, err := r.engines.Load(ctx, u.Address)
-			if err != nil {
-				return
-			}
-			mu.Lock()
-			defer mu.Unlock()
-			engines = append(engines, r.engineOf(u, load))
-		})
-	}
-	asks.Wait()
-	return engines
-}
-
-func (r *Roller) engineOf(u platform.Upstream, load engine.Load) Engine {
+// markLoading tells which engines have an order under way.
+func (r *Roller) markLoading(engines []Engine) []Engine {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return Engine{
-		ID:          u.ID,
-		Address:     u.Address,
-		Model:       load.Model,
-		Incarnation: load.Incarnation,
-		Version:     load.WeightVersion,
-		Busy:        load.Running + load.Waiting,
-		Slots:       u.Slots,
-		Loading:     r.loading[u.ID],
+	marked := slices.Clone(engines)
+	for i := range marked {
+		marked[i].Loading = r.loading[marked[i].ID]
 	}
+	return marked
 }
 
 func (r *Roller) setLoading(id string, loading bool) {
--- a/internal/weights/weights_test.go
+++ b/internal/weights/weights_test.go
@@ -14,7 +14,6 @@
 	"dogwoodpond/internal/engine"
 	"dogwoodpond/internal/event"
 	"dogwoodpond/internal/fault"
-	"dogwoodpond/internal/platform"
 )
 
 const swapTime = 2 * time.Second
@@ -39,18 +38,19 @@
 	return p
 }
 
-func (p *pool) upstreams() []platform.Upstream {
+func (p *pool) engines() []Engine {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	var list []platform.Upstream
-	for id := range p.versions {
-		list = append(list, platform.Upstream{
-			ID:            id,
-			Kind:          platform.KindEngine,
-			FailureDomain: "a",
-			Address:       id,
-			State:         platform.UpstreamLive,
-			Slots:         8,
+	var list []Engine
+	for id, version := range p.versions {
+		list = append(list, Engine{
+			ID:          id,
+			Address:     id,
+			Model:       "berry-1",
+			Incarnation: "1",
+			Version:     version,
+			Busy:        p.busy,
+			Slots:       8,
 		})
 	}
 	return list
@@ -110,7 +110,7 @@
 
 func newRoller(p *pool) *Roller {
 	events := event.NewRecorder("vm", 64, event.NewClock(time.Now), zap.NewNop())
-	return NewRoller("a", p, events, 100)
+	return NewRoller(p, events, 100)
 }
 
 // rollOut ticks until every engine serves the version and returns how long that
@@ -119,7 +119,7 @@
 	t.Helper()
 	started := time.Now()
 	for time.Since(started) < time.Minute && !p.allAt(2) {
-		r.Tick(t.Context(), guard, p.upstreams(), map[string]int64{"berry-1": 2})
+		r.Tick(t.Context(), guard, p.engines(), map[string]int64{"berry-1": 2})
 		time.Sleep(500 * time.Millisecond)
 	}
 	r.Wait()
@@ -204,14 +204,14 @@
 		p.busy = 8
 		guard := &held{}
 		r := newRoller(p)
-		r.Tick(t.Context(), guard, p.upstreams(), map[string]int64{"berry-1": 2})
+		r.Tick(t.Context(), guard, p.engines(), map[string]int64{"berry-1": 2})
 		synctest.Wait()
 		p.mu.Lock()
 		before := p.swapping
 		p.mu.Unlock()
 		guard.lost = true
 		time.Sleep(2 * swapTime) // The next wave has room now.
-		r.Tick(t.Context(), guard, p.upstreams(), map[string]int64{"berry-1": 2})
+		r.Tick(t.Context(), guard, p.engines(), map[string]int64{"berry-1": 2})
 		r.Wait()
 		if got := len(p.orders); got != before {
 			t.Errorf("%d orders were carried out, want the %d from before the loss", got, before)
