Fair queue over client accounts with picking, ejection and limits

Cause: the thin scheduler granted places in the order of arrival, so one flooding account held up all others, and nothing bounded its queue.

Change: start-time fair queueing per pool over client accounts, in tokens over the contract's share, charged by estimate and corrected by Grant.Done; interactive before background within an account; bounded queues that shed the account furthest above its share; Retry-After from the measured drain rate. Picking by failure domain, rendezvous hash for groups, two choices by load else; load reports discounted by age; ejection with half of a pool kept in; the contract's share of reclaimable upstreams. The former behaviour of routers, round robin and first come, stays as dispatch.NewFIFO for measurements.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -14,6 +14,7 @@
 	"go.uber.org/zap"
 
 	"dogwoodpond/internal/config"
+	"dogwoodpond/internal/dispatch"
 	"dogwoodpond/internal/entry"
 	"dogwoodpond/internal/event"
 	"dogwoodpond/internal/fault"
@@ -39,6 +40,8 @@
 	entry     *entry.Server
 	operator  *operator.Server
 	rollouts  *rollout.Manager
+	scheduler *dispatch.Scheduler
+	poller    *upstream.Poller
 }
 
 const (
@@ -69,6 +72,8 @@
 	loops.Go(func() { d.syncer.Run(ctx) })
 	loops.Go(func() { d.gossip.Run(ctx) })
 	loops.Go(func() { d.pollLists(ctx) })
+	loops.Go(func() { d.scheduler.Run(ctx) })
+	loops.Go(func() { d.poller.Run(ctx) })
 	d.events.Emit(event.ProcessStarted, event.Subject{Detail: "dogwoodpondd"})
 
 	<-stop.Done()
--- a/internal/daemon/providers.go
+++ b/internal/daemon/providers.go
@@ -55,8 +55,22 @@
 
 func newPlatform(s settings.Daemon) *platform.Client { return platform.NewClient(s.PlatformURL) }
 
-func newScheduler(s settings.Daemon, directory *upstream.Directory) *dispatch.Scheduler {
-	return dispatch.NewScheduler(s.FailureDomain, directory)
+func newScheduler(s settings.Daemon, directory *upstream.Directory, loads *upstream.Loads, health *upstream.Health, registry *prometheus.Registry) *dispatch.Scheduler {
+	return dispatch.NewScheduler(dispatch.Config{
+		VM:            s.VM,
+		FailureDomain: s.FailureDomain,
+		Directory:     directory,
+		Loads:         loads,
+		Health:        health,
+		Registerer:    registry,
+	})
+}
+
+// loadPeriod is the period of the polls of an engine's load.
+const loadPeriod = 500 * time.Millisecond
+
+func newPoller(engines *engine.Client, loads *upstream.Loads, scheduler *dispatch.Scheduler) *upstream.Poller {
+	return upstream.NewPoller(engines, loads, loadPeriod, scheduler.Watched)
 }
 
 func newRunner(view *contract.View, scheduler *dispatch.Scheduler, engines *engine.Client, events *event.Recorder) *generate.Local {
--- a/internal/daemon/wire_gen.go
+++ b/internal/daemon/wire_gen.go
@@ -32,7 +32,10 @@
 	daemonHooks := newHooks()
 	gossip := newGossip(s, view, peerClient, recorder, daemonHooks)
 	syncer := newSyncer(s, client, gossip, view, recorder, daemonHooks)
-	scheduler := newScheduler(s, directory)
+	loads := upstream.NewLoads()
+	health := upstream.NewHealth(recorder)
+	registry := newRegistry()
+	scheduler := newScheduler(s, directory, loads, health, registry)
 	engineClient := engine.NewClient()
 	local := newRunner(view, scheduler, engineClient, recorder)
 	server := newPeerServer(recorder, view, daemonHooks, local, gossip)
@@ -40,11 +43,11 @@
 	claims := newClaims(client)
 	manager := newRollouts(client, local, recorder)
 	tally := usage.NewTally()
-	registry := newRegistry()
 	entryServer := newEntry(view, syncer, local, scheduler, serviceClient, claims, manager, tally, recorder, registry, daemonHooks)
 	editor := newEditor(client, recorder)
 	fleet := peer.NewFleet(gossip, peerClient, view, recorder)
 	operatorServer := newOperator(s, view, editor, fleet, directory, recorder, daemonHooks)
+	poller := newPoller(engineClient, loads, scheduler)
 	daemon := &Daemon{
 		settings:  s,
 		log:       logger,
@@ -58,6 +61,8 @@
 		entry:     entryServer,
 		operator:  operatorServer,
 		rollouts:  manager,
+		scheduler: scheduler,
+		poller:    poller,
 	}
 	return daemon, nil
 }
--- /dev/null
+++ b/internal/dispatch/apportion.go
@@ -0,0 +1,233 @@
+package dispatch
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// FlowDemand is what one client account asks of one pool on one VM. Names
+// travel as hashes to keep a digest small; two names with the same hash share
+// one demand, which costs a little fairness.
+type FlowDemand struct {
+	Pool    uint32
+	Account uint32
+	// Share is the account's share by contract.
+	Share uint32
+	// InFlight and Waiting count requests.
+	InFlight uint32
+	Waiting  uint32
+}
+
+// slots returns how many slots the flow could use now.
+func (d FlowDemand) slots() int { return int(d.InFlight) + int(d.Waiting) }
+
+// Member is a VM that takes part in sharing the engines' slots.
+type Member struct {
+	VM            string
+	FailureDomain string
+	// Heard is false while nothing is known of the VM's demand; it is then
+	// taken for an average one.
+	Heard bool
+	Flows []FlowDemand
+}
+
+// hash32 shortens a name.
+func hash32(text string) uint32 { return uint32(xxhash.Sum64String(text)) }
+
+// cellSize is the largest mean number of VMs in a cell.
+const cellSize = 8
+
+// CellCount returns into how many cells the VMs of a failure domain divide. It
+// is a power of two, so that it seldom changes as VMs come and go.
+func CellCount(vms int) int {
+	cells := 1
+	for vms > cells*cellSize {
+		cells *= 2
+	}
+	return cells
+}
+
+// CellOf returns the cell of a VM. The VMs of a cell share a part of their
+// failure domain's engines by their demands; what a VM must hear from others
+// so stays the same however many VMs there are.
+func CellOf(vm string, cells int) int { return int(hash32(vm) % uint32(cells)) }
+
+// place is an engine with its slots.
+type place struct {
+	upstream string
+	slots    int
+}
+
+// parts tells how many slots of each upstream a VM may fill.
+type parts map[string]int
+
+// apportion returns the parts of the VM self of the engines of one failure
+// domain and pool. Every VM with the same members and places computes the
+// same division: the slots, one engine after the other, go to the cells in
+// order by their number of VMs, and within a cell to the VMs in the order of
+// their names by their demands. A VM's part so lies on few engines, and a
+// small change of demand moves few slots.
+//
+// Members with another knowledge compute other borders; slots claimed twice
+// are then at most the sum of the differences.
+func apportion(self string, pool uint32, members []Member, places []place) parts {
+	places = slices.SortedFunc(slices.Values(places), func(a, b place) int { return cmp.Compare(a.upstream, b.upstream) })
+	total := 0
+	for _, p := range places {
+		total += p.slots
+	}
+	cells := CellCount(len(members))
+	weights := make([]float64, cells)
+	var mates []Member
+	own := CellOf(self, cells)
+	for _, m := range members {
+		cell := CellOf(m.VM, cells)
+		weights[cell]++
+		if cell == own {
+			mates = append(mates, m)
+		}
+	}
+	slices.SortFunc(mates, func(a, b Member) int { return cmp.Compare(a.VM, b.VM) })
+	start, size := stretch(largestRemainder(weights, total), own)
+	quotas := divide(pool, mates, size)
+	index := slices.IndexFunc(mates, func(m Member) bool { return m.VM == self })
+	if index < 0 {
+		return parts{}
+	}
+	offset, mine := stretch(quotas, index)
+	return layOut(places, start+offset, mine)
+}
+
+// stretch returns where the part of an index starts, and its size.
+func stretch(sizes []int, index int) (start, size int) {
+	for _, s := range sizes[:index] {
+		start += s
+	}
+	return start, sizes[index]
+}
+
+// layOut finds the engines of a stretch of slots.
+func layOut(places []place, start, size int) parts {
+	p := make(parts)
+	at := 0
+	for _, candidate := range places {
+		from, to := max(start, at), min(start+size, at+candidate.slots)
+		if to > from {
+			p[candidate.upstream] = to - from
+		}
+		at += candidate.slots
+	}
+	return p
+}
+
+// divide gives each member its number of slots: at first one each as far as
+// they go round, then by weighted max-min over the demands, and what nobody
+// asks for equally, so that a burst finds room before the next digest.
+func divide(pool uint32, members []Member, total int) []int {
+	quotas := make([]int, len(members))
+	if len(members) == 0 {
+		return quotas
+	}
+	wants, weights := demands(pool, members)
+	left := total
+	for i := range quotas {
+		if left > 0 {
+			quotas[i] = 1
+			left--
+		}
+	}
+	left = fill(quotas, wants, weights, left)
+	for i := 0; left > 0; i = (i + 1) % len(quotas) {
+		quotas[i]++
+		left--
+	}
+	return quotas
+}
+
+// fill hands out slots one by one to the member with the least for its weight
+// that wants more, and returns how many nobody wants.
+func fill(quotas, wants []int, weights []float64, left int) int {
+	for left > 0 {
+		best := -1
+		for i := range quotas {
+			if quotas[i] >= wants[i] {
+				continue
+			}
+			if best < 0 || float64(quotas[i]+1)/weights[i] < float64(quotas[best]+1)/weights[best] {
+				best = i
+			}
+		}
+		if best < 0 {
+			return left
+		}
+		quotas[best]++
+		left--
+	}
+	return left
+}
+
+// unknownWant is the demand of a VM that has not been heard.
+const unknownWant = 4
+
+// demands returns the slots that each member could use, and its weight: of each
+// account's share the fraction that its demand on this VM is of its demand on
+// all. An account so gets its share once, not once for each VM that it uses.
+func demands(pool uint32, members []Member) (wants []int, weights []float64) {
+	whole := make(map[uint32]int)
+	for _, m := range members {
+		for _, f := range m.Flows {
+			if f.Pool == pool {
+				whole[f.Account] += f.slots()
+			}
+		}
+	}
+	wants = make([]int, len(members))
+	weights = make([]float64, len(members))
+	for i, m := range members {
+		for _, f := range m.Flows {
+			if f.Pool != pool || f.slots() == 0 {
+				continue
+			}
+			wants[i] += f.slots()
+			weights[i] += float64(f.Share) * float64(f.slots()) / float64(whole[f.Account])
+		}
+		if !m.Heard {
+			wants[i] = unknownWant
+		}
+		weights[i] = max(weights[i], 1)
+	}
+	return wants, weights
+}
+
+// largestRemainder divides a total in proportion to the weights.
+func largestRemainder(weights []float64, total int) []int {
+	var sum float64
+	for _, w := range weights {
+		sum += w
+	}
+	sizes := make([]int, len(weights))
+	if sum == 0 {
+		return sizes
+	}
+	remainders := make([]float64, len(weights))
+	left := total
+	for i, w := range weights {
+		exact := w / sum * float64(total)
+		sizes[i] = int(exact)
+		remainders[i] = exact - float64(sizes[i])
+		left -= sizes[i]
+	}
+	for ; left > 0; left-- {
+		best := 0
+		for i := range remainders {
+			if remainders[i] > remainders[best] {
+				best = i
+			}
+		}
+		sizes[best]++
+		remainders[best] = -1
+	}
+	return sizes
+}
--- /dev/null
+++ b/internal/dispatch/division.go
@@ -0,0 +1,264 @@
+package dispatch
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"dogwoodpond/internal/platform"
+	"dogwoodpond/internal/upstream"
+)
+
+// division is what of a pool's upstreams this VM may use, as last computed.
+type division struct {
+	at   time.Time
+	list []platform.Upstream
+	// limits tells how many requests the VM may have at each upstream.
+	limits parts
+	// borrowed marks upstreams outside the VM's part that lend it places.
+	borrowed map[string]bool
+	// lending holds the engines that lend to the VM as long as the names of
+	// engines and VMs stay the same, which names tells; it is dear to compute.
+	lending map[string]bool
+	names   uint64
+}
+
+const (
+	// divisionPeriod is how long a division is used while the list stays.
+	divisionPeriod = 100 * time.Millisecond
+	// serviceSlots bounds what a VM has in flight at a plain service that
+	// names no slots.
+	serviceSlots = 64
+	// lentShare is the part of an engine's slots, as one in so many, that VMs
+	// without a part there may use while the engine reports room.
+	lentShare = 4
+	// busyNumerator and busyDenominator are the load above which an engine lends
+	// nothing.
+	busyNumerator, busyDenominator = 3, 4
+	// reportFresh is how old a report may be for its engine to lend.
+	reportFresh = 3 * time.Second
+	// missesUntilUnreachable is how many load reports in a row may fail.
+	missesUntilUnreachable = 2
+)
+
+// candidates returns the upstreams that may take work now.
+func (p *poolQueue) candidates(now time.Time) []candidate {
+	p.divide(now)
+	unreachable := p.unreachable()
+	list := make([]candidate, 0, len(p.division.list))
+	for _, u := range p.division.list {
+		limit := p.division.limits[u.ID]
+		if limit == 0 || unreachable[u.ID] {
+			continue
+		}
+		if c, ok := p.candidate(u, limit, now); ok {
+			list = append(list, c)
+		}
+	}
+	return list
+}
+
+func (p *poolQueue) candidate(u platform.Upstream, limit int, now time.Time) (candidate, bool) {
+	c := &p.scheduler.config
+	report, reported := c.Loads.Get(u.ID)
+	if reported && !report.At.IsZero() && u.Kind == platform.KindEngine && (report.Model != p.name.Model || report.Adapter != p.name.Adapter) {
+		// The list lags: the engine has been ordered to another pool and would
+		// refuse, which callers would notice as failed attempts.
+		return candidate{}, false
+	}
+	borrowed := p.division.borrowed[u.ID]
+	if borrowed && !lendsNow(u, report, now) {
+		return candidate{}, false
+	}
+	standing := c.Health.Standing(u.ID, now)
+	switch standing {
+	case upstream.Ejected:
+		return candidate{}, false
+	case upstream.Probing:
+		limit = 1
+	}
+	own := p.inFlight[u.ID]
+	return candidate{
+		upstream: u,
+		room:     limit - own,
+		own:      !borrowed,
+		near:     u.FailureDomain == c.FailureDomain,
+		probe:    standing == upstream.Probing,
+		load:     expectedLoad(u, own, report, now),
+	}, true
+}
+
+// lendsNow reports whether an engine's report is fresh and shows room.
+func lendsNow(u platform.Upstream, report upstream.Report, now time.Time) bool {
+	if report.At.IsZero() || now.Sub(report.At) > reportFresh {
+		return false
+	}
+	return (report.Running+report.Waiting)*busyDenominator < u.Slots*busyNumerator
+}
+
+// unreachable returns the engines that did not answer the last asks for their
+// load. When most did not, the fault is likely this VM's own, and none counts.
+func (p *poolQueue) unreachable() map[string]bool {
+	silent := make(map[string]bool)
+	asked := 0
+	for _, u := range p.division.list {
+		report, ok := p.scheduler.config.Loads.Get(u.ID)
+		if !ok {
+			continue
+		}
+		asked++
+		if report.Misses >= missesUntilUnreachable {
+			silent[u.ID] = true
+		}
+	}
+	if len(silent)*2 > asked {
+		return nil
+	}
+	return silent
+}
+
+// divide brings the division up to date.
+func (p *poolQueue) divide(now time.Time) {
+	if now.Sub(p.division.at) < divisionPeriod && !p.division.at.IsZero() {
+		return
+	}
+	old := p.division
+	d := division{at: now, limits: make(parts), borrowed: make(map[string]bool), lending: old.lending, names: old.names}
+	for _, u := range p.scheduler.config.Directory.Load() {
+		if serves(u, p.name) {
+			d.list = append(d.list, u)
+		}
+	}
+	switch {
+	case p.name.Kind == platform.KindService:
+		d.unshared(serviceSlots)
+	case p.scheduler.config.Members == nil:
+		d.unshared(1)
+	default:
+		d.shared(p.scheduler.config.VM, p.scheduler.config.FailureDomain, p.name.hash(), p.scheduler.config.Members())
+	}
+	p.division = d
+}
+
+// unshared lets the VM fill all slots; slots stands in where none are named.
+func (d *division) unshared(slots int) {
+	for _, u := range d.list {
+		d.limits[u.ID] = u.Slots
+		if u.Slots == 0 {
+			d.limits[u.ID] = slots
+		}
+	}
+}
+
+// shared gives the VM its parts of the engines.
+func (d *division) shared(vm, domain string, pool uint32, members []Member) {
+	byDomain := make(map[string][]place)
+	for _, u := range d.list {
+		byDomain[u.FailureDomain] = append(byDomain[u.FailureDomain], place{upstream: u.ID, slots: max(1, u.Slots)})
+	}
+	for engines, places := range byDomain {
+		for id, n := range apportion(vm, pool, participants(engines, byDomain, members), places) {
+			d.limits[id] = n
+		}
+	}
+	d.borrow(vm, members)
+	d.atLeastOne(vm, domain)
+}
+
+// participants returns the VMs that share the engines of a failure domain: its
+// own, and those whose failure domain has no engine of the pool. Engines
+// without any live VM of their own are shared by all.
+func participants(engines string, byDomain map[string][]place, members []Member) []Member {
+	var list []Member
+	home := false
+	for _, m := range members {
+		_, hasEngines := byDomain[m.FailureDomain]
+		home = home || m.FailureDomain == engines
+		if m.FailureDomain == engines || !hasEngines {
+			list = append(list, m)
+		}
+	}
+	if !home {
+		return members
+	}
+	return list
+}
+
+// borrow adds the engines that lend places to the VM.
+func (d *division) borrow(vm string, members []Member) {
+	if names := namesOf(d.list, members); names != d.names || d.lending == nil {
+		d.names = names
+		d.lending = lendingTo(vm, d.list, members)
+	}
+	for _, u := range d.list {
+		if d.lending[u.ID] && d.limits[u.ID] == 0 {
+			d.limits[u.ID] = 1
+			d.borrowed[u.ID] = true
+		}
+	}
+}
+
+// namesOf digests the names of engines and VMs in any order.
+func namesOf(list []platform.Upstream, members []Member) uint64 {
+	var sum uint64
+	for _, u := range list {
+		sum += xxhash.Sum64String("engine/" + u.ID)
+	}
+	for _, m := range members {
+		sum += xxhash.Sum64String("vm/" + m.VM)
+	}
+	return sum
+}
+
+func lendingTo(vm string, list []platform.Upstream, members []Member) map[string]bool {
+	lending := make(map[string]bool)
+	for _, u := range list {
+		if lends(u.ID, vm, members, max(1, u.Slots/lentShare)) {
+			lending[u.ID] = true
+		}
+	}
+	return lending
+}
+
+// atLeastOne gives a VM without any part one place, so that its callers are
+// served, if slowly, however many VMs share few slots. The overcommit is at
+// most one request for each VM beyond the number of slots.
+func (d *division) atLeastOne(vm, domain string) {
+	best := -1
+	for i, u := range d.list {
+		if d.limits[u.ID] > 0 && !d.borrowed[u.ID] {
+			return
+		}
+		if best < 0 || preferred(vm, domain, u, d.list[best]) {
+			best = i
+		}
+	}
+	if best >= 0 {
+		d.limits[d.list[best].ID] = 1
+		delete(d.borrowed, d.list[best].ID)
+	}
+}
+
+func preferred(vm, domain string, a, b platform.Upstream) bool {
+	if near := a.FailureDomain == domain; near != (b.FailureDomain == domain) {
+		return near
+	}
+	return borrowWeight(a.ID, vm) > borrowWeight(b.ID, vm)
+}
+
+// watched returns the engines that the VM may use.
+func (p *poolQueue) watched() []platform.Upstream {
+	if p.name.Kind != platform.KindEngine {
+		return nil
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.divide(time.Now())
+	var list []platform.Upstream
+	for _, u := range p.division.list {
+		if p.division.limits[u.ID] > 0 {
+			list = append(list, u)
+		}
+	}
+	return list
+}
--- a/internal/dispatch/scheduler.go
+++ b/internal/dispatch/scheduler.go
@@ -7,122 +7,193 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/prometheus/client_golang/prometheus"
 
+	"dogwoodpond/internal/contract"
 	"dogwoodpond/internal/fault"
 	"dogwoodpond/internal/platform"
 	"dogwoodpond/internal/upstream"
 )
 
-// Scheduler grants places in the order of arrival on the least loaded upstream
-// of the own failure domain, then of others.
+// Config holds what a Scheduler is built from.
+type Config struct {
+	VM            string
+	FailureDomain string
+	Directory     *upstream.Directory
+	Loads         *upstream.Loads
+	Health        *upstream.Health
+	// Members returns the live VMs with their demands, this one included. Nil
+	// leaves the engines unshared: the VM then fills all slots itself.
+	Members func() []Member
+	// Registerer takes the metrics.
+	Registerer prometheus.Registerer
+}
+
+// Scheduler is the fair Dispatcher of a VM. Each pool has a queue and a lock
+// of its own, so that requests for different pools never wait for each other.
 type Scheduler struct {
-	domain    string
-	directory *upstream.Directory
+	config  Config
+	metrics *metrics
 
-	mu       sync.Mutex
-	inFlight map[string]int
-	changed  chan struct{}
+	mu       sync.RWMutex
+	pools    map[Pool]*poolQueue
+	accounts map[contract.Account]*accountBook
 }
 
-// NewScheduler returns a scheduler for a VM in the failure domain.
-func NewScheduler(domain string, directory *upstream.Directory) *Scheduler {
+// tickPeriod is how long a change of the lists, reports or parts may go unseen.
+const tickPeriod = 100 * time.Millisecond
+
+// NewScheduler returns a scheduler without any work. Run must run for it to
+// notice changes while no request comes or ends.
+func NewScheduler(config Config) *Scheduler {
 	return &Scheduler{
-		domain:    domain,
-		directory: directory,
-		inFlight:  make(map[string]int),
-		changed:   make(chan struct{}),
+		config:   config,
+		metrics:  newMetrics(config.Registerer),
+		pools:    make(map[Pool]*poolQueue),
+		accounts: make(map[contract.Account]*accountBook),
 	}
 }
 
-const (
-	// retryAfter is when a refused caller should come back.
-	retryAfter = 2 * time.Second
-	// recheck bounds how long a waiter misses a change of the directory.
-	recheck = 200 * time.Millisecond
-)
-
-// Acquire implements Dispatcher.
-func (s *Scheduler) Acquire(ctx context.Context, work Work) (Grant, error) {
+// Run lets waiting work see changes of the lists, until ctx ends.
+func (s *Scheduler) Run(ctx context.Context) {
+	ticker := time.NewTicker(tickPeriod)
+	defer ticker.Stop()
 	for {
-		grant, known, wake := s.try(work)
-		if grant.Done != nil {
-			return grant, nil
-		}
-		if !known {
-			return Grant{}, errors.WithStack(&fault.NoUpstream{Pool: work.Pool.String(), Wait: retryAfter})
-		}
 		select {
-		case <-wake:
-		case <-time.After(recheck):
 		case <-ctx.Done():
-			return Grant{}, ended(ctx)
+			return
+		case <-ticker.C:
+			s.tick()
 		}
 	}
 }
 
-// ended turns the end of a context into a failure.
-func ended(ctx context.Context) error {
-	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
-		return errors.WithStack(&fault.DeadlineExceeded{Wait: retryAfter})
+func (s *Scheduler) tick() {
+	ids := make(map[string]bool)
+	for _, u := range s.config.Directory.Load() {
+		ids[u.ID] = true
+	}
+	s.config.Health.Keep(ids)
+	s.config.Loads.Keep(ids)
+	s.metrics.ejected.Set(float64(s.config.Health.Out()))
+	for _, p := range s.allPools() {
+		p.tick()
 	}
-	return errors.WithStack(&fault.CallerGone{})
 }
 
-// try grants a place if one is free. known tells whether the pool has any
-// usable upstream.
-func (s *Scheduler) try(work Work) (grant Grant, known bool, wake <-chan struct{}) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	best := -1
-	list := s.directory.Load()
-	for i, u := range list {
-		if !usable(u, work) {
-			continue
-		}
-		known = true
-		if s.inFlight[u.ID] >= max(1, u.Slots) {
-			continue
-		}
-		if best < 0 || s.better(u, list[best]) {
-			best = i
+func (s *Scheduler) allPools() []*poolQueue {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	list := make([]*poolQueue, 0, len(s.pools))
+	for _, p := range s.pools {
+		list = append(list, p)
+	}
+	return list
+}
+
+// Acquire implements Dispatcher.
+func (s *Scheduler) Acquire(ctx context.Context, work Work) (Grant, error) {
+	if !s.known(work) {
+		return Grant{}, noUpstream(work)
+	}
+	p := s.pool(work.Pool)
+	t := &ticket{work: work, ready: make(chan outcome, 1)}
+	begun := time.Now()
+	p.enter(t)
+	select {
+	case o := <-t.ready:
+		s.metrics.waited(work, time.Since(begun), o.err)
+		return o.grant, o.err
+	case <-ctx.Done():
+		return s.giveUp(ctx, p, t)
+	}
+}
+
+// giveUp takes a ticket back whose context ended. A grant that came at the same
+// time is returned unused: nobody would ever call its Done, and its place would
+// be lost for good.
+func (s *Scheduler) giveUp(ctx context.Context, p *poolQueue, t *ticket) (Grant, error) {
+	wait, waiting := p.leave(t)
+	if !waiting {
+		if o := <-t.ready; o.grant.Done != nil {
+			o.grant.Done(Result{})
 		}
 	}
-	if best < 0 {
-		return Grant{}, known, s.changed
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return Grant{}, errors.WithStack(&fault.DeadlineExceeded{Wait: wait})
 	}
-	return s.grant(list[best]), true, nil
+	return Grant{}, errors.WithStack(&fault.CallerGone{})
+}
+
+// known reports whether any listed upstream could run the work. Names of pools
+// come from callers; only listed ones get a queue, so that callers can't make
+// the state grow.
+func (s *Scheduler) known(work Work) bool {
+	return slices.ContainsFunc(s.config.Directory.Load(), func(u platform.Upstream) bool {
+		return serves(u, work.Pool) && mayUse(u, work)
+	})
+}
+
+func noUpstream(work Work) error {
+	return errors.WithStack(&fault.NoUpstream{Pool: work.Pool.String(), Wait: defaultWait})
 }
 
-func usable(u platform.Upstream, work Work) bool {
-	if u.State != platform.UpstreamLive || u.Kind != work.Pool.Kind || slices.Contains(work.Exclude, u.ID) {
-		return false
+func (s *Scheduler) pool(name Pool) *poolQueue {
+	s.mu.RLock()
+	p, ok := s.pools[name]
+	s.mu.RUnlock()
+	if ok {
+		return p
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if p, ok = s.pools[name]; !ok {
+		p = newPoolQueue(s, name)
+		s.pools[name] = p
 	}
-	if u.Reclaimable && !work.Repeatable {
-		return false
+	return p
+}
+
+func (s *Scheduler) account(name contract.Account) *accountBook {
+	s.mu.RLock()
+	b, ok := s.accounts[name]
+	s.mu.RUnlock()
+	if ok {
+		return b
 	}
-	if work.Pool.Kind == platform.KindService {
-		return u.Service == work.Pool.Service
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if b, ok = s.accounts[name]; !ok {
+		b = &accountBook{}
+		s.accounts[name] = b
 	}
-	return u.Model == work.Pool.Model && u.Adapter == work.Pool.Adapter
+	return b
 }
 
-func (s *Scheduler) better(a, b platform.Upstream) bool {
-	aLocal, bLocal := a.FailureDomain == s.domain, b.FailureDomain == s.domain
-	if aLocal != bLocal {
-		return aLocal
+// wakeOthers lets the pools look again after an account left its limit.
+func (s *Scheduler) wakeOthers(but *poolQueue) {
+	for _, p := range s.allPools() {
+		if p != but {
+			p.pump()
+		}
 	}
-	return s.inFlight[a.ID] < s.inFlight[b.ID]
 }
 
-func (s *Scheduler) grant(u platform.Upstream) Grant {
-	s.inFlight[u.ID]++
-	return Grant{Upstream: u, Done: func(Result) { s.release(u.ID) }}
+// Demand returns the demands of this VM, the greatest first, for its digest.
+func (s *Scheduler) Demand() []FlowDemand {
+	var list []FlowDemand
+	for _, p := range s.allPools() {
+		list = append(list, p.demand()...)
+	}
+	slices.SortStableFunc(list, func(a, b FlowDemand) int { return b.slots() - a.slots() })
+	return list
 }
 
-func (s *Scheduler) release(id string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.inFlight[id]--
-	close(s.changed)
-	s.changed = make(chan struct{})
+// Watched returns the engines whose load reports this VM needs.
+func (s *Scheduler) Watched() []platform.Upstream {
+	var list []platform.Upstream
+	for _, p := range s.allPools() {
+		list = append(list, p.watched()...)
+	}
+	return list
 }
