--- a/internal/daemon/wire_gen.go
+++ b/internal/daemon/wire_gen.go
@@ -31,9 +31,11 @@
 	daemonHooks := newHooks()
 	gossip := newGossip(s, view, peerClient, recorder, daemonHooks)
 	syncer := newSyncer(s, client, gossip, view, recorder, daemonHooks)
-	scheduler := newScheduler(s, directory)
-	engineClient := engine.NewClient()
+	loads := upstream.NewLoads()
+	health := upstream.NewHealth(recorder)
 	registry := newRegistry()
+	scheduler := newScheduler(s, directory, loads, health, registry)
+	engineClient := engine.NewClient()
 	metrics := newMetrics(recorder, registry, directory)
 	local := newRunner(view, scheduler, engineClient, recorder, metrics)
 	server := newPeerServer(recorder, view, daemonHooks, local, gossip)
@@ -45,6 +47,7 @@
 	editor := newEditor(client, recorder)
 	fleet := peer.NewFleet(gossip, peerClient, view, recorder)
 	operatorServer := newOperator(s, client, view, editor, fleet, directory, recorder, daemonHooks)
+	poller := newPoller(engineClient, loads, scheduler)
 	daemon := &Daemon{
 		settings:  s,
 		log:       logger,
@@ -59,6 +62,8 @@
 		operator:  operatorServer,
 		rollouts:  manager,
 		meter:     meter,
+		scheduler: scheduler,
+		poller:    poller,
 	}
 	return daemon, nil
 }
