--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -18,6 +19,7 @@
 
 	"dogwoodpond/internal/config"
 	"dogwoodpond/internal/contract"
+	"dogwoodpond/internal/doccheck"
 	"dogwoodpond/internal/event"
 	"dogwoodpond/internal/fault"
 	"dogwoodpond/internal/fleetview"
@@ -384,3 +386,24 @@
 		t.Errorf("a missing VM is named %d and then %d times", len(first), len(second))
 	}
 }
+
+// Scripts decide by the exit code. One that means something else than its page
+// says makes them repeat what was refused, or give up what was accepted.
+func TestOperatingPageListsTheExitCodes(t *testing.T) {
+	numbers := doccheck.Column(t, "docs/OPERATING.md", "exit-codes", 0)
+	lists := doccheck.Column(t, "docs/OPERATING.md", "exit-codes", 2)
+	onPage := map[fault.Code]int{}
+	for i, number := range numbers {
+		if number != fmt.Sprint(i) {
+			t.Errorf("row %d is about exit code %s", i, number)
+		}
+		for code := range strings.SplitSeq(lists[i], ",") {
+			if code = strings.TrimSpace(code); code != "" {
+				onPage[fault.Code(code)] = i
+			}
+		}
+	}
+	if len(numbers) != ExitUnknown+1 || !maps.Equal(onPage, exitCodes) {
+		t.Errorf("the page has %d exit codes for\n%v\nthe code has\n%v", len(numbers), onPage, exitCodes)
+	}
+}
--- a/internal/ctl/fleet.go
+++ b/internal/ctl/fleet.go
@@ -122,7 +122,7 @@
 }
 
 func (a *App) usage(window int64, since time.Duration) error {
-	route := fmt.Sprintf("/v1/usage?from=%d", time.Now().Add(-since).Unix())
+	route := fmt.Sprintf("/v1/usage?from=%d", max(0, time.Now().Add(-since).Unix()))
 	if window != 0 {
 		route = fmt.Sprintf("/v1/usage/%d", window)
 	}
