--- a/internal/daemon/wire.go
+++ b/internal/daemon/wire.go
@@ -11,7 +11,6 @@
 	"dogwoodpond/internal/service"
 	"dogwoodpond/internal/settings"
 	"dogwoodpond/internal/upstream"
-	"dogwoodpond/internal/usage"
 )
 
 // New assembles a daemon from its settings.
@@ -20,12 +19,16 @@
 		newLogger,
 		newRecorder,
 		newRegistry,
+		newMetrics,
 		newHooks,
 		newPlatform,
 		contract.NewView,
 		upstream.NewDirectory,
+		upstream.NewLoads,
+		upstream.NewHealth,
 		newScheduler,
 		newRetries,
+		newPoller,
 		engine.NewClient,
 		service.NewClient,
 		newRunner,
@@ -37,7 +40,7 @@
 		newEditor,
 		newClaims,
 		newRollouts,
-		usage.NewTally,
+		newMeter,
 		newEntry,
 		newOperator,
 		wire.Struct(new(Daemon), "*"),
--- a/internal/daemon/wire_gen.go
+++ b/internal/daemon/wire_gen.go
@@ -13,7 +13,6 @@
 	"dogwoodpond/internal/service"
 	"dogwoodpond/internal/settings"
 	"dogwoodpond/internal/upstream"
-	"dogwoodpond/internal/usage"
 )
 
 // Injectors from wire.go:
@@ -32,20 +31,24 @@
 	daemonHooks := newHooks()
 	gossip := newGossip(s, view, peerClient, recorder, daemonHooks)
 	syncer := newSyncer(s, client, gossip, view, recorder, daemonHooks)
-	scheduler := newScheduler(s, directory)
-	engineClient := engine.NewClient()
+	loads := upstream.NewLoads()
+	health := upstream.NewHealth(recorder)
 	registry := newRegistry()
+	scheduler := newScheduler(s, directory, loads, health, registry)
+	engineClient := engine.NewClient()
 	policy := newRetries(registry, recorder)
-	local := newRunner(view, scheduler, engineClient, policy, recorder)
+	metrics := newMetrics(recorder, registry, directory)
+	local := newRunner(view, scheduler, engineClient, policy, recorder, metrics)
 	server := newPeerServer(recorder, view, daemonHooks, local, gossip)
 	serviceClient := service.NewClient()
 	claims := newClaims(client)
 	manager := newRollouts(client, local, recorder)
-	tally := usage.NewTally()
-	entryServer := newEntry(view, syncer, local, scheduler, policy, serviceClient, claims, manager, tally, recorder, registry, daemonHooks)
+	meter := newMeter(s, client, gossip, recorder)
+	entryServer := newEntry(view, syncer, local, scheduler, policy, serviceClient, claims, manager, meter, recorder, registry, metrics, daemonHooks)
 	editor := newEditor(client, recorder)
 	fleet := peer.NewFleet(gossip, peerClient, view, recorder)
-	operatorServer := newOperator(s, view, editor, fleet, directory, recorder, daemonHooks)
+	operatorServer := newOperator(s, client, view, editor, fleet, directory, recorder, daemonHooks)
+	poller := newPoller(engineClient, loads, scheduler)
 	daemon := &Daemon{
 		settings:  s,
 		log:       logger,
@@ -59,6 +62,9 @@
 		entry:     entryServer,
 		operator:  operatorServer,
 		rollouts:  manager,
+		meter:     meter,
+		scheduler: scheduler,
+		poller:    poller,
 	}
 	return daemon, nil
 }
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -16,15 +16,16 @@
 	"github.com/tmaxmax/go-sse"
 
 	"dogwoodpond/internal/fault"
+	"dogwoodpond/internal/fence"
 )
 
 const (
 	dialTimeout = time.Second
 	// maxEvent bounds one event of a stream in bytes.
 	maxEvent = 1 << 20
-	// orderTimeout bounds one order; a take-over waits at least as long for
+	// OrderTimeout bounds one order; a take-over waits at least as long for
 	// engines that ignore fencing.
-	orderTimeout = 10 * time.Second
+	OrderTimeout = 10 * time.Second
 	loadTimeout  = time.Second
 	// maxLoad bounds a load report in bytes.
 	maxLoad = 1 << 16
@@ -47,6 +48,8 @@
 type Client struct {
 	http     *http.Client
 	patience Patience
+	// orders sends what a lease guards; see package fence.
+	orders *http.Client
 }
 
 // NewClient returns a client with the default patience.
@@ -62,6 +65,7 @@
 			DisableCompression:  true,
 		}},
 		patience: patience,
+		orders:   fence.NewClient(dialTimeout, OrderTimeout),
 	}
 }
 
@@ -75,7 +79,7 @@
 	defer cancel()
 	silence := time.AfterFunc(c.patience.First, cancel)
 	defer silence.Stop()
-	response, err := c.post(ctx, address+PathCompletions, request.RequestID, request)
+	response, err := c.post(ctx, c.http, address+PathCompletions, request.RequestID, request)
 	if err != nil {
 		return err
 	}
@@ -166,9 +170,7 @@
 // seen a newer epoch, and with *fault.UpstreamFailed when the outcome is not
 // known; then the order may be repeated with the same ID.
 func (c *Client) Order(ctx context.Context, address string, order Order) error {
-	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
-	defer cancel()
-	response, err := c.post(ctx, address+PathOrders, order.ID, order)
+	response, err := c.post(ctx, c.orders, address+PathOrders, order.ID, order)
 	if err != nil {
 		return err
 	}
@@ -185,7 +187,7 @@
 
 // post sends a body. Its failures are marked: before a connection was at hand
 // no byte can have gone out.
-func (c *Client) post(ctx context.Context, target, requestID string, body any) (*http.Response, error) {
+func (c *Client) post(ctx context.Context, client *http.Client, target, requestID string, body any) (*http.Response, error) {
 	text, err := json.Marshal(body)
 	if err != nil {
 		return nil, fault.WithExecution(errors.WithStack(&fault.Internal{Where: "engine request"}), fault.NotRun)
@@ -203,7 +205,7 @@
 	if deadline, ok := ctx.Deadline(); ok {
 		request.Header.Set(HeaderTimeout, strconv.FormatInt(time.Until(deadline).Milliseconds(), 10))
 	}
-	response, err := c.http.Do(request)
+	response, err := client.Do(request)
 	if err == nil {
 		return response, nil
 	}
--- a/internal/entry/auth.go
+++ b/internal/entry/auth.go
@@ -68,7 +68,7 @@
 	if age := s.Ager.Age(); age > c.Isolation.Duration() {
 		return caller{}, errors.WithStack(&fault.ConfigurationStale{Account: string(c.Account), Age: age})
 	}
-	body, err := readBody(w, r.Request, c.Limits.BodyBytes)
+	body, err := readBody(w.ResponseWriter, r.Request, c.Limits.BodyBytes)
 	if err != nil {
 		return caller{}, err
 	}
--- a/internal/entry/generate.go
+++ b/internal/entry/generate.go
@@ -144,7 +144,7 @@
 // generateStream passes chunks on as they come. The header is written with the
 // first chunk, so that an earlier failure is still an ordinary refusal.
 func (s *Server) generateStream(ctx context.Context, c caller, request generate.Request, w *restful.Response) error {
-	out := newEventWriter(ctx, w)
+	out := newEventWriter(ctx, w.ResponseWriter)
 	defer out.close()
 	result, err := s.Runner.Generate(ctx, request, func(chunk generate.Chunk) error {
 		return out.send(eventChunk, chunk)
