--- a/internal/entry/refusal.go
+++ b/internal/entry/refusal.go
@@ -128,7 +128,7 @@
 
 // unrouted answers for unknown paths and methods.
 func (s *Server) unrouted(failure restful.ServiceError, r *restful.Request, w *restful.Response) {
-	err := errors.WithStack(&fault.RouteUnknown{Method: r.Request.Method, Path: r.Request.URL.Path})
+	err := errors.WithStack(&fault.RouteUnknown{Method: r.Request.Method})
 	refusal, _ := refusalOf("", err)
 	writeJSON(w, failure.Code, refusal)
 }
--- a/internal/fault/types.go
+++ b/internal/fault/types.go
@@ -137,15 +137,15 @@
 // Code implements Failure.
 func (*BodyTooLarge) Code() Code { return CodeBodyTooLarge }
 
-// RouteUnknown reports a path or method that the API does not have.
+// RouteUnknown reports a path or method that the API does not have. It does not
+// hold the path: a caller's mistake may have put a key there.
 type RouteUnknown struct {
 	Method string
-	Path   string
 }
 
 // Error implements error.
 func (e *RouteUnknown) Error() string {
-	return fmt.Sprintf("no route for %s %s", e.Method, e.Path)
+	return fmt.Sprintf("no route for this path with method %s", e.Method)
 }
 
 // Code implements Failure.
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -171,7 +171,7 @@
 
 // unrouted answers for unknown paths and methods.
 func unrouted(failure restful.ServiceError, r *restful.Request, w *restful.Response) {
-	err := &fault.RouteUnknown{Method: r.Request.Method, Path: r.Request.URL.Path}
+	err := &fault.RouteUnknown{Method: r.Request.Method}
 	_ = w.WriteHeaderAndJson(failure.Code, Problem{Code: err.Code(), Message: err.Error()}, restful.MIME_JSON)
 }
 
--- a/scripts/smoke.sh
+++ b/scripts/smoke.sh
@@ -16,7 +16,7 @@
 stop() {
   for pid in "${pids[@]}"; do kill -CONT "$pid" 2>/dev/null || true; kill -TERM "$pid" 2>/dev/null || true; done
   wait 2>/dev/null || true
-  rm -rf "$work"
+  rm -rf "$work" bin/run.env
 }
 trap stop EXIT
 
@@ -164,11 +164,24 @@
 done
 expect 'requests to engines that held a key' "$keys" 0
 
-echo "time line of request $request:"
+# The whole path as the tool shows it.
+expect 'the outcome that explain tells' "$("$ctl" --output json explain "$request" | grep -oE '"outcome": "[a-z ]+"')" '"outcome": "answered"'
+expect 'the step that the tool lists' "$("$ctl" steps strathallan | awk '/round-1/ {print $4, $5}')" '128 128'
+expect 'edits in the history' "$("$ctl" contract history strathallan | grep -c '^revision ')" 2
+echo "what operators see:"
+"$ctl" status
+echo "time line of request $request over all processes:"
 "$ctl" timeline --request "$request"
+echo "the same request, explained:"
+"$ctl" explain "$request"
 echo "smoke: ok: $served requests served, $samples samples delivered once each with their weight versions, ${#vms[@]} daemons (one killed), $upstreams upstreams"
 if [ "$mode" = --stay ]; then
-  echo "callers: ${entries[0]}  operators: $operator  token: $token  key: $DOGWOODPOND_KEY"
-  echo "up until Ctrl-C"
+  # What another terminal needs; README.md's tour reads it.
+  cat >bin/run.env <<J
+export PATH="$PWD/bin:\$PATH"
+export DOGWOODPOND_ADDRESS=$operator DOGWOODPOND_TOKEN=$token DOGWOODPOND_WHO="\${USER:-tour}"
+export CALLERS=${entries[0]}
+J
+  echo "up until Ctrl-C; in another terminal: . bin/run.env"
   wait
 fi
