--- a/internal/entry/refusal.go
+++ b/internal/entry/refusal.go
@@ -151,7 +151,7 @@
 	for name, values := range failure.Header {
 		w.Header()[name] = values
 	}
-	unknown := errors.WithStack(&fault.RouteUnknown{Method: knownMethod(r.Request.Method), Path: "this path"})
+	unknown := errors.WithStack(&fault.RouteUnknown{Method: knownMethod(r.Request.Method)})
 	refusal, _ := refusalOf(id, fault.WithExecution(unknown, fault.NotRun))
 	s.noteRefusal(refusal)
 	writeJSON(w, failure.Code, refusal)
