--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -24,6 +24,7 @@
 	"dogwoodpond/internal/rollout"
 	"dogwoodpond/internal/settings"
 	"dogwoodpond/internal/upstream"
+	"dogwoodpond/internal/usage"
 )
 
 // Daemon is one VM's process.
@@ -42,6 +43,7 @@
 	rollouts  *rollout.Manager
 	scheduler *dispatch.Scheduler
 	poller    *upstream.Poller
+	meter     *usage.Meter
 }
 
 const (
@@ -74,12 +76,14 @@
 	loops.Go(func() { d.pollLists(ctx) })
 	loops.Go(func() { d.scheduler.Run(ctx) })
 	loops.Go(func() { d.poller.Run(ctx) })
+	loops.Go(func() { d.meter.Run(ctx, d.flushPeriod) })
 	d.events.Emit(event.ProcessStarted, event.Subject{Detail: "dogwoodpondd"})
 
 	<-stop.Done()
 	err = d.drain(open)
 	cancel()
 	loops.Wait()
+	d.sealUsage()
 	_ = d.client.Close()
 	d.events.Emit(event.ProcessStopped, event.Subject{})
 	_ = d.log.Sync()
@@ -87,15 +91,15 @@
 }
 
 func (d *Daemon) listen(ctx context.Context, loops *sync.WaitGroup) (servers, error) {
-	callers, err := bind(d.settings.CallerAddress)
+	callers, err := bind("callerAddress", d.settings.CallerAddress)
 	if err != nil {
 		return servers{}, err
 	}
-	operators, err := bind(d.settings.OperatorAddress)
+	operators, err := bind("operatorAddress", d.settings.OperatorAddress)
 	if err != nil {
 		return servers{}, err
 	}
-	peers, err := bind(d.settings.PeerAddress)
+	peers, err := bind("peerAddress", d.settings.PeerAddress)
 	if err != nil {
 		return servers{}, err
 	}
@@ -111,21 +115,25 @@
 	return open, nil
 }
 
-func bind(address string) (net.Listener, error) {
+// bind listens on the address of a setting. A port that another process uses is
+// a fault of that setting.
+func bind(setting, address string) (net.Listener, error) {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, errors.WithStack(&fault.SettingsInvalid{Faults: []fault.SettingFault{
-			{Field: "address", Value: address, Allowed: "an address of this VM that no process uses"},
+			{Field: setting, Value: address, Allowed: "an address of this VM that no process uses"},
 		}})
 	}
 	return listener, nil
 }
 
-// drain takes no new work, waits for the running requests and stops the loops.
+// drain tells the balancer, then takes no new work, waits for the running
+// requests and stops the loops.
 func (d *Daemon) drain(open servers) error {
 	d.events.Emit(event.DrainStarted, event.Subject{})
 	d.entry.Drain()
 	time.Sleep(balancerNotice)
+	d.entry.Refuse()
 	ctx, cancel := context.WithTimeout(context.Background(), d.settings.Drain())
 	defer cancel()
 	if err := open.callers.Shutdown(ctx); err != nil {
@@ -135,6 +143,32 @@
 	return open.operators.Shutdown(ctx)
 }
 
+// flushesPerSecond bounds the usage flushes of the whole fleet.
+const flushesPerSecond = 80
+
+// flushPeriod grows with the fleet, so that the store's load does not.
+func (d *Daemon) flushPeriod() time.Duration {
+	byFleet := time.Duration(len(d.gossip.VMs())) * time.Second / flushesPerSecond
+	return max(d.settings.UsageFlush(), byFleet)
+}
+
+const (
+	sealTries  = 5
+	sealPeriod = 200 * time.Millisecond
+)
+
+// sealUsage makes the usage final after the last request. When the store does
+// not answer, the window's report will say that it is incomplete.
+func (d *Daemon) sealUsage() {
+	for range sealTries {
+		if d.meter.Seal(context.Background()) == nil {
+			return
+		}
+		time.Sleep(sealPeriod)
+	}
+	d.events.Emit(event.UsageIncomplete, event.Subject{Detail: "not sealed"})
+}
+
 // pollLists keeps the lists of VMs and upstreams current. While the platform
 // does not answer, the last lists stay in force.
 func (d *Daemon) pollLists(ctx context.Context) {
--- a/internal/daemon/providers.go
+++ b/internal/daemon/providers.go
@@ -13,7 +13,9 @@
 	"dogwoodpond/internal/engine"
 	"dogwoodpond/internal/entry"
 	"dogwoodpond/internal/event"
+	"dogwoodpond/internal/fleetview"
 	"dogwoodpond/internal/generate"
+	"dogwoodpond/internal/metrics"
 	"dogwoodpond/internal/operator"
 	"dogwoodpond/internal/peer"
 	"dogwoodpond/internal/platform"
@@ -28,6 +30,7 @@
 // hooks break the cycles between parts that call each other back. They are
 // filled in once all parts exist, before any loop runs.
 type hooks struct {
+	gossip *peer.Gossip
 	entry  *entry.Server
 	syncer *config.Syncer
 }
@@ -41,6 +44,9 @@
 // Age implements peer.Ager.
 func (h *hooks) Age() time.Duration { return h.syncer.Age() }
 
+// members returns the VMs that share the engines.
+func (h *hooks) members() []dispatch.Member { return h.gossip.Members() }
+
 func newHooks() *hooks { return &hooks{} }
 
 func newRecorder(s settings.Daemon, log *zap.Logger) *event.Recorder {
@@ -53,15 +59,26 @@
 	return registry
 }
 
+func newPeerMetrics(registry *prometheus.Registry) *peer.Metrics { return peer.NewMetrics(registry) }
+
 func newPlatform(s settings.Daemon) *platform.Client { return platform.NewClient(s.PlatformURL) }
 
-func newScheduler(s settings.Daemon, directory *upstream.Directory, loads *upstream.Loads, health *upstream.Health, registry *prometheus.Registry) *dispatch.Scheduler {
+// newMetrics comes before every part that emits events, so that all are counted.
+func newMetrics(events *event.Recorder, registry *prometheus.Registry, directory *upstream.Directory) *metrics.Metrics {
+	m := metrics.New(registry)
+	metrics.RegisterUpstreams(registry, directory.Load)
+	events.Observe(m.Observe)
+	return m
+}
+
+func newScheduler(s settings.Daemon, directory *upstream.Directory, loads *upstream.Loads, health *upstream.Health, registry *prometheus.Registry, h *hooks) *dispatch.Scheduler {
 	return dispatch.NewScheduler(dispatch.Config{
 		VM:            s.VM,
 		FailureDomain: s.FailureDomain,
 		Directory:     directory,
 		Loads:         loads,
 		Health:        health,
+		Members:       h.members,
 		Registerer:    registry,
 	})
 }
@@ -73,12 +90,12 @@
 	return upstream.NewPoller(engines, loads, loadPeriod, scheduler.Watched)
 }
 
-func newRunner(view *contract.View, scheduler *dispatch.Scheduler, engines *engine.Client, events *event.Recorder) *generate.Local {
-	return generate.NewLocal(view, scheduler, engines, events)
+func newRunner(view *contract.View, scheduler *dispatch.Scheduler, engines *engine.Client, events *event.Recorder, m *metrics.Metrics) *generate.Local {
+	return generate.NewLocal(view, metrics.NewDispatcher(scheduler, m), engines, events)
 }
 
-func newGossip(s settings.Daemon, view *contract.View, client *peer.Client, events *event.Recorder, h *hooks) *peer.Gossip {
-	return peer.NewGossip(peer.GossipConfig{
+func newGossip(s settings.Daemon, view *contract.View, client *peer.Client, events *event.Recorder, scheduler *dispatch.Scheduler, counters *peer.Metrics, h *hooks) *peer.Gossip {
+	h.gossip = peer.NewGossip(peer.GossipConfig{
 		Self:       peer.Identity{VM: s.VM, FailureDomain: s.FailureDomain, PeerAddress: s.PeerAddress},
 		Seeds:      s.Seeds,
 		Period:     s.DigestPeriod(),
@@ -88,7 +105,10 @@
 		Draining:   h.draining,
 		OnRevision: h.poke,
 		Age:        h.Age,
+		Demand:     scheduler.Demand,
+		Metrics:    counters,
 	})
+	return h.gossip
 }
 
 func newPeerServer(events *event.Recorder, view *contract.View, h *hooks, runner *generate.Local, gossip *peer.Gossip) *peer.Server {
@@ -104,6 +124,17 @@
 	return config.NewEditor(tables, time.Now, events)
 }
 
+func newMeter(s settings.Daemon, tables *platform.Client, gossip *peer.Gossip, events *event.Recorder) *usage.Meter {
+	return usage.NewMeter(usage.MeterConfig{
+		Tables:      tables,
+		Events:      events,
+		VM:          s.VM,
+		Incarnation: gossip.Incarnation(),
+		Now:         time.Now,
+		Length:      s.UsageWindow(),
+	})
+}
+
 func newClaims(tables *platform.Client) *request.Claims { return request.NewClaims(tables) }
 
 func newRollouts(tables *platform.Client, runner *generate.Local, events *event.Recorder) *rollout.Manager {
@@ -118,27 +149,29 @@
 	services *service.Client,
 	claims *request.Claims,
 	steps *rollout.Manager,
-	tally *usage.Tally,
+	meter *usage.Meter,
 	events *event.Recorder,
 	registry *prometheus.Registry,
+	m *metrics.Metrics,
 	h *hooks,
 ) *entry.Server {
 	h.entry = entry.NewServer(entry.Config{
 		View:       view,
 		Ager:       syncer,
 		Runner:     runner,
-		Dispatcher: scheduler,
+		Dispatcher: metrics.NewDispatcher(scheduler, m),
 		Services:   services,
 		Claims:     claims,
 		Steps:      steps,
-		Usage:      tally,
+		Usage:      meter,
 		Events:     events,
 		Registry:   registry,
 	})
 	return h.entry
 }
 
-func newOperator(s settings.Daemon, view *contract.View, editor *config.Editor, fleet *peer.Fleet, directory *upstream.Directory, events *event.Recorder, h *hooks) *operator.Server {
+func newOperator(s settings.Daemon, tables *platform.Client, view *contract.View, editor *config.Editor, fleet *peer.Fleet, directory *upstream.Directory, events *event.Recorder, h *hooks) *operator.Server {
+	rows := fleetview.NewReader(tables, s.UsageWindow())
 	return operator.NewServer(operator.Config{
 		VM:          s.VM,
 		TokenSHA256: s.OperatorTokenSHA256,
@@ -146,6 +179,9 @@
 		Editor:      editor,
 		Fleet:       fleet,
 		Upstreams:   directory.Load,
+		Leases:      rows,
+		Steps:       rows,
+		Usage:       rows,
 		Events:      events,
 		Advanced:    h.poke,
 	})
--- a/internal/daemon/wire.go
+++ b/internal/daemon/wire.go
@@ -11,7 +11,6 @@
 	"dogwoodpond/internal/service"
 	"dogwoodpond/internal/settings"
 	"dogwoodpond/internal/upstream"
-	"dogwoodpond/internal/usage"
 )
 
 // New assembles a daemon from its settings.
@@ -20,6 +19,7 @@
 		newLogger,
 		newRecorder,
 		newRegistry,
+		newMetrics,
 		newHooks,
 		newPlatform,
 		contract.NewView,
@@ -31,6 +31,7 @@
 		engine.NewClient,
 		service.NewClient,
 		newRunner,
+		newPeerMetrics,
 		peer.NewClient,
 		newGossip,
 		newPeerServer,
@@ -39,7 +40,7 @@
 		newEditor,
 		newClaims,
 		newRollouts,
-		usage.NewTally,
+		newMeter,
 		newEntry,
 		newOperator,
 		wire.Struct(new(Daemon), "*"),
--- a/internal/daemon/wire_gen.go
+++ b/internal/daemon/wire_gen.go
@@ -13,7 +13,6 @@
 	"dogwoodpond/internal/service"
 	"dogwoodpond/internal/settings"
 	"dogwoodpond/internal/upstream"
-	"dogwoodpond/internal/usage"
 )
 
 // Injectors from wire.go:
@@ -28,25 +27,27 @@
 	client := newPlatform(s)
 	directory := upstream.NewDirectory()
 	view := contract.NewView()
-	peerClient := peer.NewClient(recorder)
-	daemonHooks := newHooks()
-	gossip := newGossip(s, view, peerClient, recorder, daemonHooks)
-	syncer := newSyncer(s, client, gossip, view, recorder, daemonHooks)
+	registry := newRegistry()
+	metrics := newPeerMetrics(registry)
+	peerClient := peer.NewClient(recorder, metrics)
 	loads := upstream.NewLoads()
 	health := upstream.NewHealth(recorder)
-	registry := newRegistry()
-	scheduler := newScheduler(s, directory, loads, health, registry)
+	daemonHooks := newHooks()
+	scheduler := newScheduler(s, directory, loads, health, registry, daemonHooks)
+	gossip := newGossip(s, view, peerClient, recorder, scheduler, metrics, daemonHooks)
+	syncer := newSyncer(s, client, gossip, view, recorder, daemonHooks)
 	engineClient := engine.NewClient()
-	local := newRunner(view, scheduler, engineClient, recorder)
+	metricsMetrics := newMetrics(recorder, registry, directory)
+	local := newRunner(view, scheduler, engineClient, recorder, metricsMetrics)
 	server := newPeerServer(recorder, view, daemonHooks, local, gossip)
 	serviceClient := service.NewClient()
 	claims := newClaims(client)
 	manager := newRollouts(client, local, recorder)
-	tally := usage.NewTally()
-	entryServer := newEntry(view, syncer, local, scheduler, serviceClient, claims, manager, tally, recorder, registry, daemonHooks)
+	meter := newMeter(s, client, gossip, recorder)
+	entryServer := newEntry(view, syncer, local, scheduler, serviceClient, claims, manager, meter, recorder, registry, metricsMetrics, daemonHooks)
 	editor := newEditor(client, recorder)
 	fleet := peer.NewFleet(gossip, peerClient, view, recorder)
-	operatorServer := newOperator(s, view, editor, fleet, directory, recorder, daemonHooks)
+	operatorServer := newOperator(s, client, view, editor, fleet, directory, recorder, daemonHooks)
 	poller := newPoller(engineClient, loads, scheduler)
 	daemon := &Daemon{
 		settings:  s,
@@ -63,6 +64,7 @@
 		rollouts:  manager,
 		scheduler: scheduler,
 		poller:    poller,
+		meter:     meter,
 	}
 	return daemon, nil
 }
--- a/internal/fault/types.go
+++ b/internal/fault/types.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"time"
 )
@@ -45,6 +46,10 @@
 	CodeSpendingExceeded     Code = "spending_exceeded"
 	CodeSettingsInvalid      Code = "settings_invalid"
 	CodePeerUnavailable      Code = "peer_unavailable"
+	CodeKeyUnknown           Code = "key_unknown"
+	CodeRequestUnknown       Code = "request_unknown"
+	CodeEditPending          Code = "edit_pending"
+	CodeEditOutcomeUnknown   Code = "edit_outcome_unknown"
 )
 
 // Codes lists every code, for the check of the documents.
@@ -86,6 +91,10 @@
 	CodeSpendingExceeded,
 	CodeSettingsInvalid,
 	CodePeerUnavailable,
+	CodeKeyUnknown,
+	CodeRequestUnknown,
+	CodeEditPending,
+	CodeEditOutcomeUnknown,
 }
 
 // Internal reports a defect of the program itself, such as a recovered panic.
@@ -568,6 +577,11 @@
 	return fmt.Sprintf("settings: %s", joinFaults(e.Faults))
 }
 
+// Names reports whether a fault of the field is listed.
+func (e *SettingsInvalid) Names(field string) bool {
+	return slices.ContainsFunc(e.Faults, func(f SettingFault) bool { return f.Field == field })
+}
+
 // Code implements Failure.
 func (*SettingsInvalid) Code() Code { return CodeSettingsInvalid }
 
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -28,14 +28,16 @@
 
 // Client calls other VMs. It is safe for concurrent use.
 type Client struct {
-	events *event.Recorder
-	pool   *drpcpool.Pool[string, *drpcconn.Conn]
+	events  *event.Recorder
+	metrics *Metrics
+	pool    *drpcpool.Pool[string, *drpcconn.Conn]
 }
 
 // NewClient returns a client; Close frees its connections.
-func NewClient(events *event.Recorder) *Client {
+func NewClient(events *event.Recorder, metrics *Metrics) *Client {
 	return &Client{
-		events: events,
+		events:  events,
+		metrics: metrics,
 		pool: drpcpool.New[string, *drpcconn.Conn](drpcpool.Options{
 			Expiration:  idleTime,
 			KeyCapacity: idlePerPeer,
@@ -47,16 +49,16 @@
 func (c *Client) Close() error { return c.pool.Close() }
 
 func (c *Client) peer(ctx context.Context, address string) peerpb.DRPCPeerClient {
-	return peerpb.NewDRPCPeerClient(c.pool.Get(ctx, address, dial))
+	return peerpb.NewDRPCPeerClient(c.pool.Get(ctx, address, c.dial))
 }
 
-func dial(ctx context.Context, address string) (*drpcconn.Conn, error) {
+func (c *Client) dial(ctx context.Context, address string) (*drpcconn.Conn, error) {
 	dialer := net.Dialer{Timeout: dialTimeout}
 	raw, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
 	}
-	return drpcconn.New(raw), nil
+	return drpcconn.New(&countedConn{Conn: raw, bytes: c.metrics.bytes}), nil
 }
 
 func unavailable(address string) error {
