--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -41,9 +41,9 @@
 	entry     *entry.Server
 	operator  *operator.Server
 	rollouts  *rollout.Manager
+	meter     *usage.Meter
 	scheduler *dispatch.Scheduler
 	poller    *upstream.Poller
-	meter     *usage.Meter
 }
 
 const (
@@ -74,9 +74,9 @@
 	loops.Go(func() { d.syncer.Run(ctx) })
 	loops.Go(func() { d.gossip.Run(ctx) })
 	loops.Go(func() { d.pollLists(ctx) })
+	loops.Go(func() { d.meter.Run(ctx, d.flushPeriod) })
 	loops.Go(func() { d.scheduler.Run(ctx) })
 	loops.Go(func() { d.poller.Run(ctx) })
-	loops.Go(func() { d.meter.Run(ctx, d.flushPeriod) })
 	d.events.Emit(event.ProcessStarted, event.Subject{Detail: "dogwoodpondd"})
 
 	<-stop.Done()
--- a/internal/daemon/wire_gen.go
+++ b/internal/daemon/wire_gen.go
@@ -62,9 +62,9 @@
 		entry:     entryServer,
 		operator:  operatorServer,
 		rollouts:  manager,
+		meter:     meter,
 		scheduler: scheduler,
 		poller:    poller,
-		meter:     meter,
 	}
 	return daemon, nil
 }
