--- a/internal/daemon/wire.go
+++ b/internal/daemon/wire.go
@@ -32,6 +32,7 @@
 		engine.NewClient,
 		service.NewClient,
 		newRunner,
+		newPeerMetrics,
 		peer.NewClient,
 		newGossip,
 		newPeerServer,
--- a/internal/dispatch/metrics.go
+++ b/internal/dispatch/metrics.go
@@ -1,24 +1,15 @@
 package dispatch
 
-import (
-	"time"
+import "github.com/prometheus/client_golang/prometheus"
 
-	"github.com/prometheus/client_golang/prometheus"
-
-	"dogwoodpond/internal/fault"
-	"dogwoodpond/internal/platform"
-)
-
-// metrics are the counters of a Scheduler.
+// metrics are the counters of a Scheduler. Waits and work are measured around
+// it by the package metrics.
 type metrics struct {
-	waiting     *prometheus.GaugeVec
-	overcommit  *prometheus.GaugeVec
-	ejected     prometheus.Gauge
-	grants      *prometheus.CounterVec
-	shed        *prometheus.CounterVec
-	wait        *prometheus.HistogramVec
-	tokens      *prometheus.CounterVec
-	reclaimable *prometheus.CounterVec
+	waiting    *prometheus.GaugeVec
+	overcommit *prometheus.GaugeVec
+	ejected    prometheus.Gauge
+	grants     *prometheus.CounterVec
+	shed       *prometheus.CounterVec
 }
 
 // The values of the label place.
@@ -49,34 +40,13 @@
 			Name: "dogwoodpond_dispatch_shed_total",
 			Help: "Requests refused because a queue was full.",
 		}, []string{"account"}),
-		wait: prometheus.NewHistogramVec(prometheus.HistogramOpts{
-			Name:    "dogwoodpond_dispatch_wait_seconds",
-			Help:    "Time from a request's arrival in the queue to its place.",
-			Buckets: prometheus.ExponentialBuckets(0.001, 2, 16),
-		}, []string{"account"}),
-		tokens: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "dogwoodpond_dispatch_tokens_total",
-			Help: "Tokens generated for the account through this VM.",
-		}, []string{"account"}),
-		reclaimable: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "dogwoodpond_dispatch_reclaimable_tokens_total",
-			Help: "Tokens generated for the account on reclaimable upstreams through this VM.",
-		}, []string{"account"}),
 	}
 	if registerer != nil {
-		registerer.MustRegister(m.waiting, m.overcommit, m.ejected, m.grants, m.shed, m.wait, m.tokens, m.reclaimable)
+		registerer.MustRegister(m.waiting, m.overcommit, m.ejected, m.grants, m.shed)
 	}
 	return m
 }
 
-func (m *metrics) waited(w Work, d time.Duration, err error) {
-	if fault.Is[*fault.QueueFull](err) {
-		m.shed.WithLabelValues(string(w.Account)).Inc()
-		return
-	}
-	m.wait.WithLabelValues(string(w.Account)).Observe(d.Seconds())
-}
-
 func (m *metrics) granted(c candidate) {
 	place := placeOwn
 	if !c.own {
@@ -85,16 +55,6 @@
 	m.grants.WithLabelValues(place).Inc()
 }
 
-func (m *metrics) finished(w Work, u platform.Upstream, r Result) {
-	if w.Pool.Kind != platform.KindEngine {
-		return
-	}
-	m.tokens.WithLabelValues(string(w.Account)).Add(float64(r.Cost))
-	if u.Reclaimable {
-		m.reclaimable.WithLabelValues(string(w.Account)).Add(float64(r.Cost))
-	}
-}
-
 // pool shows the state of a pool; its lock is held.
 func (m *metrics) pool(p *poolQueue) {
 	beyond := 0
--- a/internal/dispatch/scheduler.go
+++ b/internal/dispatch/scheduler.go
@@ -98,11 +98,9 @@
 	}
 	p := s.pool(work.Pool)
 	t := &ticket{work: work, ready: make(chan outcome, 1)}
-	begun := time.Now()
 	p.enter(t)
 	select {
 	case o := <-t.ready:
-		s.metrics.waited(work, time.Since(begun), o.err)
 		return o.grant, o.err
 	case <-ctx.Done():
 		return s.giveUp(ctx, p, t)
