Leases with epochs, a guard and a hand-over wait

Cause: nothing could be in charge of anything yet; orders, reports and steps need one holder at a time.

Term from before the renewal was sent, silence of a whole term and a quarter on the contender's clock, epoch kept over releases, three candidates by rendezvous hash, others after three silent terms.

--- /dev/null
+++ b/internal/lease/lease_test.go
@@ -0,0 +1,107 @@
+package lease
+
+import (
+	"testing"
+	"time"
+
+	"dogwoodpond/internal/fault"
+)
+
+var testTiming = NewTiming(10 * time.Second)
+
+// A holder is paused just after it sent a renewal. If it counted its term from
+// the reply it would still act when another VM is already in charge, and the
+// platform would get orders from both.
+func TestHoldCountsFromBeforeTheRenewalWasSent(t *testing.T) {
+	start := time.Now()
+	hold := NewHold("a", testTiming, Record{Holder: "x", Epoch: 1}, 1, start)
+	next, version := hold.Renewal()
+	sentAt := start.Add(3 * time.Second)
+	hold.Renewed(next, version+1, sentAt)
+	if err := hold.CheckAt(sentAt.Add(testTiming.Term - 1)); err != nil {
+		t.Errorf("just before the end of the term: %v", err)
+	}
+	if err := hold.CheckAt(sentAt.Add(testTiming.Term)); !fault.Is[*fault.LeaseLost](err) {
+		t.Errorf("at the end of the term: %v, want lease lost", err)
+	}
+}
+
+// Replies to two renewals come back in the wrong order. The term must not
+// shrink to the older one, nor grow beyond the newer.
+func TestHoldKeepsTheNewestTerm(t *testing.T) {
+	start := time.Now()
+	hold := NewHold("a", testTiming, Record{Holder: "x", Epoch: 1}, 1, start)
+	hold.Renewed(Record{Holder: "x", Epoch: 1, Renewals: 2}, 3, start.Add(4*time.Second))
+	hold.Renewed(Record{Holder: "x", Epoch: 1, Renewals: 1}, 2, start.Add(2*time.Second))
+	if got, want := hold.Deadline(), start.Add(14*time.Second); !got.Equal(want) {
+		t.Errorf("deadline %v, want %v", got.Sub(start), want.Sub(start))
+	}
+}
+
+// A contender sees renewals go on and then stop. It must wait a whole term and
+// the margin from when it saw the last one, not from when it began to watch.
+func TestContenderWaitsForAWholeSilentTerm(t *testing.T) {
+	start := time.Now()
+	held := Record{Holder: "x", Epoch: 7}
+	c := NewContender("y", testTiming)
+	c.Observe(5, start)
+	renewed := start.Add(9 * time.Second)
+	c.Observe(6, renewed)
+	whole := testTiming.Term + testTiming.Margin
+	if wait := c.Wait(held, renewed.Add(whole-1), 0); wait != 1 {
+		t.Errorf("wait just before the end is %v, want 1ns", wait)
+	}
+	if wait := c.Wait(held, renewed.Add(whole), 0); wait > 0 {
+		t.Errorf("wait at the end is %v, want none", wait)
+	}
+	if got := c.Take(held); got.Epoch != 8 || got.Holder != "y" {
+		t.Errorf("Take = %+v", got)
+	}
+}
+
+// A lease is released and taken again. If the epoch began anew, a receiver
+// would take an old holder's order for the new holder's.
+func TestEpochRisesOverARelease(t *testing.T) {
+	hold := NewHold("a", testTiming, Record{Holder: "x", Epoch: 7}, 9, time.Now())
+	free, version := hold.Release()
+	if free.Holder != "" || free.Epoch != 7 || version != 9 {
+		t.Fatalf("Release = %+v at %d", free, version)
+	}
+	if got := NewContender("y", testTiming).Take(free).Epoch; got != 8 {
+		t.Errorf("next epoch %d, want 8", got)
+	}
+}
+
+// Another VM took the lease while a renewal was on its way. The row that the
+// holder then reads ends its hold for good, even if its own term still runs.
+func TestHoldEndsWhenTheRowShowsAnotherEpoch(t *testing.T) {
+	now := time.Now()
+	hold := NewHold("a", testTiming, Record{Holder: "x", Epoch: 1}, 1, now)
+	if !hold.Seen(Record{Holder: "x", Epoch: 1, Renewals: 1}, 2) {
+		t.Fatal("a renewal whose reply was lost ended the hold")
+	}
+	if hold.Seen(Record{Holder: "y", Epoch: 2}, 3) || hold.CheckAt(now) == nil {
+		t.Error("the hold goes on after another VM took the lease")
+	}
+	if hold.Seen(Record{Holder: "x", Epoch: 1}, 2) {
+		t.Error("an old row brought the hold back")
+	}
+}
+
+// VMs don't agree on the list of live VMs, but those with the same list must
+// agree on the candidates, or none or all of them contend.
+func TestRankIsAPermutationOfTheLiveVMs(t *testing.T) {
+	live := []string{"a", "b", "c", "d", "e"}
+	seen := map[int]bool{}
+	for _, vm := range live {
+		seen[Rank("lease", vm, live)] = true
+	}
+	for rank := range live {
+		if !seen[rank] {
+			t.Errorf("no VM has rank %d", rank)
+		}
+	}
+	if got := Rank("lease", "new", nil); got != 0 {
+		t.Errorf("rank with an empty list is %d, want 0", got)
+	}
+}
