--- a/internal/daemon/providers.go
+++ b/internal/daemon/providers.go
@@ -13,11 +13,14 @@
 	"dogwoodpond/internal/engine"
 	"dogwoodpond/internal/entry"
 	"dogwoodpond/internal/event"
+	"dogwoodpond/internal/fleetview"
 	"dogwoodpond/internal/generate"
+	"dogwoodpond/internal/metrics"
 	"dogwoodpond/internal/operator"
 	"dogwoodpond/internal/peer"
 	"dogwoodpond/internal/platform"
 	"dogwoodpond/internal/request"
+	"dogwoodpond/internal/retry"
 	"dogwoodpond/internal/rollout"
 	"dogwoodpond/internal/service"
 	"dogwoodpond/internal/settings"
@@ -55,12 +58,38 @@
 
 func newPlatform(s settings.Daemon) *platform.Client { return platform.NewClient(s.PlatformURL) }
 
-func newScheduler(s settings.Daemon, directory *upstream.Directory) *dispatch.Scheduler {
-	return dispatch.NewScheduler(s.FailureDomain, directory)
+// newMetrics comes before every part that emits events, so that all are counted.
+func newMetrics(events *event.Recorder, registry *prometheus.Registry, directory *upstream.Directory) *metrics.Metrics {
+	m := metrics.New(registry)
+	metrics.RegisterUpstreams(registry, directory.Load)
+	events.Observe(m.Observe)
+	return m
 }
 
-func newRunner(view *contract.View, scheduler *dispatch.Scheduler, engines *engine.Client, events *event.Recorder) *generate.Local {
-	return generate.NewLocal(view, scheduler, engines, events)
+func newRetries(registry *prometheus.Registry, events *event.Recorder) *retry.Policy {
+	return retry.NewPolicy(registry, events)
+}
+
+func newScheduler(s settings.Daemon, directory *upstream.Directory, loads *upstream.Loads, health *upstream.Health, registry *prometheus.Registry) *dispatch.Scheduler {
+	return dispatch.NewScheduler(dispatch.Config{
+		VM:            s.VM,
+		FailureDomain: s.FailureDomain,
+		Directory:     directory,
+		Loads:         loads,
+		Health:        health,
+		Registerer:    registry,
+	})
+}
+
+// loadPeriod is the period of the polls of an engine's load.
+const loadPeriod = 500 * time.Millisecond
+
+func newPoller(engines *engine.Client, loads *upstream.Loads, scheduler *dispatch.Scheduler) *upstream.Poller {
+	return upstream.NewPoller(engines, loads, loadPeriod, scheduler.Watched)
+}
+
+func newRunner(view *contract.View, scheduler *dispatch.Scheduler, engines *engine.Client, retries *retry.Policy, events *event.Recorder, m *metrics.Metrics) *generate.Local {
+	return generate.NewLocal(view, metrics.NewDispatcher(scheduler, m), engines, retries, events)
 }
 
 func newGossip(s settings.Daemon, view *contract.View, client *peer.Client, events *event.Recorder, h *hooks) *peer.Gossip {
@@ -90,6 +119,17 @@
 	return config.NewEditor(tables, time.Now, events)
 }
 
+func newMeter(s settings.Daemon, tables *platform.Client, gossip *peer.Gossip, events *event.Recorder) *usage.Meter {
+	return usage.NewMeter(usage.MeterConfig{
+		Tables:      tables,
+		Events:      events,
+		VM:          s.VM,
+		Incarnation: gossip.Incarnation(),
+		Now:         time.Now,
+		Length:      s.UsageWindow(),
+	})
+}
+
 func newClaims(tables *platform.Client) *request.Claims { return request.NewClaims(tables) }
 
 func newRollouts(tables *platform.Client, runner *generate.Local, events *event.Recorder) *rollout.Manager {
@@ -101,30 +141,34 @@
 	syncer *config.Syncer,
 	runner *generate.Local,
 	scheduler *dispatch.Scheduler,
+	retries *retry.Policy,
 	services *service.Client,
 	claims *request.Claims,
 	steps *rollout.Manager,
-	tally *usage.Tally,
+	meter *usage.Meter,
 	events *event.Recorder,
 	registry *prometheus.Registry,
+	m *metrics.Metrics,
 	h *hooks,
 ) *entry.Server {
 	h.entry = entry.NewServer(entry.Config{
 		View:       view,
 		Ager:       syncer,
 		Runner:     runner,
-		Dispatcher: scheduler,
+		Dispatcher: metrics.NewDispatcher(scheduler, m),
+		Retries:    retries,
 		Services:   services,
 		Claims:     claims,
 		Steps:      steps,
-		Usage:      tally,
+		Usage:      meter,
 		Events:     events,
 		Registry:   registry,
 	})
 	return h.entry
 }
 
-func newOperator(s settings.Daemon, view *contract.View, editor *config.Editor, fleet *peer.Fleet, directory *upstream.Directory, events *event.Recorder, h *hooks) *operator.Server {
+func newOperator(s settings.Daemon, tables *platform.Client, view *contract.View, editor *config.Editor, fleet *peer.Fleet, directory *upstream.Directory, events *event.Recorder, h *hooks) *operator.Server {
+	rows := fleetview.NewReader(tables, s.UsageWindow())
 	return operator.NewServer(operator.Config{
 		VM:          s.VM,
 		TokenSHA256: s.OperatorTokenSHA256,
@@ -132,6 +176,9 @@
 		Editor:      editor,
 		Fleet:       fleet,
 		Upstreams:   directory.Load,
+		Leases:      rows,
+		Steps:       rows,
+		Usage:       rows,
 		Events:      events,
 		Advanced:    h.poke,
 	})
--- a/internal/daemon/wire_gen.go
+++ b/internal/daemon/wire_gen.go
@@ -13,7 +13,6 @@
 	"dogwoodpond/internal/service"
 	"dogwoodpond/internal/settings"
 	"dogwoodpond/internal/upstream"
-	"dogwoodpond/internal/usage"
 )
 
 // Injectors from wire.go:
@@ -25,6 +24,7 @@
 		return nil, err
 	}
 	recorder := newRecorder(s, logger)
+	registry := newRegistry()
 	client := newPlatform(s)
 	directory := upstream.NewDirectory()
 	view := contract.NewView()
@@ -32,23 +32,28 @@
 	daemonHooks := newHooks()
 	gossip := newGossip(s, view, peerClient, recorder, daemonHooks)
 	syncer := newSyncer(s, client, gossip, view, recorder, daemonHooks)
-	scheduler := newScheduler(s, directory)
+	loads := upstream.NewLoads()
+	health := upstream.NewHealth(recorder)
+	scheduler := newScheduler(s, directory, loads, health, registry)
 	engineClient := engine.NewClient()
-	local := newRunner(view, scheduler, engineClient, recorder)
+	policy := newRetries(registry, recorder)
+	metrics := newMetrics(recorder, registry, directory)
+	local := newRunner(view, scheduler, engineClient, policy, recorder, metrics)
 	server := newPeerServer(recorder, view, daemonHooks, local, gossip)
 	serviceClient := service.NewClient()
 	claims := newClaims(client)
 	manager := newRollouts(client, local, recorder)
-	tally := usage.NewTally()
-	registry := newRegistry()
-	entryServer := newEntry(view, syncer, local, scheduler, serviceClient, claims, manager, tally, recorder, registry, daemonHooks)
+	meter := newMeter(s, client, gossip, recorder)
+	entryServer := newEntry(view, syncer, local, scheduler, policy, serviceClient, claims, manager, meter, recorder, registry, metrics, daemonHooks)
 	editor := newEditor(client, recorder)
 	fleet := peer.NewFleet(gossip, peerClient, view, recorder)
-	operatorServer := newOperator(s, view, editor, fleet, directory, recorder, daemonHooks)
+	operatorServer := newOperator(s, client, view, editor, fleet, directory, recorder, daemonHooks)
+	poller := newPoller(engineClient, loads, scheduler)
 	daemon := &Daemon{
 		settings:  s,
 		log:       logger,
 		events:    recorder,
+		registry:  registry,
 		platform:  client,
 		directory: directory,
 		syncer:    syncer,
@@ -58,6 +63,9 @@
 		entry:     entryServer,
 		operator:  operatorServer,
 		rollouts:  manager,
+		meter:     meter,
+		scheduler: scheduler,
+		poller:    poller,
 	}
 	return daemon, nil
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -17,6 +18,7 @@
 	"dogwoodpond/internal/event"
 	"dogwoodpond/internal/generate"
 	"dogwoodpond/internal/request"
+	"dogwoodpond/internal/retry"
 	"dogwoodpond/internal/sample"
 	"dogwoodpond/internal/service"
 	"dogwoodpond/internal/usage"
@@ -49,6 +51,7 @@
 	Ager       Ager
 	Runner     generate.Runner
 	Dispatcher dispatch.Dispatcher
+	Retries    *retry.Policy
 	Services   *service.Client
 	Claims     *request.Claims
 	Steps      Steps
@@ -62,6 +65,9 @@
 	Config
 	sessions *sessions
 	draining atomic.Bool
+	refusing atomic.Bool
+	// detached counts the keyed calls that outlive their callers.
+	detached sync.WaitGroup
 }
 
 // NewServer returns a server.
@@ -69,10 +75,19 @@
 	return &Server{Config: config, sessions: newSessions()}
 }
 
-// Drain makes /readyz answer 503, so that the balancer sends no more callers,
-// and refuses new work. Running requests go on.
+// Drain makes /readyz answer 503, so that the balancer sends no more callers.
+// Until Refuse is called new work is still served: the balancer looks only now
+// and then, and a caller whom it still sends here would else be refused because
+// of a planned stop.
 func (s *Server) Drain() { s.draining.Store(true) }
 
+// Refuse ends the notice that Drain began: new work is refused as not run.
+// Running requests go on.
+func (s *Server) Refuse() { s.refusing.Store(true) }
+
+// Wait waits for the calls that go on after their callers have left.
+func (s *Server) Wait() { s.detached.Wait() }
+
 // Draining reports whether Drain was called.
 func (s *Server) Draining() bool { return s.draining.Load() }
 
@@ -84,7 +99,11 @@
 	container.ServiceErrorHandler(s.unrouted)
 	container.Add(s.health())
 	container.Add(s.api())
-	return container
+	// Dispatch, not ServeHTTP: the container's own mux would answer some paths
+	// with a redirect in place of a route or a typed refusal.
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		container.Dispatch(&trackedWriter{ResponseWriter: w}, r)
+	})
 }
 
 func (s *Server) health() *restful.WebService {
--- a/internal/fault/types.go
+++ b/internal/fault/types.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"time"
 )
@@ -45,6 +46,10 @@
 	CodeSpendingExceeded     Code = "spending_exceeded"
 	CodeSettingsInvalid      Code = "settings_invalid"
 	CodePeerUnavailable      Code = "peer_unavailable"
+	CodeKeyUnknown           Code = "key_unknown"
+	CodeRequestUnknown       Code = "request_unknown"
+	CodeEditPending          Code = "edit_pending"
+	CodeEditOutcomeUnknown   Code = "edit_outcome_unknown"
 )
 
 // Codes lists every code, for the check of the documents.
@@ -86,6 +91,10 @@
 	CodeSpendingExceeded,
 	CodeSettingsInvalid,
 	CodePeerUnavailable,
+	CodeKeyUnknown,
+	CodeRequestUnknown,
+	CodeEditPending,
+	CodeEditOutcomeUnknown,
 }
 
 // Internal reports a defect of the program itself, such as a recovered panic.
@@ -128,15 +137,15 @@
 // Code implements Failure.
 func (*BodyTooLarge) Code() Code { return CodeBodyTooLarge }
 
-// RouteUnknown reports a path or method that the API does not have.
+// RouteUnknown reports a path or method that the API does not have. It does not
+// hold the path: a caller's mistake may have put a key there.
 type RouteUnknown struct {
 	Method string
-	Path   string
 }
 
 // Error implements error.
 func (e *RouteUnknown) Error() string {
-	return fmt.Sprintf("no route for %s %s", e.Method, e.Path)
+	return fmt.Sprintf("no route for this path with method %s", e.Method)
 }
 
 // Code implements Failure.
@@ -568,6 +577,11 @@
 	return fmt.Sprintf("settings: %s", joinFaults(e.Faults))
 }
 
+// Names reports whether a fault of the field is listed.
+func (e *SettingsInvalid) Names(field string) bool {
+	return slices.ContainsFunc(e.Faults, func(f SettingFault) bool { return f.Field == field })
+}
+
 // Code implements Failure.
 func (*SettingsInvalid) Code() Code { return CodeSettingsInvalid }
 
