--- a/internal/entry/services.go
+++ b/internal/entry/services.go
@@ -153,7 +153,7 @@
 func (s *Server) takeClaim(ctx context.Context, c caller, wanted wantedCall) (request.Claim, error) {
 	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
 	defer cancel()
-	claim, err := s.Claims.Take(ctx, c.contract.Account, wanted.idempotencyKey, request.Fingerprint(wanted.call))
+	claim, err := s.Claims.Take(ctx, c.contract.Account, wanted.idempotencyKey, request.Fingerprint(wanted.service, wanted.call))
 	if fault.Is[*fault.ClaimUnknown](err) || fault.Is[*fault.ClaimInProgress](err) {
 		return request.Claim{}, fault.WithExecution(err, fault.Unknown)
 	}
@@ -224,6 +224,8 @@
 		_ = s.Claims.Finish(ctx, claim, answer)
 	case fault.ExecutionOf(err) == fault.NotRun:
 		_ = s.Claims.Withdraw(ctx, claim)
+	default:
+		s.Claims.Leave(claim)
 	}
 }
 
