--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -39,6 +39,7 @@
 	entry     *entry.Server
 	operator  *operator.Server
 	rollouts  *rollout.Manager
+	history   *rollout.History
 }
 
 const (
@@ -69,6 +70,7 @@
 	loops.Go(func() { d.syncer.Run(ctx) })
 	loops.Go(func() { d.gossip.Run(ctx) })
 	loops.Go(func() { d.pollLists(ctx) })
+	loops.Go(func() { d.history.Run(ctx, stepSearchPeriod(d.gossip)) })
 	d.events.Emit(event.ProcessStarted, event.Subject{Detail: "dogwoodpondd"})
 
 	<-stop.Done()
--- a/internal/daemon/providers.go
+++ b/internal/daemon/providers.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"context"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -92,8 +93,64 @@
 
 func newClaims(tables *platform.Client) *request.Claims { return request.NewClaims(tables) }
 
-func newRollouts(tables *platform.Client, runner *generate.Local, events *event.Recorder) *rollout.Manager {
-	return rollout.NewManager(tables, runner, events)
+func newHistory(weights *platform.Client) *rollout.History { return rollout.NewHistory(weights) }
+
+func newRollouts(
+	s settings.Daemon,
+	tables *platform.Client,
+	runner *generate.Local,
+	scheduler *dispatch.Scheduler,
+	services *service.Client,
+	gossip *peer.Gossip,
+	client *peer.Client,
+	history *rollout.History,
+	view *contract.View,
+	events *event.Recorder,
+	registry *prometheus.Registry,
+) *rollout.Manager {
+	self := rollout.Worker{VM: s.VM, FailureDomain: s.FailureDomain, Runner: runner}
+	return rollout.NewManager(rollout.Config{
+		VM:         s.VM,
+		Tables:     tables,
+		Leases:     soleLeases{},
+		Workers:    rollout.NewFleet(self, gossip, client),
+		Versions:   history,
+		Scorer:     rollout.NewServiceScorer(view, scheduler, services),
+		View:       view,
+		Events:     events,
+		Registerer: registry,
+		Period:     stepSearchPeriod(gossip),
+	})
+}
+
+// soleLeases puts the VM that opened a step in charge of it for good.
+type soleLeases struct{}
+
+// Campaign implements rollout.Leases.
+func (soleLeases) Campaign(ctx context.Context, _ string, held func(context.Context, rollout.Guard) (bool, error)) error {
+	_, err := held(ctx, soleGuard{})
+	return err
+}
+
+type soleGuard struct{}
+
+// Check implements rollout.Guard.
+func (soleGuard) Check() error { return nil }
+
+// Epoch implements rollout.Guard.
+func (soleGuard) Epoch() uint64 { return 1 }
+
+// searchesPerSecond is how often all VMs together search the store for open
+// steps or read the weight store.
+const searchesPerSecond = 50
+
+// stepSearchPeriod returns the period of one VM, which grows with the fleet so
+// that the load on the platform does not.
+func stepSearchPeriod(gossip *peer.Gossip) func() time.Duration {
+	return func() time.Duration {
+		period := time.Duration(len(gossip.VMs())) * time.Second / searchesPerSecond
+		return max(time.Second, period)
+	}
 }
 
 func newEntry(
--- a/internal/daemon/wire.go
+++ b/internal/daemon/wire.go
@@ -35,6 +35,7 @@
 		newSyncer,
 		newEditor,
 		newClaims,
+		newHistory,
 		newRollouts,
 		usage.NewTally,
 		newEntry,
--- a/internal/daemon/wire_gen.go
+++ b/internal/daemon/wire_gen.go
@@ -38,9 +38,10 @@
 	server := newPeerServer(recorder, view, daemonHooks, local, gossip)
 	serviceClient := service.NewClient()
 	claims := newClaims(client)
-	manager := newRollouts(client, local, recorder)
-	tally := usage.NewTally()
+	history := newHistory(client)
 	registry := newRegistry()
+	manager := newRollouts(s, client, local, scheduler, serviceClient, gossip, peerClient, history, view, recorder, registry)
+	tally := usage.NewTally()
 	entryServer := newEntry(view, syncer, local, scheduler, serviceClient, claims, manager, tally, recorder, registry, daemonHooks)
 	editor := newEditor(client, recorder)
 	fleet := peer.NewFleet(gossip, peerClient, view, recorder)
@@ -58,6 +59,7 @@
 		entry:     entryServer,
 		operator:  operatorServer,
 		rollouts:  manager,
+		history:   history,
 	}
 	return daemon, nil
 }
--- a/internal/entry/steps.go
+++ b/internal/entry/steps.go
@@ -56,10 +56,7 @@
 	if err := validate.Struct(d); errors.As(err, &broken) {
 		return badField(broken[0].Namespace(), "must satisfy "+broken[0].Tag()+" "+broken[0].Param())
 	}
-	if len(d.Slots()) > sample.MaxSlots {
-		return badField("groups", "hold more than 2048 samples")
-	}
-	return nil
+	return d.Check()
 }
 
 func (s *Server) pullSamples(ctx context.Context, c caller, r *restful.Request, w *restful.Response) error {
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -33,6 +33,9 @@
 	SamplesDelivered Number = 1404
 	StepCompleted    Number = 1405
 	SampleRejected   Number = 1406
+	SamplesWithdrawn Number = 1407
+	SlotHedged       Number = 1408
+	WorkerFailed     Number = 1409
 
 	UpstreamEjected  Number = 1501
 	UpstreamRestored Number = 1502
@@ -72,11 +75,14 @@
 	{StreamResumed, zap.InfoLevel, "stream resumed", "A stream goes on at another upstream after Count tokens."},
 	{ClaimStored, zap.InfoLevel, "claim stored", "The claim of a non-idempotent request was stored before its dispatch."},
 	{StepOpened, zap.InfoLevel, "step opened", "A trainer opened the step."},
-	{StepOwned, zap.InfoLevel, "step owned", "The VM owns the step under its lease."},
+	{StepOwned, zap.InfoLevel, "step owned", "The VM owns the step under its lease of the epoch. Count slots already had a sample."},
 	{SamplesCommitted, zap.InfoLevel, "samples committed", "Count samples of the step were committed in one transaction."},
 	{SamplesDelivered, zap.InfoLevel, "samples delivered", "Count samples went to the trainer."},
-	{StepCompleted, zap.InfoLevel, "step completed", "Every slot of the step has a committed sample."},
+	{StepCompleted, zap.InfoLevel, "step completed", "Every slot of the step has a committed sample; Count is the highest number."},
 	{SampleRejected, zap.WarnLevel, "sample rejected", "A generated sample was stale or could not be attributed and is generated again."},
+	{SamplesWithdrawn, zap.WarnLevel, "samples withdrawn", "Count committed samples went stale before their trainer confirmed them; their slots are generated again."},
+	{SlotHedged, zap.InfoLevel, "slot hedged", "A straggling slot is generated a second time, on the peer; the first result counts."},
+	{WorkerFailed, zap.WarnLevel, "worker failed", "The peer did not answer a generation of the slot, which runs elsewhere."},
 	{UpstreamEjected, zap.WarnLevel, "upstream ejected", "The upstream failed too often and gets no work for a while."},
 	{UpstreamRestored, zap.InfoLevel, "upstream restored", "The upstream gets work again."},
 	{UpstreamLeaving, zap.InfoLevel, "upstream leaving", "The upstream is leaving and gets no new work."},
--- /dev/null
+++ b/internal/rollout/delivery.go
@@ -0,0 +1,144 @@
+package rollout
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"dogwoodpond/internal/contract"
+	"dogwoodpond/internal/event"
+	"dogwoodpond/internal/fault"
+	"dogwoodpond/internal/sample"
+)
+
+const (
+	// deliveryBatches is how many batches one answer holds at most.
+	deliveryBatches = 16
+	// pollPeriod is how often a waiting pull reads the progress.
+	pollPeriod = 100 * time.Millisecond
+)
+
+// Samples returns the samples after a number, in order and without gaps, and
+// waits up to wait for the first.
+//
+// The same number always has the same content, or a tombstone once the sample
+// went stale before the trainer confirmed it. The tombstone is in the store
+// before it is sent, so that no later answer of any VM holds the content.
+func (m *Manager) Samples(ctx context.Context, account contract.Account, step string, after int64, wait time.Duration) ([]sample.Sample, error) {
+	r := ref{account: account, step: step}
+	deadline := time.Now().Add(wait)
+	for {
+		progress, _, err := m.store.progress(ctx, r)
+		if err != nil {
+			return nil, err
+		}
+		if err := progress.CheckCursor(after); err != nil {
+			return nil, err
+		}
+		if progress.Committed > after {
+			return m.deliver(ctx, r, progress.Model, after)
+		}
+		if !time.Now().Before(deadline) {
+			return nil, nil
+		}
+		select {
+		case <-ctx.Done():
+			return nil, errors.WithStack(&fault.CallerGone{})
+		case <-time.After(pollPeriod):
+		}
+	}
+}
+
+// deliver reads and judges the samples after a number. The judgement rests on a
+// reading of the weight store that began after the pull: with an older one, a
+// sample could go out that a new version had made stale. Stale samples are
+// withdrawn first; then all are read and judged again, since time has passed.
+func (m *Manager) deliver(ctx context.Context, r ref, model string, after int64) ([]sample.Sample, error) {
+	for {
+		batches, err := m.store.batches(ctx, r, after, deliveryBatches)
+		if err != nil {
+			return nil, err
+		}
+		v, err := m.judge.prepare(ctx, r.account, model, time.Now())
+		if err != nil {
+			return nil, err
+		}
+		withdrawn, err := m.withdrawStale(ctx, r, batches, after, v)
+		if err != nil {
+			return nil, err
+		}
+		if !withdrawn {
+			return m.delivered(batches, after, v), nil
+		}
+	}
+}
+
+// withdrawStale withdraws what may not be passed on, and reports whether the
+// batches must be read again. Only samples after the cursor are looked at: the
+// trainer has those before it.
+func (m *Manager) withdrawStale(ctx context.Context, r ref, batches []batch, after int64, v verdict) (bool, error) {
+	stale := func(s sample.Sample) bool {
+		return s.Number > after && !s.Withdrawn && v.fresh(s) != nil
+	}
+	found := false
+	for _, b := range batches {
+		if !anySample(b.samples, stale) {
+			continue
+		}
+		found = true
+		count, err := m.store.withdraw(ctx, r, b, stale)
+		if fault.Is[*fault.PreconditionFailed](err) {
+			continue
+		}
+		if err != nil {
+			return false, err
+		}
+		if count == 0 {
+			// The trainer confirmed the samples since the pull began, so that
+			// this pull was given up by its caller.
+			return false, errors.WithStack(&fault.CallerGone{})
+		}
+		m.metrics.withdrawn.Add(float64(count))
+		m.events.Emit(event.SamplesWithdrawn, event.Subject{Account: string(r.account), Step: r.step, Count: int64(count)})
+		m.begin(r)
+	}
+	return found, nil
+}
+
+func anySample(samples []sample.Sample, match func(sample.Sample) bool) bool {
+	for _, s := range samples {
+		if match(s) {
+			return true
+		}
+	}
+	return false
+}
+
+// delivered returns the samples after the cursor and records their ages.
+func (m *Manager) delivered(batches []batch, after int64, v verdict) []sample.Sample {
+	var samples []sample.Sample
+	for _, b := range batches {
+		for _, s := range b.samples {
+			if s.Number <= after {
+				continue
+			}
+			samples = append(samples, s)
+			if !s.Withdrawn {
+				m.metrics.observe(v.age(s))
+			}
+		}
+	}
+	return samples
+}
+
+// Ack confirms the samples up to a number. They are never withdrawn after that
+// and never sent again.
+func (m *Manager) Ack(ctx context.Context, account contract.Account, step string, through int64) error {
+	r := ref{account: account, step: step}
+	_, err := m.store.update(ctx, r, func(p sample.Progress) (sample.Progress, bool, error) {
+		next := p.Ack(through)
+		return next, next.Acked != p.Acked, nil
+	})
+	return err
+}
--- a/internal/rollout/manager.go
+++ b/internal/rollout/manager.go
@@ -1,57 +1,124 @@
+// Package rollout runs steps: an owner, in charge under a lease, generates the
+// samples of a step's slots on many VMs and commits them; any VM delivers the
+// committed samples to the trainer.
 package rollout
 
 import (
-	"bytes"
 	"context"
-	"strings"
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
-	"github.com/google/uuid"
+	"github.com/prometheus/client_golang/prometheus"
 
 	"dogwoodpond/internal/contract"
 	"dogwoodpond/internal/event"
 	"dogwoodpond/internal/fault"
-	"dogwoodpond/internal/generate"
 	"dogwoodpond/internal/platform"
 	"dogwoodpond/internal/sample"
 )
 
+// Guard is asked directly before each write of an owner.
+type Guard interface {
+	// Check fails with *fault.LeaseLost when the lease is not held any more.
+	Check() error
+	// Epoch returns the fencing number.
+	Epoch() uint64
+}
+
+// Leases lets one VM at a time be in charge of a step.
+type Leases interface {
+	// Campaign tries to take the named lease until ctx ends, and calls held
+	// while it holds it, with a context that ends when the lease is lost. It
+	// returns when ctx ends or held reports that the work is done.
+	Campaign(ctx context.Context, name string, held func(ctx context.Context, g Guard) (done bool, err error)) error
+}
+
+// Config holds what a Manager is built from.
+type Config struct {
+	// VM names this VM.
+	VM         string
+	Tables     platform.Tables
+	Leases     Leases
+	Workers    Workers
+	Versions   Versions
+	Scorer     Scorer
+	View       *contract.View
+	Events     *event.Recorder
+	Registerer prometheus.Registerer
+	// Period returns the period of the search for open steps.
+	Period func() time.Duration
+	// WithoutHedging runs each slot once only; it is the baseline in
+	// measurements.
+	WithoutHedging bool
+}
+
 // Manager opens, owns and delivers steps on one VM.
 type Manager struct {
-	store  store
-	runner generate.Runner
-	events *event.Recorder
+	vm      string
+	store   store
+	leases  Leases
+	workers Workers
+	judge   judge
+	scorer  Scorer
+	events  *event.Recorder
+	metrics *metrics
+	period  func() time.Duration
+
+	withoutHedging bool
 
 	ctx    context.Context
 	cancel context.CancelFunc
-	owners sync.WaitGroup
+
+	mu        sync.Mutex
+	closed    bool
+	campaigns map[ref]campaign
+	running   sync.WaitGroup
+}
+
+// campaign is this VM's try to own a step.
+type campaign struct {
+	began  time.Time
+	cancel context.CancelFunc
 }
 
-// NewManager returns a manager; Close ends its owners.
-func NewManager(tables platform.Tables, runner generate.Runner, events *event.Recorder) *Manager {
+// NewManager returns a manager; Close ends its campaigns.
+func NewManager(c Config) *Manager {
 	ctx, cancel := context.WithCancel(context.Background())
-	return &Manager{store: store{tables: tables}, runner: runner, events: events, ctx: ctx, cancel: cancel}
+	return &Manager{
+		vm:             c.VM,
+		store:          store{tables: c.Tables},
+		leases:         c.Leases,
+		workers:        c.Workers,
+		judge:          judge{view: c.View, versions: c.Versions},
+		scorer:         c.Scorer,
+		events:         c.Events,
+		metrics:        newMetrics(c.Registerer),
+		period:         c.Period,
+		withoutHedging: c.WithoutHedging,
+		ctx:            ctx,
+		cancel:         cancel,
+		campaigns:      make(map[ref]campaign),
+	}
 }
 
-// Close ends the owners and waits for them.
+// Close ends the campaigns, which frees their leases, and waits for them.
 func (m *Manager) Close() {
+	m.mu.Lock()
+	m.closed = true
+	m.mu.Unlock()
 	m.cancel()
-	m.owners.Wait()
+	m.running.Wait()
 }
 
 // Open opens a step. A repeat with the same definition returns the step's
 // status; one with another fails with *fault.StepMismatch.
 func (m *Manager) Open(ctx context.Context, account contract.Account, step string, definition sample.Definition) (sample.Status, error) {
+	if err := definition.Check(); err != nil {
+		return sample.Status{}, err
+	}
 	r := ref{account: account, step: step}
-	row := stepRow{Definition: definition}
-	err := platform.CommitSurely(ctx, m.store.tables, platform.Txn{
-		Nonce:         platform.NewNonce(),
-		Preconditions: []platform.Precondition{{Key: r.stepKey()}},
-		Writes:        []platform.Write{{Key: r.stepKey(), Value: encode(row)}},
-	})
+	err := m.store.open(ctx, r, definition)
 	if fault.Is[*fault.PreconditionFailed](err) {
 		return m.reopen(ctx, r, definition)
 	}
@@ -59,161 +126,104 @@
 		return sample.Status{}, err
 	}
 	m.events.Emit(event.StepOpened, event.Subject{Account: string(account), Step: step})
-	m.owners.Go(func() { m.own(r, row) })
-	return status(r, row), nil
+	m.begin(r)
+	return status(r, sample.NewProgress(definition)), nil
 }
 
 func (m *Manager) reopen(ctx context.Context, r ref, definition sample.Definition) (sample.Status, error) {
-	row, _, err := m.store.read(ctx, r)
+	first, err := m.store.definition(ctx, r)
 	if err != nil {
 		return sample.Status{}, err
 	}
-	if !bytes.Equal(encode(row.Definition), encode(definition)) {
+	if !same(first, definition) {
 		return sample.Status{}, errors.WithStack(&fault.StepMismatch{Step: r.step})
 	}
-	return status(r, row), nil
-}
-
-func status(r ref, row stepRow) sample.Status {
-	return sample.Status{
-		Step:      r.step,
-		Slots:     len(row.Definition.Slots()),
-		Committed: row.Committed,
-		Acked:     row.Acked,
+	progress, _, err := m.store.progress(ctx, r)
+	if err != nil {
+		return sample.Status{}, err
 	}
+	return status(r, progress), nil
 }
 
-const (
-	// ownerWidth is how many slots an owner generates at once.
-	ownerWidth  = 64
-	samplePages = 256
-	waitPeriod  = 100 * time.Millisecond
-)
-
-// own generates every slot of a step and commits the samples.
-func (m *Manager) own(r ref, row stepRow) {
-	m.events.Emit(event.StepOwned, event.Subject{Account: string(r.account), Step: r.step})
-	places := make(chan struct{}, ownerWidth)
-	var running sync.WaitGroup
-	for _, slot := range row.Definition.Slots() {
-		places <- struct{}{}
-		running.Go(func() {
-			defer func() { <-places }()
-			m.fill(r, row.Definition, slot)
-		})
-	}
-	running.Wait()
+func status(r ref, p sample.Progress) sample.Status {
+	return sample.Status{Step: r.step, Slots: p.Slots, Filled: p.Count(), Committed: p.Committed, Acked: p.Acked}
 }
 
-// fill generates a slot's sample until one is committed.
-func (m *Manager) fill(r ref, definition sample.Definition, slot sample.Slot) {
-	for m.ctx.Err() == nil {
-		result, err := m.runner.Generate(m.ctx, generation(r, definition, slot), nil)
-		if err == nil {
-			err = m.commit(r, slot, result)
-		}
-		if err == nil {
+// Run looks for open steps once a period until ctx ends. A step whose owner
+// died, or that was opened on a VM that died, is found here by other VMs.
+func (m *Manager) Run(ctx context.Context) {
+	for {
+		// A failed search leaves the campaigns as they are.
+		_ = m.search(ctx)
+		select {
+		case <-ctx.Done():
 			return
+		case <-time.After(m.period()):
 		}
-		time.Sleep(fault.RetryAfterOf(err, waitPeriod))
 	}
 }
 
-func generation(r ref, definition sample.Definition, slot sample.Slot) generate.Request {
-	return generate.Request{
-		ID:        uuid.NewString(),
-		Account:   r.account,
-		Model:     definition.Model,
-		Adapter:   definition.Adapter,
-		Prompt:    slot.Prompt,
-		MaxTokens: definition.MaxTokens,
-		Seed:      int64(xxhash.Sum64String(r.step+"/"+slot.Name()) >> 1),
-		Priority:  generate.Rollout,
-		Group:     r.step + "/" + slot.Group,
-		Step:      r.step,
-		Slot:      slot.Name(),
+func (m *Manager) search(ctx context.Context) error {
+	began := time.Now()
+	open, err := m.store.openSteps(ctx)
+	if err != nil {
+		return err
 	}
-}
-
-// commit numbers and stores a sample; the first commit of a slot wins.
-func (m *Manager) commit(r ref, slot sample.Slot, result generate.Result) error {
-	for {
-		step, row, err := m.store.read(m.ctx, r)
-		if err != nil {
-			return err
-		}
-		step.Committed++
-		kept := sample.Sample{
-			Number: step.Committed,
-			Slot:   slot,
-			Text:   strings.Join(result.Tokens, ""),
-			Tokens: len(result.Tokens),
-			Spans:  result.Spans,
-		}
-		slotKey := r.slotPrefix() + slot.Name()
-		err = platform.CommitSurely(m.ctx, m.store.tables, platform.Txn{
-			Nonce: platform.NewNonce(),
-			Preconditions: []platform.Precondition{
-				{Key: slotKey},
-				{Key: row.Key, Version: row.Version},
-			},
-			Writes: []platform.Write{
-				{Key: slotKey, Value: encode(kept.Number)},
-				{Key: row.Key, Value: encode(step)},
-				{Key: r.sampleKey(kept.Number), Value: encode(kept)},
-			},
-		})
-		var lost *fault.PreconditionFailed
-		if errors.As(err, &lost) && lost.Row != slotKey {
-			continue
+	live := m.liveVMs()
+	wanted := make(map[ref]bool, len(open))
+	for _, r := range open {
+		wanted[r] = true
+		if isCandidate(r.path(), m.vm, live) {
+			m.begin(r)
 		}
-		if err == nil {
-			m.events.Emit(event.SamplesCommitted, event.Subject{Account: string(r.account), Step: r.step, Slot: slot.Name(), Count: 1})
-		}
-		if lost != nil {
-			return nil
-		}
-		return err
 	}
+	m.endOthers(wanted, began)
+	return nil
 }
 
-// Samples returns the committed samples after a number, and waits up to wait
-// for the first.
-func (m *Manager) Samples(ctx context.Context, account contract.Account, step string, after int64, wait time.Duration) ([]sample.Sample, error) {
-	r := ref{account: account, step: step}
-	if _, _, err := m.store.read(ctx, r); err != nil {
-		return nil, err
+func (m *Manager) liveVMs() []string {
+	workers := m.workers.Workers()
+	live := make([]string, 0, len(workers))
+	for _, w := range workers {
+		live = append(live, w.VM)
 	}
-	deadline := time.Now().Add(wait)
-	for {
-		samples, err := m.store.samples(ctx, r, after, samplePages)
-		if err != nil || len(samples) > 0 || !time.Now().Before(deadline) {
-			return samples, err
-		}
-		select {
-		case <-ctx.Done():
-			return nil, errors.WithStack(&fault.CallerGone{})
-		case <-time.After(waitPeriod):
+	return live
+}
+
+// endOthers ends the campaigns for steps that are not open any more. One that
+// began after the search did may be for a step that the search has missed.
+func (m *Manager) endOthers(wanted map[ref]bool, searched time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for r, c := range m.campaigns {
+		if !wanted[r] && c.began.Before(searched) {
+			c.cancel()
 		}
 	}
 }
 
-// Ack confirms the samples up to a number.
-func (m *Manager) Ack(ctx context.Context, account contract.Account, step string, through int64) error {
-	r := ref{account: account, step: step}
-	for {
-		kept, row, err := m.store.read(ctx, r)
-		if err != nil || kept.Acked >= through {
-			return err
-		}
-		kept.Acked = min(through, kept.Committed)
-		err = platform.CommitSurely(ctx, m.store.tables, platform.Txn{
-			Nonce:         platform.NewNonce(),
-			Preconditions: []platform.Precondition{{Key: row.Key, Version: row.Version}},
-			Writes:        []platform.Write{{Key: row.Key, Value: encode(kept)}},
-		})
-		if !fault.Is[*fault.PreconditionFailed](err) {
-			return err
-		}
+// begin campaigns for a step unless this VM already does.
+func (m *Manager) begin(r ref) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if _, running := m.campaigns[r]; running || m.closed {
+		return
 	}
+	ctx, cancel := context.WithCancel(m.ctx)
+	m.campaigns[r] = campaign{began: time.Now(), cancel: cancel}
+	m.running.Go(func() {
+		defer m.end(r)
+		defer cancel()
+		// The campaign's failure is told by the events of its lease; the next
+		// search begins another if the step is still open.
+		_ = m.leases.Campaign(ctx, r.leaseName(), func(ctx context.Context, g Guard) (bool, error) {
+			return m.own(ctx, r, g)
+		})
+	})
+}
+
+func (m *Manager) end(r ref) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	delete(m.campaigns, r)
 }
--- /dev/null
+++ b/internal/rollout/matrix_test.go
@@ -0,0 +1,117 @@
+package rollout
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"dogwoodpond/internal/contract"
+	"dogwoodpond/internal/sample"
+)
+
+// episode runs one step to its end while the first two VMs suffer faults and a
+// third stays well, and checks everything that the trainer and the store show.
+// It returns the calls that each VM made.
+func episode(t *testing.T, faultsA, faultsB map[int]testFault) (callsA, callsB []string) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, contract.Staleness{MaxVersions: 0, MaxSeconds: 3600})
+		defer c.stop()
+		a := c.start("vm-a", faultsA)
+		b := c.start("vm-b", faultsB)
+		c.start("vm-c", nil)
+		d := testStep(3, 3)
+		tr := newTrainer(c, "s", d)
+		tr.dropsReplies = true
+		tr.open(d)
+		tr.finish()
+		callsA, callsB = a.made(), b.made()
+		// What a paused VM still had in hand comes out after the step's end.
+		time.Sleep(2 * longPause)
+		checkStore(c, d)
+		if len(faultsA)+len(faultsB) == 0 && tr.tombstones == 0 {
+			t.Fatal("no sample went stale, so that the episode proves nothing about it")
+		}
+	})
+	return callsA, callsB
+}
+
+// checkStore checks a finished step's rows: numbers without gaps, and one
+// sample for each slot.
+func checkStore(c *cluster, d sample.Definition) {
+	c.t.Helper()
+	s := store{tables: c.tables}
+	r := ref{account: testAccount, step: "s"}
+	progress, _, err := s.progress(c.t.Context(), r)
+	if err != nil || !progress.Complete() {
+		c.t.Fatalf("progress %+v, %v", progress, err)
+	}
+	batches, err := s.batches(c.t.Context(), r, 0, sample.MaxSlots)
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	next := int64(1)
+	slots := make(map[string]bool)
+	for _, b := range batches {
+		for _, kept := range b.samples {
+			if kept.Number != next {
+				c.t.Fatalf("number %d follows %d", kept.Number, next-1)
+			}
+			next++
+			if !kept.Withdrawn && slots[kept.Slot.Name()] {
+				c.t.Fatalf("slot %s has two samples", kept.Slot.Name())
+			}
+			slots[kept.Slot.Name()] = slots[kept.Slot.Name()] || !kept.Withdrawn
+		}
+	}
+	if next != progress.Committed+1 || len(slots) != d.Count() {
+		c.t.Fatalf("%d numbers of %d, %d slots", next-1, progress.Committed, len(slots))
+	}
+}
+
+// Every call to the store is the point at which the owner's VM may die, lose a
+// reply, be refused, or be paused until another VM owns the step as well. The
+// trainer's replies get lost besides, and new weights make samples stale. It
+// must still get each slot's sample once, fresh, in numbers without gaps.
+func TestFaultAtEveryCall(t *testing.T) {
+	calls, _ := episode(t, nil, nil)
+	t.Logf("a run without faults makes %d calls", len(calls))
+	for at := range calls {
+		for f, name := range faultNames {
+			t.Run(fmt.Sprintf("%03d %s %s", at+1, calls[at], name), func(t *testing.T) {
+				episode(t, map[int]testFault{at + 1: f}, nil)
+			})
+		}
+	}
+}
+
+// A second VM takes over after the first one's fault at a write, and suffers a
+// fault of its own at a write.
+func TestPairsOfFaultsAtWrites(t *testing.T) {
+	calls, _ := episode(t, nil, nil)
+	for _, first := range writes(calls) {
+		for _, f := range []testFault{killAfter, pauseShort} {
+			faultsA := map[int]testFault{first: f}
+			_, callsB := episode(t, faultsA, nil)
+			for _, second := range writes(callsB) {
+				for g, name := range faultNames {
+					t.Run(fmt.Sprintf("%s at %d, then %s at %d", faultNames[f], first, name, second), func(t *testing.T) {
+						episode(t, faultsA, map[int]testFault{second: g})
+					})
+				}
+			}
+		}
+	}
+}
+
+// writes returns the numbers of the calls that write.
+func writes(calls []string) []int {
+	var numbers []int
+	for i, call := range calls {
+		if strings.HasPrefix(call, "commit ") {
+			numbers = append(numbers, i+1)
+		}
+	}
+	return numbers
+}
--- /dev/null
+++ b/internal/rollout/owner.go
@@ -0,0 +1,436 @@
+package rollout
+
+import (
+	"context"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/google/uuid"
+
+	"dogwoodpond/internal/event"
+	"dogwoodpond/internal/fault"
+	"dogwoodpond/internal/generate"
+	"dogwoodpond/internal/sample"
+)
+
+const (
+	// tickPeriod is the period of the owner's decisions.
+	tickPeriod = 50 * time.Millisecond
+	// commitPeriod is the shortest time between two commits of a step. What
+	// finishes meanwhile goes into the next commit.
+	commitPeriod = 100 * time.Millisecond
+	// reloadPeriod is how often an owner without commits reads the progress,
+	// to learn of withdrawn samples and of a successor.
+	reloadPeriod = time.Second
+	// workersPeriod is how often the list of workers is taken anew.
+	workersPeriod = 250 * time.Millisecond
+	// maxBatch and maxBatchBytes bound the samples of one commit; a single
+	// sample may be larger.
+	maxBatch      = 64
+	maxBatchBytes = 256 << 10
+	// scoringWidth is how many samples of a step are scored at once.
+	scoringWidth = 16
+	// commitRetry is the pause after a commit whose outcome is not known.
+	commitRetry = 250 * time.Millisecond
+)
+
+// finished is a generated sample on its way to its commit.
+type finished struct {
+	sample sample.Sample
+	prompt string
+}
+
+// outcome is what a run returned.
+type outcome struct {
+	run    *run
+	result generate.Result
+	err    error
+}
+
+// scored is what the scoring of a sample returned.
+type scored struct {
+	finished finished
+	err      error
+}
+
+// committed is what a commit, or a reading of the progress, returned.
+type committed struct {
+	batch    []finished
+	rejected []rejection
+	progress sample.Progress
+	count    int
+	err      error
+}
+
+// rejection is a sample that may not be committed.
+type rejection struct {
+	position int
+	err      error
+}
+
+// owner generates the samples of one step. One goroutine decides; generations,
+// scoring and commits run beside it and report to it.
+type owner struct {
+	*Manager
+	ref        ref
+	guard      Guard
+	definition sample.Definition
+	plan       *plan
+
+	outcomes chan outcome
+	scores   chan scored
+	commits  chan committed
+	// scoring holds a place for each sample that is being scored.
+	scoring chan struct{}
+	beside  sync.WaitGroup
+
+	// ready holds the samples that wait for the next commit.
+	ready []finished
+	// committing is true while a commit is under way.
+	committing bool
+	// commitAt is when the next commit may begin.
+	commitAt time.Time
+	// workersAt is when the list of workers is taken anew.
+	workersAt time.Time
+	// minimum is the oldest version whose samples are of use.
+	minimum int64
+}
+
+// own runs a step until every slot has a sample, and reports whether that is
+// so. It returns when ctx ends or another VM has become the owner.
+func (m *Manager) own(ctx context.Context, r ref, guard Guard) (bool, error) {
+	definition, err := m.store.definition(ctx, r)
+	if err != nil {
+		return false, err
+	}
+	progress, err := m.store.update(ctx, r, func(p sample.Progress) (sample.Progress, bool, error) {
+		next, err := p.Claim(r.leaseName(), guard.Epoch())
+		return next, next.Epoch != p.Epoch, err
+	})
+	if err != nil {
+		return false, err
+	}
+	m.events.Emit(event.StepOwned, event.Subject{
+		Account: string(r.account),
+		Step:    r.step,
+		Epoch:   guard.Epoch(),
+		Count:   int64(progress.Count()),
+	})
+	ctx, cancel := context.WithCancel(ctx)
+	o := &owner{
+		Manager:    m,
+		ref:        r,
+		guard:      guard,
+		definition: definition,
+		plan:       newPlan(r.step, definition, !m.withoutHedging),
+		outcomes:   make(chan outcome),
+		scores:     make(chan scored),
+		commits:    make(chan committed),
+		scoring:    make(chan struct{}, scoringWidth),
+	}
+	o.plan.reconcile(progress)
+	defer o.beside.Wait()
+	defer cancel()
+	return o.loop(ctx, progress)
+}
+
+func (o *owner) loop(ctx context.Context, progress sample.Progress) (bool, error) {
+	ticker := time.NewTicker(tickPeriod)
+	defer ticker.Stop()
+	for !progress.Complete() {
+		o.decide(ctx, time.Now())
+		select {
+		case <-ctx.Done():
+			return false, context.Cause(ctx)
+		case out := <-o.outcomes:
+			o.take(ctx, out, time.Now())
+		case s := <-o.scores:
+			o.takeScored(s, time.Now())
+		case c := <-o.commits:
+			if fault.Is[*fault.LeaseLost](c.err) {
+				return false, c.err
+			}
+			progress = o.takeCommitted(c, progress, time.Now())
+		case <-ticker.C:
+		}
+	}
+	o.events.Emit(event.StepCompleted, event.Subject{Account: string(o.ref.account), Step: o.ref.step, Count: progress.Committed})
+	return true, nil
+}
+
+// decide begins whatever can begin now.
+func (o *owner) decide(ctx context.Context, now time.Time) {
+	o.renewWorkers(now)
+	for _, r := range o.plan.starts(now) {
+		o.begin(ctx, r)
+	}
+	for _, r := range o.plan.hedges(now) {
+		o.metrics.hedges.Inc()
+		o.emitSlot(event.SlotHedged, r, "")
+		o.begin(ctx, r)
+	}
+	o.flush(ctx, now)
+}
+
+// renewWorkers takes the current list of workers once a period.
+func (o *owner) renewWorkers(now time.Time) {
+	if now.Before(o.workersAt) {
+		return
+	}
+	o.workersAt = now.Add(workersPeriod)
+	for _, gone := range o.plan.lanes.replace(o.ref.step, o.workers.Workers()) {
+		o.plan.dropLane(gone)
+	}
+}
+
+func (o *owner) emitSlot(n event.Number, r *run, detail string) {
+	o.events.Emit(n, event.Subject{
+		Account: string(o.ref.account),
+		Step:    o.ref.step,
+		Slot:    o.plan.slots[r.position].slot.Name(),
+		Peer:    r.lane.worker.VM,
+		Detail:  detail,
+	})
+}
+
+func (o *owner) begin(ctx context.Context, r *run) {
+	ctx, r.cancel = context.WithCancel(ctx)
+	request := o.generation(o.plan.slots[r.position].slot)
+	runner := r.lane.worker.Runner
+	o.beside.Go(func() {
+		result, err := runner.Generate(ctx, request, nil)
+		send(ctx, o.outcomes, outcome{run: r, result: result, err: err})
+	})
+}
+
+// send hands a report to the owner unless it has stopped listening or given
+// the work up.
+func send[T any](ctx context.Context, to chan<- T, report T) {
+	select {
+	case to <- report:
+	case <-ctx.Done():
+	}
+}
+
+func (o *owner) generation(slot sample.Slot) generate.Request {
+	return generate.Request{
+		ID:         uuid.NewString(),
+		Account:    o.ref.account,
+		Model:      o.definition.Model,
+		Adapter:    o.definition.Adapter,
+		Prompt:     slot.Prompt,
+		MaxTokens:  o.definition.MaxTokens,
+		Seed:       int64(xxhash.Sum64String(o.ref.step+"/"+slot.Name()) >> 1),
+		Priority:   generate.Rollout,
+		Group:      o.ref.step + "/" + slot.Group,
+		MinVersion: o.minimum,
+		Step:       o.ref.step,
+		Slot:       slot.Name(),
+	}
+}
+
+// take handles the end of a run.
+func (o *owner) take(ctx context.Context, out outcome, now time.Time) {
+	known, useful := o.plan.ended(out.run)
+	if !known {
+		return
+	}
+	out.run.cancel()
+	if out.err != nil {
+		o.takeFailure(out, now)
+		return
+	}
+	out.run.lane.succeeded()
+	if !useful {
+		return
+	}
+	slot := o.plan.slots[out.run.position].slot
+	f := finished{sample: sampleOf(slot, out.result), prompt: slot.Prompt}
+	o.plan.won(out.run, now)
+	if o.definition.Scorer == "" {
+		o.ready = append(o.ready, f)
+		return
+	}
+	o.beside.Go(func() { o.score(ctx, f) })
+}
+
+func sampleOf(slot sample.Slot, result generate.Result) sample.Sample {
+	s := sample.Sample{Slot: slot, Text: strings.Join(result.Tokens, ""), Tokens: len(result.Tokens)}
+	for _, span := range result.Spans {
+		s.Spans = append(s.Spans, sample.Span(span))
+	}
+	return s
+}
+
+// takeFailure finds out who is to blame for a failed run. A silent peer rests
+// as a whole; a full one gets less; else only the slot waits.
+func (o *owner) takeFailure(out outcome, now time.Time) {
+	l := out.run.lane
+	code := fault.CodeOf(out.err)
+	o.metrics.failures.WithLabelValues(string(code)).Inc()
+	switch code {
+	case fault.CodePeerUnavailable:
+		l.silent(now)
+		o.emitSlot(event.WorkerFailed, out.run, string(code))
+	case fault.CodeQueueFull, fault.CodeLimitExceeded, fault.CodeNoUpstream, fault.CodeDraining:
+		l.refused(now, fault.RetryAfterOf(out.err, 0))
+	default:
+		if s := &o.plan.slots[out.run.position]; s.phase == pending {
+			o.plan.again(out.run.position, now)
+		}
+	}
+}
+
+// score scores a sample until the service answers. The sample waits here, it is
+// not generated again: while the service is down, only time is lost.
+func (o *owner) score(ctx context.Context, f finished) {
+	select {
+	case o.scoring <- struct{}{}:
+	case <-ctx.Done():
+		return
+	}
+	defer func() { <-o.scoring }()
+	err := o.scoreUntil(ctx, &f)
+	send(ctx, o.scores, scored{finished: f, err: err})
+}
+
+// scoreUntil gives up only when the sample has become unfit to be committed.
+func (o *owner) scoreUntil(ctx context.Context, f *finished) error {
+	request := ScoreRequest{Step: o.ref.step, Slot: f.sample.Slot, Prompt: f.prompt, Text: f.sample.Text}
+	for rest := slotRestMin; ; rest = min(2*rest, slotRestMax) {
+		score, err := o.scorer.Score(ctx, o.ref.account, o.definition.Scorer, request)
+		if err == nil {
+			f.sample.Score = &score
+			return nil
+		}
+		o.metrics.failures.WithLabelValues("scoring_" + string(fault.CodeOf(err))).Inc()
+		select {
+		case <-ctx.Done():
+			return context.Cause(ctx)
+		case <-time.After(fault.RetryAfterOf(err, rest)):
+		}
+		v, err := o.judge.prepareFor(ctx, o.ref.account, o.definition.Model, []sample.Sample{f.sample})
+		if err != nil {
+			continue
+		}
+		if err := v.acceptable(f.sample); err != nil {
+			return err
+		}
+	}
+}
+
+func (o *owner) takeScored(s scored, now time.Time) {
+	if s.err != nil {
+		o.reject(rejection{position: s.finished.sample.Slot.Position, err: s.err}, now)
+		return
+	}
+	o.ready = append(o.ready, s.finished)
+}
+
+// reject has the slot of an unfit sample run again.
+func (o *owner) reject(r rejection, now time.Time) {
+	o.metrics.rejected.WithLabelValues(string(fault.CodeOf(r.err))).Inc()
+	o.events.Emit(event.SampleRejected, event.Subject{
+		Account: string(o.ref.account),
+		Step:    o.ref.step,
+		Slot:    o.plan.slots[r.position].slot.Name(),
+		Detail:  r.err.Error(),
+	})
+	o.plan.again(r.position, now)
+}
+
+// flush begins a commit of what is ready, or reads the progress when nothing
+// has been committed for a while.
+func (o *owner) flush(ctx context.Context, now time.Time) {
+	if o.committing || now.Before(o.commitAt) {
+		return
+	}
+	if len(o.ready) == 0 && now.Before(o.commitAt.Add(reloadPeriod)) {
+		return
+	}
+	batch := o.ready[:batchLength(o.ready)]
+	o.ready = o.ready[len(batch):]
+	o.committing = true
+	o.beside.Go(func() { send(ctx, o.commits, o.commit(ctx, batch)) })
+}
+
+func batchLength(ready []finished) int {
+	bytes := 0
+	for i, f := range ready {
+		bytes += len(f.sample.Text)
+		if i == maxBatch || (i > 0 && bytes > maxBatchBytes) {
+			return i
+		}
+	}
+	return len(ready)
+}
+
+// commit judges a batch and commits what passes, until no other writer of the
+// progress comes in between. Each try judges anew.
+func (o *owner) commit(ctx context.Context, batch []finished) committed {
+	c := committed{batch: batch}
+	for {
+		c.rejected = nil
+		var fit []sample.Sample
+		fit, c.rejected, c.err = o.judgeBatch(ctx, batch)
+		if c.err != nil {
+			return c
+		}
+		var numbered []sample.Sample
+		c.progress, numbered, c.err = o.store.commit(ctx, o.ref, o.guard, fit)
+		c.count = len(numbered)
+		if !fault.Is[*fault.PreconditionFailed](c.err) {
+			return c
+		}
+	}
+}
+
+func (o *owner) judgeBatch(ctx context.Context, batch []finished) (fit []sample.Sample, rejected []rejection, err error) {
+	if len(batch) == 0 {
+		return nil, nil, nil
+	}
+	all := make([]sample.Sample, 0, len(batch))
+	for _, f := range batch {
+		all = append(all, f.sample)
+	}
+	v, err := o.judge.prepareFor(ctx, o.ref.account, o.definition.Model, all)
+	if err != nil {
+		return nil, nil, err
+	}
+	for _, s := range all {
+		if err := v.acceptable(s); err != nil {
+			rejected = append(rejected, rejection{position: s.Slot.Position, err: err})
+			continue
+		}
+		fit = append(fit, s)
+	}
+	return fit, rejected, nil
+}
+
+// takeCommitted handles the end of a commit. After a failure the batch waits
+// for the next one: the progress tells by then whether it took effect after
+// all, so that nothing is committed twice.
+func (o *owner) takeCommitted(c committed, before sample.Progress, now time.Time) sample.Progress {
+	o.committing = false
+	o.commitAt = now.Add(commitPeriod)
+	if c.err != nil {
+		o.ready = append(c.batch, o.ready...)
+		o.commitAt = now.Add(fault.RetryAfterOf(c.err, commitRetry))
+		return before
+	}
+	for _, r := range c.rejected {
+		o.reject(r, now)
+	}
+	if c.count > 0 {
+		o.metrics.committed.Add(float64(c.count))
+		o.metrics.commits.Inc()
+		o.events.Emit(event.SamplesCommitted, event.Subject{Account: string(o.ref.account), Step: o.ref.step, Count: int64(c.count)})
+	}
+	o.plan.reconcile(c.progress)
+	if v, err := o.judge.known(o.ref.account, o.definition.Model); err == nil {
+		o.minimum = v.oldestUseful()
+	}
+	return c.progress
+}
--- /dev/null
+++ b/internal/rollout/owner_test.go
@@ -0,0 +1,395 @@
+package rollout
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"dogwoodpond/internal/contract"
+	"dogwoodpond/internal/fault"
+	"dogwoodpond/internal/generate"
+	"dogwoodpond/internal/sample"
+)
+
+// runStep runs one step on one VM to its end and returns the trainer.
+func runStep(c *cluster, d sample.Definition) *trainer {
+	c.start("vm-a", nil)
+	tr := newTrainer(c, "s", d)
+	tr.open(d)
+	tr.finish()
+	return tr
+}
+
+// An engine restarts in mid-stream or names no version for what it produced.
+// The sample must be generated again; delivered, it would teach the trainer
+// from tokens that nobody can attribute.
+func TestUnattributableSamplesRunAgain(t *testing.T) {
+	spoils := map[string]func(*generate.Result){
+		"no version":      func(r *generate.Result) { r.Spans[0].Version = 0 },
+		"never published": func(r *generate.Result) { r.Spans[0].Version = 99 },
+		"gap":             func(r *generate.Result) { r.Spans[0].Start = 1 },
+		"restart": func(r *generate.Result) {
+			r.Spans = []generate.Span{
+				{End: 4, Version: 1, Upstream: "e1", Incarnation: "i1"},
+				{Start: 4, End: testTokens, Version: 1, Upstream: "e1", Incarnation: "i2"},
+			}
+		},
+	}
+	for name, spoil := range spoils {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := newCluster(t, noBound)
+				defer c.stop()
+				c.engine.spoil = func(request generate.Request, run int, result *generate.Result) error {
+					if request.Slot == "g0.0" && run <= 2 {
+						spoil(result)
+					}
+					return nil
+				}
+				tr := runStep(c, testStep(2, 2))
+				if runs := c.engine.runs["g0.0"]; runs != 3 {
+					t.Errorf("the spoiled slot ran %d times", runs)
+				}
+				got := tr.taken["g0.0"]
+				if err := sample.Attribute(got.Slot, got.Tokens, got.Spans, 1); err != nil {
+					t.Error(err)
+				}
+			})
+		})
+	}
+}
+
+// An engine has loaded a version that was published a moment ago, which this VM
+// has not heard of yet. The sample is right and must not be thrown away.
+func TestJustPublishedVersionIsKnown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, noBound)
+		defer c.stop()
+		c.engine.spoil = func(request generate.Request, run int, _ *generate.Result) error {
+			if request.Slot == "g0.0" {
+				c.weights.publish()
+			}
+			return nil
+		}
+		c.engine.time = func(string, int) time.Duration { return 1530 * time.Millisecond }
+		runStep(c, testStep(2, 2))
+		for slot, runs := range c.engine.runs {
+			if runs != 1 {
+				t.Errorf("slot %s ran %d times", slot, runs)
+			}
+		}
+	})
+}
+
+// New weights come while samples wait for a slow trainer. They must not reach
+// it late, and the step must still become whole.
+func TestStaleBeforeDelivery(t *testing.T) {
+	bounds := map[string]contract.Staleness{
+		"versions": {MaxVersions: 1},
+		"seconds":  {MaxVersions: 1000, MaxSeconds: 30},
+	}
+	for name, bound := range bounds {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := newCluster(t, bound)
+				defer c.stop()
+				c.start("vm-a", nil)
+				d := testStep(3, 2)
+				tr := newTrainer(c, "s", d)
+				tr.open(d)
+				time.Sleep(5 * time.Second)
+				for range 2 {
+					c.weights.publish()
+					time.Sleep(20 * time.Second)
+				}
+				tr.finish()
+				if tr.tombstones != d.Count() {
+					t.Errorf("%d tombstones", tr.tombstones)
+				}
+			})
+		})
+	}
+}
+
+// A reply is lost, new weights come, and the trainer asks again. What it gets
+// now must be fresh, and the old sample must never come again; otherwise it
+// would be late, or the slot would come twice.
+func TestStaleAtRedelivery(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, contract.Staleness{MaxVersions: 0})
+		defer c.stop()
+		c.start("vm-a", nil)
+		c.start("vm-b", nil)
+		d := testStep(3, 2)
+		tr := newTrainer(c, "s", d)
+		tr.open(d)
+		time.Sleep(5 * time.Second)
+		lost := tr.pull()
+		c.weights.publish()
+		again := tr.pull()
+		if len(lost) != d.Count() || len(again) < d.Count() {
+			t.Fatalf("%d samples came, then %d", len(lost), len(again))
+		}
+		for i := range lost {
+			if again[i].Number != lost[i].Number || !again[i].Withdrawn || again[i].Text != "" || again[i].Spans != nil {
+				t.Errorf("%+v came again as %+v", lost[i], again[i])
+			}
+		}
+		tr.finish()
+	})
+}
+
+// The weight store is silent. Whether a sample is still fresh can't be said, so
+// that it must wait; it must be neither delivered nor thrown away.
+func TestWeightStoreDown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, contract.Staleness{MaxVersions: 0})
+		defer c.stop()
+		v := c.start("vm-a", nil)
+		d := testStep(2, 2)
+		tr := newTrainer(c, "s", d)
+		tr.open(d)
+		time.Sleep(5 * time.Second)
+		c.weights.setDown(true)
+		_, err := v.manager.Samples(t.Context(), testAccount, "s", 0, 0)
+		if !fault.Is[*fault.StoreUnavailable](err) {
+			t.Fatalf("gave %v", err)
+		}
+		c.weights.setDown(false)
+		tr.finish()
+		if tr.tombstones != 0 {
+			t.Errorf("%d tombstones", tr.tombstones)
+		}
+	})
+}
+
+// testScorer is a scoring service that is down at first.
+type testScorer struct {
+	upAt  time.Time
+	calls atomic.Int64
+}
+
+// Score implements Scorer.
+func (s *testScorer) Score(_ context.Context, _ contract.Account, _ string, request ScoreRequest) (float64, error) {
+	s.calls.Add(1)
+	time.Sleep(10 * time.Millisecond)
+	if time.Now().Before(s.upAt) {
+		return 0, errors.WithStack(&fault.UpstreamFailed{Upstream: "scorer", Reason: "down"})
+	}
+	return float64(len(request.Text)), nil
+}
+
+// The scoring service is down for a minute in mid-step. The step must only take
+// longer: no sample is lost, doubled, delivered without its score, or generated
+// a second time.
+func TestScorerDown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, noBound)
+		defer c.stop()
+		began := time.Now()
+		scorer := &testScorer{upAt: began.Add(time.Minute)}
+		c.scorer = scorer
+		d := testStep(10, 2)
+		d.Scorer = "judge"
+		tr := runStep(c, d)
+		for slot, s := range tr.taken {
+			if s.Score == nil || *s.Score != float64(len(s.Text)) {
+				t.Errorf("slot %s has score %v", slot, s.Score)
+			}
+			if c.engine.runs[slot] != 1 {
+				t.Errorf("slot %s was generated %d times", slot, c.engine.runs[slot])
+			}
+		}
+		if took := time.Since(began); took > 80*time.Second {
+			t.Errorf("the step took %s", took)
+		}
+		// Each waiting sample tries again at most every slotRestMax.
+		if calls := scorer.calls.Load(); calls > 400 {
+			t.Errorf("%d calls to the scorer", calls)
+		}
+	})
+}
+
+// Samples wait for a scoring service for so long that they go stale. They must
+// be generated again with the weights of the day.
+func TestStaleWhileScoring(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, contract.Staleness{MaxVersions: 0})
+		defer c.stop()
+		c.scorer = &testScorer{upAt: time.Now().Add(time.Minute)}
+		time.AfterFunc(30*time.Second, c.weights.publish)
+		d := testStep(2, 2)
+		d.Scorer = "judge"
+		tr := runStep(c, d)
+		for slot, s := range tr.taken {
+			if sample.OldestVersion(s.Spans) != 2 {
+				t.Errorf("slot %s has version %d", slot, sample.OldestVersion(s.Spans))
+			}
+		}
+	})
+}
+
+// peers is a list of workers that a test changes.
+type peers struct {
+	mu   sync.Mutex
+	list []Worker
+}
+
+// Workers implements Workers.
+func (p *peers) Workers() []Worker {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return append([]Worker(nil), p.list...)
+}
+
+func (p *peers) set(list ...Worker) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.list = list
+}
+
+// runnerFunc is a generate.Runner.
+type runnerFunc func(ctx context.Context, request generate.Request) (generate.Result, error)
+
+// Generate implements generate.Runner.
+func (f runnerFunc) Generate(ctx context.Context, request generate.Request, _ generate.Sink) (generate.Result, error) {
+	return f(ctx, request)
+}
+
+// A peer that works for the owner crashes, or freezes without a sign and drops
+// out of the platform's list later. Its slots must run elsewhere; a step would
+// hang on them for ever.
+func TestPeerFails(t *testing.T) {
+	ways := map[string]runnerFunc{
+		"crashes": func(context.Context, generate.Request) (generate.Result, error) {
+			return generate.Result{}, errors.WithStack(&fault.PeerUnavailable{VM: "vm-b"})
+		},
+		"freezes": func(ctx context.Context, _ generate.Request) (generate.Result, error) {
+			<-ctx.Done()
+			return generate.Result{}, errors.WithStack(&fault.CallerGone{})
+		},
+		"is full": func(context.Context, generate.Request) (generate.Result, error) {
+			return generate.Result{}, errors.WithStack(&fault.Remote{VM: "vm-b", RemoteCode: fault.CodeQueueFull, Wait: 2 * time.Second})
+		},
+		"drains": func(context.Context, generate.Request) (generate.Result, error) {
+			return generate.Result{}, errors.WithStack(&fault.Remote{VM: "vm-b", RemoteCode: fault.CodeDraining})
+		},
+	}
+	for name, way := range ways {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := newCluster(t, noBound)
+				c.withoutHedging = true
+				defer c.stop()
+				own := Worker{VM: "vm-a", FailureDomain: "a", Runner: c.engine}
+				var sent atomic.Int64
+				workers := &peers{}
+				workers.set(own, Worker{VM: "vm-b", FailureDomain: "b", Runner: runnerFunc(
+					func(ctx context.Context, request generate.Request) (generate.Result, error) {
+						sent.Add(1)
+						return way(ctx, request)
+					})})
+				c.workers = workers
+				c.start("vm-a", nil)
+				time.AfterFunc(10*time.Second, func() { workers.set(own) })
+				d := testStep(16, 2)
+				tr := newTrainer(c, "s", d)
+				tr.open(d)
+				tr.finish()
+				if sent.Load() == 0 {
+					t.Fatal("the peer got no work, so that its failure proves nothing")
+				}
+			})
+		})
+	}
+}
+
+// Engines of every failure domain must work on a step: an owner that kept its
+// slots to itself would leave most of the engines idle.
+func TestStepSpreadsOverVMs(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, noBound)
+		defer c.stop()
+		var mu sync.Mutex
+		got := make(map[string]int)
+		workers := &peers{}
+		for _, domain := range []string{"a", "b", "c"} {
+			for n := range 3 {
+				vm := fmt.Sprintf("vm-%s%d", domain, n)
+				workers.list = append(workers.list, Worker{VM: vm, FailureDomain: domain, Runner: runnerFunc(
+					func(ctx context.Context, request generate.Request) (generate.Result, error) {
+						mu.Lock()
+						got[domain]++
+						mu.Unlock()
+						return c.engine.Generate(ctx, request, nil)
+					})})
+			}
+		}
+		c.workers = workers
+		c.start("vm-a", nil)
+		d := testStep(64, 4)
+		tr := newTrainer(c, "s", d)
+		tr.open(d)
+		tr.finish()
+		for _, domain := range []string{"a", "b", "c"} {
+			if got[domain] < d.Count()/6 {
+				t.Errorf("failure domain %s ran %d of %d slots", domain, got[domain], d.Count())
+			}
+		}
+	})
+}
+
+// One slot sits on an engine that has become a hundred times slower. It holds
+// up the whole step, unless another engine runs it as well.
+func TestStragglerIsHedged(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, noBound)
+		defer c.stop()
+		c.start("vm-b", nil)
+		c.engine.time = func(slot string, run int) time.Duration {
+			if slot == "g5.1" && run == 1 {
+				return 100 * time.Second
+			}
+			return time.Second
+		}
+		began := time.Now()
+		runStep(c, testStep(10, 2))
+		if took := time.Since(began); took > 5*time.Second {
+			t.Errorf("the step took %s", took)
+		}
+		if runs := c.engine.runs["g5.1"]; runs != 2 {
+			t.Errorf("the straggler ran %d times", runs)
+		}
+	})
+}
+
+// Every engine is slow by turns, so that every slot looks like a straggler.
+// Hedging all of them would double the load of engines that are busy already.
+func TestHedgesStayWithinBudget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, noBound)
+		defer c.stop()
+		c.start("vm-b", nil)
+		c.engine.time = func(slot string, run int) time.Duration {
+			if slot == "g0.0" {
+				return time.Second
+			}
+			return 20 * time.Second
+		}
+		d := testStep(10, 2)
+		runStep(c, d)
+		runs := 0
+		for _, n := range c.engine.runs {
+			runs += n
+		}
+		if most := d.Count() * (100 + hedgePercent) / 100; runs <= d.Count() || runs > most {
+			t.Errorf("%d runs for %d slots", runs, d.Count())
+		}
+	})
+}
--- /dev/null
+++ b/internal/rollout/rollout_test.go
@@ -0,0 +1,167 @@
+package rollout
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"dogwoodpond/internal/contract"
+	"dogwoodpond/internal/fault"
+)
+
+var noBound = contract.Staleness{MaxVersions: 1000}
+
+// An owner dies in the middle of a step. Without another VM that takes over,
+// the trainer waits for ever; a VM that ran the whole step again would waste
+// the engines and could deliver a slot twice.
+func TestOwnerDies(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, noBound)
+		defer c.stop()
+		c.engine.time = func(slot string, _ int) time.Duration {
+			if slot == "g3.1" || slot == "g3.0" {
+				return 5 * time.Second
+			}
+			return time.Second
+		}
+		owner := c.start("vm-a", nil)
+		d := testStep(4, 2)
+		tr := newTrainer(c, "s", d)
+		tr.open(d)
+		c.start("vm-b", nil)
+		time.Sleep(2 * time.Second)
+		owner.kill()
+		tr.finish()
+		for slot, runs := range c.engine.runs {
+			want := 1
+			if slot == "g3.1" || slot == "g3.0" {
+				want = 2
+			}
+			if runs != want {
+				t.Errorf("slot %s ran %d times, want %d", slot, runs, want)
+			}
+		}
+	})
+}
+
+// A VM opens a step and dies before anybody else has heard of it. The trainer
+// has its answer and waits.
+func TestOpenerDiesAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, noBound)
+		defer c.stop()
+		opener := c.start("vm-a", nil)
+		d := testStep(2, 2)
+		tr := newTrainer(c, "s", d)
+		tr.open(d)
+		opener.kill()
+		c.start("vm-b", nil)
+		tr.finish()
+	})
+}
+
+// A step that is done must cost nothing more: a search that finds it for ever
+// would eat the store's reads as steps add up.
+func TestFinishedStepIsNotSearched(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, noBound)
+		defer c.stop()
+		v := c.start("vm-a", nil)
+		d := testStep(2, 2)
+		tr := newTrainer(c, "s", d)
+		tr.open(d)
+		tr.finish()
+		time.Sleep(3 * time.Second)
+		open, err := v.manager.store.openSteps(t.Context())
+		if err != nil || len(open) != 0 {
+			t.Fatalf("open steps: %v, %v", open, err)
+		}
+		if len(v.manager.campaigns) != 0 {
+			t.Fatalf("campaigns: %v", v.manager.campaigns)
+		}
+	})
+}
+
+// A trainer whose opening reply was lost opens the step again; one with a
+// mistake in its definition must not get another step's samples.
+func TestOpenIsIdempotent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, noBound)
+		defer c.stop()
+		v := c.start("vm-a", nil)
+		d := testStep(2, 2)
+		tr := newTrainer(c, "s", d)
+		tr.open(d)
+		tr.open(d)
+		tr.finish()
+		if _, err := v.manager.Open(t.Context(), testAccount, "s", testStep(2, 3)); !fault.Is[*fault.StepMismatch](err) {
+			t.Fatalf("another definition gave %v", err)
+		}
+		status, err := v.manager.Open(t.Context(), testAccount, "s", d)
+		if err != nil || status.Committed != 4 || status.Filled != 4 || status.Acked != 4 {
+			t.Fatalf("status %+v, %v", status, err)
+		}
+	})
+}
+
+// Another client account guesses a step's name. It must learn nothing of it,
+// whatever slashes either name holds.
+func TestStepsOfAccountsAreApart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, noBound)
+		defer c.stop()
+		v := c.start("vm-a", nil)
+		d := testStep(1, 1)
+		tr := newTrainer(c, "a/b", d)
+		tr.open(d)
+		tr.finish()
+		for _, other := range []ref{{"brazicod", "a/b"}, {testAccount + "/a", "b"}} {
+			if _, err := v.manager.Samples(t.Context(), other.account, other.step, 0, 0); !fault.Is[*fault.StepUnknown](err) {
+				t.Errorf("%v gave %v", other, err)
+			}
+		}
+	})
+}
+
+// A reply is lost on its way to the trainer, and the trainer asks again with
+// its old cursor, or restarts from it. It must get the identical samples.
+func TestRedeliveryIsIdentical(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, noBound)
+		defer c.stop()
+		c.start("vm-a", nil)
+		c.start("vm-b", nil)
+		d := testStep(8, 2)
+		tr := newTrainer(c, "s", d)
+		tr.open(d)
+		for len(tr.taken) < tr.wanted {
+			lost := tr.pull()
+			again := tr.pull()
+			for i := range lost {
+				if string(encode(lost[i])) != string(encode(again[i])) {
+					t.Fatalf("%+v came again as %+v", lost[i], again[i])
+				}
+			}
+			tr.take(again)
+			tr.ack()
+		}
+	})
+}
+
+// A trainer asks for samples that it has confirmed. They could be stale by now,
+// and a confirmed slot is not generated again.
+func TestCursorBeforeTheConfirmed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, noBound)
+		defer c.stop()
+		v := c.start("vm-a", nil)
+		d := testStep(2, 2)
+		tr := newTrainer(c, "s", d)
+		tr.open(d)
+		tr.finish()
+		if _, err := v.manager.Samples(context.Background(), testAccount, "s", 1, 0); !fault.Is[*fault.BadRequest](err) {
+			t.Fatalf("gave %v", err)
+		}
+	})
+}
--- a/internal/rollout/store.go
+++ b/internal/rollout/store.go
@@ -1,11 +1,12 @@
-// Package rollout runs steps: an owner generates the samples of a step's slots
-// and commits them; any VM delivers the committed samples to the trainer.
 package rollout
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
+	"net/url"
+	"strings"
 
 	"github.com/cockroachdb/errors"
 
@@ -21,55 +22,229 @@
 	step    string
 }
 
-func (r ref) stepKey() string { return fmt.Sprintf("step/%s/%s", r.account, r.step) }
+const openPrefix = "open/"
 
-func (r ref) slotPrefix() string { return fmt.Sprintf("slot/%s/%s/", r.account, r.step) }
+// path escapes both names, so that no step of one account can have the key of
+// another account's step.
+func (r ref) path() string {
+	return url.PathEscape(string(r.account)) + "/" + url.PathEscape(r.step)
+}
+
+func (r ref) stepKey() string { return "step/" + r.path() }
+
+func (r ref) progressKey() string { return "progress/" + r.path() }
 
-func (r ref) samplePrefix() string { return fmt.Sprintf("sample/%s/%s/", r.account, r.step) }
+func (r ref) openKey() string { return openPrefix + r.path() }
 
-func (r ref) sampleKey(number int64) string { return fmt.Sprintf("%s%06d", r.samplePrefix(), number) }
+func (r ref) batchPrefix() string { return "samples/" + r.path() + "/" }
 
-// stepRow is the value of a step's row.
-type stepRow struct {
-	Definition sample.Definition `json:"definition"`
-	Committed  int64             `json:"committed"`
-	Acked      int64             `json:"acked"`
+// batchKey names a batch by its last number, so that a scan after the key of a
+// cursor finds the first batch that holds a later sample.
+func (r ref) batchKey(last int64) string { return fmt.Sprintf("%s%08d", r.batchPrefix(), last) }
+
+func (r ref) leaseName() string { return "step/" + r.path() }
+
+// refOf reads the key of an open step.
+func refOf(openKey string) (ref, bool) {
+	account, step, found := strings.Cut(strings.TrimPrefix(openKey, openPrefix), "/")
+	accountName, err := url.PathUnescape(account)
+	if err != nil || !found {
+		return ref{}, false
+	}
+	stepName, err := url.PathUnescape(step)
+	return ref{account: contract.Account(accountName), step: stepName}, err == nil
 }
 
-// store reads and writes the rows of steps.
+// store reads and writes the rows of steps:
+//
+//	step/…      the definition, written once
+//	progress/…  the sample.Progress; every change replaces the version read
+//	samples/…/N a batch of samples whose last number is N
+//	open/…      present exactly while a slot has no sample
 type store struct {
 	tables platform.Tables
 }
 
-func (s store) read(ctx context.Context, r ref) (stepRow, platform.Row, error) {
-	row, err := s.tables.Get(ctx, r.stepKey())
+// open writes a new step and fails with *fault.PreconditionFailed if it exists.
+func (s store) open(ctx context.Context, r ref, definition sample.Definition) error {
+	return platform.CommitSurely(ctx, s.tables, platform.Txn{
+		Nonce:         platform.NewNonce(),
+		Preconditions: []platform.Precondition{{Key: r.stepKey()}},
+		Writes: []platform.Write{
+			{Key: r.stepKey(), Value: encode(definition)},
+			{Key: r.progressKey(), Value: encode(sample.NewProgress(definition))},
+			{Key: r.openKey(), Value: []byte{}},
+		},
+	})
+}
+
+// definition fails with *fault.StepUnknown for a step that was never opened.
+func (s store) definition(ctx context.Context, r ref) (sample.Definition, error) {
+	var definition sample.Definition
+	_, err := s.read(ctx, r, r.stepKey(), &definition)
+	return definition, err
+}
+
+// progress fails with *fault.StepUnknown for a step that was never opened.
+func (s store) progress(ctx context.Context, r ref) (sample.Progress, platform.Row, error) {
+	var progress sample.Progress
+	row, err := s.read(ctx, r, r.progressKey(), &progress)
+	return progress, row, err
+}
+
+func (s store) read(ctx context.Context, r ref, key string, into any) (platform.Row, error) {
+	row, err := s.tables.Get(ctx, key)
 	if err != nil {
-		return stepRow{}, row, err
+		return row, err
 	}
 	if !row.Exists() {
-		return stepRow{}, row, errors.WithStack(&fault.StepUnknown{Step: r.step})
+		return row, errors.WithStack(&fault.StepUnknown{Step: r.step})
+	}
+	return row, decode(row, into)
+}
+
+// update replaces the progress until no other writer comes in between.
+// change returns the new progress and whether anything has to be written.
+func (s store) update(ctx context.Context, r ref, change func(sample.Progress) (sample.Progress, bool, error)) (sample.Progress, error) {
+	for {
+		progress, row, err := s.progress(ctx, r)
+		if err != nil {
+			return progress, err
+		}
+		next, changed, err := change(progress)
+		if err != nil || !changed {
+			return progress, err
+		}
+		err = platform.CommitSurely(ctx, s.tables, platform.Txn{
+			Nonce:         platform.NewNonce(),
+			Preconditions: []platform.Precondition{{Key: row.Key, Version: row.Version}},
+			Writes:        []platform.Write{{Key: row.Key, Value: encode(next)}},
+		})
+		if !fault.Is[*fault.PreconditionFailed](err) {
+			return next, err
+		}
+	}
+}
+
+// commit numbers and writes samples in one transaction, and returns those that
+// it wrote. guard is asked directly before the write. The write replaces the
+// progress that it was decided on: whoever else commits, withdraws or claims in
+// between makes it fail with *fault.PreconditionFailed, and then nothing is
+// written.
+func (s store) commit(ctx context.Context, r ref, guard Guard, samples []sample.Sample) (sample.Progress, []sample.Sample, error) {
+	progress, row, err := s.progress(ctx, r)
+	if err != nil {
+		return progress, nil, err
+	}
+	next, numbered, err := progress.Commit(r.leaseName(), guard.Epoch(), samples)
+	if err != nil || len(numbered) == 0 {
+		return progress, nil, err
 	}
-	var step stepRow
-	err = decode(row, &step)
-	return step, row, err
+	txn := platform.Txn{
+		Nonce:         platform.NewNonce(),
+		Preconditions: []platform.Precondition{{Key: row.Key, Version: row.Version}},
+		Writes: []platform.Write{
+			{Key: r.batchKey(next.Committed), Value: encode(numbered)},
+			{Key: row.Key, Value: encode(next)},
+		},
+	}
+	if next.Complete() {
+		txn.Writes = append(txn.Writes, platform.Write{Key: r.openKey(), Delete: true})
+	}
+	if err := guard.Check(); err != nil {
+		return progress, nil, err
+	}
+	if err := platform.CommitSurely(ctx, s.tables, txn); err != nil {
+		return progress, nil, err
+	}
+	return next, numbered, nil
+}
+
+// batch is a row of committed samples.
+type batch struct {
+	row     platform.Row
+	samples []sample.Sample
 }
 
-func (s store) samples(ctx context.Context, r ref, after int64, limit int) ([]sample.Sample, error) {
-	rows, err := s.tables.Scan(ctx, r.samplePrefix(), r.sampleKey(after), limit)
+// batches returns the batches that hold samples after a number.
+func (s store) batches(ctx context.Context, r ref, after int64, limit int) ([]batch, error) {
+	rows, err := s.tables.Scan(ctx, r.batchPrefix(), r.batchKey(after), limit)
 	if err != nil {
 		return nil, err
 	}
-	samples := make([]sample.Sample, 0, len(rows))
+	batches := make([]batch, 0, len(rows))
 	for _, row := range rows {
-		var kept sample.Sample
-		if err := decode(row, &kept); err != nil {
+		b := batch{row: row}
+		if err := decode(row, &b.samples); err != nil {
 			return nil, err
 		}
-		samples = append(samples, kept)
+		batches = append(batches, b)
 	}
-	return samples, nil
+	return batches, nil
 }
 
+// withdraw replaces the samples of a batch that stale names by tombstones and
+// opens their slots again. It fails with *fault.PreconditionFailed when the
+// batch or the progress changed meanwhile.
+func (s store) withdraw(ctx context.Context, r ref, b batch, stale func(sample.Sample) bool) (int, error) {
+	progress, row, err := s.progress(ctx, r)
+	if err != nil {
+		return 0, err
+	}
+	count := 0
+	kept := append([]sample.Sample(nil), b.samples...)
+	for i, candidate := range kept {
+		if !stale(candidate) {
+			continue
+		}
+		next, did := progress.Withdraw(candidate)
+		if did {
+			progress, kept[i] = next, candidate.Tombstone()
+			count++
+		}
+	}
+	if count == 0 {
+		return 0, nil
+	}
+	return count, platform.CommitSurely(ctx, s.tables, platform.Txn{
+		Nonce: platform.NewNonce(),
+		Preconditions: []platform.Precondition{
+			{Key: b.row.Key, Version: b.row.Version},
+			{Key: row.Key, Version: row.Version},
+		},
+		Writes: []platform.Write{
+			{Key: b.row.Key, Value: encode(kept)},
+			{Key: row.Key, Value: encode(progress)},
+			{Key: r.openKey(), Value: []byte{}},
+		},
+	})
+}
+
+// openPage is how many open steps one scan reads.
+const openPage = 256
+
+// openSteps lists the steps with an empty slot.
+func (s store) openSteps(ctx context.Context) ([]ref, error) {
+	var open []ref
+	for after := ""; ; {
+		rows, err := s.tables.Scan(ctx, openPrefix, after, openPage)
+		if err != nil {
+			return nil, err
+		}
+		for _, row := range rows {
+			after = row.Key
+			if r, ok := refOf(row.Key); ok {
+				open = append(open, r)
+			}
+		}
+		if len(rows) < openPage {
+			return open, nil
+		}
+	}
+}
+
+func same(a, b sample.Definition) bool { return bytes.Equal(encode(a), encode(b)) }
+
 func decode(row platform.Row, into any) error {
 	if err := json.Unmarshal(row.Value, into); err != nil {
 		return errors.WithStack(&fault.Internal{Where: "row " + row.Key})
@@ -77,6 +252,7 @@
 	return nil
 }
 
+// encode can't fail: the types of this package hold nothing that JSON lacks.
 func encode(value any) []byte {
 	text, err := json.Marshal(value)
 	if err != nil {
--- /dev/null
+++ b/internal/rollout/workers.go
@@ -0,0 +1,73 @@
+package rollout
+
+import (
+	"context"
+
+	"dogwoodpond/internal/generate"
+	"dogwoodpond/internal/platform"
+)
+
+// Worker is a VM that runs generations for the owner of a step.
+type Worker struct {
+	VM            string
+	FailureDomain string
+	Runner        generate.Runner
+}
+
+// Workers lists the VMs that can work for an owner, the own VM first. The list
+// may lag behind.
+type Workers interface {
+	Workers() []Worker
+}
+
+// Members lists the VMs of the fleet; the list may lag behind.
+type Members interface {
+	VMs() []platform.VM
+}
+
+// Caller runs a generation on a peer. It fails with *fault.PeerUnavailable
+// when the peer does not answer, else with the peer's own failure.
+type Caller interface {
+	Generate(ctx context.Context, address string, request generate.Request) (generate.Result, error)
+}
+
+// Fleet gives an owner the own VM and its peers as workers. An owner without
+// peers works alone.
+type Fleet struct {
+	self    Worker
+	members Members
+	caller  Caller
+}
+
+// NewFleet returns the workers around the VM self.
+func NewFleet(self Worker, members Members, caller Caller) *Fleet {
+	return &Fleet{self: self, members: members, caller: caller}
+}
+
+// Workers implements Workers. Leaving VMs are left out: what they took on now
+// would delay their shutdown.
+func (f *Fleet) Workers() []Worker {
+	workers := []Worker{f.self}
+	for _, vm := range f.members.VMs() {
+		if vm.ID == f.self.VM || vm.State == platform.VMLeaving || vm.PeerAddress == "" {
+			continue
+		}
+		workers = append(workers, Worker{
+			VM:            vm.ID,
+			FailureDomain: vm.FailureDomain,
+			Runner:        peerRunner{address: vm.PeerAddress, caller: f.caller},
+		})
+	}
+	return workers
+}
+
+// peerRunner runs generations on one peer; the chunks of the stream stay there.
+type peerRunner struct {
+	address string
+	caller  Caller
+}
+
+// Generate implements generate.Runner.
+func (p peerRunner) Generate(ctx context.Context, request generate.Request, _ generate.Sink) (generate.Result, error) {
+	return p.caller.Generate(ctx, p.address, request)
+}
--- a/internal/standin/service.go
+++ b/internal/standin/service.go
@@ -5,6 +5,8 @@
 	"io"
 	"net/http"
 	"sync"
+
+	"dogwoodpond/internal/rollout"
 )
 
 // Service stands in for a plain service such as a deposit desk. Every POST
@@ -38,6 +40,7 @@
 		defer s.mu.Unlock()
 		writeJSON(w, http.StatusOK, s.counts)
 	})
+	mux.HandleFunc("POST "+rollout.PathScore, s.score)
 	mux.HandleFunc("/", s.serve)
 	return s.faults.wrap(mux)
 }
@@ -56,6 +59,17 @@
 	writeJSON(w, http.StatusOK, answer)
 }
 
+// score scores a sample by the length of its text.
+func (s *Service) score(w http.ResponseWriter, r *http.Request) {
+	var request rollout.ScoreRequest
+	if !readJSON(w, r, &request) {
+		return
+	}
+	s.count(r, request.Step+"/"+request.Slot.Name())
+	score := float64(len(request.Text))
+	writeJSON(w, http.StatusOK, rollout.ScoreReply{Score: &score})
+}
+
 func (s *Service) count(r *http.Request, body string) int64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/standin/trainer.go
+++ b/internal/standin/trainer.go
@@ -42,8 +42,14 @@
 	// Unattributed counts samples without a weight version for every token.
 	Unattributed int `json:"unattributed"`
 	// Wrong counts samples whose text is not the engine's answer.
-	Wrong  int     `json:"wrong"`
-	Millis float64 `json:"millis"`
+	Wrong int `json:"wrong"`
+	// Withdrawn counts tombstones of samples that went stale before they came.
+	Withdrawn int `json:"withdrawn"`
+	// Unscored counts samples without a score in a step that has a scorer.
+	Unscored int `json:"unscored"`
+	// IdleMillis is how long the trainer waited with nothing to train on.
+	IdleMillis float64 `json:"idleMillis"`
+	Millis     float64 `json:"millis"`
 }
 
 // Trainer pulls one step.
@@ -89,7 +95,9 @@
 		return t.result, err
 	}
 	for t.result.Samples < t.result.Wanted {
+		asked := time.Now()
 		body, err := t.call(ctx, http.MethodGet, fmt.Sprintf("%s/samples?after=%d&wait=5", route, t.after), nil)
+		t.result.IdleMillis += millisSince(asked)
 		if err != nil {
 			return t.result, err
 		}
@@ -100,10 +108,12 @@
 			return t.result, err
 		}
 	}
-	t.result.Millis = float64(time.Since(started).Microseconds()) / 1000
+	t.result.Millis = millisSince(started)
 	return t.result, nil
 }
 
+func millisSince(t time.Time) float64 { return float64(time.Since(t).Microseconds()) / 1000 }
+
 // call tries the entries in turn until one answers or ctx ends.
 func (t *Trainer) call(ctx context.Context, method, route string, body any) ([]byte, error) {
 	const pause = 100 * time.Millisecond
@@ -164,11 +174,18 @@
 }
 
 func (t *Trainer) check(got sample.Sample) {
-	t.result.Samples++
 	if got.Number != t.after+1 {
 		t.result.Gaps++
 	}
 	t.after = got.Number
+	if got.Withdrawn {
+		t.result.Withdrawn++
+		return
+	}
+	t.result.Samples++
+	if t.config.Scorer != "" && got.Score == nil {
+		t.result.Unscored++
+	}
 	if t.seen[got.Slot.Name()] {
 		t.result.Repeated++
 	}
