--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -26,6 +26,7 @@
 	"dogwoodpond/internal/operator"
 	"dogwoodpond/internal/platform"
 	"dogwoodpond/internal/platform/memory"
+	"dogwoodpond/internal/sample"
 	"dogwoodpond/internal/usage"
 )
 
@@ -286,7 +287,7 @@
 func TestStepsAndUsageShowRows(t *testing.T) {
 	b := newBench(t)
 	rows := map[string]any{
-		"step/strathallan/round-1":      json.RawMessage(`{"definition":{"model":"berry-1","groups":[{"samples":8},{"samples":4}]},"committed":5,"acked":3}`),
+		"progress/strathallan/round-1":  sample.Progress{Model: "berry-1", Slots: 12, Filled: []byte{0x1f, 0}, Committed: 5, Acked: 3},
 		"report/000000000001/brazicod":  usage.Report{Window: 1, Account: "brazicod", Figures: usage.Figures{Requests: 7, Tokens: 70}, Incomplete: true},
 		"lease/usage-reports":           json.RawMessage(`{"holder":"vm-3","epoch":12}`),
 		"report/000000000002/something": usage.Report{Window: 2, Account: "something"},
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -46,6 +46,7 @@
 	meter     *usage.Meter
 	scheduler *dispatch.Scheduler
 	poller    *upstream.Poller
+	history   *rollout.History
 }
 
 const (
@@ -79,6 +80,7 @@
 	loops.Go(func() { d.meter.Run(ctx, d.flushPeriod) })
 	loops.Go(func() { d.scheduler.Run(ctx) })
 	loops.Go(func() { d.poller.Run(ctx) })
+	loops.Go(func() { d.history.Run(ctx, stepSearchPeriod(d.gossip)) })
 	d.events.Emit(event.ProcessStarted, event.Subject{Detail: "dogwoodpondd"})
 
 	<-stop.Done()
--- a/internal/daemon/wire.go
+++ b/internal/daemon/wire.go
@@ -40,6 +40,8 @@
 		newSyncer,
 		newEditor,
 		newClaims,
+		newHistory,
+		newLeases,
 		newRollouts,
 		newMeter,
 		newEntry,
--- a/internal/daemon/wire_gen.go
+++ b/internal/daemon/wire_gen.go
@@ -43,9 +43,11 @@
 	server := newPeerServer(recorder, view, daemonHooks, local, gossip)
 	serviceClient := service.NewClient()
 	claims := newClaims(client)
-	manager := newRollouts(client, local, recorder)
+	history := newHistory(client)
+	manager := newLeases(s, client, gossip, recorder)
+	rolloutManager := newRollouts(s, client, local, scheduler, serviceClient, gossip, peerClient, history, manager, view, recorder, registry)
 	meter := newMeter(s, client, gossip, recorder)
-	entryServer := newEntry(view, syncer, local, scheduler, policy, serviceClient, claims, manager, meter, recorder, registry, metricsMetrics, daemonHooks)
+	entryServer := newEntry(view, syncer, local, scheduler, policy, serviceClient, claims, rolloutManager, meter, recorder, registry, metricsMetrics, daemonHooks)
 	editor := newEditor(client, recorder)
 	fleet := peer.NewFleet(gossip, peerClient, view, recorder)
 	operatorServer := newOperator(s, client, view, editor, fleet, directory, recorder, daemonHooks)
@@ -63,10 +65,11 @@
 		client:    peerClient,
 		entry:     entryServer,
 		operator:  operatorServer,
-		rollouts:  manager,
+		rollouts:  rolloutManager,
 		meter:     meter,
 		scheduler: scheduler,
 		poller:    poller,
+		history:   history,
 	}
 	return daemon, nil
 }
--- a/internal/request/claim_test.go
+++ b/internal/request/claim_test.go
@@ -15,7 +15,7 @@
 
 const (
 	farm    contract.Account = "farm"
-	deposit                  = "tree-17"
+	deposit string           = "tree-17"
 )
 
 var (
