Daemon: control loops under leases: weights, pools, upstreams, usage reports

Cause: the roll-out, the provisioner and the closer ran in no process. Change: package control campaigns for the failure domain's lease and for the reports' lease; demands come from the digests, scaled from the cell to the failure domain. Measured: make smoke: smoke: ok.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -15,6 +15,7 @@
 	"go.uber.org/zap"
 
 	"dogwoodpond/internal/config"
+	"dogwoodpond/internal/control"
 	"dogwoodpond/internal/dispatch"
 	"dogwoodpond/internal/entry"
 	"dogwoodpond/internal/event"
@@ -30,23 +31,24 @@
 
 // Daemon is one VM's process.
 type Daemon struct {
-	settings  settings.Daemon
-	log       *zap.Logger
-	events    *event.Recorder
-	registry  *prometheus.Registry
-	platform  *platform.Client
-	directory *upstream.Directory
-	syncer    *config.Syncer
-	gossip    *peer.Gossip
-	peers     *peer.Server
-	client    *peer.Client
-	entry     *entry.Server
-	operator  *operator.Server
-	rollouts  *rollout.Manager
-	meter     *usage.Meter
-	scheduler *dispatch.Scheduler
-	poller    *upstream.Poller
-	history   *rollout.History
+	settings   settings.Daemon
+	log        *zap.Logger
+	events     *event.Recorder
+	registry   *prometheus.Registry
+	platform   *platform.Client
+	directory  *upstream.Directory
+	syncer     *config.Syncer
+	gossip     *peer.Gossip
+	peers      *peer.Server
+	client     *peer.Client
+	entry      *entry.Server
+	operator   *operator.Server
+	rollouts   *rollout.Manager
+	meter      *usage.Meter
+	controller *control.Controller
+	scheduler  *dispatch.Scheduler
+	poller     *upstream.Poller
+	history    *rollout.History
 }
 
 const (
@@ -78,6 +80,7 @@
 	loops.Go(func() { d.gossip.Run(ctx) })
 	loops.Go(func() { d.pollLists(ctx) })
 	loops.Go(func() { d.meter.Run(ctx, d.flushPeriod) })
+	loops.Go(func() { d.controller.Run(ctx) })
 	loops.Go(func() { d.scheduler.Run(ctx) })
 	loops.Go(func() { d.poller.Run(ctx) })
 	loops.Go(func() { d.history.Run(ctx, stepSearchPeriod(d.gossip)) })
--- a/internal/daemon/wire.go
+++ b/internal/daemon/wire.go
@@ -6,7 +6,6 @@
 	"github.com/google/wire"
 
 	"dogwoodpond/internal/contract"
-	"dogwoodpond/internal/engine"
 	"dogwoodpond/internal/peer"
 	"dogwoodpond/internal/service"
 	"dogwoodpond/internal/settings"
@@ -29,7 +28,7 @@
 		newScheduler,
 		newRetries,
 		newPoller,
-		engine.NewClient,
+		newEngines,
 		service.NewClient,
 		newRunner,
 		newPeerMetrics,
@@ -43,6 +42,11 @@
 		newHistory,
 		newLeases,
 		newRollouts,
+		newRoller,
+		newMover,
+		newProvisioner,
+		newCloser,
+		newController,
 		newMeter,
 		newEntry,
 		newOperator,
--- a/internal/daemon/wire_gen.go
+++ b/internal/daemon/wire_gen.go
@@ -8,7 +8,6 @@
 
 import (
 	"dogwoodpond/internal/contract"
-	"dogwoodpond/internal/engine"
 	"dogwoodpond/internal/peer"
 	"dogwoodpond/internal/service"
 	"dogwoodpond/internal/settings"
@@ -36,7 +35,7 @@
 	scheduler := newScheduler(s, directory, loads, health, registry, daemonHooks)
 	gossip := newGossip(s, view, peerClient, recorder, scheduler, metrics, daemonHooks)
 	syncer := newSyncer(s, client, gossip, view, recorder, daemonHooks)
-	engineClient := engine.NewClient()
+	engineClient := newEngines(s)
 	policy := newRetries(registry, recorder)
 	metricsMetrics := newMetrics(recorder, registry, directory)
 	local := newRunner(view, scheduler, engineClient, policy, recorder, metricsMetrics)
@@ -51,25 +50,31 @@
 	editor := newEditor(client, recorder)
 	fleet := peer.NewFleet(gossip, peerClient, view, recorder)
 	operatorServer := newOperator(s, client, view, editor, fleet, directory, recorder, daemonHooks)
+	roller := newRoller(s, engineClient, recorder)
+	mover := newMover(engineClient, recorder)
+	provisioner := newProvisioner(s, client, recorder)
+	closer := newCloser(s, client, recorder, gossip, view)
+	controller := newController(s, manager, client, engineClient, view, directory, roller, mover, provisioner, closer, daemonHooks)
 	poller := newPoller(engineClient, loads, scheduler)
 	daemon := &Daemon{
-		settings:  s,
-		log:       logger,
-		events:    recorder,
-		registry:  registry,
-		platform:  client,
-		directory: directory,
-		syncer:    syncer,
-		gossip:    gossip,
-		peers:     server,
-		client:    peerClient,
-		entry:     entryServer,
-		operator:  operatorServer,
-		rollouts:  rolloutManager,
-		meter:     meter,
-		scheduler: scheduler,
-		poller:    poller,
-		history:   history,
+		settings:   s,
+		log:        logger,
+		events:     recorder,
+		registry:   registry,
+		platform:   client,
+		directory:  directory,
+		syncer:     syncer,
+		gossip:     gossip,
+		peers:      server,
+		client:     peerClient,
+		entry:      entryServer,
+		operator:   operatorServer,
+		rollouts:   rolloutManager,
+		meter:      meter,
+		controller: controller,
+		scheduler:  scheduler,
+		poller:     poller,
+		history:    history,
 	}
 	return daemon, nil
 }
--- /dev/null
+++ b/internal/dispatch/names.go
@@ -0,0 +1,9 @@
+package dispatch
+
+import "dogwoodpond/internal/contract"
+
+// AccountID returns the short name of a client account in FlowDemand.
+func AccountID(account contract.Account) uint32 { return hash32(string(account)) }
+
+// ID returns the short name of the pool in FlowDemand.
+func (p Pool) ID() uint32 { return p.hash() }
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -23,10 +23,10 @@
 	dialTimeout = time.Second
 	// maxEvent bounds one event of a stream in bytes.
 	maxEvent = 1 << 20
-	// OrderTimeout bounds one order; a take-over waits at least as long for
-	// engines that ignore fencing.
-	OrderTimeout = 10 * time.Second
-	loadTimeout  = time.Second
+	// DefaultOrderTimeout bounds one order; a take-over waits as long for engines
+	// that ignore fencing.
+	DefaultOrderTimeout = 10 * time.Second
+	loadTimeout         = time.Second
 	// maxLoad bounds a load report in bytes.
 	maxLoad = 1 << 16
 )
@@ -65,10 +65,17 @@
 			DisableCompression:  true,
 		}},
 		patience: patience,
-		orders:   fence.NewClient(dialTimeout, OrderTimeout),
+		orders:   fence.NewClient(dialTimeout, DefaultOrderTimeout),
 	}
 }
 
+// WithOrderTimeout returns the client with another bound of one order.
+func (c *Client) WithOrderTimeout(timeout time.Duration) *Client {
+	changed := *c
+	changed.orders = fence.NewClient(dialTimeout, timeout)
+	return &changed
+}
+
 // Stream runs one completion at the engine's address and hands each chunk to
 // sink in the order of the stream. It returns nil only after the terminal
 // event. Else it fails with *fault.UpstreamFailed, *fault.AnswerTruncated, or
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -53,6 +53,12 @@
 	UsageWindowSeconds int `json:"usageWindowSeconds" validate:"min=1,max=86400"`
 	// UsageFlushMillis is the shortest period of the usage flush. Default 1000.
 	UsageFlushMillis int `json:"usageFlushMillis" validate:"min=20,max=60000"`
+	// OrderTimeoutMillis bounds one order to an engine. A VM that takes over a
+	// failure domain waits as long before its first order. Default 10000.
+	OrderTimeoutMillis int `json:"orderTimeoutMillis" validate:"min=100,max=60000"`
+	// WeightLoadsPerSecond bounds how many loads of weights a failure domain
+	// starts in a second, for the weight store's sake. Default 20.
+	WeightLoadsPerSecond float64 `json:"weightLoadsPerSecond" validate:"gt=0,max=10000"`
 	// DrainSeconds bounds a graceful shutdown. Default 600.
 	DrainSeconds int `json:"drainSeconds" validate:"min=1,max=7200"`
 	// EventCapacity is the number of events kept for the time line. Default 4096.
@@ -64,14 +70,16 @@
 // Default returns the settings that hold where a file names none.
 func Default() Daemon {
 	return Daemon{
-		LeaseTermMillis:    10_000,
-		DigestPeriodMillis: 1_000,
-		RevisionPollMillis: 1_000,
-		UsageWindowSeconds: 300,
-		UsageFlushMillis:   1_000,
-		DrainSeconds:       600,
-		EventCapacity:      4096,
-		LogLevel:           "info",
+		LeaseTermMillis:      10_000,
+		DigestPeriodMillis:   1_000,
+		RevisionPollMillis:   1_000,
+		UsageWindowSeconds:   300,
+		UsageFlushMillis:     1_000,
+		OrderTimeoutMillis:   10_000,
+		WeightLoadsPerSecond: 20,
+		DrainSeconds:         600,
+		EventCapacity:        4096,
+		LogLevel:             "info",
 	}
 }
 
@@ -90,6 +98,9 @@
 // UsageWindow returns the length of a usage window.
 func (d Daemon) UsageWindow() time.Duration { return time.Duration(d.UsageWindowSeconds) * time.Second }
 
+// OrderTimeout returns the bound of one order to an engine.
+func (d Daemon) OrderTimeout() time.Duration { return millis(d.OrderTimeoutMillis) }
+
 // Drain returns the bound of a graceful shutdown.
 func (d Daemon) Drain() time.Duration { return time.Duration(d.DrainSeconds) * time.Second }
 
--- a/scripts/smoke.sh
+++ b/scripts/smoke.sh
@@ -84,7 +84,7 @@
     cat >"$work/$vm.json" <<J
 {"vm":"$vm","failureDomain":"$d","region":"tayside","callerAddress":"127.0.0.1:0","operatorAddress":"127.0.0.1:0",
  "peerAddress":"127.0.0.1:0","platformUrl":"$platform","operatorTokenSha256":"$token_hash","leaseTermMillis":2000,
- "digestPeriodMillis":200,"revisionPollMillis":500,"usageWindowSeconds":5}
+ "digestPeriodMillis":200,"revisionPollMillis":500,"usageWindowSeconds":5,"orderTimeoutMillis":1000}
 J
     "$ctl" settings check "$work/$vm.json" >/dev/null
     "$daemon" --settings "$work/$vm.json" 2>"$work/$vm.log" &
