Steps are taken over for real: the search runs, the smoke kills the owner

Cause: the daemon never ran the search for open steps, so that no VM but the opener ever contended for a step. The smoke killed a bystander and did not see it.

Change: the daemon runs the search; the smoke finds the step's owner in the time line, kills it in mid-step and wants another owner. Committed samples are billed by their owner. Metrics of steps carry their account, and trainers' idle time is measured at the pull.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -84,6 +84,7 @@
 	loops.Go(func() { d.scheduler.Run(ctx) })
 	loops.Go(func() { d.poller.Run(ctx) })
 	loops.Go(func() { d.history.Run(ctx, stepSearchPeriod(d.gossip)) })
+	loops.Go(func() { d.rollouts.Run(ctx) })
 	d.events.Emit(event.ProcessStarted, event.Subject{Detail: "dogwoodpondd"})
 
 	<-stop.Done()
--- a/internal/entry/steps.go
+++ b/internal/entry/steps.go
@@ -90,11 +90,22 @@
 		Request: c.requestID,
 		Account: string(c.contract.Account),
 		Step:    step,
-		Count:   int64(len(samples)),
+		Count:   whole(samples),
 	})
 	return nil
 }
 
+// whole counts the samples that are no tombstones.
+func whole(samples []sample.Sample) int64 {
+	count := int64(0)
+	for _, s := range samples {
+		if !s.Withdrawn {
+			count++
+		}
+	}
+	return count
+}
+
 // queryNumber reads a non-negative number; an absent one is 0.
 func queryNumber(r *restful.Request, name string) (int64, error) {
 	text := r.QueryParameter(name)
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -37,9 +37,6 @@
 	// by the decorator Dispatcher.
 	FailedWorkTokens *prometheus.CounterVec
 
-	// TrainerIdle counts the seconds that a trainer's pull waited for its first
-	// sample. To be fed by entry, once for each pull.
-	TrainerIdle *prometheus.CounterVec
 	// SamplesDelivered counts delivered samples. Fed by Observe.
 	SamplesDelivered *prometheus.CounterVec
 
@@ -89,7 +86,6 @@
 		WorkTokens:       b.counter("work_tokens_total", "Cost of all attempts in tokens, by whether the upstream is reclaimable.", labelAccount, labelReclaimable),
 		FailedWorkTokens: b.counter("failed_work_tokens_total", "The part of work_tokens_total whose attempt failed by the upstream's fault.", labelAccount, labelReclaimable),
 
-		TrainerIdle:      b.counter("trainer_idle_seconds_total", "Time that trainers' pulls waited for a sample.", labelAccount),
 		SamplesDelivered: b.counter("samples_delivered_total", "Samples sent to their trainer; a repeated pull counts again.", labelAccount),
 
 		UsageReports:    b.counter("usage_reports_total", "Usage reports that billing accepted.", labelAccount),
--- a/internal/rollout/delivery.go
+++ b/internal/rollout/delivery.go
@@ -27,7 +27,9 @@
 // before it is sent, so that no later answer of any VM holds the content.
 func (m *Manager) Samples(ctx context.Context, account contract.Account, step string, after int64, wait time.Duration) ([]sample.Sample, error) {
 	r := ref{account: account, step: step}
-	deadline := time.Now().Add(wait)
+	asked := time.Now()
+	deadline := asked.Add(wait)
+	defer func() { m.metrics.idle.WithLabelValues(string(account)).Add(time.Since(asked).Seconds()) }()
 	for {
 		progress, _, err := m.store.progress(ctx, r)
 		if err != nil {
@@ -69,7 +71,7 @@
 			return nil, err
 		}
 		if !withdrawn {
-			return m.delivered(batches, after, v), nil
+			return m.delivered(r, batches, after, v), nil
 		}
 	}
 }
@@ -99,7 +101,7 @@
 			// this pull was given up by its caller.
 			return false, errors.WithStack(&fault.CallerGone{})
 		}
-		m.metrics.withdrawn.Add(float64(count))
+		m.metrics.withdrawn.WithLabelValues(string(r.account)).Add(float64(count))
 		m.events.Emit(event.SamplesWithdrawn, event.Subject{Account: string(r.account), Step: r.step, Count: int64(count)})
 		m.begin(r)
 	}
@@ -116,7 +118,7 @@
 }
 
 // delivered returns the samples after the cursor and records their ages.
-func (m *Manager) delivered(batches []batch, after int64, v verdict) []sample.Sample {
+func (m *Manager) delivered(r ref, batches []batch, after int64, v verdict) []sample.Sample {
 	var samples []sample.Sample
 	for _, b := range batches {
 		for _, s := range b.samples {
@@ -125,7 +127,7 @@
 			}
 			samples = append(samples, s)
 			if !s.Withdrawn {
-				m.metrics.observe(v.age(s))
+				m.metrics.observe(r.account, v.age(s))
 			}
 		}
 	}
--- a/internal/rollout/harness_test.go
+++ b/internal/rollout/harness_test.go
@@ -21,6 +21,7 @@
 	"dogwoodpond/internal/platform"
 	"dogwoodpond/internal/platform/memory"
 	"dogwoodpond/internal/sample"
+	"dogwoodpond/internal/usage"
 )
 
 const (
@@ -388,6 +389,7 @@
 
 	mu   sync.Mutex
 	rows int
+	used usage.Figures
 }
 
 func (c *cluster) countWrites(rows int) {
@@ -396,6 +398,14 @@
 	c.rows += rows
 }
 
+// Add implements UsageRecorder.
+func (c *cluster) Add(_ contract.Account, figures usage.Figures) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.used.Requests += figures.Requests
+	c.used.Tokens += figures.Tokens
+}
+
 // written returns how many rows the VMs wrote.
 func (c *cluster) written() int {
 	c.mu.Lock()
@@ -444,6 +454,7 @@
 		Workers:        v,
 		Versions:       history,
 		Scorer:         c.scorer,
+		Usage:          c,
 		View:           c.view,
 		Events:         event.NewRecorder(name, 4096, event.NewClock(time.Now), zap.NewNop()),
 		Registerer:     prometheus.NewRegistry(),
--- a/internal/rollout/manager.go
+++ b/internal/rollout/manager.go
@@ -16,6 +16,7 @@
 	"dogwoodpond/internal/fault"
 	"dogwoodpond/internal/platform"
 	"dogwoodpond/internal/sample"
+	"dogwoodpond/internal/usage"
 )
 
 // Guard is asked directly before each write of an owner.
@@ -34,6 +35,11 @@
 	Campaign(ctx context.Context, name string, held func(ctx context.Context, g Guard) (done bool, err error)) error
 }
 
+// UsageRecorder counts what an account used.
+type UsageRecorder interface {
+	Add(account contract.Account, figures usage.Figures)
+}
+
 // Config holds what a Manager is built from.
 type Config struct {
 	// VM names this VM.
@@ -43,6 +49,7 @@
 	Workers    Workers
 	Versions   Versions
 	Scorer     Scorer
+	Usage      UsageRecorder
 	View       *contract.View
 	Events     *event.Recorder
 	Registerer prometheus.Registerer
@@ -61,6 +68,7 @@
 	workers Workers
 	judge   judge
 	scorer  Scorer
+	usage   UsageRecorder
 	events  *event.Recorder
 	metrics *metrics
 	period  func() time.Duration
@@ -92,6 +100,7 @@
 		workers:        c.Workers,
 		judge:          judge{view: c.View, versions: c.Versions},
 		scorer:         c.Scorer,
+		usage:          c.Usage,
 		events:         c.Events,
 		metrics:        newMetrics(c.Registerer),
 		period:         c.Period,
--- a/internal/rollout/owner.go
+++ b/internal/rollout/owner.go
@@ -13,6 +13,7 @@
 	"dogwoodpond/internal/fault"
 	"dogwoodpond/internal/generate"
 	"dogwoodpond/internal/sample"
+	"dogwoodpond/internal/usage"
 )
 
 const (
@@ -60,7 +61,8 @@
 	batch    []finished
 	rejected []rejection
 	progress sample.Progress
-	count    int
+	// numbered are the samples that were written.
+	numbered []sample.Sample
 	err      error
 }
 
@@ -167,7 +169,7 @@
 		o.begin(ctx, r)
 	}
 	for _, r := range o.plan.hedges(now) {
-		o.metrics.hedges.Inc()
+		o.metrics.hedges.WithLabelValues(string(o.ref.account)).Inc()
 		o.emitSlot(event.SlotHedged, r, "")
 		o.begin(ctx, r)
 	}
@@ -378,9 +380,7 @@
 		if c.err != nil {
 			return c
 		}
-		var numbered []sample.Sample
-		c.progress, numbered, c.err = o.store.commit(ctx, o.ref, o.guard, fit)
-		c.count = len(numbered)
+		c.progress, c.numbered, c.err = o.store.commit(ctx, o.ref, o.guard, fit)
 		if !fault.Is[*fault.PreconditionFailed](c.err) {
 			return c
 		}
@@ -423,10 +423,8 @@
 	for _, r := range c.rejected {
 		o.reject(r, now)
 	}
-	if c.count > 0 {
-		o.metrics.committed.Add(float64(c.count))
-		o.metrics.commits.Inc()
-		o.events.Emit(event.SamplesCommitted, event.Subject{Account: string(o.ref.account), Step: o.ref.step, Count: int64(c.count)})
+	if len(c.numbered) > 0 {
+		o.account(c.numbered)
 	}
 	o.plan.reconcile(c.progress)
 	if v, err := o.judge.known(o.ref.account, o.definition.Model); err == nil {
@@ -434,3 +432,18 @@
 	}
 	return c.progress
 }
+
+// account counts committed samples, for the metrics and for billing. Only the
+// tokens of committed samples count: what hedges, failures and rejections cost
+// besides is the system's own.
+func (o *owner) account(samples []sample.Sample) {
+	account := string(o.ref.account)
+	tokens := int64(0)
+	for _, s := range samples {
+		tokens += int64(s.Tokens)
+	}
+	o.usage.Add(o.ref.account, usage.Figures{Requests: int64(len(samples)), Tokens: tokens})
+	o.metrics.committed.WithLabelValues(account).Add(float64(len(samples)))
+	o.metrics.commits.WithLabelValues(account).Inc()
+	o.events.Emit(event.SamplesCommitted, event.Subject{Account: account, Step: o.ref.step, Count: int64(len(samples))})
+}
--- a/internal/rollout/rollout_test.go
+++ b/internal/rollout/rollout_test.go
@@ -8,6 +8,7 @@
 
 	"dogwoodpond/internal/contract"
 	"dogwoodpond/internal/fault"
+	"dogwoodpond/internal/usage"
 )
 
 var noBound = contract.Staleness{MaxVersions: 1000}
@@ -149,6 +150,30 @@
 	})
 }
 
+// A step's samples are billed like other requests. Hedges and failed attempts
+// are the system's own affair: on the customer's bill they would be wrong.
+func TestCommittedSamplesAreBilledOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, noBound)
+		defer c.stop()
+		c.start("vm-a", nil)
+		c.start("vm-b", nil)
+		c.engine.time = func(slot string, run int) time.Duration {
+			if slot == "g5.1" && run == 1 {
+				return 100 * time.Second
+			}
+			return time.Second
+		}
+		d := testStep(10, 2)
+		tr := newTrainer(c, "s", d)
+		tr.open(d)
+		tr.finish()
+		if want := (usage.Figures{Requests: 20, Tokens: 20 * testTokens}); c.used != want {
+			t.Fatalf("usage is %+v, want %+v", c.used, want)
+		}
+	})
+}
+
 // A trainer asks for samples that it has confirmed. They could be stale by now,
 // and a confirmed slot is not generated again.
 func TestCursorBeforeTheConfirmed(t *testing.T) {
--- a/scripts/smoke.sh
+++ b/scripts/smoke.sh
@@ -1,7 +1,7 @@
 #!/usr/bin/env bash
 # Runs the whole path on loopback: a platform, engines and services, and 9
 # daemons in 3 failure domains; then a contract, a key, a generate call, a keyed
-# service call and a step of grouped samples, with one daemon killed in the
+# service call and a step of grouped samples, with its owner killed in the
 # middle of the step.
 #   --end   ends by itself and fails on any difference from the expected counts
 #   --stay  stays up until Ctrl-C
@@ -94,6 +94,7 @@
   done
 done
 operator=
+declare -A vm_operator
 for vm in "${vms[@]}"; do
   await "$work/$vm.log" 'callers=.* operators=.* peers='
   bound=$(grep -oE 'callers=[^ "]+ operators=[^ "]+ peers=[^ "]+' "$work/$vm.log" | head -1)
@@ -102,6 +103,7 @@
   peers=$(sed -E 's/.* peers=([^ ]+)$/\1/' <<<"$bound")
   entries+=("$callers")
   [ -n "$operator" ] || operator=$operators
+  vm_operator[$vm]=$operators
   d=${vm:3:1}
   post "$platform/stand-in/vms" "{\"id\":\"$vm\",\"failureDomain\":\"$d\",\"region\":\"tayside\",\"callerAddress\":\"$callers\",\"peerAddress\":\"$peers\"}"
 done
@@ -139,20 +141,44 @@
 expect 'the repeated charge' "$second" "$first"
 served=$((served + 1))
 
-# A step of grouped samples; one daemon is killed in the middle.
+# A step of grouped samples; the daemon that owns it is killed in the middle,
+# and another one takes the step over.
+owner_of() { # owner_of <step>: the latest VM that said it owns the step
+  "$ctl" timeline --step "$1" 2>/dev/null | grep DWP-1402 | tail -1 | grep -oE 'vm-[a-z][0-9]' | head -1
+}
 flags=()
 for entry in "${entries[@]}"; do flags+=(--entry "$entry"); done
-"$standin" trainer "${flags[@]}" --step round-1 --groups 16 --samples 8 --max-tokens 128 >"$work/trainer.json" &
+"$standin" trainer "${flags[@]}" --step round-1 --groups 32 --samples 8 --max-tokens 128 >"$work/trainer.json" &
 trainer=$!
-sleep 1
-kill -KILL "${vm_pid[vm-b2]}"
+owner=
+for _ in $(seq 100); do
+  owner=$(owner_of round-1 || true)
+  [ -z "$owner" ] || break
+  sleep 0.1
+done
+if [ -z "$owner" ]; then
+  echo "smoke: FAILED: no daemon owns the step" >&2
+  exit 1
+fi
+sleep 0.5
+kill -KILL "${vm_pid[$owner]}"
+for vm in "${vms[@]}"; do
+  [ "$vm" = "$owner" ] || operator=${vm_operator[$vm]}
+done
+export DOGWOODPOND_ADDRESS=$operator
 if ! wait "$trainer"; then
   echo "smoke: FAILED: the step did not end" >&2
   cat "$work/trainer.json" >&2
   exit 1
 fi
+successor=$(owner_of round-1 || true)
+if [ -z "$successor" ] || [ "$successor" = "$owner" ]; then
+  echo "smoke: FAILED: nobody took the step over from $owner" >&2
+  cat "$work/trainer.json" >&2
+  exit 1
+fi
 samples=$(field samples <"$work/trainer.json")
-expect 'samples delivered' "$samples" 128
+expect 'samples delivered' "$samples" 256
 expect 'samples repeated' "$(field repeated <"$work/trainer.json")" 0
 expect 'samples out of order' "$(field gaps <"$work/trainer.json")" 0
 expect 'samples without weight versions' "$(field unattributed <"$work/trainer.json")" 0
@@ -166,7 +192,7 @@
 
 # The whole path as the tool shows it.
 expect 'the outcome that explain tells' "$("$ctl" --output json explain "$request" | grep -oE '"outcome": "[a-z ]+"')" '"outcome": "answered"'
-expect 'the step that the tool lists' "$("$ctl" steps strathallan | awk '/round-1/ {print $4, $5}')" '128 128'
+expect 'the step that the tool lists' "$("$ctl" steps strathallan | awk '/round-1/ {print $4, $5}')" '256 256'
 expect 'edits in the history' "$("$ctl" contract history strathallan | grep -c '^revision ')" 2
 echo "what operators see:"
 "$ctl" status
@@ -174,7 +200,7 @@
 "$ctl" timeline --request "$request"
 echo "the same request, explained:"
 "$ctl" explain "$request"
-echo "smoke: ok: $served requests served, $samples samples delivered once each with their weight versions, ${#vms[@]} daemons (one killed), $upstreams upstreams"
+echo "smoke: ok: $served requests served, $samples samples delivered once each with their weight versions, ${#vms[@]} daemons (the owner $owner killed, $successor took over), $upstreams upstreams"
 if [ "$mode" = --stay ]; then
   # What another terminal needs; README.md's tour reads it.
   cat >bin/run.env <<J
