--- a/internal/lease/manager.go
+++ b/internal/lease/manager.go
@@ -165,9 +165,12 @@
 func (c *campaign) serve(ctx context.Context, hold *Hold, held func(context.Context, Guard) (bool, error)) (bool, error) {
 	renewing, stopRenewing := context.WithCancel(context.WithoutCancel(ctx))
 	serving, stopServing := context.WithCancelCause(ctx)
+	// Whoever notices the loss first, the renewals or the work, it is told once.
+	noteLoss := sync.OnceFunc(func() { c.emit(event.LeaseLost, hold.Epoch()) })
 	var renewal sync.WaitGroup
 	renewal.Go(func() {
 		if lost := c.keep(renewing, hold); lost != nil {
+			noteLoss()
 			stopServing(lost)
 		}
 	})
@@ -175,6 +178,10 @@
 		stopRenewing()
 		renewal.Wait()
 		stopServing(nil)
+		if hold.Check() != nil {
+			noteLoss()
+			return
+		}
 		c.release(ctx, hold)
 	}()
 	return held(serving, hold)
@@ -197,7 +204,6 @@
 		}
 		if err := hold.Check(); err != nil {
 			hold.End()
-			c.emit(event.LeaseLost, hold.Epoch())
 			return err
 		}
 	}
@@ -226,9 +232,6 @@
 // release frees the lease, so that a successor need not wait for the term. A
 // failure costs only that wait.
 func (c *campaign) release(ctx context.Context, hold *Hold) {
-	if hold.Check() != nil {
-		return
-	}
 	hold.End()
 	next, version := hold.Release()
 	if err := c.write(context.WithoutCancel(ctx), next, version); err == nil {
--- a/internal/processtest/fleet_test.go
+++ b/internal/processtest/fleet_test.go
@@ -123,7 +123,7 @@
 		"platformUrl":         f.network.gateway(domain),
 		"operatorTokenSha256": contract.HashSecret(operatorToken),
 		"leaseTermMillis":     2000, "digestPeriodMillis": 200, "revisionPollMillis": 300,
-		"usageWindowSeconds": 5, "drainSeconds": 60,
+		"usageWindowSeconds": 5, "drainSeconds": 60, "orderTimeoutMillis": 1000,
 	}
 	if f.shape.settings != nil {
 		f.shape.settings(settings)
