--- a/internal/config/editor.go
+++ b/internal/config/editor.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -24,8 +25,16 @@
 	return &Editor{tables: tables, now: now, events: events}
 }
 
-// editTries bounds how often an edit is tried again when other edits win.
-const editTries = 16
+const (
+	// editTries bounds how often an edit is tried again when other edits win
+	// or the store does not answer.
+	editTries = 16
+	// silentTries bounds how many of these tries end without an answer.
+	silentTries = 2
+	// raceWait bounds the pause before the next try. It is random, so that
+	// racing editors don't meet again.
+	raceWait = 50 * time.Millisecond
+)
 
 // Apply commits an edit and returns its log entry. A repeat of an accepted edit
 // returns the first entry. It fails with *fault.EditInvalid,
@@ -36,16 +45,41 @@
 		return contract.Entry{}, err
 	}
 	var last error
+	silent := 0
 	for range editTries {
 		entry, err := e.try(ctx, edit)
-		if err == nil || !fault.Is[*fault.PreconditionFailed](err) {
-			return entry, err
+		if err == nil {
+			return entry, nil
 		}
 		last = err
+		switch {
+		case fault.Is[*fault.PreconditionFailed](err):
+		case fault.Is[*fault.StoreUnavailable](err) && silent < silentTries:
+			// The next try finds this one's entry by the edit's ID if it took
+			// effect, and its own commit fails if it does so later.
+			silent++
+		default:
+			return contract.Entry{}, err
+		}
+		if pause(ctx, rand.N(raceWait)) != nil {
+			break
+		}
 	}
 	return contract.Entry{}, last
 }
 
+// pause waits for d or until ctx ends, and then returns its failure.
+func pause(ctx context.Context, d time.Duration) error {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-timer.C:
+		return nil
+	}
+}
+
 // try runs one transaction. It fails with *fault.PreconditionFailed when
 // another edit was committed meanwhile.
 func (e *Editor) try(ctx context.Context, edit contract.Edit) (contract.Entry, error) {
@@ -54,9 +88,7 @@
 		return contract.Entry{}, err
 	}
 	if editRow.Exists() {
-		var accepted contract.Entry
-		err = decode(editRow, &accepted)
-		return accepted, err
+		return repeated(edit, editRow)
 	}
 	subjectRow, err := e.tables.Get(ctx, edit.SubjectName())
 	if err != nil {
@@ -72,6 +104,18 @@
 	return e.commit(ctx, edit, subjectRow, headRow)
 }
 
+// repeated returns the entry of an edit that was accepted before.
+func repeated(edit contract.Edit, row platform.Row) (contract.Entry, error) {
+	var accepted contract.Entry
+	if err := decode(row, &accepted); err != nil {
+		return contract.Entry{}, err
+	}
+	if !edit.Accepts(accepted) {
+		return contract.Entry{}, errors.WithStack(&fault.EditInvalid{Field: "id", Problem: "was used for another edit"})
+	}
+	return accepted, nil
+}
+
 // checkBase refuses an edit when its contract or key changed after the revision
 // that the operator saw, so that no operator overwrites another's edit unseen.
 func checkBase(edit contract.Edit, row platform.Row) error {
--- a/internal/contract/contract.go
+++ b/internal/contract/contract.go
@@ -13,7 +13,7 @@
 
 // Contract holds everything that an operator decides for a client account.
 type Contract struct {
-	Account Account `json:"account" validate:"required,max=64"`
+	Account Account `json:"account" validate:"required,max=64,excludesall=/"`
 	// Share is the account's weight among all accounts for engine time.
 	Share int `json:"share" validate:"min=1,max=10000"`
 	// Staleness bounds the age of delivered samples.
--- a/internal/contract/edit.go
+++ b/internal/contract/edit.go
@@ -1,6 +1,8 @@
 package contract
 
 import (
+	"reflect"
+
 	"github.com/cockroachdb/errors"
 	"github.com/go-playground/validator/v10"
 
@@ -34,9 +36,21 @@
 	if wantsContract != (e.Contract != nil) || wantsContract != (e.Key == nil) {
 		return errors.WithStack(&fault.EditInvalid{Field: "kind", Problem: "must match the content"})
 	}
+	if e.Key != nil && e.Key.Withdrawn != (e.Kind == EditWithdraw) {
+		return errors.WithStack(&fault.EditInvalid{Field: "key.withdrawn", Problem: "must match the kind"})
+	}
 	return nil
 }
 
+// Accepts reports whether an accepted entry is this edit's. An edit ID that was
+// used for another edit must not get that edit's answer: the operator would
+// take the edit for accepted.
+func (e Edit) Accepts(accepted Entry) bool {
+	return accepted.Kind == e.Kind &&
+		reflect.DeepEqual(accepted.Contract, e.Contract) &&
+		reflect.DeepEqual(accepted.Key, e.Key)
+}
+
 func invalid(err error) error {
 	var broken validator.ValidationErrors
 	if !errors.As(err, &broken) {
--- a/internal/contract/key.go
+++ b/internal/contract/key.go
@@ -17,7 +17,7 @@
 // Key is a granted key. The secret itself is never kept.
 type Key struct {
 	ID      string  `json:"id" validate:"required,alphanum,max=64"`
-	Account Account `json:"account" validate:"required,max=64"`
+	Account Account `json:"account" validate:"required,max=64,excludesall=/"`
 	// SecretSHA256 is the hex SHA-256 of the secret.
 	SecretSHA256 string `json:"secretSha256" validate:"required,hexadecimal,len=64"`
 	Withdrawn    bool   `json:"withdrawn"`
--- a/internal/daemon/providers.go
+++ b/internal/daemon/providers.go
@@ -111,7 +111,8 @@
 }
 
 func newSyncer(s settings.Daemon, tables *platform.Client, gossip *peer.Gossip, view *contract.View, events *event.Recorder, h *hooks) *config.Syncer {
-	h.syncer = config.NewSyncer(tables, gossip, view, events, s.RevisionPoll(), h.revoke)
+	h.syncer = config.NewSyncer(tables, gossip, view, events, s.RevisionPoll(), h.revoke,
+		config.WithFleet(func() int { return len(gossip.VMs()) }))
 	return h.syncer
 }
 
--- a/internal/peer/gossip.go
+++ b/internal/peer/gossip.go
@@ -186,7 +186,7 @@
 const configAsks = 3
 
 // FetchConfig asks several random peers for a newer snapshot and returns the
-// newest.
+// newest, and the age of the youngest knowledge among them.
 func (g *Gossip) FetchConfig(ctx context.Context, after contract.Revision) (*contract.Snapshot, time.Duration, error) {
 	addresses := g.Addresses()
 	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
@@ -203,8 +203,14 @@
 			continue
 		}
 		replyAge := time.Duration(reply.GetRevisionAgeMillis()) * time.Millisecond
-		if failure != nil || newer(snapshot, newest) {
-			newest, age = snapshot, replyAge
+		if newer(snapshot, newest) {
+			newest = snapshot
+		}
+		// Each peer knew that no revision beyond its own was accepted, and the
+		// newest snapshot holds whatever any of them holds. So the youngest
+		// knowledge counts, whoever has it.
+		if failure != nil || replyAge < age {
+			age = replyAge
 		}
 		failure = nil
 	}
--- a/internal/request/claim_test.go
+++ b/internal/request/claim_test.go
@@ -13,10 +13,9 @@
 	"dogwoodpond/internal/service"
 )
 
-const (
-	farm    contract.Account = "farm"
-	deposit                  = "tree-17"
-)
+const farm contract.Account = "farm"
+
+const deposit = "tree-17"
 
 var (
 	charge = service.Call{Method: http.MethodPost, Path: "/deposit", Body: []byte(`{"cents":2500}`)}
