The filter of a time line travels to every VM

Ruled out: asking only VMs that saw the request (nobody knows which), and a store of events (far above the store's writes). Change: event.Query goes with the call; explain asks for its request's events, then for those of its upstreams.

--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -45,8 +45,8 @@
 	return append([]operator.VMRevision{{VM: "vm-1", FailureDomain: "a", Revision: 1 << 40, Known: true}}, q.pending...)
 }
 
-func (q *quietFleet) Events(_ context.Context, after event.Stamp) ([]event.Record, []string) {
-	return q.events.Since(after), []string{"vm-9"}
+func (q *quietFleet) Events(_ context.Context, query event.Query) ([]event.Record, []string) {
+	return q.events.Select(query), []string{"vm-9"}
 }
 
 // bench is an operators' API over tables in memory.
@@ -342,6 +342,9 @@
 		at(40, "vm-1", event.UpstreamRestored, event.Subject{Upstream: "engine-1"}),
 	}
 	told := explain("r", line, []string{"vm-9"})
+	if got := told.upstreams(); fmt.Sprint(got) != "[engine-1 engine-2]" {
+		t.Errorf("the request's upstreams are %v", got)
+	}
 	var numbers []event.Number
 	for _, l := range told.Lines {
 		numbers = append(numbers, l.Number)
--- a/internal/ctl/explain.go
+++ b/internal/ctl/explain.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"io"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/alecthomas/kingpin/v2"
@@ -23,6 +25,9 @@
 	Lines   []ExplainLine `json:"lines"`
 	// Missing names VMs that did not answer; what they did is not told.
 	Missing []string `json:"missing"`
+
+	// seen holds the upstreams of the request's events.
+	seen map[string]bool
 }
 
 // ExplainLine is one thing that happened to a request, or to an upstream while
@@ -50,17 +55,61 @@
 }
 
 func (a *App) explain(request string) error {
-	answer, err := a.events(timelineQuery{})
+	own, err := a.events(event.Query{Request: request})
 	if err != nil {
 		return err
 	}
-	told := explain(request, answer.Events, answer.Missing)
+	told := explain(request, own.Events, own.Missing)
 	if len(told.Lines) == 0 {
-		return errors.WithStack(&fault.RequestUnknown{Request: request, Missing: answer.Missing})
+		return errors.WithStack(&fault.RequestUnknown{Request: request, Missing: own.Missing})
+	}
+	if upstreams := told.upstreams(); len(upstreams) > 0 {
+		others, err := a.events(event.Query{Upstreams: upstreams, Numbers: upstreamEvents(), After: own.Events[0].Stamp})
+		if err != nil {
+			return err
+		}
+		told = explain(request, merge(own.Events, others.Events), own.Missing)
 	}
 	return a.show(told, func(w io.Writer) { explainTable(w, told) })
 }
 
+// The numbers of events about upstreams themselves.
+const (
+	firstUpstreamEvent event.Number = 1500
+	lastUpstreamEvent  event.Number = 1599
+)
+
+func upstreamEvents() []event.Number {
+	var numbers []event.Number
+	for _, d := range event.Catalogue {
+		if d.Number >= firstUpstreamEvent && d.Number <= lastUpstreamEvent {
+			numbers = append(numbers, d.Number)
+		}
+	}
+	return numbers
+}
+
+// merge returns the events of two lines in their order.
+func merge(a, b []event.Record) []event.Record {
+	all := slices.Concat(a, b)
+	slices.SortStableFunc(all, func(x, y event.Record) int {
+		switch {
+		case x.Stamp.Before(y.Stamp):
+			return -1
+		case y.Stamp.Before(x.Stamp):
+			return 1
+		default:
+			return 0
+		}
+	})
+	return all
+}
+
+// upstreams lists the upstreams that worked on the request.
+func (x *Explanation) upstreams() []string {
+	return slices.Sorted(maps.Keys(x.seen))
+}
+
 func explainTable(w io.Writer, e Explanation) {
 	_, _ = fmt.Fprintf(w, "request %s of client account %s: %s, attempts: %d\n", e.Request, orNone(e.Account), e.Outcome, e.Attempts)
 	for _, l := range e.Lines {
@@ -76,8 +125,7 @@
 // explain picks the events of a request, and those of its upstreams while it
 // ran, from a time line in order.
 func explain(request string, line []event.Record, missing []string) Explanation {
-	told := Explanation{Request: request, Outcome: outcomeNotKnown, Lines: []ExplainLine{}, Missing: missing}
-	upstreams := map[string]bool{}
+	told := Explanation{Request: request, Outcome: outcomeNotKnown, Lines: []ExplainLine{}, Missing: missing, seen: map[string]bool{}}
 	var start event.Stamp
 	for _, e := range line {
 		if e.Request == request {
@@ -86,11 +134,11 @@
 			}
 			told.take(e, start)
 			if e.Upstream != "" {
-				upstreams[e.Upstream] = true
+				told.seen[e.Upstream] = true
 			}
 			continue
 		}
-		if e.Request == "" && upstreams[e.Upstream] && told.Outcome == outcomeNotKnown {
+		if e.Request == "" && told.seen[e.Upstream] && told.Outcome == outcomeNotKnown {
 			told.add(e, start)
 		}
 	}
--- a/internal/ctl/timeline.go
+++ b/internal/ctl/timeline.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"net/url"
+	"strconv"
 	"strings"
 	"time"
 
@@ -16,25 +17,26 @@
 	"dogwoodpond/internal/operator"
 )
 
-// timelineQuery picks events.
-type timelineQuery struct {
-	request, step, lease, account string
-	after                         event.Stamp
-}
-
-func (q timelineQuery) route() string {
+// eventsRoute is the path of a query of events.
+func eventsRoute(q event.Query) string {
 	values := url.Values{}
 	add := func(name, value string) {
 		if value != "" {
-			values.Set(name, value)
+			values.Add(name, value)
 		}
 	}
-	add("request", q.request)
-	add("step", q.step)
-	add("lease", q.lease)
-	add("account", q.account)
-	if q.after != (event.Stamp{}) {
-		values.Set("after", q.after.String())
+	add(operator.ParameterRequest, q.Request)
+	add(operator.ParameterStep, q.Step)
+	add(operator.ParameterLease, q.Lease)
+	add(operator.ParameterAccount, q.Account)
+	for _, upstream := range q.Upstreams {
+		add(operator.ParameterUpstream, upstream)
+	}
+	for _, number := range q.Numbers {
+		add(operator.ParameterEvent, strconv.Itoa(int(number)))
+	}
+	if q.After != (event.Stamp{}) {
+		add(operator.ParameterAfter, q.After.String())
 	}
 	return "/v1/events?" + values.Encode()
 }
@@ -48,9 +50,9 @@
 	since := command.Flag("since", "Only the latest events, for example 5m.").Duration()
 	follow := command.Flag("follow", "Go on until Ctrl-C.").Bool()
 	command.Action(func(*kingpin.ParseContext) error {
-		query := timelineQuery{request: *request, step: *step, lease: *lease, account: *account}
+		query := event.Query{Request: *request, Step: *step, Lease: *lease, Account: *account}
 		if *since > 0 {
-			query.after = event.Stamp{WallMicros: time.Now().Add(-*since).UnixMicro()}
+			query.After = event.Stamp{WallMicros: time.Now().Add(-*since).UnixMicro()}
 		}
 		if *follow {
 			return a.follow(query)
@@ -59,13 +61,13 @@
 	})
 }
 
-func (a *App) events(query timelineQuery) (operator.EventsAnswer, error) {
+func (a *App) events(query event.Query) (operator.EventsAnswer, error) {
 	var answer operator.EventsAnswer
-	err := a.client().Call(context.Background(), http.MethodGet, query.route(), nil, &answer)
+	err := a.client().Call(context.Background(), http.MethodGet, eventsRoute(query), nil, &answer)
 	return answer, err
 }
 
-func (a *App) timeline(query timelineQuery) error {
+func (a *App) timeline(query event.Query) error {
 	answer, err := a.events(query)
 	if err != nil {
 		return err
@@ -102,7 +104,7 @@
 )
 
 // follow prints events as they come. It never returns but by a failure.
-func (a *App) follow(query timelineQuery) error {
+func (a *App) follow(query event.Query) error {
 	line := newFollower()
 	for {
 		answer, err := a.events(query)
@@ -117,7 +119,7 @@
 		for _, vm := range line.lost(answer.Missing) {
 			a.note("%s", missingLines([]string{vm})[0])
 		}
-		query.after = line.after(query.after)
+		query.After = line.after(query.After)
 		time.Sleep(followPeriod)
 	}
 }
--- a/internal/event/event_test.go
+++ b/internal/event/event_test.go
@@ -64,3 +64,31 @@
 		t.Errorf("the observer saw %v", seen)
 	}
 }
+
+// A fleet has hundreds of VMs. Without the choice at each of them, one question
+// about one request would bring every event of all.
+func TestSelectPicksAtTheSource(t *testing.T) {
+	r := NewRecorder("vm-1", 8, NewClock(time.Now), zap.NewNop())
+	first := r.Emit(RequestAccepted, Subject{Request: "r1", Account: "a"})
+	r.Emit(RequestDispatched, Subject{Request: "r1", Upstream: "e1"})
+	r.Emit(UpstreamEjected, Subject{Upstream: "e1"})
+	r.Emit(LeaseAcquired, Subject{Lease: "usage"})
+	for _, c := range []struct {
+		query Query
+		want  int
+	}{
+		{Query{}, 4},
+		{Query{Request: "r1"}, 2},
+		{Query{Request: "r1", After: first}, 1},
+		{Query{Account: "a"}, 1},
+		{Query{Lease: "usage"}, 1},
+		{Query{Step: "s"}, 0},
+		{Query{Upstreams: []string{"e0", "e1"}}, 2},
+		{Query{Upstreams: []string{"e1"}, Numbers: []Number{UpstreamEjected}}, 1},
+		{Query{Numbers: []Number{LeaseAcquired, LeaseLost}}, 1},
+	} {
+		if got := r.Select(c.query); len(got) != c.want {
+			t.Errorf("%+v picks %d events, want %d", c.query, len(got), c.want)
+		}
+	}
+}
--- a/internal/operator/events.go
+++ b/internal/operator/events.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strconv"
 
 	"github.com/cockroachdb/errors"
 	"github.com/emicklei/go-restful/v3"
@@ -17,40 +18,52 @@
 	Missing []string `json:"missing"`
 }
 
-// eventFilter picks events; an empty field picks all.
-type eventFilter struct {
-	request, step, lease, account string
-}
-
-func (f eventFilter) passes(e event.Record) bool {
-	return matches(f.request, e.Request) &&
-		matches(f.step, e.Step) &&
-		matches(f.lease, e.Lease) &&
-		matches(f.account, e.Account)
-}
-
-func matches(wanted, got string) bool { return wanted == "" || wanted == got }
+// Names of the query parameters of GET /v1/events.
+const (
+	ParameterAfter    = "after"
+	ParameterRequest  = "request"
+	ParameterStep     = "step"
+	ParameterLease    = "lease"
+	ParameterAccount  = "account"
+	ParameterUpstream = "upstream"
+	ParameterEvent    = "event"
+)
 
 func (s *Server) eventLine(r *restful.Request) (any, error) {
-	var after event.Stamp
-	if text := r.QueryParameter("after"); text != "" {
-		parsed, ok := event.ParseStamp(text)
-		if !ok {
-			return nil, errors.WithStack(&fault.BadRequest{Field: "after", Problem: "must be a stamp"})
-		}
-		after = parsed
-	}
-	filter := eventFilter{
-		request: r.QueryParameter("request"),
-		step:    r.QueryParameter("step"),
-		lease:   r.QueryParameter("lease"),
-		account: r.QueryParameter("account"),
+	query, err := eventQuery(r)
+	if err != nil {
+		return nil, err
 	}
-	records, missing := s.Fleet.Events(r.Request.Context(), after)
-	records = slices.DeleteFunc(records, func(e event.Record) bool { return !filter.passes(e) })
+	records, missing := s.Fleet.Events(r.Request.Context(), query)
 	if records == nil {
 		records = []event.Record{}
 	}
 	slices.Sort(missing)
 	return EventsAnswer{Events: records, Missing: missing}, nil
 }
+
+// eventQuery reads the query parameters; upstream and event may be repeated.
+func eventQuery(r *restful.Request) (event.Query, error) {
+	query := event.Query{
+		Request:   r.QueryParameter(ParameterRequest),
+		Step:      r.QueryParameter(ParameterStep),
+		Lease:     r.QueryParameter(ParameterLease),
+		Account:   r.QueryParameter(ParameterAccount),
+		Upstreams: r.QueryParameters(ParameterUpstream),
+	}
+	if text := r.QueryParameter(ParameterAfter); text != "" {
+		after, ok := event.ParseStamp(text)
+		if !ok {
+			return query, errors.WithStack(&fault.BadRequest{Field: ParameterAfter, Problem: "must be a stamp"})
+		}
+		query.After = after
+	}
+	for _, text := range r.QueryParameters(ParameterEvent) {
+		number, err := strconv.Atoi(text)
+		if err != nil {
+			return query, errors.WithStack(&fault.BadRequest{Field: ParameterEvent, Problem: "must be a number"})
+		}
+		query.Numbers = append(query.Numbers, event.Number(number))
+	}
+	return query, nil
+}
--- a/internal/operator/history.go
+++ b/internal/operator/history.go
@@ -77,7 +77,7 @@
 	if err != nil {
 		return nil, err
 	}
-	records, missing := s.Fleet.Events(r.Request.Context(), event.Stamp{})
+	records, missing := s.Fleet.Events(r.Request.Context(), event.Query{Numbers: []event.Number{event.RevisionApplied}})
 	applied := appliedOn(records)
 	vms := s.vmNames(missing)
 	wanted := contract.Account(r.QueryParameter("account"))
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -36,8 +36,9 @@
 type Fleet interface {
 	// InForce returns the revision in force on every known VM.
 	InForce() []VMRevision
-	// Events returns the events of all reachable VMs and names the others.
-	Events(ctx context.Context, after event.Stamp) (records []event.Record, missing []string)
+	// Events returns the events of all reachable VMs that a query picks, in
+	// order, and names the other VMs.
+	Events(ctx context.Context, query event.Query) (records []event.Record, missing []string)
 }
 
 // VMRevision tells which revision a VM has in force.
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -75,8 +75,9 @@
 
 func (f *fakeFleet) InForce() []VMRevision { return f.vms }
 
-func (f *fakeFleet) Events(context.Context, event.Stamp) ([]event.Record, []string) {
-	return slices.Clone(f.records), slices.Clone(f.missing)
+func (f *fakeFleet) Events(_ context.Context, query event.Query) ([]event.Record, []string) {
+	picked := slices.DeleteFunc(slices.Clone(f.records), func(e event.Record) bool { return !query.Picks(e) })
+	return picked, slices.Clone(f.missing)
 }
 
 // noRows is a store that does not answer.
@@ -309,12 +310,15 @@
 func TestEventsAreFilteredAndMissingVMsNamed(t *testing.T) {
 	f := newFixture()
 	f.fleet.records = []event.Record{
-		{VM: "vm-1", Subject: event.Subject{Request: "r1"}},
-		{VM: "vm-1", Subject: event.Subject{Request: "r2", Step: "s"}},
-		{VM: "vm-2", Subject: event.Subject{Lease: "usage"}},
+		{VM: "vm-1", Stamp: event.Stamp{WallMicros: 1}, Number: event.RequestAccepted, Subject: event.Subject{Request: "r1"}},
+		{VM: "vm-1", Stamp: event.Stamp{WallMicros: 2}, Subject: event.Subject{Request: "r2", Step: "s"}},
+		{VM: "vm-2", Stamp: event.Stamp{WallMicros: 3}, Subject: event.Subject{Lease: "usage", Upstream: "e1"}},
 	}
 	f.fleet.missing = []string{"vm-9", "vm-3"}
-	for query, want := range map[string]int{"": 3, "?request=r1": 1, "?step=s": 1, "?lease=usage": 1, "?request=r1&step=s": 0} {
+	for query, want := range map[string]int{
+		"": 3, "?request=r1": 1, "?step=s": 1, "?lease=usage": 1, "?request=r1&step=s": 0,
+		"?upstream=e1&upstream=e2": 1, "?event=1301": 1, "?event=1301&event=1302": 1, "?after=0.000001%2B0": 2,
+	} {
 		var answer EventsAnswer
 		f.call(t, http.MethodGet, "/v1/events"+query, "", &answer)
 		if len(answer.Events) != want || !slices.Equal(answer.Missing, []string{"vm-3", "vm-9"}) {
@@ -339,6 +343,7 @@
 		{http.MethodGet, "/v1/revisions/x/confirmation", "", http.StatusBadRequest, fault.CodeBadRequest},
 		{http.MethodGet, "/v1/nothing", "", http.StatusNotFound, fault.CodeRouteUnknown},
 		{http.MethodPost, "/v1/status", "", http.StatusMethodNotAllowed, fault.CodeRouteUnknown},
+		{http.MethodGet, "/v1/events?event=soon", "", http.StatusBadRequest, fault.CodeBadRequest},
 		{http.MethodGet, "/v1/events?after=now", "", http.StatusBadRequest, fault.CodeBadRequest},
 	}
 	for _, c := range cases {
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -87,15 +87,15 @@
 	return reply, nil
 }
 
-// Events returns the peer's events after a stamp.
-func (c *Client) Events(ctx context.Context, address string, after event.Stamp) ([]event.Record, error) {
+// Events returns the peer's events that a query picks.
+func (c *Client) Events(ctx context.Context, address string, query event.Query) ([]event.Record, error) {
+	asked, err := json.Marshal(query)
+	if err != nil {
+		return nil, errors.WithStack(&fault.Internal{Where: "event query"})
+	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	request := &peerpb.EventsRequest{
-		Stamp: stamp(c.events),
-		After: &peerpb.Stamp{WallMicros: after.WallMicros, Logical: after.Logical},
-	}
-	reply, err := c.peer(ctx, address).Events(ctx, request)
+	reply, err := c.peer(ctx, address).Events(ctx, &peerpb.EventsRequest{Stamp: stamp(c.events), Query: asked})
 	if err != nil {
 		return nil, unavailable(address)
 	}
--- a/internal/peer/fleet.go
+++ b/internal/peer/fleet.go
@@ -62,8 +62,8 @@
 }
 
 // Events implements operator.Fleet.
-func (f *Fleet) Events(ctx context.Context, after event.Stamp) ([]event.Record, []string) {
-	records := f.events.Since(after)
+func (f *Fleet) Events(ctx context.Context, query event.Query) ([]event.Record, []string) {
+	records := f.events.Select(query)
 	missing := []string{}
 	var mu sync.Mutex
 	var asks sync.WaitGroup
@@ -72,7 +72,7 @@
 			continue
 		}
 		asks.Go(func() {
-			got, err := f.client.Events(ctx, vm.PeerAddress, after)
+			got, err := f.client.Events(ctx, vm.PeerAddress, query)
 			mu.Lock()
 			defer mu.Unlock()
 			if err != nil {
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -70,11 +70,15 @@
 	return reply, nil
 }
 
-// Events returns the events after a stamp.
+// Events returns the events that a query picks.
 func (s *Server) Events(_ context.Context, in *peerpb.EventsRequest) (*peerpb.EventsReply, error) {
 	observe(s.events, in.GetStamp())
+	var query event.Query
+	if err := json.Unmarshal(in.GetQuery(), &query); err != nil {
+		return nil, errors.WithStack(&fault.BadRequest{Field: "query", Problem: "not JSON"})
+	}
 	reply := &peerpb.EventsReply{}
-	for _, record := range s.events.Since(fromWire(in.GetAfter())) {
+	for _, record := range s.events.Select(query) {
 		text, err := json.Marshal(record)
 		if err != nil {
 			return nil, errors.WithStack(&fault.Internal{Where: "event"})
