--- a/internal/daemon/providers.go
+++ b/internal/daemon/providers.go
@@ -20,6 +20,7 @@
 	"dogwoodpond/internal/peer"
 	"dogwoodpond/internal/platform"
 	"dogwoodpond/internal/request"
+	"dogwoodpond/internal/retry"
 	"dogwoodpond/internal/rollout"
 	"dogwoodpond/internal/service"
 	"dogwoodpond/internal/settings"
@@ -65,6 +66,10 @@
 	return m
 }
 
+func newRetries(registry *prometheus.Registry, events *event.Recorder) *retry.Policy {
+	return retry.NewPolicy(registry, events)
+}
+
 func newScheduler(s settings.Daemon, directory *upstream.Directory, loads *upstream.Loads, health *upstream.Health, registry *prometheus.Registry) *dispatch.Scheduler {
 	return dispatch.NewScheduler(dispatch.Config{
 		VM:            s.VM,
@@ -83,8 +88,8 @@
 	return upstream.NewPoller(engines, loads, loadPeriod, scheduler.Watched)
 }
 
-func newRunner(view *contract.View, scheduler *dispatch.Scheduler, engines *engine.Client, events *event.Recorder, m *metrics.Metrics) *generate.Local {
-	return generate.NewLocal(view, metrics.NewDispatcher(scheduler, m), engines, events)
+func newRunner(view *contract.View, scheduler *dispatch.Scheduler, engines *engine.Client, retries *retry.Policy, events *event.Recorder, m *metrics.Metrics) *generate.Local {
+	return generate.NewLocal(view, metrics.NewDispatcher(scheduler, m), engines, retries, events)
 }
 
 func newGossip(s settings.Daemon, view *contract.View, client *peer.Client, events *event.Recorder, h *hooks) *peer.Gossip {
@@ -136,6 +141,7 @@
 	syncer *config.Syncer,
 	runner *generate.Local,
 	scheduler *dispatch.Scheduler,
+	retries *retry.Policy,
 	services *service.Client,
 	claims *request.Claims,
 	steps *rollout.Manager,
@@ -150,6 +156,7 @@
 		Ager:       syncer,
 		Runner:     runner,
 		Dispatcher: metrics.NewDispatcher(scheduler, m),
+		Retries:    retries,
 		Services:   services,
 		Claims:     claims,
 		Steps:      steps,
--- a/internal/daemon/wire.go
+++ b/internal/daemon/wire.go
@@ -27,6 +27,7 @@
 		upstream.NewLoads,
 		upstream.NewHealth,
 		newScheduler,
+		newRetries,
 		newPoller,
 		engine.NewClient,
 		service.NewClient,
