Trainer idle time, report delay and corrections are measured

Change: a decorator around the steps times pulls; the event of an accepted report says whether it corrects an earlier window, and with its stamp gives the delay. explain shows circuits that opened or closed on the request's upstreams. Ruled out: passing metrics into usage and entry, which would couple them to it.

--- a/internal/ctl/explain.go
+++ b/internal/ctl/explain.go
@@ -80,7 +80,7 @@
 )
 
 func upstreamEvents() []event.Number {
-	var numbers []event.Number
+	numbers := []event.Number{event.CircuitOpened, event.CircuitClosed}
 	for _, d := range event.Catalogue {
 		if d.Number >= firstUpstreamEvent && d.Number <= lastUpstreamEvent {
 			numbers = append(numbers, d.Number)
--- a/internal/daemon/providers.go
+++ b/internal/daemon/providers.go
@@ -59,8 +59,8 @@
 func newPlatform(s settings.Daemon) *platform.Client { return platform.NewClient(s.PlatformURL) }
 
 // newMetrics comes before every part that emits events, so that all are counted.
-func newMetrics(events *event.Recorder, registry *prometheus.Registry, directory *upstream.Directory) *metrics.Metrics {
-	m := metrics.New(registry)
+func newMetrics(s settings.Daemon, events *event.Recorder, registry *prometheus.Registry, directory *upstream.Directory) *metrics.Metrics {
+	m := metrics.New(registry, s.UsageWindow())
 	metrics.RegisterUpstreams(registry, directory.Load)
 	events.Observe(m.Observe)
 	return m
@@ -159,7 +159,7 @@
 		Retries:    retries,
 		Services:   services,
 		Claims:     claims,
-		Steps:      steps,
+		Steps:      metrics.NewSteps(steps, m),
 		Usage:      meter,
 		Events:     events,
 		Registry:   registry,
--- a/internal/daemon/wire_gen.go
+++ b/internal/daemon/wire_gen.go
@@ -37,7 +37,7 @@
 	scheduler := newScheduler(s, directory, loads, health, registry)
 	engineClient := engine.NewClient()
 	policy := newRetries(registry, recorder)
-	metrics := newMetrics(recorder, registry, directory)
+	metrics := newMetrics(s, recorder, registry, directory)
 	local := newRunner(view, scheduler, engineClient, policy, recorder, metrics)
 	server := newPeerServer(recorder, view, daemonHooks, local, gossip)
 	serviceClient := service.NewClient()
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -52,6 +52,10 @@
 	PeerReturned Number = 1702
 )
 
+// DetailCorrected is the Detail of UsageReported when the report corrects an
+// earlier window.
+const DetailCorrected = "corrected"
+
 // Catalogue lists every kind of event in the order of the numbers.
 var Catalogue = []Definition{
 	{ProcessStarted, zap.InfoLevel, "process started", "The process has read its settings and listens."},
@@ -89,7 +93,7 @@
 	{WeightsPublished, zap.InfoLevel, "weights published", "The weight store has a new version; Count gives it."},
 	{WeightsLoaded, zap.InfoLevel, "weights loaded", "An engine serves the version that Count gives."},
 	{WindowSealed, zap.InfoLevel, "window sealed", "The VM sealed its usage of the window."},
-	{UsageReported, zap.InfoLevel, "usage reported", "The report of the window and account was accepted by billing."},
+	{UsageReported, zap.InfoLevel, "usage reported", "The report of the window that starts at Count and of the account was accepted by billing; Detail says whether it corrects an earlier window."},
 	{UsageIncomplete, zap.WarnLevel, "usage incomplete", "The report of the window lacks figures of a VM that died; it says so."},
 	{PeerSilent, zap.WarnLevel, "peer silent", "A peer has not answered for a while."},
 	{PeerReturned, zap.InfoLevel, "peer returned", "A silent peer answers again."},
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -8,6 +8,8 @@
 package metrics
 
 import (
+	"time"
+
 	"github.com/prometheus/client_golang/prometheus"
 )
 
@@ -37,8 +39,8 @@
 	// by the decorator Dispatcher.
 	FailedWorkTokens *prometheus.CounterVec
 
-	// TrainerIdle counts the seconds that a trainer's pull waited for its first
-	// sample. To be fed by entry, once for each pull.
+	// TrainerIdle counts the seconds of trainers' pulls. Fed by the decorator
+	// Steps.
 	TrainerIdle *prometheus.CounterVec
 	// SamplesDelivered counts delivered samples. Fed by Observe.
 	SamplesDelivered *prometheus.CounterVec
@@ -48,12 +50,15 @@
 	// UsageIncomplete counts reports that lack figures of a VM that died. Fed
 	// by Observe.
 	UsageIncomplete *prometheus.CounterVec
-	// UsageCorrected counts reports with a correction of an earlier window. To
-	// be fed by usage when billing accepts the report.
+	// UsageCorrected counts reports with a correction of an earlier window. Fed
+	// by Observe.
 	UsageCorrected *prometheus.CounterVec
-	// UsageDelay is the time from a window's end to billing's acceptance. To be
-	// fed by usage when billing accepts the report.
+	// UsageDelay is the time from a window's end to billing's acceptance. Fed by
+	// Observe.
 	UsageDelay prometheus.Histogram
+
+	// usageWindow is the length of a usage window.
+	usageWindow time.Duration
 }
 
 // Names of labels.
@@ -74,10 +79,13 @@
 	delayBuckets = []float64{1, 5, 15, 60, 300, 900, 3600}
 )
 
-// New registers all metrics and returns them.
-func New(registerer prometheus.Registerer) *Metrics {
+// New registers all metrics and returns them; usageWindow is the length of a
+// usage window.
+func New(registerer prometheus.Registerer, usageWindow time.Duration) *Metrics {
 	b := builder{registerer: registerer}
 	return &Metrics{
+		usageWindow: usageWindow,
+
 		Events:           b.counter("events_total", "Events by their number.", labelNumber),
 		RequestsAnswered: b.counter("requests_answered_total", "Requests whose caller got the whole answer.", labelAccount),
 		ServedTokens:     b.counter("served_tokens_total", "Tokens of whole answers: the service delivered.", labelAccount),
@@ -89,7 +97,7 @@
 		WorkTokens:       b.counter("work_tokens_total", "Cost of all attempts in tokens, by whether the upstream is reclaimable.", labelAccount, labelReclaimable),
 		FailedWorkTokens: b.counter("failed_work_tokens_total", "The part of work_tokens_total whose attempt failed by the upstream's fault.", labelAccount, labelReclaimable),
 
-		TrainerIdle:      b.counter("trainer_idle_seconds_total", "Time that trainers' pulls waited for a sample.", labelAccount),
+		TrainerIdle:      b.counter("trainer_idle_seconds_total", "Time of trainers' pulls until their first sample or their end.", labelAccount),
 		SamplesDelivered: b.counter("samples_delivered_total", "Samples sent to their trainer; a repeated pull counts again.", labelAccount),
 
 		UsageReports:    b.counter("usage_reports_total", "Usage reports that billing accepted.", labelAccount),
--- a/internal/metrics/metrics_test.go
+++ b/internal/metrics/metrics_test.go
@@ -4,12 +4,17 @@
 	"context"
 	"slices"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 
+	"dogwoodpond/internal/contract"
 	"dogwoodpond/internal/dispatch"
+	"dogwoodpond/internal/entry"
 	"dogwoodpond/internal/event"
 	"dogwoodpond/internal/platform"
+	"dogwoodpond/internal/sample"
 )
 
 var twoUpstreams = []platform.Upstream{
@@ -20,7 +25,7 @@
 
 func newTestMetrics() (*Metrics, *prometheus.Registry) {
 	registry := prometheus.NewPedanticRegistry()
-	m := New(registry)
+	m := New(registry, 300*time.Second)
 	RegisterUpstreams(registry, func() []platform.Upstream { return twoUpstreams })
 	return m, registry
 }
@@ -72,7 +77,15 @@
 	m.Observe(event.Record{Number: event.RequestRefused, Subject: event.Subject{Detail: "queue_full/not_run"}})
 	m.Observe(event.Record{Number: event.SamplesDelivered, Subject: event.Subject{Account: "strathallan", Count: 8}})
 	m.Observe(event.Record{Number: event.RevisionApplied, Subject: event.Subject{Revision: 7}})
+	m.Observe(event.Record{
+		Number:  event.UsageReported,
+		Stamp:   event.Stamp{WallMicros: 607_000_000},
+		Subject: event.Subject{Account: "brazicod", Count: 300, Detail: event.DetailCorrected},
+	})
 	expect(t, registry, []expectation{
+		{"usage_reports_total", []string{"brazicod"}, 1},
+		{"usage_reports_corrected_total", []string{"brazicod"}, 1},
+		{"usage_report_delay_seconds", nil, 1},
 		{"requests_answered_total", []string{"brazicod"}, 1},
 		{"served_tokens_total", []string{"brazicod"}, 12},
 		{"requests_refused_total", []string{"queue_full", "not_run"}, 1},
@@ -116,3 +129,23 @@
 		{"upstreams", []string{"engine", "true", "leaving"}, 1},
 	})
 }
+
+// waitingSteps answers a pull after a wait.
+type waitingSteps struct{ entry.Steps }
+
+func (waitingSteps) Samples(_ context.Context, _ contract.Account, _ string, _ int64, wait time.Duration) ([]sample.Sample, error) {
+	time.Sleep(wait)
+	return nil, nil
+}
+
+func TestTrainerIdleIsTheTimeOfPulls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m, registry := newTestMetrics()
+		for range 2 {
+			if _, err := NewSteps(waitingSteps{}, m).Samples(t.Context(), "strathallan", "round-1", 0, 7*time.Second); err != nil {
+				t.Fatal(err)
+			}
+		}
+		expect(t, registry, []expectation{{"trainer_idle_seconds_total", []string{"strathallan"}, 14}})
+	})
+}
--- a/internal/metrics/observe.go
+++ b/internal/metrics/observe.go
@@ -2,10 +2,22 @@
 
 import (
 	"strings"
+	"time"
 
 	"dogwoodpond/internal/event"
 )
 
+// reported counts an accepted usage report. Count is the start of its window in
+// seconds since the Unix epoch.
+func (m *Metrics) reported(e event.Record) {
+	m.UsageReports.WithLabelValues(e.Account).Inc()
+	end := time.Unix(e.Count, 0).Add(m.usageWindow)
+	m.UsageDelay.Observe(time.UnixMicro(e.Stamp.WallMicros).Sub(end).Seconds())
+	if e.Detail == event.DetailCorrected {
+		m.UsageCorrected.WithLabelValues(e.Account).Inc()
+	}
+}
+
 // Observe counts an event. It is given to event.Recorder.Observe.
 func (m *Metrics) Observe(e event.Record) {
 	m.Events.WithLabelValues(e.Number.String()).Inc()
@@ -24,7 +36,7 @@
 	case event.SamplesDelivered:
 		m.SamplesDelivered.WithLabelValues(e.Account).Add(count)
 	case event.UsageReported:
-		m.UsageReports.WithLabelValues(e.Account).Inc()
+		m.reported(e)
 	case event.UsageIncomplete:
 		m.UsageIncomplete.WithLabelValues(e.Account).Inc()
 	}
--- a/internal/usage/closer.go
+++ b/internal/usage/closer.go
@@ -319,9 +319,12 @@
 		return err
 	}
 	subject := event.Subject{Account: string(r.Account), Epoch: guard.Epoch(), Count: start}
-	c.events.Emit(event.UsageReported, subject)
 	if r.Incomplete {
 		c.events.Emit(event.UsageIncomplete, subject)
 	}
+	if r.Corrections != (Figures{}) {
+		subject.Detail = event.DetailCorrected
+	}
+	c.events.Emit(event.UsageReported, subject)
 	return nil
 }
