--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -39,6 +39,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, victim := range p.queue.add(t) {
+		p.scheduler.metrics.shed.WithLabelValues(string(victim.work.Account)).Inc()
 		victim.ready <- outcome{err: errors.WithStack(&fault.QueueFull{
 			Account: string(victim.work.Account),
 			Wait:    p.retryAfter(victim.work),
@@ -171,7 +172,6 @@
 	now := time.Now()
 	p.judge(u, r, now.Sub(begun), now)
 	wasFull := p.scheduler.account(w.Account).end(w, u.Reclaimable, r.Cost)
-	p.scheduler.metrics.finished(w, u, r)
 	p.mu.Lock()
 	p.inFlight[u.ID]--
 	if p.inFlight[u.ID] == 0 {
