--- a/internal/daemon/providers.go
+++ b/internal/daemon/providers.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"context"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -15,6 +16,7 @@
 	"dogwoodpond/internal/event"
 	"dogwoodpond/internal/fleetview"
 	"dogwoodpond/internal/generate"
+	"dogwoodpond/internal/lease"
 	"dogwoodpond/internal/metrics"
 	"dogwoodpond/internal/operator"
 	"dogwoodpond/internal/peer"
@@ -142,8 +144,75 @@
 
 func newClaims(tables *platform.Client) *request.Claims { return request.NewClaims(tables) }
 
-func newRollouts(tables *platform.Client, runner *generate.Local, events *event.Recorder) *rollout.Manager {
-	return rollout.NewManager(tables, runner, events)
+func newHistory(weights *platform.Client) *rollout.History { return rollout.NewHistory(weights) }
+
+func newRollouts(
+	s settings.Daemon,
+	tables *platform.Client,
+	runner *generate.Local,
+	scheduler *dispatch.Scheduler,
+	services *service.Client,
+	gossip *peer.Gossip,
+	client *peer.Client,
+	history *rollout.History,
+	leases *lease.Manager,
+	view *contract.View,
+	events *event.Recorder,
+	registry *prometheus.Registry,
+) *rollout.Manager {
+	self := rollout.Worker{VM: s.VM, FailureDomain: s.FailureDomain, Runner: runner}
+	return rollout.NewManager(rollout.Config{
+		VM:         s.VM,
+		Tables:     tables,
+		Leases:     stepLeases{leases: leases},
+		Workers:    rollout.NewFleet(self, gossip, client),
+		Versions:   history,
+		Scorer:     rollout.NewServiceScorer(view, scheduler, services),
+		View:       view,
+		Events:     events,
+		Registerer: registry,
+		Period:     stepSearchPeriod(gossip),
+	})
+}
+
+// newLeases returns the VM's campaigns. Ranks come from the platform's list of
+// VMs; while it is empty the VM ranks first, which costs the store a few reads.
+func newLeases(s settings.Daemon, tables *platform.Client, gossip *peer.Gossip, events *event.Recorder) *lease.Manager {
+	rank := func(name string) int {
+		var live []string
+		for _, vm := range gossip.VMs() {
+			if vm.State == platform.VMLive {
+				live = append(live, vm.ID)
+			}
+		}
+		return lease.Rank(name, s.VM, live)
+	}
+	return lease.NewManager(tables, s.VM, s.LeaseTerm(), events, lease.WithRanker(rank))
+}
+
+// stepLeases gives the owners of steps their leases.
+type stepLeases struct {
+	leases *lease.Manager
+}
+
+// Campaign implements rollout.Leases.
+func (l stepLeases) Campaign(ctx context.Context, name string, held func(context.Context, rollout.Guard) (bool, error)) error {
+	return l.leases.Campaign(ctx, name, func(ctx context.Context, guard lease.Guard) (bool, error) {
+		return held(ctx, guard)
+	})
+}
+
+// searchesPerSecond is how often all VMs together search the store for open
+// steps or read the weight store.
+const searchesPerSecond = 50
+
+// stepSearchPeriod returns the period of one VM, which grows with the fleet so
+// that the load on the platform does not.
+func stepSearchPeriod(gossip *peer.Gossip) func() time.Duration {
+	return func() time.Duration {
+		period := time.Duration(len(gossip.VMs())) * time.Second / searchesPerSecond
+		return max(time.Second, period)
+	}
 }
 
 func newEntry(
--- a/internal/fleetview/fleetview.go
+++ b/internal/fleetview/fleetview.go
@@ -7,6 +7,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"net/url"
 	"strings"
 	"time"
 
@@ -15,17 +16,17 @@
 	"dogwoodpond/internal/fault"
 	"dogwoodpond/internal/operator"
 	"dogwoodpond/internal/platform"
+	"dogwoodpond/internal/sample"
 	"dogwoodpond/internal/usage"
 )
 
 // Prefixes of the rows.
 const (
 	leasePrefix = "lease/"
-	stepPrefix  = "step/"
+	stepPrefix  = "progress/"
 )
 
-// scanPage is how many rows one scan asks for. Rows of steps hold the prompts,
-// so a page must stay small.
+// scanPage is how many rows one scan asks for.
 const scanPage = 64
 
 // Reader implements operator.Leases, operator.Steps and operator.Usage.
@@ -55,47 +56,41 @@
 	return leases, err
 }
 
-// stepRow holds the fields of a step's row that operators see.
-type stepRow struct {
-	Definition struct {
-		Model  string `json:"model"`
-		Groups []struct {
-			Samples int `json:"samples"`
-		} `json:"groups"`
-	} `json:"definition"`
-	Committed int64 `json:"committed"`
-	Acked     int64 `json:"acked"`
-}
-
 // Steps implements operator.Steps.
 func (r *Reader) Steps(ctx context.Context, account string) ([]operator.Step, error) {
 	prefix := stepPrefix
 	if account != "" {
-		prefix += account + "/"
+		prefix += url.PathEscape(account) + "/"
 	}
 	steps := []operator.Step{}
 	err := r.each(ctx, prefix, "", func(row platform.Row) error {
-		var kept stepRow
-		if err := decode(row, &kept); err != nil {
+		var progress sample.Progress
+		if err := decode(row, &progress); err != nil {
 			return err
 		}
 		owner, name, _ := strings.Cut(strings.TrimPrefix(row.Key, stepPrefix), "/")
-		step := operator.Step{
-			Account:   owner,
-			Step:      name,
-			Model:     kept.Definition.Model,
-			Committed: kept.Committed,
-			Acked:     kept.Acked,
-		}
-		for _, g := range kept.Definition.Groups {
-			step.Slots += g.Samples
-		}
-		steps = append(steps, step)
+		steps = append(steps, operator.Step{
+			Account:   unescape(owner),
+			Step:      unescape(name),
+			Model:     progress.Model,
+			Slots:     progress.Slots,
+			Committed: int64(progress.Count()),
+			Acked:     progress.Acked,
+		})
 		return nil
 	})
 	return steps, err
 }
 
+// unescape reads a part of a step's key; a malformed one is shown as it is.
+func unescape(part string) string {
+	name, err := url.PathUnescape(part)
+	if err != nil {
+		return part
+	}
+	return name
+}
+
 // Reports implements operator.Usage.
 func (r *Reader) Reports(ctx context.Context, window int64) ([]platform.UsageReport, error) {
 	return r.reports(ctx, r.windowKey(window)+"/", "")
