--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
 	"net/http"
 	"net/http/httptest"
 	"slices"
@@ -14,6 +15,7 @@
 	"github.com/cockroachdb/errors"
 
 	"dogwoodpond/internal/contract"
+	"dogwoodpond/internal/doccheck"
 	"dogwoodpond/internal/event"
 	"dogwoodpond/internal/fault"
 	"dogwoodpond/internal/platform"
@@ -359,3 +361,18 @@
 		t.Errorf("a wrong credential answered %d %s", status, problem.Code)
 	}
 }
+
+// An operator writes contracts from the page. A field that it does not name is
+// never set, and a wrong default is relied on.
+func TestOperatingPageListsTheFieldsOfAContract(t *testing.T) {
+	fields := doccheck.Column(t, "docs/OPERATING.md", "contract", 0)
+	defaults := doccheck.Column(t, "docs/OPERATING.md", "contract", 1)
+	onPage := map[string]string{}
+	for i, field := range fields {
+		onPage[field] = defaults[i]
+	}
+	standard := contract.DefaultContract("")
+	if want := fieldsOf(&standard); !maps.Equal(onPage, want) {
+		t.Errorf("the page has\n%v\nthe code has\n%v", onPage, want)
+	}
+}
--- a/internal/processtest/tool_test.go
+++ b/internal/processtest/tool_test.go
@@ -11,6 +11,7 @@
 	"strings"
 	"testing"
 
+	"dogwoodpond/internal/contract"
 	"dogwoodpond/internal/ctl"
 	"dogwoodpond/internal/entry"
 	"dogwoodpond/internal/event"
@@ -30,15 +31,26 @@
 
 // tool runs dogwoodpondctl and returns its standard output.
 func (f *fleet) tool(arguments ...string) string {
+	f.t.Helper()
+	out, notes, code := f.toolExit(arguments...)
+	if code != ctl.ExitOK {
+		f.t.Fatalf("dogwoodpondctl %v exits with %d\n%s%s", arguments, code, out, notes)
+	}
+	return out
+}
+
+// toolExit runs dogwoodpondctl and returns what it printed and its exit code.
+func (f *fleet) toolExit(arguments ...string) (out, notes string, code int) {
 	f.t.Helper()
 	command := exec.Command(filepath.Join(binaries, "dogwoodpondctl"), arguments...)
 	command.Env = f.environment()
-	var out, notes bytes.Buffer
-	command.Stdout, command.Stderr = &out, &notes
-	if err := command.Run(); err != nil {
-		f.t.Fatalf("dogwoodpondctl %v: %v\n%s%s", arguments, err, out.String(), notes.String())
+	var o, n bytes.Buffer
+	command.Stdout, command.Stderr = &o, &n
+	err := command.Run()
+	if command.ProcessState == nil {
+		f.t.Fatalf("dogwoodpondctl %v: %v", arguments, err)
 	}
-	return out.String()
+	return o.String(), n.String(), command.ProcessState.ExitCode()
 }
 
 // toolJSON runs dogwoodpondctl and decodes its JSON.
@@ -163,6 +175,57 @@
 	}
 }
 
+// A key must stop working while a failure domain is cut off. An operator who
+// reads only "accepted" goes home, and the key goes on working there.
+func TestWithdrawalSaysThatAFailureDomainIsCutOff(t *testing.T) {
+	f := startFleet(t, shape{domains: []string{"a", "b"}, vms: 1, engines: 1})
+	bounded := testContract("strathallan")
+	bounded.Isolation.ServeSeconds = 77
+	f.grant(bounded)
+	f.awaitSeen()
+	f.network.cut("a", "b")
+	f.network.cut("b", "a")
+	f.network.cut("b", platformPlace)
+	await(t, "failure domain b counts as cut off", func() bool {
+		var status operator.Status
+		f.toolJSON(&status, "status")
+		at := slices.IndexFunc(status.Domains, func(d operator.Domain) bool { return d.FailureDomain == "b" })
+		return at >= 0 && status.Domains[at].CutOff
+	})
+	out, notes, code := f.toolExit("key", "withdraw", "keystrathallan", "--wait", "1s")
+	if code != ctl.ExitPending || !strings.Contains(notes, f.vms[1].id) {
+		t.Errorf("the withdrawal exits with %d: %s", code, notes)
+	}
+	want := "failure domain b: vm-b1 (cut off); the key may go on there for up to 77 s after the cut"
+	if !strings.Contains(out, want) {
+		t.Errorf("the withdrawal does not say %q:\n%s", want, out)
+	}
+	f.network.heal("a", "b")
+	f.network.heal("b", "a")
+	f.network.heal("b", platformPlace)
+	await(t, "the withdrawal is in force everywhere", func() bool {
+		var edits []operator.HistoryEdit
+		f.toolJSON(&edits, "contract", "history")
+		last := edits[len(edits)-1]
+		return last.Kind == contract.EditWithdraw && last.InForce.Everywhere != nil && len(last.InForce.VMs) == len(f.vms)
+	})
+}
+
+// Whoever follows the time line during an outage must see what happens now.
+func TestTimelineFollows(t *testing.T) {
+	f := startFleet(t, shape{domains: []string{"a"}, vms: 1, engines: 1})
+	following := start(t, "follow", "dogwoodpondctl", "--address", f.vms[0].operators, "--token", operatorToken, "timeline", "--follow")
+	following.find(t, "process started")
+	key := f.grant(testContract("strathallan"))
+	if status, text := f.generate(f.vms[0], key, "follow", 16); status != http.StatusOK {
+		t.Fatalf("the call answered %d %s", status, text)
+	}
+	following.find(t, "request answered")
+	if again := strings.Count(following.out.String(), "request answered"); again != 1 {
+		t.Errorf("the answer is shown %d times", again)
+	}
+}
+
 // runnable returns the blocks of a page that are marked "sh run".
 func runnable(t *testing.T, page string) []string {
 	t.Helper()
