--- a/internal/daemon/wire_gen.go
+++ b/internal/daemon/wire_gen.go
@@ -37,7 +37,7 @@
 	syncer := newSyncer(s, client, gossip, view, recorder, daemonHooks)
 	engineClient := newEngines(s)
 	policy := newRetries(registry, recorder)
-	metricsMetrics := newMetrics(recorder, registry, directory)
+	metricsMetrics := newMetrics(s, recorder, registry, directory)
 	local := newRunner(view, scheduler, engineClient, policy, recorder, metricsMetrics)
 	server := newPeerServer(recorder, view, daemonHooks, local, gossip)
 	serviceClient := service.NewClient()
