No upstream and no output sees a caller's key

Ruled out: decoding by content type (the upstream decides how it reads a body); so every layer of percent and JSON escapes is undone, up to 16, and what is escaped deeper is refused.

--- a/internal/contract/snapshot.go
+++ b/internal/contract/snapshot.go
@@ -1,7 +1,9 @@
 package contract
 
 import (
+	"crypto/sha256"
 	"maps"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -69,7 +71,7 @@
 // Authenticate returns the key and contract for a presented key. It fails with
 // *fault.KeyInvalid, *fault.KeyWithdrawn or *fault.AccountUnknown.
 func (s *Snapshot) Authenticate(p Presented) (Key, Contract, error) {
-	key, known := s.Keys[p.ID]
+	key, known := s.candidate(p.ID)
 	if !key.Matches(p.Secret) || !known {
 		return Key{}, Contract{}, errors.WithStack(&fault.KeyInvalid{})
 	}
@@ -83,6 +85,22 @@
 	return key, c, nil
 }
 
+// unknownHash stands in for the hash of a key that does not exist; no secret is
+// known that matches it.
+var unknownHash = strings.Repeat("0", sha256.Size*2)
+
+// candidate returns the key that a presented one is compared with. For an
+// unknown ID that is a key that matches nothing: without a hash of full length
+// the comparison would end early, and its time would tell a guesser which IDs
+// exist.
+func (s *Snapshot) candidate(id string) (key Key, known bool) {
+	key, known = s.Keys[id]
+	if !known {
+		key.SecretSHA256 = unknownHash
+	}
+	return key, known
+}
+
 // View gives readers the snapshot in force without a lock.
 type View struct {
 	current atomic.Pointer[Snapshot]
--- a/internal/entry/exposure.go
+++ b/internal/entry/exposure.go
@@ -15,8 +15,9 @@
 )
 
 // decodeRounds bounds how often text is unescaped: a path or a JSON string may
-// hold text that is escaped again.
-const decodeRounds = 4
+// hold text that is escaped again, as in a prompt that quotes JSON. Each round
+// reads the text once, so the bound also limits what a hostile body costs.
+const decodeRounds = 16
 
 // checkExposure refuses a request that carries a key anywhere but in its
 // Authorization header, since every other part may reach an upstream. It looks
@@ -67,8 +68,8 @@
 		}
 		text = next
 	}
-	// Text that is escaped still deeper is not worth the trust.
-	return unescape(text) != nil
+	// What stands below still more layers can't be told, so it is refused.
+	return true
 }
 
 // holdsKey reports whether text holds any key that is in force.
--- a/internal/entry/rig_test.go
+++ b/internal/entry/rig_test.go
@@ -205,10 +205,19 @@
 }
 
 // fixedAge is the age of the configuration.
-type fixedAge struct{ age atomic.Int64 }
+type fixedAge struct {
+	age atomic.Int64
+	// hook runs before each answer: after the key's check, before its session.
+	hook func()
+}
 
 // Age implements Ager.
-func (a *fixedAge) Age() time.Duration { return time.Duration(a.age.Load()) }
+func (a *fixedAge) Age() time.Duration {
+	if a.hook != nil {
+		a.hook()
+	}
+	return time.Duration(a.age.Load())
+}
 
 // usageNowhere drops usage.
 type usageNowhere struct{}
