Bad input, panics and given-up requests get one whole typed refusal at once

Cause: a panic was answered without a body, and in the middle of a stream it ended the answer in good order; the container's mux answered some paths with a redirect; timeoutSeconds near the largest integer overflowed; a path with an empty part before the service would have shifted what is sent to the service. Change: one refusal form for all of them; a begun answer is cut; time-outs are bounded by the drain time, so that no planned stop cuts a request off.

--- a/internal/daemon/providers.go
+++ b/internal/daemon/providers.go
@@ -137,6 +137,7 @@
 }
 
 func newEntry(
+	s settings.Daemon,
 	view *contract.View,
 	syncer *config.Syncer,
 	runner *generate.Local,
@@ -163,6 +164,7 @@
 		Usage:      meter,
 		Events:     events,
 		Registry:   registry,
+		DrainTime:  s.Drain(),
 	})
 	return h.entry
 }
--- a/internal/daemon/wire_gen.go
+++ b/internal/daemon/wire_gen.go
@@ -44,7 +44,7 @@
 	claims := newClaims(client)
 	manager := newRollouts(client, local, recorder)
 	meter := newMeter(s, client, gossip, recorder)
-	entryServer := newEntry(view, syncer, local, scheduler, policy, serviceClient, claims, manager, meter, recorder, registry, metrics, daemonHooks)
+	entryServer := newEntry(s, view, syncer, local, scheduler, policy, serviceClient, claims, manager, meter, recorder, registry, metrics, daemonHooks)
 	editor := newEditor(client, recorder)
 	fleet := peer.NewFleet(gossip, peerClient, view, recorder)
 	operatorServer := newOperator(s, client, view, editor, fleet, directory, recorder, daemonHooks)
--- /dev/null
+++ b/internal/entry/bad_input_test.go
@@ -0,0 +1,205 @@
+package entry
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"dogwoodpond/internal/dispatch"
+	"dogwoodpond/internal/fault"
+)
+
+// badInputs are requests that no handler can serve.
+var badInputs = []struct {
+	name, method, path, body string
+	status                   int
+	code                     fault.Code
+}{
+	{"empty body", http.MethodPost, "/v1/generate", "", 400, fault.CodeBadRequest},
+	{"half an object", http.MethodPost, "/v1/generate", `{"model":"be`, 400, fault.CodeBadRequest},
+	{"two objects", http.MethodPost, "/v1/generate", generateText + generateText, 400, fault.CodeBadRequest},
+	{"an array", http.MethodPost, "/v1/generate", `[]`, 400, fault.CodeBadRequest},
+	{"null", http.MethodPost, "/v1/generate", `null`, 400, fault.CodeBadRequest},
+	{"wrong type", http.MethodPost, "/v1/generate", `{"model":7,"prompt":"p","maxTokens":1}`, 400, fault.CodeBadRequest},
+	{"number out of range", http.MethodPost, "/v1/generate", `{"model":"m","prompt":"p","maxTokens":1e99}`, 400, fault.CodeBadRequest},
+	{"too many tokens", http.MethodPost, "/v1/generate", `{"model":"m","prompt":"p","maxTokens":131073}`, 400, fault.CodeBadRequest},
+	{"negative timeout", http.MethodPost, "/v1/generate", `{"model":"m","prompt":"p","maxTokens":1,"timeoutSeconds":-1}`, 400, fault.CodeBadRequest},
+	{"timeout beyond any clock", http.MethodPost, "/v1/generate", `{"model":"m","prompt":"p","maxTokens":1,"timeoutSeconds":9223372036854775807}`, 400, fault.CodeBadRequest},
+	{"deep nesting", http.MethodPost, "/v1/generate", strings.Repeat("[", 4000), 400, fault.CodeBadRequest},
+	{"larger than allowed", http.MethodPost, "/v1/generate", strings.Repeat(" ", 4097), 413, fault.CodeBodyTooLarge},
+	{"unknown path", http.MethodPost, "/v1/nothing", "", 404, fault.CodeRouteUnknown},
+	{"root", http.MethodGet, "/", "", 404, fault.CodeRouteUnknown},
+	{"doubled slash before a service", http.MethodGet, "//v1/services/desk/x", "", 400, fault.CodeBadRequest},
+	{"dots", http.MethodPost, "/v1/../v1/generate", generateText, 404, fault.CodeRouteUnknown},
+	{"wrong method", http.MethodGet, "/v1/generate", "", 405, fault.CodeRouteUnknown},
+	{"made-up method", "BREW", "/v1/services/desk/pot", "", 405, fault.CodeRouteUnknown},
+	{"step is not JSON", http.MethodPut, "/v1/steps/s1", `{`, 400, fault.CodeBadRequest},
+	{"step without groups", http.MethodPut, "/v1/steps/s1", `{"model":"m","maxTokens":8}`, 400, fault.CodeBadRequest},
+	{"ack is not JSON", http.MethodPost, "/v1/steps/s1/ack", `x`, 400, fault.CodeBadRequest},
+	{"number is none", http.MethodGet, "/v1/steps/s1/samples?after=x", "", 400, fault.CodeBadRequest},
+	{"query is broken", http.MethodGet, "/v1/services/desk/x?a=%zz", "", 400, fault.CodeBadRequest},
+	{"query with semicolon", http.MethodGet, "/v1/services/desk/x?a=1;b=2", "", 400, fault.CodeBadRequest},
+}
+
+// Something that is not a request reaches the VM: a script with a typo, a
+// scanner, a broken proxy. A caller that gets no code can't tell what to mend;
+// a panic or a redirect would look like a fault of the VM.
+func TestBadInputGetsATypedRefusal(t *testing.T) {
+	r := newRig(t, rigOptions{})
+	for _, c := range badInputs {
+		t.Run(c.name, func(t *testing.T) {
+			got := r.call(c.method, c.path, c.body)
+			if got.status != c.status || got.refusal.Code != c.code || got.refusal.Execution != fault.NotRun {
+				t.Errorf("got %d %s", got.status, got.body)
+			}
+			wantWholeRefusal(t, got)
+		})
+	}
+	if strings.Contains(r.log.String(), "panic") {
+		t.Error("a handler panicked")
+	}
+}
+
+// wantWholeRefusal checks that a refusal is JSON with every field.
+func wantWholeRefusal(t *testing.T, got answer) {
+	t.Helper()
+	if got.header.Get("Content-Type") != "application/json" {
+		t.Errorf("the refusal is %s", got.header.Get("Content-Type"))
+	}
+	var fields map[string]any
+	if err := json.Unmarshal(got.body, &fields); err != nil {
+		t.Fatalf("%v in %s", err, got.body)
+	}
+	for _, name := range []string{"code", "execution", "retryAfterSeconds", "requestId", "message"} {
+		if _, ok := fields[name]; !ok {
+			t.Errorf("the refusal lacks %s", name)
+		}
+	}
+	if fields["requestId"] == "" || fields["requestId"] != got.header.Get("X-Request-Id") {
+		t.Errorf("request ID %v, the header says %q", fields["requestId"], got.header.Get("X-Request-Id"))
+	}
+}
+
+// badKeys are headers that hold no key.
+var badKeys = []string{
+	"", " ", "Bearer", "Bearer ", "bearer " + testKey, "Basic ZHdw", "Bearer dwp_", "Bearer dwp__", "Bearer dwp_k1",
+	"Bearer dwp_k1_", "Bearer dwp_k1_short", "Bearer " + testKey + "x", "Bearer  " + testKey, "Bearer DWP_k1_" + testSecret,
+	"Bearer dwp_K1_" + testSecret, "Bearer dwp_\u20ac_0123456789abcdef", "Bearer " + strings.Repeat("dwp_", 1000),
+}
+
+// A key is mistyped in some way. Whatever the way, the refusal must not differ,
+// or a guesser learns which part was right.
+func TestBadKeysAreNotToldApart(t *testing.T) {
+	r := newRig(t, rigOptions{})
+	for _, header := range badKeys {
+		got := r.call(http.MethodPost, "/v1/generate", generateText, withHeader("Authorization", header))
+		want := fault.CodeKeyInvalid
+		if strings.TrimSpace(header) == "" {
+			want = fault.CodeKeyMissing
+		}
+		if got.status != http.StatusUnauthorized || got.refusal.Code != want || got.refusal.Execution != fault.NotRun {
+			t.Errorf("%q: %d %s", header, got.status, got.body)
+		}
+		wantWholeRefusal(t, got)
+	}
+}
+
+// A defect makes a handler panic, before or in the middle of its answer. The
+// caller must learn of it, other callers must not notice, and a part of an
+// answer must not look whole.
+func TestPanicEndsOnlyItsRequest(t *testing.T) {
+	r := newRig(t, rigOptions{})
+	r.engine("e1", scripted(func(s *script) { s.whole() }))
+	var asked atomic.Int64
+	r.places.hook = func(context.Context, dispatch.Work) error {
+		if asked.Add(1) == 1 {
+			panic("defect")
+		}
+		return nil
+	}
+	got := r.call(http.MethodPost, "/v1/generate", generateText)
+	if got.status != http.StatusInternalServerError || got.refusal.Code != fault.CodeInternal || got.refusal.Execution != fault.Unknown {
+		t.Errorf("got %d %s", got.status, got.body)
+	}
+	wantWholeRefusal(t, got)
+	if got := r.call(http.MethodPost, "/v1/generate", generateText); got.status != http.StatusOK {
+		t.Errorf("the next request got %d %s", got.status, got.body)
+	}
+}
+
+// A defect makes a handler panic in the middle of a stream. Ended in good order,
+// the part of the answer would look whole to a caller that counts on HTTP.
+func TestPanicInAStreamCutsTheConnection(t *testing.T) {
+	r := newRig(t, rigOptions{})
+	r.engine("e1", scripted(func(s *script) { s.chunk(0, "a"); s.cut() }))
+	var asked atomic.Int64
+	r.places.hook = func(context.Context, dispatch.Work) error {
+		if asked.Add(1) > 1 {
+			panic("defect")
+		}
+		return nil
+	}
+	if part, err := r.try(http.MethodPost, "/v1/generate", streamText("16")); err == nil {
+		t.Errorf("the stream ended in good order after %s", part.body)
+	}
+}
+
+// A caller announces a body and sends less, or breaks the chunks. Half a deposit
+// must not run.
+func TestHalfABodyIsNotRun(t *testing.T) {
+	r := newRig(t, rigOptions{})
+	m := r.service("s1", func(http.ResponseWriter, *http.Request) {})
+	address := strings.TrimPrefix(r.serve(), "http://")
+	for _, rest := range []string{
+		"Content-Length: 100\r\n\r\nhalf",
+		"Transfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\nzz\r\n",
+		"Transfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n",
+	} {
+		conn, err := net.Dial("tcp", address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, _ = fmt.Fprintf(conn, "POST /v1/services/desk/deposit HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer %s\r\n%s", testKey, rest)
+		_ = conn.(*net.TCPConn).CloseWrite()
+		response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		if err != nil {
+			t.Errorf("%q: %v", rest, err)
+			continue
+		}
+		body, _ := io.ReadAll(response.Body)
+		var refusal Refusal
+		if json.Unmarshal(body, &refusal) != nil || refusal.Code != fault.CodeBadRequest || refusal.Execution != fault.NotRun {
+			t.Errorf("%q: %d %s", rest, response.StatusCode, body)
+		}
+		_ = conn.Close()
+	}
+	if m.bytes.Load() != 0 {
+		t.Errorf("the desk got %d bytes", m.bytes.Load())
+	}
+}
+
+func FuzzGenerateBody(f *testing.F) {
+	for _, c := range badInputs {
+		f.Add([]byte(c.body))
+	}
+	f.Add([]byte(generateText))
+	f.Fuzz(func(t *testing.T, body []byte) {
+		call, err := parseGenerate(body)
+		if err != nil {
+			if fault.CodeOf(err) != fault.CodeBadRequest || fault.ExecutionOf(err) != fault.NotRun {
+				t.Errorf("%q: %v", body, err)
+			}
+			return
+		}
+		if call.Model == "" || call.Prompt == "" || call.MaxTokens < 1 || call.MaxTokens > maxTokensLimit || call.timeout() <= 0 {
+			t.Errorf("%q was read as %+v", body, call)
+		}
+	})
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -58,6 +58,9 @@
 	Usage      UsageRecorder
 	Events     *event.Recorder
 	Registry   *prometheus.Registry
+	// DrainTime is how long a planned stop waits for running requests; no request
+	// gets more time. 0 means no bound.
+	DrainTime time.Duration
 }
 
 // Server is the callers' API.
@@ -85,6 +88,15 @@
 // Running requests go on.
 func (s *Server) Refuse() { s.refusing.Store(true) }
 
+// bounded returns a request's time-out. A longer one than the drain would let a
+// planned stop cut the request off.
+func (s *Server) bounded(timeout time.Duration) time.Duration {
+	if s.DrainTime == 0 {
+		return timeout
+	}
+	return min(timeout, s.DrainTime)
+}
+
 // Wait waits for the calls that go on after their callers have left.
 func (s *Server) Wait() { s.detached.Wait() }
 
--- a/internal/entry/generate.go
+++ b/internal/entry/generate.go
@@ -17,8 +17,9 @@
 )
 
 const (
-	defaultTimeout = 10 * time.Minute
-	maxTokensLimit = 131072
+	defaultTimeout    = 10 * time.Minute
+	maxTimeoutSeconds = 86400
+	maxTokensLimit    = 131072
 )
 
 // GenerateBody is the body of a generate call.
@@ -32,7 +33,8 @@
 	Group string `json:"group,omitempty"`
 	// Stream asks for server-sent events.
 	Stream bool `json:"stream,omitempty"`
-	// TimeoutSeconds bounds the call; 0 means ten minutes.
+	// TimeoutSeconds bounds the call; 0 means ten minutes. A VM bounds it by
+	// the time that its planned stop leaves, so that no stop cuts it off.
 	TimeoutSeconds int `json:"timeoutSeconds,omitempty"`
 }
 
@@ -59,12 +61,20 @@
 		return GenerateBody{}, badField("prompt", "is required")
 	case call.MaxTokens < 1 || call.MaxTokens > maxTokensLimit:
 		return GenerateBody{}, badField("maxTokens", "must be from 1 to 131072")
-	case call.TimeoutSeconds < 0:
-		return GenerateBody{}, badField("timeoutSeconds", "must not be negative")
+	case call.TimeoutSeconds < 0 || call.TimeoutSeconds > maxTimeoutSeconds:
+		return GenerateBody{}, badField("timeoutSeconds", "must be from 0 to 86400")
 	}
 	return call, nil
 }
 
+// timeout returns the bound that the caller wants.
+func (b GenerateBody) timeout() time.Duration {
+	if b.TimeoutSeconds == 0 {
+		return defaultTimeout
+	}
+	return time.Duration(b.TimeoutSeconds) * time.Second
+}
+
 // badField refuses a request whose content can't be understood; it has not run.
 func badField(field, problem string) error {
 	return fault.WithExecution(errors.WithStack(&fault.BadRequest{Field: field, Problem: problem}), fault.NotRun)
@@ -93,10 +103,7 @@
 		MaxTokens: call.MaxTokens,
 		Seed:      call.Seed,
 		Group:     call.Group,
-		Timeout:   defaultTimeout,
-	}
-	if call.TimeoutSeconds > 0 {
-		request.Timeout = time.Duration(call.TimeoutSeconds) * time.Second
+		Timeout:   s.bounded(call.timeout()),
 	}
 	if call.Stream {
 		return s.generateStream(ctx, c, request, w)
--- a/internal/entry/services.go
+++ b/internal/entry/services.go
@@ -41,7 +41,7 @@
 	if err != nil {
 		return err
 	}
-	ctx, cancel := context.WithTimeout(ctx, wanted.timeout)
+	ctx, cancel := context.WithTimeout(ctx, s.bounded(wanted.timeout))
 	defer cancel()
 	answer, err := s.runService(ctx, c, wanted)
 	if err != nil {
@@ -108,6 +108,10 @@
 // caller escaped it: an escaped slash is not the same as a slash.
 func servicePath(u *url.URL) (path, rawPath string, err error) {
 	parts := strings.SplitN(u.EscapedPath(), "/", servicePrefix+1)
+	// The router skips empty parts; counting them would shift the rest.
+	if slices.Contains(parts[1:min(servicePrefix, len(parts))], "") {
+		return "", "", badField("path", "has an empty part before the service")
+	}
 	rawPath = "/"
 	if len(parts) > servicePrefix {
 		rawPath += parts[servicePrefix]
@@ -164,7 +168,7 @@
 // that is cut off in the middle has an unknown outcome for ever, while one that
 // ends can be answered when the caller asks again.
 func (s *Server) runClaimed(ctx context.Context, c caller, claim request.Claim, wanted wantedCall) (service.Answer, error) {
-	sending, cancel := context.WithTimeout(context.WithoutCancel(ctx), wanted.timeout)
+	sending, cancel := context.WithTimeout(context.WithoutCancel(ctx), s.bounded(wanted.timeout))
 	ended := make(chan served, 1)
 	gate := &sendGate{}
 	s.detached.Go(func() {
