--- a/internal/daemon/providers.go
+++ b/internal/daemon/providers.go
@@ -31,6 +31,7 @@
 // hooks break the cycles between parts that call each other back. They are
 // filled in once all parts exist, before any loop runs.
 type hooks struct {
+	gossip *peer.Gossip
 	entry  *entry.Server
 	syncer *config.Syncer
 }
@@ -44,6 +45,9 @@
 // Age implements peer.Ager.
 func (h *hooks) Age() time.Duration { return h.syncer.Age() }
 
+// members returns the VMs that share the engines.
+func (h *hooks) members() []dispatch.Member { return h.gossip.Members() }
+
 func newHooks() *hooks { return &hooks{} }
 
 func newRecorder(s settings.Daemon, log *zap.Logger) *event.Recorder {
@@ -56,6 +60,8 @@
 	return registry
 }
 
+func newPeerMetrics(registry *prometheus.Registry) *peer.Metrics { return peer.NewMetrics(registry) }
+
 func newPlatform(s settings.Daemon) *platform.Client { return platform.NewClient(s.PlatformURL) }
 
 // newMetrics comes before every part that emits events, so that all are counted.
@@ -70,13 +76,14 @@
 	return retry.NewPolicy(registry, events)
 }
 
-func newScheduler(s settings.Daemon, directory *upstream.Directory, loads *upstream.Loads, health *upstream.Health, registry *prometheus.Registry) *dispatch.Scheduler {
+func newScheduler(s settings.Daemon, directory *upstream.Directory, loads *upstream.Loads, health *upstream.Health, registry *prometheus.Registry, h *hooks) *dispatch.Scheduler {
 	return dispatch.NewScheduler(dispatch.Config{
 		VM:            s.VM,
 		FailureDomain: s.FailureDomain,
 		Directory:     directory,
 		Loads:         loads,
 		Health:        health,
+		Members:       h.members,
 		Registerer:    registry,
 	})
 }
@@ -92,8 +99,8 @@
 	return generate.NewLocal(view, metrics.NewDispatcher(scheduler, m), engines, retries, events)
 }
 
-func newGossip(s settings.Daemon, view *contract.View, client *peer.Client, events *event.Recorder, h *hooks) *peer.Gossip {
-	return peer.NewGossip(peer.GossipConfig{
+func newGossip(s settings.Daemon, view *contract.View, client *peer.Client, events *event.Recorder, scheduler *dispatch.Scheduler, counters *peer.Metrics, h *hooks) *peer.Gossip {
+	h.gossip = peer.NewGossip(peer.GossipConfig{
 		Self:       peer.Identity{VM: s.VM, FailureDomain: s.FailureDomain, PeerAddress: s.PeerAddress},
 		Seeds:      s.Seeds,
 		Period:     s.DigestPeriod(),
@@ -103,7 +110,10 @@
 		Draining:   h.draining,
 		OnRevision: h.poke,
 		Age:        h.Age,
+		Demand:     scheduler.Demand,
+		Metrics:    counters,
 	})
+	return h.gossip
 }
 
 func newPeerServer(events *event.Recorder, view *contract.View, h *hooks, runner *generate.Local, gossip *peer.Gossip) *peer.Server {
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -44,7 +44,7 @@
 	if err := peerpb.DRPCRegisterPeer(mux, s); err != nil {
 		return errors.WithStack(&fault.Internal{Where: "peer registration"})
 	}
-	return drpcserver.New(mux).Serve(ctx, listener)
+	return drpcserver.New(mux).Serve(ctx, &countedListener{Listener: listener, bytes: s.gossip.metrics.bytes})
 }
 
 // Exchange takes a peer's digest and returns the own one.
