--- a/internal/entry/exposure.go
+++ b/internal/entry/exposure.go
@@ -5,7 +5,6 @@
 	"encoding/hex"
 	"net/http"
 	"strings"
-	"unicode/utf16"
 	"unicode/utf8"
 
 	"github.com/cockroachdb/errors"
@@ -111,15 +110,14 @@
 	out := make([]byte, 0, len(text))
 	changed := false
 	for i := 0; i < len(text); {
-		decoded, length := unescapeAt(text[i:])
-		if length == 0 {
-			out = append(out, text[i])
-			i++
+		length := 0
+		if out, length = appendUnescaped(out, text[i:]); length > 0 {
+			i += length
+			changed = true
 			continue
 		}
-		out = append(out, decoded...)
-		i += length
-		changed = true
+		out = append(out, text[i])
+		i++
 	}
 	if !changed {
 		return nil
@@ -132,30 +130,26 @@
 	unicodeLength = len(`\uxxxx`)
 )
 
-// unescapeAt decodes the escape at the start of text and returns its length; 0
-// when there is none.
-func unescapeAt(text []byte) (decoded []byte, length int) {
+// appendUnescaped appends what the escape at the start of text stands for, and
+// returns the length of the escape; 0 when there is none.
+func appendUnescaped(out, text []byte) (grown []byte, length int) {
 	var raw [2]byte
 	switch {
 	case text[0] == '%' && len(text) >= percentLength:
 		if _, err := hex.Decode(raw[:1], text[1:percentLength]); err != nil {
-			return nil, 0
+			return out, 0
 		}
-		return raw[:1], percentLength
+		return append(out, raw[0]), percentLength
 	case text[0] != '\\' || len(text) < 2:
-		return nil, 0
+		return out, 0
 	case text[1] == 'u' && len(text) >= unicodeLength:
 		if _, err := hex.Decode(raw[:], text[2:unicodeLength]); err != nil {
-			return nil, 0
+			return out, 0
 		}
-		r := rune(raw[0])<<8 | rune(raw[1])
-		if utf16.IsSurrogate(r) {
-			r = utf8.RuneError
-		}
-		return utf8.AppendRune(nil, r), unicodeLength
-	case strings.IndexByte(`"\/`, text[1]) >= 0:
-		return text[1:2], 2
+		return utf8.AppendRune(out, rune(raw[0])<<8|rune(raw[1])), unicodeLength
+	case text[1] == '"' || text[1] == '\\' || text[1] == '/':
+		return append(out, text[1]), 2
 	default:
-		return nil, 0
+		return out, 0
 	}
 }
