--- a/internal/daemon/providers.go
+++ b/internal/daemon/providers.go
@@ -217,6 +217,7 @@
 }
 
 func newEntry(
+	s settings.Daemon,
 	view *contract.View,
 	syncer *config.Syncer,
 	runner *generate.Local,
@@ -243,6 +244,7 @@
 		Usage:      meter,
 		Events:     events,
 		Registry:   registry,
+		DrainTime:  s.Drain(),
 	})
 	return h.entry
 }
--- a/internal/daemon/wire_gen.go
+++ b/internal/daemon/wire_gen.go
@@ -46,7 +46,7 @@
 	manager := newLeases(s, client, gossip, recorder)
 	rolloutManager := newRollouts(s, client, local, scheduler, serviceClient, gossip, peerClient, history, manager, view, recorder, registry)
 	meter := newMeter(s, client, gossip, recorder)
-	entryServer := newEntry(view, syncer, local, scheduler, policy, serviceClient, claims, rolloutManager, meter, recorder, registry, metricsMetrics, daemonHooks)
+	entryServer := newEntry(s, view, syncer, local, scheduler, policy, serviceClient, claims, rolloutManager, meter, recorder, registry, metricsMetrics, daemonHooks)
 	editor := newEditor(client, recorder)
 	fleet := peer.NewFleet(gossip, peerClient, view, recorder)
 	operatorServer := newOperator(s, client, view, editor, fleet, directory, recorder, daemonHooks)
