--- a/internal/daemon/providers.go
+++ b/internal/daemon/providers.go
@@ -72,7 +72,7 @@
 }
 
 func newScheduler(s settings.Daemon, directory *upstream.Directory, loads *upstream.Loads, health *upstream.Health, registry *prometheus.Registry, h *hooks) *dispatch.Scheduler {
-	return dispatch.NewScheduler(dispatch.Config{
+	c := dispatch.Config{
 		VM:            s.VM,
 		FailureDomain: s.FailureDomain,
 		Directory:     directory,
@@ -80,7 +80,19 @@
 		Health:        health,
 		Members:       h.members,
 		Registerer:    registry,
-	})
+	}
+	if s.DispatchPolicy == settings.PolicyQueue {
+		c.Members = nil
+	}
+	return dispatch.NewScheduler(c)
+}
+
+// newDispatcher measures the dispatcher that the settings choose.
+func newDispatcher(s settings.Daemon, scheduler *dispatch.Scheduler, directory *upstream.Directory, m *metrics.Metrics) *metrics.Dispatcher {
+	if s.DispatchPolicy == settings.PolicyFIFO {
+		return metrics.NewDispatcher(dispatch.NewFIFO(directory), m)
+	}
+	return metrics.NewDispatcher(scheduler, m)
 }
 
 // loadPeriod is the period of the polls of an engine's load.
@@ -90,8 +102,8 @@
 	return upstream.NewPoller(engines, loads, loadPeriod, scheduler.Watched)
 }
 
-func newRunner(view *contract.View, scheduler *dispatch.Scheduler, engines *engine.Client, events *event.Recorder, m *metrics.Metrics) *generate.Local {
-	return generate.NewLocal(view, metrics.NewDispatcher(scheduler, m), engines, events)
+func newRunner(view *contract.View, dispatcher *metrics.Dispatcher, engines *engine.Client, events *event.Recorder) *generate.Local {
+	return generate.NewLocal(view, dispatcher, engines, events)
 }
 
 func newGossip(s settings.Daemon, view *contract.View, client *peer.Client, events *event.Recorder, scheduler *dispatch.Scheduler, counters *peer.Metrics, h *hooks) *peer.Gossip {
@@ -145,21 +157,20 @@
 	view *contract.View,
 	syncer *config.Syncer,
 	runner *generate.Local,
-	scheduler *dispatch.Scheduler,
+	dispatcher *metrics.Dispatcher,
 	services *service.Client,
 	claims *request.Claims,
 	steps *rollout.Manager,
 	meter *usage.Meter,
 	events *event.Recorder,
 	registry *prometheus.Registry,
-	m *metrics.Metrics,
 	h *hooks,
 ) *entry.Server {
 	h.entry = entry.NewServer(entry.Config{
 		View:       view,
 		Ager:       syncer,
 		Runner:     runner,
-		Dispatcher: metrics.NewDispatcher(scheduler, m),
+		Dispatcher: dispatcher,
 		Services:   services,
 		Claims:     claims,
 		Steps:      steps,
--- a/internal/daemon/wire.go
+++ b/internal/daemon/wire.go
@@ -28,6 +28,7 @@
 		upstream.NewHealth,
 		newScheduler,
 		newPoller,
+		newDispatcher,
 		engine.NewClient,
 		service.NewClient,
 		newRunner,
--- a/internal/dispatch/apportion.go
+++ b/internal/dispatch/apportion.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
@@ -123,14 +124,14 @@
 }
 
 // divide gives each member its number of slots: at first one each as far as
-// they go round, then by weighted max-min over the demands, and what nobody
-// asks for equally, so that a burst finds room before the next digest.
+// they go round, then up to what its accounts' demands there entitle it to, and
+// what nobody asks for equally, so that a burst finds room before the next
+// digest.
 func divide(pool uint32, members []Member, total int) []int {
 	quotas := make([]int, len(members))
 	if len(members) == 0 {
 		return quotas
 	}
-	wants, weights := demands(pool, members)
 	left := total
 	for i := range quotas {
 		if left > 0 {
@@ -138,7 +139,7 @@
 			left--
 		}
 	}
-	left = fill(quotas, wants, weights, left)
+	left = fill(quotas, entitlements(pool, members, total), left)
 	for i := 0; left > 0; i = (i + 1) % len(quotas) {
 		quotas[i]++
 		left--
@@ -146,59 +147,104 @@
 	return quotas
 }
 
-// fill hands out slots one by one to the member with the least for its weight
-// that wants more, and returns how many nobody wants.
-func fill(quotas, wants []int, weights []float64, left int) int {
-	for left > 0 {
-		best := -1
+// fill hands out slots one by one to the member that lacks most, and returns
+// how many nobody is entitled to.
+func fill(quotas []int, entitled []float64, left int) int {
+	for ; left > 0; left-- {
+		best, most := -1, 0.0
 		for i := range quotas {
-			if quotas[i] >= wants[i] {
-				continue
-			}
-			if best < 0 || float64(quotas[i]+1)/weights[i] < float64(quotas[best]+1)/weights[best] {
-				best = i
+			if lack := entitled[i] - float64(quotas[i]); lack > most {
+				best, most = i, lack
 			}
 		}
 		if best < 0 {
 			return left
 		}
 		quotas[best]++
-		left--
 	}
 	return left
 }
 
-// unknownWant is the demand of a VM that has not been heard.
-const unknownWant = 4
+const (
+	// unknownWant and unknownShare stand for a VM that has not been heard.
+	unknownWant  = 4
+	unknownShare = 100
+)
+
+// accountDemand is what an account asks for on all members together.
+type accountDemand struct {
+	share float64
+	wants float64
+	// part is the number of slots that it is entitled to.
+	part float64
+}
 
-// demands returns the slots that each member could use, and its weight: of each
-// account's share the fraction that its demand on this VM is of its demand on
-// all. An account so gets its share once, not once for each VM that it uses.
-func demands(pool uint32, members []Member) (wants []int, weights []float64) {
-	whole := make(map[uint32]int)
-	for _, m := range members {
-		for _, f := range m.Flows {
-			if f.Pool == pool {
-				whole[f.Account] += f.slots()
+// entitlements returns the slots that each member's demands entitle it to. The
+// slots are divided between the accounts first, by their shares and no more
+// than they ask for, and each account's part between the VMs where it asks. An
+// account so gets its share once, however many VMs it uses, and one that asks
+// for little does not swell the part of the VM that it uses.
+func entitlements(pool uint32, members []Member, total int) []float64 {
+	accounts := make(map[uint64]*accountDemand)
+	for i, m := range members {
+		for _, f := range flowsOf(pool, i, m) {
+			a, ok := accounts[f.account]
+			if !ok {
+				a = &accountDemand{share: f.share}
+				accounts[f.account] = a
 			}
+			a.wants += f.wants
 		}
 	}
-	wants = make([]int, len(members))
-	weights = make([]float64, len(members))
+	shareOut(accounts, float64(total))
+	entitled := make([]float64, len(members))
 	for i, m := range members {
-		for _, f := range m.Flows {
-			if f.Pool != pool || f.slots() == 0 {
-				continue
-			}
-			wants[i] += f.slots()
-			weights[i] += float64(f.Share) * float64(f.slots()) / float64(whole[f.Account])
+		for _, f := range flowsOf(pool, i, m) {
+			a := accounts[f.account]
+			entitled[i] += a.part * f.wants / a.wants
 		}
-		if !m.Heard {
-			wants[i] = unknownWant
+	}
+	return entitled
+}
+
+// memberFlow is one account's demand on one member.
+type memberFlow struct {
+	account uint64
+	share   float64
+	wants   float64
+}
+
+// flowsOf returns a member's demands of a pool. A member that has not been heard
+// stands for an account of its own.
+func flowsOf(pool uint32, index int, m Member) []memberFlow {
+	if !m.Heard {
+		return []memberFlow{{account: 1<<32 + uint64(index), share: unknownShare, wants: unknownWant}}
+	}
+	var flows []memberFlow
+	for _, f := range m.Flows {
+		if f.Pool == pool && f.slots() > 0 {
+			flows = append(flows, memberFlow{account: uint64(f.Account), share: float64(max(1, f.Share)), wants: float64(f.slots())})
 		}
-		weights[i] = max(weights[i], 1)
 	}
-	return wants, weights
+	return flows
+}
+
+// shareOut divides slots between accounts by weighted max-min: an account that
+// asks for less than its share gets what it asks for, and the others share the
+// rest.
+func shareOut(accounts map[uint64]*accountDemand, slots float64) {
+	open := slices.SortedFunc(maps.Values(accounts), func(a, b *accountDemand) int {
+		return cmp.Compare(a.wants/a.share, b.wants/b.share)
+	})
+	var shares float64
+	for _, a := range open {
+		shares += a.share
+	}
+	for _, a := range open {
+		a.part = min(a.wants, slots*a.share/shares)
+		slots -= a.part
+		shares -= a.share
+	}
 }
 
 // largestRemainder divides a total in proportion to the weights.
--- a/internal/dispatch/apportion_test.go
+++ b/internal/dispatch/apportion_test.go
@@ -104,13 +104,30 @@
 			got[i] += n
 		}
 	}
-	// The desk's VM has weight 100+33 of 200, the others 33 each; the desk gets
-	// three quarters of its VM's part.
+	// Each account is entitled to 24 slots; the flood's lie on all three VMs.
 	if got[1] != 32 || got[0] != 8 || got[2] != 8 {
 		t.Fatalf("parts %v of 48 slots", got)
 	}
 }
 
+// A small account asks one VM for a single answer while another floods all VMs.
+// Were its whole share counted there, that VM would take slots from the others
+// that it has no use for, and with each such request the parts would jump.
+func TestSmallDemandMovesFewSlots(t *testing.T) {
+	members := vmsOf("a", 3)
+	for i := range members {
+		members[i].Flows = []FlowDemand{demandOf("flood", 100, 500)}
+	}
+	members[1].Flows = append(members[1].Flows, demandOf("desk", 1000, 1))
+	total := 0
+	for _, n := range apportion("vm-a1", testPool, members, enginesOf(3, 16)) {
+		total += n
+	}
+	if total < 16 || total > 17 {
+		t.Fatalf("the VM has %d of 48 slots", total)
+	}
+}
+
 // One VM has all the work and its neighbours have none. Slots kept for them
 // would stay empty while requests wait.
 func TestIdlePartsAreUsedByOthers(t *testing.T) {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -59,8 +59,20 @@
 	EventCapacity int `json:"eventCapacity" validate:"min=64,max=1000000"`
 	// LogLevel is the lowest level that is logged. Default "info".
 	LogLevel string `json:"logLevel" validate:"oneof=debug info warn error"`
+	// DispatchPolicy chooses how work is dispatched: "fair" shares the engines
+	// between accounts and VMs. The others are for measurements only: "queue"
+	// leaves out the VMs' parts of the engines, "fifo" is round robin in the
+	// order of arrival. Default "fair".
+	DispatchPolicy string `json:"dispatchPolicy" validate:"oneof=fair queue fifo"`
 }
 
+// The values of DispatchPolicy.
+const (
+	PolicyFair  = "fair"
+	PolicyQueue = "queue"
+	PolicyFIFO  = "fifo"
+)
+
 // Default returns the settings that hold where a file names none.
 func Default() Daemon {
 	return Daemon{
@@ -72,6 +84,7 @@
 		DrainSeconds:       600,
 		EventCapacity:      4096,
 		LogLevel:           "info",
+		DispatchPolicy:     PolicyFair,
 	}
 }
 
--- a/internal/standin/app.go
+++ b/internal/standin/app.go
@@ -27,6 +27,7 @@
 	engineCommand(ctx, app, out, address)
 	serviceCommand(ctx, app, out, address)
 	trainerCommand(ctx, app, out)
+	loadCommand(ctx, app, out)
 	postCommand(ctx, app, out)
 	return app
 }
@@ -97,6 +98,32 @@
 	})
 }
 
+func loadCommand(ctx context.Context, app *kingpin.Application, out io.Writer) {
+	command := app.Command("load", "Send requests of several accounts by a plan and print what they got.")
+	config := LoadConfig{}
+	plan := command.Flag("plan", "A file with the plan in JSON.").Required().String()
+	command.Flag("entry", "A callers' address; repeatable.").Required().StringsVar(&config.Entries)
+	command.Flag("engine", "A stand-in engine to watch; repeatable.").StringsVar(&config.Engines)
+	command.Flag("model", "The model.").Default("berry-1").StringVar(&config.Model)
+	command.Flag("drain", "How long answers are awaited after the last request.").Default("1s").DurationVar(&config.Drain)
+	table := command.Flag("table", "Print a table in place of JSON.").Bool()
+	command.Action(func(*kingpin.ParseContext) error {
+		var err error
+		if config.Plan, err = readLoadPlan(*plan); err != nil {
+			return err
+		}
+		result, err := NewLoad(config).Run(ctx)
+		if err != nil {
+			return err
+		}
+		if *table {
+			result.WriteTable(out)
+			return nil
+		}
+		return json.NewEncoder(out).Encode(result)
+	})
+}
+
 // postCommand sends one request, so that scripts need no other tool.
 func postCommand(ctx context.Context, app *kingpin.Application, out io.Writer) {
 	command := app.Command("post", "Send one request and print the answer.")
