--- a/internal/daemon/wire.go
+++ b/internal/daemon/wire.go
@@ -29,6 +29,7 @@
 		newRetries,
 		newPoller,
 		newEngines,
+		newDispatcher,
 		service.NewClient,
 		newRunner,
 		newPeerMetrics,
--- a/internal/rollout/delivery.go
+++ b/internal/rollout/delivery.go
@@ -27,9 +27,7 @@
 // before it is sent, so that no later answer of any VM holds the content.
 func (m *Manager) Samples(ctx context.Context, account contract.Account, step string, after int64, wait time.Duration) ([]sample.Sample, error) {
 	r := ref{account: account, step: step}
-	asked := time.Now()
-	deadline := asked.Add(wait)
-	defer func() { m.metrics.idle.WithLabelValues(string(account)).Add(time.Since(asked).Seconds()) }()
+	deadline := time.Now().Add(wait)
 	for {
 		progress, _, err := m.store.progress(ctx, r)
 		if err != nil {
--- a/internal/rollout/metrics.go
+++ b/internal/rollout/metrics.go
@@ -15,7 +15,6 @@
 	hedges      *prometheus.CounterVec
 	rejected    *prometheus.CounterVec
 	failures    *prometheus.CounterVec
-	idle        *prometheus.CounterVec
 	ageVersions *prometheus.HistogramVec
 	ageSeconds  *prometheus.HistogramVec
 }
@@ -41,11 +40,10 @@
 		hedges:      counter("slot_hedges_total", "Second generations begun for straggling slots.", labelAccount),
 		rejected:    counter("samples_rejected_total", "Generated samples that could not be committed, by failure code.", labelCode),
 		failures:    counter("slot_failures_total", "Failed generations and scorings of slots, by failure code.", labelCode),
-		idle:        counter("trainer_idle_seconds_total", "Time that trainers' pulls waited for a sample.", labelAccount),
 		ageVersions: histogram("sample_age_versions", "Weight versions that a sample was behind at its delivery.", versionBuckets),
 		ageSeconds:  histogram("sample_age_seconds", "Seconds since a delivered sample's oldest version was superseded.", ageBuckets),
 	}
-	registerer.MustRegister(m.committed, m.commits, m.withdrawn, m.hedges, m.rejected, m.failures, m.idle, m.ageVersions, m.ageSeconds)
+	registerer.MustRegister(m.committed, m.commits, m.withdrawn, m.hedges, m.rejected, m.failures, m.ageVersions, m.ageSeconds)
 	return m
 }
 
