--- a/internal/rollout/measure_test.go
+++ b/internal/rollout/measure_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math"
 	"slices"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -86,8 +87,9 @@
 
 // Stragglers stall a step: figures with and without hedging, in one run.
 func TestMeasureHedging(t *testing.T) {
-	plain := measure(t, noBound, 0, func(c *cluster) { c.withoutHedging = true })
-	hedged := measure(t, noBound, 0, func(*cluster) {})
+	const trainTime = 10 * time.Millisecond
+	plain := measure(t, noBound, trainTime, func(c *cluster) { c.withoutHedging = true })
+	hedged := measure(t, noBound, trainTime, func(*cluster) {})
 	report := func(name string, m measured) {
 		t.Logf("%-16s step %6.1f s  trainer idle %6.1f s  tokens %d (%+.1f%%)", name, m.took.Seconds(), m.idle.Seconds(),
 			m.tokens, 100*float64(m.tokens-m.count*testTokens)/float64(m.count*testTokens))
@@ -189,3 +191,37 @@
 	}
 	return slots, len(names)
 }
+
+// The largest step on one owner: processor time for each sample, and the size
+// of the row that every commit replaces. The time holds the whole test, the
+// engines, the trainer and the store included, so that it bounds the owner's.
+func TestMeasureOwnerCost(t *testing.T) {
+	var before, after syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &before); err != nil {
+		t.Fatal(err)
+	}
+	var progress int
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, noBound)
+		defer c.stop()
+		c.engine.time = func(slot string, run int) time.Duration { return 10 * straggling(slot, run) }
+		for n := range measureVMs {
+			c.start(fmt.Sprintf("vm-%d", n), nil)
+		}
+		d := testStep(sample.MaxSlots/measureSamples, measureSamples)
+		tr := newTrainer(c, "s", d)
+		tr.open(d)
+		tr.finish()
+		row, err := c.tables.Get(t.Context(), ref{account: testAccount, step: "s"}.progressKey())
+		if err != nil {
+			t.Fatal(err)
+		}
+		progress = len(row.Value)
+	})
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &after); err != nil {
+		t.Fatal(err)
+	}
+	spent := time.Duration(after.Utime.Nano() + after.Stime.Nano() - before.Utime.Nano() - before.Stime.Nano())
+	t.Logf("%d slots: %.2f ms of processor time a sample, progress row %d bytes",
+		sample.MaxSlots, float64(spent.Microseconds())/1000/sample.MaxSlots, progress)
+}
--- /dev/null
+++ b/internal/rollout/versions_test.go
@@ -0,0 +1,94 @@
+package rollout
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"dogwoodpond/internal/fault"
+)
+
+// A VM hears of a new version some time after it was published. If it counted
+// from its discovery, a sample would look younger than it is and could reach
+// its trainer past the bound in seconds.
+func TestSupersessionCountsFromTheEarliestTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		weights := &testWeights{version: 4, at: time.Now()}
+		h := NewHistory(weights)
+		read := func() time.Time {
+			began := time.Now()
+			if err := h.Refresh(t.Context(), began); err != nil {
+				t.Fatal(err)
+			}
+			return began
+		}
+		read()
+		time.Sleep(10 * time.Second)
+		before := read()
+		time.Sleep(7 * time.Second)
+		weights.publish()
+		weights.publish()
+		time.Sleep(3 * time.Second)
+		read()
+		if latest, known := h.Latest(testModel); latest != 6 || !known {
+			t.Fatalf("latest is %d, %v", latest, known)
+		}
+		for _, version := range []int64{4, 5} {
+			at, known := h.SupersededAt(testModel, version)
+			if !known || !at.Equal(before) {
+				t.Errorf("version %d was superseded at %v, %v, want %v", version, at, known, before)
+			}
+		}
+		if _, known := h.SupersededAt(testModel, 6); known {
+			t.Error("the newest version counts as superseded")
+		}
+		if _, known := h.SupersededAt(testModel, 2); known {
+			t.Error("a version from before the VM's start counts as known")
+		}
+	})
+}
+
+// A reading that began before a sample was asked for may miss a version that
+// was published since. It must not serve, or a stale sample would go out.
+func TestRefreshReadsAnew(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		weights := &testWeights{version: 1, at: time.Now()}
+		h := NewHistory(weights)
+		if err := h.Refresh(t.Context(), time.Now()); err != nil {
+			t.Fatal(err)
+		}
+		weights.publish()
+		if err := h.Refresh(t.Context(), time.Now()); err != nil {
+			t.Fatal(err)
+		}
+		if latest, _ := h.Latest(testModel); latest != 2 {
+			t.Fatalf("latest is %d", latest)
+		}
+		weights.setDown(true)
+		if err := h.Refresh(t.Context(), time.Now()); !fault.Is[*fault.StoreUnavailable](err) {
+			t.Fatalf("a silent weight store gave %v", err)
+		}
+		if err := h.Refresh(t.Context(), time.Now().Add(-time.Second)); err != nil {
+			t.Fatalf("a reading that is new enough gave %v", err)
+		}
+	})
+}
+
+// The weight store answers an older list after a newer one, as a replica that
+// lags does. The history must not move back.
+func TestHistoryNeverMovesBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		weights := &testWeights{version: 3, at: time.Now()}
+		h := NewHistory(weights)
+		for _, version := range []int64{3, 2} {
+			weights.version = version
+			if err := h.Refresh(context.Background(), time.Now()); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if latest, _ := h.Latest(testModel); latest != 3 {
+			t.Fatalf("latest is %d", latest)
+		}
+	})
+}
--- a/scripts/smoke.sh
+++ b/scripts/smoke.sh
@@ -148,7 +148,7 @@
 }
 flags=()
 for entry in "${entries[@]}"; do flags+=(--entry "$entry"); done
-"$standin" trainer "${flags[@]}" --step round-1 --groups 32 --samples 8 --max-tokens 128 >"$work/trainer.json" &
+"$standin" trainer "${flags[@]}" --step round-1 --scorer desk --groups 32 --samples 8 --max-tokens 128 >"$work/trainer.json" &
 trainer=$!
 owner=
 for _ in $(seq 100); do
@@ -182,6 +182,7 @@
 expect 'samples repeated' "$(field repeated <"$work/trainer.json")" 0
 expect 'samples out of order' "$(field gaps <"$work/trainer.json")" 0
 expect 'samples without weight versions' "$(field unattributed <"$work/trainer.json")" 0
+expect 'samples without a score' "$(field unscored <"$work/trainer.json")" 0
 expect 'wrong samples' "$(field wrong <"$work/trainer.json")" 0
 keys=0
 for e in "${engines[@]}"; do
