Lists of VMs and upstreams are fetched anew only when they changed

Cause: every VM polled both whole lists twice a second. At the target the list of upstreams is some 200 KB; a node may use 2 KB a second for control. Ruled out: longer periods alone (2 KB/s would allow one poll in 90 s, and a leaving upstream must get no new work after a few seconds). Change: polls name the version that the VM has (ETag); the period grows with the fleet to at most 200 polls a second.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -52,8 +52,10 @@
 }
 
 const (
-	// listPeriod is the period of the poll of the platform's lists.
-	listPeriod = 500 * time.Millisecond
+	// listPeriod is the shortest period of the poll of the platform's lists, and
+	// listPollsPerSecond bounds the polls of the whole fleet.
+	listPeriod         = 500 * time.Millisecond
+	listPollsPerSecond = 200
 	// readHeaderTimeout ends connections that never send a request.
 	readHeaderTimeout = 10 * time.Second
 	// balancerNotice is how long /readyz answers 503 before the listener
@@ -156,8 +158,7 @@
 
 // flushPeriod grows with the fleet, so that the store's load does not.
 func (d *Daemon) flushPeriod() time.Duration {
-	byFleet := time.Duration(len(d.gossip.VMs())) * time.Second / flushesPerSecond
-	return max(d.settings.UsageFlush(), byFleet)
+	return fleetPeriod(d.settings.UsageFlush(), len(d.gossip.VMs()), flushesPerSecond)
 }
 
 const (
@@ -180,8 +181,6 @@
 // pollLists keeps the lists of VMs and upstreams current. While the platform
 // does not answer, the last lists stay in force.
 func (d *Daemon) pollLists(ctx context.Context) {
-	ticker := time.NewTicker(listPeriod)
-	defer ticker.Stop()
 	for {
 		if vms, err := d.platform.VMs(ctx); err == nil {
 			d.gossip.SetVMs(vms)
@@ -192,11 +191,17 @@
 		select {
 		case <-ctx.Done():
 			return
-		case <-ticker.C:
+		case <-time.After(fleetPeriod(listPeriod, len(d.gossip.VMs()), listPollsPerSecond)):
 		}
 	}
 }
 
+// fleetPeriod returns the period of something that every VM does, so that the
+// whole fleet does it at most perSecond times a second.
+func fleetPeriod(shortest time.Duration, vms, perSecond int) time.Duration {
+	return max(shortest, time.Duration(vms)*time.Second/time.Duration(perSecond))
+}
+
 // newLogger writes JSON lines to standard error.
 func newLogger(s settings.Daemon) (*zap.Logger, error) {
 	c := zap.NewProductionConfig()
--- a/internal/daemon/providers.go
+++ b/internal/daemon/providers.go
@@ -223,8 +223,7 @@
 // that the load on the platform does not.
 func stepSearchPeriod(gossip *peer.Gossip) func() time.Duration {
 	return func() time.Duration {
-		period := time.Duration(len(gossip.VMs())) * time.Second / searchesPerSecond
-		return max(time.Second, period)
+		return fleetPeriod(time.Second, len(gossip.VMs()), searchesPerSecond)
 	}
 }
 
--- a/internal/platform/http.go
+++ b/internal/platform/http.go
@@ -69,6 +69,11 @@
 	http *http.Client
 	// orders sends what a lease guards; see package fence.
 	orders *http.Client
+
+	vms       cachedList[VM]
+	upstreams cachedList[Upstream]
+	offers    cachedList[Offer]
+	versions  cachedList[WeightVersion]
 }
 
 // NewClient returns a client for the platform at the base URL.
@@ -138,23 +143,17 @@
 
 // VMs implements VMList.
 func (c *Client) VMs(ctx context.Context) ([]VM, error) {
-	var vms []VM
-	err := c.list(ctx, PathVMs, &vms)
-	return vms, err
+	return c.vms.fetch(ctx, c, PathVMs)
 }
 
 // Upstreams implements Upstreams.
 func (c *Client) Upstreams(ctx context.Context) ([]Upstream, error) {
-	var upstreams []Upstream
-	err := c.list(ctx, PathUpstreams, &upstreams)
-	return upstreams, err
+	return c.upstreams.fetch(ctx, c, PathUpstreams)
 }
 
 // Offers implements Upstreams.
 func (c *Client) Offers(ctx context.Context) ([]Offer, error) {
-	var offers []Offer
-	err := c.list(ctx, PathOffers, &offers)
-	return offers, err
+	return c.offers.fetch(ctx, c, PathOffers)
 }
 
 // Order implements Upstreams.
@@ -177,9 +176,7 @@
 
 // Latest implements Weights.
 func (c *Client) Latest(ctx context.Context) ([]WeightVersion, error) {
-	var versions []WeightVersion
-	err := c.list(ctx, PathWeights, &versions)
-	return versions, err
+	return c.versions.fetch(ctx, c, PathWeights)
 }
 
 func fenced(status int, problem Problem, id, operation string) error {
@@ -214,14 +211,6 @@
 	return decode(path, status, answer, reply)
 }
 
-func (c *Client) list(ctx context.Context, path string, reply any) error {
-	status, answer, err := c.call(ctx, http.MethodGet, path, nil)
-	if err != nil {
-		return err
-	}
-	return decode(path, status, answer, reply)
-}
-
 func decode(path string, status int, answer []byte, reply any) error {
 	if status != http.StatusOK {
 		return errors.WithStack(&fault.StoreUnavailable{Operation: path})
--- /dev/null
+++ b/internal/platform/lists_test.go
@@ -0,0 +1,81 @@
+package platform
+
+import (
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+)
+
+// listServer serves a list with a version, and counts the bytes of the bodies.
+type listServer struct {
+	vms    atomic.Pointer[[]VM]
+	etag   atomic.Pointer[string]
+	bodies atomic.Int64
+}
+
+func (l *listServer) set(etag string, vms ...VM) {
+	l.etag.Store(&etag)
+	l.vms.Store(&vms)
+}
+
+func (l *listServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set("ETag", *l.etag.Load())
+	if r.Header.Get("If-None-Match") == *l.etag.Load() {
+		w.WriteHeader(http.StatusNotModified)
+		return
+	}
+	l.bodies.Add(1)
+	_ = json.NewEncoder(w).Encode(*l.vms.Load())
+}
+
+func TestUnchangedListIsNotSentAgain(t *testing.T) {
+	lists := &listServer{}
+	lists.set(`"1"`, VM{ID: "vm-1"})
+	server := httptest.NewServer(lists)
+	defer server.Close()
+	client := NewClient(server.URL)
+	for range 5 {
+		vms, err := client.VMs(t.Context())
+		if err != nil || len(vms) != 1 {
+			t.Fatalf("VMs: %v, %v", vms, err)
+		}
+	}
+	if got := lists.bodies.Load(); got != 1 {
+		t.Errorf("the list was sent %d times, want once", got)
+	}
+	lists.set(`"2"`, VM{ID: "vm-1"}, VM{ID: "vm-2"})
+	if vms, err := client.VMs(t.Context()); err != nil || len(vms) != 2 {
+		t.Errorf("after the change: %v, %v", vms, err)
+	}
+}
+
+// A platform answers a poll with an error page after a good one. Taken for a new
+// list it would empty the directory, and every request would be refused.
+func TestErrorPageIsNoList(t *testing.T) {
+	lists := &listServer{}
+	lists.set(`"1"`, VM{ID: "vm-1"})
+	broken := atomic.Bool{}
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if broken.Load() {
+			w.WriteHeader(http.StatusBadGateway)
+			_, _ = w.Write([]byte("[]"))
+			return
+		}
+		lists.ServeHTTP(w, r)
+	}))
+	defer server.Close()
+	client := NewClient(server.URL)
+	if _, err := client.VMs(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	broken.Store(true)
+	if vms, err := client.VMs(t.Context()); err == nil {
+		t.Errorf("the error page passed for the list %v", vms)
+	}
+	broken.Store(false)
+	if vms, err := client.VMs(t.Context()); err != nil || len(vms) != 1 {
+		t.Errorf("after the error: %v, %v", vms, err)
+	}
+}
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -2,9 +2,13 @@
 
 import (
 	"context"
+	"encoding/json"
+	"fmt"
+	"github.com/cespare/xxhash/v2"
 	"io"
 	"net/http"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -107,12 +111,25 @@
 	return p.faults.wrap(mux)
 }
 
-// list answers with a value that is read under the lock.
+// list answers with a value that is read under the lock, or with 304 when the
+// caller has it already.
 func list(p *Platform, value func() any) http.HandlerFunc {
-	return func(w http.ResponseWriter, _ *http.Request) {
+	return func(w http.ResponseWriter, r *http.Request) {
 		p.mu.Lock()
-		defer p.mu.Unlock()
-		writeJSON(w, http.StatusOK, value())
+		body, err := json.Marshal(value())
+		p.mu.Unlock()
+		if err != nil {
+			w.WriteHeader(http.StatusInternalServerError)
+			return
+		}
+		etag := fmt.Sprintf("%q", strconv.FormatUint(xxhash.Sum64(body), 16))
+		w.Header().Set("ETag", etag)
+		if r.Header.Get("If-None-Match") == etag {
+			w.WriteHeader(http.StatusNotModified)
+			return
+		}
+		w.Header().Set("Content-Type", "application/json")
+		_, _ = w.Write(body)
 	}
 }
 
