--- a/scripts/smoke.sh
+++ b/scripts/smoke.sh
@@ -55,6 +55,7 @@
 platform=http://$bound
 post "$platform/stand-in/weights" '{"model":"berry-1"}'
 engines=()
+desks=()
 upstreams=0
 for d in "${domains[@]}"; do
   for n in 1 2 3; do
@@ -69,6 +70,7 @@
     upstreams=$((upstreams + 1))
   done
   start_standin "desk-$d" service
+  desks+=("$bound")
   post "$platform/stand-in/upstreams" "{\"id\":\"desk-$d\",\"kind\":\"service\",\"service\":\"desk\",\"failureDomain\":\"$d\",\"address\":\"$bound\",\"slots\":64}"
   upstreams=$((upstreams + 1))
 done
@@ -164,12 +166,33 @@
 done
 expect 'requests to engines that held a key' "$keys" 0
 
+runs=0
+for desk in "${desks[@]}"; do
+  ran=$("$standin" post --method GET "http://$desk/stand-in/counts" | field started)
+  runs=$((runs + ran))
+done
+expect 'runs of the charge that was sent twice' "$runs" 1
+
 # The whole path as the tool shows it.
 expect 'the outcome that explain tells' "$("$ctl" --output json explain "$request" | grep -oE '"outcome": "[a-z ]+"')" '"outcome": "answered"'
 expect 'the step that the tool lists' "$("$ctl" steps strathallan | awk '/round-1/ {print $4, $5}')" '128 128'
 expect 'edits in the history' "$("$ctl" contract history strathallan | grep -c '^revision ')" 2
+reported=
+for _ in $(seq 300); do
+  reported=$("$ctl" --output json usage | grep -c '"account": "strathallan"' || true)
+  if [ "$reported" -gt 0 ]; then break; fi
+  sleep 0.1
+done
+if [ "$reported" = 0 ]; then
+  echo "smoke: FAILED: no usage report came" >&2
+  exit 1
+fi
+
 echo "what operators see:"
 "$ctl" status
+echo "what was served and reported so far:"
+"$ctl" steps
+"$ctl" usage
 echo "time line of request $request over all processes:"
 "$ctl" timeline --request "$request"
 echo "the same request, explained:"
