--- a/internal/daemon/providers.go
+++ b/internal/daemon/providers.go
@@ -123,7 +123,8 @@
 }
 
 func newSyncer(s settings.Daemon, tables *platform.Client, gossip *peer.Gossip, view *contract.View, events *event.Recorder, h *hooks) *config.Syncer {
-	h.syncer = config.NewSyncer(tables, gossip, view, events, s.RevisionPoll(), h.revoke)
+	h.syncer = config.NewSyncer(tables, gossip, view, events, s.RevisionPoll(), h.revoke,
+		config.WithFleet(func() int { return len(gossip.VMs()) }))
 	return h.syncer
 }
 
@@ -216,6 +217,7 @@
 }
 
 func newEntry(
+	s settings.Daemon,
 	view *contract.View,
 	syncer *config.Syncer,
 	runner *generate.Local,
@@ -242,6 +244,7 @@
 		Usage:      meter,
 		Events:     events,
 		Registry:   registry,
+		DrainTime:  s.Drain(),
 	})
 	return h.entry
 }
