API page lists exactly the routes; operators get typed refusals for odd paths

Fails first: GET /v1/status taken from the page: operator_test.go:390: the page lists [...] the code has [...] container's own mux: GET /v1//status answered 307 "<a href=...>Temporary Redirect</a>" After: ok.

--- a/internal/doccheck/doccheck.go
+++ b/internal/doccheck/doccheck.go
@@ -5,7 +5,9 @@
 import (
 	"os"
 	"path/filepath"
+	"regexp"
 	"runtime"
+	"slices"
 	"strings"
 	"testing"
 )
@@ -52,6 +54,21 @@
 	return cells
 }
 
+// call matches a method and a path, up to a query.
+var call = regexp.MustCompile("(GET|PUT|POST|DELETE) (/[^ ?`]*)")
+
+// Calls returns the calls, as "METHOD /path", that the first column of the
+// table in a page's section names, sorted and each once.
+func Calls(t *testing.T, page, section string) []string {
+	t.Helper()
+	var calls []string
+	for _, cell := range Column(t, page, section, 0) {
+		calls = append(calls, call.FindAllString(cell, -1)...)
+	}
+	slices.Sort(calls)
+	return slices.Compact(calls)
+}
+
 // headerLines are the heading of a Markdown table and the line under it.
 const headerLines = 2
 
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -115,6 +115,13 @@
 		w.WriteHeader(http.StatusInternalServerError)
 	})
 	container.ServiceErrorHandler(unrouted)
+	container.Add(s.api())
+	// Dispatch, not ServeHTTP: the container's own mux would answer some paths
+	// with a redirect in place of a typed refusal.
+	return http.HandlerFunc(container.Dispatch)
+}
+
+func (s *Server) api() *restful.WebService {
 	ws := new(restful.WebService)
 	ws.Path("/v1").Produces(restful.MIME_JSON).Filter(s.authenticate)
 	ws.Route(ws.PUT("/contracts/{account}").To(s.handle(s.putContract)))
@@ -131,8 +138,7 @@
 	ws.Route(ws.GET("/usage").To(s.handle(s.listUsage)))
 	ws.Route(ws.GET("/usage/{window}").To(s.handle(s.windowUsage)))
 	ws.Route(ws.GET("/events").To(s.handle(s.eventLine)))
-	container.Add(ws)
-	return container
+	return ws
 }
 
 // authenticate checks the operators' credential in constant time.
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -343,6 +343,7 @@
 		{http.MethodGet, "/v1/usage/soon", "", http.StatusBadRequest, fault.CodeBadRequest},
 		{http.MethodGet, "/v1/usage/300", "", http.StatusServiceUnavailable, fault.CodeStoreUnavailable},
 		{http.MethodGet, "/v1/revisions/x/confirmation", "", http.StatusBadRequest, fault.CodeBadRequest},
+		{http.MethodGet, "/v1//status", "", http.StatusNotFound, fault.CodeRouteUnknown},
 		{http.MethodGet, "/v1/nothing", "", http.StatusNotFound, fault.CodeRouteUnknown},
 		{http.MethodPost, "/v1/status", "", http.StatusMethodNotAllowed, fault.CodeRouteUnknown},
 		{http.MethodGet, "/v1/events?event=soon", "", http.StatusBadRequest, fault.CodeBadRequest},
@@ -376,3 +377,16 @@
 		t.Errorf("the page has\n%v\nthe code has\n%v", onPage, want)
 	}
 }
+
+// A call that the page does not name is used by nobody, and one that only the
+// page names is refused.
+func TestAPIPageListsTheOperatorsRoutes(t *testing.T) {
+	var routes []string
+	for _, route := range newFixture().server.api().Routes() {
+		routes = append(routes, route.Method+" "+route.Path)
+	}
+	slices.Sort(routes)
+	if listed := doccheck.Calls(t, "docs/API.md", "operators"); !slices.Equal(listed, routes) {
+		t.Errorf("the page lists\n%v\nthe code has\n%v", listed, routes)
+	}
+}
