--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -369,6 +369,28 @@
 	}
 }
 
+// A busy VM's ring has dropped the first events of a request. The rest, told as
+// if it were all, would hide an attempt.
+func TestExplainSaysWhenItIsPartial(t *testing.T) {
+	second := event.Record{Number: event.RequestDispatched, Subject: event.Subject{Request: "r", Upstream: "e", Attempt: 2}}
+	answered := event.Record{Number: event.RequestAnswered, Subject: event.Subject{Request: "r"}}
+	accepted := event.Record{Number: event.RequestAccepted, Subject: event.Subject{Request: "r"}}
+	slot := event.Record{Number: event.RequestDispatched, Subject: event.Subject{Request: "r", Step: "s", Attempt: 1}}
+	for _, c := range []struct {
+		line []event.Record
+		want bool
+	}{
+		{[]event.Record{second, answered}, true},
+		{[]event.Record{answered}, true},
+		{[]event.Record{accepted, second, answered}, false},
+		{[]event.Record{slot, answered}, false},
+	} {
+		if told := explain("r", c.line, nil); told.Partial != c.want {
+			t.Errorf("from %s the account is partial: %t, want %t", c.line[0].Number, told.Partial, c.want)
+		}
+	}
+}
+
 // An event of a slow VM comes in after later events of the others. Whoever
 // follows the time line must still see it, and each event once.
 func TestFollowShowsLateEventsOnce(t *testing.T) {
--- a/internal/ctl/explain.go
+++ b/internal/ctl/explain.go
@@ -23,6 +23,9 @@
 	// Outcome is "answered", "refused" or "not known".
 	Outcome string        `json:"outcome"`
 	Lines   []ExplainLine `json:"lines"`
+	// Partial is true when the request's first event is not among the kept ones,
+	// so that attempts may lack.
+	Partial bool `json:"partial"`
 	// Missing names VMs that did not answer; what they did is not told.
 	Missing []string `json:"missing"`
 
@@ -115,6 +118,9 @@
 	for _, l := range e.Lines {
 		row(w, clock(l.At), fmt.Sprintf("+%.1f ms", float64(l.SinceMicros)/microsPerMilli), l.VM, l.Text)
 	}
+	if e.Partial {
+		_, _ = fmt.Fprintln(w, "partial: the first events of this request are not kept any more, or are on a VM that did not answer")
+	}
 	for _, line := range missingLines(e.Missing) {
 		_, _ = fmt.Fprintln(w, line)
 	}
@@ -131,6 +137,7 @@
 		if e.Request == request {
 			if len(told.Lines) == 0 {
 				start = e.Stamp
+				told.Partial = !begins(e)
 			}
 			told.take(e, start)
 			if e.Upstream != "" {
@@ -145,6 +152,13 @@
 	return told
 }
 
+// begins reports whether an event is the first of its request. The generations
+// of a step have no caller, so that their first event is a dispatch.
+func begins(e event.Record) bool {
+	return e.Number == event.RequestAccepted || e.Number == event.RequestRefused ||
+		e.Step != "" && e.Number == event.RequestDispatched && e.Attempt == 1
+}
+
 // take adds an event of the request itself.
 func (x *Explanation) take(e event.Record, start event.Stamp) {
 	if e.Account != "" {
