--- a/internal/processtest/cutoff_test.go
+++ b/internal/processtest/cutoff_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"strings"
 	"testing"
@@ -17,6 +18,7 @@
 // be refused although its own engines are well; or, worse, it would serve keys
 // for ever that have been withdrawn meanwhile.
 func TestCutOffDomainServesWithinItsBound(t *testing.T) {
+	t.Parallel()
 	f := startFleet(t, shape{domains: []string{"a", "b"}, vms: 1, engines: 1, desks: 1})
 	bounded := testContract("strathallan")
 	bounded.Isolation.ServeSeconds = 5
@@ -58,6 +60,70 @@
 	wantRefusal(t, "withdrawn meanwhile", status, answer, http.StatusUnauthorized, fault.CodeKeyWithdrawn, fault.NotRun)
 }
 
+// A failure domain loses the platform, or the other domains, or both, for a
+// while, and each domain in turn. Whatever is lost, its own engines can serve
+// its callers; and an edit made meanwhile elsewhere must be in force soon after,
+// or an operator's withdrawal is undone by a cable.
+func TestEachFailureDomainServesThroughEachCut(t *testing.T) {
+	t.Parallel()
+	domains := []string{"a", "b", "c"}
+	f := startFleet(t, shape{domains: domains, vms: 1, engines: 1, desks: 1})
+	key := f.grant(testContract("strathallan"))
+	for n, domain := range domains {
+		inside, outside := f.vms[n], f.vms[(n+1)%len(domains)]
+		for _, lost := range []string{"platform", "others", "both"} {
+			name := domain + " without " + lost
+			f.sever(domain, lost, f.network.cut)
+			if status, answer := f.generate(inside, key, name, 16); status != http.StatusOK {
+				t.Errorf("%s: generate: %d %s", name, status, answer)
+			}
+			status, answer := f.charge(inside, key, name, name)
+			if lost == "others" && status != http.StatusOK {
+				t.Errorf("%s: keyed call: %d %s", name, status, answer)
+			}
+			if lost != "others" {
+				wantRefusal(t, name, status, answer, http.StatusServiceUnavailable, fault.CodeStoreUnavailable, fault.NotRun)
+			}
+			account := contract.Account(fmt.Sprintf("late-%s-%s", domain, lost))
+			revision := f.operateAt(outside, http.MethodPut, "/v1/contracts/"+string(account), "", testContract(account))
+			before := f.revision(inside)
+			if lost == "platform" {
+				await(t, name+": the edit comes by peers", func() bool { return f.revision(inside) >= revision })
+			}
+			f.sever(domain, lost, f.network.heal)
+			healed := time.Now()
+			await(t, name+": the edit is in force", func() bool { return f.revision(inside) >= revision })
+			t.Logf("%s: edit in force %v after the cut healed", name, time.Since(healed).Round(time.Millisecond))
+			if now := f.revision(inside); now < before {
+				t.Errorf("%s: revision went from %d back to %d", name, before, now)
+			}
+			await(t, name+": keyed calls run again", func() bool {
+				status, _ := f.charge(inside, key, name+" after", name)
+				return status == http.StatusOK
+			})
+		}
+	}
+	charged := int64(0)
+	for _, desk := range f.desks {
+		charged += f.counts(desk).Started
+	}
+	if want := int64(len(domains) * 4); charged != want {
+		t.Errorf("the desks ran %d calls, the callers were told of %d", charged, want)
+	}
+}
+
+// sever cuts or heals what a failure domain loses.
+func (f *fleet) sever(domain, lost string, change func(a, b string)) {
+	if lost != "others" {
+		change(domain, platformPlace)
+	}
+	for _, other := range f.shape.domains {
+		if other != domain && lost != "platform" {
+			change(domain, other)
+		}
+	}
+}
+
 // The platform's store refuses every call for a while. Work that needs no store
 // must not notice; a deposit whose claim can't be stored must not run, and its
 // refusal must say so.
--- a/internal/processtest/drain_test.go
+++ b/internal/processtest/drain_test.go
@@ -119,8 +119,10 @@
 }
 
 // stream reads a stream that lasts longer than the notice of a drain.
-func (l *load) stream(v *vm, _ int) string {
-	s, err := l.fleet.tryStream(v, l.key, streamTokens)
+func (l *load) stream(v *vm, _ int) string { return l.read(v, streamTokens) }
+
+func (l *load) read(v *vm, maxTokens int) string {
+	s, err := l.fleet.tryStream(v, l.key, maxTokens)
 	if err != nil {
 		return err.Error()
 	}
@@ -188,3 +190,8 @@
 		t.Errorf("only %d streams ran", l.served["stream"])
 	}
 }
+
+// shortStream reads a stream of some hundred tokens.
+func (l *load) shortStream(v *vm, n int) string {
+	return l.read(v, 400+n%100)
+}
