Pulls take turns: one that was given up neither sends nor withdraws

Cause: a pull that the trainer had given up could go on later on a VM that was paused, take for stale what a later pull had delivered meanwhile, and withdraw it; the slot then came to the trainer twice. Judgements differ between VMs when one has not heard of an edit, or has just started and knows no supersession.

Ruled out: a turn only for withdrawals (the later pull leaves no trace); numbers given on arrival (a request held up in a socket counts as the latest), which is left only for trainers that number nothing.

Change: trainers number their pulls; each takes its turn in the progress row before it judges. New failure pull_overtaken (503).

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -28,9 +28,9 @@
 type Steps interface {
 	// Open opens a step; a repeat with the same definition is harmless.
 	Open(ctx context.Context, account contract.Account, step string, definition sample.Definition) (sample.Status, error)
-	// Samples returns samples with numbers after the given one, in order, and
-	// waits up to wait for the first.
-	Samples(ctx context.Context, account contract.Account, step string, after int64, wait time.Duration) ([]sample.Sample, error)
+	// Samples returns the samples after the pull's cursor, in order, and waits
+	// for the first.
+	Samples(ctx context.Context, account contract.Account, step string, pull sample.Pull) ([]sample.Sample, error)
 	// Ack confirms the samples up to a number.
 	Ack(ctx context.Context, account contract.Account, step string, through int64) error
 }
--- a/internal/entry/refusal.go
+++ b/internal/entry/refusal.go
@@ -52,6 +52,7 @@
 	fault.CodeClaimMismatch:      http.StatusUnprocessableEntity,
 	fault.CodeStepUnknown:        http.StatusNotFound,
 	fault.CodeStepMismatch:       http.StatusConflict,
+	fault.CodePullOvertaken:      http.StatusServiceUnavailable,
 }
 
 // defaultRetryAfter is told when a retry makes sense but no better time is known.
--- a/internal/entry/steps.go
+++ b/internal/entry/steps.go
@@ -72,9 +72,13 @@
 	if err != nil {
 		return err
 	}
-	wait := min(time.Duration(seconds)*time.Second, maxWait)
+	number, err := queryNumber(r, "pull")
+	if err != nil {
+		return err
+	}
+	pull := sample.Pull{After: after, Number: number, Wait: min(time.Duration(seconds)*time.Second, maxWait)}
 	step := r.PathParameter("step")
-	samples, err := s.Steps.Samples(ctx, c.contract.Account, step, after, wait)
+	samples, err := s.Steps.Samples(ctx, c.contract.Account, step, pull)
 	if err != nil {
 		// A pull reads only the store.
 		return fault.WithExecution(err, fault.NotRun)
--- a/internal/fault/types.go
+++ b/internal/fault/types.go
@@ -41,6 +41,7 @@
 	CodeOrderFenced          Code = "order_fenced"
 	CodeStepUnknown          Code = "step_unknown"
 	CodeStepMismatch         Code = "step_mismatch"
+	CodePullOvertaken        Code = "pull_overtaken"
 	CodeSampleStale          Code = "sample_stale"
 	CodeSampleUnattributable Code = "sample_unattributable"
 	CodeSpendingExceeded     Code = "spending_exceeded"
@@ -86,6 +87,7 @@
 	CodeOrderFenced,
 	CodeStepUnknown,
 	CodeStepMismatch,
+	CodePullOvertaken,
 	CodeSampleStale,
 	CodeSampleUnattributable,
 	CodeSpendingExceeded,
@@ -527,6 +529,19 @@
 // Code implements Failure.
 func (*StepMismatch) Code() Code { return CodeStepMismatch }
 
+// PullOvertaken reports a pull of samples after which a later pull of the same step had its turn.
+type PullOvertaken struct {
+	Step string
+}
+
+// Error implements error.
+func (e *PullOvertaken) Error() string {
+	return fmt.Sprintf("a later pull of step %q has had its turn", e.Step)
+}
+
+// Code implements Failure.
+func (*PullOvertaken) Code() Code { return CodePullOvertaken }
+
 // SampleStale reports a sample older than the contract's staleness bound.
 type SampleStale struct {
 	Slot string
--- a/internal/metrics/steps.go
+++ b/internal/metrics/steps.go
@@ -20,9 +20,9 @@
 
 // Samples implements entry.Steps. The time of a pull counts whether or not a
 // sample came: the trainer was idle.
-func (s *Steps) Samples(ctx context.Context, account contract.Account, step string, after int64, wait time.Duration) ([]sample.Sample, error) {
+func (s *Steps) Samples(ctx context.Context, account contract.Account, step string, pull sample.Pull) ([]sample.Sample, error) {
 	asked := time.Now()
-	samples, err := s.Steps.Samples(ctx, account, step, after, wait)
+	samples, err := s.Steps.Samples(ctx, account, step, pull)
 	s.metrics.TrainerIdle.WithLabelValues(string(account)).Add(time.Since(asked).Seconds())
 	return samples, err
 }
--- a/internal/rollout/delivery.go
+++ b/internal/rollout/delivery.go
@@ -19,25 +19,32 @@
 	pollPeriod = 100 * time.Millisecond
 )
 
-// Samples returns the samples after a number, in order and without gaps, and
-// waits up to wait for the first.
+// Samples returns the samples after the pull's cursor, in order and without
+// gaps, and waits for the first.
 //
 // The same number always has the same content, or a tombstone once the sample
 // went stale before the trainer confirmed it. The tombstone is in the store
 // before it is sent, so that no later answer of any VM holds the content.
-func (m *Manager) Samples(ctx context.Context, account contract.Account, step string, after int64, wait time.Duration) ([]sample.Sample, error) {
+//
+// A pull that the trainer gave up may still run on a VM that was paused. Each
+// pull therefore takes its turn in the store before it judges, sends or
+// withdraws anything, and one that was overtaken does none of these.
+func (m *Manager) Samples(ctx context.Context, account contract.Account, step string, pull sample.Pull) ([]sample.Sample, error) {
 	r := ref{account: account, step: step}
-	deadline := time.Now().Add(wait)
+	deadline := time.Now().Add(pull.Wait)
 	for {
 		progress, _, err := m.store.progress(ctx, r)
 		if err != nil {
 			return nil, err
 		}
-		if err := progress.CheckCursor(after); err != nil {
+		if err := progress.CheckCursor(pull.After); err != nil {
 			return nil, err
 		}
-		if progress.Committed > after {
-			return m.deliver(ctx, r, progress.Model, after)
+		if pull.Number == 0 {
+			pull.Number = progress.Pull + 1
+		}
+		if progress.Committed > pull.After {
+			return m.takeTurn(ctx, r, progress.Model, pull)
 		}
 		if !time.Now().Before(deadline) {
 			return nil, nil
@@ -50,13 +57,27 @@
 	}
 }
 
+func (m *Manager) takeTurn(ctx context.Context, r ref, model string, pull sample.Pull) ([]sample.Sample, error) {
+	_, err := m.store.update(ctx, r, func(p sample.Progress) (sample.Progress, bool, error) {
+		if err := p.CheckCursor(pull.After); err != nil {
+			return p, false, err
+		}
+		next, err := p.TakeTurn(r.step, pull.Number)
+		return next, true, err
+	})
+	if err != nil {
+		return nil, err
+	}
+	return m.deliver(ctx, r, model, pull)
+}
+
 // deliver reads and judges the samples after a number. The judgement rests on a
 // reading of the weight store that began after the pull: with an older one, a
 // sample could go out that a new version had made stale. Stale samples are
 // withdrawn first; then all are read and judged again, since time has passed.
-func (m *Manager) deliver(ctx context.Context, r ref, model string, after int64) ([]sample.Sample, error) {
+func (m *Manager) deliver(ctx context.Context, r ref, model string, pull sample.Pull) ([]sample.Sample, error) {
 	for {
-		batches, err := m.store.batches(ctx, r, after, deliveryBatches)
+		batches, err := m.store.batches(ctx, r, pull.After, deliveryBatches)
 		if err != nil {
 			return nil, err
 		}
@@ -64,12 +85,12 @@
 		if err != nil {
 			return nil, err
 		}
-		withdrawn, err := m.withdrawStale(ctx, r, batches, after, v)
+		withdrawn, err := m.withdrawStale(ctx, r, batches, pull, v)
 		if err != nil {
 			return nil, err
 		}
 		if !withdrawn {
-			return m.delivered(r, batches, after, v), nil
+			return m.delivered(r, batches, pull.After, v), nil
 		}
 	}
 }
@@ -77,9 +98,9 @@
 // withdrawStale withdraws what may not be passed on, and reports whether the
 // batches must be read again. Only samples after the cursor are looked at: the
 // trainer has those before it.
-func (m *Manager) withdrawStale(ctx context.Context, r ref, batches []batch, after int64, v verdict) (bool, error) {
+func (m *Manager) withdrawStale(ctx context.Context, r ref, batches []batch, pull sample.Pull, v verdict) (bool, error) {
 	stale := func(s sample.Sample) bool {
-		return s.Number > after && !s.Withdrawn && v.fresh(s) != nil
+		return s.Number > pull.After && !s.Withdrawn && v.fresh(s) != nil
 	}
 	found := false
 	for _, b := range batches {
@@ -87,7 +108,7 @@
 			continue
 		}
 		found = true
-		count, err := m.store.withdraw(ctx, r, b, stale)
+		count, err := m.store.withdraw(ctx, r, pull.Number, b, stale)
 		if fault.Is[*fault.PreconditionFailed](err) {
 			continue
 		}
--- a/internal/rollout/manager.go
+++ b/internal/rollout/manager.go
@@ -155,7 +155,7 @@
 }
 
 func status(r ref, p sample.Progress) sample.Status {
-	return sample.Status{Step: r.step, Slots: p.Slots, Filled: p.Count(), Committed: p.Committed, Acked: p.Acked}
+	return sample.Status{Step: r.step, Slots: p.Slots, Filled: p.Count(), Committed: p.Committed, Acked: p.Acked, Pull: p.Pull}
 }
 
 // Run looks for open steps once a period until ctx ends. A step whose owner
--- a/internal/rollout/store.go
+++ b/internal/rollout/store.go
@@ -184,13 +184,17 @@
 }
 
 // withdraw replaces the samples of a batch that stale names by tombstones and
-// opens their slots again. It fails with *fault.PreconditionFailed when the
-// batch or the progress changed meanwhile.
-func (s store) withdraw(ctx context.Context, r ref, b batch, stale func(sample.Sample) bool) (int, error) {
+// opens their slots again, on behalf of the pull that has the turn. It fails
+// with *fault.PreconditionFailed when the batch or the progress changed
+// meanwhile, and with *fault.PullOvertaken when the turn has passed on.
+func (s store) withdraw(ctx context.Context, r ref, pull int64, b batch, stale func(sample.Sample) bool) (int, error) {
 	progress, row, err := s.progress(ctx, r)
 	if err != nil {
 		return 0, err
 	}
+	if err := progress.CheckTurn(r.step, pull); err != nil {
+		return 0, err
+	}
 	count := 0
 	kept := append([]sample.Sample(nil), b.samples...)
 	for i, candidate := range kept {
--- a/internal/sample/progress.go
+++ b/internal/sample/progress.go
@@ -23,6 +23,8 @@
 	Committed int64 `json:"committed"`
 	// Acked is the number up to which the trainer confirmed.
 	Acked int64 `json:"acked"`
+	// Pull is the highest number of a pull that had its turn.
+	Pull int64 `json:"pull"`
 }
 
 const byteBits = 8
@@ -83,6 +85,26 @@
 	return p, numbered, nil
 }
 
+// TakeTurn gives the turn to a pull. It fails with *fault.PullOvertaken when
+// the pull does not come after all that had a turn: the trainer has given it up.
+func (p Progress) TakeTurn(step string, number int64) (Progress, error) {
+	if number <= p.Pull {
+		return p, errors.WithStack(&fault.PullOvertaken{Step: step})
+	}
+	p.Pull = number
+	return p, nil
+}
+
+// CheckTurn fails with *fault.PullOvertaken when a later pull has had its turn.
+// The trainer may by then hold what an earlier pull takes for stale; if that one
+// still withdrew it, the slot would come a second time.
+func (p Progress) CheckTurn(step string, number int64) error {
+	if number != p.Pull {
+		return errors.WithStack(&fault.PullOvertaken{Step: step})
+	}
+	return nil
+}
+
 // Withdraw empties the slot of a committed sample and reports whether it did.
 // A sample that the trainer confirmed stays: its slot is done.
 func (p Progress) Withdraw(s Sample) (Progress, bool) {
--- a/internal/sample/sample.go
+++ b/internal/sample/sample.go
@@ -5,6 +5,7 @@
 
 import (
 	"fmt"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -108,6 +109,18 @@
 	return Sample{Number: s.Number, Slot: s.Slot, Withdrawn: true}
 }
 
+// Pull asks for the samples of a step.
+type Pull struct {
+	// After is the trainer's cursor: it has the samples up to this number.
+	After int64
+	// Number rises with each pull of the trainer, repeats included; 0 lets the
+	// pull be numbered on its arrival. Of two pulls the one with the higher
+	// number is the one whose answer the trainer takes.
+	Number int64
+	// Wait is how long to wait for the first sample.
+	Wait time.Duration
+}
+
 // Status tells how far a step is.
 type Status struct {
 	Step  string `json:"step"`
@@ -118,4 +131,7 @@
 	Committed int64 `json:"committed"`
 	// Acked is the number up to which the trainer confirmed.
 	Acked int64 `json:"acked"`
+	// Pull is the highest number of a pull that had its turn; a trainer that
+	// restarts numbers its pulls from there.
+	Pull int64 `json:"pull"`
 }
--- a/internal/standin/service.go
+++ b/internal/standin/service.go
@@ -59,13 +59,15 @@
 	writeJSON(w, http.StatusOK, answer)
 }
 
-// score scores a sample by the length of its text.
+// score scores a sample by the length of its text. It is no charge.
 func (s *Service) score(w http.ResponseWriter, r *http.Request) {
 	var request rollout.ScoreRequest
 	if !readJSON(w, r, &request) {
 		return
 	}
-	s.count(r, request.Step+"/"+request.Slot.Name())
+	s.mu.Lock()
+	s.counts.Runs["score "+request.Step+"/"+request.Slot.Name()]++
+	s.mu.Unlock()
 	score := float64(len(request.Text))
 	writeJSON(w, http.StatusOK, rollout.ScoreReply{Score: &score})
 }
