--- a/internal/daemon/providers.go
+++ b/internal/daemon/providers.go
@@ -96,7 +96,7 @@
 }
 
 // loadPeriod is the period of the polls of an engine's load.
-const loadPeriod = 500 * time.Millisecond
+const loadPeriod = time.Second
 
 func newPoller(engines *engine.Client, loads *upstream.Loads, scheduler *dispatch.Scheduler) *upstream.Poller {
 	return upstream.NewPoller(engines, loads, loadPeriod, scheduler.Watched)
--- a/internal/dispatch/division.go
+++ b/internal/dispatch/division.go
@@ -35,7 +35,7 @@
 	// busyNumerator and busyDenominator are the load above which an engine lends
 	// nothing.
 	busyNumerator, busyDenominator = 3, 4
-	// reportFresh is how old a report may be for its engine to lend.
+	// reportFresh is how old a report may be to decide anything by itself.
 	reportFresh = 3 * time.Second
 	// missesUntilUnreachable is how many load reports in a row may fail.
 	missesUntilUnreachable = 2
@@ -61,9 +61,7 @@
 func (p *poolQueue) candidate(u platform.Upstream, limit int, now time.Time) (candidate, bool) {
 	c := &p.scheduler.config
 	report, reported := c.Loads.Get(u.ID)
-	if reported && !report.At.IsZero() && u.Kind == platform.KindEngine && (report.Model != p.name.Model || report.Adapter != p.name.Adapter) {
-		// The list lags: the engine has been ordered to another pool and would
-		// refuse, which callers would notice as failed attempts.
+	if reported && p.servesOther(u, report, now) {
 		return candidate{}, false
 	}
 	borrowed := p.division.borrowed[u.ID]
@@ -88,6 +86,16 @@
 	}, true
 }
 
+// servesOther reports whether a fresh report names another model or adapter. The
+// list lags: the engine has been ordered to another pool and would refuse, which
+// callers would notice as failed attempts.
+func (p *poolQueue) servesOther(u platform.Upstream, report upstream.Report, now time.Time) bool {
+	if u.Kind != platform.KindEngine || report.At.IsZero() || now.Sub(report.At) > reportFresh {
+		return false
+	}
+	return report.Model != p.name.Model || report.Adapter != p.name.Adapter
+}
+
 // lendsNow reports whether an engine's report is fresh and shows room.
 func lendsNow(u platform.Upstream, report upstream.Report, now time.Time) bool {
 	if report.At.IsZero() || now.Sub(report.At) > reportFresh {
@@ -246,14 +254,21 @@
 	return borrowWeight(a.ID, vm) > borrowWeight(b.ID, vm)
 }
 
-// watched returns the engines that the VM may use.
+// watchTime is how long after its last request a pool's engines are watched.
+const watchTime = 10 * time.Second
+
+// watched returns the engines that the VM may use, while it has work for them.
 func (p *poolQueue) watched() []platform.Upstream {
 	if p.name.Kind != platform.KindEngine {
 		return nil
 	}
+	now := time.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.divide(time.Now())
+	if now.Sub(p.usedAt) > watchTime {
+		return nil
+	}
+	p.divide(now)
 	var list []platform.Upstream
 	for _, u := range p.division.list {
 		if p.division.limits[u.ID] > 0 {
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -24,6 +24,8 @@
 	inFlight map[string]int
 	drain    drainMeter
 	division division
+	// usedAt is when the latest request came.
+	usedAt time.Time
 }
 
 // queueLimit is how many requests may wait for one pool.
@@ -38,6 +40,8 @@
 func (p *poolQueue) enter(t *ticket) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	now := time.Now()
+	p.usedAt = now
 	for _, victim := range p.queue.add(t) {
 		p.scheduler.metrics.shed.WithLabelValues(string(victim.work.Account)).Inc()
 		victim.ready <- outcome{err: errors.WithStack(&fault.QueueFull{
@@ -45,7 +49,7 @@
 			Wait:    p.retryAfter(victim.work),
 		})}
 	}
-	p.grantAll(time.Now())
+	p.grantAll(now)
 }
 
 // leave takes a ticket back and reports whether it was still waiting.
--- /dev/null
+++ b/scripts/slopes.sh
@@ -0,0 +1,114 @@
+#!/usr/bin/env bash
+# Measures the slopes that docs/CAPACITY.md cites, on real daemons on loopback.
+# For each size: what control costs each VM while no caller asks (processor time,
+# memory, bytes sent to peers), what the fleet asks of the store, and how long an
+# edit takes until the operator's answer names every VM. Then, at 9 VMs, what a
+# request, a token and a sample cost.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+# shellcheck source=scripts/fleet.sh
+. scripts/fleet.sh
+sizes=${SIZES:-3 9 30 60}
+settle=${SETTLE:-8}
+window=${WINDOW:-15}
+target=390
+domains=(a b c)
+rows="$work/rows"
+ticks=$(getconf CLK_TCK)
+
+vm_names() { local n; for n in "${!pid_of[@]}"; do case $n in vm-*) echo "$n" ;; esac; done; }
+cpu_ticks() { # the processor time of all daemons in ticks
+  local n
+  for n in $(vm_names); do awk '{print $14 + $15}' "/proc/${pid_of[$n]}/stat"; done | awk '{s += $1} END {print s}'
+}
+memory_kib() { # the mean resident memory of the daemons
+  local n
+  for n in $(vm_names); do awk '/^VmRSS/ {print $2}' "/proc/${pid_of[$n]}/status"; done | awk '{s += $1} END {printf "%.0f", s / NR}'
+}
+scrape() { # scrape <metric>: its sum over all daemons
+  local e
+  for e in "${entries[@]}"; do "$standin" post --method GET "http://$e/metrics" | grep -E "^$1" | awk '{print $NF}'; done | awk '{s += $1} END {printf "%.0f", s}'
+}
+table_count() { "$standin" post --method GET "$platform/stand-in/tables" | jq ".$1"; }
+list_bytes() { echo $(($("$standin" post --method GET "$platform/vms" | wc -c) + $("$standin" post --method GET "$platform/upstreams" | wc -c))); }
+
+start_size() { # start_size <VMs>: with two engines to each VM in the list, served by three processes
+  local i d vms=()
+  operator=
+  start_platform
+  for i in 0 1 2; do start_engine "engine-${domains[$i]}" "${domains[$i]}" --token-time 1ms; done
+  for ((i = 3; i < 2 * $1; i++)); do
+    d=${domains[$((i % 3))]}
+    post "$platform/stand-in/upstreams" "{\"id\":\"engine-$d-$i\",\"kind\":\"engine\",\"failureDomain\":\"$d\",\"address\":\"${engines[$((i % 3))]}\",\"model\":\"berry-1\",\"slots\":8}"
+  done
+  for ((i = 0; i < $1; i++)); do vms+=("vm-$i:${domains[$((i % 3))]}"); done
+  start_vms '' "${vms[@]}"
+  grant slopes 100
+  sleep 2
+  local e
+  for e in "${entries[@]}"; do
+    post --header "Authorization: Bearer $key" "http://$e/v1/generate" '{"model":"berry-1","prompt":"open?","maxTokens":8}'
+  done
+}
+
+printf '%5s %12s %10s %12s %14s %14s %14s %12s\n' VMs 'cpu %/VM' 'MiB/VM' 'peer B/s/VM' 'store reads/s' 'store writes/s' 'list B/s/VM' 'edit, s'
+for size in $sizes; do
+  start_size "$size"
+  sleep "$settle"
+  begun=$(date +%s%N)
+  cpu=$(cpu_ticks) bytes=$(scrape dogwoodpond_peer_sent_bytes_total) reads=$(table_count reads) commits=$(table_count commits)
+  sleep "$window"
+  cpu=$(($(cpu_ticks) - cpu)) reads=$(($(table_count reads) - reads)) commits=$(($(table_count commits) - commits))
+  span=$(($(date +%s%N) - begun))
+  bytes=$(($(scrape dogwoodpond_peer_sent_bytes_total) - bytes))
+  memory=$(memory_kib)
+  edit=$(date +%s%N)
+  grant "edit-$size" 100
+  edit=$((($(date +%s%N) - edit) / 2))
+  awk -v n="$size" -v cpu="$cpu" -v ticks="$ticks" -v span="$span" -v kib="$memory" -v bytes="$bytes" -v reads="$reads" -v commits="$commits" \
+    -v list="$(list_bytes)" -v edit="$edit" 'BEGIN {
+      s = span / 1e9
+      printf "%5d %12.2f %10.1f %12.0f %14.1f %14.1f %14.0f %12.2f\n", n, 100 * cpu / ticks / s / n, kib / 1024, bytes / s / n, reads / s, commits / s, list * 2, edit / 1e9
+    }' | tee -a "$rows"
+  fleet_stop
+done
+
+# A straight line through the sizes, carried on to the target.
+awk -v target="$target" '
+  { n++; for (c = 1; c <= NF; c++) { s[c] += $c; p[c] += $1 * $c } q += $1 * $1; last = NF }
+  END {
+    printf "straight line through them at %d VMs\n%5d", target, target
+    d = n * q - s[1] * s[1]
+    for (c = 2; c <= last; c++) {
+      b = (n * p[c] - s[1] * s[c]) / d
+      a = (s[c] - b * s[1]) / n
+      printf " %.2f", a + b * target
+    }
+    printf "\n"
+  }' "$rows"
+
+start_size 9
+sleep 3
+begun=$(date +%s%N) cpu=$(cpu_ticks)
+sleep 8
+idle=$(awk -v c="$(($(cpu_ticks) - cpu))" -v s="$(($(date +%s%N) - begun))" 'BEGIN {print c / s}')
+flags=()
+for e in "${entries[@]}"; do flags+=(--entry "$e"); done
+echo "{\"seconds\":10,\"seed\":3,\"accounts\":[{\"name\":\"slopes\",\"key\":\"$key\",\"share\":100,\"rate\":60,\"maxTokens\":256,\"sigma\":0.2,\"groups\":20,\"promptWords\":40}]}" >"$work/plan.json"
+begun=$(date +%s%N) cpu=$(cpu_ticks) reads=$(table_count reads) commits=$(table_count commits)
+"$standin" load --plan "$work/plan.json" "${flags[@]}" >"$work/load.json"
+cpu=$(($(cpu_ticks) - cpu)) span=$(($(date +%s%N) - begun))
+jq -r '.accounts[0] | "\(.answered) \(.tokens)"' "$work/load.json" | awk -v cpu="$cpu" -v ticks="$ticks" -v idle="$idle" -v span="$span" '{
+  used = (cpu - idle * span) / ticks
+  printf "requests: %d answered, %d tokens: %.2f ms of processor time for each request, %.1f us for each token\n", $1, $2, 1000 * used / $1, 1e6 * used / $2
+}'
+step() { # step <samples>: reads and writes of the store during one step
+  local r c
+  r=$(table_count reads) c=$(table_count commits)
+  DOGWOODPOND_KEY=$key "$standin" trainer "${flags[@]}" --step "slopes-$1" --groups $(($1 / 8)) --samples 8 --max-tokens 32 >"$work/step.json"
+  jq -r '"\(.samples) \(.millis)"' "$work/step.json" | awk -v r="$(($(table_count reads) - r))" -v c="$(($(table_count commits) - c))" '{
+    printf "step of %d samples in %.1f s: %d reads and %d writes at the store, those of the idle fleet included\n", $1, $2 / 1000, r, c
+  }'
+}
+step 64
+step 512
