--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -26,6 +26,7 @@
 	"dogwoodpond/internal/operator"
 	"dogwoodpond/internal/platform"
 	"dogwoodpond/internal/platform/memory"
+	"dogwoodpond/internal/sample"
 	"dogwoodpond/internal/usage"
 )
 
@@ -45,8 +46,8 @@
 	return append([]operator.VMRevision{{VM: "vm-1", FailureDomain: "a", Revision: 1 << 40, Known: true}}, q.pending...)
 }
 
-func (q *quietFleet) Events(_ context.Context, after event.Stamp) ([]event.Record, []string) {
-	return q.events.Since(after), []string{"vm-9"}
+func (q *quietFleet) Events(_ context.Context, query event.Query) ([]event.Record, []string) {
+	return q.events.Select(query), []string{"vm-9"}
 }
 
 // bench is an operators' API over tables in memory.
@@ -286,7 +287,7 @@
 func TestStepsAndUsageShowRows(t *testing.T) {
 	b := newBench(t)
 	rows := map[string]any{
-		"step/strathallan/round-1":      json.RawMessage(`{"definition":{"model":"berry-1","groups":[{"samples":8},{"samples":4}]},"committed":5,"acked":3}`),
+		"progress/strathallan/round-1":  sample.Progress{Model: "berry-1", Slots: 12, Filled: []byte{0x1f, 0}, Committed: 5, Acked: 3},
 		"report/000000000001/brazicod":  usage.Report{Window: 1, Account: "brazicod", Figures: usage.Figures{Requests: 7, Tokens: 70}, Incomplete: true},
 		"lease/usage-reports":           json.RawMessage(`{"holder":"vm-3","epoch":12}`),
 		"report/000000000002/something": usage.Report{Window: 2, Account: "something"},
@@ -342,6 +343,9 @@
 		at(40, "vm-1", event.UpstreamRestored, event.Subject{Upstream: "engine-1"}),
 	}
 	told := explain("r", line, []string{"vm-9"})
+	if got := told.upstreams(); fmt.Sprint(got) != "[engine-1 engine-2]" {
+		t.Errorf("the request's upstreams are %v", got)
+	}
 	var numbers []event.Number
 	for _, l := range told.Lines {
 		numbers = append(numbers, l.Number)
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -11,9 +11,11 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/zap"
 
 	"dogwoodpond/internal/config"
+	"dogwoodpond/internal/control"
 	"dogwoodpond/internal/dispatch"
 	"dogwoodpond/internal/entry"
 	"dogwoodpond/internal/event"
@@ -29,21 +31,24 @@
 
 // Daemon is one VM's process.
 type Daemon struct {
-	settings  settings.Daemon
-	log       *zap.Logger
-	events    *event.Recorder
-	platform  *platform.Client
-	directory *upstream.Directory
-	syncer    *config.Syncer
-	gossip    *peer.Gossip
-	peers     *peer.Server
-	client    *peer.Client
-	entry     *entry.Server
-	operator  *operator.Server
-	rollouts  *rollout.Manager
-	meter     *usage.Meter
-	scheduler *dispatch.Scheduler
-	poller    *upstream.Poller
+	settings   settings.Daemon
+	log        *zap.Logger
+	events     *event.Recorder
+	registry   *prometheus.Registry
+	platform   *platform.Client
+	directory  *upstream.Directory
+	syncer     *config.Syncer
+	gossip     *peer.Gossip
+	peers      *peer.Server
+	client     *peer.Client
+	entry      *entry.Server
+	operator   *operator.Server
+	rollouts   *rollout.Manager
+	meter      *usage.Meter
+	controller *control.Controller
+	scheduler  *dispatch.Scheduler
+	poller     *upstream.Poller
+	history    *rollout.History
 }
 
 const (
@@ -75,8 +80,10 @@
 	loops.Go(func() { d.gossip.Run(ctx) })
 	loops.Go(func() { d.pollLists(ctx) })
 	loops.Go(func() { d.meter.Run(ctx, d.flushPeriod) })
+	loops.Go(func() { d.controller.Run(ctx) })
 	loops.Go(func() { d.scheduler.Run(ctx) })
 	loops.Go(func() { d.poller.Run(ctx) })
+	loops.Go(func() { d.history.Run(ctx, stepSearchPeriod(d.gossip)) })
 	d.events.Emit(event.ProcessStarted, event.Subject{Detail: "dogwoodpondd"})
 
 	<-stop.Done()
@@ -139,6 +146,7 @@
 	if err := open.callers.Shutdown(ctx); err != nil {
 		return errors.WithStack(&fault.DeadlineExceeded{})
 	}
+	d.entry.Wait()
 	d.rollouts.Close()
 	return open.operators.Shutdown(ctx)
 }
--- a/internal/daemon/providers.go
+++ b/internal/daemon/providers.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"context"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -15,11 +16,13 @@
 	"dogwoodpond/internal/event"
 	"dogwoodpond/internal/fleetview"
 	"dogwoodpond/internal/generate"
+	"dogwoodpond/internal/lease"
 	"dogwoodpond/internal/metrics"
 	"dogwoodpond/internal/operator"
 	"dogwoodpond/internal/peer"
 	"dogwoodpond/internal/platform"
 	"dogwoodpond/internal/request"
+	"dogwoodpond/internal/retry"
 	"dogwoodpond/internal/rollout"
 	"dogwoodpond/internal/service"
 	"dogwoodpond/internal/settings"
@@ -64,13 +67,17 @@
 func newPlatform(s settings.Daemon) *platform.Client { return platform.NewClient(s.PlatformURL) }
 
 // newMetrics comes before every part that emits events, so that all are counted.
-func newMetrics(events *event.Recorder, registry *prometheus.Registry, directory *upstream.Directory) *metrics.Metrics {
-	m := metrics.New(registry)
+func newMetrics(s settings.Daemon, events *event.Recorder, registry *prometheus.Registry, directory *upstream.Directory) *metrics.Metrics {
+	m := metrics.New(registry, s.UsageWindow())
 	metrics.RegisterUpstreams(registry, directory.Load)
 	events.Observe(m.Observe)
 	return m
 }
 
+func newRetries(registry *prometheus.Registry, events *event.Recorder) *retry.Policy {
+	return retry.NewPolicy(registry, events)
+}
+
 func newScheduler(s settings.Daemon, directory *upstream.Directory, loads *upstream.Loads, health *upstream.Health, registry *prometheus.Registry, h *hooks) *dispatch.Scheduler {
 	c := dispatch.Config{
 		VM:            s.VM,
@@ -102,8 +109,8 @@
 	return upstream.NewPoller(engines, loads, loadPeriod, scheduler.Watched)
 }
 
-func newRunner(view *contract.View, dispatcher *metrics.Dispatcher, engines *engine.Client, events *event.Recorder) *generate.Local {
-	return generate.NewLocal(view, dispatcher, engines, events)
+func newRunner(view *contract.View, dispatcher *metrics.Dispatcher, engines *engine.Client, retries *retry.Policy, events *event.Recorder) *generate.Local {
+	return generate.NewLocal(view, dispatcher, engines, retries, events)
 }
 
 func newGossip(s settings.Daemon, view *contract.View, client *peer.Client, events *event.Recorder, scheduler *dispatch.Scheduler, counters *peer.Metrics, h *hooks) *peer.Gossip {
@@ -128,7 +135,8 @@
 }
 
 func newSyncer(s settings.Daemon, tables *platform.Client, gossip *peer.Gossip, view *contract.View, events *event.Recorder, h *hooks) *config.Syncer {
-	h.syncer = config.NewSyncer(tables, gossip, view, events, s.RevisionPoll(), h.revoke)
+	h.syncer = config.NewSyncer(tables, gossip, view, events, s.RevisionPoll(), h.revoke,
+		config.WithFleet(func() int { return len(gossip.VMs()) }))
 	return h.syncer
 }
 
@@ -149,21 +157,91 @@
 
 func newClaims(tables *platform.Client) *request.Claims { return request.NewClaims(tables) }
 
-func newRollouts(tables *platform.Client, runner *generate.Local, events *event.Recorder) *rollout.Manager {
-	return rollout.NewManager(tables, runner, events)
+func newHistory(weights *platform.Client) *rollout.History { return rollout.NewHistory(weights) }
+
+func newRollouts(
+	s settings.Daemon,
+	tables *platform.Client,
+	runner *generate.Local,
+	scheduler *dispatch.Scheduler,
+	services *service.Client,
+	gossip *peer.Gossip,
+	client *peer.Client,
+	history *rollout.History,
+	leases *lease.Manager,
+	view *contract.View,
+	events *event.Recorder,
+	registry *prometheus.Registry,
+) *rollout.Manager {
+	self := rollout.Worker{VM: s.VM, FailureDomain: s.FailureDomain, Runner: runner}
+	return rollout.NewManager(rollout.Config{
+		VM:         s.VM,
+		Tables:     tables,
+		Leases:     stepLeases{leases: leases},
+		Workers:    rollout.NewFleet(self, gossip, client),
+		Versions:   history,
+		Scorer:     rollout.NewServiceScorer(view, scheduler, services),
+		View:       view,
+		Events:     events,
+		Registerer: registry,
+		Period:     stepSearchPeriod(gossip),
+	})
+}
+
+// newLeases returns the VM's campaigns. Ranks come from the platform's list of
+// VMs; while it is empty the VM ranks first, which costs the store a few reads.
+func newLeases(s settings.Daemon, tables *platform.Client, gossip *peer.Gossip, events *event.Recorder) *lease.Manager {
+	rank := func(name string) int {
+		var live []string
+		for _, vm := range gossip.VMs() {
+			if vm.State == platform.VMLive {
+				live = append(live, vm.ID)
+			}
+		}
+		return lease.Rank(name, s.VM, live)
+	}
+	return lease.NewManager(tables, s.VM, s.LeaseTerm(), events, lease.WithRanker(rank))
+}
+
+// stepLeases gives the owners of steps their leases.
+type stepLeases struct {
+	leases *lease.Manager
+}
+
+// Campaign implements rollout.Leases.
+func (l stepLeases) Campaign(ctx context.Context, name string, held func(context.Context, rollout.Guard) (bool, error)) error {
+	return l.leases.Campaign(ctx, name, func(ctx context.Context, guard lease.Guard) (bool, error) {
+		return held(ctx, guard)
+	})
+}
+
+// searchesPerSecond is how often all VMs together search the store for open
+// steps or read the weight store.
+const searchesPerSecond = 50
+
+// stepSearchPeriod returns the period of one VM, which grows with the fleet so
+// that the load on the platform does not.
+func stepSearchPeriod(gossip *peer.Gossip) func() time.Duration {
+	return func() time.Duration {
+		period := time.Duration(len(gossip.VMs())) * time.Second / searchesPerSecond
+		return max(time.Second, period)
+	}
 }
 
 func newEntry(
+	s settings.Daemon,
 	view *contract.View,
 	syncer *config.Syncer,
 	runner *generate.Local,
 	dispatcher *metrics.Dispatcher,
+	retries *retry.Policy,
 	services *service.Client,
 	claims *request.Claims,
 	steps *rollout.Manager,
 	meter *usage.Meter,
 	events *event.Recorder,
 	registry *prometheus.Registry,
+	m *metrics.Metrics,
 	h *hooks,
 ) *entry.Server {
 	h.entry = entry.NewServer(entry.Config{
@@ -171,12 +249,14 @@
 		Ager:       syncer,
 		Runner:     runner,
 		Dispatcher: dispatcher,
+		Retries:    retries,
 		Services:   services,
 		Claims:     claims,
-		Steps:      steps,
+		Steps:      metrics.NewSteps(steps, m),
 		Usage:      meter,
 		Events:     events,
 		Registry:   registry,
+		DrainTime:  s.Drain(),
 	})
 	return h.entry
 }
--- a/internal/daemon/wire.go
+++ b/internal/daemon/wire.go
@@ -6,7 +6,6 @@
 	"github.com/google/wire"
 
 	"dogwoodpond/internal/contract"
-	"dogwoodpond/internal/engine"
 	"dogwoodpond/internal/peer"
 	"dogwoodpond/internal/service"
 	"dogwoodpond/internal/settings"
@@ -27,9 +26,10 @@
 		upstream.NewLoads,
 		upstream.NewHealth,
 		newScheduler,
+		newRetries,
 		newPoller,
 		newDispatcher,
-		engine.NewClient,
+		newEngines,
 		service.NewClient,
 		newRunner,
 		newPeerMetrics,
@@ -40,7 +40,14 @@
 		newSyncer,
 		newEditor,
 		newClaims,
+		newHistory,
+		newLeases,
 		newRollouts,
+		newRoller,
+		newMover,
+		newProvisioner,
+		newCloser,
+		newController,
 		newMeter,
 		newEntry,
 		newOperator,
