--- a/internal/daemon/providers.go
+++ b/internal/daemon/providers.go
@@ -79,7 +79,7 @@
 }
 
 func newScheduler(s settings.Daemon, directory *upstream.Directory, loads *upstream.Loads, health *upstream.Health, registry *prometheus.Registry, h *hooks) *dispatch.Scheduler {
-	return dispatch.NewScheduler(dispatch.Config{
+	c := dispatch.Config{
 		VM:            s.VM,
 		FailureDomain: s.FailureDomain,
 		Directory:     directory,
@@ -87,7 +87,19 @@
 		Health:        health,
 		Members:       h.members,
 		Registerer:    registry,
-	})
+	}
+	if s.DispatchPolicy == settings.PolicyQueue {
+		c.Members = nil
+	}
+	return dispatch.NewScheduler(c)
+}
+
+// newDispatcher measures the dispatcher that the settings choose.
+func newDispatcher(s settings.Daemon, scheduler *dispatch.Scheduler, directory *upstream.Directory, m *metrics.Metrics) *metrics.Dispatcher {
+	if s.DispatchPolicy == settings.PolicyFIFO {
+		return metrics.NewDispatcher(dispatch.NewFIFO(directory), m)
+	}
+	return metrics.NewDispatcher(scheduler, m)
 }
 
 // loadPeriod is the period of the polls of an engine's load.
@@ -97,8 +109,8 @@
 	return upstream.NewPoller(engines, loads, loadPeriod, scheduler.Watched)
 }
 
-func newRunner(view *contract.View, scheduler *dispatch.Scheduler, engines *engine.Client, retries *retry.Policy, events *event.Recorder, m *metrics.Metrics) *generate.Local {
-	return generate.NewLocal(view, metrics.NewDispatcher(scheduler, m), engines, retries, events)
+func newRunner(view *contract.View, dispatcher *metrics.Dispatcher, engines *engine.Client, retries *retry.Policy, events *event.Recorder) *generate.Local {
+	return generate.NewLocal(view, dispatcher, engines, retries, events)
 }
 
 func newGossip(s settings.Daemon, view *contract.View, client *peer.Client, events *event.Recorder, scheduler *dispatch.Scheduler, counters *peer.Metrics, h *hooks) *peer.Gossip {
@@ -211,8 +223,7 @@
 // that the load on the platform does not.
 func stepSearchPeriod(gossip *peer.Gossip) func() time.Duration {
 	return func() time.Duration {
-		period := time.Duration(len(gossip.VMs())) * time.Second / searchesPerSecond
-		return max(time.Second, period)
+		return fleetPeriod(time.Second, len(gossip.VMs()), searchesPerSecond)
 	}
 }
 
@@ -221,7 +232,7 @@
 	view *contract.View,
 	syncer *config.Syncer,
 	runner *generate.Local,
-	scheduler *dispatch.Scheduler,
+	dispatcher *metrics.Dispatcher,
 	retries *retry.Policy,
 	services *service.Client,
 	claims *request.Claims,
@@ -236,7 +247,7 @@
 		View:       view,
 		Ager:       syncer,
 		Runner:     runner,
-		Dispatcher: metrics.NewDispatcher(scheduler, m),
+		Dispatcher: dispatcher,
 		Retries:    retries,
 		Services:   services,
 		Claims:     claims,
