A panic gives its place back; empty chunks make no span

Cause: a panic between Acquire and Done kept the place on the upstream for ever; a last chunk without tokens made a span of no tokens. Red, with the rule taken out: TestPanicGivesThePlaceBack: FAIL; TestSpansCoverEveryTokenOnce: FAIL.

--- a/internal/entry/services.go
+++ b/internal/entry/services.go
@@ -291,7 +291,16 @@
 		Attempt:  attempt,
 	}
 	s.Events.Emit(event.RequestDispatched, subject)
+	settled := false
+	// A panic must not keep the place: the service would look full for ever.
+	defer func() {
+		if !settled {
+			report(retry.Abandoned)
+			grant.Done(dispatch.Result{})
+		}
+	}()
 	answer, _, err := s.Services.Do(sending, grant.Upstream.Address, wanted.call)
+	settled = true
 	failed := err != nil && sending.Err() == nil
 	report(serviceOutcome(err, failed))
 	grant.Done(dispatch.Result{Cost: 1, Failed: failed})
--- a/internal/generate/local.go
+++ b/internal/generate/local.go
@@ -139,7 +139,16 @@
 	if before > 0 {
 		g.emit(event.StreamResumed, grant.Upstream.ID, "")
 	}
+	settled := false
+	// A panic must not keep the place: the engine would look full for ever.
+	defer func() {
+		if !settled {
+			report(retry.Abandoned)
+			grant.Done(dispatch.Result{})
+		}
+	}()
 	err = g.stream(ctx, grant)
+	settled = true
 	failed := err != nil && repeatable(err) && ctx.Err() == nil
 	report(outcomeOf(err, failed))
 	got := len(g.result.Tokens) - before
@@ -279,8 +288,12 @@
 	}
 }
 
-// AppendSpan extends the spans of an answer by a chunk.
+// AppendSpan extends the spans of an answer by a chunk. A chunk without tokens,
+// as some engines send with the finish reason, has nothing to attribute.
 func AppendSpan(spans []Span, c Chunk) []Span {
+	if len(c.Tokens) == 0 {
+		return spans
+	}
 	next := Span{
 		Start:       c.Offset,
 		End:         c.Offset + len(c.Tokens),
