--- a/internal/rollout/owner.go
+++ b/internal/rollout/owner.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
 	"github.com/google/uuid"
 
 	"dogwoodpond/internal/event"
@@ -165,6 +166,11 @@
 // decide begins whatever can begin now.
 func (o *owner) decide(ctx context.Context, now time.Time) {
 	o.renewWorkers(now)
+	for _, r := range o.plan.overdue(now) {
+		r.cancel()
+		o.plan.ended(r)
+		o.takeFailure(outcome{run: r, err: errors.WithStack(&fault.PeerUnavailable{VM: r.lane.worker.VM})}, now)
+	}
 	for _, r := range o.plan.starts(now) {
 		o.begin(ctx, r)
 	}
@@ -275,6 +281,7 @@
 	switch code {
 	case fault.CodePeerUnavailable:
 		l.silent(now)
+		o.plan.slots[out.run.position].failures++
 		o.emitSlot(event.WorkerFailed, out.run, string(code))
 	case fault.CodeQueueFull, fault.CodeLimitExceeded, fault.CodeNoUpstream, fault.CodeDraining:
 		l.refused(now, fault.RetryAfterOf(out.err, 0))
--- a/internal/rollout/owner_test.go
+++ b/internal/rollout/owner_test.go
@@ -262,9 +262,9 @@
 	return f(ctx, request)
 }
 
-// A peer that works for the owner crashes, or freezes without a sign and drops
-// out of the platform's list later. Its slots must run elsewhere; a step would
-// hang on them for ever.
+// A peer that works for the owner crashes, freezes without a sign and drops out
+// of the platform's list later, or is cut off from the owner alone and stays on
+// the list. Its slots must run elsewhere; a step would hang on them for ever.
 func TestPeerFails(t *testing.T) {
 	ways := map[string]runnerFunc{
 		"crashes": func(context.Context, generate.Request) (generate.Result, error) {
@@ -274,6 +274,10 @@
 			<-ctx.Done()
 			return generate.Result{}, errors.WithStack(&fault.CallerGone{})
 		},
+		"is cut off": func(ctx context.Context, _ generate.Request) (generate.Result, error) {
+			<-ctx.Done()
+			return generate.Result{}, errors.WithStack(&fault.CallerGone{})
+		},
 		"is full": func(context.Context, generate.Request) (generate.Result, error) {
 			return generate.Result{}, errors.WithStack(&fault.Remote{VM: "vm-b", RemoteCode: fault.CodeQueueFull, Wait: 2 * time.Second})
 		},
@@ -297,7 +301,9 @@
 					})})
 				c.workers = workers
 				c.start("vm-a", nil)
-				time.AfterFunc(10*time.Second, func() { workers.set(own) })
+				if name != "is cut off" {
+					time.AfterFunc(10*time.Second, func() { workers.set(own) })
+				}
 				d := testStep(16, 2)
 				tr := newTrainer(c, "s", d)
 				tr.open(d)
--- a/internal/rollout/plan.go
+++ b/internal/rollout/plan.go
@@ -28,6 +28,14 @@
 	// hedgePercent bounds the tokens spent on hedges, in percent of the tokens
 	// that the step may generate at all.
 	hedgePercent = 10
+	// overdueAfter is how many times the median duration a run may take before
+	// its worker counts as silent, and overdueMin the least time; before any run
+	// has ended overdueFirst holds.
+	overdueAfter = 8
+	overdueMin   = 30 * time.Second
+	overdueFirst = 2 * time.Minute
+	// maxDoublings bounds the doubling of times that grow with failures.
+	maxDoublings = 8
 	// slotRestMin and slotRestMax bound the pause of a slot whose result was
 	// of no use.
 	slotRestMin = 100 * time.Millisecond
@@ -151,6 +159,28 @@
 	return single
 }
 
+// overdue returns the runs that take so long that no answer is expected any
+// more. A worker that is cut off from the owner alone stays on the platform's
+// list, and its connection may hang for minutes without a failure; a step would
+// stand still for as long. A slot that was overdue before gets twice the time,
+// so that an answer which truly takes long comes through in the end.
+func (p *plan) overdue(now time.Time) []*run {
+	limit := overdueFirst
+	if n := len(p.durations); n > 0 {
+		limit = max(overdueMin, overdueAfter*p.durations[n/2])
+	}
+	var late []*run
+	for i := range p.slots {
+		s := &p.slots[i]
+		for _, r := range s.runs {
+			if now.Sub(r.began) > limit<<min(s.failures, maxDoublings) {
+				late = append(late, r)
+			}
+		}
+	}
+	return late
+}
+
 // ended takes a run out of the plan. known is false for a run that was
 // cancelled before; its report means nothing any more. useful is false when the
 // slot needs no result.
@@ -208,7 +238,7 @@
 	s := &p.slots[position]
 	p.drop(s)
 	s.phase = pending
-	s.restTill = now.Add(min(slotRestMax, slotRestMin<<min(s.failures, 8)))
+	s.restTill = now.Add(min(slotRestMax, slotRestMin<<min(s.failures, maxDoublings)))
 	s.failures++
 }
 
