Fault matrix of steps on the shared platform stand-in with real leases

Cause: the tests of steps had their own store faults and an imitation of leases.

Change: they use platformtest and lease.Manager, so that the matrix also covers the lease's calls, effects after the time-out, cut-off VMs and pauses after an effect.

--- a/internal/rollout/harness_test.go
+++ b/internal/rollout/harness_test.go
@@ -18,8 +18,10 @@
 	"dogwoodpond/internal/event"
 	"dogwoodpond/internal/fault"
 	"dogwoodpond/internal/generate"
+	"dogwoodpond/internal/lease"
 	"dogwoodpond/internal/platform"
 	"dogwoodpond/internal/platform/memory"
+	"dogwoodpond/internal/platform/platformtest"
 	"dogwoodpond/internal/sample"
 	"dogwoodpond/internal/usage"
 )
@@ -30,232 +32,51 @@
 	testTerm                     = 10 * time.Second
 )
 
-// testFault is what happens to one call of a VM to the store.
-type testFault int
+// faultsOf chooses the faults of one VM by the number of its call from 0.
+type faultsOf map[int]platformtest.Fault
 
-const (
-	// killBefore ends the VM before the call has an effect.
-	killBefore testFault = iota + 1
-	// killAfter ends the VM after the effect, before the reply.
-	killAfter
-	// loseReply lets the call take effect and loses its reply.
-	loseReply
-	// refuse fails the call without an effect.
-	refuse
-	// pauseShort holds the call until another VM has just taken the step over,
-	// and lets it through in the middle of that VM's work.
-	pauseShort
-	// pauseLong holds the call until the other VM has finished the step.
-	pauseLong
-	// late fails the call at once; its effect comes lateBy later.
-	late
-	// storeDown takes the store down for all VMs.
-	storeDown
-)
-
-const (
-	shortPause = testTerm + 1300*time.Millisecond
-	longPause  = 3 * testTerm
-	lateBy     = 1700 * time.Millisecond
-	downFor    = 40 * time.Second
-)
-
-var faultNames = map[testFault]string{
-	killBefore: "killed before", killAfter: "killed after", loseReply: "reply lost", refuse: "refused",
-	pauseShort: "paused past the term", pauseLong: "paused for long",
-	late: "delayed past the time-out", storeDown: "store down",
-}
-
-// board stands for the lease rows. A lease whose holder died is free after a
-// term; one whose holder is paused is free after a term as well, while the
-// holder goes on believing in it.
-type board struct {
-	mu    sync.Mutex
-	holds map[string]*testGuard
-	epoch uint64
-}
-
-type testGuard struct {
-	vm    *testVM
-	epoch uint64
-}
-
-// Check believes in the lease even past its term, as the worst holder does
-// that is paused between the check and its write.
-func (g *testGuard) Check() error { return nil }
-
-func (g *testGuard) Epoch() uint64 { return g.epoch }
-
-func (b *board) take(name string, vm *testVM) *testGuard {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if b.holds == nil {
-		b.holds = make(map[string]*testGuard)
-	}
-	if old := b.holds[name]; old != nil && !old.vm.silentFor(testTerm) {
-		return nil
-	}
-	b.epoch++
-	g := &testGuard{vm: vm, epoch: b.epoch}
-	b.holds[name] = g
-	return g
-}
-
-func (b *board) free(name string, g *testGuard) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if b.holds[name] == g && !g.vm.dead() {
-		delete(b.holds, name)
-	}
-}
-
-// testVM is one VM: its tables fail as told, and it can be killed.
+// testVM is one VM: its calls to the store fail as told, and it can be killed.
 type testVM struct {
-	name    string
+	*platformtest.Process
 	cluster *cluster
 	manager *Manager
-	cancel  context.CancelFunc
+	loops   sync.WaitGroup
 	// closed is closed when all of the VM's work has ended.
 	closed chan struct{}
-	loops  sync.WaitGroup
-
-	mu     sync.Mutex
-	calls  int
-	faults map[int]testFault
-	// silent is when the VM fell silent: it died or was paused.
-	silent time.Time
-	killed bool
-	log    []string
-}
-
-// made returns the calls to the store so far.
-func (v *testVM) made() []string {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	return slices.Clone(v.log)
-}
-
-func (v *testVM) dead() bool {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	return v.killed
-}
-
-func (v *testVM) silentFor(d time.Duration) bool {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	return !v.silent.IsZero() && time.Since(v.silent) >= d
 }
 
-func (v *testVM) kill() {
-	v.mu.Lock()
-	already := v.killed
-	v.killed = true
-	if v.silent.IsZero() {
-		v.silent = time.Now()
-	}
-	v.mu.Unlock()
-	if !already {
-		v.cancel()
-		go func() {
-			v.manager.Close()
-			v.loops.Wait()
-			close(v.closed)
-		}()
-	}
-}
-
-// Campaign implements Leases.
-func (v *testVM) Campaign(ctx context.Context, name string, held func(context.Context, Guard) (bool, error)) error {
-	for ctx.Err() == nil {
-		if g := v.cluster.board.take(name, v); g != nil {
-			done, _ := held(ctx, g)
-			v.cluster.board.free(name, g)
-			if done {
-				return nil
-			}
+// made returns the VM's calls to the store so far.
+func (v *testVM) made() []platformtest.Step {
+	var own []platformtest.Step
+	for _, step := range v.cluster.world.Steps() {
+		if step.Process == v.Name {
+			own = append(own, step)
 		}
-		time.Sleep(testTerm / 10)
-	}
-	return ctx.Err()
-}
-
-// call applies the fault of this call around its effect.
-func (v *testVM) call(operation string, effect func() error) error {
-	down := func(unknown bool) error {
-		return errors.WithStack(&fault.StoreUnavailable{Operation: operation, EffectUnknown: unknown})
-	}
-	v.mu.Lock()
-	if v.killed || v.cluster.down() {
-		v.mu.Unlock()
-		return down(true)
-	}
-	v.calls++
-	f := v.faults[v.calls]
-	v.log = append(v.log, operation)
-	v.mu.Unlock()
-	switch f {
-	case killBefore:
-		v.kill()
-		return down(true)
-	case killAfter:
-		_ = effect()
-		v.kill()
-		return down(true)
-	case loseReply:
-		_ = effect()
-		return down(true)
-	case refuse:
-		return down(false)
-	case late:
-		v.loops.Go(func() {
-			time.Sleep(lateBy)
-			_ = effect()
-		})
-		return down(true)
-	case storeDown:
-		v.cluster.takeDown()
-		return down(true)
-	case pauseShort:
-		v.fallSilent()
-		time.Sleep(shortPause)
-	case pauseLong:
-		v.fallSilent()
-		time.Sleep(longPause)
 	}
-	return effect()
+	return own
 }
 
-func (v *testVM) fallSilent() {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	v.silent = time.Now()
-}
-
-// Get implements platform.Tables.
-func (v *testVM) Get(ctx context.Context, key string) (row platform.Row, err error) {
-	err = v.call("get "+key, func() error {
-		row, err = v.cluster.tables.Get(ctx, key)
-		return err
+// Campaign implements Leases with real leases.
+func (v *testVM) Campaign(ctx context.Context, name string, held func(context.Context, Guard) (bool, error)) error {
+	manager := lease.NewManager(v, v.Name, testTerm, v.manager.events)
+	return manager.Campaign(ctx, name, func(ctx context.Context, g lease.Guard) (bool, error) {
+		return held(ctx, believer{g})
 	})
-	return row, err
 }
 
-// Scan implements platform.Tables.
-func (v *testVM) Scan(ctx context.Context, prefix, after string, limit int) (rows []platform.Row, err error) {
-	err = v.call("scan "+prefix, func() error {
-		rows, err = v.cluster.tables.Scan(ctx, prefix, after, limit)
-		return err
-	})
-	return rows, err
+// believer believes in its lease past the term, as the worst holder does that
+// is paused between the check and its write.
+type believer struct {
+	lease.Guard
 }
 
-// Commit implements platform.Tables.
+// Check implements Guard.
+func (believer) Check() error { return nil }
+
+// Commit implements platform.Tables and counts the rows.
 func (v *testVM) Commit(ctx context.Context, txn platform.Txn) error {
-	return v.call("commit "+txn.Writes[0].Key, func() error {
-		v.cluster.countWrites(len(txn.Writes))
-		return v.cluster.tables.Commit(ctx, txn)
-	})
+	v.cluster.countWrites(len(txn.Writes))
+	return v.Process.Commit(ctx, txn)
 }
 
 // Workers implements Workers.
@@ -263,10 +84,10 @@
 	if v.cluster.workers != nil {
 		return v.cluster.workers.Workers()
 	}
-	workers := []Worker{{VM: v.name, FailureDomain: v.name, Runner: v.cluster.engine}}
+	workers := []Worker{{VM: v.Name, FailureDomain: v.Name, Runner: v.cluster.engine}}
 	for _, other := range v.cluster.all() {
-		if other != v && !other.dead() {
-			workers = append(workers, Worker{VM: other.name, FailureDomain: other.name, Runner: v.cluster.engine})
+		if other != v && !other.Dead() {
+			workers = append(workers, Worker{VM: other.Name, FailureDomain: other.Name, Runner: v.cluster.engine})
 		}
 	}
 	return workers
@@ -389,8 +210,8 @@
 // cluster is a set of VMs around one store, in a synctest bubble.
 type cluster struct {
 	t       *testing.T
+	world   *platformtest.World
 	tables  *memory.Tables
-	board   *board
 	engine  *testEngine
 	weights *testWeights
 	view    *contract.View
@@ -404,7 +225,7 @@
 	withoutHedging bool
 
 	mu     sync.Mutex
-	downTo time.Time
+	script map[string]faultsOf
 	rows   int
 	used   usage.Figures
 }
@@ -415,17 +236,11 @@
 	c.rows += rows
 }
 
-// takeDown lets the store answer no VM for a while.
-func (c *cluster) takeDown() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.downTo = time.Now().Add(downFor)
-}
-
-func (c *cluster) down() bool {
+// fault is the script of the world.
+func (c *cluster) fault(step platformtest.Step) platformtest.Fault {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return time.Now().Before(c.downTo)
+	return c.script[step.Process][step.Index]
 }
 
 // Add implements UsageRecorder.
@@ -454,13 +269,14 @@
 	weights := &testWeights{version: 1, at: time.Now()}
 	c := &cluster{
 		t:         t,
-		tables:    memory.NewTables(),
-		board:     &board{},
 		weights:   weights,
 		engine:    &testEngine{weights: weights, runs: make(map[string]int)},
 		view:      contract.NewView(),
 		staleness: staleness,
+		script:    make(map[string]faultsOf),
 	}
+	c.world = platformtest.NewWorld(c.fault)
+	c.tables = c.world.Rows
 	terms := contract.DefaultContract(testAccount)
 	terms.Staleness = staleness
 	next, err := contract.Empty().Apply(contract.Entry{Revision: 1, Kind: contract.EditContract, Contract: &terms})
@@ -471,11 +287,12 @@
 	return c
 }
 
-// start adds a VM whose calls to the store suffer the faults, by the number of
-// the call from 1.
-func (c *cluster) start(name string, faults map[int]testFault) *testVM {
-	ctx, cancel := context.WithCancel(context.Background())
-	v := &testVM{name: name, cluster: c, cancel: cancel, closed: make(chan struct{}), faults: faults}
+// start adds a VM whose calls to the store suffer the faults.
+func (c *cluster) start(name string, faults faultsOf) *testVM {
+	c.mu.Lock()
+	c.script[name] = faults
+	c.mu.Unlock()
+	v := &testVM{Process: c.world.Start(context.Background(), name), cluster: c, closed: make(chan struct{})}
 	history := NewHistory(c.weights)
 	v.manager = NewManager(Config{
 		VM:             name,
@@ -494,15 +311,22 @@
 	c.mu.Lock()
 	c.vms = append(c.vms, v)
 	c.mu.Unlock()
-	v.loops.Go(func() { v.manager.Run(ctx) })
-	v.loops.Go(func() { history.Run(ctx, func() time.Duration { return time.Second }) })
+	v.loops.Go(func() { v.manager.Run(v.Context) })
+	v.loops.Go(func() { history.Run(v.Context, func() time.Duration { return time.Second }) })
+	context.AfterFunc(v.Context, func() {
+		v.manager.Close()
+		v.loops.Wait()
+		close(v.closed)
+	})
 	return v
 }
 
 // stop ends all VMs, so that the bubble can end.
 func (c *cluster) stop() {
 	for _, v := range c.all() {
-		v.kill()
+		v.Kill()
+	}
+	for _, v := range c.all() {
 		<-v.closed
 	}
 	synctest.Wait()
@@ -560,7 +384,7 @@
 	deadline := time.Now().Add(20 * time.Minute)
 	for time.Now().Before(deadline) {
 		for _, v := range tr.cluster.all() {
-			if v.dead() {
+			if v.Dead() {
 				continue
 			}
 			if err := question(v.manager); err == nil {
--- a/internal/rollout/matrix_test.go
+++ b/internal/rollout/matrix_test.go
@@ -8,13 +8,14 @@
 	"time"
 
 	"dogwoodpond/internal/contract"
+	"dogwoodpond/internal/platform/platformtest"
 	"dogwoodpond/internal/sample"
 )
 
 // episode runs one step to its end while the first two VMs suffer faults and a
 // third stays well, and checks everything that the trainer and the store show.
 // It returns the calls that each VM made.
-func episode(t *testing.T, faultsA, faultsB map[int]testFault) (callsA, callsB []string) {
+func episode(t *testing.T, faultsA, faultsB faultsOf) (callsA, callsB []platformtest.Step) {
 	synctest.Test(t, func(t *testing.T) {
 		c := newCluster(t, contract.Staleness{MaxVersions: 0, MaxSeconds: 3600})
 		defer c.stop()
@@ -70,17 +71,38 @@
 	}
 }
 
+const (
+	// shortPause lets another VM take the step over and work on it.
+	shortPause = testTerm + testTerm/4 + 2300*time.Millisecond
+	// longPause lets the other VM finish the step.
+	longPause = 4 * testTerm
+)
+
+// faults lists what may happen to a call.
+var faults = []platformtest.Fault{
+	{Kind: platformtest.LoseRequest},
+	{Kind: platformtest.LoseReply},
+	{Kind: platformtest.Late, For: 4700 * time.Millisecond},
+	{Kind: platformtest.KillBefore},
+	{Kind: platformtest.KillAfter},
+	{Kind: platformtest.PauseBefore, For: shortPause},
+	{Kind: platformtest.PauseBefore, For: longPause},
+	{Kind: platformtest.PauseAfter, For: shortPause},
+	{Kind: platformtest.StoreDown, For: longPause},
+	{Kind: platformtest.CutOff, For: longPause},
+}
+
 // Every call to the store is the point at which the owner's VM may die, lose a
-// reply, be refused, or be paused until another VM owns the step as well. The
+// reply, be cut off, or be paused until another VM owns the step as well. The
 // trainer's replies get lost besides, and new weights make samples stale. It
 // must still get each slot's sample once, fresh, in numbers without gaps.
 func TestFaultAtEveryCall(t *testing.T) {
 	calls, _ := episode(t, nil, nil)
 	t.Logf("a run without faults makes %d calls", len(calls))
-	for at := range calls {
-		for f, name := range faultNames {
-			t.Run(fmt.Sprintf("%03d %s %s", at+1, calls[at], name), func(t *testing.T) {
-				episode(t, map[int]testFault{at + 1: f}, nil)
+	for at, call := range calls {
+		for _, f := range faults {
+			t.Run(fmt.Sprintf("%03d %s %s %s %s", at, call.Call, call.Subject, f.Kind, f.For), func(t *testing.T) {
+				episode(t, faultsOf{at: f}, nil)
 			})
 		}
 	}
@@ -90,14 +112,20 @@
 // fault of its own at a write.
 func TestPairsOfFaultsAtWrites(t *testing.T) {
 	calls, _ := episode(t, nil, nil)
+	firsts := []platformtest.Fault{{Kind: platformtest.KillAfter}, {Kind: platformtest.PauseBefore, For: shortPause}}
+	seconds := []platformtest.Fault{
+		{Kind: platformtest.LoseReply},
+		{Kind: platformtest.KillAfter},
+		{Kind: platformtest.PauseBefore, For: shortPause},
+	}
 	for _, first := range writes(calls) {
-		for _, f := range []testFault{killAfter, pauseShort} {
-			faultsA := map[int]testFault{first: f}
+		for _, f := range firsts {
+			faultsA := faultsOf{first: f}
 			_, callsB := episode(t, faultsA, nil)
 			for _, second := range writes(callsB) {
-				for _, g := range []testFault{killAfter, loseReply, pauseShort, late} {
-					t.Run(fmt.Sprintf("%s at %d, then %s at %d", faultNames[f], first, faultNames[g], second), func(t *testing.T) {
-						episode(t, faultsA, map[int]testFault{second: g})
+				for _, g := range seconds {
+					t.Run(fmt.Sprintf("%s at %d, then %s at %d", f.Kind, first, g.Kind, second), func(t *testing.T) {
+						episode(t, faultsA, faultsOf{second: g})
 					})
 				}
 			}
@@ -105,12 +133,12 @@
 	}
 }
 
-// writes returns the numbers of the calls that write.
-func writes(calls []string) []int {
+// writes returns the numbers of the calls that write rows of the step.
+func writes(calls []platformtest.Step) []int {
 	var numbers []int
-	for i, call := range calls {
-		if strings.HasPrefix(call, "commit ") {
-			numbers = append(numbers, i+1)
+	for _, call := range calls {
+		if call.Call == "commit" && !strings.HasPrefix(call.Subject, "lease/") {
+			numbers = append(numbers, call.Index)
 		}
 	}
 	return numbers
--- a/internal/rollout/measure_test.go
+++ b/internal/rollout/measure_test.go
@@ -161,7 +161,7 @@
 				c.start(fmt.Sprintf("vm-%d", n+1), nil)
 			}
 			time.Sleep(after)
-			owner.kill()
+			owner.Kill()
 			synctest.Wait()
 			progress, _, err := store{tables: c.tables}.progress(t.Context(), ref{account: testAccount, step: "s"})
 			if err != nil {
--- a/internal/rollout/pull_test.go
+++ b/internal/rollout/pull_test.go
@@ -7,6 +7,7 @@
 
 	"dogwoodpond/internal/contract"
 	"dogwoodpond/internal/fault"
+	"dogwoodpond/internal/platform/platformtest"
 	"dogwoodpond/internal/sample"
 )
 
@@ -33,7 +34,7 @@
 			current := c.view
 			c.view = contract.NewView()
 			c.view.Advance(current.Load())
-			slow := c.start("vm-a", map[int]testFault{paused + 1: pauseShort})
+			slow := c.start("vm-a", faultsOf{paused: {Kind: platformtest.PauseBefore, For: shortPause}})
 			c.view = current
 			tr.number++
 			given := sample.Pull{Number: tr.number}
--- a/internal/rollout/rollout_test.go
+++ b/internal/rollout/rollout_test.go
@@ -33,7 +33,7 @@
 		tr.open(d)
 		c.start("vm-b", nil)
 		time.Sleep(2 * time.Second)
-		owner.kill()
+		owner.Kill()
 		tr.finish()
 		for slot, runs := range c.engine.runs {
 			want := 1
@@ -57,7 +57,7 @@
 		d := testStep(2, 2)
 		tr := newTrainer(c, "s", d)
 		tr.open(d)
-		opener.kill()
+		opener.Kill()
 		c.start("vm-b", nil)
 		tr.finish()
 	})
--- /dev/null
+++ b/internal/rollout/scoring.go
@@ -0,0 +1,64 @@
+package rollout
+
+import (
+	"context"
+	"time"
+
+	"dogwoodpond/internal/fault"
+	"dogwoodpond/internal/sample"
+)
+
+// scoringWidth is how many samples of a step are scored at once.
+const scoringWidth = 16
+
+// scored is what the scoring of a sample returned.
+type scored struct {
+	finished finished
+	err      error
+}
+
+// score scores a sample until the service answers. The sample waits here, it is
+// not generated again: while the service is down, only time is lost.
+func (o *owner) score(ctx context.Context, f finished) {
+	select {
+	case o.scoring <- struct{}{}:
+	case <-ctx.Done():
+		return
+	}
+	defer func() { <-o.scoring }()
+	err := o.scoreUntil(ctx, &f)
+	send(ctx, o.scores, scored{finished: f, err: err})
+}
+
+// scoreUntil gives up only when the sample has become unfit to be committed.
+func (o *owner) scoreUntil(ctx context.Context, f *finished) error {
+	request := ScoreRequest{Step: o.ref.step, Slot: f.sample.Slot, Prompt: f.prompt, Text: f.sample.Text}
+	for rest := slotRestMin; ; rest = min(2*rest, slotRestMax) {
+		score, err := o.scorer.Score(ctx, o.ref.account, o.definition.Scorer, request)
+		if err == nil {
+			f.sample.Score = &score
+			return nil
+		}
+		o.metrics.failures.WithLabelValues("scoring_" + string(fault.CodeOf(err))).Inc()
+		select {
+		case <-ctx.Done():
+			return context.Cause(ctx)
+		case <-time.After(fault.RetryAfterOf(err, rest)):
+		}
+		v, err := o.judge.prepareFor(ctx, o.ref.account, o.definition.Model, []sample.Sample{f.sample})
+		if err != nil {
+			continue
+		}
+		if err := v.acceptable(f.sample); err != nil {
+			return err
+		}
+	}
+}
+
+func (o *owner) takeScored(s scored, now time.Time) {
+	if s.err != nil {
+		o.reject(rejection{position: s.finished.sample.Slot.Position, err: s.err}, now)
+		return
+	}
+	o.ready = append(o.ready, s.finished)
+}
