--- a/internal/standin/trainer.go
+++ b/internal/standin/trainer.go
@@ -43,6 +43,10 @@
 	Unattributed int `json:"unattributed"`
 	// Wrong counts samples whose text is not the engine's answer.
 	Wrong int `json:"wrong"`
+	// Mixed counts samples of more than one weight version.
+	Mixed int `json:"mixed"`
+	// Newest is the newest weight version of any sample.
+	Newest int64 `json:"newest"`
 	// Withdrawn counts tombstones of samples that went stale before they came.
 	Withdrawn int `json:"withdrawn"`
 	// Unscored counts samples without a score in a step that has a scorer.
@@ -203,6 +207,7 @@
 		t.result.Repeated++
 	}
 	t.seen[got.Slot.Name()] = true
+	t.noteVersions(got)
 	if !attributed(got) {
 		t.result.Unattributed++
 	}
@@ -211,6 +216,18 @@
 	}
 }
 
+func (t *Trainer) noteVersions(got sample.Sample) {
+	oldest := sample.OldestVersion(got.Spans)
+	newest := oldest
+	for _, span := range got.Spans {
+		newest = max(newest, span.Version)
+	}
+	if newest > oldest {
+		t.result.Mixed++
+	}
+	t.result.Newest = max(t.result.Newest, newest)
+}
+
 // attributed reports whether the spans cover every token with a version.
 func attributed(got sample.Sample) bool {
 	next := 0
