--- a/internal/usage/usage_test.go
+++ b/internal/usage/usage_test.go
@@ -284,6 +284,59 @@
 	})
 }
 
+// The store takes the commit that opens a VM's first window, but is so slow that
+// the VM gives up on it and the next window begins. Were that one opened instead,
+// the same usage would stand in both windows once the slow commit takes effect.
+func TestUnansweredOpenIsNotCountedTwice(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tables, b := &holding{Tables: memory.NewTables(), hold: true}, newBilling(t)
+		one := newMeter(tables, "vm-1")
+		one.Add(berry, Figures{Requests: 1, Tokens: 10})
+		if err := one.Flush(t.Context()); err == nil {
+			t.Fatal("the flush was answered")
+		}
+		time.Sleep(windowLength)
+		tables.hold = false
+		flush(t, one)
+		tables.land(t)
+		flush(t, one)
+		if err := one.Seal(t.Context()); err != nil {
+			t.Fatalf("Seal: %v", err)
+		}
+		closer := newCloser(tables, b, allListed)
+		for range 10 {
+			time.Sleep(windowLength)
+			drive(t, closer)
+		}
+		if got, _ := b.sum(berry); got != (Figures{Requests: 1, Tokens: 10}) {
+			t.Errorf("reported %+v, want the one request", got)
+		}
+	})
+}
+
+// holding takes commits without an answer until they land.
+type holding struct {
+	platform.Tables
+	hold bool
+	held []platform.Txn
+}
+
+func (h *holding) Commit(ctx context.Context, txn platform.Txn) error {
+	if !h.hold {
+		return h.Tables.Commit(ctx, txn)
+	}
+	h.held = append(h.held, txn)
+	return errors.WithStack(&fault.StoreUnavailable{Operation: "commit", EffectUnknown: true})
+}
+
+// land lets the held commits take effect, as far as their preconditions hold.
+func (h *holding) land(t *testing.T) {
+	t.Helper()
+	for _, txn := range h.held {
+		_ = h.Tables.Commit(t.Context(), txn)
+	}
+}
+
 // hooked runs a function once before the next commit.
 type hooked struct {
 	platform.Tables
