--- a/internal/entry/steps.go
+++ b/internal/entry/steps.go
@@ -72,9 +72,13 @@
 	if err != nil {
 		return err
 	}
-	wait := min(time.Duration(seconds)*time.Second, maxWait)
+	number, err := queryNumber(r, "pull")
+	if err != nil {
+		return err
+	}
+	pull := sample.Pull{After: after, Number: number, Wait: min(time.Duration(seconds)*time.Second, maxWait)}
 	step := r.PathParameter("step")
-	samples, err := s.Steps.Samples(ctx, c.contract.Account, step, after, wait)
+	samples, err := s.Steps.Samples(ctx, c.contract.Account, step, pull)
 	if err != nil {
 		// A pull reads only the store.
 		return fault.WithExecution(err, fault.NotRun)
@@ -90,11 +94,22 @@
 		Request: c.requestID,
 		Account: string(c.contract.Account),
 		Step:    step,
-		Count:   int64(len(samples)),
+		Count:   whole(samples),
 	})
 	return nil
 }
 
+// whole counts the samples that are no tombstones.
+func whole(samples []sample.Sample) int64 {
+	count := int64(0)
+	for _, s := range samples {
+		if !s.Withdrawn {
+			count++
+		}
+	}
+	return count
+}
+
 // queryNumber reads a non-negative number; an absent one is 0.
 func queryNumber(r *restful.Request, name string) (int64, error) {
 	text := r.QueryParameter(name)
