--- /dev/null
+++ b/internal/entry/account_test.go
@@ -0,0 +1,52 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+	"testing"
+
+	"dogwoodpond/internal/contract"
+	"dogwoodpond/internal/dispatch"
+)
+
+// Two client accounts send the same things, down to the idempotency key, and one
+// names the other wherever it can. Mixed up, one pays for the other's engines,
+// or reads the answer to the other's deposit.
+func TestRequestRunsForItsKeysAccountOnly(t *testing.T) {
+	r := newRig(t, rigOptions{})
+	r.engine("e1", scripted(func(s *script) { s.whole() }))
+	desk := newChargingDesk(r)
+	works := make(chan dispatch.Work, 16)
+	r.places.hook = func(_ context.Context, work dispatch.Work) error {
+		works <- work
+		return nil
+	}
+	for _, c := range []struct {
+		key     string
+		account contract.Account
+	}{{testKey, testAccount}, {otherKey, "brazicod"}} {
+		as := func(q *http.Request) {
+			q.Header.Set("Authorization", "Bearer "+c.key)
+			q.Header.Set("X-Account", "strathallan")
+			q.Header.Set("Idempotency-Key", "tree-17")
+		}
+		for _, got := range []answer{
+			r.call(http.MethodPost, "/v1/generate?account=strathallan", generateText, as),
+			r.call(http.MethodPost, "/v1/services/desk/deposit?account=strathallan", "tree 17", as),
+		} {
+			if got.status != http.StatusOK {
+				t.Errorf("%s: %d %s", c.account, got.status, got.body)
+			}
+			work := <-works
+			if work.Account != c.account || work.Contract.Account != c.account {
+				t.Errorf("a request of %s ran for %s under the contract of %s", c.account, work.Account, work.Contract.Account)
+			}
+		}
+	}
+	if runs := desk.count("tree 17"); runs != 2 {
+		t.Errorf("two accounts' deposits ran %d times", runs)
+	}
+	if got := r.call(http.MethodPost, "/v1/generate", `{"model":"berry-1","prompt":"p","maxTokens":1,"account":"brazicod"}`); got.status != http.StatusBadRequest {
+		t.Errorf("a body that names an account got %d %s", got.status, got.body)
+	}
+}
