--- a/internal/entry/account_test.go
+++ b/internal/entry/account_test.go
@@ -37,7 +37,13 @@
 			if got.status != http.StatusOK {
 				t.Errorf("%s: %d %s", c.account, got.status, got.body)
 			}
-			work := <-works
+			var work dispatch.Work
+			select {
+			case work = <-works:
+			default:
+				t.Errorf("a request of %s was answered without a run", c.account)
+				continue
+			}
 			if work.Account != c.account || work.Contract.Account != c.account {
 				t.Errorf("a request of %s ran for %s under the contract of %s", c.account, work.Account, work.Contract.Account)
 			}
