--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -61,6 +61,8 @@
 	// DrainTime is how long a planned stop waits for running requests; no request
 	// gets more time. 0 means no bound.
 	DrainTime time.Duration
+	// WriteTimeout bounds one write to a caller. 0 means 30 seconds.
+	WriteTimeout time.Duration
 }
 
 // Server is the callers' API.
@@ -75,6 +77,9 @@
 
 // NewServer returns a server.
 func NewServer(config Config) *Server {
+	if config.WriteTimeout == 0 {
+		config.WriteTimeout = defaultWriteTimeout
+	}
 	return &Server{Config: config, sessions: newSessions()}
 }
 
@@ -114,7 +119,7 @@
 	// Dispatch, not ServeHTTP: the container's own mux would answer some paths
 	// with a redirect in place of a route or a typed refusal.
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		container.Dispatch(&trackedWriter{ResponseWriter: w}, r)
+		container.Dispatch(newCallerWriter(w, s.WriteTimeout), r)
 	})
 }
 
--- a/internal/entry/execution_test.go
+++ b/internal/entry/execution_test.go
@@ -249,7 +249,7 @@
 // A code that no test brings about may carry any claim about its run, and a
 // caller would be the first to find out.
 func TestEveryStatusHasAFailingPlace(t *testing.T) {
-	// claims_test.go brings about the claims that are in progress or unknown.
+	// once_test.go brings about the claims that are in progress or unknown.
 	covered := map[fault.Code]bool{fault.CodeClaimUnknown: true, fault.CodeClaimInProgress: true}
 	for _, place := range failingPlaces() {
 		covered[place.code] = true
--- a/internal/entry/once_test.go
+++ b/internal/entry/once_test.go
@@ -307,3 +307,34 @@
 		t.Errorf("got %d %s, %d charges", got.status, strings.TrimSpace(string(got.body)), desk.count("tree 17"))
 	}
 }
+
+// A caller asks again while its deposit is being charged. Told "not run" it would
+// pay elsewhere; it is told that nothing is known yet, and when to ask again.
+func TestRepeatOfARunningCallIsToldWhenToAskAgain(t *testing.T) {
+	first := newRig(t, rigOptions{})
+	second := first.sharing()
+	desk := newChargingDesk(first, second)
+	charging, proceed := make(chan struct{}), make(chan struct{})
+	desk.setHook(func(http.ResponseWriter, *http.Request) {
+		close(charging)
+		<-proceed
+	})
+	ended := make(chan answer)
+	go func() {
+		got, _ := first.try(http.MethodPost, "/v1/services/desk/deposit", "tree 17", keyed)
+		ended <- got
+	}()
+	<-charging
+	same := first.call(http.MethodPost, "/v1/services/desk/deposit", "tree 17", keyed)
+	if same.refusal.Code != fault.CodeClaimInProgress || same.refusal.Execution != fault.Unknown || same.header.Get("Retry-After") == "" {
+		t.Errorf("on the same VM: %d %s", same.status, same.body)
+	}
+	other := second.call(http.MethodPost, "/v1/services/desk/deposit", "tree 17", keyed)
+	if other.refusal.Code != fault.CodeClaimUnknown || other.refusal.Execution != fault.Unknown {
+		t.Errorf("on another VM: %d %s", other.status, other.body)
+	}
+	close(proceed)
+	if got := <-ended; got.status != http.StatusOK || desk.count("tree 17") != 1 {
+		t.Errorf("first: %d %s, %d charges", got.status, got.body, desk.count("tree 17"))
+	}
+}
--- a/internal/entry/refusal.go
+++ b/internal/entry/refusal.go
@@ -111,38 +111,12 @@
 		panic(http.ErrAbortHandler)
 	}
 	s.Events.Emit(event.PanicRecovered, event.Subject{Detail: "entry"})
-	if started, ok := w.(*trackedWriter); ok && started.began {
+	if started, ok := w.(*callerWriter); ok && started.began {
 		panic(http.ErrAbortHandler)
 	}
 	s.refuse(restful.NewResponse(w), w.Header().Get(headerRequestID), errors.WithStack(&fault.Internal{Where: "entry"}))
 }
 
-// trackedWriter knows whether an answer has begun.
-type trackedWriter struct {
-	http.ResponseWriter
-	began bool
-}
-
-// WriteHeader implements http.ResponseWriter.
-func (w *trackedWriter) WriteHeader(status int) {
-	w.began = true
-	w.ResponseWriter.WriteHeader(status)
-}
-
-// Write implements http.ResponseWriter.
-func (w *trackedWriter) Write(p []byte) (int, error) {
-	w.began = true
-	return w.ResponseWriter.Write(p)
-}
-
-// Flush implements http.Flusher.
-func (w *trackedWriter) Flush() {
-	_ = http.NewResponseController(w.ResponseWriter).Flush()
-}
-
-// Unwrap lets http.ResponseController find the connection.
-func (w *trackedWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
-
 // unrouted answers for unknown paths and methods. The path is not repeated: it
 // may hold a key.
 func (s *Server) unrouted(failure restful.ServiceError, r *restful.Request, w *restful.Response) {
--- a/internal/entry/rig_test.go
+++ b/internal/entry/rig_test.go
@@ -72,6 +72,8 @@
 	patience engine.Patience
 	runner   generate.Runner
 	quiet    bool
+	// writeTimeout bounds one write to a caller.
+	writeTimeout time.Duration
 }
 
 func newRig(t testing.TB, options rigOptions) *rig {
@@ -97,7 +99,7 @@
 	r.server = NewServer(Config{
 		View: r.view, Ager: r.ager, Runner: options.runner, Dispatcher: r.places, Retries: retries,
 		Services: service.NewClient(), Claims: request.NewClaims(r.tables), Steps: r.steps,
-		Usage: usageNowhere{}, Events: r.events, Registry: r.registry,
+		Usage: usageNowhere{}, Events: r.events, Registry: r.registry, WriteTimeout: options.writeTimeout,
 	})
 	return r
 }
--- a/internal/entry/services.go
+++ b/internal/entry/services.go
@@ -47,7 +47,6 @@
 	if err != nil {
 		return causeOf(ctx, err)
 	}
-	_ = http.NewResponseController(w.ResponseWriter).SetWriteDeadline(time.Now().Add(writeTimeout))
 	w.Header().Set("Content-Type", answer.ContentType)
 	w.Header().Set("Content-Length", strconv.Itoa(len(answer.Body)))
 	w.WriteHeader(answer.Status)
--- a/internal/entry/whole_test.go
+++ b/internal/entry/whole_test.go
@@ -237,15 +237,53 @@
 	r.withdraw("k1")
 	<-cancelled
 	// Far above the time for a last event, far below the time for a slow write.
-	deadline := time.Now().Add(writeTimeout / 2)
+	r.awaitIdle(defaultWriteTimeout / 2)
+}
+
+// awaitIdle waits until no request runs.
+func (r *rig) awaitIdle(patience time.Duration) {
+	r.t.Helper()
+	deadline := time.Now().Add(patience)
 	for r.server.sessions.count() > 0 {
 		if time.Now().After(deadline) {
-			t.Fatal("the handler still waits for its caller")
+			r.t.Fatal("the handler still waits for its caller")
 		}
 		time.Sleep(10 * time.Millisecond)
 	}
 }
 
+// A caller asks for something large and never reads it. Its handler would hold
+// the answer, and a planned stop would wait for it until the drain time is over.
+func TestCallerThatDoesNotReadIsCutOff(t *testing.T) {
+	for _, path := range []string{"/v1/services/desk/fields", "/v1/generate"} {
+		r := newRig(t, rigOptions{writeTimeout: 100 * time.Millisecond})
+		large := strings.Repeat("x", 8<<20)
+		r.service("s1", func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, large) })
+		r.engine("e1", scripted(func(s *script) {
+			for n := range 40 {
+				s.chunk(n, large[:1<<19])
+			}
+			s.last(40, "end")
+			s.raw(engine.DoneEvent)
+		}))
+		body := strings.Replace(generateText, `"maxTokens":16`, `"maxTokens":64`, 1)
+		request, err := http.NewRequest(http.MethodPost, r.serve()+path, strings.NewReader(body))
+		if err != nil {
+			t.Fatal(err)
+		}
+		request.Header.Set("Authorization", "Bearer "+testKey)
+		response, err := http.DefaultClient.Do(request)
+		if err != nil {
+			t.Fatal(err)
+		}
+		r.awaitIdle(defaultWriteTimeout / 2)
+		if _, err := io.Copy(io.Discard, response.Body); err == nil {
+			t.Errorf("%s: the cut answer ended like a whole one", path)
+		}
+		_ = response.Body.Close()
+	}
+}
+
 // count returns how many requests run.
 func (s *sessions) count() int {
 	total := 0
