--- a/internal/operator/edits.go
+++ b/internal/operator/edits.go
@@ -95,35 +95,56 @@
 	if subject.Key == nil {
 		return EditAnswer{}, errors.WithStack(&fault.KeyUnknown{KeyID: id})
 	}
-	withdrawn := *subject.Key
-	withdrawn.Withdrawn = true
-	edit.Key = &withdrawn
-	edit.Base = subject.Revision
-	answer, err := s.apply(ctx, edit)
+	answer, err := s.withdraw(ctx, edit, subject)
 	if err != nil {
 		return EditAnswer{}, err
 	}
-	answer.ServeSeconds = s.View.Load().Contracts[withdrawn.Account].Isolation.ServeSeconds
+	answer.ServeSeconds = s.View.Load().Contracts[subject.Key.Account].Isolation.ServeSeconds
 	return answer, nil
 }
 
-// apply commits an edit and waits a little for the fleet to confirm it.
+// withdraw commits the withdrawal of a key. A key that is withdrawn already is
+// answered with that withdrawal: a second entry would tell a board of a
+// decision that changed nothing.
+func (s *Server) withdraw(ctx context.Context, edit contract.Edit, subject contract.Subject) (EditAnswer, error) {
+	if subject.Key.Withdrawn {
+		entries, err := s.Editor.History(ctx, subject.Revision-1, 1)
+		if err != nil {
+			return EditAnswer{}, err
+		}
+		if len(entries) == 1 && entries[0].Revision == subject.Revision {
+			return s.confirmed(ctx, entries[0]), nil
+		}
+	}
+	withdrawn := *subject.Key
+	withdrawn.Withdrawn = true
+	edit.Key = &withdrawn
+	edit.Base = subject.Revision
+	return s.apply(ctx, edit)
+}
+
+// apply commits an edit and answers with where it is in force.
 func (s *Server) apply(ctx context.Context, edit contract.Edit) (EditAnswer, error) {
 	entry, err := s.Editor.Apply(ctx, edit)
 	if err != nil {
 		return EditAnswer{}, err
 	}
 	s.Advanced()
+	return s.confirmed(ctx, entry), nil
+}
+
+// confirmed waits a little for the fleet to confirm an entry.
+func (s *Server) confirmed(ctx context.Context, entry contract.Entry) EditAnswer {
 	answer := EditAnswer{Entry: withoutHash(entry)}
 	deadline := time.Now().Add(confirmWait)
 	for {
 		answer.Confirmation = confirmationOf(s.Fleet.InForce(), entry.Revision)
 		if len(answer.Pending) == 0 || time.Now().After(deadline) {
-			return answer, nil
+			return answer
 		}
 		select {
 		case <-ctx.Done():
-			return answer, nil
+			return answer
 		case <-time.After(confirmPeriod):
 		}
 	}
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -203,6 +203,22 @@
 	})
 }
 
+// Two operators are told to withdraw the same key, or one does it twice to be
+// sure. The history must show one decision.
+func TestSecondWithdrawalAnswersWithTheFirst(t *testing.T) {
+	f := newFixture()
+	f.grant("k1")
+	var first, second EditAnswer
+	f.call(t, http.MethodDelete, "/v1/keys/k1", "", &first)
+	f.call(t, http.MethodDelete, "/v1/keys/k1", "", &second)
+	if len(f.editor.entries) != 1 {
+		t.Errorf("the history has %d edits, want 1", len(f.editor.entries))
+	}
+	if first.Entry.Revision != second.Entry.Revision || second.Entry.Kind != contract.EditWithdraw {
+		t.Errorf("the second answer is %+v, want that of %+v", second.Entry, first.Entry)
+	}
+}
+
 // An operator mistypes a key's ID. With an answer that looks like success the
 // real key would go on working unnoticed.
 func TestWithdrawalOfUnknownKey(t *testing.T) {
