--- a/internal/event/event_test.go
+++ b/internal/event/event_test.go
@@ -92,3 +92,18 @@
 		}
 	}
 }
+
+func FuzzParseStamp(f *testing.F) {
+	f.Add("1796256678.542672+0")
+	f.Add("-1.-5+7")
+	f.Add("1.5+4294967295 ")
+	f.Fuzz(func(t *testing.T, text string) {
+		s, ok := ParseStamp(text)
+		if !ok {
+			return
+		}
+		if again, ok := ParseStamp(s.String()); !ok || again != s {
+			t.Errorf("%q is %v, which reads back as %v, %v", text, s, again, ok)
+		}
+	})
+}
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -406,3 +406,19 @@
 		t.Errorf("the page lists\n%v\nthe code has\n%v", listed, routes)
 	}
 }
+
+// Whatever an operator's program sends as a contract is accepted or refused with
+// a type, and never stops the request by a panic.
+func FuzzPutContract(f *testing.F) {
+	f.Add(`{"account":"a","share":100}`)
+	f.Add(`{"account":"a","limits":null}`)
+	f.Add(`[]`)
+	f.Add(`{"account":"a","share":1e400}`)
+	f.Fuzz(func(t *testing.T, body string) {
+		fixture := newFixture()
+		status, text := fixture.call(t, http.MethodPut, "/v1/contracts/a", body, nil)
+		if status != http.StatusOK && status != http.StatusBadRequest {
+			t.Errorf("answered %d %s", status, text)
+		}
+	})
+}
