--- a/internal/entry/services.go
+++ b/internal/entry/services.go
@@ -30,7 +30,7 @@
 	// serviceTimeout bounds a call whose caller names no shorter bound.
 	serviceTimeout = 30 * time.Second
 	// claimTimeout bounds the wait for the store before a keyed call is refused.
-	claimTimeout = 5 * time.Second
+	claimTimeout = 3 * time.Second
 	// maxServiceAttempts bounds the attempts of one call.
 	maxServiceAttempts = 4
 )
@@ -291,7 +291,16 @@
 		Attempt:  attempt,
 	}
 	s.Events.Emit(event.RequestDispatched, subject)
+	settled := false
+	// A panic must not keep the place: the service would look full for ever.
+	defer func() {
+		if !settled {
+			report(retry.Abandoned)
+			grant.Done(dispatch.Result{})
+		}
+	}()
 	answer, _, err := s.Services.Do(sending, grant.Upstream.Address, wanted.call)
+	settled = true
 	failed := err != nil && sending.Err() == nil
 	report(serviceOutcome(err, failed))
 	grant.Done(dispatch.Result{Cost: 1, Failed: failed})
