--- a/internal/daemon/providers.go
+++ b/internal/daemon/providers.go
@@ -78,7 +78,7 @@
 	return retry.NewPolicy(registry, events)
 }
 
-func newScheduler(s settings.Daemon, directory *upstream.Directory, loads *upstream.Loads, health *upstream.Health, registry *prometheus.Registry, h *hooks) *dispatch.Scheduler {
+func newScheduler(s settings.Daemon, directory *upstream.Directory, loads *upstream.Loads, health *upstream.Health, events *event.Recorder, registry *prometheus.Registry, h *hooks) *dispatch.Scheduler {
 	c := dispatch.Config{
 		VM:            s.VM,
 		FailureDomain: s.FailureDomain,
@@ -86,6 +86,7 @@
 		Loads:         loads,
 		Health:        health,
 		Members:       h.members,
+		Events:        events,
 		Registerer:    registry,
 	}
 	if s.DispatchPolicy == settings.PolicyQueue {
--- a/internal/daemon/wire_gen.go
+++ b/internal/daemon/wire_gen.go
@@ -32,7 +32,7 @@
 	loads := upstream.NewLoads()
 	health := upstream.NewHealth(recorder)
 	daemonHooks := newHooks()
-	scheduler := newScheduler(s, directory, loads, health, registry, daemonHooks)
+	scheduler := newScheduler(s, directory, loads, health, recorder, registry, daemonHooks)
 	gossip := newGossip(s, view, peerClient, recorder, scheduler, metrics, daemonHooks)
 	syncer := newSyncer(s, client, gossip, view, recorder, daemonHooks)
 	metricsMetrics := newMetrics(s, recorder, registry, directory)
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -215,8 +215,12 @@
 	return ids
 }
 
-// demand returns what each account asks of the pool.
+// demand returns what each account asks of the pool. Only engines are shared by
+// demand.
 func (p *poolQueue) demand() []FlowDemand {
+	if p.name.Kind != platform.KindEngine {
+		return nil
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	var list []FlowDemand
--- a/internal/dispatch/scheduler.go
+++ b/internal/dispatch/scheduler.go
@@ -10,6 +10,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"dogwoodpond/internal/contract"
+	"dogwoodpond/internal/event"
 	"dogwoodpond/internal/fault"
 	"dogwoodpond/internal/platform"
 	"dogwoodpond/internal/upstream"
@@ -25,6 +26,7 @@
 	// Members returns the live VMs with their demands, this one included. Nil
 	// leaves the engines unshared: the VM then fills all slots itself.
 	Members func() []Member
+	Events  *event.Recorder
 	// Registerer takes the metrics.
 	Registerer prometheus.Registerer
 }
@@ -34,6 +36,8 @@
 type Scheduler struct {
 	config  Config
 	metrics *metrics
+	// seen is used by Run only.
+	seen listReview
 
 	mu       sync.RWMutex
 	pools    map[Pool]*poolQueue
@@ -69,12 +73,7 @@
 }
 
 func (s *Scheduler) tick() {
-	ids := make(map[string]bool)
-	for _, u := range s.config.Directory.Load() {
-		ids[u.ID] = true
-	}
-	s.config.Health.Keep(ids)
-	s.config.Loads.Keep(ids)
+	s.seen.review(s.config)
 	s.metrics.ejected.Set(float64(s.config.Health.Out()))
 	for _, p := range s.allPools() {
 		p.tick()
--- a/internal/dispatch/scheduler_test.go
+++ b/internal/dispatch/scheduler_test.go
@@ -35,17 +35,19 @@
 	*Scheduler
 	directory *upstream.Directory
 	loads     *upstream.Loads
+	events    *event.Recorder
 }
 
 func newTestVM(ctx context.Context, upstreams ...platform.Upstream) testVM {
-	vm := testVM{directory: upstream.NewDirectory(), loads: upstream.NewLoads()}
+	vm := testVM{directory: upstream.NewDirectory(), loads: upstream.NewLoads(), events: quietRecorder()}
 	vm.directory.Replace(upstreams)
 	vm.Scheduler = NewScheduler(Config{
 		VM:            "vm-a1",
 		FailureDomain: "a",
 		Directory:     vm.directory,
 		Loads:         vm.loads,
-		Health:        upstream.NewHealth(quietRecorder()),
+		Health:        upstream.NewHealth(vm.events),
+		Events:        vm.events,
 	})
 	go vm.Run(ctx)
 	return vm
@@ -241,6 +243,7 @@
 			waiter <- err
 		}()
 		synctest.Wait()
+		time.Sleep(2 * tickPeriod)
 		leaving := engineOf("e1", "a", 1)
 		leaving.State = platform.UpstreamLeaving
 		vm.directory.Replace([]platform.Upstream{leaving})
@@ -251,11 +254,15 @@
 		if took := time.Since(begun); took > time.Second {
 			t.Fatalf("the waiter heard after %v", took)
 		}
+		told := vm.events.Since(event.Stamp{})
+		if len(told) != 1 || told[0].Number != event.UpstreamLeaving || told[0].Upstream != "e1" {
+			t.Errorf("the time line says %+v", told)
+		}
 	})
 }
 
-// An upstream is leaving, or has vanished from the list, or its own report says
-// that it serves another model by now. New work sent there would be cut off or
+// An upstream is leaving, or has vanished from the list, or does not answer polls
+// of its load, or its own report says that it serves another model by now. New work sent there would be cut off or
 // refused, and its callers would see failed attempts.
 func TestNoNewWorkForUpstreamsThatLeaveOrServeAnotherModel(t *testing.T) {
 	changes := map[string]func(vm testVM){
@@ -265,6 +272,10 @@
 			vm.directory.Replace([]platform.Upstream{e, engineOf("e2", "a", 8)})
 		},
 		"vanished": func(vm testVM) { vm.directory.Replace([]platform.Upstream{engineOf("e2", "a", 8)}) },
+		"unreachable": func(vm testVM) {
+			vm.loads.Set("e1", upstream.Report{Misses: 2})
+			vm.loads.Set("e2", upstream.Report{Load: engine.Load{Model: "berry-1"}, At: time.Now()})
+		},
 		"other model": func(vm testVM) {
 			vm.loads.Set("e1", upstream.Report{Load: engine.Load{Model: "rota-2"}, At: time.Now()})
 		},
@@ -291,6 +302,24 @@
 	}
 }
 
+// This VM's own network fails for a moment, so that no engine seems to answer the
+// polls of its load. Were all left out, every request would wait for a fault that
+// may be over already.
+func TestEnginesAreUsedWhenNoneSeemsReachable(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		vm := newTestVM(ctx, engineOf("e1", "a", 1), engineOf("e2", "a", 1))
+		vm.loads.Set("e1", upstream.Report{Misses: 5})
+		vm.loads.Set("e2", upstream.Report{Misses: 5})
+		patient, stop := context.WithTimeout(ctx, time.Minute)
+		defer stop()
+		if _, err := vm.Acquire(patient, engineWork("fields", 10)); err != nil {
+			t.Fatal(err)
+		}
+	})
+}
+
 // A contract lets half of an account's repeatable work run on reclaimable
 // upstreams. Work that may not be repeated would be lost with them, and more
 // than half would stall the account's steps when a failure domain is reclaimed.
