--- a/internal/dispatch/division.go
+++ b/internal/dispatch/division.go
@@ -13,6 +13,9 @@
 type division struct {
 	at   time.Time
 	list []platform.Upstream
+	// ids are the names of the list, mine the part of it that has a limit.
+	ids  []string
+	mine []platform.Upstream
 	// limits tells how many requests the VM may have at each upstream.
 	limits parts
 	// borrowed marks upstreams outside the VM's part that lend it places.
@@ -45,13 +48,12 @@
 func (p *poolQueue) candidates(now time.Time) []candidate {
 	p.divide(now)
 	unreachable := p.unreachable()
-	list := make([]candidate, 0, len(p.division.list))
-	for _, u := range p.division.list {
-		limit := p.division.limits[u.ID]
-		if limit == 0 || unreachable[u.ID] {
+	list := make([]candidate, 0, len(p.division.mine))
+	for _, u := range p.division.mine {
+		if unreachable[u.ID] {
 			continue
 		}
-		if c, ok := p.candidate(u, limit, now); ok {
+		if c, ok := p.candidate(u, p.division.limits[u.ID], now); ok {
 			list = append(list, c)
 		}
 	}
@@ -109,7 +111,7 @@
 func (p *poolQueue) unreachable() map[string]bool {
 	silent := make(map[string]bool)
 	asked := 0
-	for _, u := range p.division.list {
+	for _, u := range p.division.mine {
 		report, ok := p.scheduler.config.Loads.Get(u.ID)
 		if !ok {
 			continue
@@ -135,6 +137,7 @@
 	for _, u := range p.scheduler.config.Directory.Load() {
 		if serves(u, p.name) {
 			d.list = append(d.list, u)
+			d.ids = append(d.ids, u.ID)
 		}
 	}
 	switch {
@@ -145,6 +148,11 @@
 	default:
 		d.shared(p.scheduler.config.VM, p.scheduler.config.FailureDomain, p.name.hash(), p.scheduler.config.Members())
 	}
+	for _, u := range d.list {
+		if d.limits[u.ID] > 0 {
+			d.mine = append(d.mine, u)
+		}
+	}
 	p.division = d
 }
 
@@ -269,11 +277,5 @@
 		return nil
 	}
 	p.divide(now)
-	var list []platform.Upstream
-	for _, u := range p.division.list {
-		if p.division.limits[u.ID] > 0 {
-			list = append(list, u)
-		}
-	}
-	return list
+	return p.division.mine
 }
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -204,15 +204,11 @@
 	}
 }
 
-// peers returns the IDs of the pool's listed upstreams.
+// peers returns the names of the pool's upstreams as last listed.
 func (p *poolQueue) peers() []string {
-	var ids []string
-	for _, u := range p.scheduler.config.Directory.Load() {
-		if serves(u, p.name) {
-			ids = append(ids, u.ID)
-		}
-	}
-	return ids
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.division.ids
 }
 
 // demand returns what each account asks of the pool. Only engines are shared by
