--- a/internal/dispatch/scheduler_test.go
+++ b/internal/dispatch/scheduler_test.go
@@ -426,6 +426,27 @@
 	})
 }
 
+// An engine is ejected while several of its requests still run. Their answers
+// came from before the ejection: they must neither end it nor make it longer.
+func TestAnswersFromBeforeAnEjectionDoNotJudgeIt(t *testing.T) {
+	health := upstream.NewHealth(quietRecorder())
+	ids := []string{"e1", "e2"}
+	now := time.Now()
+	for range 3 {
+		health.Failed("e1", ids, now)
+	}
+	health.Succeeded("e1", ids, time.Millisecond, now)
+	if health.Standing("e1", now) != upstream.Ejected {
+		t.Error("an earlier answer ended the ejection")
+	}
+	for range 5 {
+		health.Failed("e1", ids, now)
+	}
+	if health.Standing("e1", now.Add(3*time.Second)) != upstream.Probing {
+		t.Error("earlier failures made the ejection longer")
+	}
+}
+
 // Every engine fails at once, for example because of a bad model. Ejecting all
 // of them would turn slow service into none; half of a pool must stay in.
 func TestHalfOfAPoolIsNeverEjected(t *testing.T) {
--- a/internal/upstream/health.go
+++ b/internal/upstream/health.go
@@ -108,13 +108,14 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	r := h.record(id)
-	r.failures = 0
-	r.probing = false
-	r.observe(pace)
 	if r.out {
-		h.judgeProbe(r, id, peers, pace, now)
+		if r.probing {
+			h.judgeProbe(r, id, peers, pace, now)
+		}
 		return
 	}
+	r.failures = 0
+	r.observe(pace)
 	if h.slow(r.pace, r.samples, id, peers) && h.mayEject(peers) {
 		h.eject(r, id, now, "slow")
 	}
@@ -122,11 +123,13 @@
 
 // judgeProbe restores an upstream unless the probe was as slow as before.
 func (h *Health) judgeProbe(r *record, id string, peers []string, pace time.Duration, now time.Time) {
+	r.probing = false
 	if h.slow(pace, paceSamples, id, peers) {
 		h.eject(r, id, now, "slow")
 		return
 	}
 	r.out = false
+	r.failures = 0
 	r.ejections = 0
 	r.pace, r.samples = 0, 0
 	h.events.Emit(event.UpstreamRestored, event.Subject{Upstream: id})
