Membership and division cost less at the target size; a changed list counts at once

Slots are divided four times a second in place of ten, but at once after the list has changed.

TestNoNewWorkForUpstreamsThatLeaveOrServeAnotherModel, stricter: no pause any more between the change of the list and the next request. Without the look at the list: "new work for e1".

--- a/internal/dispatch/division.go
+++ b/internal/dispatch/division.go
@@ -11,8 +11,10 @@
 
 // division is what of a pool's upstreams this VM may use, as last computed.
 type division struct {
-	at   time.Time
-	list []platform.Upstream
+	at time.Time
+	// source is the list of all upstreams, list the pool's part of it.
+	source []platform.Upstream
+	list   []platform.Upstream
 	// ids are the names of the list, mine the part of it that has a limit.
 	ids  []string
 	mine []platform.Upstream
@@ -28,7 +30,7 @@
 
 const (
 	// divisionPeriod is how long a division is used while the list stays.
-	divisionPeriod = 100 * time.Millisecond
+	divisionPeriod = 250 * time.Millisecond
 	// serviceSlots bounds what a VM has in flight at a plain service that
 	// names no slots.
 	serviceSlots = 64
@@ -129,12 +131,13 @@
 
 // divide brings the division up to date.
 func (p *poolQueue) divide(now time.Time) {
-	if now.Sub(p.division.at) < divisionPeriod && !p.division.at.IsZero() {
+	source := p.scheduler.config.Directory.Load()
+	if now.Sub(p.division.at) < divisionPeriod && sameList(source, p.division.source) {
 		return
 	}
 	old := p.division
-	d := division{at: now, limits: make(parts), borrowed: make(map[string]bool), lending: old.lending, names: old.names}
-	for _, u := range p.scheduler.config.Directory.Load() {
+	d := division{at: now, source: source, limits: make(parts), borrowed: make(map[string]bool), lending: old.lending, names: old.names}
+	for _, u := range source {
 		if serves(u, p.name) {
 			d.list = append(d.list, u)
 			d.ids = append(d.ids, u.ID)
--- a/internal/dispatch/scheduler_test.go
+++ b/internal/dispatch/scheduler_test.go
@@ -286,8 +286,10 @@
 				ctx, cancel := context.WithCancel(t.Context())
 				defer cancel()
 				vm := newTestVM(ctx, engineOf("e1", "a", 8), engineOf("e2", "a", 8))
+				if g, err := vm.Acquire(ctx, engineWork("fields", 10)); err == nil {
+					g.Done(Result{})
+				}
 				change(vm)
-				time.Sleep(2 * divisionPeriod)
 				for range 8 {
 					g, err := vm.Acquire(ctx, engineWork("fields", 10))
 					if err != nil {
--- a/internal/peer/fleet.go
+++ b/internal/peer/fleet.go
@@ -104,23 +104,25 @@
 	records := f.events.Select(query)
 	missing := []string{}
 	var mu sync.Mutex
-	var asks sync.WaitGroup
+	var asks errgroup.Group
+	asks.SetLimit(asksAtOnce)
 	for _, vm := range f.gossip.VMs() {
 		if vm.ID == f.gossip.self.VM {
 			continue
 		}
-		asks.Go(func() {
+		asks.Go(func() error {
 			got, err := f.client.Events(ctx, vm.PeerAddress, query)
 			mu.Lock()
 			defer mu.Unlock()
 			if err != nil {
 				missing = append(missing, vm.ID)
-				return
+				return nil
 			}
 			records = append(records, got...)
+			return nil
 		})
 	}
-	asks.Wait()
+	_ = asks.Wait()
 	slices.SortStableFunc(records, byStamp)
 	return records, missing
 }
--- a/internal/peer/gossip.go
+++ b/internal/peer/gossip.go
@@ -43,7 +43,7 @@
 	metrics    *Metrics
 
 	sequence atomic.Uint64
-	vms      atomic.Pointer[[]platform.VM]
+	vms      atomic.Pointer[vmList]
 	seeds    []string
 
 	mu    sync.Mutex
@@ -97,7 +97,7 @@
 		seeds:       c.Seeds,
 		peers:       make(map[string]*peerState),
 	}
-	g.vms.Store(&[]platform.VM{})
+	g.SetVMs(nil)
 	return g
 }
 
@@ -105,10 +105,22 @@
 func (g *Gossip) Incarnation() string { return g.incarnation }
 
 // SetVMs puts the platform's latest list in force.
-func (g *Gossip) SetVMs(vms []platform.VM) { g.vms.Store(&vms) }
+func (g *Gossip) SetVMs(vms []platform.VM) {
+	ids := make(map[string]bool, len(vms))
+	for _, vm := range vms {
+		ids[vm.ID] = true
+	}
+	g.vms.Store(&vmList{vms: vms, ids: ids})
+}
 
 // VMs returns the platform's latest list.
-func (g *Gossip) VMs() []platform.VM { return *g.vms.Load() }
+func (g *Gossip) VMs() []platform.VM { return g.vms.Load().vms }
+
+// vmList is the platform's list with its names.
+type vmList struct {
+	vms []platform.VM
+	ids map[string]bool
+}
 
 // Digest returns the VM's own digest.
 func (g *Gossip) Digest() *peerpb.Digest {
--- a/internal/peer/gossip_test.go
+++ b/internal/peer/gossip_test.go
@@ -295,3 +295,46 @@
 	}
 	t.Fatalf("%d of %d VMs confirmed", confirmed, size)
 }
+
+// fullNode is a node that has heard all of 390 VMs.
+func fullNode() *testNode {
+	n := newTestNode("vm-000", "d0", testPeriod)
+	var vms []platform.VM
+	for i := range 390 {
+		vm := platform.VM{ID: fmt.Sprintf("vm-%03d", i), FailureDomain: fmt.Sprint("d", i%7)}
+		vms = append(vms, vm)
+		peer := newTestNode(vm.ID, vm.FailureDomain, testPeriod)
+		for a := range uint32(8) {
+			peer.flows = append(peer.flows, dispatch.FlowDemand{Pool: 1, Account: a, Share: 100, Waiting: a})
+		}
+		n.Receive(peer.Digest())
+	}
+	n.SetVMs(vms)
+	return n
+}
+
+// BenchmarkMembersAtTargetSize is what each division of the engines' slots asks
+// of the gossip.
+func BenchmarkMembersAtTargetSize(b *testing.B) {
+	n := fullNode()
+	for b.Loop() {
+		n.Members()
+	}
+}
+
+// BenchmarkReviewAtTargetSize is the work of each period.
+func BenchmarkReviewAtTargetSize(b *testing.B) {
+	n := fullNode()
+	for b.Loop() {
+		n.review(time.Now())
+	}
+}
+
+// BenchmarkReceive is the work for each digest.
+func BenchmarkReceive(b *testing.B) {
+	n := fullNode()
+	peer := newTestNode("vm-007", "d0", testPeriod)
+	for b.Loop() {
+		n.Receive(peer.Digest())
+	}
+}
--- a/internal/peer/members.go
+++ b/internal/peer/members.go
@@ -103,9 +103,7 @@
 	return m
 }
 
-func (g *Gossip) listed(id string) bool {
-	return slices.ContainsFunc(g.VMs(), func(vm platform.VM) bool { return vm.ID == id })
-}
+func (g *Gossip) listed(id string) bool { return g.vms.Load().ids[id] }
 
 // review judges which peers are silent and forgets those that are gone.
 func (g *Gossip) review(now time.Time) {
