Test of the leaving event waits for the next look at the list

TestWaitersHearThatTheirPoolIsGone failed once in some ten runs ("the time line says []"): the list was replaced between the two halves of one look, so that the waiter heard one look before the event.

--- a/internal/dispatch/scheduler_test.go
+++ b/internal/dispatch/scheduler_test.go
@@ -254,6 +254,7 @@
 		if took := time.Since(begun); took > time.Second {
 			t.Fatalf("the waiter heard after %v", took)
 		}
+		time.Sleep(2 * tickPeriod)
 		told := vm.events.Since(event.Stamp{})
 		if len(told) != 1 || told[0].Number != event.UpstreamLeaving || told[0].Upstream != "e1" {
 			t.Errorf("the time line says %+v", told)
