--- a/scripts/slopes.sh
+++ b/scripts/slopes.sh
@@ -21,6 +21,10 @@
   local n
   for n in $(vm_names); do awk '{print $14 + $15}' "/proc/${pid_of[$n]}/stat"; done | awk '{s += $1} END {print s}'
 }
+cpu_each() { # the processor time of each daemon in ticks, by name
+  local n
+  for n in $(vm_names); do echo "$n $(awk '{print $14 + $15}' "/proc/${pid_of[$n]}/stat")"; done | sort
+}
 memory_kib() { # the mean resident memory of the daemons
   local n
   for n in $(vm_names); do awk '/^VmRSS/ {print $2}' "/proc/${pid_of[$n]}/status"; done | awk '{s += $1} END {printf "%.0f", s / NR}'
@@ -30,7 +34,10 @@
   for e in "${entries[@]}"; do "$standin" post --method GET "http://$e/metrics" | grep -E "^$1" | awk '{print $NF}'; done | awk '{s += $1} END {printf "%.0f", s}'
 }
 table_count() { "$standin" post --method GET "$platform/stand-in/tables" | jq ".$1"; }
-list_bytes() { echo $(($("$standin" post --method GET "$platform/vms" | wc -c) + $("$standin" post --method GET "$platform/upstreams" | wc -c))); }
+moved() { # moved <rchar|wchar>: bytes that all daemons have read or written, sockets and log alike
+  local n
+  for n in $(vm_names); do awk -v f="$1:" '$1 == f {print $2}' "/proc/${pid_of[$n]}/io"; done | awk '{s += $1} END {printf "%.0f", s}'
+}
 
 start_size() { # start_size <VMs>: with two engines to each VM in the list, served by three processes
   local i d vms=()
@@ -51,24 +58,27 @@
   done
 }
 
-printf '%5s %12s %10s %12s %14s %14s %14s %12s\n' VMs 'cpu %/VM' 'MiB/VM' 'peer B/s/VM' 'store reads/s' 'store writes/s' 'list B/s/VM' 'edit, s'
+printf '%5s %12s %12s %10s %12s %14s %14s %12s %12s %12s\n' VMs 'cpu %/VM' 'busiest %' 'MiB/VM' 'peer B/s/VM' 'store reads/s' 'store writes/s' 'read B/s/VM' 'write B/s/VM' 'edit, s'
 for size in $sizes; do
   start_size "$size"
   sleep "$settle"
   begun=$(date +%s%N)
-  cpu=$(cpu_ticks) bytes=$(scrape dogwoodpond_peer_sent_bytes_total) reads=$(table_count reads) commits=$(table_count commits)
+  cpu_each >"$work/before"
+  cpu=$(cpu_ticks) bytes=$(scrape dogwoodpond_peer_sent_bytes_total) reads=$(table_count reads) commits=$(table_count commits) in=$(moved rchar) out=$(moved wchar)
   sleep "$window"
+  in=$(($(moved rchar) - in)) out=$(($(moved wchar) - out))
   cpu=$(($(cpu_ticks) - cpu)) reads=$(($(table_count reads) - reads)) commits=$(($(table_count commits) - commits))
   span=$(($(date +%s%N) - begun))
+  busiest=$(cpu_each | join "$work/before" - | awk '{d = $3 - $2; if (d > m) m = d} END {print m}')
   bytes=$(($(scrape dogwoodpond_peer_sent_bytes_total) - bytes))
   memory=$(memory_kib)
   edit=$(date +%s%N)
   grant "edit-$size" 100
   edit=$((($(date +%s%N) - edit) / 2))
-  awk -v n="$size" -v cpu="$cpu" -v ticks="$ticks" -v span="$span" -v kib="$memory" -v bytes="$bytes" -v reads="$reads" -v commits="$commits" \
-    -v list="$(list_bytes)" -v edit="$edit" 'BEGIN {
+  awk -v n="$size" -v cpu="$cpu" -v busiest="$busiest" -v ticks="$ticks" -v span="$span" -v kib="$memory" -v bytes="$bytes" -v reads="$reads" -v commits="$commits" \
+    -v in_bytes="$in" -v out_bytes="$out" -v edit="$edit" 'BEGIN {
       s = span / 1e9
-      printf "%5d %12.2f %10.1f %12.0f %14.1f %14.1f %14.0f %12.2f\n", n, 100 * cpu / ticks / s / n, kib / 1024, bytes / s / n, reads / s, commits / s, list * 2, edit / 1e9
+      printf "%5d %12.2f %12.2f %10.1f %12.0f %14.1f %14.1f %12.0f %12.0f %12.2f\n", n, 100 * cpu / ticks / s / n, 100 * busiest / ticks / s, kib / 1024, bytes / s / n, reads / s, commits / s, in_bytes / s / n, out_bytes / s / n, edit / 1e9
     }' | tee -a "$rows"
   fleet_stop
 done
@@ -82,7 +92,7 @@
     for (c = 2; c <= last; c++) {
       b = (n * p[c] - s[1] * s[c]) / d
       a = (s[c] - b * s[1]) / n
-      printf " %.2f", a + b * target
+      printf " %12.2f", a + b * target
     }
     printf "\n"
   }' "$rows"
