--- a/scripts/slopes.sh
+++ b/scripts/slopes.sh
@@ -1,17 +1,19 @@
 #!/usr/bin/env bash
 # Measures the slopes that docs/CAPACITY.md cites, on real daemons on loopback.
-# For each size: what control costs each VM while no caller asks (processor time,
-# memory, bytes sent to peers), what the fleet asks of the store, and how long an
-# edit takes until the operator's answer names every VM. Then, at 9 VMs, what a
-# request, a token and a sample cost.
+# For each size: what control costs each VM (processor time, memory, bytes) with
+# one small request in 5 s, so that engines' loads are polled; what the fleet asks
+# of the store; and how long an edit takes until the operator's answer names every
+# VM. Then, at 9 VMs, what a request, a token and a sample cost.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 # shellcheck source=scripts/fleet.sh
 . scripts/fleet.sh
 sizes=${SIZES:-3 9 30 60}
 settle=${SETTLE:-8}
-window=${WINDOW:-15}
+window=${WINDOW:-5}
 target=390
+# target_engines is the number of engines in a failure domain at the target.
+target_engines=103
 domains=(a b c)
 rows="$work/rows"
 ticks=$(getconf CLK_TCK)
@@ -52,6 +54,9 @@
   start_vms '' "${vms[@]}"
   grant slopes 100
   sleep 2
+  ask_each
+}
+ask_each() { # sends one small request to each daemon
   local e
   for e in "${entries[@]}"; do
     post --header "Authorization: Bearer $key" "http://$e/v1/generate" '{"model":"berry-1","prompt":"open?","maxTokens":8}'
@@ -65,7 +70,10 @@
   begun=$(date +%s%N)
   cpu_each >"$work/before"
   cpu=$(cpu_ticks) bytes=$(scrape dogwoodpond_peer_sent_bytes_total) reads=$(table_count reads) commits=$(table_count commits) in=$(moved rchar) out=$(moved wchar)
-  sleep "$window"
+  for _ in 1 2 3; do
+    ask_each
+    sleep "$window"
+  done
   in=$(($(moved rchar) - in)) out=$(($(moved wchar) - out))
   cpu=$(($(cpu_ticks) - cpu)) reads=$(($(table_count reads) - reads)) commits=$(($(table_count commits) - commits))
   span=$(($(date +%s%N) - begun))
@@ -83,18 +91,14 @@
   fleet_stop
 done
 
-# A straight line through the sizes, carried on to the target.
-awk -v target="$target" '
-  { n++; for (c = 1; c <= NF; c++) { s[c] += $c; p[c] += $1 * $c } q += $1 * $1; last = NF }
+# Straight lines through the sizes, carried on to the target: memory by VMs, and
+# the busiest VM, which orders for its failure domain, by the engines there (two
+# for each VM, in three failure domains). The other columns level off or fall.
+awk -v vms="$target" -v engines="$target_engines" '
+  function carry(sx, sy, sxx, sxy, x,   b) { b = (NR * sxy - sx * sy) / (NR * sxx - sx * sx); return (sy - b * sx) / NR + b * x }
+  { e = 2 * $1 / 3; x += $1; xx += $1 * $1; ee += e * e; es += e; m += $4; xm += $1 * $4; b += $3; eb += e * $3 }
   END {
-    printf "straight line through them at %d VMs\n%5d", target, target
-    d = n * q - s[1] * s[1]
-    for (c = 2; c <= last; c++) {
-      b = (n * p[c] - s[1] * s[c]) / d
-      a = (s[c] - b * s[1]) / n
-      printf " %12.2f", a + b * target
-    }
-    printf "\n"
+    printf "carried on: %.0f MiB at %d VMs; busiest VM %.2f %% with %d engines in its failure domain\n", carry(x, m, xx, xm, vms), vms, carry(es, b, ee, eb, engines), engines
   }' "$rows"
 
 start_size 9
