--- a/internal/dispatch/division.go
+++ b/internal/dispatch/division.go
@@ -11,8 +11,13 @@
 
 // division is what of a pool's upstreams this VM may use, as last computed.
 type division struct {
-	at   time.Time
-	list []platform.Upstream
+	at time.Time
+	// source is the list of all upstreams, list the pool's part of it.
+	source []platform.Upstream
+	list   []platform.Upstream
+	// ids are the names of the list, mine the part of it that has a limit.
+	ids  []string
+	mine []platform.Upstream
 	// limits tells how many requests the VM may have at each upstream.
 	limits parts
 	// borrowed marks upstreams outside the VM's part that lend it places.
@@ -25,7 +30,7 @@
 
 const (
 	// divisionPeriod is how long a division is used while the list stays.
-	divisionPeriod = 100 * time.Millisecond
+	divisionPeriod = 250 * time.Millisecond
 	// serviceSlots bounds what a VM has in flight at a plain service that
 	// names no slots.
 	serviceSlots = 64
@@ -45,13 +50,12 @@
 func (p *poolQueue) candidates(now time.Time) []candidate {
 	p.divide(now)
 	unreachable := p.unreachable()
-	list := make([]candidate, 0, len(p.division.list))
-	for _, u := range p.division.list {
-		limit := p.division.limits[u.ID]
-		if limit == 0 || unreachable[u.ID] {
+	list := make([]candidate, 0, len(p.division.mine))
+	for _, u := range p.division.mine {
+		if unreachable[u.ID] {
 			continue
 		}
-		if c, ok := p.candidate(u, limit, now); ok {
+		if c, ok := p.candidate(u, p.division.limits[u.ID], now); ok {
 			list = append(list, c)
 		}
 	}
@@ -109,7 +113,7 @@
 func (p *poolQueue) unreachable() map[string]bool {
 	silent := make(map[string]bool)
 	asked := 0
-	for _, u := range p.division.list {
+	for _, u := range p.division.mine {
 		report, ok := p.scheduler.config.Loads.Get(u.ID)
 		if !ok {
 			continue
@@ -127,14 +131,16 @@
 
 // divide brings the division up to date.
 func (p *poolQueue) divide(now time.Time) {
-	if now.Sub(p.division.at) < divisionPeriod && !p.division.at.IsZero() {
+	source := p.scheduler.config.Directory.Load()
+	if now.Sub(p.division.at) < divisionPeriod && sameList(source, p.division.source) {
 		return
 	}
 	old := p.division
-	d := division{at: now, limits: make(parts), borrowed: make(map[string]bool), lending: old.lending, names: old.names}
-	for _, u := range p.scheduler.config.Directory.Load() {
+	d := division{at: now, source: source, limits: make(parts), borrowed: make(map[string]bool), lending: old.lending, names: old.names}
+	for _, u := range source {
 		if serves(u, p.name) {
 			d.list = append(d.list, u)
+			d.ids = append(d.ids, u.ID)
 		}
 	}
 	switch {
@@ -145,6 +151,11 @@
 	default:
 		d.shared(p.scheduler.config.VM, p.scheduler.config.FailureDomain, p.name.hash(), p.scheduler.config.Members())
 	}
+	for _, u := range d.list {
+		if d.limits[u.ID] > 0 {
+			d.mine = append(d.mine, u)
+		}
+	}
 	p.division = d
 }
 
@@ -269,11 +280,5 @@
 		return nil
 	}
 	p.divide(now)
-	var list []platform.Upstream
-	for _, u := range p.division.list {
-		if p.division.limits[u.ID] > 0 {
-			list = append(list, u)
-		}
-	}
-	return list
+	return p.division.mine
 }
