Samples are sent within 5 s of their judgement

Cause: a trainer that reads slowly, or a paused VM, got samples long after they were judged fresh.

Ruled out: a write deadline on the connection, which would cut the answer in the middle; leaving out the rest is a whole answer, and the cursor asks for the rest.

Red: TestSlowTrainerGetsNoOldSamples without the rule: "samples were sent for 20s", 20 lines. Green: at most 6 s.

--- a/internal/entry/steps.go
+++ b/internal/entry/steps.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -20,6 +21,8 @@
 	mimeNDJSON = "application/x-ndjson"
 	// maxWait bounds how long a pull waits for the first sample.
 	maxWait = 60 * time.Second
+	// sendTime bounds how long after their judgement samples are sent.
+	sendTime = 5 * time.Second
 )
 
 // AckBody is the body of an ack.
@@ -84,21 +87,31 @@
 		return fault.WithExecution(err, fault.NotRun)
 	}
 	w.Header().Set("Content-Type", mimeNDJSON)
-	encoder := json.NewEncoder(w)
-	for _, kept := range samples {
-		if err := encoder.Encode(kept); err != nil {
-			return nil
-		}
-	}
+	sent := sendSamples(w, samples)
 	s.Events.Emit(event.SamplesDelivered, event.Subject{
 		Request: c.requestID,
 		Account: string(c.contract.Account),
 		Step:    step,
-		Count:   whole(samples),
+		Count:   whole(sent),
 	})
 	return nil
 }
 
+// sendSamples writes samples that were judged just now, and returns those that
+// it wrote. A trainer that reads slowly, or a VM that is paused in between,
+// would let the later ones go stale on their way. They are left out after
+// sendTime: the trainer's next pull asks for them, and judges them anew.
+func sendSamples(w io.Writer, samples []sample.Sample) []sample.Sample {
+	judged := time.Now()
+	encoder := json.NewEncoder(w)
+	for i, kept := range samples {
+		if time.Since(judged) > sendTime || encoder.Encode(kept) != nil {
+			return samples[:i]
+		}
+	}
+	return samples
+}
+
 // whole counts the samples that are no tombstones.
 func whole(samples []sample.Sample) int64 {
 	count := int64(0)
