Tests of an owner's death wait until the VM to be killed owns the step

The other VMs started at the same moment as the step and could take it first; the test then killed a bystander.

Change: the VMs that are to take over start once the first owns the step, and the test fails at once when it does not. TestOwnerDies had the same gap.

--- a/internal/rollout/harness_test.go
+++ b/internal/rollout/harness_test.go
@@ -396,6 +396,18 @@
 	tr.t.Fatalf("no VM answered: %d of %d samples, cursor %d", len(tr.taken), tr.wanted, tr.cursor)
 }
 
+// openAt opens the step through the only VM and waits until that VM owns it; a
+// VM that was started at the same moment could take the step first.
+func (tr *trainer) openAt(v *testVM, d sample.Definition) {
+	tr.t.Helper()
+	tr.open(d)
+	time.Sleep(100 * time.Millisecond)
+	owned := func(r event.Record) bool { return r.Number == event.StepOwned }
+	if !slices.ContainsFunc(v.manager.events.Since(event.Stamp{}), owned) {
+		tr.t.Fatalf("%s does not own the step", v.Name)
+	}
+}
+
 // pull takes one answer.
 func (tr *trainer) pull() []sample.Sample {
 	var got []sample.Sample
--- a/internal/rollout/measure_test.go
+++ b/internal/rollout/measure_test.go
@@ -156,11 +156,11 @@
 			owner := c.start("vm-0", nil)
 			d := testStep(measureGroups, measureSamples)
 			tr := newTrainer(c, "s", d)
-			tr.open(d)
+			tr.openAt(owner, d)
 			for n := range measureVMs - 1 {
 				c.start(fmt.Sprintf("vm-%d", n+1), nil)
 			}
-			time.Sleep(after)
+			time.Sleep(after - 100*time.Millisecond)
 			owner.Kill()
 			synctest.Wait()
 			progress, _, err := store{tables: c.tables}.progress(t.Context(), ref{account: testAccount, step: "s"})
--- a/internal/rollout/rollout_test.go
+++ b/internal/rollout/rollout_test.go
@@ -30,7 +30,7 @@
 		owner := c.start("vm-a", nil)
 		d := testStep(4, 2)
 		tr := newTrainer(c, "s", d)
-		tr.open(d)
+		tr.openAt(owner, d)
 		c.start("vm-b", nil)
 		time.Sleep(2 * time.Second)
 		owner.Kill()
