--- a/internal/rollout/matrix_test.go
+++ b/internal/rollout/matrix_test.go
@@ -76,13 +76,15 @@
 	shortPause = testTerm + testTerm/4 + 2300*time.Millisecond
 	// longPause lets the other VM finish the step.
 	longPause = 4 * testTerm
+	// lateBy lets an effect come after the caller has given up on it.
+	lateBy = 4700 * time.Millisecond
 )
 
 // faults lists what may happen to a call.
 var faults = []platformtest.Fault{
 	{Kind: platformtest.LoseRequest},
 	{Kind: platformtest.LoseReply},
-	{Kind: platformtest.Late, For: 4700 * time.Millisecond},
+	{Kind: platformtest.Late, For: lateBy},
 	{Kind: platformtest.KillBefore},
 	{Kind: platformtest.KillAfter},
 	{Kind: platformtest.PauseBefore, For: shortPause},
@@ -115,6 +117,7 @@
 	firsts := []platformtest.Fault{{Kind: platformtest.KillAfter}, {Kind: platformtest.PauseBefore, For: shortPause}}
 	seconds := []platformtest.Fault{
 		{Kind: platformtest.LoseReply},
+		{Kind: platformtest.Late, For: lateBy},
 		{Kind: platformtest.KillAfter},
 		{Kind: platformtest.PauseBefore, For: shortPause},
 	}
