The transport repeats no GET by itself; a stalled body is refused

Cause: net/http repeats a GET on kept connections, outside the retry budget and without an event; a caller that stopped in the middle of its body held its request until the time-out of a minute, which no test showed to be in force. Red, with the rule taken out: GET with a body that can be rewound: TestTransportNeverRepeatsAGetByItself: FAIL no read deadline: TestStalledBodyIsRefused: timed out Idempotency-Key passed on: TestTransportNeverRepeatsACallThatMayHaveRun: FAIL

--- a/internal/entry/auth.go
+++ b/internal/entry/auth.go
@@ -68,7 +68,7 @@
 	if age := s.Ager.Age(); age > c.Isolation.Duration() {
 		return caller{}, errors.WithStack(&fault.ConfigurationStale{Account: string(c.Account), Age: age})
 	}
-	body, err := readBody(w.ResponseWriter, r.Request, c.Limits.BodyBytes)
+	body, err := readBody(w.ResponseWriter, r.Request, c.Limits.BodyBytes, s.BodyTimeout)
 	if err != nil {
 		return caller{}, err
 	}
@@ -104,15 +104,15 @@
 	return contract.ParseKey(text)
 }
 
-// bodyTimeout bounds how long a caller may take to send its body. Without a
+// defaultBodyTimeout bounds how long a caller may take to send its body. Without a
 // bound, callers that stop in the middle hold their requests for ever, and a
 // planned stop waits for them.
-const bodyTimeout = time.Minute
+const defaultBodyTimeout = time.Minute
 
-func readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, error) {
+func readBody(w http.ResponseWriter, r *http.Request, limit int64, timeout time.Duration) ([]byte, error) {
 	connection := http.NewResponseController(w)
 	// A writer without deadlines, as in tests, has no slow caller either.
-	_ = connection.SetReadDeadline(time.Now().Add(bodyTimeout))
+	_ = connection.SetReadDeadline(time.Now().Add(timeout))
 	body, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
 	if err != nil {
 		return nil, errors.WithStack(&fault.BadRequest{Field: "body", Problem: "can't be read"})
--- a/internal/entry/bad_input_test.go
+++ b/internal/entry/bad_input_test.go
@@ -11,6 +11,7 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"dogwoodpond/internal/dispatch"
 	"dogwoodpond/internal/fault"
@@ -185,6 +186,26 @@
 	}
 }
 
+// A caller sends half a body and then nothing, with its connection open. Its
+// request would stay for ever, and a planned stop would wait for it.
+func TestStalledBodyIsRefused(t *testing.T) {
+	r := newRig(t, rigOptions{bodyTimeout: 100 * time.Millisecond})
+	conn, err := net.Dial("tcp", strings.TrimPrefix(r.serve(), "http://"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = conn.Close() }()
+	_, _ = fmt.Fprintf(conn, "POST /v1/generate HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer %s\r\nContent-Length: 100\r\n\r\nhalf", testKey)
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var refusal Refusal
+	if err := json.NewDecoder(response.Body).Decode(&refusal); err != nil || refusal.Code != fault.CodeBadRequest || refusal.Execution != fault.NotRun {
+		t.Errorf("got %d %+v %v", response.StatusCode, refusal, err)
+	}
+}
+
 func FuzzGenerateBody(f *testing.F) {
 	for _, c := range badInputs {
 		f.Add([]byte(c.body))
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -63,6 +63,9 @@
 	DrainTime time.Duration
 	// WriteTimeout bounds one write to a caller. 0 means 30 seconds.
 	WriteTimeout time.Duration
+	// BodyTimeout bounds the time in which a caller sends its body. 0 means one
+	// minute.
+	BodyTimeout time.Duration
 }
 
 // Server is the callers' API.
@@ -80,6 +83,9 @@
 	if config.WriteTimeout == 0 {
 		config.WriteTimeout = defaultWriteTimeout
 	}
+	if config.BodyTimeout == 0 {
+		config.BodyTimeout = defaultBodyTimeout
+	}
 	return &Server{Config: config, sessions: newSessions()}
 }
 
--- a/internal/entry/once_test.go
+++ b/internal/entry/once_test.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"dogwoodpond/internal/dispatch"
+	"dogwoodpond/internal/event"
 	"dogwoodpond/internal/fault"
 	"dogwoodpond/internal/platform"
 )
@@ -98,6 +99,27 @@
 	}
 }
 
+// A desk fails in the middle of a GET. Repeats that the transport makes by itself
+// are in no budget and no event, and add to the load of a desk in trouble.
+func TestTransportNeverRepeatsAGetByItself(t *testing.T) {
+	r := newRig(t, rigOptions{})
+	desk := newDroppingDesk(r)
+	for range 2 {
+		if got := r.call(http.MethodGet, "/v1/services/desk/fields", ""); got.status != http.StatusOK {
+			t.Errorf("got %d %s", got.status, got.body)
+		}
+	}
+	dispatched := 0
+	for _, record := range r.events.Since(event.Stamp{}) {
+		if record.Number == event.RequestDispatched {
+			dispatched++
+		}
+	}
+	if runs := desk.count("GET /fields"); runs != dispatched || runs < 3 {
+		t.Errorf("the desk read %d requests, %d were dispatched", runs, dispatched)
+	}
+}
+
 // chargingDesk counts the charges by body. A hook may act between the charge and
 // its answer.
 type chargingDesk struct {
--- a/internal/entry/rig_test.go
+++ b/internal/entry/rig_test.go
@@ -74,6 +74,8 @@
 	quiet    bool
 	// writeTimeout bounds one write to a caller.
 	writeTimeout time.Duration
+	// bodyTimeout bounds the time of a caller's body.
+	bodyTimeout time.Duration
 }
 
 func newRig(t testing.TB, options rigOptions) *rig {
@@ -100,6 +102,7 @@
 		View: r.view, Ager: r.ager, Runner: options.runner, Dispatcher: r.places, Retries: retries,
 		Services: service.NewClient(), Claims: request.NewClaims(r.tables), Steps: r.steps,
 		Usage: usageNowhere{}, Events: r.events, Registry: r.registry, WriteTimeout: options.writeTimeout,
+		BodyTimeout: options.bodyTimeout,
 	})
 	return r
 }
--- a/internal/service/client.go
+++ b/internal/service/client.go
@@ -100,15 +100,13 @@
 // caller's header reaches the upstream but what is named here.
 func newRequest(ctx context.Context, address string, call Call) (*http.Request, error) {
 	target := url.URL{Scheme: "http", Host: address, Path: call.Path, RawPath: call.RawPath, RawQuery: call.Query.Encode()}
-	request, err := http.NewRequestWithContext(ctx, call.Method, target.String(), bytes.NewReader(call.Body))
+	request, err := http.NewRequestWithContext(ctx, call.Method, target.String(), bodyOf(call))
 	if err != nil {
 		return nil, err
 	}
-	// Without GetBody the transport can't send the request a second time on
-	// its own when a kept connection turns out to be closed. For the same
-	// reason the caller's Idempotency-Key is not passed on: with it the
-	// transport would repeat even a POST without a body.
-	request.GetBody = nil
+	if len(call.Body) > 0 {
+		request.ContentLength = int64(len(call.Body))
+	}
 	setHeader(request.Header, HeaderRequestID, call.RequestID)
 	setHeader(request.Header, "Content-Type", call.ContentType)
 	setHeader(request.Header, "Accept", call.Accept)
@@ -118,6 +116,19 @@
 	return request, nil
 }
 
+// bodyOf returns a body that the transport can't rewind, which keeps it from
+// sending the request a second time on its own when a kept connection turns out
+// to be closed: a call that may not be repeated would run twice, and a GET would
+// be repeated outside the retry budget. For the same reason the caller's
+// Idempotency-Key is not passed on: with it the transport would repeat a POST
+// without a body.
+func bodyOf(call Call) io.Reader {
+	if len(call.Body) == 0 && call.Method != http.MethodGet {
+		return http.NoBody
+	}
+	return io.NopCloser(bytes.NewReader(call.Body))
+}
+
 // readAnswer reads a whole answer. An answer that ends with its connection and
 // has neither a length nor chunks can't be told from a truncated one.
 func readAnswer(address string, call Call, response *http.Response) (Answer, error) {
