--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -203,6 +203,22 @@
 	})
 }
 
+// Two operators are told to withdraw the same key, or one does it twice to be
+// sure. The history must show one decision.
+func TestSecondWithdrawalAnswersWithTheFirst(t *testing.T) {
+	f := newFixture()
+	f.grant("k1")
+	var first, second EditAnswer
+	f.call(t, http.MethodDelete, "/v1/keys/k1", "", &first)
+	f.call(t, http.MethodDelete, "/v1/keys/k1", "", &second)
+	if len(f.editor.entries) != 1 {
+		t.Errorf("the history has %d edits, want 1", len(f.editor.entries))
+	}
+	if first.Entry.Revision != second.Entry.Revision || second.Entry.Kind != contract.EditWithdraw {
+		t.Errorf("the second answer is %+v, want that of %+v", second.Entry, first.Entry)
+	}
+}
+
 // An operator mistypes a key's ID. With an answer that looks like success the
 // real key would go on working unnoticed.
 func TestWithdrawalOfUnknownKey(t *testing.T) {
@@ -390,3 +406,19 @@
 		t.Errorf("the page lists\n%v\nthe code has\n%v", listed, routes)
 	}
 }
+
+// Whatever an operator's program sends as a contract is accepted or refused with
+// a type, and never stops the request by a panic.
+func FuzzPutContract(f *testing.F) {
+	f.Add(`{"account":"a","share":100}`)
+	f.Add(`{"account":"a","limits":null}`)
+	f.Add(`[]`)
+	f.Add(`{"account":"a","share":1e400}`)
+	f.Fuzz(func(t *testing.T, body string) {
+		fixture := newFixture()
+		status, text := fixture.call(t, http.MethodPut, "/v1/contracts/a", body, nil)
+		if status != http.StatusOK && status != http.StatusBadRequest {
+			t.Errorf("answered %d %s", status, text)
+		}
+	})
+}
--- a/scripts/slopes.sh
+++ b/scripts/slopes.sh
@@ -1,17 +1,19 @@
 #!/usr/bin/env bash
 # Measures the slopes that docs/CAPACITY.md cites, on real daemons on loopback.
-# For each size: what control costs each VM while no caller asks (processor time,
-# memory, bytes sent to peers), what the fleet asks of the store, and how long an
-# edit takes until the operator's answer names every VM. Then, at 9 VMs, what a
-# request, a token and a sample cost.
+# For each size: what control costs each VM (processor time, memory, bytes) with
+# one small request in 5 s, so that engines' loads are polled; what the fleet asks
+# of the store; and how long an edit takes until the operator's answer names every
+# VM. Then, at 9 VMs, what a request, a token and a sample cost.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 # shellcheck source=scripts/fleet.sh
 . scripts/fleet.sh
 sizes=${SIZES:-3 9 30 60}
 settle=${SETTLE:-8}
-window=${WINDOW:-15}
+window=${WINDOW:-5}
 target=390
+# target_engines is the number of engines in a failure domain at the target.
+target_engines=103
 domains=(a b c)
 rows="$work/rows"
 ticks=$(getconf CLK_TCK)
@@ -21,6 +23,10 @@
   local n
   for n in $(vm_names); do awk '{print $14 + $15}' "/proc/${pid_of[$n]}/stat"; done | awk '{s += $1} END {print s}'
 }
+cpu_each() { # the processor time of each daemon in ticks, by name
+  local n
+  for n in $(vm_names); do echo "$n $(awk '{print $14 + $15}' "/proc/${pid_of[$n]}/stat")"; done | sort
+}
 memory_kib() { # the mean resident memory of the daemons
   local n
   for n in $(vm_names); do awk '/^VmRSS/ {print $2}' "/proc/${pid_of[$n]}/status"; done | awk '{s += $1} END {printf "%.0f", s / NR}'
@@ -30,7 +36,10 @@
   for e in "${entries[@]}"; do "$standin" post --method GET "http://$e/metrics" | grep -E "^$1" | awk '{print $NF}'; done | awk '{s += $1} END {printf "%.0f", s}'
 }
 table_count() { "$standin" post --method GET "$platform/stand-in/tables" | jq ".$1"; }
-list_bytes() { echo $(($("$standin" post --method GET "$platform/vms" | wc -c) + $("$standin" post --method GET "$platform/upstreams" | wc -c))); }
+moved() { # moved <rchar|wchar>: bytes that all daemons have read or written, sockets and log alike
+  local n
+  for n in $(vm_names); do awk -v f="$1:" '$1 == f {print $2}' "/proc/${pid_of[$n]}/io"; done | awk '{s += $1} END {printf "%.0f", s}'
+}
 
 start_size() { # start_size <VMs>: with two engines to each VM in the list, served by three processes
   local i d vms=()
@@ -45,46 +54,51 @@
   start_vms '' "${vms[@]}"
   grant slopes 100
   sleep 2
+  ask_each
+}
+ask_each() { # sends one small request to each daemon
   local e
   for e in "${entries[@]}"; do
     post --header "Authorization: Bearer $key" "http://$e/v1/generate" '{"model":"berry-1","prompt":"open?","maxTokens":8}'
   done
 }
 
-printf '%5s %12s %10s %12s %14s %14s %14s %12s\n' VMs 'cpu %/VM' 'MiB/VM' 'peer B/s/VM' 'store reads/s' 'store writes/s' 'list B/s/VM' 'edit, s'
+printf '%5s %12s %12s %10s %12s %14s %14s %12s %12s %12s\n' VMs 'cpu %/VM' 'busiest %' 'MiB/VM' 'peer B/s/VM' 'store reads/s' 'store writes/s' 'read B/s/VM' 'write B/s/VM' 'edit, s'
 for size in $sizes; do
   start_size "$size"
   sleep "$settle"
   begun=$(date +%s%N)
-  cpu=$(cpu_ticks) bytes=$(scrape dogwoodpond_peer_sent_bytes_total) reads=$(table_count reads) commits=$(table_count commits)
-  sleep "$window"
+  cpu_each >"$work/before"
+  cpu=$(cpu_ticks) bytes=$(scrape dogwoodpond_peer_sent_bytes_total) reads=$(table_count reads) commits=$(table_count commits) in=$(moved rchar) out=$(moved wchar)
+  for _ in 1 2 3; do
+    ask_each
+    sleep "$window"
+  done
+  in=$(($(moved rchar) - in)) out=$(($(moved wchar) - out))
   cpu=$(($(cpu_ticks) - cpu)) reads=$(($(table_count reads) - reads)) commits=$(($(table_count commits) - commits))
   span=$(($(date +%s%N) - begun))
+  busiest=$(cpu_each | join "$work/before" - | awk '{d = $3 - $2; if (d > m) m = d} END {print m}')
   bytes=$(($(scrape dogwoodpond_peer_sent_bytes_total) - bytes))
   memory=$(memory_kib)
   edit=$(date +%s%N)
   grant "edit-$size" 100
   edit=$((($(date +%s%N) - edit) / 2))
-  awk -v n="$size" -v cpu="$cpu" -v ticks="$ticks" -v span="$span" -v kib="$memory" -v bytes="$bytes" -v reads="$reads" -v commits="$commits" \
-    -v list="$(list_bytes)" -v edit="$edit" 'BEGIN {
+  awk -v n="$size" -v cpu="$cpu" -v busiest="$busiest" -v ticks="$ticks" -v span="$span" -v kib="$memory" -v bytes="$bytes" -v reads="$reads" -v commits="$commits" \
+    -v in_bytes="$in" -v out_bytes="$out" -v edit="$edit" 'BEGIN {
       s = span / 1e9
-      printf "%5d %12.2f %10.1f %12.0f %14.1f %14.1f %14.0f %12.2f\n", n, 100 * cpu / ticks / s / n, kib / 1024, bytes / s / n, reads / s, commits / s, list * 2, edit / 1e9
+      printf "%5d %12.2f %12.2f %10.1f %12.0f %14.1f %14.1f %12.0f %12.0f %12.2f\n", n, 100 * cpu / ticks / s / n, 100 * busiest / ticks / s, kib / 1024, bytes / s / n, reads / s, commits / s, in_bytes / s / n, out_bytes / s / n, edit / 1e9
     }' | tee -a "$rows"
   fleet_stop
 done
 
-# A straight line through the sizes, carried on to the target.
-awk -v target="$target" '
-  { n++; for (c = 1; c <= NF; c++) { s[c] += $c; p[c] += $1 * $c } q += $1 * $1; last = NF }
+# Straight lines through the sizes, carried on to the target: memory by VMs, and
+# the busiest VM, which orders for its failure domain, by the engines there (two
+# for each VM, in three failure domains). The other columns level off or fall.
+awk -v vms="$target" -v engines="$target_engines" '
+  function carry(sx, sy, sxx, sxy, x,   b) { b = (NR * sxy - sx * sy) / (NR * sxx - sx * sx); return (sy - b * sx) / NR + b * x }
+  { e = 2 * $1 / 3; x += $1; xx += $1 * $1; ee += e * e; es += e; m += $4; xm += $1 * $4; b += $3; eb += e * $3 }
   END {
-    printf "straight line through them at %d VMs\n%5d", target, target
-    d = n * q - s[1] * s[1]
-    for (c = 2; c <= last; c++) {
-      b = (n * p[c] - s[1] * s[c]) / d
-      a = (s[c] - b * s[1]) / n
-      printf " %.2f", a + b * target
-    }
-    printf "\n"
+    printf "carried on: %.0f MiB at %d VMs; busiest VM %.2f %% with %d engines in its failure domain\n", carry(x, m, xx, xm, vms), vms, carry(es, b, ee, eb, engines), engines
   }' "$rows"
 
 start_size 9
