--- a/internal/entry/execution_test.go
+++ b/internal/entry/execution_test.go
@@ -203,6 +203,9 @@
 		{name: "steps: unknown", code: fault.CodeStepUnknown, want: fault.NotRun,
 			arrange: func(r *rig) { r.steps.err = errors.WithStack(&fault.StepUnknown{}) },
 			call:    func(r *rig) answer { return r.call(http.MethodGet, "/v1/steps/s1/samples", "") }},
+		{name: "steps: pull overtaken", code: fault.CodePullOvertaken, want: fault.NotRun,
+			arrange: func(r *rig) { r.steps.err = errors.WithStack(&fault.PullOvertaken{}) },
+			call:    func(r *rig) answer { return r.call(http.MethodGet, "/v1/steps/s1/samples?pull=3", "") }},
 		{name: "panic", code: fault.CodeInternal, want: fault.Unknown,
 			arrange: func(r *rig) { r.places.hook = func(context.Context, dispatch.Work) error { panic("defect") } },
 			call:    generateCall()},
@@ -249,7 +252,7 @@
 // A code that no test brings about may carry any claim about its run, and a
 // caller would be the first to find out.
 func TestEveryStatusHasAFailingPlace(t *testing.T) {
-	// claims_test.go brings about the claims that are in progress or unknown.
+	// once_test.go brings about the claims that are in progress or unknown.
 	covered := map[fault.Code]bool{fault.CodeClaimUnknown: true, fault.CodeClaimInProgress: true}
 	for _, place := range failingPlaces() {
 		covered[place.code] = true
--- a/internal/rollout/rollout_test.go
+++ b/internal/rollout/rollout_test.go
@@ -8,6 +8,8 @@
 
 	"dogwoodpond/internal/contract"
 	"dogwoodpond/internal/fault"
+	"dogwoodpond/internal/sample"
+	"dogwoodpond/internal/usage"
 )
 
 var noBound = contract.Staleness{MaxVersions: 1000}
@@ -31,7 +33,7 @@
 		tr.open(d)
 		c.start("vm-b", nil)
 		time.Sleep(2 * time.Second)
-		owner.kill()
+		owner.Kill()
 		tr.finish()
 		for slot, runs := range c.engine.runs {
 			want := 1
@@ -55,7 +57,7 @@
 		d := testStep(2, 2)
 		tr := newTrainer(c, "s", d)
 		tr.open(d)
-		opener.kill()
+		opener.Kill()
 		c.start("vm-b", nil)
 		tr.finish()
 	})
@@ -117,7 +119,7 @@
 		tr.open(d)
 		tr.finish()
 		for _, other := range []ref{{"brazicod", "a/b"}, {testAccount + "/a", "b"}} {
-			if _, err := v.manager.Samples(t.Context(), other.account, other.step, 0, 0); !fault.Is[*fault.StepUnknown](err) {
+			if _, err := v.manager.Samples(t.Context(), other.account, other.step, sample.Pull{}); !fault.Is[*fault.StepUnknown](err) {
 				t.Errorf("%v gave %v", other, err)
 			}
 		}
@@ -149,6 +151,30 @@
 	})
 }
 
+// A step's samples are billed like other requests. Hedges and failed attempts
+// are the system's own affair: on the customer's bill they would be wrong.
+func TestCommittedSamplesAreBilledOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, noBound)
+		defer c.stop()
+		c.start("vm-a", nil)
+		c.start("vm-b", nil)
+		c.engine.time = func(slot string, run int) time.Duration {
+			if slot == "g5.1" && run == 1 {
+				return 100 * time.Second
+			}
+			return time.Second
+		}
+		d := testStep(10, 2)
+		tr := newTrainer(c, "s", d)
+		tr.open(d)
+		tr.finish()
+		if want := (usage.Figures{Requests: 20, Tokens: 20 * testTokens}); c.used != want {
+			t.Fatalf("usage is %+v, want %+v", c.used, want)
+		}
+	})
+}
+
 // A trainer asks for samples that it has confirmed. They could be stale by now,
 // and a confirmed slot is not generated again.
 func TestCursorBeforeTheConfirmed(t *testing.T) {
@@ -160,7 +186,7 @@
 		tr := newTrainer(c, "s", d)
 		tr.open(d)
 		tr.finish()
-		if _, err := v.manager.Samples(context.Background(), testAccount, "s", 1, 0); !fault.Is[*fault.BadRequest](err) {
+		if _, err := v.manager.Samples(context.Background(), testAccount, "s", sample.Pull{After: 1}); !fault.Is[*fault.BadRequest](err) {
 			t.Fatalf("gave %v", err)
 		}
 	})
