--- a/scripts/slopes.sh
+++ b/scripts/slopes.sh
@@ -3,7 +3,8 @@
 # For each size: what control costs each VM (processor time, memory, bytes) with
 # one small request in 5 s, so that engines' loads are polled; what the fleet asks
 # of the store; and how long an edit takes until the operator's answer names every
-# VM. Then, at 9 VMs, what a request, a token and a sample cost.
+# VM. Then, at 9 VMs, what a request, a token and a sample cost. ASK=no leaves out
+# the small requests.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 # shellcheck source=scripts/fleet.sh
@@ -71,7 +72,7 @@
   cpu_each >"$work/before"
   cpu=$(cpu_ticks) bytes=$(scrape dogwoodpond_peer_sent_bytes_total) reads=$(table_count reads) commits=$(table_count commits) in=$(moved rchar) out=$(moved wchar)
   for _ in 1 2 3; do
-    ask_each
+    if [ "${ASK:-yes}" = yes ]; then ask_each; fi
     sleep "$window"
   done
   in=$(($(moved rchar) - in)) out=$(($(moved wchar) - out))
@@ -100,6 +101,7 @@
   END {
     printf "carried on: %.0f MiB at %d VMs; busiest VM %.2f %% with %d engines in its failure domain\n", carry(x, m, xx, xm, vms), vms, carry(es, b, ee, eb, engines), engines
   }' "$rows"
+if [ "${ASK:-yes}" = no ]; then exit; fi
 
 start_size 9
 sleep 3
