--- a/scripts/smoke.sh
+++ b/scripts/smoke.sh
@@ -126,12 +126,14 @@
 
 # One generate call through each daemon.
 served=0
-for entry in "${entries[@]}"; do
+declare -A request_of
+for i in "${!entries[@]}"; do
+  entry=${entries[$i]}
   "$standin" post --header "Authorization: Bearer $DOGWOODPOND_KEY" "http://$entry/v1/generate" \
     '{"model":"berry-1","prompt":"When do the raspberries open?","maxTokens":32}' >"$work/answer.json"
   served=$((served + 1))
+  request_of[${vms[$i]}]=$(grep -oE '"requestId": ?"[^"]+"' "$work/answer.json" | grep -oE '[0-9a-f-]{36}')
 done
-request=$(grep -oE '"requestId": ?"[^"]+"' "$work/answer.json" | grep -oE '[0-9a-f-]{36}')
 
 # One keyed service call, repeated through another daemon: it runs once.
 charge() {
@@ -165,7 +167,8 @@
 sleep 0.5
 kill -KILL "${vm_pid[$owner]}"
 for vm in "${vms[@]}"; do
-  [ "$vm" = "$owner" ] || operator=${vm_operator[$vm]}
+  # The killed daemon took its events with it: show another one's request.
+  [ "$vm" = "$owner" ] || { operator=${vm_operator[$vm]}; request=${request_of[$vm]}; }
 done
 export DOGWOODPOND_ADDRESS=$operator
 if ! wait "$trainer"; then
