--- /dev/null
+++ b/internal/control/demands_test.go
@@ -0,0 +1,56 @@
+package control
+
+import (
+	"testing"
+
+	"dogwoodpond/internal/contract"
+	"dogwoodpond/internal/dispatch"
+	"dogwoodpond/internal/platform"
+	"dogwoodpond/internal/upstream"
+)
+
+func flow(account contract.Account, inFlight, waiting uint32) dispatch.FlowDemand {
+	pool := dispatch.Pool{Kind: platform.KindEngine, Model: "berry-1"}
+	return dispatch.FlowDemand{Pool: pool.ID(), Account: dispatch.AccountID(account), InFlight: inFlight, Waiting: waiting}
+}
+
+func newDemands(t *testing.T, members ...dispatch.Member) *FleetDemands {
+	t.Helper()
+	view := contract.NewView()
+	c := contract.DefaultContract("berry")
+	next, err := view.Load().Apply(contract.Entry{Revision: 1, Kind: contract.EditContract, Contract: &c})
+	if err != nil {
+		t.Fatal(err)
+	}
+	view.Advance(next)
+	directory := upstream.NewDirectory()
+	directory.Replace([]platform.Upstream{
+		{ID: "e1", Kind: platform.KindEngine, FailureDomain: "a", Model: "berry-1"},
+		{ID: "e2", Kind: platform.KindEngine, FailureDomain: "a", Model: "berry-1"},
+	})
+	return NewFleetDemands("a", func() []dispatch.Member { return members }, view, directory)
+}
+
+func TestDemandsOfAFailureDomainAddUp(t *testing.T) {
+	demands := newDemands(t,
+		dispatch.Member{VM: "vm-1", FailureDomain: "a", Heard: true, Flows: []dispatch.FlowDemand{flow("berry", 3, 1)}},
+		dispatch.Member{VM: "vm-2", FailureDomain: "a", Heard: true, Flows: []dispatch.FlowDemand{flow("berry", 2, 4), flow("gone", 9, 9)}},
+		dispatch.Member{VM: "vm-3", FailureDomain: "b", Heard: true, Flows: []dispatch.FlowDemand{flow("berry", 50, 50)}},
+	).Demand()
+	if len(demands) != 1 || demands[0].Running != 5 || demands[0].Queued != 5 {
+		t.Errorf("got %+v, want one demand with 5 running and 5 queued", demands)
+	}
+}
+
+// In a large failure domain a VM hears a part of the others only. Taken for the
+// whole, the sum would order too few upstreams, and work would wait for ever.
+func TestDemandsAreScaledToVMsThatWereNotHeard(t *testing.T) {
+	demands := newDemands(t,
+		dispatch.Member{VM: "vm-1", FailureDomain: "a", Heard: true, Flows: []dispatch.FlowDemand{flow("berry", 4, 2)}},
+		dispatch.Member{VM: "vm-2", FailureDomain: "a"},
+		dispatch.Member{VM: "vm-3", FailureDomain: "a"},
+	).Demand()
+	if len(demands) != 1 || demands[0].Running != 12 || demands[0].Queued != 6 {
+		t.Errorf("got %+v, want one demand with 12 running and 6 queued", demands)
+	}
+}
