Four models of the kept state, each with its rules removable

Cause: the protocols of leases, claims, usage windows and edits had no proof beyond tests of single schedules.

Change: spec/{lease,claim,usage,edit}.pml; scripts/spec.sh asks a weakened form for a violated assertion, so that one that merely ends in a deadlock does not pass for a counterexample.

Found: after a release no margin lies between an order of the old holder that is still on its way and the new holder's first one, if both wait exactly the order's time-out. Spin on the first form of lease.pml: "assertion violated (toIgnoring[1]>=newestIgnoring) (at depth 91)". SettleTime now adds a quarter; WEAKEN_SETTLE_WITHOUT_MARGIN keeps the counterexample.

--- a/internal/lease/guard.go
+++ b/internal/lease/guard.go
@@ -23,8 +23,11 @@
 // SettleTime returns how long a new holder waits before its first order to
 // receivers that ignore fencing numbers. An earlier holder may have sent an
 // order just before its term ended; orderTimeout is the longest time after
-// which such an order can still take effect.
-func SettleTime(orderTimeout time.Duration) time.Duration { return orderTimeout }
+// which such an order can still take effect. A margin covers clocks that run at
+// different rates: after a release no term's margin lies between the two.
+func SettleTime(orderTimeout time.Duration) time.Duration {
+	return orderTimeout + orderTimeout/marginShare
+}
 
 // Settle waits for SettleTime. It fails with *fault.LeaseLost when the lease is
 // lost meanwhile, and with the context's failure when ctx ends.
--- a/scripts/spec.sh
+++ b/scripts/spec.sh
@@ -8,7 +8,7 @@
 for model in *.pml; do
   work=$(mktemp -d)
   explore() { # explore <label> [-D...]: prints pan's output
-    (cd "$work" && spin -a "${@}" "$root/$model" >/dev/null && gcc -O2 -DSAFETY -DCOLLAPSE -o pan pan.c && ./pan -m1000000 -w24)
+    (cd "$work" && spin -a "${@}" "$root/$model" >/dev/null && gcc -O2 -w -DSAFETY -DCOLLAPSE -o pan pan.c && ./pan -m1000000 -w24)
   }
   out=$(explore)
   states=$(grep -oE '[0-9.e+]+ states, stored' <<<"$out" | head -1 || true)
@@ -20,7 +20,7 @@
   echo "$model: holds, $states"
   for switch in $(grep -oE 'weaken: [A-Z_]+' "$model" | cut -d' ' -f2); do
     out=$(explore "-D$switch")
-    if grep -q 'errors: 0' <<<"$out"; then
+    if ! grep -qE 'assertion violated' <<<"$out" || ! grep -qE 'errors: [1-9]' <<<"$out"; then
       echo "$model: weakened by $switch did not fail"
       exit 1
     fi
