Engines that do not answer are not shared among the VMs

The VMs divided the slots of all listed engines; the part of one VM lay on engines that were gone, and its work waited for their probes (2, 4, 8 s) while another engine was idle. Ruled out: the retries (each attempt failed at once) and the list alone (it lags in practice, too). Change: digests name up to 8 engines that do not answer; one that two VMs of its own failure domain name is left out of the division. Each engine is asked by two keepers, so that it comes back.

--- a/internal/daemon/providers.go
+++ b/internal/daemon/providers.go
@@ -116,17 +116,18 @@
 
 func newGossip(s settings.Daemon, view *contract.View, client *peer.Client, events *event.Recorder, scheduler *dispatch.Scheduler, counters *peer.Metrics, h *hooks) *peer.Gossip {
 	h.gossip = peer.NewGossip(peer.GossipConfig{
-		Self:       peer.Identity{VM: s.VM, FailureDomain: s.FailureDomain, PeerAddress: s.PeerAddress},
-		Seeds:      s.Seeds,
-		Period:     s.DigestPeriod(),
-		Events:     events,
-		View:       view,
-		Client:     client,
-		Draining:   h.draining,
-		OnRevision: h.poke,
-		Age:        h.Age,
-		Demand:     scheduler.Demand,
-		Metrics:    counters,
+		Self:        peer.Identity{VM: s.VM, FailureDomain: s.FailureDomain, PeerAddress: s.PeerAddress},
+		Seeds:       s.Seeds,
+		Period:      s.DigestPeriod(),
+		Events:      events,
+		View:        view,
+		Client:      client,
+		Draining:    h.draining,
+		OnRevision:  h.poke,
+		Age:         h.Age,
+		Demand:      scheduler.Demand,
+		Unreachable: scheduler.Unreachable,
+		Metrics:     counters,
 	})
 	return h.gossip
 }
--- a/internal/dispatch/apportion.go
+++ b/internal/dispatch/apportion.go
@@ -32,6 +32,8 @@
 	// taken for an average one.
 	Heard bool
 	Flows []FlowDemand
+	// Unreachable are the short names of engines that do not answer the VM.
+	Unreachable []uint32
 }
 
 // hash32 shortens a name.
--- a/internal/dispatch/division.go
+++ b/internal/dispatch/division.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -18,6 +19,8 @@
 	// ids are the names of the list, mine the part of it that has a limit.
 	ids  []string
 	mine []platform.Upstream
+	// watch are the upstreams whose load reports the VM asks for.
+	watch []platform.Upstream
 	// limits tells how many requests the VM may have at each upstream.
 	limits parts
 	// borrowed marks upstreams outside the VM's part that lend it places.
@@ -25,6 +28,9 @@
 	// lending holds the engines that lend to the VM as long as the names of
 	// engines and VMs stay the same, which names tells; it is dear to compute.
 	lending map[string]bool
+	// keeping holds the engines of the VM's failure domain that it asks for their
+	// load whether or not it has a part of them; it is kept like lending.
+	keeping map[string]bool
 	names   uint64
 }
 
@@ -44,6 +50,9 @@
 	reportFresh = 3 * time.Second
 	// missesUntilUnreachable is how many load reports in a row may fail.
 	missesUntilUnreachable = 2
+	// votesUntilGone VMs must find an engine of their failure domain unreachable
+	// before it is left out of the sharing.
+	votesUntilGone = 2
 )
 
 // candidates returns the upstreams that may take work now.
@@ -136,7 +145,7 @@
 		return
 	}
 	old := p.division
-	d := division{at: now, source: source, limits: make(parts), borrowed: make(map[string]bool), lending: old.lending, names: old.names}
+	d := division{at: now, source: source, limits: make(parts), borrowed: make(map[string]bool), lending: old.lending, keeping: old.keeping, names: old.names}
 	for _, u := range source {
 		if serves(u, p.name) {
 			d.list = append(d.list, u)
@@ -155,6 +164,9 @@
 		if d.limits[u.ID] > 0 {
 			d.mine = append(d.mine, u)
 		}
+		if d.limits[u.ID] > 0 || d.keeping[u.ID] {
+			d.watch = append(d.watch, u)
+		}
 	}
 	p.division = d
 }
@@ -172,7 +184,7 @@
 // shared gives the VM its parts of the engines.
 func (d *division) shared(vm, domain string, pool uint32, members []Member) {
 	byDomain := make(map[string][]place)
-	for _, u := range d.list {
+	for _, u := range reachable(d.list, members) {
 		byDomain[u.FailureDomain] = append(byDomain[u.FailureDomain], place{upstream: u.ID, slots: max(1, u.Slots)})
 	}
 	for engines, places := range byDomain {
@@ -180,10 +192,62 @@
 			d.limits[id] = n
 		}
 	}
-	d.borrow(vm, members)
+	d.borrow(vm, domain, members)
 	d.atLeastOne(vm, domain)
 }
 
+// reachable returns the engines that are to be shared: those that answer. An
+// engine can be gone for as long as the list lags; the VM whose part it was would
+// have nothing, and its callers would wait for an engine that never answers while
+// others are idle. The VMs to which the engine lends go on asking it, so that it
+// is shared again once it answers.
+//
+// An engine counts as gone when two VMs of its own failure domain say so, or its
+// only one: a VM whose own network is broken, a wrong digest, or a cut between
+// failure domains must not take engines away from those that reach them. When
+// none of a failure domain's engines seems to answer, all stay shared.
+func reachable(list []platform.Upstream, members []Member) []platform.Upstream {
+	votes, homes := votesOf(members)
+	if len(votes) == 0 {
+		return list
+	}
+	gone := func(u platform.Upstream) bool {
+		home := u.FailureDomain
+		return votes[vote{domain: home, engine: engineID(u.ID)}] >= max(1, min(votesUntilGone, homes[home]))
+	}
+	left := make(map[string]int)
+	for _, u := range list {
+		if !gone(u) {
+			left[u.FailureDomain]++
+		}
+	}
+	return slices.DeleteFunc(slices.Clone(list), func(u platform.Upstream) bool {
+		return gone(u) && left[u.FailureDomain] > 0
+	})
+}
+
+// vote is what a VM of a failure domain says of an engine.
+type vote struct {
+	domain string
+	engine uint32
+}
+
+// votesOf counts who finds which engine unreachable, and the VMs that were heard
+// of each failure domain.
+func votesOf(members []Member) (votes map[vote]int, homes map[string]int) {
+	votes, homes = make(map[vote]int), make(map[string]int)
+	for _, m := range members {
+		if !m.Heard {
+			continue
+		}
+		homes[m.FailureDomain]++
+		for _, id := range slices.Compact(slices.Sorted(slices.Values(m.Unreachable))) {
+			votes[vote{domain: m.FailureDomain, engine: id}]++
+		}
+	}
+	return votes, homes
+}
+
 // participants returns the VMs that share the engines of a failure domain: its
 // own, and those whose failure domain has no engine of the pool. Engines
 // without any live VM of their own are shared by all.
@@ -204,10 +268,11 @@
 }
 
 // borrow adds the engines that lend places to the VM.
-func (d *division) borrow(vm string, members []Member) {
+func (d *division) borrow(vm, domain string, members []Member) {
 	if names := namesOf(d.list, members); names != d.names || d.lending == nil {
 		d.names = names
 		d.lending = lendingTo(vm, d.list, members)
+		d.keeping = keptBy(vm, domain, d.list, members)
 	}
 	for _, u := range d.list {
 		if d.lending[u.ID] && d.limits[u.ID] == 0 {
@@ -239,6 +304,19 @@
 	return lending
 }
 
+// keptBy returns the engines of a failure domain that a VM keeps an eye on: each
+// has as many keepers as it takes votes to count as gone.
+func keptBy(vm, domain string, list []platform.Upstream, members []Member) map[string]bool {
+	home := slices.DeleteFunc(slices.Clone(members), func(m Member) bool { return m.FailureDomain != domain })
+	keeping := make(map[string]bool)
+	for _, u := range list {
+		if u.FailureDomain == domain && lends(u.ID, vm, home, votesUntilGone) {
+			keeping[u.ID] = true
+		}
+	}
+	return keeping
+}
+
 // atLeastOne gives a VM without any part one place, so that its callers are
 // served, if slowly, however many VMs share few slots. The overcommit is at
 // most one request for each VM beyond the number of slots.
@@ -268,7 +346,8 @@
 // watchTime is how long after its last request a pool's engines are watched.
 const watchTime = 10 * time.Second
 
-// watched returns the engines that the VM may use, while it has work for them.
+// watched returns the engines that the VM may use or keeps an eye on, while it
+// has work for the pool.
 func (p *poolQueue) watched() []platform.Upstream {
 	if p.name.Kind != platform.KindEngine {
 		return nil
@@ -280,5 +359,5 @@
 		return nil
 	}
 	p.divide(now)
-	return p.division.mine
+	return p.division.watch
 }
--- a/internal/dispatch/scheduler.go
+++ b/internal/dispatch/scheduler.go
@@ -186,6 +186,18 @@
 	return list
 }
 
+// Unreachable returns the short names of the watched engines that did not answer
+// the last asks for their load, for this VM's digest.
+func (s *Scheduler) Unreachable() []uint32 {
+	var list []uint32
+	for _, u := range s.Watched() {
+		if report, ok := s.config.Loads.Get(u.ID); ok && report.Misses >= missesUntilUnreachable {
+			list = append(list, engineID(u.ID))
+		}
+	}
+	return list
+}
+
 // Watched returns the engines whose load reports this VM needs.
 func (s *Scheduler) Watched() []platform.Upstream {
 	var list []platform.Upstream
--- a/internal/peer/gossip.go
+++ b/internal/peer/gossip.go
@@ -37,10 +37,11 @@
 	period      time.Duration
 	draining    func() bool
 	// onRevision is called when a peer knows a newer revision.
-	onRevision func()
-	ager       func() time.Duration
-	demand     func() []dispatch.FlowDemand
-	metrics    *Metrics
+	onRevision  func()
+	ager        func() time.Duration
+	demand      func() []dispatch.FlowDemand
+	unreachable func() []uint32
+	metrics     *Metrics
 
 	sequence atomic.Uint64
 	vms      atomic.Pointer[vmList]
@@ -51,6 +52,9 @@
 	// sentFlows are the own demands as the latest digest told them; the own part
 	// is computed from them, so that all VMs compute from the same figures.
 	sentFlows []dispatch.FlowDemand
+	// sentUnreachable is kept for the same reason, and because asking the
+	// dispatcher from within Members would wait for itself.
+	sentUnreachable []uint32
 	// pokedAt is when a digest last caused a read of the revision.
 	pokedAt time.Time
 	// round holds the addresses of the cell that this round has yet to ask.
@@ -76,8 +80,10 @@
 	OnRevision func()
 	Age        func() time.Duration
 	// Demand returns the VM's demands, the greatest first.
-	Demand  func() []dispatch.FlowDemand
-	Metrics *Metrics
+	Demand func() []dispatch.FlowDemand
+	// Unreachable returns the engines that do not answer this VM.
+	Unreachable func() []uint32
+	Metrics     *Metrics
 }
 
 // NewGossip returns a gossip that knows no peer but the seeds.
@@ -93,6 +99,7 @@
 		onRevision:  c.OnRevision,
 		ager:        c.Age,
 		demand:      c.Demand,
+		unreachable: c.Unreachable,
 		metrics:     c.Metrics,
 		seeds:       c.Seeds,
 		peers:       make(map[string]*peerState),
@@ -126,8 +133,10 @@
 func (g *Gossip) Digest() *peerpb.Digest {
 	flows := g.demand()
 	flows = flows[:min(maxFlows, len(flows))]
+	unreachable := firstOf(g.unreachable(), maxUnreachable)
 	g.mu.Lock()
 	g.sentFlows = flows
+	g.sentUnreachable = unreachable
 	g.mu.Unlock()
 	d := &peerpb.Digest{
 		Vm:                g.self.VM,
@@ -139,11 +148,17 @@
 		RevisionAgeMillis: g.ager().Milliseconds(),
 		Draining:          g.draining(),
 		Flows:             writeFlows(flows),
+		Unreachable:       unreachable,
 	}
 	g.metrics.sent(d)
 	return d
 }
 
+// maxUnreachable bounds the unreachable engines in a digest.
+const maxUnreachable = 8
+
+func firstOf(list []uint32, most int) []uint32 { return list[:min(most, len(list))] }
+
 // Receive takes a peer's digest.
 func (g *Gossip) Receive(d *peerpb.Digest) {
 	name := d.GetVm()
--- a/internal/peer/gossip_test.go
+++ b/internal/peer/gossip_test.go
@@ -41,7 +41,9 @@
 		OnRevision: func() { n.pokes++ },
 		Age:        func() time.Duration { return 0 },
 		Demand:     func() []dispatch.FlowDemand { return n.flows },
-		Metrics:    metrics,
+		// As many as a digest may name, so that its size is the largest.
+		Unreachable: func() []uint32 { return []uint32{1, 2, 3, 4, 5, 6, 7, 1 << 31} },
+		Metrics:     metrics,
 	})
 	return n
 }
--- a/internal/peer/members.go
+++ b/internal/peer/members.go
@@ -77,6 +77,7 @@
 		FailureDomain: g.self.FailureDomain,
 		Heard:         true,
 		Flows:         g.sentFlows,
+		Unreachable:   g.sentUnreachable,
 	}}
 	for _, vm := range g.VMs() {
 		state, known := g.peers[vm.ID]
@@ -100,6 +101,7 @@
 	}
 	m.Heard = true
 	m.Flows = readFlows(state.digest)
+	m.Unreachable = firstOf(state.digest.GetUnreachable(), maxUnreachable)
 	return m
 }
 
