--- a/internal/platform/platformtest/process.go
+++ b/internal/platform/platformtest/process.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -69,12 +70,21 @@
 	p.cutTo = time.Now().Add(d)
 }
 
-// Unreachable reports whether the process can't reach the platform now.
-func (p *Process) Unreachable() bool {
+// CallPeer is the name of calls to another VM.
+const CallPeer = "peer"
+
+// platformCalls are the names of the calls to the table service.
+var platformCalls = []string{"get", "scan", "commit"}
+
+// unreachable reports whether a call can't get through now. An outage of the
+// store hits the table service alone; a process that is cut off reaches neither
+// it nor its peers, but still the upstreams of its own failure domain.
+func (p *Process) unreachable(call string) bool {
+	toPlatform := slices.Contains(platformCalls, call)
 	p.mu.Lock()
 	cut := time.Now().Before(p.cutTo)
 	p.mu.Unlock()
-	return cut || p.world.down()
+	return toPlatform && p.world.down() || cut && (toPlatform || call == CallPeer)
 }
 
 // awaitResume blocks while the process is paused.
@@ -112,7 +122,7 @@
 		silence(ctx)
 		return lost
 	}
-	if f.Kind == LoseRequest || f.Kind == Late || p.Unreachable() {
+	if f.Kind == LoseRequest || f.Kind == Late || p.unreachable(call) {
 		silence(ctx)
 		return lost
 	}
--- a/internal/platform/platformtest/world.go
+++ b/internal/platform/platformtest/world.go
@@ -7,6 +7,7 @@
 package platformtest
 
 import (
+	"fmt"
 	"sync"
 	"time"
 
@@ -24,6 +25,11 @@
 	Subject string
 }
 
+// String describes the step.
+func (s Step) String() string {
+	return fmt.Sprintf("%s %s %s (%d)", s.Process, s.Call, s.Subject, s.Index)
+}
+
 // Kind is what goes wrong at a step.
 type Kind int
 
@@ -60,6 +66,11 @@
 // Kinds lists every kind of fault.
 var Kinds = []Kind{LoseRequest, LoseReply, Late, KillBefore, KillAfter, PauseBefore, PauseAfter, StoreDown, CutOff}
 
+// EveryLast gives every fault that lasts the same length.
+func EveryLast(d time.Duration) map[Kind]time.Duration {
+	return map[Kind]time.Duration{Late: d, PauseBefore: d, PauseAfter: d, StoreDown: d, CutOff: d}
+}
+
 // Fault is a kind with its length.
 type Fault struct {
 	Kind Kind
