--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -26,6 +26,7 @@
 	"dogwoodpond/internal/operator"
 	"dogwoodpond/internal/platform"
 	"dogwoodpond/internal/platform/memory"
+	"dogwoodpond/internal/sample"
 	"dogwoodpond/internal/usage"
 )
 
@@ -45,8 +46,8 @@
 	return append([]operator.VMRevision{{VM: "vm-1", FailureDomain: "a", Revision: 1 << 40, Known: true}}, q.pending...)
 }
 
-func (q *quietFleet) Events(_ context.Context, after event.Stamp) ([]event.Record, []string) {
-	return q.events.Since(after), []string{"vm-9"}
+func (q *quietFleet) Events(_ context.Context, query event.Query) ([]event.Record, []string) {
+	return q.events.Select(query), []string{"vm-9"}
 }
 
 // bench is an operators' API over tables in memory.
@@ -286,7 +287,7 @@
 func TestStepsAndUsageShowRows(t *testing.T) {
 	b := newBench(t)
 	rows := map[string]any{
-		"step/strathallan/round-1":      json.RawMessage(`{"definition":{"model":"berry-1","groups":[{"samples":8},{"samples":4}]},"committed":5,"acked":3}`),
+		"progress/strathallan/round-1":  sample.Progress{Model: "berry-1", Slots: 12, Filled: []byte{0x1f, 0}, Committed: 5, Acked: 3},
 		"report/000000000001/brazicod":  usage.Report{Window: 1, Account: "brazicod", Figures: usage.Figures{Requests: 7, Tokens: 70}, Incomplete: true},
 		"lease/usage-reports":           json.RawMessage(`{"holder":"vm-3","epoch":12}`),
 		"report/000000000002/something": usage.Report{Window: 2, Account: "something"},
@@ -342,6 +343,9 @@
 		at(40, "vm-1", event.UpstreamRestored, event.Subject{Upstream: "engine-1"}),
 	}
 	told := explain("r", line, []string{"vm-9"})
+	if got := told.upstreams(); fmt.Sprint(got) != "[engine-1 engine-2]" {
+		t.Errorf("the request's upstreams are %v", got)
+	}
 	var numbers []event.Number
 	for _, l := range told.Lines {
 		numbers = append(numbers, l.Number)
@@ -365,6 +369,28 @@
 	}
 }
 
+// A busy VM's ring has dropped the first events of a request. The rest, told as
+// if it were all, would hide an attempt.
+func TestExplainSaysWhenItIsPartial(t *testing.T) {
+	second := event.Record{Number: event.RequestDispatched, Subject: event.Subject{Request: "r", Upstream: "e", Attempt: 2}}
+	answered := event.Record{Number: event.RequestAnswered, Subject: event.Subject{Request: "r"}}
+	accepted := event.Record{Number: event.RequestAccepted, Subject: event.Subject{Request: "r"}}
+	slot := event.Record{Number: event.RequestDispatched, Subject: event.Subject{Request: "r", Step: "s", Attempt: 1}}
+	for _, c := range []struct {
+		line []event.Record
+		want bool
+	}{
+		{[]event.Record{second, answered}, true},
+		{[]event.Record{answered}, true},
+		{[]event.Record{accepted, second, answered}, false},
+		{[]event.Record{slot, answered}, false},
+	} {
+		if told := explain("r", c.line, nil); told.Partial != c.want {
+			t.Errorf("from %s the account is partial: %t, want %t", c.line[0].Number, told.Partial, c.want)
+		}
+	}
+}
+
 // An event of a slow VM comes in after later events of the others. Whoever
 // follows the time line must still see it, and each event once.
 func TestFollowShowsLateEventsOnce(t *testing.T) {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -15,6 +15,7 @@
 	"go.uber.org/zap"
 
 	"dogwoodpond/internal/config"
+	"dogwoodpond/internal/control"
 	"dogwoodpond/internal/dispatch"
 	"dogwoodpond/internal/entry"
 	"dogwoodpond/internal/event"
@@ -30,27 +31,31 @@
 
 // Daemon is one VM's process.
 type Daemon struct {
-	settings  settings.Daemon
-	log       *zap.Logger
-	events    *event.Recorder
-	registry  *prometheus.Registry
-	platform  *platform.Client
-	directory *upstream.Directory
-	syncer    *config.Syncer
-	gossip    *peer.Gossip
-	peers     *peer.Server
-	client    *peer.Client
-	entry     *entry.Server
-	operator  *operator.Server
-	rollouts  *rollout.Manager
-	meter     *usage.Meter
-	scheduler *dispatch.Scheduler
-	poller    *upstream.Poller
+	settings   settings.Daemon
+	log        *zap.Logger
+	events     *event.Recorder
+	registry   *prometheus.Registry
+	platform   *platform.Client
+	directory  *upstream.Directory
+	syncer     *config.Syncer
+	gossip     *peer.Gossip
+	peers      *peer.Server
+	client     *peer.Client
+	entry      *entry.Server
+	operator   *operator.Server
+	rollouts   *rollout.Manager
+	meter      *usage.Meter
+	controller *control.Controller
+	scheduler  *dispatch.Scheduler
+	poller     *upstream.Poller
+	history    *rollout.History
 }
 
 const (
-	// listPeriod is the period of the poll of the platform's lists.
-	listPeriod = 500 * time.Millisecond
+	// listPeriod is the shortest period of the poll of the platform's lists, and
+	// listPollsPerSecond bounds the polls of the whole fleet.
+	listPeriod         = 500 * time.Millisecond
+	listPollsPerSecond = 200
 	// readHeaderTimeout ends connections that never send a request.
 	readHeaderTimeout = 10 * time.Second
 	// balancerNotice is how long /readyz answers 503 before the listener
@@ -77,8 +82,11 @@
 	loops.Go(func() { d.gossip.Run(ctx) })
 	loops.Go(func() { d.pollLists(ctx) })
 	loops.Go(func() { d.meter.Run(ctx, d.flushPeriod) })
+	loops.Go(func() { d.controller.Run(ctx) })
 	loops.Go(func() { d.scheduler.Run(ctx) })
 	loops.Go(func() { d.poller.Run(ctx) })
+	loops.Go(func() { d.history.Run(ctx, stepSearchPeriod(d.gossip)) })
+	loops.Go(func() { d.rollouts.Run(ctx) })
 	d.events.Emit(event.ProcessStarted, event.Subject{Detail: "dogwoodpondd"})
 
 	<-stop.Done()
@@ -151,8 +159,7 @@
 
 // flushPeriod grows with the fleet, so that the store's load does not.
 func (d *Daemon) flushPeriod() time.Duration {
-	byFleet := time.Duration(len(d.gossip.VMs())) * time.Second / flushesPerSecond
-	return max(d.settings.UsageFlush(), byFleet)
+	return fleetPeriod(d.settings.UsageFlush(), len(d.gossip.VMs()), flushesPerSecond)
 }
 
 const (
@@ -175,8 +182,6 @@
 // pollLists keeps the lists of VMs and upstreams current. While the platform
 // does not answer, the last lists stay in force.
 func (d *Daemon) pollLists(ctx context.Context) {
-	ticker := time.NewTicker(listPeriod)
-	defer ticker.Stop()
 	for {
 		if vms, err := d.platform.VMs(ctx); err == nil {
 			d.gossip.SetVMs(vms)
@@ -187,11 +192,17 @@
 		select {
 		case <-ctx.Done():
 			return
-		case <-ticker.C:
+		case <-time.After(fleetPeriod(listPeriod, len(d.gossip.VMs()), listPollsPerSecond)):
 		}
 	}
 }
 
+// fleetPeriod returns the period of something that every VM does, so that the
+// whole fleet does it at most perSecond times a second.
+func fleetPeriod(shortest time.Duration, vms, perSecond int) time.Duration {
+	return max(shortest, time.Duration(vms)*time.Second/time.Duration(perSecond))
+}
+
 // newLogger writes JSON lines to standard error.
 func newLogger(s settings.Daemon) (*zap.Logger, error) {
 	c := zap.NewProductionConfig()
--- a/internal/daemon/providers.go
+++ b/internal/daemon/providers.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"context"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -15,6 +16,7 @@
 	"dogwoodpond/internal/event"
 	"dogwoodpond/internal/fleetview"
 	"dogwoodpond/internal/generate"
+	"dogwoodpond/internal/lease"
 	"dogwoodpond/internal/metrics"
 	"dogwoodpond/internal/operator"
 	"dogwoodpond/internal/peer"
@@ -31,6 +33,7 @@
 // hooks break the cycles between parts that call each other back. They are
 // filled in once all parts exist, before any loop runs.
 type hooks struct {
+	gossip *peer.Gossip
 	entry  *entry.Server
 	syncer *config.Syncer
 }
@@ -44,6 +47,9 @@
 // Age implements peer.Ager.
 func (h *hooks) Age() time.Duration { return h.syncer.Age() }
 
+// members returns the VMs that share the engines.
+func (h *hooks) members() []dispatch.Member { return h.gossip.Members() }
+
 func newHooks() *hooks { return &hooks{} }
 
 func newRecorder(s settings.Daemon, log *zap.Logger) *event.Recorder {
@@ -56,11 +62,13 @@
 	return registry
 }
 
+func newPeerMetrics(registry *prometheus.Registry) *peer.Metrics { return peer.NewMetrics(registry) }
+
 func newPlatform(s settings.Daemon) *platform.Client { return platform.NewClient(s.PlatformURL) }
 
 // newMetrics comes before every part that emits events, so that all are counted.
-func newMetrics(events *event.Recorder, registry *prometheus.Registry, directory *upstream.Directory) *metrics.Metrics {
-	m := metrics.New(registry)
+func newMetrics(s settings.Daemon, events *event.Recorder, registry *prometheus.Registry, directory *upstream.Directory) *metrics.Metrics {
+	m := metrics.New(registry, s.UsageWindow())
 	metrics.RegisterUpstreams(registry, directory.Load)
 	events.Observe(m.Observe)
 	return m
@@ -70,40 +78,58 @@
 	return retry.NewPolicy(registry, events)
 }
 
-func newScheduler(s settings.Daemon, directory *upstream.Directory, loads *upstream.Loads, health *upstream.Health, registry *prometheus.Registry) *dispatch.Scheduler {
-	return dispatch.NewScheduler(dispatch.Config{
+func newScheduler(s settings.Daemon, directory *upstream.Directory, loads *upstream.Loads, health *upstream.Health, events *event.Recorder, registry *prometheus.Registry, h *hooks) *dispatch.Scheduler {
+	c := dispatch.Config{
 		VM:            s.VM,
 		FailureDomain: s.FailureDomain,
 		Directory:     directory,
 		Loads:         loads,
 		Health:        health,
+		Members:       h.members,
+		Events:        events,
 		Registerer:    registry,
-	})
+	}
+	if s.DispatchPolicy == settings.PolicyQueue {
+		c.Members = nil
+	}
+	return dispatch.NewScheduler(c)
+}
+
+// newDispatcher measures the dispatcher that the settings choose.
+func newDispatcher(s settings.Daemon, scheduler *dispatch.Scheduler, directory *upstream.Directory, m *metrics.Metrics) *metrics.Dispatcher {
+	if s.DispatchPolicy == settings.PolicyFIFO {
+		return metrics.NewDispatcher(dispatch.NewFIFO(directory), m)
+	}
+	return metrics.NewDispatcher(scheduler, m)
 }
 
 // loadPeriod is the period of the polls of an engine's load.
-const loadPeriod = 500 * time.Millisecond
+const loadPeriod = time.Second
 
 func newPoller(engines *engine.Client, loads *upstream.Loads, scheduler *dispatch.Scheduler) *upstream.Poller {
 	return upstream.NewPoller(engines, loads, loadPeriod, scheduler.Watched)
 }
 
-func newRunner(view *contract.View, scheduler *dispatch.Scheduler, engines *engine.Client, retries *retry.Policy, events *event.Recorder, m *metrics.Metrics) *generate.Local {
-	return generate.NewLocal(view, metrics.NewDispatcher(scheduler, m), engines, retries, events)
+func newRunner(view *contract.View, dispatcher *metrics.Dispatcher, engines *engine.Client, retries *retry.Policy, events *event.Recorder) *generate.Local {
+	return generate.NewLocal(view, dispatcher, engines, retries, events)
 }
 
-func newGossip(s settings.Daemon, view *contract.View, client *peer.Client, events *event.Recorder, h *hooks) *peer.Gossip {
-	return peer.NewGossip(peer.GossipConfig{
-		Self:       peer.Identity{VM: s.VM, FailureDomain: s.FailureDomain, PeerAddress: s.PeerAddress},
-		Seeds:      s.Seeds,
-		Period:     s.DigestPeriod(),
-		Events:     events,
-		View:       view,
-		Client:     client,
-		Draining:   h.draining,
-		OnRevision: h.poke,
-		Age:        h.Age,
+func newGossip(s settings.Daemon, view *contract.View, client *peer.Client, events *event.Recorder, scheduler *dispatch.Scheduler, counters *peer.Metrics, h *hooks) *peer.Gossip {
+	h.gossip = peer.NewGossip(peer.GossipConfig{
+		Self:        peer.Identity{VM: s.VM, FailureDomain: s.FailureDomain, PeerAddress: s.PeerAddress},
+		Seeds:       s.Seeds,
+		Period:      s.DigestPeriod(),
+		Events:      events,
+		View:        view,
+		Client:      client,
+		Draining:    h.draining,
+		OnRevision:  h.poke,
+		Age:         h.Age,
+		Demand:      scheduler.Demand,
+		Unreachable: scheduler.Unreachable,
+		Metrics:     counters,
 	})
+	return h.gossip
 }
 
 func newPeerServer(events *event.Recorder, view *contract.View, h *hooks, runner *generate.Local, gossip *peer.Gossip) *peer.Server {
@@ -133,15 +159,84 @@
 
 func newClaims(tables *platform.Client) *request.Claims { return request.NewClaims(tables) }
 
-func newRollouts(tables *platform.Client, runner *generate.Local, events *event.Recorder) *rollout.Manager {
-	return rollout.NewManager(tables, runner, events)
+func newHistory(weights *platform.Client) *rollout.History { return rollout.NewHistory(weights) }
+
+func newRollouts(
+	s settings.Daemon,
+	tables *platform.Client,
+	runner *generate.Local,
+	scheduler *dispatch.Scheduler,
+	services *service.Client,
+	gossip *peer.Gossip,
+	client *peer.Client,
+	history *rollout.History,
+	leases *lease.Manager,
+	meter *usage.Meter,
+	view *contract.View,
+	events *event.Recorder,
+	registry *prometheus.Registry,
+) *rollout.Manager {
+	self := rollout.Worker{VM: s.VM, FailureDomain: s.FailureDomain, Runner: runner}
+	return rollout.NewManager(rollout.Config{
+		VM:         s.VM,
+		Tables:     tables,
+		Leases:     stepLeases{leases: leases},
+		Workers:    rollout.NewFleet(self, gossip, client),
+		Versions:   history,
+		Scorer:     rollout.NewServiceScorer(view, scheduler, services),
+		Usage:      meter,
+		View:       view,
+		Events:     events,
+		Registerer: registry,
+		Period:     stepSearchPeriod(gossip),
+	})
+}
+
+// newLeases returns the VM's campaigns. Ranks come from the platform's list of
+// VMs; while it is empty the VM ranks first, which costs the store a few reads.
+func newLeases(s settings.Daemon, tables *platform.Client, gossip *peer.Gossip, events *event.Recorder) *lease.Manager {
+	rank := func(name string) int {
+		var live []string
+		for _, vm := range gossip.VMs() {
+			if vm.State == platform.VMLive {
+				live = append(live, vm.ID)
+			}
+		}
+		return lease.Rank(name, s.VM, live)
+	}
+	return lease.NewManager(tables, s.VM, s.LeaseTerm(), events, lease.WithRanker(rank))
+}
+
+// stepLeases gives the owners of steps their leases.
+type stepLeases struct {
+	leases *lease.Manager
+}
+
+// Campaign implements rollout.Leases.
+func (l stepLeases) Campaign(ctx context.Context, name string, held func(context.Context, rollout.Guard) (bool, error)) error {
+	return l.leases.Campaign(ctx, name, func(ctx context.Context, guard lease.Guard) (bool, error) {
+		return held(ctx, guard)
+	})
+}
+
+// searchesPerSecond is how often all VMs together search the store for open
+// steps or read the weight store.
+const searchesPerSecond = 50
+
+// stepSearchPeriod returns the period of one VM, which grows with the fleet so
+// that the load on the platform does not.
+func stepSearchPeriod(gossip *peer.Gossip) func() time.Duration {
+	return func() time.Duration {
+		return fleetPeriod(time.Second, len(gossip.VMs()), searchesPerSecond)
+	}
 }
 
 func newEntry(
+	s settings.Daemon,
 	view *contract.View,
 	syncer *config.Syncer,
 	runner *generate.Local,
-	scheduler *dispatch.Scheduler,
+	dispatcher *metrics.Dispatcher,
 	retries *retry.Policy,
 	services *service.Client,
 	claims *request.Claims,
@@ -156,14 +251,15 @@
 		View:       view,
 		Ager:       syncer,
 		Runner:     runner,
-		Dispatcher: metrics.NewDispatcher(scheduler, m),
+		Dispatcher: dispatcher,
 		Retries:    retries,
 		Services:   services,
 		Claims:     claims,
-		Steps:      steps,
+		Steps:      metrics.NewSteps(steps, m),
 		Usage:      meter,
 		Events:     events,
 		Registry:   registry,
+		DrainTime:  s.Drain(),
 	})
 	return h.entry
 }
--- a/internal/daemon/wire.go
+++ b/internal/daemon/wire.go
@@ -6,7 +6,6 @@
 	"github.com/google/wire"
 
 	"dogwoodpond/internal/contract"
-	"dogwoodpond/internal/engine"
 	"dogwoodpond/internal/peer"
 	"dogwoodpond/internal/service"
 	"dogwoodpond/internal/settings"
@@ -29,9 +28,11 @@
 		newScheduler,
 		newRetries,
 		newPoller,
-		engine.NewClient,
+		newEngines,
+		newDispatcher,
 		service.NewClient,
 		newRunner,
+		newPeerMetrics,
 		peer.NewClient,
 		newGossip,
 		newPeerServer,
@@ -39,7 +40,14 @@
 		newSyncer,
 		newEditor,
 		newClaims,
+		newHistory,
+		newLeases,
 		newRollouts,
+		newRoller,
+		newMover,
+		newProvisioner,
+		newCloser,
+		newController,
 		newMeter,
 		newEntry,
 		newOperator,
--- a/internal/daemon/wire_gen.go
+++ b/internal/daemon/wire_gen.go
@@ -8,7 +8,6 @@
 
 import (
 	"dogwoodpond/internal/contract"
-	"dogwoodpond/internal/engine"
 	"dogwoodpond/internal/peer"
 	"dogwoodpond/internal/service"
 	"dogwoodpond/internal/settings"
@@ -28,44 +27,55 @@
 	client := newPlatform(s)
 	directory := upstream.NewDirectory()
 	view := contract.NewView()
-	peerClient := peer.NewClient(recorder)
-	daemonHooks := newHooks()
-	gossip := newGossip(s, view, peerClient, recorder, daemonHooks)
-	syncer := newSyncer(s, client, gossip, view, recorder, daemonHooks)
+	metrics := newPeerMetrics(registry)
+	peerClient := peer.NewClient(recorder, metrics)
 	loads := upstream.NewLoads()
 	health := upstream.NewHealth(recorder)
-	scheduler := newScheduler(s, directory, loads, health, registry)
-	engineClient := engine.NewClient()
+	daemonHooks := newHooks()
+	scheduler := newScheduler(s, directory, loads, health, recorder, registry, daemonHooks)
+	gossip := newGossip(s, view, peerClient, recorder, scheduler, metrics, daemonHooks)
+	syncer := newSyncer(s, client, gossip, view, recorder, daemonHooks)
+	metricsMetrics := newMetrics(s, recorder, registry, directory)
+	dispatcher := newDispatcher(s, scheduler, directory, metricsMetrics)
+	engineClient := newEngines(s)
 	policy := newRetries(registry, recorder)
-	metrics := newMetrics(recorder, registry, directory)
-	local := newRunner(view, scheduler, engineClient, policy, recorder, metrics)
+	local := newRunner(view, dispatcher, engineClient, policy, recorder)
 	server := newPeerServer(recorder, view, daemonHooks, local, gossip)
 	serviceClient := service.NewClient()
 	claims := newClaims(client)
-	manager := newRollouts(client, local, recorder)
+	history := newHistory(client)
+	manager := newLeases(s, client, gossip, recorder)
 	meter := newMeter(s, client, gossip, recorder)
-	entryServer := newEntry(view, syncer, local, scheduler, policy, serviceClient, claims, manager, meter, recorder, registry, metrics, daemonHooks)
+	rolloutManager := newRollouts(s, client, local, scheduler, serviceClient, gossip, peerClient, history, manager, meter, view, recorder, registry)
+	entryServer := newEntry(s, view, syncer, local, dispatcher, policy, serviceClient, claims, rolloutManager, meter, recorder, registry, metricsMetrics, daemonHooks)
 	editor := newEditor(client, recorder)
 	fleet := peer.NewFleet(gossip, peerClient, view, recorder)
 	operatorServer := newOperator(s, client, view, editor, fleet, directory, recorder, daemonHooks)
+	roller := newRoller(s, engineClient, recorder)
+	mover := newMover(engineClient, recorder)
+	provisioner := newProvisioner(s, client, recorder)
+	closer := newCloser(s, client, recorder, gossip, view)
+	controller := newController(s, manager, client, engineClient, view, directory, roller, mover, provisioner, closer, daemonHooks)
 	poller := newPoller(engineClient, loads, scheduler)
 	daemon := &Daemon{
-		settings:  s,
-		log:       logger,
-		events:    recorder,
-		registry:  registry,
-		platform:  client,
-		directory: directory,
-		syncer:    syncer,
-		gossip:    gossip,
-		peers:     server,
-		client:    peerClient,
-		entry:     entryServer,
-		operator:  operatorServer,
-		rollouts:  manager,
-		meter:     meter,
-		scheduler: scheduler,
-		poller:    poller,
+		settings:   s,
+		log:        logger,
+		events:     recorder,
+		registry:   registry,
+		platform:   client,
+		directory:  directory,
+		syncer:     syncer,
+		gossip:     gossip,
+		peers:      server,
+		client:     peerClient,
+		entry:      entryServer,
+		operator:   operatorServer,
+		rollouts:   rolloutManager,
+		meter:      meter,
+		controller: controller,
+		scheduler:  scheduler,
+		poller:     poller,
+		history:    history,
 	}
 	return daemon, nil
 }
--- a/internal/dispatch/division.go
+++ b/internal/dispatch/division.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -11,8 +12,15 @@
 
 // division is what of a pool's upstreams this VM may use, as last computed.
 type division struct {
-	at   time.Time
-	list []platform.Upstream
+	at time.Time
+	// source is the list of all upstreams, list the pool's part of it.
+	source []platform.Upstream
+	list   []platform.Upstream
+	// ids are the names of the list, mine the part of it that has a limit.
+	ids  []string
+	mine []platform.Upstream
+	// watch are the upstreams whose load reports the VM asks for.
+	watch []platform.Upstream
 	// limits tells how many requests the VM may have at each upstream.
 	limits parts
 	// borrowed marks upstreams outside the VM's part that lend it places.
@@ -20,12 +28,15 @@
 	// lending holds the engines that lend to the VM as long as the names of
 	// engines and VMs stay the same, which names tells; it is dear to compute.
 	lending map[string]bool
+	// keeping holds the engines of the VM's failure domain that it asks for their
+	// load whether or not it has a part of them; it is kept like lending.
+	keeping map[string]bool
 	names   uint64
 }
 
 const (
 	// divisionPeriod is how long a division is used while the list stays.
-	divisionPeriod = 100 * time.Millisecond
+	divisionPeriod = 250 * time.Millisecond
 	// serviceSlots bounds what a VM has in flight at a plain service that
 	// names no slots.
 	serviceSlots = 64
@@ -35,23 +46,25 @@
 	// busyNumerator and busyDenominator are the load above which an engine lends
 	// nothing.
 	busyNumerator, busyDenominator = 3, 4
-	// reportFresh is how old a report may be for its engine to lend.
+	// reportFresh is how old a report may be to decide anything by itself.
 	reportFresh = 3 * time.Second
 	// missesUntilUnreachable is how many load reports in a row may fail.
 	missesUntilUnreachable = 2
+	// votesUntilGone VMs must find an engine of their failure domain unreachable
+	// before it is left out of the sharing.
+	votesUntilGone = 2
 )
 
 // candidates returns the upstreams that may take work now.
 func (p *poolQueue) candidates(now time.Time) []candidate {
 	p.divide(now)
 	unreachable := p.unreachable()
-	list := make([]candidate, 0, len(p.division.list))
-	for _, u := range p.division.list {
-		limit := p.division.limits[u.ID]
-		if limit == 0 || unreachable[u.ID] {
+	list := make([]candidate, 0, len(p.division.mine))
+	for _, u := range p.division.mine {
+		if unreachable[u.ID] {
 			continue
 		}
-		if c, ok := p.candidate(u, limit, now); ok {
+		if c, ok := p.candidate(u, p.division.limits[u.ID], now); ok {
 			list = append(list, c)
 		}
 	}
@@ -61,9 +74,7 @@
 func (p *poolQueue) candidate(u platform.Upstream, limit int, now time.Time) (candidate, bool) {
 	c := &p.scheduler.config
 	report, reported := c.Loads.Get(u.ID)
-	if reported && !report.At.IsZero() && u.Kind == platform.KindEngine && (report.Model != p.name.Model || report.Adapter != p.name.Adapter) {
-		// The list lags: the engine has been ordered to another pool and would
-		// refuse, which callers would notice as failed attempts.
+	if reported && p.servesOther(u, report, now) {
 		return candidate{}, false
 	}
 	borrowed := p.division.borrowed[u.ID]
@@ -88,6 +99,16 @@
 	}, true
 }
 
+// servesOther reports whether a fresh report names another model or adapter. The
+// list lags: the engine has been ordered to another pool and would refuse, which
+// callers would notice as failed attempts.
+func (p *poolQueue) servesOther(u platform.Upstream, report upstream.Report, now time.Time) bool {
+	if u.Kind != platform.KindEngine || report.At.IsZero() || now.Sub(report.At) > reportFresh {
+		return false
+	}
+	return report.Model != p.name.Model || report.Adapter != p.name.Adapter
+}
+
 // lendsNow reports whether an engine's report is fresh and shows room.
 func lendsNow(u platform.Upstream, report upstream.Report, now time.Time) bool {
 	if report.At.IsZero() || now.Sub(report.At) > reportFresh {
@@ -101,7 +122,7 @@
 func (p *poolQueue) unreachable() map[string]bool {
 	silent := make(map[string]bool)
 	asked := 0
-	for _, u := range p.division.list {
+	for _, u := range p.division.mine {
 		report, ok := p.scheduler.config.Loads.Get(u.ID)
 		if !ok {
 			continue
@@ -119,14 +140,16 @@
 
 // divide brings the division up to date.
 func (p *poolQueue) divide(now time.Time) {
-	if now.Sub(p.division.at) < divisionPeriod && !p.division.at.IsZero() {
+	source := p.scheduler.config.Directory.Load()
+	if now.Sub(p.division.at) < divisionPeriod && sameList(source, p.division.source) {
 		return
 	}
 	old := p.division
-	d := division{at: now, limits: make(parts), borrowed: make(map[string]bool), lending: old.lending, names: old.names}
-	for _, u := range p.scheduler.config.Directory.Load() {
+	d := division{at: now, source: source, limits: make(parts), borrowed: make(map[string]bool), lending: old.lending, keeping: old.keeping, names: old.names}
+	for _, u := range source {
 		if serves(u, p.name) {
 			d.list = append(d.list, u)
+			d.ids = append(d.ids, u.ID)
 		}
 	}
 	switch {
@@ -137,6 +160,14 @@
 	default:
 		d.shared(p.scheduler.config.VM, p.scheduler.config.FailureDomain, p.name.hash(), p.scheduler.config.Members())
 	}
+	for _, u := range d.list {
+		if d.limits[u.ID] > 0 {
+			d.mine = append(d.mine, u)
+		}
+		if d.limits[u.ID] > 0 || d.keeping[u.ID] {
+			d.watch = append(d.watch, u)
+		}
+	}
 	p.division = d
 }
 
@@ -153,7 +184,7 @@
 // shared gives the VM its parts of the engines.
 func (d *division) shared(vm, domain string, pool uint32, members []Member) {
 	byDomain := make(map[string][]place)
-	for _, u := range d.list {
+	for _, u := range reachable(d.list, members) {
 		byDomain[u.FailureDomain] = append(byDomain[u.FailureDomain], place{upstream: u.ID, slots: max(1, u.Slots)})
 	}
 	for engines, places := range byDomain {
@@ -161,10 +192,62 @@
 			d.limits[id] = n
 		}
 	}
-	d.borrow(vm, members)
+	d.borrow(vm, domain, members)
 	d.atLeastOne(vm, domain)
 }
 
+// reachable returns the engines that are to be shared: those that answer. An
+// engine can be gone for as long as the list lags; the VM whose part it was would
+// have nothing, and its callers would wait for an engine that never answers while
+// others are idle. The VMs to which the engine lends go on asking it, so that it
+// is shared again once it answers.
+//
+// An engine counts as gone when two VMs of its own failure domain say so, or its
+// only one: a VM whose own network is broken, a wrong digest, or a cut between
+// failure domains must not take engines away from those that reach them. When
+// none of a failure domain's engines seems to answer, all stay shared.
+func reachable(list []platform.Upstream, members []Member) []platform.Upstream {
+	votes, homes := votesOf(members)
+	if len(votes) == 0 {
+		return list
+	}
+	gone := func(u platform.Upstream) bool {
+		home := u.FailureDomain
+		return votes[vote{domain: home, engine: engineID(u.ID)}] >= max(1, min(votesUntilGone, homes[home]))
+	}
+	left := make(map[string]int)
+	for _, u := range list {
+		if !gone(u) {
+			left[u.FailureDomain]++
+		}
+	}
+	return slices.DeleteFunc(slices.Clone(list), func(u platform.Upstream) bool {
+		return gone(u) && left[u.FailureDomain] > 0
+	})
+}
+
+// vote is what a VM of a failure domain says of an engine.
+type vote struct {
+	domain string
+	engine uint32
+}
+
+// votesOf counts who finds which engine unreachable, and the VMs that were heard
+// of each failure domain.
+func votesOf(members []Member) (votes map[vote]int, homes map[string]int) {
+	votes, homes = make(map[vote]int), make(map[string]int)
+	for _, m := range members {
+		if !m.Heard {
+			continue
+		}
+		homes[m.FailureDomain]++
+		for _, id := range slices.Compact(slices.Sorted(slices.Values(m.Unreachable))) {
+			votes[vote{domain: m.FailureDomain, engine: id}]++
+		}
+	}
+	return votes, homes
+}
+
 // participants returns the VMs that share the engines of a failure domain: its
 // own, and those whose failure domain has no engine of the pool. Engines
 // without any live VM of their own are shared by all.
@@ -185,10 +268,11 @@
 }
 
 // borrow adds the engines that lend places to the VM.
-func (d *division) borrow(vm string, members []Member) {
+func (d *division) borrow(vm, domain string, members []Member) {
 	if names := namesOf(d.list, members); names != d.names || d.lending == nil {
 		d.names = names
 		d.lending = lendingTo(vm, d.list, members)
+		d.keeping = keptBy(vm, domain, d.list, members)
 	}
 	for _, u := range d.list {
 		if d.lending[u.ID] && d.limits[u.ID] == 0 {
@@ -220,6 +304,19 @@
 	return lending
 }
 
+// keptBy returns the engines of a failure domain that a VM keeps an eye on: each
+// has as many keepers as it takes votes to count as gone.
+func keptBy(vm, domain string, list []platform.Upstream, members []Member) map[string]bool {
+	home := slices.DeleteFunc(slices.Clone(members), func(m Member) bool { return m.FailureDomain != domain })
+	keeping := make(map[string]bool)
+	for _, u := range list {
+		if u.FailureDomain == domain && lends(u.ID, vm, home, votesUntilGone) {
+			keeping[u.ID] = true
+		}
+	}
+	return keeping
+}
+
 // atLeastOne gives a VM without any part one place, so that its callers are
 // served, if slowly, however many VMs share few slots. The overcommit is at
 // most one request for each VM beyond the number of slots.
@@ -246,19 +343,21 @@
 	return borrowWeight(a.ID, vm) > borrowWeight(b.ID, vm)
 }
 
-// watched returns the engines that the VM may use.
+// watchTime is how long after its last request a pool's engines are watched.
+const watchTime = 10 * time.Second
+
+// watched returns the engines that the VM may use or keeps an eye on, while it
+// has work for the pool.
 func (p *poolQueue) watched() []platform.Upstream {
 	if p.name.Kind != platform.KindEngine {
 		return nil
 	}
+	now := time.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.divide(time.Now())
-	var list []platform.Upstream
-	for _, u := range p.division.list {
-		if p.division.limits[u.ID] > 0 {
-			list = append(list, u)
-		}
+	if now.Sub(p.usedAt) > watchTime {
+		return nil
 	}
-	return list
+	p.divide(now)
+	return p.division.watch
 }
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -24,6 +24,8 @@
 	inFlight map[string]int
 	drain    drainMeter
 	division division
+	// usedAt is when the latest request came.
+	usedAt time.Time
 }
 
 // queueLimit is how many requests may wait for one pool.
@@ -38,13 +40,16 @@
 func (p *poolQueue) enter(t *ticket) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	now := time.Now()
+	p.usedAt = now
 	for _, victim := range p.queue.add(t) {
+		p.scheduler.metrics.shed.WithLabelValues(string(victim.work.Account)).Inc()
 		victim.ready <- outcome{err: errors.WithStack(&fault.QueueFull{
 			Account: string(victim.work.Account),
 			Wait:    p.retryAfter(victim.work),
 		})}
 	}
-	p.grantAll(time.Now())
+	p.grantAll(now)
 }
 
 // leave takes a ticket back and reports whether it was still waiting.
@@ -134,7 +139,7 @@
 		c := &candidates[chosen]
 		c.room--
 		c.load += 1 / float64(max(1, c.upstream.Slots))
-		t.ready <- outcome{grant: p.grant(t.work, *c, now)}
+		t.ready <- outcome{grant: p.grant(t, *c, now)}
 	}
 }
 
@@ -151,7 +156,7 @@
 	return chosen
 }
 
-func (p *poolQueue) grant(w Work, c candidate, now time.Time) Grant {
+func (p *poolQueue) grant(t *ticket, c candidate, now time.Time) Grant {
 	u := c.upstream
 	p.inFlight[u.ID]++
 	if c.probe {
@@ -161,23 +166,22 @@
 	var done atomic.Bool
 	return Grant{Upstream: u, Done: func(r Result) {
 		if done.CompareAndSwap(false, true) {
-			p.finish(w, u, r, now)
+			p.finish(t, u, r, now)
 		}
 	}}
 }
 
 // finish returns a place and corrects what its account was charged.
-func (p *poolQueue) finish(w Work, u platform.Upstream, r Result, begun time.Time) {
+func (p *poolQueue) finish(t *ticket, u platform.Upstream, r Result, begun time.Time) {
 	now := time.Now()
 	p.judge(u, r, now.Sub(begun), now)
-	wasFull := p.scheduler.account(w.Account).end(w, u.Reclaimable, r.Cost)
-	p.scheduler.metrics.finished(w, u, r)
+	wasFull := p.scheduler.account(t.work.Account).end(t.work, u.Reclaimable, r.Cost)
 	p.mu.Lock()
 	p.inFlight[u.ID]--
 	if p.inFlight[u.ID] == 0 {
 		delete(p.inFlight, u.ID)
 	}
-	p.queue.settle(w, r.Cost)
+	p.queue.settle(t, r.Cost)
 	p.drain.ended(now)
 	p.grantAll(now)
 	p.mu.Unlock()
@@ -200,19 +204,19 @@
 	}
 }
 
-// peers returns the IDs of the pool's listed upstreams.
+// peers returns the names of the pool's upstreams as last listed.
 func (p *poolQueue) peers() []string {
-	var ids []string
-	for _, u := range p.scheduler.config.Directory.Load() {
-		if serves(u, p.name) {
-			ids = append(ids, u.ID)
-		}
-	}
-	return ids
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.division.ids
 }
 
-// demand returns what each account asks of the pool.
+// demand returns what each account asks of the pool. Only engines are shared by
+// demand.
 func (p *poolQueue) demand() []FlowDemand {
+	if p.name.Kind != platform.KindEngine {
+		return nil
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	var list []FlowDemand
--- a/internal/dispatch/scheduler.go
+++ b/internal/dispatch/scheduler.go
@@ -10,6 +10,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"dogwoodpond/internal/contract"
+	"dogwoodpond/internal/event"
 	"dogwoodpond/internal/fault"
 	"dogwoodpond/internal/platform"
 	"dogwoodpond/internal/upstream"
@@ -25,6 +26,7 @@
 	// Members returns the live VMs with their demands, this one included. Nil
 	// leaves the engines unshared: the VM then fills all slots itself.
 	Members func() []Member
+	Events  *event.Recorder
 	// Registerer takes the metrics.
 	Registerer prometheus.Registerer
 }
@@ -34,6 +36,8 @@
 type Scheduler struct {
 	config  Config
 	metrics *metrics
+	// seen is used by Run only.
+	seen listReview
 
 	mu       sync.RWMutex
 	pools    map[Pool]*poolQueue
@@ -69,12 +73,7 @@
 }
 
 func (s *Scheduler) tick() {
-	ids := make(map[string]bool)
-	for _, u := range s.config.Directory.Load() {
-		ids[u.ID] = true
-	}
-	s.config.Health.Keep(ids)
-	s.config.Loads.Keep(ids)
+	s.seen.review(s.config)
 	s.metrics.ejected.Set(float64(s.config.Health.Out()))
 	for _, p := range s.allPools() {
 		p.tick()
@@ -98,11 +97,9 @@
 	}
 	p := s.pool(work.Pool)
 	t := &ticket{work: work, ready: make(chan outcome, 1)}
-	begun := time.Now()
 	p.enter(t)
 	select {
 	case o := <-t.ready:
-		s.metrics.waited(work, time.Since(begun), o.err)
 		return o.grant, o.err
 	case <-ctx.Done():
 		return s.giveUp(ctx, p, t)
@@ -189,6 +186,18 @@
 	return list
 }
 
+// Unreachable returns the short names of the watched engines that did not answer
+// the last asks for their load, for this VM's digest.
+func (s *Scheduler) Unreachable() []uint32 {
+	var list []uint32
+	for _, u := range s.Watched() {
+		if report, ok := s.config.Loads.Get(u.ID); ok && report.Misses >= missesUntilUnreachable {
+			list = append(list, engineID(u.ID))
+		}
+	}
+	return list
+}
+
 // Watched returns the engines whose load reports this VM needs.
 func (s *Scheduler) Watched() []platform.Upstream {
 	var list []platform.Upstream
--- /dev/null
+++ b/internal/entry/bench_test.go
@@ -0,0 +1,52 @@
+package entry
+
+import (
+	"bytes"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+)
+
+// benchEngine answers one short stream at once.
+func benchEngine(w http.ResponseWriter, r *http.Request) {
+	scripted(func(s *script) { s.whole() })(w, r)
+}
+
+// BenchmarkGenerate measures one generate call without the callers' network:
+// the handler, the dispatch by a stand-in that never queues, and one stream
+// over loopback. Run it with -cpu 1 for requests a second on one core.
+func BenchmarkGenerate(b *testing.B) {
+	r := newRig(b, rigOptions{quiet: true})
+	r.engine("e1", benchEngine)
+	handler := r.server.Handler()
+	b.ReportAllocs()
+	for b.Loop() {
+		request := httptest.NewRequest(http.MethodPost, "/v1/generate", bytes.NewReader([]byte(generateText)))
+		request.Header.Set("Authorization", "Bearer "+testKey)
+		recorder := httptest.NewRecorder()
+		handler.ServeHTTP(recorder, request)
+		if recorder.Code != http.StatusOK {
+			b.Fatalf("%d %s", recorder.Code, recorder.Body)
+		}
+	}
+	b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "requests/s")
+}
+
+// BenchmarkAdmit measures what comes before the dispatch: the key, the contract
+// and the look for exposed keys in a body of 4 KB.
+func BenchmarkAdmit(b *testing.B) {
+	r := newRig(b, rigOptions{quiet: true})
+	body := bytes.Repeat([]byte(`{"text":"a \"quoted\" line\n"}`), 200)[:4096]
+	handler := r.server.Handler()
+	b.ReportAllocs()
+	b.SetBytes(int64(len(body)))
+	for b.Loop() {
+		request := httptest.NewRequest(http.MethodPost, "/v1/generate", bytes.NewReader(body))
+		request.Header.Set("Authorization", "Bearer "+testKey)
+		recorder := httptest.NewRecorder()
+		handler.ServeHTTP(recorder, request)
+		if recorder.Code != http.StatusBadRequest {
+			b.Fatalf("%d %s", recorder.Code, recorder.Body)
+		}
+	}
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -28,9 +28,9 @@
 type Steps interface {
 	// Open opens a step; a repeat with the same definition is harmless.
 	Open(ctx context.Context, account contract.Account, step string, definition sample.Definition) (sample.Status, error)
-	// Samples returns samples with numbers after the given one, in order, and
-	// waits up to wait for the first.
-	Samples(ctx context.Context, account contract.Account, step string, after int64, wait time.Duration) ([]sample.Sample, error)
+	// Samples returns the samples after the pull's cursor, in order, and waits
+	// for the first.
+	Samples(ctx context.Context, account contract.Account, step string, pull sample.Pull) ([]sample.Sample, error)
 	// Ack confirms the samples up to a number.
 	Ack(ctx context.Context, account contract.Account, step string, through int64) error
 }
@@ -58,6 +58,14 @@
 	Usage      UsageRecorder
 	Events     *event.Recorder
 	Registry   *prometheus.Registry
+	// DrainTime is how long a planned stop waits for running requests; no request
+	// gets more time. 0 means no bound.
+	DrainTime time.Duration
+	// WriteTimeout bounds one write to a caller. 0 means 30 seconds.
+	WriteTimeout time.Duration
+	// BodyTimeout bounds the time in which a caller sends its body. 0 means one
+	// minute.
+	BodyTimeout time.Duration
 }
 
 // Server is the callers' API.
@@ -72,6 +80,12 @@
 
 // NewServer returns a server.
 func NewServer(config Config) *Server {
+	if config.WriteTimeout == 0 {
+		config.WriteTimeout = defaultWriteTimeout
+	}
+	if config.BodyTimeout == 0 {
+		config.BodyTimeout = defaultBodyTimeout
+	}
 	return &Server{Config: config, sessions: newSessions()}
 }
 
@@ -85,6 +99,15 @@
 // Running requests go on.
 func (s *Server) Refuse() { s.refusing.Store(true) }
 
+// bounded returns a request's time-out. A longer one than the drain would let a
+// planned stop cut the request off.
+func (s *Server) bounded(timeout time.Duration) time.Duration {
+	if s.DrainTime == 0 {
+		return timeout
+	}
+	return min(timeout, s.DrainTime)
+}
+
 // Wait waits for the calls that go on after their callers have left.
 func (s *Server) Wait() { s.detached.Wait() }
 
@@ -102,7 +125,7 @@
 	// Dispatch, not ServeHTTP: the container's own mux would answer some paths
 	// with a redirect in place of a route or a typed refusal.
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		container.Dispatch(&trackedWriter{ResponseWriter: w}, r)
+		container.Dispatch(newCallerWriter(w, s.WriteTimeout), r)
 	})
 }
 
--- a/internal/entry/rig_test.go
+++ b/internal/entry/rig_test.go
@@ -72,6 +72,10 @@
 	patience engine.Patience
 	runner   generate.Runner
 	quiet    bool
+	// writeTimeout bounds one write to a caller.
+	writeTimeout time.Duration
+	// bodyTimeout bounds the time of a caller's body.
+	bodyTimeout time.Duration
 }
 
 func newRig(t testing.TB, options rigOptions) *rig {
@@ -97,7 +101,8 @@
 	r.server = NewServer(Config{
 		View: r.view, Ager: r.ager, Runner: options.runner, Dispatcher: r.places, Retries: retries,
 		Services: service.NewClient(), Claims: request.NewClaims(r.tables), Steps: r.steps,
-		Usage: usageNowhere{}, Events: r.events, Registry: r.registry,
+		Usage: usageNowhere{}, Events: r.events, Registry: r.registry, WriteTimeout: options.writeTimeout,
+		BodyTimeout: options.bodyTimeout,
 	})
 	return r
 }
@@ -205,10 +210,19 @@
 }
 
 // fixedAge is the age of the configuration.
-type fixedAge struct{ age atomic.Int64 }
+type fixedAge struct {
+	age atomic.Int64
+	// hook runs before each answer: after the key's check, before its session.
+	hook func()
+}
 
 // Age implements Ager.
-func (a *fixedAge) Age() time.Duration { return time.Duration(a.age.Load()) }
+func (a *fixedAge) Age() time.Duration {
+	if a.hook != nil {
+		a.hook()
+	}
+	return time.Duration(a.age.Load())
+}
 
 // usageNowhere drops usage.
 type usageNowhere struct{}
@@ -225,7 +239,7 @@
 }
 
 // Samples implements Steps.
-func (f *fakeSteps) Samples(context.Context, contract.Account, string, int64, time.Duration) ([]sample.Sample, error) {
+func (f *fakeSteps) Samples(context.Context, contract.Account, string, sample.Pull) ([]sample.Sample, error) {
 	return nil, f.err
 }
 
--- a/internal/entry/services.go
+++ b/internal/entry/services.go
@@ -30,7 +30,7 @@
 	// serviceTimeout bounds a call whose caller names no shorter bound.
 	serviceTimeout = 30 * time.Second
 	// claimTimeout bounds the wait for the store before a keyed call is refused.
-	claimTimeout = 5 * time.Second
+	claimTimeout = 3 * time.Second
 	// maxServiceAttempts bounds the attempts of one call.
 	maxServiceAttempts = 4
 )
@@ -41,13 +41,12 @@
 	if err != nil {
 		return err
 	}
-	ctx, cancel := context.WithTimeout(ctx, wanted.timeout)
+	ctx, cancel := context.WithTimeout(ctx, s.bounded(wanted.timeout))
 	defer cancel()
 	answer, err := s.runService(ctx, c, wanted)
 	if err != nil {
 		return causeOf(ctx, err)
 	}
-	_ = http.NewResponseController(w.ResponseWriter).SetWriteDeadline(time.Now().Add(writeTimeout))
 	w.Header().Set("Content-Type", answer.ContentType)
 	w.Header().Set("Content-Length", strconv.Itoa(len(answer.Body)))
 	w.WriteHeader(answer.Status)
@@ -108,6 +107,10 @@
 // caller escaped it: an escaped slash is not the same as a slash.
 func servicePath(u *url.URL) (path, rawPath string, err error) {
 	parts := strings.SplitN(u.EscapedPath(), "/", servicePrefix+1)
+	// The router skips empty parts; counting them would shift the rest.
+	if slices.Contains(parts[1:min(servicePrefix, len(parts))], "") {
+		return "", "", badField("path", "has an empty part before the service")
+	}
 	rawPath = "/"
 	if len(parts) > servicePrefix {
 		rawPath += parts[servicePrefix]
@@ -164,7 +167,7 @@
 // that is cut off in the middle has an unknown outcome for ever, while one that
 // ends can be answered when the caller asks again.
 func (s *Server) runClaimed(ctx context.Context, c caller, claim request.Claim, wanted wantedCall) (service.Answer, error) {
-	sending, cancel := context.WithTimeout(context.WithoutCancel(ctx), wanted.timeout)
+	sending, cancel := context.WithTimeout(context.WithoutCancel(ctx), s.bounded(wanted.timeout))
 	ended := make(chan served, 1)
 	gate := &sendGate{}
 	s.detached.Go(func() {
@@ -287,7 +290,16 @@
 		Attempt:  attempt,
 	}
 	s.Events.Emit(event.RequestDispatched, subject)
+	settled := false
+	// A panic must not keep the place: the service would look full for ever.
+	defer func() {
+		if !settled {
+			report(retry.Abandoned)
+			grant.Done(dispatch.Result{})
+		}
+	}()
 	answer, _, err := s.Services.Do(sending, grant.Upstream.Address, wanted.call)
+	settled = true
 	failed := err != nil && sending.Err() == nil
 	report(serviceOutcome(err, failed))
 	grant.Done(dispatch.Result{Cost: 1, Failed: failed})
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -36,8 +36,9 @@
 type Fleet interface {
 	// InForce returns the revision in force on every known VM.
 	InForce() []VMRevision
-	// Events returns the events of all reachable VMs and names the others.
-	Events(ctx context.Context, after event.Stamp) (records []event.Record, missing []string)
+	// Events returns the events of all reachable VMs that a query picks, in
+	// order, and names the other VMs.
+	Events(ctx context.Context, query event.Query) (records []event.Record, missing []string)
 }
 
 // VMRevision tells which revision a VM has in force.
@@ -114,6 +115,13 @@
 		w.WriteHeader(http.StatusInternalServerError)
 	})
 	container.ServiceErrorHandler(unrouted)
+	container.Add(s.api())
+	// Dispatch, not ServeHTTP: the container's own mux would answer some paths
+	// with a redirect in place of a typed refusal.
+	return http.HandlerFunc(container.Dispatch)
+}
+
+func (s *Server) api() *restful.WebService {
 	ws := new(restful.WebService)
 	ws.Path("/v1").Produces(restful.MIME_JSON).Filter(s.authenticate)
 	ws.Route(ws.PUT("/contracts/{account}").To(s.handle(s.putContract)))
@@ -130,8 +138,7 @@
 	ws.Route(ws.GET("/usage").To(s.handle(s.listUsage)))
 	ws.Route(ws.GET("/usage/{window}").To(s.handle(s.windowUsage)))
 	ws.Route(ws.GET("/events").To(s.handle(s.eventLine)))
-	container.Add(ws)
-	return container
+	return ws
 }
 
 // authenticate checks the operators' credential in constant time.
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
 	"net/http"
 	"net/http/httptest"
 	"slices"
@@ -14,6 +15,7 @@
 	"github.com/cockroachdb/errors"
 
 	"dogwoodpond/internal/contract"
+	"dogwoodpond/internal/doccheck"
 	"dogwoodpond/internal/event"
 	"dogwoodpond/internal/fault"
 	"dogwoodpond/internal/platform"
@@ -75,8 +77,9 @@
 
 func (f *fakeFleet) InForce() []VMRevision { return f.vms }
 
-func (f *fakeFleet) Events(context.Context, event.Stamp) ([]event.Record, []string) {
-	return slices.Clone(f.records), slices.Clone(f.missing)
+func (f *fakeFleet) Events(_ context.Context, query event.Query) ([]event.Record, []string) {
+	picked := slices.DeleteFunc(slices.Clone(f.records), func(e event.Record) bool { return !query.Picks(e) })
+	return picked, slices.Clone(f.missing)
 }
 
 // noRows is a store that does not answer.
@@ -200,6 +203,22 @@
 	})
 }
 
+// Two operators are told to withdraw the same key, or one does it twice to be
+// sure. The history must show one decision.
+func TestSecondWithdrawalAnswersWithTheFirst(t *testing.T) {
+	f := newFixture()
+	f.grant("k1")
+	var first, second EditAnswer
+	f.call(t, http.MethodDelete, "/v1/keys/k1", "", &first)
+	f.call(t, http.MethodDelete, "/v1/keys/k1", "", &second)
+	if len(f.editor.entries) != 1 {
+		t.Errorf("the history has %d edits, want 1", len(f.editor.entries))
+	}
+	if first.Entry.Revision != second.Entry.Revision || second.Entry.Kind != contract.EditWithdraw {
+		t.Errorf("the second answer is %+v, want that of %+v", second.Entry, first.Entry)
+	}
+}
+
 // An operator mistypes a key's ID. With an answer that looks like success the
 // real key would go on working unnoticed.
 func TestWithdrawalOfUnknownKey(t *testing.T) {
@@ -309,12 +328,15 @@
 func TestEventsAreFilteredAndMissingVMsNamed(t *testing.T) {
 	f := newFixture()
 	f.fleet.records = []event.Record{
-		{VM: "vm-1", Subject: event.Subject{Request: "r1"}},
-		{VM: "vm-1", Subject: event.Subject{Request: "r2", Step: "s"}},
-		{VM: "vm-2", Subject: event.Subject{Lease: "usage"}},
+		{VM: "vm-1", Stamp: event.Stamp{WallMicros: 1}, Number: event.RequestAccepted, Subject: event.Subject{Request: "r1"}},
+		{VM: "vm-1", Stamp: event.Stamp{WallMicros: 2}, Subject: event.Subject{Request: "r2", Step: "s"}},
+		{VM: "vm-2", Stamp: event.Stamp{WallMicros: 3}, Subject: event.Subject{Lease: "usage", Upstream: "e1"}},
 	}
 	f.fleet.missing = []string{"vm-9", "vm-3"}
-	for query, want := range map[string]int{"": 3, "?request=r1": 1, "?step=s": 1, "?lease=usage": 1, "?request=r1&step=s": 0} {
+	for query, want := range map[string]int{
+		"": 3, "?request=r1": 1, "?step=s": 1, "?lease=usage": 1, "?request=r1&step=s": 0,
+		"?upstream=e1&upstream=e2": 1, "?event=1301": 1, "?event=1301&event=1302": 1, "?after=0.000001%2B0": 2,
+	} {
 		var answer EventsAnswer
 		f.call(t, http.MethodGet, "/v1/events"+query, "", &answer)
 		if len(answer.Events) != want || !slices.Equal(answer.Missing, []string{"vm-3", "vm-9"}) {
@@ -337,8 +359,10 @@
 		{http.MethodGet, "/v1/usage/soon", "", http.StatusBadRequest, fault.CodeBadRequest},
 		{http.MethodGet, "/v1/usage/300", "", http.StatusServiceUnavailable, fault.CodeStoreUnavailable},
 		{http.MethodGet, "/v1/revisions/x/confirmation", "", http.StatusBadRequest, fault.CodeBadRequest},
+		{http.MethodGet, "/v1//status", "", http.StatusNotFound, fault.CodeRouteUnknown},
 		{http.MethodGet, "/v1/nothing", "", http.StatusNotFound, fault.CodeRouteUnknown},
 		{http.MethodPost, "/v1/status", "", http.StatusMethodNotAllowed, fault.CodeRouteUnknown},
+		{http.MethodGet, "/v1/events?event=soon", "", http.StatusBadRequest, fault.CodeBadRequest},
 		{http.MethodGet, "/v1/events?after=now", "", http.StatusBadRequest, fault.CodeBadRequest},
 	}
 	for _, c := range cases {
@@ -354,3 +378,47 @@
 		t.Errorf("a wrong credential answered %d %s", status, problem.Code)
 	}
 }
+
+// An operator writes contracts from the page. A field that it does not name is
+// never set, and a wrong default is relied on.
+func TestOperatingPageListsTheFieldsOfAContract(t *testing.T) {
+	fields := doccheck.Column(t, "docs/OPERATING.md", "contract", 0)
+	defaults := doccheck.Column(t, "docs/OPERATING.md", "contract", 1)
+	onPage := map[string]string{}
+	for i, field := range fields {
+		onPage[field] = defaults[i]
+	}
+	standard := contract.DefaultContract("")
+	if want := fieldsOf(&standard); !maps.Equal(onPage, want) {
+		t.Errorf("the page has\n%v\nthe code has\n%v", onPage, want)
+	}
+}
+
+// A call that the page does not name is used by nobody, and one that only the
+// page names is refused.
+func TestAPIPageListsTheOperatorsRoutes(t *testing.T) {
+	var routes []string
+	for _, route := range newFixture().server.api().Routes() {
+		routes = append(routes, route.Method+" "+route.Path)
+	}
+	slices.Sort(routes)
+	if listed := doccheck.Calls(t, "docs/API.md", "operators"); !slices.Equal(listed, routes) {
+		t.Errorf("the page lists\n%v\nthe code has\n%v", listed, routes)
+	}
+}
+
+// Whatever an operator's program sends as a contract is accepted or refused with
+// a type, and never stops the request by a panic.
+func FuzzPutContract(f *testing.F) {
+	f.Add(`{"account":"a","share":100}`)
+	f.Add(`{"account":"a","limits":null}`)
+	f.Add(`[]`)
+	f.Add(`{"account":"a","share":1e400}`)
+	f.Fuzz(func(t *testing.T, body string) {
+		fixture := newFixture()
+		status, text := fixture.call(t, http.MethodPut, "/v1/contracts/a", body, nil)
+		if status != http.StatusOK && status != http.StatusBadRequest {
+			t.Errorf("answered %d %s", status, text)
+		}
+	})
+}
--- a/internal/peer/gossip.go
+++ b/internal/peer/gossip.go
@@ -10,8 +10,10 @@
 	"time"
 
 	"github.com/google/uuid"
+	"golang.org/x/sync/errgroup"
 
 	"dogwoodpond/internal/contract"
+	"dogwoodpond/internal/dispatch"
 	"dogwoodpond/internal/event"
 	"dogwoodpond/internal/peer/peerpb"
 	"dogwoodpond/internal/platform"
@@ -24,14 +26,8 @@
 	PeerAddress   string
 }
 
-// Known is what a VM knows of a peer from its latest digest.
-type Known struct {
-	Digest *peerpb.Digest
-	// HeardAt is the local monotonic time of the digest.
-	HeardAt time.Time
-}
-
-// Gossip exchanges one digest a period with a random peer.
+// Gossip exchanges one digest a period with a peer, mostly of its own cell, and
+// now and then with any other. What it costs a VM does not grow with the fleet.
 type Gossip struct {
 	self        Identity
 	incarnation string
@@ -41,15 +37,35 @@
 	period      time.Duration
 	draining    func() bool
 	// onRevision is called when a peer knows a newer revision.
-	onRevision func()
-	ager       func() time.Duration
+	onRevision  func()
+	ager        func() time.Duration
+	demand      func() []dispatch.FlowDemand
+	unreachable func() []uint32
+	metrics     *Metrics
 
 	sequence atomic.Uint64
-	vms      atomic.Pointer[[]platform.VM]
+	vms      atomic.Pointer[vmList]
 	seeds    []string
 
 	mu    sync.Mutex
-	known map[string]Known
+	peers map[string]*peerState
+	// sentFlows are the own demands as the latest digest told them; the own part
+	// is computed from them, so that all VMs compute from the same figures.
+	sentFlows []dispatch.FlowDemand
+	// sentUnreachable is kept for the same reason, and because asking the
+	// dispatcher from within Members would wait for itself.
+	sentUnreachable []uint32
+	// pokedAt is when a digest last caused a read of the revision.
+	pokedAt time.Time
+	// round holds the addresses of the cell that this round has yet to ask.
+	round []target
+	turn  int
+}
+
+// target is a peer to exchange with.
+type target struct {
+	vm      string
+	address string
 }
 
 // GossipConfig holds what a Gossip is built from.
@@ -63,6 +79,11 @@
 	Draining   func() bool
 	OnRevision func()
 	Age        func() time.Duration
+	// Demand returns the VM's demands, the greatest first.
+	Demand func() []dispatch.FlowDemand
+	// Unreachable returns the engines that do not answer this VM.
+	Unreachable func() []uint32
+	Metrics     *Metrics
 }
 
 // NewGossip returns a gossip that knows no peer but the seeds.
@@ -77,10 +98,13 @@
 		draining:    c.Draining,
 		onRevision:  c.OnRevision,
 		ager:        c.Age,
+		demand:      c.Demand,
+		unreachable: c.Unreachable,
+		metrics:     c.Metrics,
 		seeds:       c.Seeds,
-		known:       make(map[string]Known),
+		peers:       make(map[string]*peerState),
 	}
-	g.vms.Store(&[]platform.VM{})
+	g.SetVMs(nil)
 	return g
 }
 
@@ -88,14 +112,33 @@
 func (g *Gossip) Incarnation() string { return g.incarnation }
 
 // SetVMs puts the platform's latest list in force.
-func (g *Gossip) SetVMs(vms []platform.VM) { g.vms.Store(&vms) }
+func (g *Gossip) SetVMs(vms []platform.VM) {
+	ids := make(map[string]bool, len(vms))
+	for _, vm := range vms {
+		ids[vm.ID] = true
+	}
+	g.vms.Store(&vmList{vms: vms, ids: ids})
+}
 
 // VMs returns the platform's latest list.
-func (g *Gossip) VMs() []platform.VM { return *g.vms.Load() }
+func (g *Gossip) VMs() []platform.VM { return g.vms.Load().vms }
+
+// vmList is the platform's list with its names.
+type vmList struct {
+	vms []platform.VM
+	ids map[string]bool
+}
 
 // Digest returns the VM's own digest.
 func (g *Gossip) Digest() *peerpb.Digest {
-	return &peerpb.Digest{
+	flows := g.demand()
+	flows = flows[:min(maxFlows, len(flows))]
+	unreachable := firstOf(g.unreachable(), maxUnreachable)
+	g.mu.Lock()
+	g.sentFlows = flows
+	g.sentUnreachable = unreachable
+	g.mu.Unlock()
+	d := &peerpb.Digest{
 		Vm:                g.self.VM,
 		FailureDomain:     g.self.FailureDomain,
 		Incarnation:       g.incarnation,
@@ -104,38 +147,82 @@
 		Revision:          uint64(g.view.Load().Revision),
 		RevisionAgeMillis: g.ager().Milliseconds(),
 		Draining:          g.draining(),
+		Flows:             writeFlows(flows),
+		Unreachable:       unreachable,
 	}
+	g.metrics.sent(d)
+	return d
 }
 
-// Receive takes a peer's digest. An older one than the known is dropped, so
-// that a delayed or replayed digest can't bring back a past state.
+// maxUnreachable bounds the unreachable engines in a digest.
+const maxUnreachable = 8
+
+func firstOf(list []uint32, most int) []uint32 { return list[:min(most, len(list))] }
+
+// Receive takes a peer's digest.
 func (g *Gossip) Receive(d *peerpb.Digest) {
-	if d.GetVm() == g.self.VM {
+	name := d.GetVm()
+	if name == "" || name == g.self.VM || len(name) > maxName {
 		return
 	}
-	g.keep(d)
-	if d.GetRevision() > uint64(g.view.Load().Revision) {
+	now := time.Now()
+	fresh := g.keep(d, now)
+	g.metrics.received(fresh)
+	if fresh && d.GetRevision() > uint64(g.view.Load().Revision) && g.mayPoke(now) {
 		g.onRevision()
 	}
 }
 
-func (g *Gossip) keep(d *peerpb.Digest) {
+// mayPoke limits what digests can cause at the store: a wrong one that names a
+// revision which does not exist would else cost a read each time that it comes.
+func (g *Gossip) mayPoke(now time.Time) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	old, ok := g.known[d.GetVm()]
-	if ok && old.Digest.GetIncarnation() == d.GetIncarnation() && old.Digest.GetSequence() >= d.GetSequence() {
-		return
+	if !g.pokedAt.IsZero() && now.Sub(g.pokedAt) < g.period {
+		return false
 	}
-	g.known[d.GetVm()] = Known{Digest: d, HeardAt: time.Now()}
+	g.pokedAt = now
+	return true
 }
 
-// Known returns the latest digests of all peers.
-func (g *Gossip) Known() []Known {
+// keep keeps a digest unless it is older than the known one of its sender: a
+// delayed, doubled or replayed digest must not bring back a past state.
+func (g *Gossip) keep(d *peerpb.Digest, now time.Time) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	all := make([]Known, 0, len(g.known))
-	for _, k := range g.known {
-		all = append(all, k)
+	state, ok := g.peers[d.GetVm()]
+	if !ok {
+		state = &peerState{since: now}
+		g.peers[d.GetVm()] = state
+	}
+	if state.digest != nil && !follows(d, state) {
+		return false
+	}
+	state.digest, state.heardAt, state.failures = d, now, 0
+	g.judge(d.GetVm(), state, false)
+	return true
+}
+
+// follows reports whether a digest is later than the known one. Digests of one
+// incarnation are numbered; between incarnations the hybrid clock decides,
+// unless the known one is silent: then the clock of its successor may have been
+// set back.
+func follows(d *peerpb.Digest, state *peerState) bool {
+	if state.digest.GetIncarnation() == d.GetIncarnation() {
+		return d.GetSequence() > state.digest.GetSequence()
+	}
+	return state.silent || fromWire(state.digest.GetStamp()).Before(fromWire(d.GetStamp()))
+}
+
+// Known returns the latest digests of all peers by VM.
+func (g *Gossip) Known() map[string]Known {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	all := make(map[string]Known, len(g.peers))
+	for id, state := range g.peers {
+		if state.digest != nil {
+			all[id] = Known{Digest: state.digest, HeardAt: state.heardAt}
+		}
 	}
 	return all
 }
@@ -155,31 +242,80 @@
 	return addresses
 }
 
+// exchangesAtOnce bounds the exchanges that wait for an answer.
+const exchangesAtOnce = 4
+
 // Run exchanges digests until ctx ends.
 func (g *Gossip) Run(ctx context.Context) {
 	ticker := time.NewTicker(g.period)
 	defer ticker.Stop()
+	var exchanges errgroup.Group
+	exchanges.SetLimit(exchangesAtOnce)
 	for {
 		select {
 		case <-ctx.Done():
+			_ = exchanges.Wait()
 			return
 		case <-ticker.C:
-			g.exchange(ctx)
+			g.review(time.Now())
+			if to, ok := g.partner(); ok {
+				exchanges.TryGo(func() error { return g.exchange(ctx, to) })
+			}
 		}
 	}
 }
 
-func (g *Gossip) exchange(ctx context.Context) {
-	addresses := g.Addresses()
-	if len(addresses) == 0 {
-		return
+// partner returns the next peer to exchange with: each of the own cell once a
+// round in a random order, and every so often a random other.
+func (g *Gossip) partner() (target, bool) {
+	g.turn++
+	mates := g.cellMates()
+	if g.turn%strangerEvery == 0 || len(mates) == 0 {
+		return g.stranger()
 	}
-	address := addresses[rand.IntN(len(addresses))]
-	reply, err := g.client.Exchange(ctx, address, g.Digest())
-	if err != nil {
-		return
+	if len(g.round) == 0 {
+		for _, vm := range mates {
+			g.round = append(g.round, target{vm: vm.ID, address: vm.PeerAddress})
+		}
+		rand.Shuffle(len(g.round), func(i, j int) { g.round[i], g.round[j] = g.round[j], g.round[i] })
+	}
+	next := g.round[0]
+	g.round = g.round[1:]
+	return next, true
+}
+
+// stranger returns a random peer, or a random seed while no list is known.
+func (g *Gossip) stranger() (target, bool) {
+	var others []target
+	for _, vm := range g.VMs() {
+		if vm.ID != g.self.VM {
+			others = append(others, target{vm: vm.ID, address: vm.PeerAddress})
+		}
+	}
+	if len(others) == 0 {
+		for _, seed := range g.seeds {
+			others = append(others, target{address: seed})
+		}
+	}
+	if len(others) == 0 {
+		return target{}, false
+	}
+	return others[rand.IntN(len(others))], true
+}
+
+// exchange swaps digests with a peer. A peer that does not answer is noted.
+func (g *Gossip) exchange(ctx context.Context, to target) error {
+	reply, err := g.client.Exchange(ctx, to.address, g.Digest())
+	if err == nil {
+		g.Receive(reply)
+		return nil
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if state, ok := g.peers[to.vm]; ok && ctx.Err() == nil {
+		state.failures++
 	}
-	g.Receive(reply)
+	return nil
 }
 
 // configAsks is how many peers are asked for the configuration.
--- a/internal/processtest/cutoff_test.go
+++ b/internal/processtest/cutoff_test.go
@@ -17,6 +17,7 @@
 // be refused although its own engines are well; or, worse, it would serve keys
 // for ever that have been withdrawn meanwhile.
 func TestCutOffDomainServesWithinItsBound(t *testing.T) {
+	t.Parallel()
 	f := startFleet(t, shape{domains: []string{"a", "b"}, vms: 1, engines: 1, desks: 1})
 	bounded := testContract("strathallan")
 	bounded.Isolation.ServeSeconds = 5
@@ -58,6 +59,98 @@
 	wantRefusal(t, "withdrawn meanwhile", status, answer, http.StatusUnauthorized, fault.CodeKeyWithdrawn, fault.NotRun)
 }
 
+// A failure domain loses the platform, or the other domains, or both, for a
+// while, and each domain in turn. Whatever is lost, its own engines can serve
+// its callers; and an edit made meanwhile elsewhere must be in force soon after,
+// or an operator's withdrawal is undone by a cable.
+func TestEachFailureDomainServesThroughEachCut(t *testing.T) {
+	domains := []string{"a", "b", "c"}
+	for n, domain := range domains {
+		t.Run(domain, func(t *testing.T) {
+			t.Parallel()
+			f := startFleet(t, shape{domains: domains, vms: 1, engines: 1, desks: 1})
+			c := &severed{fleet: f, key: f.grant(testContract("strathallan")), inside: f.vms[n], outside: f.vms[(n+1)%len(domains)]}
+			for _, lost := range []string{"platform", "others", "both"} {
+				c.serveWithout(t, lost)
+			}
+			charged := int64(0)
+			for _, desk := range f.desks {
+				charged += f.counts(desk).Started
+			}
+			if charged != c.charged {
+				t.Errorf("the desks ran %d calls, the callers were told of %d", charged, c.charged)
+			}
+		})
+	}
+}
+
+// severed is a fleet of which one failure domain is cut off in several ways.
+type severed struct {
+	fleet           *fleet
+	key             string
+	inside, outside *vm
+	// charged counts the calls that callers were told of as run.
+	charged int64
+}
+
+// serveWithout cuts, looks what is served, edits outside, and heals.
+func (c *severed) serveWithout(t *testing.T, lost string) {
+	t.Helper()
+	c.sever(lost, c.fleet.network.cut)
+	if status, answer := c.fleet.generate(c.inside, c.key, lost, 16); status != http.StatusOK {
+		t.Errorf("without %s: generate: %d %s", lost, status, answer)
+	}
+	c.chargeWithout(t, lost)
+	account := contract.Account("late-" + lost)
+	before := c.fleet.revision(c.inside)
+	revision := c.fleet.operateAt(c.outside, http.MethodPut, "/v1/contracts/"+string(account), "", testContract(account))
+	if lost == "platform" {
+		await(t, "the edit comes by peers", func() bool { return c.fleet.revision(c.inside) >= revision })
+	}
+	c.sever(lost, c.fleet.network.heal)
+	healed := time.Now()
+	await(t, "the edit is in force", func() bool {
+		now := c.fleet.revision(c.inside)
+		if now < before {
+			t.Errorf("without %s: revision went from %d back to %d", lost, before, now)
+		}
+		return now >= revision
+	})
+	t.Logf("without %s: edit in force %v after the cut healed", lost, time.Since(healed).Round(time.Millisecond))
+	await(t, "keyed calls run again", func() bool {
+		status, _ := c.fleet.charge(c.inside, c.key, lost+" after", lost)
+		return status == http.StatusOK
+	})
+	c.charged++
+}
+
+// chargeWithout makes a keyed call, which needs the store.
+func (c *severed) chargeWithout(t *testing.T, lost string) {
+	t.Helper()
+	status, answer := c.fleet.charge(c.inside, c.key, lost, lost)
+	if lost != "others" {
+		wantRefusal(t, lost, status, answer, http.StatusServiceUnavailable, fault.CodeStoreUnavailable, fault.NotRun)
+		return
+	}
+	c.charged++
+	if status != http.StatusOK {
+		t.Errorf("without %s: keyed call: %d %s", lost, status, answer)
+	}
+}
+
+// sever cuts or heals what the failure domain loses.
+func (c *severed) sever(lost string, change func(a, b string)) {
+	domain := c.inside.domain
+	if lost != "others" {
+		change(domain, platformPlace)
+	}
+	for _, other := range c.fleet.shape.domains {
+		if other != domain && lost != "platform" {
+			change(domain, other)
+		}
+	}
+}
+
 // The platform's store refuses every call for a while. Work that needs no store
 // must not notice; a deposit whose claim can't be stored must not run, and its
 // refusal must say so.
--- /dev/null
+++ b/internal/rollout/harness_test.go
@@ -0,0 +1,471 @@
+package rollout
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
+	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/zap"
+
+	"dogwoodpond/internal/contract"
+	"dogwoodpond/internal/event"
+	"dogwoodpond/internal/fault"
+	"dogwoodpond/internal/generate"
+	"dogwoodpond/internal/lease"
+	"dogwoodpond/internal/platform"
+	"dogwoodpond/internal/platform/memory"
+	"dogwoodpond/internal/platform/platformtest"
+	"dogwoodpond/internal/sample"
+	"dogwoodpond/internal/usage"
+)
+
+const (
+	testAccount contract.Account = "strathallan"
+	testModel                    = "berry-1"
+	testTerm                     = 10 * time.Second
+)
+
+// faultsOf chooses the faults of one VM by the number of its call from 0.
+type faultsOf map[int]platformtest.Fault
+
+// testVM is one VM: its calls to the store fail as told, and it can be killed.
+type testVM struct {
+	*platformtest.Process
+	cluster *cluster
+	manager *Manager
+	loops   sync.WaitGroup
+	// closed is closed when all of the VM's work has ended.
+	closed chan struct{}
+}
+
+// made returns the VM's calls to the store so far.
+func (v *testVM) made() []platformtest.Step {
+	var own []platformtest.Step
+	for _, step := range v.cluster.world.Steps() {
+		if step.Process == v.Name {
+			own = append(own, step)
+		}
+	}
+	return own
+}
+
+// Campaign implements Leases with real leases.
+func (v *testVM) Campaign(ctx context.Context, name string, held func(context.Context, Guard) (bool, error)) error {
+	manager := lease.NewManager(v, v.Name, testTerm, v.manager.events)
+	return manager.Campaign(ctx, name, func(ctx context.Context, g lease.Guard) (bool, error) {
+		return held(ctx, believer{g})
+	})
+}
+
+// believer believes in its lease past the term, as the worst holder does that
+// is paused between the check and its write.
+type believer struct {
+	lease.Guard
+}
+
+// Check implements Guard.
+func (believer) Check() error { return nil }
+
+// Commit implements platform.Tables and counts the rows.
+func (v *testVM) Commit(ctx context.Context, txn platform.Txn) error {
+	v.cluster.countWrites(len(txn.Writes))
+	return v.Process.Commit(ctx, txn)
+}
+
+// Workers implements Workers.
+func (v *testVM) Workers() []Worker {
+	if v.cluster.workers != nil {
+		return v.cluster.workers.Workers()
+	}
+	workers := []Worker{{VM: v.Name, FailureDomain: v.Name, Runner: v.cluster.engine}}
+	for _, other := range v.cluster.all() {
+		if other != v && !other.Dead() {
+			workers = append(workers, Worker{VM: other.Name, FailureDomain: other.Name, Runner: v.cluster.engine})
+		}
+	}
+	return workers
+}
+
+// testEngine generates answers in virtual time.
+type testEngine struct {
+	mu      sync.Mutex
+	weights *testWeights
+	// time returns how long a run of a slot takes; run counts from 1.
+	time func(slot string, run int) time.Duration
+	// spoil changes a result before it is returned.
+	spoil func(request generate.Request, run int, result *generate.Result) error
+	runs  map[string]int
+	// tokens counts everything that was generated, cancelled runs included.
+	tokens int
+}
+
+const (
+	testTokens = 8
+	// testTokenTime is what a token takes.
+	testTokenTime = 50 * time.Millisecond
+)
+
+// Generate implements generate.Runner.
+func (e *testEngine) Generate(ctx context.Context, request generate.Request, _ generate.Sink) (generate.Result, error) {
+	e.mu.Lock()
+	e.runs[request.Slot]++
+	run := e.runs[request.Slot]
+	took := testTokens*testTokenTime + time.Duration(xxhash.Sum64String(request.Slot)%200)*time.Millisecond
+	if e.time != nil {
+		took = e.time(request.Slot, run)
+	}
+	e.mu.Unlock()
+	began := time.Now()
+	select {
+	case <-time.After(took):
+	case <-ctx.Done():
+		e.charge(int(testTokens * time.Since(began) / took))
+		return generate.Result{}, errors.WithStack(&fault.CallerGone{})
+	}
+	e.charge(testTokens)
+	result := generate.Result{ID: request.ID, Attempts: 1, FinishReason: "stop"}
+	for i := range testTokens {
+		result.Tokens = append(result.Tokens, fmt.Sprintf(" %s-%d", request.Slot, i))
+	}
+	result.Spans = []generate.Span{{End: testTokens, Version: e.weights.now(), Upstream: "e1", Incarnation: "i1"}}
+	if e.spoil != nil {
+		if err := e.spoil(request, run, &result); err != nil {
+			return generate.Result{}, err
+		}
+	}
+	return result, nil
+}
+
+func (e *testEngine) charge(tokens int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.tokens += tokens
+}
+
+func (e *testEngine) generated() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.tokens
+}
+
+// testWeights is the weight store.
+type testWeights struct {
+	mu      sync.Mutex
+	version int64
+	at      time.Time
+	// publishedAt holds the times of version 2 and later.
+	publishedAt []time.Time
+	down        bool
+}
+
+func (w *testWeights) now() int64 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.version
+}
+
+func (w *testWeights) publish() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.version++
+	w.at = time.Now()
+	w.publishedAt = append(w.publishedAt, w.at)
+}
+
+// age returns a sample's true age now.
+func (w *testWeights) age(s sample.Sample) sample.Age {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	oldest := sample.OldestVersion(s.Spans)
+	supersession := sample.Supersession{Latest: w.version, Known: true}
+	if oldest < w.version {
+		supersession.At = w.publishedAt[oldest-1]
+	}
+	return sample.AgeOf(oldest, supersession, time.Now())
+}
+
+func (w *testWeights) setDown(down bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.down = down
+}
+
+// Latest implements platform.Weights.
+func (w *testWeights) Latest(context.Context) ([]platform.WeightVersion, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.down {
+		return nil, errors.WithStack(&fault.StoreUnavailable{Operation: "weights"})
+	}
+	return []platform.WeightVersion{{Model: testModel, Version: w.version, PublishedAt: w.at}}, nil
+}
+
+// cluster is a set of VMs around one store, in a synctest bubble.
+type cluster struct {
+	t       *testing.T
+	world   *platformtest.World
+	tables  *memory.Tables
+	engine  *testEngine
+	weights *testWeights
+	view    *contract.View
+	scorer  Scorer
+	// workers replaces the VMs' lists of workers.
+	workers Workers
+	// staleness is the contract's bound.
+	staleness contract.Staleness
+	vms       []*testVM
+	// withoutHedging is passed on to the managers.
+	withoutHedging bool
+
+	mu     sync.Mutex
+	script map[string]faultsOf
+	rows   int
+	used   usage.Figures
+}
+
+func (c *cluster) countWrites(rows int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.rows += rows
+}
+
+// fault is the script of the world.
+func (c *cluster) fault(step platformtest.Step) platformtest.Fault {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.script[step.Process][step.Index]
+}
+
+// Add implements UsageRecorder.
+func (c *cluster) Add(_ contract.Account, figures usage.Figures) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.used.Requests += figures.Requests
+	c.used.Tokens += figures.Tokens
+}
+
+// written returns how many rows the VMs wrote.
+func (c *cluster) written() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.rows
+}
+
+// all returns the VMs that were started.
+func (c *cluster) all() []*testVM {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return slices.Clone(c.vms)
+}
+
+func newCluster(t *testing.T, staleness contract.Staleness) *cluster {
+	weights := &testWeights{version: 1, at: time.Now()}
+	c := &cluster{
+		t:         t,
+		weights:   weights,
+		engine:    &testEngine{weights: weights, runs: make(map[string]int)},
+		view:      contract.NewView(),
+		staleness: staleness,
+		script:    make(map[string]faultsOf),
+	}
+	c.world = platformtest.NewWorld(c.fault)
+	c.tables = c.world.Rows
+	terms := contract.DefaultContract(testAccount)
+	terms.Staleness = staleness
+	next, err := contract.Empty().Apply(contract.Entry{Revision: 1, Kind: contract.EditContract, Contract: &terms})
+	if err != nil {
+		t.Fatal(err)
+	}
+	c.view.Advance(next)
+	return c
+}
+
+// start adds a VM whose calls to the store suffer the faults.
+func (c *cluster) start(name string, faults faultsOf) *testVM {
+	c.mu.Lock()
+	c.script[name] = faults
+	c.mu.Unlock()
+	v := &testVM{Process: c.world.Start(context.Background(), name), cluster: c, closed: make(chan struct{})}
+	history := NewHistory(c.weights)
+	v.manager = NewManager(Config{
+		VM:             name,
+		Tables:         v,
+		Leases:         v,
+		Workers:        v,
+		Versions:       history,
+		Scorer:         c.scorer,
+		Usage:          c,
+		View:           c.view,
+		Events:         event.NewRecorder(name, 4096, event.NewClock(time.Now), zap.NewNop()),
+		Registerer:     prometheus.NewRegistry(),
+		Period:         func() time.Duration { return time.Second },
+		WithoutHedging: c.withoutHedging,
+	})
+	c.mu.Lock()
+	c.vms = append(c.vms, v)
+	c.mu.Unlock()
+	v.loops.Go(func() { v.manager.Run(v.Context) })
+	v.loops.Go(func() { history.Run(v.Context, func() time.Duration { return time.Second }) })
+	context.AfterFunc(v.Context, func() {
+		v.manager.Close()
+		v.loops.Wait()
+		close(v.closed)
+	})
+	return v
+}
+
+// stop ends all VMs, so that the bubble can end.
+func (c *cluster) stop() {
+	for _, v := range c.all() {
+		v.Kill()
+	}
+	for _, v := range c.all() {
+		<-v.closed
+	}
+	synctest.Wait()
+}
+
+func testStep(groups, samples int) sample.Definition {
+	d := sample.Definition{Model: testModel, MaxTokens: testTokens}
+	for g := range groups {
+		d.Groups = append(d.Groups, sample.Group{ID: fmt.Sprintf("g%d", g), Prompt: "p", Samples: samples})
+	}
+	return d
+}
+
+// trainer pulls a step by its cursor, from any VM that answers, as the brief's
+// trainers do. It keeps what it has taken over restarts.
+type trainer struct {
+	t       *testing.T
+	cluster *cluster
+	step    string
+	wanted  int
+	cursor  int64
+	taken   map[string]sample.Sample
+	numbers map[int64]sample.Sample
+	// tombstones counts the withdrawn samples.
+	tombstones int
+	// dropsReplies makes every second answer get lost on its way.
+	dropsReplies bool
+	// number is that of the latest pull.
+	number    int64
+	pulls     int
+	published bool
+}
+
+func newTrainer(c *cluster, step string, d sample.Definition) *trainer {
+	return &trainer{
+		t:       c.t,
+		cluster: c,
+		step:    step,
+		wanted:  d.Count(),
+		taken:   make(map[string]sample.Sample),
+		numbers: make(map[int64]sample.Sample),
+	}
+}
+
+// open opens the step through any VM.
+func (tr *trainer) open(d sample.Definition) {
+	tr.ask(func(m *Manager) error {
+		_, err := m.Open(context.Background(), testAccount, tr.step, d)
+		return err
+	})
+}
+
+// ask tries the VMs in turn, the first first, until one answers.
+func (tr *trainer) ask(question func(m *Manager) error) {
+	deadline := time.Now().Add(20 * time.Minute)
+	for time.Now().Before(deadline) {
+		for _, v := range tr.cluster.all() {
+			if v.Dead() {
+				continue
+			}
+			if err := question(v.manager); err == nil {
+				return
+			}
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	tr.t.Fatalf("no VM answered: %d of %d samples, cursor %d", len(tr.taken), tr.wanted, tr.cursor)
+}
+
+// pull takes one answer.
+func (tr *trainer) pull() []sample.Sample {
+	var got []sample.Sample
+	tr.ask(func(m *Manager) (err error) {
+		tr.number++
+		pull := sample.Pull{After: tr.cursor, Number: tr.number, Wait: time.Second}
+		got, err = m.Samples(context.Background(), testAccount, tr.step, pull)
+		return err
+	})
+	for _, s := range got {
+		if first, came := tr.numbers[s.Number]; !came {
+			tr.numbers[s.Number] = s
+		} else if !s.Withdrawn && string(encode(first)) != string(encode(s)) {
+			tr.t.Fatalf("number %d came as %+v and as %+v", s.Number, first, s)
+		}
+	}
+	return got
+}
+
+// take moves the cursor over the samples and checks that they are the next.
+func (tr *trainer) take(samples []sample.Sample) {
+	for _, s := range samples {
+		if s.Number != tr.cursor+1 {
+			tr.t.Fatalf("number %d follows %d", s.Number, tr.cursor)
+		}
+		tr.cursor = s.Number
+		if s.Withdrawn {
+			tr.tombstones++
+			continue
+		}
+		if bound := tr.cluster.staleness; tr.cluster.weights.now()-sample.OldestVersion(s.Spans) > bound.MaxVersions {
+			tr.t.Fatalf("sample %d of version %d came at version %d", s.Number, sample.OldestVersion(s.Spans), tr.cluster.weights.now())
+		}
+		if _, again := tr.taken[s.Slot.Name()]; again {
+			tr.t.Fatalf("slot %s came twice", s.Slot.Name())
+		}
+		tr.taken[s.Slot.Name()] = s
+	}
+}
+
+func (tr *trainer) ack() {
+	tr.ask(func(m *Manager) error {
+		return m.Ack(context.Background(), testAccount, tr.step, tr.cursor)
+	})
+}
+
+// dropped loses an answer. The first one that held samples is followed by a new
+// weight version, so that its samples may be stale when they are asked for again.
+func (tr *trainer) dropped(got []sample.Sample) {
+	if len(got) > 0 && !tr.published {
+		tr.published = true
+		tr.cluster.weights.publish()
+	}
+}
+
+// finish pulls until every slot's sample has come, within a bound in virtual
+// time.
+func (tr *trainer) finish() {
+	deadline := time.Now().Add(20 * time.Minute)
+	for len(tr.taken) < tr.wanted {
+		if time.Now().After(deadline) {
+			tr.t.Fatalf("%d of %d samples came, cursor %d", len(tr.taken), tr.wanted, tr.cursor)
+		}
+		got := tr.pull()
+		tr.pulls++
+		if tr.dropsReplies && tr.pulls%2 == 1 {
+			tr.dropped(got)
+			continue
+		}
+		tr.take(got)
+		tr.ack()
+	}
+}
--- /dev/null
+++ b/internal/rollout/matrix_test.go
@@ -0,0 +1,148 @@
+package rollout
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"dogwoodpond/internal/contract"
+	"dogwoodpond/internal/platform/platformtest"
+	"dogwoodpond/internal/sample"
+)
+
+// episode runs one step to its end while the first two VMs suffer faults and a
+// third stays well, and checks everything that the trainer and the store show.
+// It returns the calls that each VM made.
+func episode(t *testing.T, faultsA, faultsB faultsOf) (callsA, callsB []platformtest.Step) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, contract.Staleness{MaxVersions: 0, MaxSeconds: 3600})
+		defer c.stop()
+		a := c.start("vm-a", faultsA)
+		b := c.start("vm-b", faultsB)
+		c.start("vm-c", nil)
+		d := testStep(3, 3)
+		tr := newTrainer(c, "s", d)
+		tr.dropsReplies = true
+		tr.open(d)
+		tr.finish()
+		callsA, callsB = a.made(), b.made()
+		// What a paused VM still had in hand comes out after the step's end.
+		time.Sleep(2 * longPause)
+		checkStore(c, d)
+		if len(faultsA)+len(faultsB) == 0 && tr.tombstones == 0 {
+			t.Fatal("no sample went stale, so that the episode proves nothing about it")
+		}
+	})
+	return callsA, callsB
+}
+
+// checkStore checks a finished step's rows: numbers without gaps, and one
+// sample for each slot.
+func checkStore(c *cluster, d sample.Definition) {
+	c.t.Helper()
+	s := store{tables: c.tables}
+	r := ref{account: testAccount, step: "s"}
+	progress, _, err := s.progress(c.t.Context(), r)
+	if err != nil || !progress.Complete() {
+		c.t.Fatalf("progress %+v, %v", progress, err)
+	}
+	batches, err := s.batches(c.t.Context(), r, 0, sample.MaxSlots)
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	next := int64(1)
+	slots := make(map[string]bool)
+	for _, b := range batches {
+		for _, kept := range b.samples {
+			if kept.Number != next {
+				c.t.Fatalf("number %d follows %d", kept.Number, next-1)
+			}
+			next++
+			if !kept.Withdrawn && slots[kept.Slot.Name()] {
+				c.t.Fatalf("slot %s has two samples", kept.Slot.Name())
+			}
+			slots[kept.Slot.Name()] = slots[kept.Slot.Name()] || !kept.Withdrawn
+		}
+	}
+	if next != progress.Committed+1 || len(slots) != d.Count() {
+		c.t.Fatalf("%d numbers of %d, %d slots", next-1, progress.Committed, len(slots))
+	}
+}
+
+const (
+	// shortPause lets another VM take the step over and work on it.
+	shortPause = testTerm + testTerm/4 + 2300*time.Millisecond
+	// longPause lets the other VM finish the step.
+	longPause = 4 * testTerm
+	// lateBy lets an effect come after the caller has given up on it.
+	lateBy = 4700 * time.Millisecond
+)
+
+// faults lists what may happen to a call.
+var faults = []platformtest.Fault{
+	{Kind: platformtest.LoseRequest},
+	{Kind: platformtest.LoseReply},
+	{Kind: platformtest.Late, For: lateBy},
+	{Kind: platformtest.KillBefore},
+	{Kind: platformtest.KillAfter},
+	{Kind: platformtest.PauseBefore, For: shortPause},
+	{Kind: platformtest.PauseBefore, For: longPause},
+	{Kind: platformtest.PauseAfter, For: shortPause},
+	{Kind: platformtest.StoreDown, For: longPause},
+	{Kind: platformtest.CutOff, For: longPause},
+}
+
+// Every call to the store is the point at which the owner's VM may die, lose a
+// reply, be cut off, or be paused until another VM owns the step as well. The
+// trainer's replies get lost besides, and new weights make samples stale. It
+// must still get each slot's sample once, fresh, in numbers without gaps.
+func TestFaultAtEveryCall(t *testing.T) {
+	calls, _ := episode(t, nil, nil)
+	t.Logf("a run without faults makes %d calls", len(calls))
+	for at, call := range calls {
+		for _, f := range faults {
+			t.Run(fmt.Sprintf("%03d %s %s %s %s", at, call.Call, call.Subject, f.Kind, f.For), func(t *testing.T) {
+				episode(t, faultsOf{at: f}, nil)
+			})
+		}
+	}
+}
+
+// A second VM takes over after the first one's fault at a write, and suffers a
+// fault of its own at a write.
+func TestPairsOfFaultsAtWrites(t *testing.T) {
+	calls, _ := episode(t, nil, nil)
+	firsts := []platformtest.Fault{{Kind: platformtest.KillAfter}, {Kind: platformtest.PauseBefore, For: shortPause}}
+	seconds := []platformtest.Fault{
+		{Kind: platformtest.LoseReply},
+		{Kind: platformtest.Late, For: lateBy},
+		{Kind: platformtest.KillAfter},
+		{Kind: platformtest.PauseBefore, For: shortPause},
+	}
+	for _, first := range writes(calls) {
+		for _, f := range firsts {
+			faultsA := faultsOf{first: f}
+			_, callsB := episode(t, faultsA, nil)
+			for _, second := range writes(callsB) {
+				for _, g := range seconds {
+					t.Run(fmt.Sprintf("%s at %d, then %s at %d", f.Kind, first, g.Kind, second), func(t *testing.T) {
+						episode(t, faultsA, faultsOf{second: g})
+					})
+				}
+			}
+		}
+	}
+}
+
+// writes returns the numbers of the calls that write rows of the step.
+func writes(calls []platformtest.Step) []int {
+	var numbers []int
+	for _, call := range calls {
+		if call.Call == "commit" && !strings.HasPrefix(call.Subject, "lease/") {
+			numbers = append(numbers, call.Index)
+		}
+	}
+	return numbers
+}
--- a/internal/standin/trainer.go
+++ b/internal/standin/trainer.go
@@ -42,8 +42,18 @@
 	// Unattributed counts samples without a weight version for every token.
 	Unattributed int `json:"unattributed"`
 	// Wrong counts samples whose text is not the engine's answer.
-	Wrong  int     `json:"wrong"`
-	Millis float64 `json:"millis"`
+	Wrong int `json:"wrong"`
+	// Mixed counts samples of more than one weight version.
+	Mixed int `json:"mixed"`
+	// Newest is the newest weight version of any sample.
+	Newest int64 `json:"newest"`
+	// Withdrawn counts tombstones of samples that went stale before they came.
+	Withdrawn int `json:"withdrawn"`
+	// Unscored counts samples without a score in a step that has a scorer.
+	Unscored int `json:"unscored"`
+	// IdleMillis is how long the trainer waited with nothing to train on.
+	IdleMillis float64 `json:"idleMillis"`
+	Millis     float64 `json:"millis"`
 }
 
 // Trainer pulls one step.
@@ -54,6 +64,8 @@
 	seen   map[string]bool
 	result TrainerResult
 	after  int64
+	// pull is the number of the latest pull.
+	pull int64
 }
 
 // NewTrainer returns a trainer for one step.
@@ -85,29 +97,44 @@
 	started := time.Now()
 	t.result = TrainerResult{Step: t.config.Step, Wanted: t.config.Groups * t.config.Samples}
 	route := "/v1/steps/" + t.config.Step
-	if _, err := t.call(ctx, http.MethodPut, route, t.definition()); err != nil {
+	if _, err := t.call(ctx, http.MethodPut, fixed(route), t.definition()); err != nil {
 		return t.result, err
 	}
 	for t.result.Samples < t.result.Wanted {
-		body, err := t.call(ctx, http.MethodGet, fmt.Sprintf("%s/samples?after=%d&wait=5", route, t.after), nil)
+		asked := time.Now()
+		body, err := t.call(ctx, http.MethodGet, t.pullRoute, nil)
+		t.result.IdleMillis += millisSince(asked)
 		if err != nil {
 			return t.result, err
 		}
 		if err := t.take(body); err != nil {
 			return t.result, err
 		}
-		if _, err := t.call(ctx, http.MethodPost, route+"/ack", map[string]int64{"through": t.after}); err != nil {
+		if _, err := t.call(ctx, http.MethodPost, fixed(route+"/ack"), map[string]int64{"through": t.after}); err != nil {
 			return t.result, err
 		}
 	}
-	t.result.Millis = float64(time.Since(started).Microseconds()) / 1000
+	t.result.Millis = millisSince(started)
 	return t.result, nil
 }
 
-// call tries the entries in turn until one answers or ctx ends.
-func (t *Trainer) call(ctx context.Context, method, route string, body any) ([]byte, error) {
+func millisSince(t time.Time) float64 { return float64(time.Since(t).Microseconds()) / 1000 }
+
+// pullRoute returns the route of the next pull. Each try is a pull of its own,
+// with a higher number.
+func (t *Trainer) pullRoute() string {
+	t.pull++
+	return fmt.Sprintf("/v1/steps/%s/samples?after=%d&wait=5&pull=%d", t.config.Step, t.after, t.pull)
+}
+
+func fixed(route string) func() string { return func() string { return route } }
+
+// call tries the entries in turn until one answers or ctx ends; routeOf returns
+// the route of each try.
+func (t *Trainer) call(ctx context.Context, method string, routeOf func() string, body any) ([]byte, error) {
 	const pause = 100 * time.Millisecond
 	for {
+		route := routeOf()
 		answer, status := t.once(ctx, method, route, body)
 		if status == http.StatusOK {
 			return answer, nil
@@ -164,15 +191,23 @@
 }
 
 func (t *Trainer) check(got sample.Sample) {
-	t.result.Samples++
 	if got.Number != t.after+1 {
 		t.result.Gaps++
 	}
 	t.after = got.Number
+	if got.Withdrawn {
+		t.result.Withdrawn++
+		return
+	}
+	t.result.Samples++
+	if t.config.Scorer != "" && got.Score == nil {
+		t.result.Unscored++
+	}
 	if t.seen[got.Slot.Name()] {
 		t.result.Repeated++
 	}
 	t.seen[got.Slot.Name()] = true
+	t.noteVersions(got)
 	if !attributed(got) {
 		t.result.Unattributed++
 	}
@@ -181,6 +216,18 @@
 	}
 }
 
+func (t *Trainer) noteVersions(got sample.Sample) {
+	oldest := sample.OldestVersion(got.Spans)
+	newest := oldest
+	for _, span := range got.Spans {
+		newest = max(newest, span.Version)
+	}
+	if newest > oldest {
+		t.result.Mixed++
+	}
+	t.result.Newest = max(t.result.Newest, newest)
+}
+
 // attributed reports whether the spans cover every token with a version.
 func attributed(got sample.Sample) bool {
 	next := 0
