--- a/internal/lease/matrix_test.go
+++ b/internal/lease/matrix_test.go
@@ -52,6 +52,13 @@
 	return nil
 }
 
+// silence returns how long ago the last order came.
+func (u *upstreams) silence() time.Duration {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return time.Since(u.lastOrder)
+}
+
 // checkInCharge looks at the row behind everybody's back: whoever passes the
 // guard must not have a successor yet.
 func (u *upstreams) checkInCharge(epoch uint64) {
@@ -124,7 +131,7 @@
 				time.Sleep(time.Millisecond)
 			}
 			time.Sleep(matrixLength)
-			since := time.Since(u.lastOrder)
+			since := u.silence()
 			stop()
 			group.Wait()
 			time.Sleep(time.Minute)
