--- a/internal/config/syncer.go
+++ b/internal/config/syncer.go
@@ -28,6 +28,10 @@
 
 const (
 	oldestAge = Never / 2
+	// ageGrain is what an age from a peer may lack because it came in whole
+	// milliseconds. Without it knowledge that VMs pass to and fro would grow
+	// younger with each exchange.
+	ageGrain = time.Millisecond
 	// pollsPerSecond is how often a whole fleet polls the revision.
 	pollsPerSecond = 50
 	// jitterShare is the part of the period by which each poll varies.
@@ -158,7 +162,7 @@
 		s.advance(snapshot)
 	}
 	if age < oldestAge {
-		s.confirm(asked - age)
+		s.confirm(asked - age - ageGrain)
 	}
 }
 
