Engines that report old weights get no work that needs new ones

Cause: a generation named the oldest weight version of use, but the dispatcher did not look at it; samples of an engine whose swap had failed were generated and then rejected as stale, again and again. Change: the dispatcher compares the version in the engine's fresh load report. Red (go test ./internal/dispatch), without the comparison: scheduler_test.go:329: work that needs version 2 went to an engine with version 1 After: ok, with -race; rollout and generate, too.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -45,6 +45,9 @@
 	Repeatable bool
 	// Affinity brings work with a shared prefix to the same upstream; 0 for none.
 	Affinity uint64
+	// MinVersion keeps the work from engines that report older weights; 0 means
+	// any.
+	MinVersion int64
 	// Exclude names upstreams that failed this request before.
 	Exclude []string
 	// Retry marks an attempt after the first; it is taken from the retry budget.
--- a/internal/dispatch/division.go
+++ b/internal/dispatch/division.go
@@ -89,7 +89,12 @@
 		limit = 1
 	}
 	own := p.inFlight[u.ID]
+	var version int64
+	if reported && now.Sub(report.At) <= reportFresh {
+		version = report.WeightVersion
+	}
 	return candidate{
+		version:  version,
 		upstream: u,
 		room:     limit - own,
 		own:      !borrowed,
--- a/internal/dispatch/picker.go
+++ b/internal/dispatch/picker.go
@@ -23,6 +23,9 @@
 	probe bool
 	// load is the expected number of requests for each slot there.
 	load float64
+	// version is the weight version that the engine reports, or 0 while there is
+	// no fresh report.
+	version int64
 }
 
 // pick chooses among the candidates that accept the work and have room: own
@@ -32,10 +35,10 @@
 // next engine after that is the same for all of them. Other work goes to the
 // less loaded of two at random: taking always the least loaded would send all
 // VMs to the same engine as long as its report lags. It returns -1 for none.
-func pick(candidates []candidate, work Work, accepts func(platform.Upstream) bool) int {
+func pick(candidates []candidate, work Work, accepts func(candidate) bool) int {
 	var open []int
 	for i, c := range candidates {
-		if c.room > 0 && accepts(c.upstream) {
+		if c.room > 0 && accepts(c) {
 			open = append(open, i)
 		}
 	}
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -147,8 +147,8 @@
 func (p *poolQueue) place(candidates []candidate, w Work) int {
 	book := p.scheduler.account(w.Account)
 	mayReclaim := book.allowsReclaimable(w)
-	chosen := pick(candidates, w, func(u platform.Upstream) bool {
-		return mayUse(u, w) && (mayReclaim || !u.Reclaimable)
+	chosen := pick(candidates, w, func(c candidate) bool {
+		return mayUse(c.upstream, w) && (mayReclaim || !c.upstream.Reclaimable) && c.freshEnough(w)
 	})
 	if chosen >= 0 && !book.begin(w, candidates[chosen].upstream.Reclaimable) {
 		return -1
@@ -156,6 +156,14 @@
 	return chosen
 }
 
+// freshEnough reports whether the engine's weights will do for the work. One that
+// failed its swap is so left out by the work that it would make stale, until it
+// reports new weights. Without a fresh report it gets the benefit of the doubt,
+// since whoever receives the answer checks its versions.
+func (c candidate) freshEnough(w Work) bool {
+	return c.version == 0 || c.version >= w.MinVersion
+}
+
 func (p *poolQueue) grant(t *ticket, c candidate, now time.Time) Grant {
 	u := c.upstream
 	p.inFlight[u.ID]++
--- a/internal/dispatch/scheduler_test.go
+++ b/internal/dispatch/scheduler_test.go
@@ -305,6 +305,40 @@
 	}
 }
 
+// An engine failed its swap and still serves old weights. Samples that it made
+// would be stale at once, and a step that kept meeting it would never be whole;
+// work that takes any weights may go on there.
+func TestEngineWithOldWeightsGetsNoWorkThatNeedsNewOnes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		vm := newTestVM(ctx, engineOf("old", "a", 8), engineOf("new", "a", 8))
+		report := func(id string, version int64) {
+			vm.loads.Set(id, upstream.Report{Load: engine.Load{Model: "berry-1", WeightVersion: version}, At: time.Now()})
+		}
+		report("old", 1)
+		report("new", 2)
+		needsNew := engineWork("fields", 10)
+		needsNew.MinVersion = 2
+		for range 8 {
+			g, err := vm.Acquire(ctx, needsNew)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if g.Upstream.ID == "old" {
+				t.Fatal("work that needs version 2 went to an engine with version 1")
+			}
+		}
+		if g, err := vm.Acquire(ctx, engineWork("fields", 10)); err != nil || g.Upstream.ID != "old" {
+			t.Errorf("work for any version got %q, %v, want the engine with room", g.Upstream.ID, err)
+		}
+		report("old", 2)
+		if g, err := vm.Acquire(ctx, needsNew); err != nil || g.Upstream.ID != "old" {
+			t.Errorf("after the swap got %q, %v, want the engine with room", g.Upstream.ID, err)
+		}
+	})
+}
+
 // This VM's own network fails for a moment, so that no engine seems to answer the
 // polls of its load. Were all left out, every request would wait for a fault that
 // may be over already.
--- a/internal/generate/local.go
+++ b/internal/generate/local.go
@@ -229,6 +229,7 @@
 		Cost:       int64(g.request.MaxTokens - len(g.result.Tokens)),
 		Background: g.request.Priority == Rollout,
 		Repeatable: true,
+		MinVersion: g.request.MinVersion,
 		Affinity:   affinity,
 		Retry:      g.result.Attempts > 0,
 	}
