Open calls of an account are bounded; a refusal does not wait for the body

Cause: nothing bounded how many calls one account holds open on a VM. The test of the bound hung, and showed a second fault: a request that is refused by its header got its answer only after its whole body had come, because the HTTP server reads the rest of a small body before it answers on a kept connection. Ruled out: the handler itself (it returned at once). Change: contract limit 'open' (default 1024 a VM), counted from before the body is read; refusals with an unread body close the connection. Red (go test -run RefusalDoesNot ./internal/entry), without the closing: open_test.go:105: no answer: read tcp ...: i/o timeout After: ok with -race.

--- a/internal/contract/contract.go
+++ b/internal/contract/contract.go
@@ -65,6 +65,9 @@
 	Queue int `json:"queue" validate:"min=1,max=100000"`
 	// Running is how many requests may run at once.
 	Running int `json:"running" validate:"min=1,max=100000"`
+	// Open is how many calls may be open at once: sending their body, waiting,
+	// running or reading their answer.
+	Open int `json:"open" validate:"min=1,max=100000"`
 	// BodyBytes bounds a request's body.
 	BodyBytes int64 `json:"bodyBytes" validate:"min=1,max=67108864"`
 }
@@ -76,6 +79,6 @@
 		Share:     100,
 		Staleness: Staleness{MaxVersions: 2, MaxSeconds: 1800},
 		Isolation: Isolation{ServeSeconds: 300},
-		Limits:    Limits{Queue: 256, Running: 256, BodyBytes: 1 << 20},
+		Limits:    Limits{Queue: 256, Running: 256, Open: 1024, BodyBytes: 1 << 20},
 	}
 }
--- a/internal/entry/auth.go
+++ b/internal/entry/auth.go
@@ -40,42 +40,90 @@
 			// A kept connection would be closed under a caller's next request.
 			w.Header().Set("Connection", "close")
 		}
-		c, err := s.admit(id, r, w)
+		c, leave, err := s.admit(id, r, w)
 		if err != nil {
+			closeUnread(r, w)
 			s.refuse(w, id, fault.WithExecution(err, fault.NotRun))
 			return
 		}
+		defer leave()
 		if err := s.serve(c, next, r, w); err != nil {
 			s.refuse(w, id, err)
 		}
 	}
 }
 
-// admit checks everything that comes before a request may cause anything.
-func (s *Server) admit(id string, r *restful.Request, w *restful.Response) (caller, error) {
+// closeUnread lets the refusal of a request whose body was not read go out at
+// once. The HTTP server would else wait for the body first, to keep the
+// connection, and a caller that sends slowly would learn late that it was given
+// up on.
+func closeUnread(r *restful.Request, w *restful.Response) {
+	if r.Request.ContentLength != 0 {
+		w.Header().Set("Connection", "close")
+	}
+}
+
+// admit checks everything that comes before a request may cause anything. leave
+// must be called when the call has ended.
+func (s *Server) admit(id string, r *restful.Request, w *restful.Response) (c caller, leave func(), err error) {
+	from, err := s.identify(id, r)
+	if err != nil {
+		return caller{}, nil, err
+	}
+	leave, err = s.open.enter(from.contract)
+	if err != nil {
+		return caller{}, nil, err
+	}
+	c, err = s.readChecked(from, r, w)
+	if err != nil {
+		leave()
+		return caller{}, nil, err
+	}
+	return c, leave, nil
+}
+
+// identified is a request whose key is good. presented is what its caller sent.
+type identified struct {
+	caller
+	presented contract.Presented
+	snapshot  *contract.Snapshot
+}
+
+// identify finds out for whom a request comes, from its header alone.
+func (s *Server) identify(id string, r *restful.Request) (identified, error) {
 	if s.refusing.Load() {
-		return caller{}, errors.WithStack(&fault.Draining{Wait: drainRetryAfter})
+		return identified{}, errors.WithStack(&fault.Draining{Wait: drainRetryAfter})
 	}
 	presented, err := presentedKey(r.Request)
 	if err != nil {
-		return caller{}, err
+		return identified{}, err
 	}
 	snapshot := s.View.Load()
 	key, c, err := snapshot.Authenticate(presented)
 	if err != nil {
-		return caller{}, err
+		return identified{}, err
 	}
 	if age := s.Ager.Age(); age > c.Isolation.Duration() {
-		return caller{}, errors.WithStack(&fault.ConfigurationStale{Account: string(c.Account), Age: age})
+		return identified{}, errors.WithStack(&fault.ConfigurationStale{Account: string(c.Account), Age: age})
 	}
-	body, err := readBody(w.ResponseWriter, r.Request, c.Limits.BodyBytes, s.BodyTimeout)
+	return identified{
+		caller:    caller{requestID: id, key: key, contract: c},
+		presented: presented,
+		snapshot:  snapshot,
+	}, nil
+}
+
+// readChecked reads a request's body and checks the whole request.
+func (s *Server) readChecked(from identified, r *restful.Request, w *restful.Response) (caller, error) {
+	body, err := readBody(w.ResponseWriter, r.Request, from.contract.Limits.BodyBytes, s.BodyTimeout)
 	if err != nil {
 		return caller{}, err
 	}
-	if err := checkExposure(r.Request, body, presented.Secret, snapshot); err != nil {
+	if err := checkExposure(r.Request, body, from.presented.Secret, from.snapshot); err != nil {
 		return caller{}, err
 	}
-	return caller{requestID: id, key: key, contract: c, body: body}, nil
+	from.body = body
+	return from.caller, nil
 }
 
 // serve runs the handler in a session of the key, so that a withdrawal ends it.
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -72,6 +72,7 @@
 type Server struct {
 	Config
 	sessions *sessions
+	open     openCalls
 	draining atomic.Bool
 	refusing atomic.Bool
 	// detached counts the keyed calls that outlive their callers.
--- /dev/null
+++ b/internal/entry/open_test.go
@@ -0,0 +1,125 @@
+package entry
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"dogwoodpond/internal/contract"
+	"dogwoodpond/internal/fault"
+)
+
+// startSlowBody opens a call of a key that announces a body and sends a part.
+func startSlowBody(t *testing.T, r *rig, key string) net.Conn {
+	t.Helper()
+	return startSlowCall(t, r, "/v1/generate", key)
+}
+
+func startSlowCall(t *testing.T, r *rig, path, key string) net.Conn {
+	t.Helper()
+	conn, err := net.Dial("tcp", strings.TrimPrefix(r.serve(), "http://"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = conn.Close() })
+	_, err = fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer %s\r\nContent-Length: 100\r\n\r\n{", path, key)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return conn
+}
+
+// openOf returns how many calls of an account the server counts.
+func openOf(r *rig, account contract.Account) int64 {
+	leave, err := r.server.open.enter(contract.Contract{Account: account, Limits: contract.Limits{Open: 1 << 30}})
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	defer leave()
+	value, _ := r.server.open.counts.Load(account)
+	return value.(interface{ Load() int64 }).Load() - 1
+}
+
+// One account opens call after call and sends their bodies slowly. Each holds a
+// connection and memory of the VM; without a bound the other accounts would be
+// shut out.
+func TestOpenCallsOfOneAccountAreBounded(t *testing.T) {
+	r := newRig(t, rigOptions{})
+	c := r.view.Load().Contracts[testAccount]
+	c.Limits.Open = 2
+	r.edit(contract.Entry{Kind: contract.EditContract, Contract: &c})
+	first := startSlowBody(t, r, testKey)
+	startSlowBody(t, r, testKey)
+	eventually(t, func() bool { return openOf(r, testAccount) == 2 })
+
+	third := startSlowBody(t, r, testKey)
+	if err := third.SetReadDeadline(time.Now().Add(time.Minute)); err != nil {
+		t.Fatal(err)
+	}
+	response, err := http.ReadResponse(bufio.NewReader(third), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	body, err := io.ReadAll(response.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := fmt.Sprintf(`"code":%q`, fault.CodeLimitExceeded)
+	if response.StatusCode != http.StatusTooManyRequests || !strings.Contains(strings.ReplaceAll(string(body), " ", ""), want) {
+		t.Errorf("the third call got %d %s", response.StatusCode, body)
+	}
+	if response.Header.Get("Retry-After") == "" {
+		t.Error("the refusal does not say when to come back")
+	}
+	startSlowBody(t, r, otherKey)
+	eventually(t, func() bool { return openOf(r, r.view.Load().Keys["k2"].Account) == 1 })
+	_ = first.Close()
+	eventually(t, func() bool { return openOf(r, testAccount) == 1 })
+}
+
+// A caller sends its body slowly and is refused by its header alone. The answer
+// must not wait for a body that nobody will read, or the caller learns late that
+// it should go elsewhere.
+func TestRefusalDoesNotWaitForTheBody(t *testing.T) {
+	r := newRig(t, rigOptions{})
+	cases := []struct {
+		name, path, key string
+		status          int
+	}{
+		{name: "bad key", path: "/v1/generate", key: "dwp_k1_not-the-secret-of-anyone", status: http.StatusUnauthorized},
+		{name: "unknown route", path: "/v1/nothing", key: testKey, status: http.StatusNotFound},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			conn := startSlowCall(t, r, c.path, c.key)
+			if err := conn.SetReadDeadline(time.Now().Add(10 * time.Second)); err != nil {
+				t.Fatal(err)
+			}
+			response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			if err != nil {
+				t.Fatalf("no answer: %v", err)
+			}
+			_ = response.Body.Close()
+			if response.StatusCode != c.status {
+				t.Errorf("got %d, want %d", response.StatusCode, c.status)
+			}
+		})
+	}
+}
+
+// eventually waits until a condition holds.
+func eventually(t *testing.T, holds func() bool) {
+	t.Helper()
+	deadline := time.Now().Add(time.Minute)
+	for !holds() {
+		if time.Now().After(deadline) {
+			t.Fatal("timed out")
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
--- a/internal/entry/refusal.go
+++ b/internal/entry/refusal.go
@@ -123,6 +123,7 @@
 func (s *Server) unrouted(failure restful.ServiceError, r *restful.Request, w *restful.Response) {
 	id := uuid.NewString()
 	w.Header().Set(headerRequestID, id)
+	closeUnread(r, w)
 	for name, values := range failure.Header {
 		w.Header()[name] = values
 	}
