--- a/internal/rollout/matrix_test.go
+++ b/internal/rollout/matrix_test.go
@@ -108,6 +108,7 @@
 			})
 		}
 	}
+	t.Logf("matrix: steps: %d steps x %d faults, %d cases run", len(calls), len(faults), len(calls)*len(faults))
 }
 
 // A second VM takes over after the first one's fault at a write, and suffers a
--- a/internal/usage/matrix_test.go
+++ b/internal/usage/matrix_test.go
@@ -233,7 +233,7 @@
 			})
 		}
 	})
-	t.Logf("matrix usage: %d steps x %d faults, %d cases run (%d of them pairs), %d failed",
+	t.Logf("matrix: usage: %d steps x %d faults, %d cases run (%d of them pairs), %d cases failed",
 		len(steps), len(platformtest.Kinds), len(cases), pairCases, failed.Load())
 }
 
--- a/scripts/matrix.sh
+++ b/scripts/matrix.sh
@@ -5,7 +5,7 @@
 cd "$(dirname "$0")/.."
 out=$(mktemp)
 trap 'rm -f "$out"' EXIT
-if ! go test -count=1 -timeout=8m -run '^TestMatrix' -v ./internal/... >"$out" 2>&1; then
+if ! go test -count=1 -timeout=8m -run '^(TestMatrix|TestFaultAtEveryCall)' -v ./internal/... >"$out" 2>&1; then
   grep -E 'matrix|FAIL|with .*:' "$out" | head -50
   exit 1
 fi
