Rows decode and encode themselves in one place

Cause: the same two functions stood in config, rollout, usage and fleetview. Change: platform.Row.Decode and platform.EncodeValue.

--- a/internal/config/bootstrap.go
+++ b/internal/config/bootstrap.go
@@ -23,7 +23,7 @@
 	if err != nil {
 		return at, err
 	}
-	err = decode(row, &at)
+	err = row.Decode(&at)
 	return at, err
 }
 
@@ -75,7 +75,7 @@
 		}
 		for _, row := range rows {
 			var subject contract.Subject
-			if err := decode(row, &subject); err != nil {
+			if err := row.Decode(&subject); err != nil {
 				return err
 			}
 			add(snapshot, subject)
--- a/internal/config/editor.go
+++ b/internal/config/editor.go
@@ -107,7 +107,7 @@
 // repeated returns the entry of an edit that was accepted before.
 func repeated(edit contract.Edit, row platform.Row) (contract.Entry, error) {
 	var accepted contract.Entry
-	if err := decode(row, &accepted); err != nil {
+	if err := row.Decode(&accepted); err != nil {
 		return contract.Entry{}, err
 	}
 	if !edit.Accepts(accepted) {
@@ -120,7 +120,7 @@
 // that the operator saw, so that no operator overwrites another's edit unseen.
 func checkBase(edit contract.Edit, row platform.Row) error {
 	var current contract.Subject
-	if err := decode(row, &current); err != nil {
+	if err := row.Decode(&current); err != nil {
 		return err
 	}
 	if current.Revision != edit.Base {
@@ -135,7 +135,7 @@
 
 func (e *Editor) commit(ctx context.Context, edit contract.Edit, subjectRow, headRow platform.Row) (contract.Entry, error) {
 	var at head
-	if err := decode(headRow, &at); err != nil {
+	if err := headRow.Decode(&at); err != nil {
 		return contract.Entry{}, err
 	}
 	entry := contract.Entry{
@@ -156,10 +156,10 @@
 			{Key: subjectRow.Key, Version: subjectRow.Version},
 		},
 		Writes: []platform.Write{
-			{Key: editKeys + edit.ID, Value: encode(entry)},
-			{Key: headKey, Value: encode(head{Revision: entry.Revision})},
-			{Key: logKey(entry.Revision), Value: encode(entry)},
-			{Key: subjectRow.Key, Value: encode(changed)},
+			{Key: editKeys + edit.ID, Value: platform.EncodeValue(entry)},
+			{Key: headKey, Value: platform.EncodeValue(head{Revision: entry.Revision})},
+			{Key: logKey(entry.Revision), Value: platform.EncodeValue(entry)},
+			{Key: subjectRow.Key, Value: platform.EncodeValue(changed)},
 		},
 	}
 	if err := platform.CommitSurely(ctx, e.tables, txn); err != nil {
@@ -176,7 +176,7 @@
 	if err != nil {
 		return found, err
 	}
-	err = decode(row, &found)
+	err = row.Decode(&found)
 	return found, err
 }
 
@@ -189,7 +189,7 @@
 	entries := make([]contract.Entry, 0, len(rows))
 	for _, row := range rows {
 		var entry contract.Entry
-		if err := decode(row, &entry); err != nil {
+		if err := row.Decode(&entry); err != nil {
 			return nil, err
 		}
 		entries = append(entries, entry)
--- a/internal/config/syncer.go
+++ b/internal/config/syncer.go
@@ -246,7 +246,7 @@
 	}
 	for _, row := range rows {
 		var entry contract.Entry
-		if err := decode(row, &entry); err != nil {
+		if err := row.Decode(&entry); err != nil {
 			return err
 		}
 		snapshot, err = snapshot.Apply(entry)
--- a/internal/fleetview/fleetview.go
+++ b/internal/fleetview/fleetview.go
@@ -5,15 +5,11 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"net/url"
 	"strings"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
-	"dogwoodpond/internal/fault"
 	"dogwoodpond/internal/operator"
 	"dogwoodpond/internal/platform"
 	"dogwoodpond/internal/sample"
@@ -46,7 +42,7 @@
 	leases := []operator.Lease{}
 	err := r.each(ctx, leasePrefix, "", func(row platform.Row) error {
 		var lease operator.Lease
-		if err := decode(row, &lease); err != nil {
+		if err := row.Decode(&lease); err != nil {
 			return err
 		}
 		lease.Name = strings.TrimPrefix(row.Key, leasePrefix)
@@ -65,7 +61,7 @@
 	steps := []operator.Step{}
 	err := r.each(ctx, prefix, "", func(row platform.Row) error {
 		var progress sample.Progress
-		if err := decode(row, &progress); err != nil {
+		if err := row.Decode(&progress); err != nil {
 			return err
 		}
 		owner, name, _ := strings.Cut(strings.TrimPrefix(row.Key, stepPrefix), "/")
@@ -111,7 +107,7 @@
 	reports := []platform.UsageReport{}
 	err := r.each(ctx, prefix, after, func(row platform.Row) error {
 		var kept usage.Report
-		if err := decode(row, &kept); err != nil {
+		if err := row.Decode(&kept); err != nil {
 			return err
 		}
 		reports = append(reports, platform.UsageReport{
@@ -146,10 +142,3 @@
 		}
 	}
 }
-
-func decode(row platform.Row, into any) error {
-	if err := json.Unmarshal(row.Value, into); err != nil {
-		return errors.WithStack(&fault.Internal{Where: "row " + row.Key})
-	}
-	return nil
-}
--- a/internal/rollout/harness_test.go
+++ b/internal/rollout/harness_test.go
@@ -420,7 +420,7 @@
 	for _, s := range got {
 		if first, came := tr.numbers[s.Number]; !came {
 			tr.numbers[s.Number] = s
-		} else if !s.Withdrawn && string(encode(first)) != string(encode(s)) {
+		} else if !s.Withdrawn && string(platform.EncodeValue(first)) != string(platform.EncodeValue(s)) {
 			tr.t.Fatalf("number %d came as %+v and as %+v", s.Number, first, s)
 		}
 	}
--- a/internal/rollout/rollout_test.go
+++ b/internal/rollout/rollout_test.go
@@ -8,6 +8,7 @@
 
 	"dogwoodpond/internal/contract"
 	"dogwoodpond/internal/fault"
+	"dogwoodpond/internal/platform"
 	"dogwoodpond/internal/sample"
 	"dogwoodpond/internal/usage"
 )
@@ -141,7 +142,7 @@
 			lost := tr.pull()
 			again := tr.pull()
 			for i := range lost {
-				if string(encode(lost[i])) != string(encode(again[i])) {
+				if string(platform.EncodeValue(lost[i])) != string(platform.EncodeValue(again[i])) {
 					t.Fatalf("%+v came again as %+v", lost[i], again[i])
 				}
 			}
--- a/internal/rollout/store.go
+++ b/internal/rollout/store.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"encoding/json"
 	"fmt"
 	"net/url"
 	"strings"
@@ -71,8 +70,8 @@
 		Nonce:         platform.NewNonce(),
 		Preconditions: []platform.Precondition{{Key: r.stepKey()}},
 		Writes: []platform.Write{
-			{Key: r.stepKey(), Value: encode(definition)},
-			{Key: r.progressKey(), Value: encode(sample.NewProgress(definition))},
+			{Key: r.stepKey(), Value: platform.EncodeValue(definition)},
+			{Key: r.progressKey(), Value: platform.EncodeValue(sample.NewProgress(definition))},
 			{Key: r.openKey(), Value: []byte{}},
 		},
 	})
@@ -100,7 +99,7 @@
 	if !row.Exists() {
 		return row, errors.WithStack(&fault.StepUnknown{Step: r.step})
 	}
-	return row, decode(row, into)
+	return row, row.Decode(into)
 }
 
 // update replaces the progress until no other writer comes in between.
@@ -118,7 +117,7 @@
 		err = platform.CommitSurely(ctx, s.tables, platform.Txn{
 			Nonce:         platform.NewNonce(),
 			Preconditions: []platform.Precondition{{Key: row.Key, Version: row.Version}},
-			Writes:        []platform.Write{{Key: row.Key, Value: encode(next)}},
+			Writes:        []platform.Write{{Key: row.Key, Value: platform.EncodeValue(next)}},
 		})
 		if !fault.Is[*fault.PreconditionFailed](err) {
 			return next, err
@@ -144,8 +143,8 @@
 		Nonce:         platform.NewNonce(),
 		Preconditions: []platform.Precondition{{Key: row.Key, Version: row.Version}},
 		Writes: []platform.Write{
-			{Key: r.batchKey(next.Committed), Value: encode(numbered)},
-			{Key: row.Key, Value: encode(next)},
+			{Key: r.batchKey(next.Committed), Value: platform.EncodeValue(numbered)},
+			{Key: row.Key, Value: platform.EncodeValue(next)},
 		},
 	}
 	if next.Complete() {
@@ -175,7 +174,7 @@
 	batches := make([]batch, 0, len(rows))
 	for _, row := range rows {
 		b := batch{row: row}
-		if err := decode(row, &b.samples); err != nil {
+		if err := row.Decode(&b.samples); err != nil {
 			return nil, err
 		}
 		batches = append(batches, b)
@@ -217,8 +216,8 @@
 			{Key: row.Key, Version: row.Version},
 		},
 		Writes: []platform.Write{
-			{Key: b.row.Key, Value: encode(kept)},
-			{Key: row.Key, Value: encode(progress)},
+			{Key: b.row.Key, Value: platform.EncodeValue(kept)},
+			{Key: row.Key, Value: platform.EncodeValue(progress)},
 			{Key: r.openKey(), Value: []byte{}},
 		},
 	})
@@ -247,20 +246,6 @@
 	}
 }
 
-func same(a, b sample.Definition) bool { return bytes.Equal(encode(a), encode(b)) }
-
-func decode(row platform.Row, into any) error {
-	if err := json.Unmarshal(row.Value, into); err != nil {
-		return errors.WithStack(&fault.Internal{Where: "row " + row.Key})
-	}
-	return nil
-}
-
-// encode can't fail: the types of this package hold nothing that JSON lacks.
-func encode(value any) []byte {
-	text, err := json.Marshal(value)
-	if err != nil {
-		panic(err)
-	}
-	return text
+func same(a, b sample.Definition) bool {
+	return bytes.Equal(platform.EncodeValue(a), platform.EncodeValue(b))
 }
--- a/internal/usage/closer.go
+++ b/internal/usage/closer.go
@@ -94,7 +94,7 @@
 	}
 	var stage windowRow
 	if row.Exists() {
-		if err := decode(row, &stage); err != nil {
+		if err := row.Decode(&stage); err != nil {
 			return false, err
 		}
 	}
@@ -127,7 +127,7 @@
 	return platform.CommitSurely(ctx, c.tables, platform.Txn{
 		Nonce:         platform.NewNonce(),
 		Preconditions: []platform.Precondition{{Key: cursorKey, Version: at.Version}},
-		Writes:        []platform.Write{{Key: cursorKey, Value: encode(cursor)}},
+		Writes:        []platform.Write{{Key: cursorKey, Value: platform.EncodeValue(cursor)}},
 	})
 }
 
@@ -204,7 +204,7 @@
 	}
 	rows := make([]Row, len(kept))
 	for i, row := range kept {
-		if err := decode(row, &rows[i]); err != nil {
+		if err := row.Decode(&rows[i]); err != nil {
 			return false, err
 		}
 	}
@@ -257,20 +257,20 @@
 	txn := platform.Txn{
 		Nonce:         platform.NewNonce(),
 		Preconditions: []platform.Precondition{{Key: windowAt.Key, Version: windowAt.Version}},
-		Writes:        []platform.Write{{Key: windowAt.Key, Value: encode(windowRow{Phase: phaseClosed})}},
+		Writes:        []platform.Write{{Key: windowAt.Key, Value: platform.EncodeValue(windowRow{Phase: phaseClosed})}},
 	}
 	for i, row := range kept {
 		txn.Preconditions = append(txn.Preconditions, platform.Precondition{Key: row.Key, Version: row.Version})
 		if !rows[i].final() {
 			closed := rows[i]
 			closed.Closed = true
-			txn.Writes = append(txn.Writes, platform.Write{Key: row.Key, Value: encode(closed)})
+			txn.Writes = append(txn.Writes, platform.Write{Key: row.Key, Value: platform.EncodeValue(closed)})
 		}
 	}
 	for _, report := range Reports(w, rows, c.config.Accounts()) {
 		key := reportKey(w, report.Account)
 		txn.Preconditions = append(txn.Preconditions, platform.Precondition{Key: key})
-		txn.Writes = append(txn.Writes, platform.Write{Key: key, Value: encode(report)})
+		txn.Writes = append(txn.Writes, platform.Write{Key: key, Value: platform.EncodeValue(report)})
 	}
 	return platform.CommitSurely(ctx, c.tables, txn)
 }
@@ -284,7 +284,7 @@
 	}
 	for _, row := range kept {
 		var r Report
-		if err := decode(row, &r); err != nil {
+		if err := row.Decode(&r); err != nil {
 			return err
 		}
 		if err := c.send(ctx, guard, r); err != nil {
@@ -294,7 +294,7 @@
 	return platform.CommitSurely(ctx, c.tables, platform.Txn{
 		Nonce:         platform.NewNonce(),
 		Preconditions: []platform.Precondition{{Key: windowAt.Key, Version: windowAt.Version}},
-		Writes:        []platform.Write{{Key: windowAt.Key, Value: encode(windowRow{Phase: phaseReported})}},
+		Writes:        []platform.Write{{Key: windowAt.Key, Value: platform.EncodeValue(windowRow{Phase: phaseReported})}},
 	})
 }
 
--- a/internal/usage/meter.go
+++ b/internal/usage/meter.go
@@ -179,7 +179,7 @@
 			{Key: key},
 			{Key: cursorKey, Version: at.Version},
 		},
-		Writes: []platform.Write{{Key: key, Value: encode(m.row(figures, corrections, false))}},
+		Writes: []platform.Write{{Key: key, Value: platform.EncodeValue(m.row(figures, corrections, false))}},
 	})
 	if err != nil {
 		m.markChanged()
@@ -197,7 +197,7 @@
 		return err
 	}
 	var kept Row
-	if err := decode(row, &kept); err != nil {
+	if err := row.Decode(&kept); err != nil {
 		return err
 	}
 	m.pending = false
@@ -222,7 +222,7 @@
 	err := platform.CommitSurely(ctx, m.tables, platform.Txn{
 		Nonce:         platform.NewNonce(),
 		Preconditions: []platform.Precondition{{Key: key, Version: m.version}},
-		Writes:        []platform.Write{{Key: key, Value: encode(m.row(figures, corrections, sealed))}},
+		Writes:        []platform.Write{{Key: key, Value: platform.EncodeValue(m.row(figures, corrections, sealed))}},
 	})
 	if err != nil {
 		m.markChanged()
@@ -257,8 +257,8 @@
 			{Key: cursorKey, Version: at.Version},
 		},
 		Writes: []platform.Write{
-			{Key: oldKey, Value: encode(sealed)},
-			{Key: newKey, Value: encode(m.row(Totals{}, Totals{}, false))},
+			{Key: oldKey, Value: platform.EncodeValue(sealed)},
+			{Key: newKey, Value: platform.EncodeValue(m.row(Totals{}, Totals{}, false))},
 		},
 	})
 	if err != nil {
@@ -293,7 +293,7 @@
 		return
 	}
 	var kept Row
-	if decode(row, &kept) != nil {
+	if row.Decode(&kept) != nil {
 		return
 	}
 	m.version = row.Version
--- a/internal/usage/rows.go
+++ b/internal/usage/rows.go
@@ -2,15 +2,11 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"maps"
 	"slices"
 
-	"github.com/cockroachdb/errors"
-
 	"dogwoodpond/internal/contract"
-	"dogwoodpond/internal/fault"
 	"dogwoodpond/internal/platform"
 )
 
@@ -71,13 +67,6 @@
 	Swept Window `json:"swept"`
 }
 
-func decode(row platform.Row, into any) error {
-	if err := json.Unmarshal(row.Value, into); err != nil {
-		return errors.WithStack(&fault.Internal{Where: "row " + row.Key})
-	}
-	return nil
-}
-
 // readCursor returns the cursor and its row; before the first window it is zero.
 func readCursor(ctx context.Context, tables platform.Tables) (cursorRow, platform.Row, error) {
 	row, err := tables.Get(ctx, cursorKey)
@@ -86,19 +75,11 @@
 	}
 	var cursor cursorRow
 	if row.Exists() {
-		err = decode(row, &cursor)
+		err = row.Decode(&cursor)
 	}
 	return cursor, row, err
 }
 
-func encode(value any) []byte {
-	text, err := json.Marshal(value)
-	if err != nil {
-		panic(err)
-	}
-	return text
-}
-
 // union lists all accounts once, in order.
 func union(accounts []contract.Account, more ...Totals) []contract.Account {
 	set := make(map[contract.Account]bool)
