--- a/Makefile
+++ b/Makefile
@@ -57,6 +57,10 @@
 
 bench: build
 	scripts/bench.sh
+	scripts/bench-rollouts.sh
+	$(GO) test -run "^$$" -bench "Generate|Admit" -cpu 1 ./internal/entry
+	$(GO) test -run "^$$" -bench AddedLatency -benchtime 4000x ./internal/processtest
+	$(GO) test -count=1 -run TestAttemptsPerRequest -v ./internal/generate
 
 slopes: build
 	scripts/slopes.sh
