Leases and ledgers decode their rows by platform.Row.Decode

Cause: the read-through found two more copies of the same decoding. The one in claims stays: its failure must not repeat the row's key, which holds the caller's idempotency key. Behaviour as before.

--- a/internal/lease/manager.go
+++ b/internal/lease/manager.go
@@ -243,13 +243,11 @@
 func (c *campaign) read(ctx context.Context) (Record, uint64, error) {
 	var record Record
 	row, err := c.manager.tables.Get(ctx, c.key())
-	if err != nil || !row.Exists() {
+	if err != nil {
 		return record, row.Version, err
 	}
-	if err := json.Unmarshal(row.Value, &record); err != nil {
-		return record, row.Version, errors.WithStack(&fault.Internal{Where: "row " + row.Key})
-	}
-	return record, row.Version, nil
+	err = row.Decode(&record)
+	return record, row.Version, err
 }
 
 func (c *campaign) write(ctx context.Context, record Record, version uint64) error {
--- a/internal/provision/provisioner.go
+++ b/internal/provision/provisioner.go
@@ -98,8 +98,8 @@
 	}
 	accounts := make(map[contract.Account]keptLedger, len(rows))
 	for _, row := range rows {
-		ledger, err := decode(row)
-		if err != nil {
+		var ledger Ledger
+		if err := row.Decode(&ledger); err != nil {
 			return nil, err
 		}
 		accounts[ledger.Account] = keptLedger{ledger: ledger, row: row}
@@ -107,14 +107,6 @@
 	return accounts, nil
 }
 
-func decode(row platform.Row) (Ledger, error) {
-	var ledger Ledger
-	if err := json.Unmarshal(row.Value, &ledger); err != nil {
-		return ledger, errors.WithStack(&fault.Internal{Where: "row " + row.Key})
-	}
-	return ledger, nil
-}
-
 // complete returns the demands of all contracts that pay for upstreams, and
 // empty ones for reservations without work, so that those come to an end.
 func (p *Provisioner) complete(round Round, accounts map[contract.Account]keptLedger) []Demand {
