--- a/cmd/dogwoodpondd/main.go
+++ b/cmd/dogwoodpondd/main.go
@@ -1,5 +1,7 @@
 // Command dogwoodpondd runs on every entry VM. It serves callers, operators and
-// the other VMs until it gets SIGTERM or SIGINT, and then drains.
+// the other VMs until it gets SIGTERM or SIGINT, and then drains. On the users'
+// platform it takes the settings file that the platform names; elsewhere one is
+// given by a flag.
 package main
 
 import (
@@ -13,12 +15,22 @@
 
 	"dogwoodpond/internal/daemon"
 	"dogwoodpond/internal/settings"
+	"dogwoodpond/platform"
 )
 
 func main() {
-	path := kingpin.Flag("settings", "The JSON settings file of this VM.").Required().String()
-	kingpin.Parse()
-	if err := run(*path); err != nil {
+	app := kingpin.New("dogwoodpondd", "The daemon of an entry VM.")
+	own := app.Command("serve", "Serve by own settings and contracts.").Default()
+	path := own.Flag("settings", "The JSON settings file of this VM.").Required().String()
+	hosted := app.Command("host", "Serve on the users' platform, by its settings file.")
+	var err error
+	switch kingpin.MustParse(app.Parse(os.Args[1:])) {
+	case own.FullCommand():
+		err = run(*path)
+	case hosted.FullCommand():
+		err = host()
+	}
+	if err != nil {
 		fmt.Fprintln(os.Stderr, "dogwoodpondd:", err)
 		os.Exit(1)
 	}
@@ -37,3 +49,13 @@
 	defer stop()
 	return d.Run(ctx)
 }
+
+func host() error {
+	s, addresses, err := platform.LoadSettings(platform.SettingsPath())
+	if err != nil {
+		return err
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	return platform.New(s, addresses).Run(ctx)
+}
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -38,6 +38,10 @@
 	SamplesWithdrawn Number = 1407
 	SlotHedged       Number = 1408
 	WorkerFailed     Number = 1409
+	StepEnded        Number = 1410
+	StepHandedOver   Number = 1411
+	StepLost         Number = 1412
+	ItemAbandoned    Number = 1413
 
 	UpstreamEjected  Number = 1501
 	UpstreamRestored Number = 1502
@@ -46,6 +50,8 @@
 	OrderFailed      Number = 1505
 	WeightsPublished Number = 1506
 	WeightsLoaded    Number = 1507
+	UpstreamListed   Number = 1508
+	UpstreamUnlisted Number = 1509
 
 	WindowSealed    Number = 1601
 	UsageReported   Number = 1602
@@ -53,6 +59,13 @@
 
 	PeerSilent   Number = 1701
 	PeerReturned Number = 1702
+	BeatFailed   Number = 1703
+
+	DependencyLost     Number = 1801
+	DependencyRegained Number = 1802
+	RowUnreadable      Number = 1803
+	SettingsReloaded   Number = 1804
+	SettingsRejected   Number = 1805
 )
 
 // DetailCorrected is the Detail of UsageReported when the report corrects an
@@ -91,6 +104,10 @@
 	{SamplesWithdrawn, zap.WarnLevel, "samples withdrawn", "Count committed samples went stale before their trainer confirmed them; their slots are generated again."},
 	{SlotHedged, zap.InfoLevel, "slot hedged", "A straggling slot is generated a second time, on the peer; the first result counts."},
 	{WorkerFailed, zap.WarnLevel, "worker failed", "The peer did not answer a generation of the slot, which runs elsewhere."},
+	{StepEnded, zap.InfoLevel, "step ended", "Its trainer ended the step; nothing more of it runs."},
+	{StepHandedOver, zap.InfoLevel, "step handed over", "The VM is leaving and gave the step up; another one takes it over."},
+	{StepLost, zap.WarnLevel, "step lost", "The store refused results: the step was ended, or another VM owns it by now."},
+	{ItemAbandoned, zap.WarnLevel, "item abandoned", "An item of the step was given up; Detail tells why."},
 	{UpstreamEjected, zap.WarnLevel, "upstream ejected", "The upstream failed too often and gets no work for a while."},
 	{UpstreamRestored, zap.InfoLevel, "upstream restored", "The upstream gets work again."},
 	{UpstreamLeaving, zap.InfoLevel, "upstream leaving", "The upstream is leaving and gets no new work."},
@@ -98,11 +115,19 @@
 	{OrderFailed, zap.WarnLevel, "order failed", "An order was refused or its outcome is unknown."},
 	{WeightsPublished, zap.InfoLevel, "weights published", "The weight store has a new version; Count gives it."},
 	{WeightsLoaded, zap.InfoLevel, "weights loaded", "An engine serves the version that Count gives."},
+	{UpstreamListed, zap.InfoLevel, "upstream listed", "The platform's list has a new upstream; Detail gives its service and address."},
+	{UpstreamUnlisted, zap.InfoLevel, "upstream unlisted", "The upstream is no longer in the platform's list."},
 	{WindowSealed, zap.InfoLevel, "window sealed", "The VM sealed its usage of the window."},
 	{UsageReported, zap.InfoLevel, "usage reported", "The report of the window that starts at Count and of the account was accepted by billing; Detail says whether it corrects an earlier window."},
 	{UsageIncomplete, zap.WarnLevel, "usage incomplete", "The report of the window lacks figures of a VM that died; it says so."},
 	{PeerSilent, zap.WarnLevel, "peer silent", "A peer has not answered for a while."},
 	{PeerReturned, zap.InfoLevel, "peer returned", "A silent peer answers again."},
+	{BeatFailed, zap.WarnLevel, "beat failed", "The VM could not write its row in the list of members; Detail gives the failure."},
+	{DependencyLost, zap.WarnLevel, "dependency lost", "Something that the process needs does not answer; Detail names it and the failure."},
+	{DependencyRegained, zap.InfoLevel, "dependency regained", "It answers again; Count gives the milliseconds in between."},
+	{RowUnreadable, zap.WarnLevel, "row unreadable", "A row of the store is not what this program reads and is left out; Detail names it."},
+	{SettingsReloaded, zap.InfoLevel, "settings reloaded", "The settings file was read again; Detail tells what changed."},
+	{SettingsRejected, zap.ErrorLevel, "settings rejected", "The settings file holds values that are not allowed; the old ones stay in force. Detail names them."},
 }
 
 var catalogue = indexCatalogue()
--- /dev/null
+++ b/internal/forward/forward.go
@@ -0,0 +1,352 @@
+// Package forward carries callers' requests to the upstreams of a route. It
+// decides how often a request is sent, where to, and what the caller is told; it
+// does no I/O but through target.Caller, and is tested without a network.
+package forward
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"dogwoodpond/internal/event"
+	"dogwoodpond/internal/fault"
+	"dogwoodpond/internal/retry"
+	"dogwoodpond/internal/route"
+	"dogwoodpond/internal/target"
+)
+
+const (
+	// hedgeShare is the part of the latency objective after which an idempotent
+	// request without an answer is sent to a second upstream. At 150 ms that is
+	// twice the mean work of 25 ms and more: one request in some 40 is sent twice
+	// on a calm day, and one to a dead upstream still comes in time.
+	hedgeShare = 0.4
+	// hedgeAtLeast keeps routes with a very short objective from doubling
+	// everything.
+	hedgeAtLeast = 20 * time.Millisecond
+	// refusedTries bounds the attempts that upstreams refused unrun; each costs
+	// a round trip only.
+	refusedTries = 4
+	// wayBack is what is taken off a request's time for the way of its answer to
+	// the caller.
+	wayBack = 10 * time.Millisecond
+	// maxBuffered is how much of an answer is read before the caller gets its
+	// first byte. Until then an attempt that breaks off can be repeated. Answers
+	// are some 800 bytes long, at most 4.8 KB in the users' traffic.
+	maxBuffered = 64 << 10
+	// busyWait is the Retry-After when every upstream refused: a slot of a plain
+	// service frees every few milliseconds.
+	busyWait = 250 * time.Millisecond
+	// absentWait is the Retry-After when a service has no upstream: a crashed
+	// one is back, or its successor listed, after a second or more.
+	absentWait = time.Second
+)
+
+// Call is one request of a caller.
+type Call struct {
+	ID      string
+	Route   *route.Route
+	Account string
+	// Arrived is when the request's header came.
+	Arrived time.Time
+	Method  string
+	URI     string
+	Host    string
+	Header  http.Header
+	Body    []byte
+	// Resume is the last event that the caller has, when it resumes a stream.
+	Resume string
+}
+
+// Answer is what the caller gets of an upstream. Body holds the first bytes;
+// Rest, if not nil, holds what follows and must be closed.
+type Answer struct {
+	Status int
+	Header http.Header
+	Length int64
+	Body   []byte
+	Rest   io.ReadCloser
+}
+
+// Meter counts the runs that upstreams began.
+type Meter interface {
+	// Began notes that an upstream began to run a request of the account.
+	Began(account string, at time.Time)
+}
+
+// Forwarder sends requests on. It is safe for concurrent use.
+type Forwarder struct {
+	Roster *target.Roster
+	Caller target.Caller
+	Meter  Meter
+	Events *event.Recorder
+	Budget *retry.Budget
+	// Domain is the failure domain of this VM.
+	Domain string
+}
+
+// attempt is one try and what became of it.
+type attempt struct {
+	entry  *target.Entry
+	answer *Answer
+	err    error
+	// execution is what is known about the run when err is set.
+	execution fault.Execution
+	took      time.Duration
+}
+
+// run is one request on its way.
+type run struct {
+	*Forwarder
+	call    Call
+	service string
+	results chan attempt
+	cancels map[*target.Entry]context.CancelFunc
+
+	used     []*target.Entry
+	ran      int
+	refused  int
+	pending  int
+	last     error
+	execBits fault.Execution
+}
+
+// Do sends a request until an upstream answers it. ctx ends when the caller is
+// gone or the request's time is over. It fails with a failure that is marked with
+// what is known about the run.
+func (f *Forwarder) Do(ctx context.Context, call Call) (*Answer, error) {
+	r := &run{
+		Forwarder: f,
+		call:      call,
+		service:   call.Route.Service(call.ID),
+		results:   make(chan attempt, call.Route.Attempts+refusedTries+1),
+		cancels:   make(map[*target.Entry]context.CancelFunc),
+		execBits:  fault.NotRun,
+	}
+	if !r.launch(ctx) {
+		return nil, r.absent()
+	}
+	hedge := time.NewTimer(r.hedgeAfter())
+	defer hedge.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			r.cancelAll()
+			return nil, r.outOfTime(ctx)
+		case <-hedge.C:
+			if r.mayHedge() {
+				r.launch(ctx)
+			}
+		case a := <-r.results:
+			r.pending--
+			if a.err == nil {
+				r.keepOnly(a.entry)
+				return a.answer, nil
+			}
+			r.note(a)
+			if ctx.Err() == nil && r.mayRepeat(a) && r.launch(ctx) {
+				continue
+			}
+			if r.pending == 0 {
+				r.cancelAll()
+				return nil, r.failure(ctx)
+			}
+		}
+	}
+}
+
+func (r *run) hedgeAfter() time.Duration {
+	return max(time.Duration(float64(r.call.Route.Objective)*hedgeShare), hedgeAtLeast)
+}
+
+// mayHedge reports whether a second attempt may run beside the first.
+func (r *run) mayHedge() bool {
+	return r.call.Route.Kind == route.Idempotent && r.pending == 1 &&
+		r.ran+r.pending < r.call.Route.Attempts && r.Budget.Take()
+}
+
+// mayRepeat reports whether another attempt may follow a failed one. An attempt
+// that the upstream refused unrun does not count as one of the route's attempts.
+func (r *run) mayRepeat(a attempt) bool {
+	if a.execution == fault.NotRun {
+		r.refused++
+		return r.refused <= refusedTries
+	}
+	if !r.call.Route.Repeatable() || r.ran+r.pending >= r.call.Route.Attempts {
+		return false
+	}
+	return r.Budget.Take()
+}
+
+// launch sends the request to the next upstream; false when there is none left.
+func (r *run) launch(ctx context.Context) bool {
+	entry := r.Roster.Choose(r.service, r.Domain, r.used, time.Now())
+	if entry == nil {
+		return false
+	}
+	r.used = append(r.used, entry)
+	r.pending++
+	attemptCtx, cancel := context.WithCancel(ctx)
+	r.cancels[entry] = cancel
+	entry.Begin()
+	r.Events.Emit(event.RequestDispatched, event.Subject{Request: r.call.ID, Account: r.call.Account, Upstream: entry.Info().ID, Attempt: len(r.used)})
+	go func() {
+		defer entry.End()
+		r.results <- r.try(attemptCtx, entry)
+	}()
+	return true
+}
+
+// try runs one attempt up to the point from which it can't be repeated.
+func (r *run) try(ctx context.Context, entry *target.Entry) attempt {
+	started := time.Now()
+	response, err := r.Caller.Call(ctx, entry, r.request(ctx))
+	if err != nil {
+		return r.failed(entry, err, fault.ExecutionOf(err))
+	}
+	if response.NotRun {
+		_ = response.Body.Close()
+		return r.failed(entry, errors.WithStack(&fault.UpstreamFailed{Upstream: entry.Info().ID, Reason: "refused"}), fault.NotRun)
+	}
+	r.Meter.Began(r.call.Account, response.Wrote)
+	answer, err := buffer(response)
+	if err != nil {
+		return r.failed(entry, err, fault.Ran)
+	}
+	took := time.Since(started)
+	entry.NoteSpeed(took, time.Now())
+	if answer.Status >= http.StatusInternalServerError && r.call.Route.Repeatable() {
+		closeRest(answer)
+		return attempt{entry: entry, answer: nil, err: errors.WithStack(&serverError{answer: answer}), execution: fault.Ran}
+	}
+	return attempt{entry: entry, answer: answer, took: took}
+}
+
+func (r *run) failed(entry *target.Entry, err error, execution fault.Execution) attempt {
+	return attempt{entry: entry, err: err, execution: execution}
+}
+
+func (r *run) request(ctx context.Context) *target.Request {
+	request := &target.Request{
+		ID:          r.call.ID,
+		Method:      r.call.Method,
+		URI:         r.call.URI,
+		Host:        r.call.Host,
+		Header:      r.call.Header,
+		Body:        r.call.Body,
+		Account:     r.call.Account,
+		ResumeAfter: r.call.Resume,
+	}
+	if deadline, ok := ctx.Deadline(); ok {
+		request.Left = max(time.Until(deadline)-wayBack, time.Millisecond)
+	}
+	return request
+}
+
+// buffer reads an answer whole if it is short.
+func buffer(response *target.Response) (*Answer, error) {
+	answer := &Answer{Status: response.Status, Header: response.Header, Length: response.Length}
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxBuffered))
+	if err != nil {
+		_ = response.Body.Close()
+		return nil, errors.WithStack(&fault.AnswerTruncated{})
+	}
+	answer.Body = body
+	if len(body) < maxBuffered {
+		_ = response.Body.Close()
+		answer.Length = int64(len(body))
+		return answer, nil
+	}
+	answer.Rest = response.Body
+	return answer, nil
+}
+
+// note takes what a failed attempt tells about its upstream and the run.
+func (r *run) note(a attempt) {
+	r.last = a.err
+	r.execBits = r.execBits.Or(a.execution)
+	if a.execution != fault.NotRun {
+		r.ran++
+	}
+	detail := string(fault.CodeOf(a.err))
+	var rest time.Duration
+	if !fault.Is[*fault.CallerGone](a.err) {
+		rest = a.entry.Failed(time.Now())
+	}
+	r.Events.Emit(event.AttemptFailed, event.Subject{
+		Request: r.call.ID, Account: r.call.Account, Upstream: a.entry.Info().ID, Attempt: len(r.used),
+		Detail: detail + " " + string(a.execution), Count: rest.Milliseconds(),
+	})
+}
+
+// keepOnly ends the other attempts once one has won.
+func (r *run) keepOnly(winner *target.Entry) {
+	winner.Succeeded()
+	r.Budget.Success()
+	for entry, cancel := range r.cancels {
+		if entry != winner {
+			cancel()
+		}
+	}
+}
+
+func (r *run) cancelAll() {
+	for _, cancel := range r.cancels {
+		cancel()
+	}
+}
+
+func (r *run) absent() error {
+	return fault.WithExecution(errors.WithStack(&fault.NoUpstream{Pool: r.service, Wait: absentWait}), fault.NotRun)
+}
+
+// failure is what the caller is told when no attempt is left.
+func (r *run) failure(ctx context.Context) error {
+	if ctx.Err() != nil {
+		return r.outOfTime(ctx)
+	}
+	if r.execBits == fault.NotRun {
+		return fault.WithExecution(errors.WithStack(&fault.NoUpstream{Pool: r.service, Wait: busyWait}), fault.NotRun)
+	}
+	return fault.WithExecution(r.last, r.execBits)
+}
+
+// outOfTime is what the caller is told when its time is over: an attempt that is
+// still out may have run.
+func (r *run) outOfTime(ctx context.Context) error {
+	execution := r.execBits
+	if r.pending > 0 {
+		execution = execution.Or(fault.Unknown)
+	}
+	if errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
+		return fault.WithExecution(errors.WithStack(&fault.DeadlineExceeded{}), execution)
+	}
+	return fault.WithExecution(errors.WithStack(&fault.CallerGone{}), execution)
+}
+
+// serverError is a failure that an upstream itself answered; its answer is
+// passed on when no other attempt does better.
+type serverError struct{ answer *Answer }
+
+func (*serverError) Error() string { return "the upstream answered with a server error" }
+
+// Code implements fault.Failure.
+func (*serverError) Code() fault.Code { return fault.CodeUpstreamFailed }
+
+// AnswerOf returns the upstream's own failure that a call ended with, if any.
+func AnswerOf(err error) (*Answer, bool) {
+	var s *serverError
+	if errors.As(err, &s) {
+		return s.answer, true
+	}
+	return nil, false
+}
+
+func closeRest(answer *Answer) {
+	if answer.Rest != nil {
+		_ = answer.Rest.Close()
+	}
+}
--- /dev/null
+++ b/internal/kept/watch.go
@@ -0,0 +1,150 @@
+package kept
+
+import (
+	"context"
+	"time"
+
+	"dogwoodpond/internal/fault"
+)
+
+const (
+	// retryPause is the pause after a failed read of a watch.
+	retryPause = 100 * time.Millisecond
+	// rereadEvery is how often a watch reads its rows anew without a reason. A
+	// feed can fall silent while its connection stays open, or miss changes
+	// around a loss of history; this bounds how long that goes unnoticed.
+	rereadEvery = 20 * time.Second
+)
+
+// Watcher follows one table.
+type Watcher struct {
+	Store Store
+	Table string
+	// Part limits full reads to one partition; without it all partitions are read.
+	Part string
+	// AllParts makes full reads cover every partition of the table.
+	AllParts bool
+	// Wait is how long one call for changes may stay open. It bounds how long a
+	// feed that fell silent goes unnoticed.
+	Wait time.Duration
+	// Replace takes the whole table after a full read; Apply takes changed rows.
+	// A row may come more than once; its version tells old from new.
+	Replace func(rows []Row)
+	Apply   func(rows []Row)
+	// Reached and Failed, if set, are told of each answer and each failure.
+	Reached func()
+	Failed  func(error)
+}
+
+// Run follows the table until ctx ends.
+func (w *Watcher) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		after, err := w.reread(ctx)
+		if err == nil {
+			err = w.follow(ctx, after)
+		}
+		if err != nil {
+			w.failed(err)
+			sleep(ctx, retryPause)
+		}
+	}
+}
+
+// reread reads the whole table and returns the version to go on from. Pages of
+// several partitions are of different moments, so the oldest version counts.
+func (w *Watcher) reread(ctx context.Context) (int64, error) {
+	parts, err := w.parts(ctx)
+	if err != nil {
+		return 0, err
+	}
+	var rows []Row
+	after := int64(-1)
+	for _, part := range parts {
+		page, err := readAll(ctx, w.Store, w.Table, part)
+		if err != nil {
+			return 0, err
+		}
+		rows = append(rows, page.Rows...)
+		if after < 0 || page.Version < after {
+			after = page.Version
+		}
+	}
+	w.reached()
+	w.Replace(rows)
+	return max(after, 0), nil
+}
+
+func (w *Watcher) parts(ctx context.Context) ([]string, error) {
+	if !w.AllParts {
+		return []string{w.Part}, nil
+	}
+	// A partition that does not exist is read as well: its page carries the
+	// version from which the feed goes on when the table is still empty.
+	all := []string{""}
+	for after := ""; ; after = all[len(all)-1] {
+		parts, more, err := w.Store.Parts(ctx, w.Table, after)
+		if err != nil {
+			return nil, err
+		}
+		for _, part := range parts {
+			if part != "" {
+				all = append(all, part)
+			}
+		}
+		if !more || len(parts) == 0 {
+			return all, nil
+		}
+	}
+}
+
+// follow takes changes until a read fails or the rows have to be read anew.
+func (w *Watcher) follow(ctx context.Context, after int64) error {
+	until := time.Now().Add(rereadEvery)
+	for ctx.Err() == nil && time.Now().Before(until) {
+		page, err := w.Store.Changes(ctx, w.Table, after, w.Wait)
+		if fault.Is[*HistoryGone](err) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		w.reached()
+		if len(page.Rows) > 0 {
+			w.Apply(page.Rows)
+		}
+		after = max(after, page.Version)
+	}
+	return nil
+}
+
+// readAll reads a partition over as many pages as it has. The version is that
+// of the first page, so that nothing written in between is missed.
+func readAll(ctx context.Context, store Store, table, part string) (Page, error) {
+	whole, err := store.Read(ctx, table, part, "", "")
+	for more := whole.More; err == nil && more; {
+		var page Page
+		from := whole.Rows[len(whole.Rows)-1].Name + "\x00"
+		page, err = store.Read(ctx, table, part, from, "")
+		whole.Rows = append(whole.Rows, page.Rows...)
+		more = page.More && len(page.Rows) > 0
+	}
+	return whole, err
+}
+
+// ReadAll returns all rows of a partition, over several reads if need be.
+func ReadAll(ctx context.Context, store Store, table, part string) ([]Row, error) {
+	page, err := readAll(ctx, store, table, part)
+	return page.Rows, err
+}
+
+func (w *Watcher) reached() {
+	if w.Reached != nil {
+		w.Reached()
+	}
+}
+
+func (w *Watcher) failed(err error) {
+	if w.Failed != nil {
+		w.Failed(err)
+	}
+}
--- /dev/null
+++ b/internal/node/demand.go
@@ -0,0 +1,106 @@
+package node
+
+import (
+	"sort"
+	"sync"
+
+	"dogwoodpond/internal/loading"
+	"dogwoodpond/internal/route"
+	"dogwoodpond/internal/step"
+)
+
+// Named holds the versions that trainers have named. It is safe for concurrent
+// use.
+type Named struct {
+	mu       sync.Mutex
+	versions map[string]int64
+	poke     func()
+}
+
+// NewNamed returns an empty set.
+func NewNamed() *Named { return &Named{versions: make(map[string]int64)} }
+
+// Note takes a named version and reports whether it is newer than the last.
+func (n *Named) Note(model string, version int64) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if version <= n.versions[model] {
+		return false
+	}
+	n.versions[model] = version
+	return true
+}
+
+// Version returns the version named last; ok is false before the first.
+func (n *Named) Version(model string) (version int64, ok bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	version, ok = n.versions[model]
+	return version, ok
+}
+
+// Demands tells the loaders what is asked of the models. It implements
+// loading.Demands.
+type Demands struct {
+	named *Named
+	view  *route.View
+	steps *step.Manager
+}
+
+// NewDemands returns the demands of the steps that this VM knows.
+func NewDemands(named *Named, view *route.View, steps *step.Manager) *Demands {
+	return &Demands{named: named, view: view, steps: steps}
+}
+
+// EngineServices implements loading.Demands.
+func (d *Demands) EngineServices() []string {
+	snapshot := d.view.Load()
+	if snapshot == nil {
+		return nil
+	}
+	var names []string
+	for name, service := range snapshot.Services {
+		if service.Engine != nil && len(service.Engine.Models) > 0 {
+			names = append(names, name)
+		}
+	}
+	sort.Strings(names)
+	return names
+}
+
+// Models implements loading.Demands.
+func (d *Demands) Models(service string) []loading.Demand {
+	snapshot := d.view.Load()
+	if snapshot == nil || snapshot.Services[service] == nil || snapshot.Services[service].Engine == nil {
+		return nil
+	}
+	uses := d.steps.Uses()
+	var out []loading.Demand
+	for _, model := range snapshot.Services[service].Engine.Models {
+		version, ok := d.named.Version(model)
+		if !ok {
+			continue
+		}
+		use := uses[model]
+		out = append(out, loading.Demand{Model: model, Named: version, Slack: slack(version, use), Work: use.Work})
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Model < out[j].Model })
+	return out
+}
+
+// usualSlack is how far behind the named version a step may be when no step of
+// the model is known.
+const usualSlack = 1
+
+// slack returns how many versions behind the named one the next step may use. The
+// latest step may have been asked for under the version before, so the smaller
+// distance counts.
+func slack(named int64, use step.Use) int64 {
+	if use.Steps == 0 {
+		return usualSlack
+	}
+	return min(max(use.Behind, 0), named)
+}
+
+// KeepRunning implements loading.Demands.
+func (d *Demands) KeepRunning(model string) bool { return !d.steps.Uses()[model].SingleVersion }
--- /dev/null
+++ b/internal/node/settings.go
@@ -0,0 +1,30 @@
+// Package node runs one VM's process on a platform that keeps everything: its
+// settings, its start, its readiness, and the order in which it stops.
+package node
+
+import "time"
+
+// Settings are the settings of one process.
+type Settings struct {
+	VM            string
+	FailureDomain string
+	// FailureDomains are all of the deployment, in order.
+	FailureDomains []string
+	// CallerAddress serves callers, ReadyAddress the balancer's question whether
+	// this VM takes new connections, PeerAddress the other VMs.
+	CallerAddress, ReadyAddress, PeerAddress string
+	// MetricsAddress serves the metrics; empty serves none.
+	MetricsAddress string
+	// MemoryMB is the memory of the process in megabytes, above which it is killed.
+	MemoryMB int
+	// Grace is the time from the signal to stop until the process is killed.
+	Grace time.Duration
+	// LeaseTerm is the term of leases.
+	LeaseTerm time.Duration
+	// UsageWindow is the length of a window of usage.
+	UsageWindow time.Duration
+	// ReportsUsage tells whether windows of usage are to be reported.
+	ReportsUsage bool
+	// StepKeep is how long steps stay readable after their submission.
+	StepKeep time.Duration
+}
--- /dev/null
+++ b/internal/step/dispatch.go
@@ -0,0 +1,103 @@
+package step
+
+import (
+	"context"
+	"sort"
+	"time"
+
+	"dogwoodpond/internal/event"
+	"dogwoodpond/internal/target"
+)
+
+const (
+	// dispatchEvery is the period of looking for free engines without a reason;
+	// mostly the end of an item wakes the dispatcher.
+	dispatchEvery = 40 * time.Millisecond
+	// dispatchPause gathers the wake-ups of items that end together.
+	dispatchPause = 2 * time.Millisecond
+)
+
+// dispatchLoop starts items whenever engines have room.
+func (m *Manager) dispatchLoop(ctx context.Context) {
+	timer := time.NewTicker(dispatchEvery)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-m.wake:
+			pause(ctx, dispatchPause)
+		case <-timer.C:
+		}
+		for _, r := range m.byUrgency() {
+			m.dispatch(r)
+		}
+	}
+}
+
+// byUrgency returns the runs in the order in which they are due.
+func (m *Manager) byUrgency() []*run {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var runs []*run
+	for _, r := range m.runs {
+		runs = append(runs, r)
+	}
+	sort.Slice(runs, func(i, j int) bool { return runs[i].due < runs[j].due })
+	return runs
+}
+
+// dispatch starts the items of a run for which there is room.
+func (m *Manager) dispatch(r *run) {
+	now := time.Now()
+	full := make(map[string]bool)
+	engines := make(map[string][]*target.Entry)
+	for at, ok := r.next(0, now); ok; at, ok = r.next(at+1, now) {
+		i := r.order[at]
+		n, routed := r.needOf(i)
+		if !routed || m.tooLate(r) {
+			m.giveUp(r, i, routed)
+			continue
+		}
+		if full[n.service] {
+			continue
+		}
+		list, known := engines[n.service]
+		if !known {
+			list = m.engines(n.service, now)
+			engines[n.service] = list
+		}
+		entry := place(list, n, nil, now)
+		if entry == nil {
+			full[n.service] = true
+			continue
+		}
+		if r.begin(i) {
+			entry.Begin()
+			m.loops.Go(func() { r.runItem(i, n, entry) })
+		}
+	}
+}
+
+// tooLate reports whether the items of a step may be given up.
+func (m *Manager) tooLate(r *run) bool {
+	now, ok := m.Clock.StoreNow()
+	return ok && r.rec.GiveUp > 0 && now > r.rec.SubmittedAt+r.rec.GiveUp.Milliseconds()
+}
+
+// giveUp lists an item as abandoned.
+func (m *Manager) giveUp(r *run, i int, routed bool) {
+	if !r.begin(i) {
+		return
+	}
+	reason := "out of time"
+	if !routed {
+		reason = "its route was removed"
+	}
+	r.abandon(i, reason)
+}
+
+func (r *run) abandon(i int, reason string) {
+	r.m.Events.Emit(event.ItemAbandoned, event.Subject{Step: r.rec.ID, Slot: r.items[i].ID, Account: r.rec.Account, Detail: reason})
+	r.finish(i, Result{Item: r.items[i].ID, Outcome: Abandoned})
+}
--- /dev/null
+++ b/internal/step/item.go
@@ -0,0 +1,325 @@
+package step
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"dogwoodpond/internal/event"
+	"dogwoodpond/internal/eventstream"
+	"dogwoodpond/internal/fault"
+	"dogwoodpond/internal/target"
+)
+
+const (
+	// firstStall and nextStall are the silences after which an item goes on at
+	// another engine that has room. Events come every 25 to 60 ms, and an engine
+	// that takes new weights pauses for up to a second.
+	firstStall = 700 * time.Millisecond
+	nextStall  = 500 * time.Millisecond
+	// stallAgain is the pause until the next look when no other engine has room.
+	stallAgain = 200 * time.Millisecond
+	// slowEvents is after how many events an item's pace is judged, and again
+	// after each further such number.
+	slowEvents = 4
+	// moveFrom is how many times slower than the median engine an engine must be
+	// for its items to move. A move costs reading some 300 tokens again, less
+	// than a millisecond, but another engine's slot.
+	moveFrom = 1.8
+	// maxMoves bounds the moves of one item.
+	maxMoves = 4
+	// refusedRest keeps a model's items off an engine that refused one: it is full
+	// or loads new weights, which takes about 0.9 s.
+	refusedRest = 120 * time.Millisecond
+	// failedPause is the pause before an item that failed is tried again.
+	failedPause = 40 * time.Millisecond
+)
+
+// partial is the text of an item as far as it was read.
+type partial struct {
+	data     [][]byte
+	last     int64
+	any      bool
+	versions []int64
+}
+
+// ended says why a run of an item ended.
+type ended int
+
+const (
+	whole ended = iota
+	broken
+	refused
+	failed
+	impossible
+	moved
+	stale
+)
+
+// errMoved ends a run of an item that goes on elsewhere.
+var errMoved = errors.New("the item goes on at another engine")
+
+// runItem runs an item at an engine once, and decides how it goes on.
+func (r *run) runItem(i int, n need, entry *target.Entry) {
+	defer entry.End()
+	ctx, cancel := context.WithCancelCause(r.itemCtx)
+	defer cancel(nil)
+	a := &itemRun{run: r, index: i, need: n, entry: entry, cancel: cancel}
+	why := a.generate(ctx)
+	if r.itemCtx.Err() != nil {
+		return
+	}
+	if errors.Is(context.Cause(ctx), errMoved) {
+		why = moved
+	}
+	r.settle(i, n, entry, why)
+}
+
+// settle takes the outcome of one run of an item.
+func (r *run) settle(i int, n need, entry *target.Entry, why ended) {
+	now := time.Now()
+	p := &r.progress[i]
+	if why != whole {
+		r.m.Events.Emit(event.AttemptFailed, event.Subject{
+			Step: r.rec.ID, Slot: r.items[i].ID, Account: r.rec.Account, Upstream: entry.Info().ID,
+			Detail: why.String() + " after event " + strconv.FormatInt(p.partial.last, 10),
+		})
+	}
+	switch why {
+	case whole:
+		entry.Succeeded()
+		r.complete(i)
+	case refused:
+		entry.NoteSwap(n.model, now.Add(refusedRest))
+		r.again(i, 0)
+	case failed:
+		p.failures++
+		if p.failures >= max(r.rec.Attempts, 1) {
+			r.abandon(i, "failed "+strconv.Itoa(p.failures)+" times")
+			return
+		}
+		r.again(i, failedPause)
+	case impossible:
+		r.abandon(i, "the engine says that it can't be done")
+	case moved:
+		p.moves++
+		r.again(i, 0)
+	case stale:
+		p.partial = partial{}
+		entry.NoteSwap(n.model, now.Add(refusedRest))
+		r.again(i, 0)
+	case broken:
+		entry.Failed(now)
+		r.again(i, failedPause)
+	}
+}
+
+func (e ended) String() string {
+	return [...]string{"whole", "broke off", "refused unrun", "failed", "impossible", "moved", "too old weights"}[e]
+}
+
+// complete lists a whole text, unless its versions don't fit the step.
+func (r *run) complete(i int) {
+	text := &r.progress[i].partial
+	result := Result{Item: r.items[i].ID, Outcome: Completed, Versions: text.versions, Text: joined(text.data)}
+	if !fits(result.Versions, r.rec.Spec) {
+		r.m.Events.Emit(event.SampleRejected, event.Subject{Step: r.rec.ID, Slot: result.Item, Account: r.rec.Account, Detail: "versions don't fit the step"})
+		*text = partial{}
+		r.again(i, failedPause)
+		return
+	}
+	r.finish(i, result)
+}
+
+// fits reports whether a text of these versions may be listed.
+func fits(versions []int64, spec Spec) bool {
+	if spec.SingleVersion && len(versions) != 1 {
+		return false
+	}
+	return len(versions) == 0 && spec.MinVersion == 0 || len(versions) > 0 && slices.Min(versions) >= spec.MinVersion
+}
+
+func joined(data [][]byte) string {
+	var text strings.Builder
+	for i, part := range data {
+		if i > 0 {
+			text.WriteByte('\n')
+		}
+		text.Write(part)
+	}
+	return text.String()
+}
+
+// itemRun is one run of an item at one engine.
+type itemRun struct {
+	run    *run
+	index  int
+	need   need
+	entry  *target.Entry
+	cancel context.CancelCauseFunc
+	stall  *time.Timer
+	over   atomic.Bool
+}
+
+// generate reads the item's stream to its end.
+func (a *itemRun) generate(ctx context.Context) ended {
+	a.stall = time.AfterFunc(firstStall, a.stalled)
+	defer func() {
+		a.over.Store(true)
+		a.stall.Stop()
+	}()
+	response, err := a.run.m.Caller.Call(ctx, a.entry, a.request())
+	if err != nil {
+		if fault.ExecutionOf(err) == fault.NotRun && !fault.Is[*fault.UpstreamFailed](err) {
+			return refused
+		}
+		return broken
+	}
+	defer func() { _ = response.Body.Close() }()
+	if why, bad := judge(response); bad {
+		return why
+	}
+	if response.Version > 0 {
+		a.entry.NoteVersion(a.need.model, response.Version)
+		if response.Version < a.need.minVersion {
+			return stale
+		}
+	}
+	return a.read(response)
+}
+
+// judge reads the header of an answer.
+func judge(response *target.Response) (why ended, bad bool) {
+	switch {
+	case response.NotRun:
+		return refused, true
+	case response.Status == http.StatusUnprocessableEntity:
+		return impossible, true
+	case response.Status == http.StatusInternalServerError:
+		return failed, true
+	case response.Status != http.StatusOK:
+		return broken, true
+	}
+	return whole, false
+}
+
+func (a *itemRun) request() *target.Request {
+	item, rec := a.run.items[a.index], &a.run.rec
+	header := make(http.Header, len(item.Header))
+	for name, value := range item.Header {
+		header.Set(name, value)
+	}
+	request := &target.Request{
+		ID: item.ID, Method: http.MethodPost, URI: item.Path, Host: rec.Host,
+		Header: header, Body: item.Body, Account: rec.Account,
+	}
+	if p := &a.run.progress[a.index].partial; p.any {
+		request.ResumeAfter = strconv.FormatInt(p.last, 10)
+	}
+	return request
+}
+
+// read takes the events of a stream into the item's text. Each event must be the
+// next one, whatever the engine sends: a text with a hole looks like any other.
+func (a *itemRun) read(response *target.Response) ended {
+	text := &a.run.progress[a.index].partial
+	version := response.Version
+	events := eventstream.NewReader(response.Body)
+	pace := pacer{started: time.Now()}
+	for {
+		e, err := events.Next()
+		if err == io.EOF {
+			if !text.any {
+				return broken
+			}
+			return whole
+		}
+		if err != nil {
+			return broken
+		}
+		a.stall.Reset(nextStall)
+		if changed, ok := e.Field(response.VersionField); ok {
+			version, err = strconv.ParseInt(changed, 10, 64)
+			if err != nil {
+				return broken
+			}
+			a.entry.NoteVersion(a.need.model, version)
+		}
+		if !e.HasID {
+			continue
+		}
+		if text.any && e.ID != text.last+1 {
+			return broken
+		}
+		text.add(e, version)
+		if pace.event() {
+			a.judgePace(&pace)
+		}
+	}
+}
+
+func (p *partial) add(e *eventstream.Event, version int64) {
+	p.data = append(p.data, e.Data)
+	p.last, p.any = e.ID, true
+	if version > 0 && !slices.Contains(p.versions, version) {
+		p.versions = append(p.versions, version)
+	}
+}
+
+// pacer measures the time between events.
+type pacer struct {
+	started time.Time
+	events  int
+}
+
+// event counts an event and reports whether it is time to judge the pace.
+func (p *pacer) event() bool {
+	p.events++
+	return p.events%slowEvents == 0
+}
+
+func (p *pacer) average(now time.Time) time.Duration {
+	return now.Sub(p.started) / time.Duration(p.events)
+}
+
+// judgePace moves the item off an engine that is much slower than the others,
+// where another has room.
+func (a *itemRun) judgePace(pace *pacer) {
+	now := time.Now()
+	average := pace.average(now)
+	a.entry.NoteSpeed(average, now)
+	*pace = pacer{started: now}
+	engines := a.run.m.engines(a.need.service, now)
+	m := median(engines, now)
+	if m == 0 || float64(average) < moveFrom*float64(m) || a.run.progress[a.index].moves >= maxMoves {
+		return
+	}
+	other := place(engines, a.need, a.entry, now)
+	if other == nil || float64(other.Speed(now)) > placeSlowFrom*float64(m) {
+		return
+	}
+	a.cancel(errMoved)
+}
+
+// stalled moves the item off an engine that has fallen silent, where another has
+// room.
+func (a *itemRun) stalled() {
+	if a.over.Load() {
+		return
+	}
+	now := time.Now()
+	engines := a.run.m.engines(a.need.service, now)
+	if place(engines, a.need, a.entry, now) == nil {
+		a.stall.Reset(stallAgain)
+		return
+	}
+	a.entry.Failed(now)
+	a.cancel(errMoved)
+}
--- /dev/null
+++ b/internal/step/manager.go
@@ -0,0 +1,392 @@
+package step
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/google/uuid"
+
+	"dogwoodpond/internal/event"
+	"dogwoodpond/internal/fault"
+	"dogwoodpond/internal/kept"
+	"dogwoodpond/internal/route"
+	"dogwoodpond/internal/target"
+)
+
+const (
+	// watchWait bounds one call for changes of states, and so for how long a feed
+	// that fell silent goes unnoticed. The end of a step must stop its items on
+	// every VM within 3 s.
+	watchWait = time.Second
+	// considerEvery is the period of looking for steps without a living owner.
+	considerEvery = 200 * time.Millisecond
+	// takeoverStep is how much longer each further VM waits before it takes over
+	// a step. A take-over takes two calls of some 10 ms.
+	takeoverStep = 600 * time.Millisecond
+	// loadPause is the pause between tries to read a step that is taken over.
+	loadPause = 100 * time.Millisecond
+	// submitTime bounds an acceptance. A trainer waits seconds for it, and hands
+	// the step in again at another VM when it fails.
+	submitTime = 2500 * time.Millisecond
+	// refusedWait is the Retry-After when a step can't be kept now.
+	refusedWait = 300 * time.Millisecond
+)
+
+// Members tells which processes live.
+type Members interface {
+	Ready() bool
+	Alive(id, life string) bool
+	Rank(work string) int
+}
+
+// Config holds what a manager works with.
+type Config struct {
+	// VM and Life name this process, Domain its failure domain.
+	VM, Life, Domain string
+	Store            kept.Store
+	Clock            kept.Clock
+	Members          Members
+	View             *route.View
+	Roster           *target.Roster
+	Caller           target.Caller
+	Events           *event.Recorder
+	// Named returns the version of a model that its trainer named last.
+	Named func(model string) (int64, bool)
+	// Keep is how long ended steps stay readable after their submission.
+	Keep time.Duration
+}
+
+// Manager accepts, owns, runs and reads steps. It is safe for concurrent use.
+type Manager struct {
+	Config
+	wake chan struct{}
+
+	mu      sync.Mutex
+	known   map[string]record
+	runs    map[string]*run
+	loading map[string]bool
+	orphan  map[string]time.Time
+	leaving bool
+	// followed is true once the states were read.
+	followed bool
+
+	loops sync.WaitGroup
+	ctx   context.Context
+}
+
+// NewManager returns a manager; Run brings it to life.
+func NewManager(c Config) *Manager {
+	return &Manager{
+		Config:  c,
+		wake:    make(chan struct{}, 1),
+		known:   make(map[string]record),
+		runs:    make(map[string]*run),
+		loading: make(map[string]bool),
+		orphan:  make(map[string]time.Time),
+		ctx:     context.Background(),
+	}
+}
+
+// Run follows the steps of the fleet and runs those that this VM owns, until ctx
+// ends.
+func (m *Manager) Run(ctx context.Context) {
+	m.mu.Lock()
+	m.ctx = ctx
+	m.mu.Unlock()
+	watcher := kept.Watcher{
+		Store: m.Store, Table: stateTable, AllParts: true, Wait: watchWait,
+		Replace: func(rows []kept.Row) { m.replace(rows) },
+		Apply:   func(rows []kept.Row) { m.apply(rows) },
+		Failed: func(err error) {
+			m.Events.Emit(event.DependencyLost, event.Subject{Detail: "states of steps: " + err.Error()})
+		},
+	}
+	var loops sync.WaitGroup
+	loops.Go(func() { watcher.Run(ctx) })
+	loops.Go(func() { m.considerLoop(ctx) })
+	loops.Go(func() { m.dispatchLoop(ctx) })
+	loops.Wait()
+	m.loops.Wait()
+}
+
+// Submit accepts a step. When it returns nil the step is kept, whatever happens
+// to this VM. Its failures are marked: NotRun promises that no part of the step
+// was kept and none ever will be by this call.
+func (m *Manager) Submit(ctx context.Context, spec Spec, items []Item) error {
+	if known, ok := m.lookUp(spec.ID); ok {
+		return sameAccount(known, spec)
+	}
+	now, ok := m.Clock.StoreNow()
+	if !ok {
+		return notKept(&fault.StoreUnavailable{Operation: "submit"})
+	}
+	ctx, cancel := context.WithTimeout(ctx, submitTime)
+	defer cancel()
+	spec.SubmittedAt = now
+	state := State{Spec: spec, Total: len(items), Epoch: 1, Nonce: uuid.NewString()}
+	state.Work, state.Behind = work(items), m.behind(spec)
+	if !m.isLeaving() {
+		state.Owner, state.OwnerLife = m.VM, m.Life
+	}
+	txn, state, err := creation(ctx, m.Store, state, items)
+	if err != nil {
+		return notKept(err)
+	}
+	version, err := kept.CommitSurely(ctx, m.Store, txn)
+	return m.submitted(record{State: state, version: version}, items, err)
+}
+
+// work adds up the expected work of items.
+func work(items []Item) float64 {
+	total := 0.0
+	for _, item := range items {
+		total += item.Expected
+	}
+	return total
+}
+
+// behind returns how far a step's oldest allowed version is behind the one named
+// last.
+func (m *Manager) behind(spec Spec) int64 {
+	named, ok := m.Named(spec.Model)
+	if !ok {
+		named = 1
+	}
+	return max(named-spec.MinVersion, 0)
+}
+
+// submitted judges the outcome of an acceptance.
+func (m *Manager) submitted(r record, items []Item, err error) error {
+	var conflict *kept.Conflict
+	if errors.As(err, &conflict) {
+		kept, decodeErr := decodeState(conflict.Row(stateKey(r.ID)))
+		if decodeErr != nil {
+			return decodeErr
+		}
+		m.learn(kept)
+		return sameAccount(kept, r.Spec)
+	}
+	var lost *fault.StoreUnavailable
+	if errors.As(err, &lost) && !lost.EffectUnknown {
+		return notKept(err)
+	}
+	if err != nil {
+		return fault.WithExecution(err, fault.Unknown)
+	}
+	m.Events.Emit(event.StepOpened, event.Subject{Step: r.ID, Account: r.Account, Count: int64(r.Total)})
+	m.note(r)
+	if r.Owner == m.VM {
+		m.start(r, items, nil)
+	}
+	return nil
+}
+
+func notKept(err error) error {
+	return fault.WithExecution(&refusal{cause: err}, fault.NotRun)
+}
+
+// refusal is a failure with the time after which a retry makes sense.
+type refusal struct{ cause error }
+
+func (r *refusal) Error() string { return r.cause.Error() }
+
+// Unwrap returns the cause.
+func (r *refusal) Unwrap() error { return r.cause }
+
+// RetryAfter implements fault.RetryAfterer.
+func (*refusal) RetryAfter() time.Duration { return refusedWait }
+
+func sameAccount(r record, spec Spec) error {
+	if r.Account != spec.Account {
+		return errors.WithStack(&fault.StepMismatch{Step: spec.ID})
+	}
+	return nil
+}
+
+// End ends a step; a repeat is harmless.
+func (m *Manager) End(ctx context.Context, id, account string) error {
+	r, err := m.find(ctx, id, account)
+	for err == nil && !r.Ended {
+		next := r.State
+		next.Ended, next.Nonce = true, uuid.NewString()
+		ended, done, commitErr := m.replaceState(ctx, r, next)
+		if commitErr != nil {
+			return commitErr
+		}
+		if done {
+			m.Events.Emit(event.StepEnded, event.Subject{Step: id, Account: account})
+		}
+		r = ended
+	}
+	return err
+}
+
+// replaceState commits a new state over a known one. done is false when another
+// writer was faster; the returned record is then theirs.
+func (m *Manager) replaceState(ctx context.Context, r record, next State) (now record, done bool, err error) {
+	value, err := encode(next)
+	if err != nil {
+		return r, false, err
+	}
+	version, err := kept.CommitSurely(ctx, m.Store, kept.Txn{
+		Expected: []kept.Expectation{{Key: stateKey(r.ID), Version: r.version}},
+		Puts:     []kept.Put{{Key: stateKey(r.ID), Value: value}},
+	})
+	var conflict *kept.Conflict
+	if errors.As(err, &conflict) {
+		row := conflict.Row(stateKey(r.ID))
+		if row.Version == 0 {
+			return r, false, errors.WithStack(&fault.StepUnknown{Step: r.ID})
+		}
+		now, err = decodeState(row)
+		if err == nil {
+			m.learn(now)
+		}
+		return now, false, err
+	}
+	if err != nil {
+		return r, false, err
+	}
+	now = record{State: next, version: version}
+	m.learn(now)
+	return now, true, nil
+}
+
+// find returns a step's state, from the store when it is not known here. It
+// fails with *fault.StepUnknown only when the store says so.
+func (m *Manager) find(ctx context.Context, id, account string) (record, error) {
+	r, ok := m.lookUp(id)
+	if !ok {
+		var err error
+		if r, err = readState(ctx, m.Store, id); err != nil {
+			return r, err
+		}
+		m.learn(r)
+	}
+	if r.Account != account {
+		return record{}, errors.WithStack(&fault.StepUnknown{Step: id})
+	}
+	return r, nil
+}
+
+func (m *Manager) lookUp(id string) (record, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	r, ok := m.known[id]
+	return r, ok
+}
+
+func (m *Manager) runOf(id string) *run {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.runs[id]
+}
+
+func (m *Manager) isLeaving() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.leaving
+}
+
+// replace takes all states after a full read.
+func (m *Manager) replace(rows []kept.Row) {
+	listed := make(map[string]bool, len(rows))
+	for _, row := range rows {
+		listed[row.Part] = true
+	}
+	m.apply(rows)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.followed = true
+	for id, r := range m.known {
+		if !listed[id] && r.Ended {
+			delete(m.known, id)
+		}
+	}
+}
+
+// apply takes changed states.
+func (m *Manager) apply(rows []kept.Row) {
+	for _, row := range rows {
+		if row.Deleted {
+			m.forget(row.Part)
+			continue
+		}
+		r, err := decodeState(row)
+		if err != nil {
+			m.Events.Emit(event.RowUnreadable, event.Subject{Step: row.Part, Detail: err.Error()})
+			continue
+		}
+		m.learn(r)
+	}
+}
+
+func (m *Manager) forget(id string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	delete(m.known, id)
+}
+
+// note keeps a state unless a newer one is known, and reports whether it did.
+func (m *Manager) note(r record) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if known, ok := m.known[r.ID]; ok && known.version >= r.version {
+		return false
+	}
+	m.known[r.ID] = r
+	delete(m.orphan, r.ID)
+	return true
+}
+
+// learn takes a state and stops the step's run here if it is over or another
+// VM's by now.
+func (m *Manager) learn(r record) {
+	if !m.note(r) {
+		return
+	}
+	current := m.runOf(r.ID)
+	if current != nil && (r.Ended || r.Owner != m.VM || r.OwnerLife != m.Life) {
+		m.stop(current)
+	}
+}
+
+// stop ends a run and forgets it.
+func (m *Manager) stop(r *run) {
+	m.mu.Lock()
+	if m.runs[r.rec.ID] == r {
+		delete(m.runs, r.rec.ID)
+	}
+	m.mu.Unlock()
+	r.cancel()
+}
+
+// start runs a step that this VM owns.
+func (m *Manager) start(rec record, items []Item, listed []Result) {
+	m.mu.Lock()
+	known, ok := m.known[rec.ID]
+	overtaken := ok && known.version > rec.version
+	if overtaken || m.runs[rec.ID] != nil || m.leaving || rec.Ended {
+		m.mu.Unlock()
+		return
+	}
+	r := newRun(m, rec, items, listed)
+	m.runs[rec.ID] = r
+	m.loops.Go(r.commitLoop)
+	m.mu.Unlock()
+	m.Events.Emit(event.StepOwned, event.Subject{Step: rec.ID, Account: rec.Account, Epoch: uint64(rec.Epoch), Count: int64(len(listed))})
+	m.poke()
+}
+
+// Poke makes the dispatcher look at once: engines or their versions have changed.
+func (m *Manager) Poke() { m.poke() }
+
+// poke makes the dispatcher look at once.
+func (m *Manager) poke() {
+	select {
+	case m.wake <- struct{}{}:
+	default:
+	}
+}
--- /dev/null
+++ b/internal/step/place.go
@@ -0,0 +1,134 @@
+package step
+
+import (
+	"sort"
+	"time"
+
+	"dogwoodpond/internal/target"
+)
+
+// need is what an item asks of an engine.
+type need struct {
+	service string
+	model   string
+	// minVersion is the oldest version of the weights that may be used.
+	minVersion int64
+	// domain is the failure domain of this VM.
+	domain string
+}
+
+// Weights of placing. The load is some fifty items a second in bursts of a hundred
+// on engines of 12 slots, each of which makes every item slower by some 3 %. So
+// items spread out; an engine that is measured at more than slowFrom times the
+// median gets work only when nothing else is free.
+const (
+	placeSlowFrom = 1.8
+	placeSlowCost = 4.0
+	// otherDomainCost prefers near engines between equals: results are the bulk
+	// of the bytes between failure domains.
+	otherDomainCost = 0.04
+	suspectCost     = 16.0
+)
+
+// place returns the engine that an item should run at, or nil when none has room:
+// the engine's own queue is first in, first out and knows no deadlines, so that
+// waiting there is worse than waiting here.
+func place(engines []*target.Entry, n need, avoid *target.Entry, now time.Time) *target.Entry {
+	median := median(engines, now)
+	var best *target.Entry
+	var least float64
+	for _, e := range engines {
+		if e == avoid || !serves(e, n, now) || e.Free(now) <= 0 {
+			continue
+		}
+		cost := placeCost(e, n, median, now)
+		if best == nil || cost < least {
+			best, least = e, cost
+		}
+	}
+	return best
+}
+
+// serves reports whether an engine may run items of the model now.
+func serves(e *target.Entry, n need, now time.Time) bool {
+	if n.model == "" {
+		return true
+	}
+	return e.Version(n.model) >= n.minVersion && !e.Swapping(n.model, now)
+}
+
+func placeCost(e *target.Entry, n need, median time.Duration, now time.Time) float64 {
+	cost := float64(e.Slots()-e.Free(now)) / float64(e.Slots())
+	if e.Info().FailureDomain != n.domain {
+		cost += otherDomainCost
+	}
+	if s := e.Speed(now); median > 0 && float64(s) > placeSlowFrom*float64(median) {
+		cost += placeSlowCost
+	}
+	if e.Suspect(now) {
+		cost += suspectCost
+	}
+	return cost
+}
+
+// median returns the median time for an event over the engines.
+func median(engines []*target.Entry, now time.Time) time.Duration {
+	var known []time.Duration
+	for _, e := range engines {
+		if s := e.Speed(now); s > 0 {
+			known = append(known, s)
+		}
+	}
+	if len(known) == 0 {
+		return 0
+	}
+	sort.Slice(known, func(i, j int) bool { return known[i] < known[j] })
+	return known[(len(known)-1)/2]
+}
+
+// neededShare is the part of the groups that a trainer waits for when it does not
+// say how many it desires.
+const neededShare = 0.9
+
+// order returns the items of a step in the order in which they should start.
+// Only as many groups as the trainer desires decide when the step is whole: the
+// groups at the front of the submission, which are carried over from an earlier
+// step, and beside them those with the least expected work. Among the needed ones
+// the longest start first, since a step is as late as its last needed item.
+func order(items []Item, desired int) []int {
+	groups := groupsOf(items)
+	if desired <= 0 {
+		desired = int(neededShare*float64(len(groups)) + 0.999)
+	}
+	sort.SliceStable(groups, func(i, j int) bool { return groups[i].longest < groups[j].longest })
+	needed := groups[:min(desired, len(groups))]
+	spare := groups[len(needed):]
+	sort.SliceStable(needed, func(i, j int) bool { return needed[i].longest > needed[j].longest })
+	var out []int
+	for _, g := range append(needed, spare...) {
+		out = append(out, g.items...)
+	}
+	return out
+}
+
+// group is the items that share a prompt and count only together.
+type group struct {
+	items   []int
+	longest float64
+}
+
+func groupsOf(items []Item) []*group {
+	index := make(map[string]*group)
+	var groups []*group
+	for i, item := range items {
+		g, ok := index[item.Group]
+		if !ok {
+			g = &group{}
+			index[item.Group] = g
+			groups = append(groups, g)
+		}
+		g.items = append(g.items, i)
+		g.longest = max(g.longest, item.Expected)
+	}
+	return groups
+}
--- /dev/null
+++ b/internal/step/rows.go
@@ -0,0 +1,273 @@
+package step
+
+import (
+	"context"
+	"encoding/json"
+	"strconv"
+
+	"github.com/cockroachdb/errors"
+	"github.com/google/uuid"
+
+	"dogwoodpond/internal/fault"
+	"dogwoodpond/internal/kept"
+)
+
+const (
+	// rowLimit bounds what goes into one row; the store takes 64 KiB.
+	rowLimit = 56 << 10
+	// txnLimit bounds what goes into one transaction; the store takes 1 MB with
+	// everything encoded in base64.
+	txnLimit = 600 << 10
+	// objectLimit bounds one object; the store takes 8 MiB.
+	objectLimit = 6 << 20
+	// readLimit bounds the texts that one read returns; callers take 1 MB.
+	readLimit = 800 << 10
+)
+
+// packed is a run of encoded values that go into one row or object.
+type packed struct {
+	body  []byte
+	count int
+}
+
+// pack joins values into JSON arrays of at most limit bytes each; a value that
+// is longer by itself gets an array of its own.
+func pack[T any](values []T, limit int) ([]packed, error) {
+	var out []packed
+	for _, value := range values {
+		text, err := encode(value)
+		if err != nil {
+			return nil, err
+		}
+		last := len(out) - 1
+		if last >= 0 && len(out[last].body)+len(text)+2 <= limit {
+			out[last].body = append(append(out[last].body, ','), text...)
+			out[last].count++
+			continue
+		}
+		out = append(out, packed{body: append([]byte{'['}, text...), count: 1})
+	}
+	for i := range out {
+		out[i].body = append(out[i].body, ']')
+	}
+	return out, nil
+}
+
+// creation builds the transaction that brings a step into being. Items that
+// don't fit into one transaction are stored as objects first, so that the state
+// row never names what is not there.
+func creation(ctx context.Context, store kept.Store, state State, items []Item) (kept.Txn, State, error) {
+	chunks, err := pack(items, rowLimit)
+	if err != nil {
+		return kept.Txn{}, state, err
+	}
+	var puts []kept.Put
+	if fitsTransaction(chunks) {
+		for i, chunk := range chunks {
+			puts = append(puts, kept.Put{Key: itemsKey(state.ID, i), Value: chunk.body})
+		}
+	} else if state.Objects, err = putItems(ctx, store, state.ID, items); err != nil {
+		return kept.Txn{}, state, err
+	}
+	value, err := encode(state)
+	if err != nil {
+		return kept.Txn{}, state, err
+	}
+	return kept.Txn{
+		Expected: []kept.Expectation{{Key: stateKey(state.ID)}},
+		Puts:     append(puts, kept.Put{Key: stateKey(state.ID), Value: value}),
+	}, state, nil
+}
+
+func fitsTransaction(chunks []packed) bool {
+	const maxRows = 90
+	total := 0
+	for _, c := range chunks {
+		if len(c.body) > rowLimit {
+			return false
+		}
+		total += len(c.body)
+	}
+	return total <= txnLimit && len(chunks) <= maxRows
+}
+
+func putItems(ctx context.Context, store kept.Store, id string, items []Item) ([]string, error) {
+	chunks, err := pack(items, objectLimit)
+	if err != nil {
+		return nil, err
+	}
+	prefix := "step-" + id + "-" + uuid.NewString()
+	var names []string
+	for i, chunk := range chunks {
+		name := prefix + "-" + strconv.Itoa(i)
+		if err := store.PutObject(ctx, name, chunk.body); err != nil {
+			return nil, err
+		}
+		names = append(names, name)
+	}
+	return names, nil
+}
+
+// readItems reads the items of a step.
+func readItems(ctx context.Context, store kept.Store, state State) ([]Item, error) {
+	var bodies [][]byte
+	for _, name := range state.Objects {
+		body, err := store.GetObject(ctx, name)
+		if err != nil {
+			return nil, err
+		}
+		bodies = append(bodies, body)
+	}
+	if len(state.Objects) == 0 {
+		rows, err := kept.ReadAll(ctx, store, itemsTable, state.ID)
+		if err != nil {
+			return nil, err
+		}
+		for _, row := range rows {
+			bodies = append(bodies, row.Value)
+		}
+	}
+	items := make([]Item, 0, state.Total)
+	for _, body := range bodies {
+		var chunk []Item
+		if err := json.Unmarshal(body, &chunk); err != nil {
+			return nil, errors.WithStack(&fault.Internal{Where: "items of step " + state.ID})
+		}
+		items = append(items, chunk...)
+	}
+	if len(items) != state.Total {
+		return nil, errors.WithStack(&fault.Internal{Where: "count of items of step " + state.ID})
+	}
+	return items, nil
+}
+
+// readState reads the state row of a step. It fails with *fault.StepUnknown when
+// the store says that there is none.
+func readState(ctx context.Context, store kept.Store, id string) (record, error) {
+	page, err := store.Read(ctx, stateTable, id, stateName, "")
+	if err != nil {
+		return record{}, err
+	}
+	if len(page.Rows) == 0 {
+		return record{}, errors.WithStack(&fault.StepUnknown{Step: id})
+	}
+	return decodeState(page.Rows[0])
+}
+
+// readResults reads the listed results from a position on, at most readLimit
+// bytes of text but at least one if there is one.
+func readResults(ctx context.Context, store kept.Store, id string, from int) ([]Result, error) {
+	page, err := store.Read(ctx, resultTable, id, resultName(from), "")
+	if err != nil {
+		return nil, err
+	}
+	var out []Result
+	for _, row := range page.Rows {
+		results, first, err := decodeResults(row)
+		if err != nil {
+			return nil, err
+		}
+		if first < from {
+			results = results[from-first:]
+		}
+		out = append(out, results...)
+	}
+	return within(readLimit, out), nil
+}
+
+// readAllResults reads every listed result of a step.
+func readAllResults(ctx context.Context, store kept.Store, id string) ([]Result, error) {
+	rows, err := kept.ReadAll(ctx, store, resultTable, id)
+	if err != nil {
+		return nil, err
+	}
+	var out []Result
+	for _, row := range rows {
+		results, _, err := decodeResults(row)
+		if err != nil {
+			return nil, err
+		}
+		out = append(out, results...)
+	}
+	return out, nil
+}
+
+// decodeResults returns the results of a row and the position of the first.
+func decodeResults(row kept.Row) (results []Result, first int, err error) {
+	last, err := strconv.Atoi(row.Name)
+	if err == nil {
+		err = json.Unmarshal(row.Value, &results)
+	}
+	if err != nil {
+		return nil, 0, errors.WithStack(&fault.Internal{Where: "row " + row.String()})
+	}
+	return results, last + 1 - len(results), nil
+}
+
+// within cuts results to a number of bytes, but leaves the first.
+func within(limit int, results []Result) []Result {
+	size := 0
+	for i, r := range results {
+		size += len(r.Text) + len(r.Item)
+		if size > limit && i > 0 {
+			return results[:i]
+		}
+	}
+	return results
+}
+
+// listing builds the puts that list results behind a position. Texts too large
+// for a row go into objects first.
+func listing(ctx context.Context, store kept.Store, id string, position int, results []Result) ([]kept.Put, error) {
+	stored := make([]Result, len(results))
+	for i, r := range results {
+		small, err := moveOut(ctx, store, id, r)
+		if err != nil {
+			return nil, err
+		}
+		stored[i] = small
+	}
+	chunks, err := pack(stored, rowLimit)
+	if err != nil {
+		return nil, err
+	}
+	var puts []kept.Put
+	for _, chunk := range chunks {
+		position += chunk.count
+		puts = append(puts, kept.Put{Key: resultKey(id, position-1), Value: chunk.body})
+	}
+	return puts, nil
+}
+
+// moveOut stores a long text as an object.
+func moveOut(ctx context.Context, store kept.Store, id string, r Result) (Result, error) {
+	// JSON takes up to six bytes for one, so that only the encoded length tells.
+	const surelyShort = rowLimit / 8
+	if len(r.Text) <= surelyShort {
+		return r, nil
+	}
+	if text, err := encode(r); err != nil || len(text) <= rowLimit-2 {
+		return r, err
+	}
+	r.Object = "result-" + id + "-" + uuid.NewString()
+	if err := store.PutObject(ctx, r.Object, []byte(r.Text)); err != nil {
+		return r, err
+	}
+	r.Text = ""
+	return r, nil
+}
+
+// moveIn brings back the texts that lie in objects.
+func moveIn(ctx context.Context, store kept.Store, results []Result) error {
+	for i := range results {
+		if results[i].Object == "" || results[i].Text != "" {
+			continue
+		}
+		body, err := store.GetObject(ctx, results[i].Object)
+		if err != nil {
+			return err
+		}
+		results[i].Text = string(body)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/step/run.go
@@ -0,0 +1,301 @@
+package step
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"dogwoodpond/internal/event"
+	"dogwoodpond/internal/kept"
+	"dogwoodpond/internal/target"
+)
+
+const (
+	// groupTime is how long finished results are gathered before they are
+	// committed together. A commit takes 5 ms of a partition and some 60 bytes of
+	// overhead a result; a trainer reads twice a second.
+	groupTime = 60 * time.Millisecond
+	// groupBytes commits earlier when that much has gathered.
+	groupBytes = 200 << 10
+)
+
+// phase is what an item of a run is doing.
+type phase int
+
+const (
+	waiting phase = iota
+	running
+	done
+)
+
+// progress is what a run knows of one item.
+type progress struct {
+	phase phase
+	// notBefore delays the next try.
+	notBefore time.Time
+	// failures counts the answers that say that the item failed.
+	failures int
+	moves    int
+	partial  partial
+}
+
+// run is a step in the hands of its owner.
+type run struct {
+	m      *Manager
+	items  []Item
+	order  []int
+	ctx    context.Context
+	cancel context.CancelFunc
+	// itemCtx ends before ctx when the step is handed over.
+	itemCtx   context.Context
+	stopItems context.CancelFunc
+	due       int64
+
+	mu       sync.Mutex
+	rec      record
+	progress []progress
+	queue    []Result
+	queued   int
+	listed   []Result
+	// changed is closed when results were listed.
+	changed chan struct{}
+	more    chan struct{}
+	flushed chan struct{}
+	commit  sync.Mutex
+}
+
+func newRun(m *Manager, rec record, items []Item, listed []Result) *run {
+	r := &run{
+		m:        m,
+		rec:      rec,
+		items:    items,
+		order:    order(items, rec.Desired),
+		due:      rec.SubmittedAt + rec.RunObjective.Milliseconds(),
+		progress: make([]progress, len(items)),
+		listed:   listed,
+		changed:  make(chan struct{}),
+		more:     make(chan struct{}, 1),
+	}
+	r.ctx, r.cancel = context.WithCancel(m.ctx)
+	r.itemCtx, r.stopItems = context.WithCancel(r.ctx)
+	index := make(map[string]int, len(items))
+	for i, item := range items {
+		index[item.ID] = i
+	}
+	for _, result := range listed {
+		if i, ok := index[result.Item]; ok {
+			r.progress[i].phase = done
+		}
+	}
+	return r
+}
+
+func (r *run) current() record {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.rec
+}
+
+// next returns the next item that may start, in the step's order, behind a
+// position of that order; ok is false when there is none.
+func (r *run) next(from int, now time.Time) (at int, ok bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for ; from < len(r.order); from++ {
+		p := &r.progress[r.order[from]]
+		if p.phase == waiting && !now.Before(p.notBefore) {
+			return from, true
+		}
+	}
+	return 0, false
+}
+
+// begin marks an item as running; false when it is not waiting.
+func (r *run) begin(i int) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.progress[i].phase != waiting || r.itemCtx.Err() != nil {
+		return false
+	}
+	r.progress[i].phase = running
+	return true
+}
+
+// again puts an item back, to be tried after a pause.
+func (r *run) again(i int, pause time.Duration) {
+	r.mu.Lock()
+	p := &r.progress[i]
+	p.phase = waiting
+	p.notBefore = time.Now().Add(pause)
+	r.mu.Unlock()
+	r.m.poke()
+}
+
+// finish takes an item's result.
+func (r *run) finish(i int, result Result) {
+	r.mu.Lock()
+	r.progress[i].phase = done
+	r.progress[i].partial = partial{}
+	r.queue = append(r.queue, result)
+	r.queued += len(result.Text)
+	r.mu.Unlock()
+	select {
+	case r.more <- struct{}{}:
+	default:
+	}
+	r.m.poke()
+}
+
+// commitLoop lists finished results in groups until the run ends.
+func (r *run) commitLoop() {
+	for {
+		select {
+		case <-r.ctx.Done():
+			return
+		case <-r.more:
+		}
+		if !r.full() {
+			pause(r.ctx, groupTime)
+		}
+		r.flush(r.ctx)
+	}
+}
+
+func (r *run) full() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.queued >= groupBytes
+}
+
+// flush lists everything that is finished.
+func (r *run) flush(ctx context.Context) {
+	r.commit.Lock()
+	defer r.commit.Unlock()
+	for ctx.Err() == nil {
+		batch, position := r.take()
+		if len(batch) == 0 {
+			return
+		}
+		if !r.list(ctx, batch, position) {
+			return
+		}
+	}
+}
+
+// take returns the results to list next and their first position. They stay in
+// the queue until they are listed.
+func (r *run) take() ([]Result, int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	const atOnce = 60
+	n, size := 0, 0
+	for n < len(r.queue) && n < atOnce && (n == 0 || size < groupBytes) {
+		size += len(r.queue[n].Text)
+		n++
+	}
+	return append([]Result(nil), r.queue[:n]...), len(r.listed)
+}
+
+// list commits results at a position and reports whether they stand there.
+func (r *run) list(ctx context.Context, batch []Result, position int) bool {
+	rec := r.current()
+	puts, err := listing(ctx, r.m.Store, rec.ID, position, batch)
+	if err != nil {
+		r.m.Events.Emit(event.DependencyLost, event.Subject{Step: rec.ID, Detail: "results: " + err.Error()})
+		pause(ctx, loadPause)
+		return ctx.Err() == nil
+	}
+	txn := kept.Txn{Puts: puts, Expected: []kept.Expectation{{Key: stateKey(rec.ID), Version: rec.version}}}
+	for _, put := range puts {
+		txn.Expected = append(txn.Expected, kept.Expectation{Key: put.Key})
+	}
+	started := time.Now()
+	_, err = kept.CommitSurely(ctx, r.m.Store, txn)
+	var conflict *kept.Conflict
+	if errors.As(err, &conflict) {
+		r.overtaken(conflict)
+		return false
+	}
+	if err != nil {
+		return false
+	}
+	r.noteListed(batch)
+	r.m.Events.Emit(event.SamplesCommitted, event.Subject{
+		Step: rec.ID, Account: rec.Account, Epoch: uint64(rec.Epoch), Count: int64(len(batch)),
+		Detail: time.Since(started).Round(time.Millisecond).String(),
+	})
+	return true
+}
+
+// overtaken stops the run after the store refused its results: another VM owns
+// the step by now, or it has ended.
+func (r *run) overtaken(conflict *kept.Conflict) {
+	rec := r.current()
+	r.m.Events.Emit(event.StepLost, event.Subject{Step: rec.ID, Account: rec.Account, Epoch: uint64(rec.Epoch)})
+	if now, err := decodeState(conflict.Row(stateKey(rec.ID))); err == nil {
+		r.m.learn(now)
+	}
+	r.m.stop(r)
+}
+
+func (r *run) noteListed(batch []Result) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, result := range batch {
+		r.queued -= len(result.Text)
+	}
+	r.queue = r.queue[len(batch):]
+	r.listed = append(r.listed, batch...)
+	close(r.changed)
+	r.changed = make(chan struct{})
+	if len(r.listed) == len(r.items) {
+		r.m.Events.Emit(event.StepCompleted, event.Subject{Step: r.rec.ID, Account: r.rec.Account, Count: int64(len(r.listed))})
+	}
+}
+
+// resultsFrom returns the listed results from a position on, and a channel that
+// closes when there are more.
+func (r *run) resultsFrom(position int) ([]Result, <-chan struct{}) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if position >= len(r.listed) {
+		return nil, r.changed
+	}
+	return within(readLimit, r.listed[position:]), r.changed
+}
+
+// item returns an item by its ID.
+func (r *run) item(id string) (Item, bool) {
+	for _, item := range r.items {
+		if item.ID == id {
+			return item, true
+		}
+	}
+	return Item{}, false
+}
+
+// needOf tells what an item of the run asks of an engine. The configuration in
+// force decides on the service; ok is false when no route leads there any more.
+func (r *run) needOf(i int) (n need, ok bool) {
+	snapshot := r.m.View.Load()
+	if snapshot == nil {
+		return need{}, true
+	}
+	matched, err := snapshot.Match(r.rec.Host, r.items[i].Path)
+	if err != nil {
+		return need{}, false
+	}
+	return need{
+		service:    matched.Service(r.items[i].ID),
+		model:      r.rec.Model,
+		minVersion: r.rec.MinVersion,
+		domain:     r.m.Domain,
+	}, true
+}
+
+// engines returns the engines that may get work of a service.
+func (m *Manager) engines(service string, now time.Time) []*target.Entry {
+	return m.Roster.Usable(service, now)
+}
--- /dev/null
+++ b/internal/step/takeover.go
@@ -0,0 +1,147 @@
+package step
+
+import (
+	"context"
+	"time"
+
+	"github.com/google/uuid"
+
+	"dogwoodpond/internal/event"
+	"dogwoodpond/internal/fault"
+)
+
+// considerLoop looks for steps that nobody runs.
+func (m *Manager) considerLoop(ctx context.Context) {
+	ticker := time.NewTicker(considerEvery)
+	defer ticker.Stop()
+	lastSweep := time.Now()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		for _, r := range m.unowned(time.Now()) {
+			m.loops.Go(func() { m.takeOver(ctx, r) })
+		}
+		if time.Since(lastSweep) > sweepEvery {
+			lastSweep = time.Now()
+			m.sweep(ctx)
+		}
+	}
+}
+
+// unowned returns the steps that this VM should run but does not, and marks them
+// as being loaded. A step is taken over when its owner's process is gone, by the
+// VM that ranks first for it; the others wait longer, each by its rank.
+func (m *Manager) unowned(now time.Time) []record {
+	if !m.Members.Ready() {
+		return nil
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.leaving {
+		return nil
+	}
+	var found []record
+	for id, r := range m.known {
+		if r.Ended || m.runs[id] != nil || m.loading[id] {
+			continue
+		}
+		if r.Owner != "" && m.Members.Alive(r.Owner, r.OwnerLife) && (r.Owner != m.VM || r.OwnerLife != m.Life) {
+			delete(m.orphan, id)
+			continue
+		}
+		since, ok := m.orphan[id]
+		if !ok {
+			since = now
+			m.orphan[id] = now
+		}
+		mine := r.Owner == m.VM && r.OwnerLife == m.Life
+		if !mine && now.Sub(since) < time.Duration(m.Members.Rank(id))*takeoverStep {
+			continue
+		}
+		m.loading[id] = true
+		found = append(found, r)
+	}
+	return found
+}
+
+// takeOver makes this VM the owner of a step and runs what is not listed yet.
+// The results are read after the change of owner: from then on nobody else can
+// list any, so that what is read is all there is.
+func (m *Manager) takeOver(ctx context.Context, r record) {
+	defer func() {
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		delete(m.loading, r.ID)
+	}()
+	if r.Owner != m.VM || r.OwnerLife != m.Life {
+		next := r.State
+		next.Owner, next.OwnerLife = m.VM, m.Life
+		next.Epoch++
+		next.Nonce = uuid.NewString()
+		owned, done, err := m.replaceState(ctx, r, next)
+		if err != nil || !done {
+			return
+		}
+		r = owned
+	}
+	for ctx.Err() == nil && m.stillMine(r) {
+		items, err := readItems(ctx, m.Store, r.State)
+		var listed []Result
+		if err == nil {
+			listed, err = readAllResults(ctx, m.Store, r.ID)
+		}
+		if err == nil {
+			m.start(r, items, listed)
+			return
+		}
+		if fault.Is[*fault.Internal](err) {
+			m.Events.Emit(event.RowUnreadable, event.Subject{Step: r.ID, Detail: err.Error()})
+		}
+		pause(ctx, loadPause)
+	}
+}
+
+func (m *Manager) stillMine(r record) bool {
+	known, ok := m.lookUp(r.ID)
+	return ok && known.version == r.version && !known.Ended
+}
+
+// Leave hands every step over: results at hand are listed, then the owner is
+// taken out of the state, which the other VMs see at once.
+func (m *Manager) Leave(ctx context.Context) {
+	m.mu.Lock()
+	m.leaving = true
+	var runs []*run
+	for _, r := range m.runs {
+		runs = append(runs, r)
+	}
+	m.mu.Unlock()
+	for _, r := range runs {
+		m.loops.Go(func() { m.handOver(ctx, r) })
+	}
+}
+
+func (m *Manager) handOver(ctx context.Context, r *run) {
+	r.stopItems()
+	r.flush(ctx)
+	rec := r.current()
+	next := rec.State
+	next.Owner, next.OwnerLife, next.Nonce = "", "", uuid.NewString()
+	if _, done, err := m.replaceState(ctx, rec, next); err == nil && done {
+		m.Events.Emit(event.StepHandedOver, event.Subject{Step: rec.ID, Account: rec.Account, Epoch: uint64(rec.Epoch)})
+	}
+	m.stop(r)
+}
+
+// pause waits for d or until ctx ends.
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- /dev/null
+++ b/internal/target/choose.go
@@ -0,0 +1,57 @@
+package target
+
+import "time"
+
+// The weights by which plain requests choose. They answer the ordinary load of a
+// few requests a second on each VM, where an upstream has several free slots:
+// then the own failure domain is best, since its upstreams stay reachable when
+// the domain is cut off. An upstream that is half busier, or more than twice as
+// slow, loses against one in another domain.
+const (
+	otherDomainCost = 0.35
+	slowFrom        = 2.0
+	slowCost        = 0.8
+)
+
+// Choose returns the upstream of a service that a plain request should go to,
+// leaving out those in skip, or nil. Suspect upstreams come last: refusing a
+// request that one of them might serve helps nobody.
+func (r *Roster) Choose(service, domain string, skip []*Entry, now time.Time) *Entry {
+	usable := r.Usable(service, now)
+	median := medianSpeed(usable, now)
+	var best *Entry
+	var least float64
+	for _, e := range usable {
+		if contains(skip, e) {
+			continue
+		}
+		if cost := costOf(e, domain, median, now); best == nil || cost < least {
+			best, least = e, cost
+		}
+	}
+	return best
+}
+
+func costOf(e *Entry, domain string, median time.Duration, now time.Time) float64 {
+	cost := float64(e.InFlight()+e.Foreign(now)) / float64(e.Slots())
+	if e.Info().FailureDomain != domain {
+		cost += otherDomainCost
+	}
+	if s := slowness(e, median, now); s > slowFrom {
+		cost += slowCost
+	}
+	if e.Suspect(now) {
+		const behindAllOthers = 100
+		cost += behindAllOthers
+	}
+	return cost
+}
+
+func contains(list []*Entry, e *Entry) bool {
+	for _, other := range list {
+		if other == e {
+			return true
+		}
+	}
+	return false
+}
