SIGHUP and a silent change reload the settings; the stop keeps to its grace

One process was still there at the end of its grace: the end of the drain was counted from the end of the hand-over, which waits for a store that may be silent.

--- a/internal/kept/memory/memory.go
+++ b/internal/kept/memory/memory.go
@@ -1,5 +1,5 @@
 // Package memory keeps a partitioned store in memory for tests. Faults are
-// switched on by its fields: lost answers, late effects, refusals.
+// switched on by SetFate and SetDown: lost answers, late effects, refusals.
 package memory
 
 import (
@@ -26,11 +26,24 @@
 	started time.Time
 	wake    chan struct{}
 	late    []kept.Txn
+	fate    func(kept.Txn) Fate
+	isDown  bool
+}
+
+// SetFate lets f decide each commit's fate before it runs; nil lets all run.
+func (s *Store) SetFate(f func(kept.Txn) Fate) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.fate = f
+}
 
-	// OnCommit, if set, decides each commit's fate before it runs.
-	OnCommit func(kept.Txn) Fate
-	// Down makes every call fail while it returns true.
-	Down func() bool
+// SetDown makes every call fail, or lets them through again.
+func (s *Store) SetDown(down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.isDown = down
+	close(s.wake)
+	s.wake = make(chan struct{})
 }
 
 // Fate is what happens to a commit.
@@ -64,7 +77,9 @@
 func (s *Store) StoreNow() (int64, bool) { return time.Since(s.started).Milliseconds(), true }
 
 func (s *Store) down(operation string) error {
-	if s.Down != nil && s.Down() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.isDown {
 		return errors.WithStack(&fault.StoreUnavailable{Operation: operation})
 	}
 	return nil
@@ -75,11 +90,7 @@
 	if err := s.down("commit"); err != nil {
 		return 0, err
 	}
-	fate := Normal
-	if s.OnCommit != nil {
-		fate = s.OnCommit(txn)
-	}
-	switch fate {
+	switch s.fateOf(txn) {
 	case Refused:
 		return 0, errors.WithStack(&fault.StoreUnavailable{Operation: "commit"})
 	case NeverArrived:
@@ -97,6 +108,16 @@
 	return s.run(txn)
 }
 
+func (s *Store) fateOf(txn kept.Txn) Fate {
+	s.mu.Lock()
+	decide := s.fate
+	s.mu.Unlock()
+	if decide == nil {
+		return Normal
+	}
+	return decide(txn)
+}
+
 // RunLate carries out the commits that were held back.
 func (s *Store) RunLate() {
 	s.mu.Lock()
--- /dev/null
+++ b/internal/member/member_test.go
@@ -0,0 +1,121 @@
+package member
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"go.uber.org/zap"
+
+	"dogwoodpond/internal/event"
+	"dogwoodpond/internal/kept/memory"
+)
+
+func start(t *testing.T, store *memory.Store, id, domain, life string) (*List, context.CancelFunc) {
+	events := event.NewRecorder(id, 16, event.NewClock(time.Now), zap.NewNop())
+	l := New(VM{ID: id, FailureDomain: domain, Life: life, PeerAddress: id + ":1"}, []string{"x", "y"}, store, events)
+	ctx, cancel := context.WithCancel(t.Context())
+	go l.Run(ctx)
+	t.Cleanup(cancel)
+	return l, cancel
+}
+
+// A VM's process is killed. Its steps wait until the others notice.
+func TestDeadVMIsNoticed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := memory.New()
+		a, _ := start(t, store, "a", "x", "1")
+		_, killB := start(t, store, "b", "y", "1")
+		time.Sleep(2 * time.Second)
+		if !a.Alive("b", "1") || len(a.Live()) != 2 {
+			t.Fatal("b is not alive")
+		}
+		killB()
+		time.Sleep(3 * time.Second)
+		if a.Alive("b", "1") || len(a.Live()) != 1 {
+			t.Error("b still counts as alive 3 s after its end")
+		}
+	})
+}
+
+// The process starts again at once. Its earlier life is over all the same, and
+// with it all that it ran.
+func TestRestartEndsTheEarlierLife(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := memory.New()
+		a, _ := start(t, store, "a", "x", "1")
+		_, kill := start(t, store, "b", "y", "1")
+		time.Sleep(2 * time.Second)
+		kill()
+		start(t, store, "b", "y", "2")
+		time.Sleep(1500 * time.Millisecond)
+		if a.Alive("b", "1") || !a.Alive("b", "2") {
+			t.Error("the lives of b are mixed up")
+		}
+	})
+}
+
+// The store is away for longer than any VM may be silent. Nobody could beat, so
+// nobody may be declared dead when it is back: every step would change hands.
+func TestOutageOfTheStoreKillsNobody(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := memory.New()
+		a, _ := start(t, store, "a", "x", "1")
+		start(t, store, "b", "y", "1")
+		time.Sleep(2 * time.Second)
+		store.SetDown(true)
+		time.Sleep(30 * time.Second)
+		store.SetDown(false)
+		for range 40 {
+			time.Sleep(100 * time.Millisecond)
+			if !a.Alive("b", "1") {
+				t.Fatal("b was declared dead")
+			}
+		}
+	})
+}
+
+func TestLeavingVMTakesNoNewWork(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := memory.New()
+		a, _ := start(t, store, "a", "x", "1")
+		b, _ := start(t, store, "b", "y", "1")
+		time.Sleep(2 * time.Second)
+		b.Leave(t.Context())
+		time.Sleep(time.Second)
+		if len(a.Live()) != 1 || !a.Alive("b", "1") {
+			t.Errorf("live: %v", a.Live())
+		}
+		if a.Rank("work") != 0 {
+			t.Error("a VM that leaves still ranks")
+		}
+	})
+}
+
+// Work of a failure domain goes to its own VMs first; exactly one VM ranks first.
+func TestRanks(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := memory.New()
+		var lists []*List
+		for _, vm := range [][2]string{{"a", "x"}, {"b", "x"}, {"c", "y"}, {"d", "y"}} {
+			l, _ := start(t, store, vm[0], vm[1], "1")
+			lists = append(lists, l)
+		}
+		time.Sleep(2 * time.Second)
+		for _, work := range []string{"s1", "s2", "s3"} {
+			firsts := 0
+			for _, l := range lists {
+				if l.RankIn(work, "y") == 0 {
+					firsts++
+					if l.Self().FailureDomain != "y" {
+						t.Errorf("%s ranks first in y", l.Self().ID)
+					}
+				}
+			}
+			if firsts != 1 {
+				t.Errorf("%d VMs rank first for %s", firsts, work)
+			}
+		}
+	})
+}
--- a/internal/node/life.go
+++ b/internal/node/life.go
@@ -23,6 +23,9 @@
 // Leaving reports whether the process was told to stop.
 func (l *Life) Leaving() bool { return l.leaving.Load() }
 
+// Leave notes that the process was told to stop.
+func (l *Life) Leave() { l.leaving.Store(true) }
+
 // Begin and End count open requests.
 func (l *Life) Begin() { l.open.Add(1) }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -45,6 +45,10 @@
 	openPoll = 50 * time.Millisecond
 )
 
+// Reloader reads the settings again. changed lists the settings that differ and
+// are in force now; restart lists those that take a restart.
+type Reloader func() (changed, restart []string, err error)
+
 // Loops follow something until ctx ends.
 type Loops []func(ctx context.Context)
 
@@ -68,8 +72,10 @@
 	Follow Loops
 	// Clock agrees with the fleet on the time.
 	Clock func(ctx context.Context) error
-	// LogDropped returns how many log lines were dropped.
+	// FlushLog waits a little for the last log lines.
 	FlushLog func()
+	// Reload reads the settings again.
+	Reload Reloader
 }
 
 // Run serves until stop ends, then hands over and drains. It returns nil after a
@@ -91,22 +97,42 @@
 	for _, follow := range n.Follow {
 		loops.Go(func() { follow(ctx) })
 	}
+	loops.Go(func() { n.watchSettings(ctx) })
 	loops.Go(func() { n.Members.Run(ctx) })
 	loops.Go(func() { n.Steps.Run(ctx) })
 	loops.Go(func() { n.Meter.Run(ctx) })
 	n.startDuties(duties, &dutyLoops)
 
 	<-stop.Done()
+	killedAt := time.Now().Add(n.Settings.Grace)
 	n.leave(endDuties, &dutyLoops)
-	n.drain()
+	n.drain(killedAt.Add(-lastTime))
 	servers.shutDown()
 	cancel()
-	loops.Wait()
+	// What still waits for a store that does not answer would only be killed.
+	waitUntil(killedAt.Add(-lastTime/2), loops.Wait)
 	n.Events.Emit(event.ProcessStopped, event.Subject{Count: n.Life.Open()})
 	n.FlushLog()
 	return nil
 }
 
+// waitUntil waits for something until a moment, and reports whether it came.
+func waitUntil(latest time.Time, wait func()) bool {
+	over := make(chan struct{})
+	go func() {
+		defer close(over)
+		wait()
+	}()
+	timer := time.NewTimer(time.Until(latest))
+	defer timer.Stop()
+	select {
+	case <-over:
+		return true
+	case <-timer.C:
+		return false
+	}
+}
+
 func (n *Node) startDuties(ctx context.Context, loops *sync.WaitGroup) {
 	for _, l := range n.Loaders {
 		loops.Go(func() { l.Run(ctx) })
@@ -127,7 +153,7 @@
 
 // leave makes the VM unready and hands over what it holds.
 func (n *Node) leave(endDuties context.CancelFunc, duties *sync.WaitGroup) {
-	n.Life.leaving.Store(true)
+	n.Life.Leave()
 	n.Events.Emit(event.DrainStarted, event.Subject{Count: n.Life.Open()})
 	ctx, cancel := context.WithTimeout(context.Background(), handOverTime)
 	defer cancel()
@@ -135,14 +161,13 @@
 	var handOver sync.WaitGroup
 	handOver.Go(func() { n.Members.Leave(ctx) })
 	handOver.Go(func() { n.Steps.Leave(ctx) })
-	handOver.Wait()
-	duties.Wait()
+	handOver.Go(duties.Wait)
+	waitUntil(time.Now().Add(handOverTime), handOver.Wait)
 }
 
 // drain waits until no caller opens connections any more and the open requests
-// have ended, or the grace is nearly over.
-func (n *Node) drain() {
-	latest := time.Now().Add(n.Settings.Grace - lastTime)
+// have ended, or until the latest moment.
+func (n *Node) drain(latest time.Time) {
 	earliest := time.Now().Add(rotationNotice)
 	for time.Now().Before(latest) {
 		if time.Now().After(earliest) && n.Life.Open() == 0 {
--- a/internal/step/manager.go
+++ b/internal/step/manager.go
@@ -73,11 +73,15 @@
 	followed bool
 
 	loops sync.WaitGroup
-	ctx   context.Context
+	// ctx is the life of the runs. It begins with the manager, not with Run: a
+	// step may be accepted just before, and its run must still end with the rest.
+	ctx    context.Context
+	cancel context.CancelFunc
 }
 
 // NewManager returns a manager; Run brings it to life.
 func NewManager(c Config) *Manager {
+	ctx, cancel := context.WithCancel(context.Background())
 	return &Manager{
 		Config:  c,
 		wake:    make(chan struct{}, 1),
@@ -85,16 +89,15 @@
 		runs:    make(map[string]*run),
 		loading: make(map[string]bool),
 		orphan:  make(map[string]time.Time),
-		ctx:     context.Background(),
+		ctx:     ctx,
+		cancel:  cancel,
 	}
 }
 
 // Run follows the steps of the fleet and runs those that this VM owns, until ctx
 // ends.
 func (m *Manager) Run(ctx context.Context) {
-	m.mu.Lock()
-	m.ctx = ctx
-	m.mu.Unlock()
+	defer context.AfterFunc(ctx, m.cancel)()
 	watcher := kept.Watcher{
 		Store: m.Store, Table: stateTable, AllParts: true, Wait: watchWait,
 		Replace: func(rows []kept.Row) { m.replace(rows) },
--- /dev/null
+++ b/internal/step/step_test.go
@@ -0,0 +1,521 @@
+package step
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"dogwoodpond/internal/fault"
+	"dogwoodpond/internal/kept"
+	"dogwoodpond/internal/kept/memory"
+)
+
+func submit(t *testing.T, v *vm, s Spec, list []Item) {
+	t.Helper()
+	if err := v.Submit(t.Context(), s, list); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func TestStepRunsWhole(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		w := newWorld(t, "e1", "e2")
+		a, b := w.start("a"), w.start("b")
+		submit(t, a, spec("s"), items(30))
+		checkTexts(t, readWhole(t, b, "s"), 3)
+		checkTexts(t, readWhole(t, a, "s"), 3)
+	})
+}
+
+// The answer to an acceptance is lost on its way to the trainer, who hands the
+// step in again at another VM. A second step would generate everything twice.
+func TestRepeatedSubmissionIsOneStep(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		w := newWorld(t, "e1", "e2")
+		a, b := w.start("a"), w.start("b")
+		submit(t, a, spec("s"), items(8))
+		submit(t, b, spec("s"), items(8))
+		submit(t, a, spec("s"), items(8))
+		checkTexts(t, readWhole(t, b, "s"), 3)
+		for _, item := range items(8) {
+			if n := w.engines.count(item.ID); n != 1 {
+				t.Errorf("item %s ran %d times", item.ID, n)
+			}
+		}
+	})
+}
+
+// The store carries an acceptance out seconds after it went silent, when the VM
+// has long told the trainer that it does not know. The step is there then, so the
+// VM must run it, and the trainer's repeat must find it.
+func TestLateAcceptanceIsRun(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		w := newWorld(t, "e1")
+		a, b := w.start("a"), w.start("b")
+		w.store.SetFate(func(kept.Txn) memory.Fate { return memory.EffectLate })
+		err := a.Submit(t.Context(), spec("s"), items(4))
+		if err == nil || fault.ExecutionOf(err) == fault.NotRun {
+			t.Fatalf("Submit = %v; it may have been accepted", err)
+		}
+		w.store.SetFate(nil)
+		w.store.RunLate()
+		submit(t, b, spec("s"), items(4))
+		checkTexts(t, readWhole(t, b, "s"), 3)
+	})
+}
+
+// The store turns the acceptance away each time. Only then may the trainer be
+// told that no part of the step runs.
+func TestRefusedAcceptanceSaysSo(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		w := newWorld(t, "e1")
+		a := w.start("a")
+		w.store.SetFate(func(kept.Txn) memory.Fate { return memory.Refused })
+		err := a.Submit(t.Context(), spec("s"), items(4))
+		if fault.ExecutionOf(err) != fault.NotRun || fault.RetryAfterOf(err, 0) == 0 {
+			t.Errorf("Submit = %v", err)
+		}
+		w.store.SetFate(nil)
+		time.Sleep(5 * time.Second)
+		if n := w.engines.count("i0"); n != 0 {
+			t.Errorf("an item of a refused step ran %d times", n)
+		}
+	})
+}
+
+// The owner's process is killed in the middle of a step. Another VM goes on; what
+// was listed keeps its position and its words.
+func TestTakeoverAfterACrash(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		w := newWorld(t, "e1")
+		w.engines.behave[""] = func(string, int) reply {
+			r := good
+			r.gap = 100 * time.Millisecond
+			return r
+		}
+		a, b := w.start("a"), w.start("b")
+		submit(t, a, spec("s"), items(20))
+		time.Sleep(700 * time.Millisecond)
+		before, _, err := b.Results(t.Context(), "s", "acc", 0, 0)
+		if err != nil || len(before) == 0 || len(before) == 20 {
+			t.Fatalf("%d results before the crash, %v", len(before), err)
+		}
+		w.crash(a)
+		after := readWhole(t, b, "s")
+		checkTexts(t, after, 3)
+		for i, r := range before {
+			if after[i].Item != r.Item || after[i].Text != r.Text {
+				t.Errorf("position %d held %s and holds %s", i, r.Item, after[i].Item)
+			}
+		}
+	})
+}
+
+// The owner is frozen, another VM takes over, and then the first one wakes with
+// finished results in its hands. If it could list them, items would stand twice.
+func TestFrozenOwnerListsNothing(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		w := newWorld(t, "e1")
+		a, b := w.start("a"), w.start("b")
+		w.store.SetFate(func(txn kept.Txn) memory.Fate {
+			if len(txn.Puts) > 0 && txn.Puts[0].Key.Table == resultTable {
+				return memory.EffectLate
+			}
+			return memory.Normal
+		})
+		submit(t, a, spec("s"), items(4))
+		time.Sleep(300 * time.Millisecond)
+		w.mu.Lock()
+		w.dead["a"] = true
+		w.mu.Unlock()
+		w.store.SetFate(nil)
+		results := readWhole(t, b, "s")
+		w.store.RunLate()
+		checkTexts(t, results, 3)
+		again := readWhole(t, b, "s")
+		if len(again) != 4 {
+			t.Errorf("%d results stand after the late commits", len(again))
+		}
+	})
+}
+
+// Every VM loses power at once, right after a step was accepted. With the first
+// VM that comes back the step must go on.
+func TestAcceptedStepSurvivesTheLossOfAllVMs(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		w := newWorld(t, "e1")
+		a := w.start("a")
+		submit(t, a, spec("s"), items(6))
+		w.crash(a)
+		time.Sleep(time.Second)
+		checkTexts(t, readWhole(t, w.start("c"), "s"), 3)
+	})
+}
+
+// A VM that is told to stop gives its steps up, and another one has them without
+// waiting for the first one's death to be noticed.
+func TestHandOver(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		w := newWorld(t, "e1")
+		w.engines.behave[""] = func(string, int) reply {
+			r := good
+			r.gap = 100 * time.Millisecond
+			return r
+		}
+		a, b := w.start("a"), w.start("b")
+		submit(t, a, spec("s"), items(12))
+		time.Sleep(350 * time.Millisecond)
+		a.Leave(t.Context())
+		time.Sleep(1500 * time.Millisecond)
+		if b.runOf("s") == nil {
+			t.Error("nobody runs the step 1.5 s after the hand-over")
+		}
+		checkTexts(t, readWhole(t, b, "s"), 3)
+	})
+}
+
+// The trainer ends a step at another VM than the one that runs it. Items that
+// still run would burn the engines for nobody.
+func TestEndStopsItemsEverywhere(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		w := newWorld(t, "e1", "e2")
+		w.engines.behave[""] = func(string, int) reply {
+			r := good
+			r.events, r.gap = 100, 100*time.Millisecond
+			return r
+		}
+		a, b := w.start("a"), w.start("b")
+		submit(t, a, spec("s"), items(8))
+		time.Sleep(500 * time.Millisecond)
+		if err := b.End(t.Context(), "s", "acc"); err != nil {
+			t.Fatal(err)
+		}
+		if err := b.End(t.Context(), "s", "acc"); err != nil {
+			t.Errorf("a repeat fails with %v", err)
+		}
+		time.Sleep(time.Second)
+		w.engines.mu.Lock()
+		defer w.engines.mu.Unlock()
+		if w.engines.active != 0 {
+			t.Errorf("%d items run a second after the end", w.engines.active)
+		}
+	})
+}
+
+// The owner is cut off from the store when the step ends, and learns it by its
+// next commit only.
+func TestEndRefusesResultsOfACutOffOwner(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		w := newWorld(t)
+		b := w.start("b")
+		submit(t, b, spec("s"), items(4))
+		rec, _ := b.lookUp("s")
+		if err := b.End(t.Context(), "s", "acc"); err != nil {
+			t.Fatal(err)
+		}
+		puts, err := listing(t.Context(), w.store, "s", 0, []Result{{Item: "i0", Outcome: Completed}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, err = w.store.Commit(t.Context(), kept.Txn{Puts: puts, Expected: []kept.Expectation{{Key: stateKey("s"), Version: rec.version}}})
+		if err == nil {
+			t.Error("results were listed behind the end of the step")
+		}
+	})
+}
+
+// An engine breaks off in the middle of a text. The rest comes from another one,
+// behind the last whole event, and the text has neither a hole nor a double.
+func TestBrokenTextGoesOnElsewhere(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		w := newWorld(t, "e1", "e2")
+		w.engines.behave[""] = func(_ string, n int) reply {
+			r := good
+			if n == 1 {
+				r.breakAfter = 2
+			}
+			return r
+		}
+		a := w.start("a")
+		submit(t, a, spec("s"), items(4))
+		checkTexts(t, readWhole(t, a, "s"), 3)
+		w.engines.mu.Lock()
+		defer w.engines.mu.Unlock()
+		if len(w.engines.resumed) != 4 || !strings.HasSuffix(w.engines.resumed[0], " after 2") {
+			t.Errorf("resumed: %v", w.engines.resumed)
+		}
+	})
+}
+
+// An engine leaves an event out. The text would look whole.
+func TestHoleInATextIsNoticed(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		w := newWorld(t, "e1")
+		w.engines.behave[""] = func(_ string, n int) reply {
+			r := good
+			if n == 1 {
+				r.skip = 2
+			}
+			return r
+		}
+		a := w.start("a")
+		submit(t, a, spec("s"), items(2))
+		checkTexts(t, readWhole(t, a, "s"), 3)
+	})
+}
+
+// An engine has older weights than its list entry says. Its samples are older
+// than the contract allows and must not be listed.
+func TestTooOldWeightsAreNotUsed(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		w := newWorld(t, "e1", "e2")
+		w.engines.behave["e1"] = func(string, int) reply {
+			r := good
+			r.version = 4
+			return r
+		}
+		w.engines.behave["e2"] = func(string, int) reply {
+			r := good
+			r.version = 6
+			return r
+		}
+		for i := range w.list {
+			w.list[i].Versions = map[string]int64{"m": 5}
+		}
+		a := w.start("a")
+		s := spec("s")
+		s.MinVersion = 5
+		submit(t, a, s, items(6))
+		results := readWhole(t, a, "s")
+		checkTexts(t, results, 3)
+		for _, r := range results {
+			if len(r.Versions) != 1 || r.Versions[0] != 6 {
+				t.Errorf("item %s names the versions %v", r.Item, r.Versions)
+			}
+		}
+	})
+}
+
+// The weights change while a text is made. Both versions made it, and the trainer
+// must learn that.
+func TestVersionsOfATextAreAllNamed(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		w := newWorld(t, "e1")
+		w.engines.behave[""] = func(_ string, n int) reply {
+			r := good
+			r.changeAt = 2
+			return r
+		}
+		a := w.start("a")
+		submit(t, a, spec("s"), items(2))
+		for _, r := range readWhole(t, a, "s") {
+			if len(r.Versions) != 2 || r.Versions[0] != 1 || r.Versions[1] != 2 {
+				t.Errorf("item %s names the versions %v", r.Item, r.Versions)
+			}
+		}
+	})
+}
+
+// The same on a route that wants one version for each sample: the text is made
+// again.
+func TestSingleVersionIsKept(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		w := newWorld(t, "e1")
+		w.engines.behave[""] = func(_ string, n int) reply {
+			r := good
+			if n == 1 {
+				r.changeAt = 2
+			} else {
+				r.version = 2
+			}
+			return r
+		}
+		a := w.start("a")
+		s := spec("s")
+		s.SingleVersion = true
+		submit(t, a, s, items(2))
+		for _, r := range readWhole(t, a, "s") {
+			if len(r.Versions) != 1 || r.Versions[0] != 2 {
+				t.Errorf("item %s names the versions %v", r.Item, r.Versions)
+			}
+		}
+	})
+}
+
+// An item that fails each time must end some time, or it holds a slot for ever;
+// one that the engine calls impossible must not be tried again.
+func TestItemsThatCannotBeDone(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		status int
+		runs   int
+	}{
+		{"fails each time", http.StatusInternalServerError, 3},
+		{"impossible", http.StatusUnprocessableEntity, 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			bubble(t, func(t *testing.T) {
+				w := newWorld(t, "e1")
+				w.engines.behave[""] = func(item string, _ int) reply {
+					r := good
+					if item == "i1" {
+						r.status = c.status
+					}
+					return r
+				}
+				a := w.start("a")
+				submit(t, a, spec("s"), items(2))
+				for _, r := range readWhole(t, a, "s") {
+					if want := map[string]Outcome{"i0": Completed, "i1": Abandoned}[r.Item]; r.Outcome != want {
+						t.Errorf("item %s is %s", r.Item, r.Outcome)
+					}
+				}
+				if n := w.engines.count("i1"); n != c.runs {
+					t.Errorf("the item ran %d times, want %d", n, c.runs)
+				}
+			})
+		})
+	}
+}
+
+// No engine takes an item for as long as the step may last. It is given up only
+// then, and stands as abandoned.
+func TestItemsAreGivenUpAtTheirTimeOnly(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		w := newWorld(t, "e1")
+		w.engines.behave[""] = func(string, int) reply {
+			return reply{status: http.StatusServiceUnavailable, notRun: true}
+		}
+		a := w.start("a")
+		submit(t, a, spec("s"), items(2))
+		time.Sleep(39 * time.Second)
+		if results, _, _ := a.Results(t.Context(), "s", "acc", 0, 0); len(results) != 0 {
+			t.Fatalf("%d items were given up early", len(results))
+		}
+		time.Sleep(3 * time.Second)
+		results, _, err := a.Results(t.Context(), "s", "acc", 0, 0)
+		if err != nil || len(results) != 2 || results[0].Outcome != Abandoned {
+			t.Errorf("after its time: %v, %v", results, err)
+		}
+	})
+}
+
+// An engine falls silent without closing its streams. Its items would hold up
+// their step until the trainer gives up.
+func TestSilentEngineLosesItsItems(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		w := newWorld(t, "e1", "e2")
+		w.engines.behave["e1"] = func(string, int) reply {
+			r := good
+			r.gap = time.Hour
+			return r
+		}
+		a := w.start("a")
+		submit(t, a, spec("s"), items(4))
+		started := time.Now()
+		checkTexts(t, readWhole(t, a, "s"), 3)
+		if took := time.Since(started); took > 3*time.Second {
+			t.Errorf("the step took %s", took)
+		}
+	})
+}
+
+// The store does not answer when a VM is asked for a step that it does not know.
+// Told that there is none, the trainer would start the step anew.
+func TestUnknownOnlyWhenTheStoreSaysSo(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		w := newWorld(t, "e1")
+		a := w.start("a")
+		w.store.SetDown(true)
+		_, _, err := a.Results(t.Context(), "s", "acc", 0, 0)
+		if fault.Is[*fault.StepUnknown](err) || err == nil {
+			t.Errorf("while the store is silent: %v", err)
+		}
+		w.store.SetDown(false)
+		if _, _, err := a.Results(t.Context(), "s", "acc", 0, 0); !fault.Is[*fault.StepUnknown](err) {
+			t.Errorf("when the store says no: %v", err)
+		}
+	})
+}
+
+// Another client account asks for a step whose ID it has guessed.
+func TestStepsOfOthersAreUnknown(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		w := newWorld(t, "e1")
+		a := w.start("a")
+		submit(t, a, spec("s"), items(2))
+		if _, _, err := a.Results(t.Context(), "s", "other", 0, 0); !fault.Is[*fault.StepUnknown](err) {
+			t.Errorf("results: %v", err)
+		}
+		if _, err := a.Body(t.Context(), "s", "other", "i0"); !fault.Is[*fault.StepUnknown](err) {
+			t.Errorf("body: %v", err)
+		}
+		if err := a.End(t.Context(), "s", "other"); !fault.Is[*fault.StepUnknown](err) {
+			t.Errorf("end: %v", err)
+		}
+	})
+}
+
+// Items and texts that are larger than a row or a transaction come back byte for
+// byte, also at a VM that reads them from the store.
+func TestLargeItemsAndTexts(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		w := newWorld(t, "e1")
+		a := w.start("a")
+		list := items(4)
+		list[2].Body = []byte(strings.Repeat("\x00b", 900<<10))
+		submit(t, a, spec("s"), list)
+		body, err := w.start("b").Body(t.Context(), "s", "acc", "i2")
+		if err != nil || string(body) != string(list[2].Body) {
+			t.Errorf("the body has %d bytes, %v", len(body), err)
+		}
+		long := Result{Item: "x", Outcome: Completed, Text: strings.Repeat("\x01t", 60<<10)}
+		puts, err := listing(t.Context(), w.store, "other", 0, []Result{long, {Item: "y", Outcome: Abandoned}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, put := range puts {
+			if len(put.Value) > 64<<10 {
+				t.Errorf("a row of %d bytes", len(put.Value))
+			}
+		}
+		if _, err := w.store.Commit(t.Context(), kept.Txn{Puts: puts}); err != nil {
+			t.Fatal(err)
+		}
+		results, err := readResults(t.Context(), w.store, "other", 0)
+		if err == nil {
+			err = moveIn(t.Context(), w.store, results)
+		}
+		if err != nil || len(results) != 2 || results[0].Text != long.Text {
+			t.Errorf("%d results, %v", len(results), err)
+		}
+		if second, err := readResults(t.Context(), w.store, "other", 1); err != nil || len(second) != 1 || second[0].Item != "y" {
+			t.Errorf("from position 1: %v, %v", second, err)
+		}
+	})
+}
+
+// Rows of steps that nobody may ask for any more would fill the store.
+func TestEndedStepsAreSwept(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		w := newWorld(t, "e1")
+		a := w.start("a")
+		submit(t, a, spec("s"), items(2))
+		readWhole(t, a, "s")
+		if err := a.End(t.Context(), "s", "acc"); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(time.Minute)
+		if _, err := readState(context.Background(), w.store, "s"); err != nil {
+			t.Fatalf("gone too early: %v", err)
+		}
+		time.Sleep(time.Minute)
+		for _, table := range []string{stateTable, itemsTable, resultTable} {
+			if rows, _ := kept.ReadAll(t.Context(), w.store, table, "s"); len(rows) > 0 {
+				t.Errorf("%d rows are left in %s", len(rows), table)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/step/world_test.go
@@ -0,0 +1,260 @@
+package step
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"go.uber.org/zap"
+
+	"dogwoodpond/internal/event"
+	"dogwoodpond/internal/fault"
+	"dogwoodpond/internal/kept/memory"
+	"dogwoodpond/internal/route"
+	"dogwoodpond/internal/target"
+
+	"github.com/cockroachdb/errors"
+)
+
+// world is a store, engines, and VMs that share them.
+type world struct {
+	t       *testing.T
+	store   *memory.Store
+	engines *engines
+	list    []target.Instance
+
+	mu   sync.Mutex
+	dead map[string]bool
+	vms  map[string]*vm
+}
+
+// vm is one VM's manager and the means to kill it.
+type vm struct {
+	*Manager
+	kill context.CancelFunc
+}
+
+// newWorld returns a world with engines of 4 slots.
+func newWorld(t *testing.T, engineIDs ...string) *world {
+	w := &world{t: t, store: memory.New(), engines: &engines{behave: map[string]behaviour{}, runs: map[string][]string{}}, dead: map[string]bool{}, vms: map[string]*vm{}}
+	for _, id := range engineIDs {
+		w.list = append(w.list, target.Instance{ID: id, Service: "lm", Address: id, FailureDomain: "x", Slots: 4, Versions: map[string]int64{"m": 1}})
+	}
+	return w
+}
+
+// start brings a VM to life.
+func (w *world) start(name string) *vm {
+	events := event.NewRecorder(name, 64, event.NewClock(time.Now), zap.NewNop())
+	roster := target.NewRoster(events)
+	roster.Replace(w.list)
+	view := route.NewView()
+	view.Offer(route.NewSnapshot(1, []*route.Route{{
+		Name: "r", Host: "h", Prefix: "/s/", Kind: route.Steps, Split: []route.Share{{Service: "lm", Weight: 1}},
+	}}, nil, route.Limits{}, nil, false))
+	ctx, kill := context.WithCancel(w.t.Context())
+	v := &vm{kill: kill, Manager: NewManager(Config{
+		VM: name, Life: name + "-1", Domain: "x", Store: w.store, Clock: w.store, Members: members{w, name},
+		View: view, Roster: roster, Caller: w.engines, Events: events, Keep: time.Minute,
+		Named: func(string) (int64, bool) { return 1, true },
+	})}
+	w.mu.Lock()
+	w.vms[name] = v
+	w.mu.Unlock()
+	go v.Run(ctx)
+	w.t.Cleanup(kill)
+	return v
+}
+
+// crash kills a VM without a word.
+func (w *world) crash(v *vm) {
+	w.mu.Lock()
+	w.dead[v.VM] = true
+	w.mu.Unlock()
+	v.kill()
+}
+
+// members is the list of members as one VM sees it.
+type members struct {
+	w    *world
+	self string
+}
+
+func (m members) Ready() bool { return true }
+
+func (m members) Alive(id, _ string) bool {
+	m.w.mu.Lock()
+	defer m.w.mu.Unlock()
+	return !m.w.dead[id]
+}
+
+func (m members) Rank(string) int {
+	m.w.mu.Lock()
+	defer m.w.mu.Unlock()
+	rank := 0
+	for name := range m.w.vms {
+		if name < m.self && !m.w.dead[name] {
+			rank++
+		}
+	}
+	return rank
+}
+
+// behaviour is how an engine answers an item's run; n counts the runs of the item
+// from 1.
+type behaviour func(item string, n int) reply
+
+// reply is one answer of an engine.
+type reply struct {
+	status  int
+	notRun  bool
+	version int64
+	// events is how many events the answer holds, gap the time before each.
+	events int
+	gap    time.Duration
+	// breakAfter, if not 0, breaks the answer off after that many events, counted
+	// from the start of the text.
+	breakAfter int
+	// skip leaves an event out.
+	skip int
+	// changeAt makes the version one higher from that event on.
+	changeAt int
+}
+
+var good = reply{status: http.StatusOK, version: 1, events: 3, gap: 10 * time.Millisecond}
+
+// engines are all engines of a world. It implements target.Caller.
+type engines struct {
+	mu     sync.Mutex
+	behave map[string]behaviour
+	// runs lists the engines that each item reached.
+	runs    map[string][]string
+	resumed []string
+	active  int
+}
+
+func (e *engines) Call(ctx context.Context, entry *target.Entry, request *target.Request) (*target.Response, error) {
+	id := entry.Info().ID
+	e.mu.Lock()
+	e.runs[request.ID] = append(e.runs[request.ID], id)
+	n := len(e.runs[request.ID])
+	if request.ResumeAfter != "" {
+		e.resumed = append(e.resumed, request.ID+" after "+request.ResumeAfter)
+	}
+	behave := e.behave[id]
+	if behave == nil {
+		behave = e.behave[""]
+	}
+	e.mu.Unlock()
+	r := good
+	if behave != nil {
+		r = behave(request.ID, n)
+	}
+	if r.status == 0 {
+		return nil, fault.WithExecution(errors.WithStack(&fault.UpstreamFailed{Upstream: id}), fault.Unknown)
+	}
+	body, out := io.Pipe()
+	go e.write(ctx, out, request, r)
+	return &target.Response{Status: r.status, NotRun: r.notRun, Version: r.version, VersionField: "v", Body: body}, nil
+}
+
+func (e *engines) write(ctx context.Context, out *io.PipeWriter, request *target.Request, r reply) {
+	e.mu.Lock()
+	e.active++
+	e.mu.Unlock()
+	defer func() {
+		e.mu.Lock()
+		e.active--
+		e.mu.Unlock()
+	}()
+	from, _ := strconv.Atoi(request.ResumeAfter)
+	for n := from + 1; n <= r.events; n++ {
+		select {
+		case <-ctx.Done():
+			_ = out.CloseWithError(ctx.Err())
+			return
+		case <-time.After(r.gap):
+		}
+		if n == r.skip {
+			continue
+		}
+		text := fmt.Sprintf("id: %d\ndata: %s-%d\n\n", n, request.ID, n)
+		if n == r.changeAt {
+			text = fmt.Sprintf("v: %d\n%s", r.version+1, text)
+		}
+		if _, err := io.WriteString(out, text); err != nil {
+			return
+		}
+		if n == r.breakAfter {
+			_ = out.CloseWithError(io.ErrUnexpectedEOF)
+			return
+		}
+	}
+	_ = out.Close()
+}
+
+func (e *engines) count(item string) int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return len(e.runs[item])
+}
+
+// spec returns a step of the test's account.
+func spec(id string) Spec {
+	return Spec{ID: id, Account: "acc", Host: "h", Path: "/s/" + id, Model: "m", MinVersion: 1, RunObjective: 7 * time.Second, GiveUp: 40 * time.Second, Attempts: 3}
+}
+
+// items returns n items in groups of two.
+func items(n int) []Item {
+	var out []Item
+	for i := range n {
+		out = append(out, Item{ID: "i" + strconv.Itoa(i), Path: "/s/x", Body: []byte("body " + strconv.Itoa(i)), Group: "g" + strconv.Itoa(i/2)})
+	}
+	return out
+}
+
+// readWhole reads a step at a VM until all its results are there.
+func readWhole(t *testing.T, v *vm, id string) []Result {
+	t.Helper()
+	var all []Result
+	for range 400 {
+		results, total, err := v.Results(t.Context(), id, "acc", len(all), 100*time.Millisecond)
+		if err == nil {
+			all = append(all, results...)
+		}
+		if err == nil && len(all) == total {
+			return all
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	t.Fatalf("%d results of step %s after 20 s or more", len(all), id)
+	return nil
+}
+
+// checkTexts checks that each item stands once, with its whole text.
+func checkTexts(t *testing.T, results []Result, events int) {
+	t.Helper()
+	seen := map[string]bool{}
+	for _, r := range results {
+		if seen[r.Item] {
+			t.Errorf("item %s stands twice", r.Item)
+		}
+		seen[r.Item] = true
+		var want []string
+		for n := 1; n <= events; n++ {
+			want = append(want, r.Item+"-"+strconv.Itoa(n))
+		}
+		if r.Outcome != Completed || r.Text != strings.Join(want, "\n") {
+			t.Errorf("item %s is %s with the text %q", r.Item, r.Outcome, r.Text)
+		}
+	}
+}
+
+func bubble(t *testing.T, f func(t *testing.T)) { synctest.Test(t, f) }
--- a/internal/window/closer.go
+++ b/internal/window/closer.go
@@ -84,7 +84,7 @@
 	defer ticker.Stop()
 	for {
 		for c.due(next) {
-			if err := c.close(ctx, guard, next); err != nil {
+			if err := c.close(ctx, guard, next); err != nil && !c.refused(err, next) {
 				c.Events.Emit(event.UsageIncomplete, event.Subject{Count: next, Epoch: guard.Epoch(), Detail: "not reported yet: " + err.Error()})
 				break
 			}
@@ -98,6 +98,17 @@
 	}
 }
 
+// refused reports whether billing will never take a window; the next ones must
+// not wait for it.
+func (c *Closer) refused(err error, window int64) bool {
+	var refused *fault.PlatformRefused
+	if !errors.As(err, &refused) {
+		return false
+	}
+	c.Events.Emit(event.UsageIncomplete, event.Subject{Count: window, Detail: "refused for good: " + err.Error()})
+	return true
+}
+
 // firstWindow returns the window behind the newest that was reported.
 func (c *Closer) firstWindow(ctx context.Context) (int64, error) {
 	page, err := c.Store.Read(ctx, reportTable, "", sentName, sentName+"\x00")
@@ -150,7 +161,7 @@
 
 // fix returns the figures of a window, which never change once they are stored.
 func (c *Closer) fix(ctx context.Context, window int64) (map[string]int64, error) {
-	name := strconv.FormatInt(window, 10)
+	name := windowName(window)
 	rows, err := kept.ReadAll(ctx, c.Store, totalsTable, name)
 	if err != nil {
 		return nil, err
--- a/internal/window/meter.go
+++ b/internal/window/meter.go
@@ -86,7 +86,7 @@
 		value, err := json.Marshal(counts)
 		if err == nil {
 			call, cancel := context.WithTimeout(ctx, flushTimeout)
-			key := kept.Key{Table: totalsTable, Part: strconv.FormatInt(window, 10), Name: m.name}
+			key := kept.Key{Table: totalsTable, Part: windowName(window), Name: m.name}
 			_, err = m.store.Commit(call, kept.Txn{Puts: []kept.Put{{Key: key, Value: value}}})
 			cancel()
 		}
@@ -117,3 +117,6 @@
 		t.dirty = true
 	}
 }
+
+// windowName names a window's partition.
+func windowName(window int64) string { return strconv.FormatInt(window, 10) }
