The steps of a model have one owner

Cause: the VM that accepts a step owned it, so two owners filled the slots of the same engines, and connections were never used again by the next step.

--- a/internal/loading/plan.go
+++ b/internal/loading/plan.go
@@ -4,16 +4,13 @@
 //
 // With several models on each engine and a version every few seconds, not every
 // engine can follow every version: a load takes 0.9 s during which the engine
-// takes no requests of that model. So of the engines that follow a model only half
-// load a version when it is named. The other half still has the version before,
-// which steps allow, and follows with the next version. A version may cost as many
-// loads as there are engines for each model, so twice that many can follow a model
-// and each engine follows two models.
+// takes no requests of that model. So each model gets a share of the engines by
+// its demand, and of that share only half follows at once. The other half still
+// has the version before, which steps allow, and follows with the next version.
 package loading
 
 import (
 	"math"
-	"slices"
 	"sort"
 	"time"
 
@@ -32,14 +29,8 @@
 	Work float64
 }
 
-const (
-	// leastShare keeps a model with little demand from losing every engine.
-	leastShare = 0.15
-	// modelsEach is how many models an engine follows. With one, a model of three
-	// on nine engines has 36 slots for its 60 items, of which a third may be
-	// loading; with two it has 72.
-	modelsEach = 2
-)
+// leastShare keeps a model with little demand from losing every engine.
+const leastShare = 0.15
 
 // shares returns each model's part of the engines; they add up to 1.
 func shares(demands []Demand) []float64 {
@@ -62,44 +53,43 @@
 	return out
 }
 
-// counts returns how many engines of one failure domain follow each model. before
-// is how many engines the domains in front of it have: rounding goes on from there,
+// counts deals the engines of one failure domain out to the models. before is
+// how many engines the domains in front of it have: rounding goes on from there,
 // so that over all domains each model gets its share, not each time the same one
 // the odd engine.
 func counts(demands []Demand, before, engines int) []int {
 	part := shares(demands)
-	each := min(modelsEach, len(demands))
 	out := make([]int, len(demands))
 	upTo := func(total, i int) int {
 		sum := 0.0
 		for _, s := range part[:i] {
 			sum += s
 		}
-		return int(math.Round(sum * float64(total*each)))
+		return int(math.Round(sum * float64(total)))
 	}
 	for i := range demands {
 		all := upTo(before+engines, i+1) - upTo(before+engines, i)
 		earlier := upTo(before, i+1) - upTo(before, i)
 		out[i] = all - earlier
 	}
-	return level(out, engines, engines*each)
+	return level(out, engines)
 }
 
-// level mends what rounding left: no model with more engines than there are or,
-// with enough engines, with none, and the sum as it should be.
-func level(out []int, engines, total int) []int {
+// level mends what rounding left: no negative counts, and the sum as it should
+// be; with enough engines, one for each model.
+func level(out []int, engines int) []int {
 	least := 0
 	if engines >= len(out) {
 		least = 1
 	}
 	sum := 0
 	for i := range out {
-		out[i] = min(max(out[i], least), engines)
+		out[i] = max(out[i], least)
 		sum += out[i]
 	}
-	for sum != total && len(out) > 0 {
-		at, step := extreme(out, sum > total), 1
-		if sum > total {
+	for sum != engines && len(out) > 0 {
+		at, step := extreme(out, sum > engines), 1
+		if sum > engines {
 			step = -1
 		}
 		out[at] += step
@@ -118,16 +108,9 @@
 	return at
 }
 
-// following tells which models an engine follows.
-type following map[*target.Entry][]string
-
-func (f following) follows(e *target.Entry, model string) bool {
-	return slices.Contains(f[e], model)
-}
-
-// assign deals engines out to models. An engine keeps the models that it follows
-// already if they still have room: a change costs a load.
-func assign(engines []*target.Entry, demands []Demand, wanted []int) following {
+// assign deals engines out to models. An engine keeps the model that it follows
+// already if that model still has room: a change costs a load.
+func assign(engines []*target.Entry, demands []Demand, wanted []int) map[*target.Entry]string {
 	left := make(map[string]int, len(demands))
 	for i, d := range demands {
 		left[d.Model] = wanted[i]
@@ -138,18 +121,16 @@
 		behind int64
 	}
 	var candidates []candidate
-	for i, e := range engines {
-		for k := range demands {
-			// Beginning with another model on each engine mixes them evenly.
-			d := demands[(i+k)%len(demands)]
+	for _, e := range engines {
+		for _, d := range demands {
 			candidates = append(candidates, candidate{e, d.Model, d.Named - e.Version(d.Model)})
 		}
 	}
 	sort.SliceStable(candidates, func(i, j int) bool { return candidates[i].behind < candidates[j].behind })
-	out := make(following, len(engines))
+	out := make(map[*target.Entry]string, len(engines))
 	for _, c := range candidates {
-		if len(out[c.engine]) < modelsEach && left[c.model] > 0 {
-			out[c.engine] = append(out[c.engine], c.model)
+		if _, taken := out[c.engine]; !taken && left[c.model] > 0 {
+			out[c.engine] = c.model
 			left[c.model]--
 		}
 	}
@@ -173,7 +154,7 @@
 		var mine []*target.Entry
 		current, loading := 0, 0
 		for _, e := range engines {
-			if !assigned.follows(e, d.Model) {
+			if assigned[e] != d.Model {
 				continue
 			}
 			mine = append(mine, e)
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -281,6 +281,19 @@
 	return lease.Rank(work, l.self.ID, ids(l.Live()))
 }
 
+// First returns the live VM that ranks first for a piece of work; ok is false when
+// all leave.
+func (l *List) First(work string) (first VM, ok bool) {
+	live := l.Live()
+	names := ids(live)
+	for _, vm := range live {
+		if lease.Rank(work, vm.ID, names) == 0 {
+			return vm, true
+		}
+	}
+	return VM{}, false
+}
+
 // RankIn is Rank with the VMs of a failure domain before all others.
 func (l *List) RankIn(work, domain string) int {
 	live := l.Live()
--- a/internal/step/manager.go
+++ b/internal/step/manager.go
@@ -47,6 +47,9 @@
 	Rank(work string) int
 }
 
+// Process names one life of a VM's process.
+type Process struct{ VM, Life string }
+
 // Config holds what a manager works with.
 type Config struct {
 	// VM and Life name this process, Domain its failure domain.
@@ -60,6 +63,10 @@
 	Events           *event.Recorder
 	// Named returns the version of a model that its trainer named last.
 	Named func(model string) (int64, bool)
+	// Prefer returns the process that should own the steps of a model, if one is
+	// known to live, and StoreWell whether the store answered a moment ago.
+	Prefer    func(model string) (p Process, ok bool)
+	StoreWell func() bool
 	// Keep is how long ended steps stay readable after their submission.
 	Keep time.Duration
 }
@@ -68,6 +75,8 @@
 type Manager struct {
 	Config
 	wake chan struct{}
+	// look makes the manager look for steps to own at once.
+	look chan struct{}
 
 	mu      sync.Mutex
 	known   map[string]record
@@ -91,6 +100,7 @@
 	return &Manager{
 		Config:  c,
 		wake:    make(chan struct{}, 1),
+		look:    make(chan struct{}, 1),
 		known:   make(map[string]record),
 		runs:    make(map[string]*run),
 		loading: make(map[string]bool),
@@ -134,9 +144,7 @@
 	spec.SubmittedAt = now
 	state := State{Spec: spec, Total: len(items), Epoch: 1, Nonce: uuid.NewString()}
 	state.Work, state.Behind = work(items), m.behind(spec)
-	if !m.isLeaving() {
-		state.Owner, state.OwnerLife = m.VM, m.Life
-	}
+	state.Owner, state.OwnerLife = m.ownerFor(spec)
 	txn, state, err := creation(ctx, m.Store, state, items)
 	if err != nil {
 		return notKept(err)
@@ -153,6 +161,20 @@
 	return err
 }
 
+// ownerFor chooses the owner of a new step: the process that has the other steps of
+// its model. It knows how many slots of the model's engines are taken, where two
+// owners would fill the same ones, and has connections to them. While the store is
+// away the step stays here, where its items can start at once.
+func (m *Manager) ownerFor(spec Spec) (vm, life string) {
+	if p, ok := m.Prefer(spec.Model); ok && m.StoreWell() {
+		return p.VM, p.Life
+	}
+	if m.isLeaving() {
+		return "", ""
+	}
+	return m.VM, m.Life
+}
+
 // work adds up the expected work of items.
 func work(items []Item) float64 {
 	total := 0.0
@@ -336,6 +358,10 @@
 		}
 		m.learn(r)
 	}
+	select {
+	case m.look <- struct{}{}:
+	default:
+	}
 }
 
 func (m *Manager) forget(id string) {
--- a/internal/step/step_test.go
+++ b/internal/step/step_test.go
@@ -163,6 +163,39 @@
 	})
 }
 
+// A step is handed in at a VM that is not the one that has its model's steps. That
+// one must begin it at once; otherwise each such step would lose time.
+func TestStepGoesToTheOwnerOfItsModel(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		w := newWorld(t, "e1")
+		w.preferred = "b"
+		a, b := w.start("a"), w.start("b")
+		time.Sleep(time.Second)
+		submit(t, a, spec("s"), items(4))
+		time.Sleep(60 * time.Millisecond)
+		if b.runOf("s") == nil || a.runOf("s") != nil {
+			t.Error("the step does not run at the owner of its model")
+		}
+		checkTexts(t, readWhole(t, a, "s"), 3)
+	})
+}
+
+// The VM that should own the step died a moment ago, and nobody has noticed. The
+// step must not wait for it to come back.
+func TestStepOfADeadOwnerIsTakenOver(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		w := newWorld(t, "e1")
+		w.preferred = "b"
+		a, b := w.start("a"), w.start("b")
+		time.Sleep(time.Second)
+		b.kill()
+		submit(t, a, spec("s"), items(4))
+		time.Sleep(time.Second)
+		w.crash(b)
+		checkTexts(t, readWhole(t, a, "s"), 3)
+	})
+}
+
 // The owner's process is killed in the middle of a step. Another VM goes on; what
 // was listed keeps its position and its words.
 func TestTakeoverAfterACrash(t *testing.T) {
--- a/internal/step/takeover.go
+++ b/internal/step/takeover.go
@@ -20,6 +20,7 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
+		case <-m.look:
 		}
 		for _, r := range m.unowned(time.Now()) {
 			m.loops.Go(func() { m.takeOver(ctx, r) })
--- a/internal/step/world_test.go
+++ b/internal/step/world_test.go
@@ -33,6 +33,14 @@
 	mu   sync.Mutex
 	dead map[string]bool
 	vms  map[string]*vm
+	// preferred owns the steps of all models, if it is set.
+	preferred string
+}
+
+func (w *world) prefer(string) (Process, bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return Process{VM: w.preferred, Life: w.preferred + "-1"}, w.preferred != ""
 }
 
 // vm is one VM's manager and the means to kill it.
@@ -63,7 +71,9 @@
 	v := &vm{kill: kill, Manager: NewManager(Config{
 		VM: name, Life: name + "-1", Domain: "x", Store: w.store, Clock: w.store, Members: members{w, name},
 		View: view, Roster: roster, Caller: w.engines, Events: events, Keep: time.Minute,
-		Named: func(string) (int64, bool) { return 1, true },
+		Named:     func(string) (int64, bool) { return 1, true },
+		Prefer:    w.prefer,
+		StoreWell: func() bool { return true },
 	})}
 	w.mu.Lock()
 	w.vms[name] = v
--- a/internal/target/instance.go
+++ b/internal/target/instance.go
@@ -154,18 +154,8 @@
 	return 1
 }
 
-// Free returns how many more requests the upstream has room for. Before it has
-// told its load a moment ago, half of its slots count as taken by others: steps of
-// several models begin at the same moment at different VMs, and what each of them
-// sent beyond the slots would wait in the upstream's queue, in which it can't be
-// moved. Its first answer, some 30 ms later, tells.
+// Free returns how many more requests the upstream has room for.
 func (e *Entry) Free(now time.Time) int {
-	e.mu.Lock()
-	told := !e.loadAt.IsZero() && now.Sub(e.loadAt) <= loadLife
-	e.mu.Unlock()
-	if !told {
-		return (e.Slots()+1)/2 - e.InFlight()
-	}
 	return e.Slots() - e.InFlight() - e.Foreign(now)
 }
 
