Texts of unfinished items outlast their owner and their step; longest items first

Cause: a step ends with its longest needed items, 100 events and more of some 45 ms. A take-over and the next step that carries a group over made them anew. Now the owner saves long texts each 0.8 s, hands them over, and keeps the texts of groups that were not whole for the next step, so far as their versions fit. Items start longest first, carried groups before all.

--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -43,6 +43,7 @@
 	StepLost         Number = 1412
 	ItemAbandoned    Number = 1413
 	StepStartedEarly Number = 1414
+	TextsSaved       Number = 1415
 
 	UpstreamEjected  Number = 1501
 	UpstreamRestored Number = 1502
@@ -110,6 +111,7 @@
 	{StepLost, zap.WarnLevel, "step lost", "The store refused results: the step was ended, or another VM owns it by now."},
 	{ItemAbandoned, zap.WarnLevel, "item abandoned", "An item of the step was given up; Detail tells why."},
 	{StepStartedEarly, zap.InfoLevel, "step started early", "The store has not confirmed the step yet; its items run, but nothing is listed. Count gives how many."},
+	{TextsSaved, zap.InfoLevel, "texts saved", "The texts of Count unfinished items were saved, for the case that the step changes hands."},
 	{UpstreamEjected, zap.WarnLevel, "upstream ejected", "The upstream failed too often and gets no work for a while."},
 	{UpstreamRestored, zap.InfoLevel, "upstream restored", "The upstream gets work again."},
 	{UpstreamLeaving, zap.InfoLevel, "upstream leaving", "The upstream is leaving and gets no new work."},
--- a/internal/step/early.go
+++ b/internal/step/early.go
@@ -27,7 +27,7 @@
 	if e.closed || e.state.Owner != m.VM {
 		return
 	}
-	e.run = m.startRun(record{State: e.state}, e.items, nil)
+	e.run = m.startRun(record{State: e.state}, e.items, nil, nil)
 	if e.run != nil {
 		m.Events.Emit(event.StepStartedEarly, event.Subject{Step: e.state.ID, Account: e.state.Account, Count: int64(len(e.items))})
 	}
--- a/internal/step/item.go
+++ b/internal/step/item.go
@@ -42,14 +42,6 @@
 	failedPause = 40 * time.Millisecond
 )
 
-// partial is the text of an item as far as it was read.
-type partial struct {
-	data     [][]byte
-	last     int64
-	any      bool
-	versions []int64
-}
-
 // ended says why a run of an item ended.
 type ended int
 
@@ -86,10 +78,11 @@
 func (r *run) settle(i int, n need, entry *target.Entry, why ended) {
 	now := time.Now()
 	p := &r.progress[i]
+	read := r.text(i)
 	if why != whole {
 		r.m.Events.Emit(event.AttemptFailed, event.Subject{
 			Step: r.rec.ID, Slot: r.items[i].ID, Account: r.rec.Account, Upstream: entry.Info().ID,
-			Detail: why.String() + " after event " + strconv.FormatInt(p.partial.last, 10),
+			Detail: why.String() + " after event " + strconv.FormatInt(read.last, 10),
 		})
 	}
 	switch why {
@@ -112,7 +105,7 @@
 		p.moves++
 		r.again(i, 0)
 	case stale:
-		p.partial = partial{}
+		r.keepText(i, partial{})
 		entry.NoteSwap(n.model, now.Add(refusedRest))
 		r.again(i, 0)
 	case broken:
@@ -127,11 +120,11 @@
 
 // complete lists a whole text, unless its versions don't fit the step.
 func (r *run) complete(i int) {
-	text := &r.progress[i].partial
+	text := r.text(i)
 	result := Result{Item: r.items[i].ID, Outcome: Completed, Versions: text.versions, Text: joined(text.data)}
 	if !fits(result.Versions, r.rec.Spec) {
 		r.m.Events.Emit(event.SampleRejected, event.Subject{Step: r.rec.ID, Slot: result.Item, Account: r.rec.Account, Detail: "versions don't fit the step"})
-		*text = partial{}
+		r.keepText(i, partial{})
 		r.again(i, failedPause)
 		return
 	}
@@ -220,7 +213,7 @@
 		ID: item.ID, Method: http.MethodPost, URI: item.Path, Host: rec.Host,
 		Header: header, Body: item.Body, Account: rec.Account,
 	}
-	if p := &a.run.progress[a.index].partial; p.any {
+	if p := a.run.text(a.index); p.any {
 		request.ResumeAfter = strconv.FormatInt(p.last, 10)
 	}
 	return request
@@ -229,7 +222,7 @@
 // read takes the events of a stream into the item's text. Each event must be the
 // next one, whatever the engine sends: a text with a hole looks like any other.
 func (a *itemRun) read(response *target.Response) ended {
-	text := &a.run.progress[a.index].partial
+	text := a.run.text(a.index)
 	version := response.Version
 	events := eventstream.NewReader(response.Body)
 	pace := pacer{started: time.Now()}
@@ -259,20 +252,13 @@
 			return broken
 		}
 		text.add(e, version)
+		a.run.keepText(a.index, text)
 		if pace.event() {
 			a.judgePace(&pace)
 		}
 	}
 }
 
-func (p *partial) add(e *eventstream.Event, version int64) {
-	p.data = append(p.data, e.Data)
-	p.last, p.any = e.ID, true
-	if version > 0 && !slices.Contains(p.versions, version) {
-		p.versions = append(p.versions, version)
-	}
-}
-
 // pacer measures the time between events.
 type pacer struct {
 	started time.Time
--- a/internal/step/manager.go
+++ b/internal/step/manager.go
@@ -83,6 +83,7 @@
 	runs    map[string]*run
 	loading map[string]bool
 	orphan  map[string]time.Time
+	carried *carried
 	leaving bool
 	// followed is true once the states were read.
 	followed bool
@@ -105,6 +106,7 @@
 		runs:    make(map[string]*run),
 		loading: make(map[string]bool),
 		orphan:  make(map[string]time.Time),
+		carried: newCarried(),
 		ctx:     ctx,
 		cancel:  cancel,
 	}
@@ -215,7 +217,7 @@
 	m.Events.Emit(event.StepOpened, event.Subject{Step: r.ID, Account: r.Account, Count: int64(r.Total)})
 	m.note(r)
 	if r.Owner == m.VM && !early.accept(r) {
-		m.start(r, items, nil)
+		m.start(r, items, nil, nil)
 	}
 	return nil
 }
@@ -399,14 +401,15 @@
 	m.mu.Lock()
 	if m.runs[r.rec.ID] == r {
 		delete(m.runs, r.rec.ID)
+		m.carried.put(r.rec.Account, r.unfinished(), time.Now())
 	}
 	m.mu.Unlock()
 	r.cancel()
 }
 
 // start runs a step that this VM owns.
-func (m *Manager) start(rec record, items []Item, listed []Result) {
-	r := m.startRun(rec, items, listed)
+func (m *Manager) start(rec record, items []Item, listed []Result, texts map[string]savedText) {
+	r := m.startRun(rec, items, listed, texts)
 	if r == nil {
 		return
 	}
@@ -416,7 +419,7 @@
 
 // startRun starts a step's items; its results are listed once the run is accepted.
 // It returns nil when the step runs already, or is known to be another VM's.
-func (m *Manager) startRun(rec record, items []Item, listed []Result) *run {
+func (m *Manager) startRun(rec record, items []Item, listed []Result, texts map[string]savedText) *run {
 	m.mu.Lock()
 	known, ok := m.known[rec.ID]
 	overtaken := ok && known.version > rec.version
@@ -425,8 +428,11 @@
 		return nil
 	}
 	r := newRun(m, rec, items, listed)
+	r.resume(m.carried.of(rec.Account, items))
+	r.resume(texts)
 	m.runs[rec.ID] = r
 	m.loops.Go(r.commitLoop)
+	m.loops.Go(r.saveLoop)
 	m.mu.Unlock()
 	m.poke()
 	return r
--- a/internal/step/place.go
+++ b/internal/step/place.go
@@ -86,26 +86,21 @@
 	return known[(len(known)-1)/2]
 }
 
-// neededShare is the part of the groups that a trainer waits for when it does not
-// say how many it desires.
-const neededShare = 0.9
-
-// order returns the items of a step in the order in which they should start.
-// Only as many groups as the trainer desires decide when the step is whole: the
-// groups at the front of the submission, which are carried over from an earlier
-// step, and beside them those with the least expected work. Among the needed ones
-// the longest start first, since a step is as late as its last needed item.
-func order(items []Item, desired int) []int {
+// order returns the items of a step in the order in which they should start. Groups
+// in first come first: their trainer waits for them whatever else is whole. Then
+// the groups with the longest expected item, since a step is as late as its longest
+// needed item, and nine in ten groups are needed.
+func order(items []Item, first map[string]bool) []int {
 	groups := groupsOf(items)
-	if desired <= 0 {
-		desired = int(neededShare*float64(len(groups)) + 0.999)
-	}
-	sort.SliceStable(groups, func(i, j int) bool { return groups[i].longest < groups[j].longest })
-	needed := groups[:min(desired, len(groups))]
-	spare := groups[len(needed):]
-	sort.SliceStable(needed, func(i, j int) bool { return needed[i].longest > needed[j].longest })
+	sort.SliceStable(groups, func(i, j int) bool {
+		a, b := groups[i], groups[j]
+		if first[a.name] != first[b.name] {
+			return first[a.name]
+		}
+		return a.longest > b.longest
+	})
 	var out []int
-	for _, g := range append(needed, spare...) {
+	for _, g := range groups {
 		out = append(out, g.items...)
 	}
 	return out
@@ -113,6 +108,7 @@
 
 // group is the items that share a prompt and count only together.
 type group struct {
+	name    string
 	items   []int
 	longest float64
 }
@@ -123,7 +119,7 @@
 	for i, item := range items {
 		g, ok := index[item.Group]
 		if !ok {
-			g = &group{}
+			g = &group{name: item.Group}
 			index[item.Group] = g
 			groups = append(groups, g)
 		}
--- a/internal/step/run.go
+++ b/internal/step/run.go
@@ -76,7 +76,7 @@
 		m:        m,
 		rec:      rec,
 		items:    items,
-		order:    order(items, rec.Desired),
+		order:    order(items, nil),
 		due:      rec.SubmittedAt + rec.RunObjective.Milliseconds(),
 		progress: make([]progress, len(items)),
 		listed:   listed,
@@ -99,6 +99,27 @@
 	return r
 }
 
+// resume takes texts that were read before, by this VM or another, so far as they
+// fit the step. It must be called before items start.
+func (r *run) resume(texts map[string]savedText) {
+	if len(texts) == 0 {
+		return
+	}
+	known := make(map[string]bool)
+	for i, item := range r.items {
+		saved, ok := texts[item.ID]
+		known[item.Group] = known[item.Group] || ok
+		if !ok || r.progress[i].phase == done || !mayGoOn(saved.Versions, r.rec.Spec) {
+			continue
+		}
+		r.progress[i].partial = saved.partial()
+		if saved.Whole {
+			r.complete(i)
+		}
+	}
+	r.order = order(r.items, known)
+}
+
 // accept notes the version of the state row under which results may be listed.
 func (r *run) accept(rec record) {
 	r.version.Store(rec.version)
@@ -149,6 +170,20 @@
 	r.m.poke()
 }
 
+// text returns the text of an item as far as it was read.
+func (r *run) text(i int) partial {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.progress[i].partial
+}
+
+// keepText replaces the text of an item as far as it was read.
+func (r *run) keepText(i int, text partial) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.progress[i].partial = text
+}
+
 // finish takes an item's result.
 func (r *run) finish(i int, result Result) {
 	r.mu.Lock()
@@ -184,6 +219,22 @@
 	}
 }
 
+// saveLoop saves the texts of long items, for the case that this VM is lost.
+func (r *run) saveLoop() {
+	ticker := time.NewTicker(saveEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-r.ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		if r.accepted() {
+			r.saveTexts(r.ctx, saveEvents)
+		}
+	}
+}
+
 func (r *run) full() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/step/step_test.go
+++ b/internal/step/step_test.go
@@ -224,6 +224,75 @@
 	})
 }
 
+// The owner is killed while the last item, a long one, is at its 30th event. Made
+// anew from its first one, it would hold its step up for as long again.
+func TestLongTextSurvivesItsOwner(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		w := newWorld(t, "e1")
+		w.engines.behave[""] = func(string, int) reply {
+			r := good
+			r.events, r.gap = 60, 100*time.Millisecond
+			return r
+		}
+		a, b := w.start("a"), w.start("b")
+		submit(t, a, spec("s"), items(1))
+		time.Sleep(3 * time.Second)
+		w.crash(a)
+		started := time.Now()
+		checkTexts(t, readWhole(t, b, "s"), 60)
+		if took := time.Since(started); took > 5500*time.Millisecond {
+			t.Errorf("the rest took %s", took)
+		}
+	})
+}
+
+// A step ends while one of its groups is not whole; its trainer asks for that group
+// again in the next step and waits for it there. What was read of it may be used,
+// so far as its versions fit.
+func TestCarriedGroupsGoOn(t *testing.T) {
+	for _, c := range []struct {
+		name       string
+		minVersion int64
+		runs       int
+	}{{"versions fit", 1, 1}, {"too old", 2, 2}} {
+		t.Run(c.name, func(t *testing.T) {
+			bubble(t, func(t *testing.T) {
+				w := newWorld(t, "e1")
+				version := int64(1)
+				w.engines.behave[""] = func(item string, _ int) reply {
+					r := good
+					r.version = version
+					if item == "i3" {
+						r.events, r.gap = 40, 100*time.Millisecond
+					}
+					return r
+				}
+				a := w.start("a")
+				submit(t, a, spec("s1"), items(4))
+				time.Sleep(2 * time.Second)
+				if err := a.End(t.Context(), "s1", "acc"); err != nil {
+					t.Fatal(err)
+				}
+				for _, e := range a.Roster.Service("lm") {
+					e.NoteVersion("m", 2)
+				}
+				version = 2
+				next := spec("s2")
+				next.MinVersion = c.minVersion
+				submit(t, a, next, items(4)[2:])
+				for _, r := range readWhole(t, a, "s2") {
+					if r.Item == "i3" && (len(strings.Split(r.Text, "\n")) != 40 || c.runs == 1 && r.Versions[0] != 1 || c.runs == 2 && len(r.Versions) != 1) {
+						t.Errorf("the carried item has the versions %v and %d events", r.Versions, len(strings.Split(r.Text, "\n")))
+					}
+				}
+				if n := w.engines.count("i2"); n != c.runs {
+					t.Errorf("the finished item of the carried group ran %d times, want %d", n, c.runs)
+				}
+			})
+		})
+	}
+}
+
 // The owner is frozen, another VM takes over, and then the first one wakes with
 // finished results in its hands. If it could list them, items would stand twice.
 func TestFrozenOwnerListsNothing(t *testing.T) {
--- a/internal/step/sweep.go
+++ b/internal/step/sweep.go
@@ -51,7 +51,7 @@
 			return err
 		}
 	}
-	for _, table := range []string{itemsTable, resultTable, stateTable} {
+	for _, table := range []string{itemsTable, resultTable, textTable, stateTable} {
 		rows, err := kept.ReadAll(ctx, m.Store, table, r.ID)
 		if err != nil {
 			return err
--- a/internal/step/takeover.go
+++ b/internal/step/takeover.go
@@ -94,8 +94,12 @@
 		if err == nil {
 			listed, err = readAllResults(ctx, m.Store, r.ID)
 		}
+		var texts map[string]savedText
+		if err == nil && len(listed) < r.Total {
+			texts, err = readTexts(ctx, m.Store, r.ID)
+		}
 		if err == nil {
-			m.start(r, items, listed)
+			m.start(r, items, listed, texts)
 			return
 		}
 		if fault.Is[*fault.Internal](err) {
@@ -132,6 +136,7 @@
 		return
 	}
 	r.flush(ctx)
+	r.saveTexts(ctx, 1)
 	rec := r.current()
 	next := rec.State
 	next.Owner, next.OwnerLife, next.Nonce = "", "", uuid.NewString()
