A new process takes its predecessor's leases at once; each model gets an engine first

The loaders' leases ran on for a term of dead processes, and then the engines were brought up model by model. Ruled out: the steps' own take-over (1.5 s). A VM knows that its earlier process is dead and does not wait for its term; urgent loads go one to each model in turn.

--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -10,6 +10,7 @@
 package lease
 
 import (
+	"strings"
 	"sync"
 	"time"
 
@@ -51,6 +52,9 @@
 type Contender struct {
 	owner  string
 	timing Timing
+	// predecessors starts the owners of earlier processes of this VM, which are
+	// known to be dead; empty when nothing is known.
+	predecessors string
 
 	seen    bool
 	version uint64
@@ -90,7 +94,7 @@
 // A record of the contender's own is the trace of a try whose reply was lost.
 // Nothing was ordered under it, so there is nobody to wait for.
 func (c *Contender) Wait(record Record, now time.Time, patience time.Duration) time.Duration {
-	if record.Holder == c.owner {
+	if record.Holder == c.owner || c.succeeds(record) {
 		return 0
 	}
 	silence := patience
@@ -100,6 +104,13 @@
 	return silence - c.Silence(now)
 }
 
+// succeeds reports whether the holder was an earlier process of this VM. It can't
+// act any more, so that waiting for the end of its term guards nothing: after a
+// loss of power of all VMs nobody would be in charge for a whole term.
+func (c *Contender) succeeds(record Record) bool {
+	return c.predecessors != "" && strings.HasPrefix(record.Holder, c.predecessors)
+}
+
 // Take returns the record that puts the contender in charge. The epoch rises
 // even over the contender's own record, so that no epoch is used twice.
 func (c *Contender) Take(record Record) Record {
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -105,3 +105,32 @@
 		t.Errorf("rank with an empty list is %d, want 0", got)
 	}
 }
+
+// All VMs lose power and start again. The holder's term goes on in the store, and
+// nobody would be in charge until it has ended, though the holder's own VM knows
+// that its old process is dead.
+func TestNewProcessSucceedsItsPredecessor(t *testing.T) {
+	timing := NewTiming(3 * time.Second)
+	now := time.Unix(1000, 0)
+	record := Record{Holder: "vm-1/old", Epoch: 7}
+	for _, c := range []struct {
+		name         string
+		predecessors string
+		wait         bool
+	}{
+		{"its own VM", "vm-1/", false},
+		{"another VM", "vm-2/", true},
+		{"a VM whose name begins alike", "vm-/", true},
+		{"nothing known", "", true},
+	} {
+		contender := NewContender("me/new", timing)
+		contender.predecessors = c.predecessors
+		contender.Observe(4, now)
+		if got := contender.Wait(record, now, 0) > 0; got != c.wait {
+			t.Errorf("%s waits: %v", c.name, got)
+		}
+		if next := contender.Take(record); next.Epoch != 8 {
+			t.Errorf("%s: epoch %d", c.name, next.Epoch)
+		}
+	}
+}
--- a/internal/lease/manager.go
+++ b/internal/lease/manager.go
@@ -33,6 +33,8 @@
 	timing Timing
 	events *event.Recorder
 	ranker Ranker
+	// sole is true when no earlier process of the holder's VM can still run.
+	sole bool
 }
 
 // Option changes a Manager.
@@ -44,6 +46,13 @@
 	return func(m *Manager) { m.ranker = ranker }
 }
 
+// WithSoleProcess tells that the VM runs one process at a time, and that no other VM
+// ever bears the holder's name. A new process then takes the leases of its
+// predecessor without waiting for the end of their terms.
+func WithSoleProcess() Option {
+	return func(m *Manager) { m.sole = true }
+}
+
 // NewManager returns a manager for the VM named holder. All VMs must use the
 // same term.
 func NewManager(tables platform.Tables, holder string, term time.Duration, events *event.Recorder, options ...Option) *Manager {
@@ -74,6 +83,9 @@
 		owner:   m.holder + "/" + platform.NewNonce(),
 	}
 	c.contender = NewContender(c.owner, m.timing)
+	if m.sole {
+		c.contender.predecessors = m.holder + "/"
+	}
 	for {
 		hold, err := c.acquire(ctx)
 		if err != nil {
--- a/internal/loading/loading_test.go
+++ b/internal/loading/loading_test.go
@@ -292,6 +292,21 @@
 	}
 }
 
+// All engines are too old after a long outage. Loaded model by model, the last one
+// would wait for seconds though one engine would let its step begin.
+func TestEachModelGetsAnEngineFirst(t *testing.T) {
+	f := newFleet(9)
+	list := f.roster.Service("lm")
+	demands := []Demand{{Model: "m", Named: 9, Slack: 1, Work: 1}, {Model: "n", Named: 9, Slack: 1, Work: 1}, {Model: "o", Named: 9, Slack: 1, Work: 1}}
+	models := map[string]bool{}
+	for _, order := range next(list, demands, counts(demands, 0, 9), nil, 3) {
+		models[order.Model] = true
+	}
+	if len(models) != 3 {
+		t.Errorf("the first three loads are for %v", models)
+	}
+}
+
 // An engine follows the model that it follows already; each change costs a load.
 func TestAssignmentIsSteady(t *testing.T) {
 	f := newFleet(6)
--- a/internal/loading/plan.go
+++ b/internal/loading/plan.go
@@ -11,6 +11,7 @@
 
 import (
 	"math"
+	"slices"
 	"sort"
 	"time"
 
@@ -145,46 +146,76 @@
 }
 
 // next returns the loads that should begin now, at most limit, leaving out the
-// engines that are busy. Engines too old for the next step come first. Beyond
-// them a model's engines follow until half of them have the named version.
+// engines that are busy. Engines too old for the next step come first, one of each
+// model before the second of any: a model with a single usable engine can at least
+// begin its step. Then a model's engines follow until half have the named version.
 func next(engines []*target.Entry, demands []Demand, wanted []int, busy map[*target.Entry]bool, limit int) []Order {
 	assigned := assign(engines, demands, wanted)
-	var urgent, further []Order
+	var due []ranked
 	for _, d := range demands {
 		var mine []*target.Entry
-		current, loading := 0, 0
 		for _, e := range engines {
-			if assigned[e] != d.Model {
-				continue
-			}
-			mine = append(mine, e)
-			switch {
-			case e.Version(d.Model) >= d.Named:
-				current++
-			case busy[e]:
-				loading++
+			if assigned[e] == d.Model {
+				mine = append(mine, e)
 			}
 		}
-		sort.SliceStable(mine, func(i, j int) bool { return mine[i].Version(d.Model) < mine[j].Version(d.Model) })
-		ahead := current + loading
-		for _, e := range mine {
-			version := e.Version(d.Model)
-			if busy[e] || version >= d.Named || !e.Listed() {
-				continue
-			}
-			order := Order{Engine: e, Model: d.Model, Version: d.Named}
-			switch {
-			case version < d.Named-d.Slack:
-				urgent = append(urgent, order)
-				ahead++
-			case ahead < (len(mine)+1)/2:
-				further = append(further, order)
-				ahead++
-			}
+		due = append(due, dueOf(d, mine, busy)...)
+	}
+	sort.SliceStable(due, func(i, j int) bool { return due[i].before(due[j]) })
+	var orders []Order
+	for _, r := range due[:min(len(due), max(limit, 0))] {
+		orders = append(orders, r.Order)
+	}
+	return orders
+}
+
+// ranked is a load with what decides when its turn is.
+type ranked struct {
+	Order
+	// urgent loads bring an engine back to its model's steps.
+	urgent bool
+	// usable is how many engines the model's next step has before this load.
+	usable int
+}
+
+func (r ranked) before(other ranked) bool {
+	if r.urgent != other.urgent {
+		return r.urgent
+	}
+	return r.usable < other.usable
+}
+
+// dueOf returns the loads that are due on the engines of one model.
+func dueOf(d Demand, mine []*target.Entry, busy map[*target.Entry]bool) []ranked {
+	ahead, usable := 0, 0
+	for _, e := range mine {
+		version := e.Version(d.Model)
+		if busy[e] || version >= d.Named {
+			ahead++
+		}
+		if busy[e] || version >= d.Named-d.Slack {
+			usable++
+		}
+	}
+	mine = slices.Clone(mine)
+	sort.SliceStable(mine, func(i, j int) bool { return mine[i].Version(d.Model) < mine[j].Version(d.Model) })
+	var due []ranked
+	for _, e := range mine {
+		version := e.Version(d.Model)
+		if busy[e] || version >= d.Named || !e.Listed() {
+			continue
+		}
+		urgent := version < d.Named-d.Slack
+		if !urgent && ahead >= (len(mine)+1)/2 {
+			continue
+		}
+		due = append(due, ranked{Order{Engine: e, Model: d.Model, Version: d.Named}, urgent, usable})
+		ahead++
+		if urgent {
+			usable++
 		}
 	}
-	orders := append(urgent, further...)
-	return orders[:min(len(orders), max(limit, 0))]
+	return due
 }
 
 // atOnce returns how many engines of a failure domain may load at a time. Loads
