Usage counts from the send; windows are closed 1.4 s after their end

A run now counts when it is sent and is taken back when the upstream refuses it, so that a window can close before slow answers are in.

--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -75,6 +75,8 @@
 type Meter interface {
 	// Began notes that an upstream began to run a request of the account.
 	Began(account string, at time.Time)
+	// Refused takes back a run that was counted at that moment.
+	Refused(account string, at time.Time)
 }
 
 // Forwarder sends requests on. It is safe for concurrent use.
@@ -203,15 +205,20 @@
 // try runs one attempt up to the point from which it can't be repeated.
 func (r *run) try(ctx context.Context, entry *target.Entry) attempt {
 	started := time.Now()
+	// A run counts from when it is sent: its window may be closed before a slow
+	// upstream has answered.
+	r.Meter.Began(r.call.Account, started)
 	response, err := r.Caller.Call(ctx, entry, r.request(ctx))
+	if err == nil && response.NotRun {
+		_ = response.Body.Close()
+		err = fault.WithExecution(errors.WithStack(&fault.UpstreamFailed{Upstream: entry.Info().ID, Reason: "refused"}), fault.NotRun)
+	}
 	if err != nil {
+		if fault.ExecutionOf(err) == fault.NotRun {
+			r.Meter.Refused(r.call.Account, started)
+		}
 		return r.failed(entry, err, fault.ExecutionOf(err))
 	}
-	if response.NotRun {
-		_ = response.Body.Close()
-		return r.failed(entry, errors.WithStack(&fault.UpstreamFailed{Upstream: entry.Info().ID, Reason: "refused"}), fault.NotRun)
-	}
-	r.Meter.Began(r.call.Account, response.Wrote)
 	answer, err := buffer(response)
 	if err != nil {
 		return r.failed(entry, err, fault.Ran)
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -65,7 +65,7 @@
 	if body == nil {
 		body = strings.NewReader("answer of " + id)
 	}
-	return &target.Response{Status: a.status, NotRun: a.notRun, Length: -1, Header: http.Header{}, Body: io.NopCloser(body), Wrote: time.Now()}, nil
+	return &target.Response{Status: a.status, NotRun: a.notRun, Length: -1, Header: http.Header{}, Body: io.NopCloser(body)}, nil
 }
 
 func (u *upstreams) sent() int {
@@ -86,6 +86,12 @@
 	m.n++
 }
 
+func (m *meter) Refused(string, time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.n--
+}
+
 func newForwarder(u *upstreams) *Forwarder {
 	events := event.NewRecorder("vm", 64, event.NewClock(time.Now), zap.NewNop())
 	roster := target.NewRoster(events)
@@ -153,6 +159,34 @@
 	})
 }
 
+// Billing wants what upstreams began, no more and no less: neither what was refused
+// nor a run whose answer got lost may be counted wrongly.
+func TestRunsAreCountedAsTheyBegan(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		a    answer
+		want int
+	}{
+		{"answered", ok, 1},
+		{"refused, then answered", answer{status: 503, notRun: true}, 1},
+		{"no connection, then answered", answer{execution: fault.NotRun}, 1},
+		{"lost, then answered", answer{execution: fault.Unknown}, 2},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				u := &upstreams{byID: map[string]answer{"a": c.a}, fallback: ok}
+				f := newForwarder(u)
+				if _, err := f.Do(t.Context(), call(route.Idempotent, 2)); err != nil {
+					t.Fatal(err)
+				}
+				if n := f.Meter.(*meter).n; n != c.want {
+					t.Errorf("%d runs counted, want %d", n, c.want)
+				}
+			})
+		})
+	}
+}
+
 // One upstream ran the request and failed, the next one refuses it. "Not run"
 // would be a lie.
 func TestOneRunForbidsThePromise(t *testing.T) {
--- a/internal/target/call.go
+++ b/internal/target/call.go
@@ -44,8 +44,6 @@
 	// that tells of a change.
 	Version      int64
 	VersionField string
-	// Wrote is when the request was written whole.
-	Wrote time.Time
 }
 
 // Caller sends attempts to upstreams. It fails with *fault.UpstreamFailed whose
--- a/internal/window/closer.go
+++ b/internal/window/closer.go
@@ -17,16 +17,19 @@
 
 const (
 	// closeAfter is when a window is added up after its end. Totals are written
-	// every 400 ms, and a slow store takes up to 300 ms for it.
-	closeAfter = 2500 * time.Millisecond
+	// every 400 ms, and a slow store takes up to 500 ms for it. The sooner a window
+	// is reported, the less an outage of the store within the 10 s until it is due
+	// can make it late.
+	closeAfter = 1400 * time.Millisecond
 	// closeLate is when it is added up though a VM is silent; reports are due
 	// 10 s after the end of their window.
 	closeLate = 7 * time.Second
 	// lookEvery is the period of looking for windows to close.
 	lookEvery = 400 * time.Millisecond
 	// reportTimeout bounds one report, and so how long a new holder waits before
-	// its first one.
-	reportTimeout = 1500 * time.Millisecond
+	// its first one. Billing answers in a few milliseconds, and within 300 ms when
+	// it is slow.
+	reportTimeout = 800 * time.Millisecond
 	// catchUp is how many windows back a first holder looks: nothing is owed of
 	// the time before the fleet started.
 	catchUp = 1
--- a/internal/window/meter.go
+++ b/internal/window/meter.go
@@ -48,7 +48,13 @@
 }
 
 // Began counts a run of the account that an upstream began at a moment.
-func (m *Meter) Began(account string, at time.Time) {
+func (m *Meter) Began(account string, at time.Time) { m.add(account, at, 1) }
+
+// Refused takes back a run that was counted when it was sent: the upstream did not
+// begin it after all.
+func (m *Meter) Refused(account string, at time.Time) { m.add(account, at, -1) }
+
+func (m *Meter) add(account string, at time.Time, n int64) {
 	if account == "" {
 		return
 	}
@@ -61,7 +67,7 @@
 		m.windows[window] = t
 		delete(m.windows, window-keepWindows)
 	}
-	t.counts[account]++
+	t.counts[account] += n
 	t.dirty = true
 }
 
