--- a/Makefile
+++ b/Makefile
@@ -16,7 +16,7 @@
 check: fmt-check vet lint gen-check
 
 fmt-check:
-	@unformatted=$$(gofmt -l cmd internal); \
+	@unformatted=$$(gofmt -l cmd internal platform); \
 	if [ -n "$$unformatted" ]; then echo "not formatted: $$unformatted"; exit 1; fi
 
 vet:
--- /dev/null
+++ b/internal/carry/carrypb/doc.go
@@ -0,0 +1,2 @@
+// Package carrypb is the generated form of carry.proto.
+package carrypb
--- a/internal/node/demand.go
+++ b/internal/node/demand.go
@@ -14,7 +14,6 @@
 type Named struct {
 	mu       sync.Mutex
 	versions map[string]int64
-	poke     func()
 }
 
 // NewNamed returns an empty set.
