--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -97,7 +97,6 @@
 	err    error
 	// execution is what is known about the run when err is set.
 	execution fault.Execution
-	took      time.Duration
 }
 
 // run is one request on its way.
@@ -108,12 +107,13 @@
 	results chan attempt
 	cancels map[*target.Entry]context.CancelFunc
 
-	used     []*target.Entry
-	ran      int
-	refused  int
-	pending  int
-	last     error
-	execBits fault.Execution
+	used    []*target.Entry
+	ran     int
+	refused int
+	pending int
+	last    error
+	// execution is what is known of the run after all attempts so far.
+	execution fault.Execution
 }
 
 // Do sends a request until an upstream answers it. ctx ends when the caller is
@@ -126,7 +126,7 @@
 		service:   call.Route.Service(call.ID),
 		results:   make(chan attempt, call.Route.Attempts+refusedTries+1),
 		cancels:   make(map[*target.Entry]context.CancelFunc),
-		execBits:  fault.NotRun,
+		execution: fault.NotRun,
 	}
 	if !r.launch(ctx) {
 		return nil, r.absent()
@@ -223,13 +223,12 @@
 	if err != nil {
 		return r.failed(entry, err, fault.Ran)
 	}
-	took := time.Since(started)
-	entry.NoteSpeed(took, time.Now())
+	entry.NoteSpeed(time.Since(started), time.Now())
 	if answer.Status >= http.StatusInternalServerError && r.call.Route.Repeatable() {
 		closeRest(answer)
 		return attempt{entry: entry, answer: nil, err: errors.WithStack(&serverError{answer: answer}), execution: fault.Ran}
 	}
-	return attempt{entry: entry, answer: answer, took: took}
+	return attempt{entry: entry, answer: answer}
 }
 
 func (r *run) failed(entry *target.Entry, err error, execution fault.Execution) attempt {
@@ -274,7 +273,7 @@
 // note takes what a failed attempt tells about its upstream and the run.
 func (r *run) note(a attempt) {
 	r.last = a.err
-	r.execBits = r.execBits.Or(a.execution)
+	r.execution = r.execution.Or(a.execution)
 	if a.execution != fault.NotRun {
 		r.ran++
 	}
@@ -315,16 +314,16 @@
 	if ctx.Err() != nil {
 		return r.outOfTime(ctx)
 	}
-	if r.execBits == fault.NotRun {
+	if r.execution == fault.NotRun {
 		return fault.WithExecution(errors.WithStack(&fault.NoUpstream{Pool: r.service, Wait: busyWait}), fault.NotRun)
 	}
-	return fault.WithExecution(r.last, r.execBits)
+	return fault.WithExecution(r.last, r.execution)
 }
 
 // outOfTime is what the caller is told when its time is over: an attempt that is
 // still out may have run.
 func (r *run) outOfTime(ctx context.Context) error {
-	execution := r.execBits
+	execution := r.execution
 	if r.pending > 0 {
 		execution = execution.Or(fault.Unknown)
 	}
--- a/internal/kept/surely.go
+++ b/internal/kept/surely.go
@@ -8,6 +8,7 @@
 	"github.com/cockroachdb/errors"
 
 	"dogwoodpond/internal/fault"
+	"dogwoodpond/internal/wait"
 )
 
 const (
@@ -47,7 +48,7 @@
 			return 0, err
 		}
 		maybeDone = maybeDone || lost.EffectUnknown
-		if !sleep(ctx, pause) {
+		if !wait.For(ctx, pause) {
 			return 0, errors.WithStack(&fault.StoreUnavailable{Operation: "commit", EffectUnknown: maybeDone})
 		}
 		pause = min(2*pause, longestPause)
@@ -78,15 +79,3 @@
 	}
 	return false
 }
-
-// sleep pauses for d and reports whether ctx is still alive.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return ctx.Err() == nil
-	}
-}
--- a/internal/kept/watch.go
+++ b/internal/kept/watch.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"dogwoodpond/internal/fault"
+	"dogwoodpond/internal/wait"
 )
 
 const (
@@ -48,7 +49,7 @@
 		}
 		if err != nil {
 			w.failed(err)
-			sleep(ctx, retryPause)
+			wait.For(ctx, retryPause)
 		}
 	}
 }
--- a/internal/loading/loader.go
+++ b/internal/loading/loader.go
@@ -14,6 +14,7 @@
 	"dogwoodpond/internal/kept"
 	"dogwoodpond/internal/lease"
 	"dogwoodpond/internal/target"
+	"dogwoodpond/internal/wait"
 )
 
 const (
@@ -243,7 +244,7 @@
 			return
 		}
 		if report.Busy {
-			wait(ctx, lookEvery)
+			wait.For(ctx, lookEvery)
 			continue
 		}
 		reply, err := l.order(ctx, guard, order, report.Sequence)
@@ -259,9 +260,9 @@
 			l.Events.Emit(event.OrderGiven, subject)
 			order.Engine.NoteSwap(order.Model, time.Now().Add(loadTime))
 			l.publish(ctx, order, true)
-			wait(ctx, loadTime)
+			wait.For(ctx, loadTime)
 		}
-		wait(ctx, lookEvery)
+		wait.For(ctx, lookEvery)
 	}
 	l.restEngine(order.Engine)
 	l.Events.Emit(event.OrderFailed, withDetail(subject, order.Model+": not done in time"))
@@ -362,12 +363,3 @@
 		}
 	}
 }
-
-func wait(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -112,6 +112,11 @@
 func (l *List) period() time.Duration {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	return l.periodNow()
+}
+
+// periodNow is period for callers that hold the lock.
+func (l *List) periodNow() time.Duration {
 	return max(beatEvery, time.Duration(len(l.rows))*time.Second/beatsPerSecond)
 }
 
@@ -164,7 +169,7 @@
 	var passed time.Duration
 	if !l.polled.IsZero() {
 		// A pause of this process tells nothing about the others.
-		passed = min(now.Sub(l.polled), 2*beatEvery+time.Duration(len(l.rows))*time.Second/beatsPerSecond)
+		passed = min(now.Sub(l.polled), 2*l.periodNow())
 	}
 	l.polled, l.ready = now, true
 	listed := make(map[string]bool, len(rows))
@@ -206,8 +211,7 @@
 }
 
 func (l *List) alive(s *seen) bool {
-	period := max(beatEvery, time.Duration(len(l.rows))*time.Second/beatsPerSecond)
-	return s.silent < deadAfter*period
+	return s.silent < deadAfter*l.periodNow()
 }
 
 // Ready reports whether the list was read at least once.
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -231,7 +231,6 @@
 // View holds the snapshot in force. It is safe for concurrent use.
 type View struct {
 	current atomic.Pointer[Snapshot]
-	applied atomic.Int64
 }
 
 // NewView returns a view without a snapshot.
@@ -250,7 +249,6 @@
 			return false
 		}
 		if v.current.CompareAndSwap(present, s) {
-			v.applied.Store(time.Now().UnixNano())
 			return true
 		}
 	}
--- a/internal/step/dispatch.go
+++ b/internal/step/dispatch.go
@@ -7,6 +7,7 @@
 
 	"dogwoodpond/internal/event"
 	"dogwoodpond/internal/target"
+	"dogwoodpond/internal/wait"
 )
 
 const (
@@ -26,7 +27,7 @@
 		case <-ctx.Done():
 			return
 		case <-m.wake:
-			pause(ctx, dispatchPause)
+			wait.For(ctx, dispatchPause)
 		case <-timer.C:
 		}
 		for _, r := range m.byUrgency() {
--- a/internal/step/item.go
+++ b/internal/step/item.go
@@ -283,7 +283,7 @@
 	a.entry.NoteSpeed(average, now)
 	*pace = pacer{started: now}
 	engines := a.run.m.engines(a.need.service, now)
-	m := median(engines, now)
+	m := target.MedianSpeed(engines, now)
 	if m == 0 || float64(average) < moveFrom*float64(m) || a.run.progress[a.index].moves >= maxMoves {
 		return
 	}
--- a/internal/step/place.go
+++ b/internal/step/place.go
@@ -34,7 +34,7 @@
 // the engine's own queue is first in, first out and knows no deadlines, so that
 // waiting there is worse than waiting here.
 func place(engines []*target.Entry, n need, avoid *target.Entry, now time.Time) *target.Entry {
-	median := median(engines, now)
+	median := target.MedianSpeed(engines, now)
 	var best *target.Entry
 	var least float64
 	for _, e := range engines {
@@ -71,21 +71,6 @@
 	return cost
 }
 
-// median returns the median time for an event over the engines.
-func median(engines []*target.Entry, now time.Time) time.Duration {
-	var known []time.Duration
-	for _, e := range engines {
-		if s := e.Speed(now); s > 0 {
-			known = append(known, s)
-		}
-	}
-	if len(known) == 0 {
-		return 0
-	}
-	sort.Slice(known, func(i, j int) bool { return known[i] < known[j] })
-	return known[(len(known)-1)/2]
-}
-
 // order returns the items of a step in the order in which they should start. Groups
 // in first come first: their trainer waits for them whatever else is whole. Then
 // the groups with the longest expected item, since a step is as late as its longest
--- a/internal/step/run.go
+++ b/internal/step/run.go
@@ -11,6 +11,7 @@
 	"dogwoodpond/internal/event"
 	"dogwoodpond/internal/kept"
 	"dogwoodpond/internal/target"
+	"dogwoodpond/internal/wait"
 )
 
 const (
@@ -213,7 +214,7 @@
 		case <-r.more:
 		}
 		if !r.full() {
-			pause(r.ctx, groupTime)
+			wait.For(r.ctx, groupTime)
 		}
 		r.flush(r.ctx)
 	}
@@ -276,8 +277,7 @@
 	puts, err := listing(ctx, r.m.Store, rec.ID, position, batch)
 	if err != nil {
 		r.m.Events.Emit(event.DependencyLost, event.Subject{Step: rec.ID, Detail: "results: " + err.Error()})
-		pause(ctx, loadPause)
-		return ctx.Err() == nil
+		return wait.For(ctx, loadPause)
 	}
 	txn := kept.Txn{Puts: puts, Expected: []kept.Expectation{{Key: stateKey(rec.ID), Version: rec.version}}}
 	for _, put := range puts {
--- a/internal/step/takeover.go
+++ b/internal/step/takeover.go
@@ -8,6 +8,7 @@
 
 	"dogwoodpond/internal/event"
 	"dogwoodpond/internal/fault"
+	"dogwoodpond/internal/wait"
 )
 
 // considerLoop looks for steps that nobody runs.
@@ -105,7 +106,7 @@
 		if fault.Is[*fault.Internal](err) {
 			m.Events.Emit(event.RowUnreadable, event.Subject{Step: r.ID, Detail: err.Error()})
 		}
-		pause(ctx, loadPause)
+		wait.For(ctx, loadPause)
 	}
 }
 
@@ -145,13 +146,3 @@
 	}
 	m.stop(r)
 }
-
-// pause waits for d or until ctx ends.
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/internal/target/choose.go
+++ b/internal/target/choose.go
@@ -18,7 +18,7 @@
 // request that one of them might serve helps nobody.
 func (r *Roster) Choose(service, domain string, skip []*Entry, now time.Time) *Entry {
 	usable := r.Usable(service, now)
-	median := medianSpeed(usable, now)
+	median := MedianSpeed(usable, now)
 	var best *Entry
 	var least float64
 	for _, e := range usable {
--- a/internal/target/instance.go
+++ b/internal/target/instance.go
@@ -4,6 +4,7 @@
 
 import (
 	"math"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -215,8 +216,8 @@
 	return now.Before(e.swapping[model])
 }
 
-// medianSpeed returns the median of the known speeds; 0 when none is known.
-func medianSpeed(entries []*Entry, now time.Time) time.Duration {
+// MedianSpeed returns the lower median of the known speeds; 0 when none is known.
+func MedianSpeed(entries []*Entry, now time.Time) time.Duration {
 	var known []time.Duration
 	for _, e := range entries {
 		if s := e.Speed(now); s > 0 {
@@ -226,17 +227,8 @@
 	if len(known) == 0 {
 		return 0
 	}
-	return quickMedian(known)
-}
-
-// quickMedian returns the lower median; the lists are a dozen long.
-func quickMedian(values []time.Duration) time.Duration {
-	for i := range values {
-		for j := i; j > 0 && values[j] < values[j-1]; j-- {
-			values[j], values[j-1] = values[j-1], values[j]
-		}
-	}
-	return values[(len(values)-1)/2]
+	slices.Sort(known)
+	return known[(len(known)-1)/2]
 }
 
 // slowness returns how many times slower the upstream is than the median, at
