A planned stop waits until its steps are handed over

Ruled out: the store; slow take-over. TestHandOver failed before (a context that ends with the call), TestStoppedWatcherTellsOfNoLoss too.

--- a/internal/kept/kept_test.go
+++ b/internal/kept/kept_test.go
@@ -156,6 +156,24 @@
 	})
 }
 
+// A process ends and stops its watches. That is no loss of the store, and a line
+// that says so would mislead whoever looks for the cause of a failure then.
+func TestStoppedWatcherTellsOfNoLoss(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := memory.New()
+		lost := false
+		w := kept.Watcher{Store: store, Table: "t", Part: "p", Wait: time.Second, Replace: func([]kept.Row) {}, Lost: func(error) { lost = true }}
+		ctx, cancel := context.WithCancel(t.Context())
+		go w.Run(ctx)
+		time.Sleep(300 * time.Millisecond)
+		cancel()
+		synctest.Wait()
+		if lost {
+			t.Error("the stop was told as a loss")
+		}
+	})
+}
+
 // silentFeed answers calls for changes with nothing, whatever changed.
 type silentFeed struct{ *memory.Store }
 
--- a/internal/kept/watch.go
+++ b/internal/kept/watch.go
@@ -47,7 +47,7 @@
 		if err == nil {
 			err = w.follow(ctx, after)
 		}
-		if err != nil {
+		if err != nil && ctx.Err() == nil {
 			w.failed(err)
 			wait.For(ctx, retryPause)
 		}
--- a/internal/step/takeover.go
+++ b/internal/step/takeover.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/google/uuid"
@@ -116,7 +117,8 @@
 }
 
 // Leave hands every step over: results at hand are listed, then the owner is
-// taken out of the state, which the other VMs see at once.
+// taken out of the state, which the other VMs see at once. It returns when that is
+// done or ctx ends.
 func (m *Manager) Leave(ctx context.Context) {
 	m.mu.Lock()
 	m.leaving = true
@@ -125,9 +127,11 @@
 		runs = append(runs, r)
 	}
 	m.mu.Unlock()
+	var handOvers sync.WaitGroup
 	for _, r := range runs {
-		m.loops.Go(func() { m.handOver(ctx, r) })
+		handOvers.Go(func() { m.handOver(ctx, r) })
 	}
+	handOvers.Wait()
 }
 
 func (m *Manager) handOver(ctx context.Context, r *run) {
