--- a/internal/kept/memory/memory.go
+++ b/internal/kept/memory/memory.go
@@ -86,7 +86,10 @@
 }
 
 // Commit implements kept.Store.
-func (s *Store) Commit(_ context.Context, txn kept.Txn) (int64, error) {
+func (s *Store) Commit(ctx context.Context, txn kept.Txn) (int64, error) {
+	if ctx.Err() != nil {
+		return 0, errors.WithStack(&fault.StoreUnavailable{Operation: "commit"})
+	}
 	if err := s.down("commit"); err != nil {
 		return 0, err
 	}
