--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -68,6 +68,10 @@
 	failing atomic.Bool
 	leaving atomic.Bool
 	poke    chan struct{}
+	// writing orders the beats of this VM. A beat that was under way when the VM
+	// began to leave would otherwise overwrite the one that says so, and the others
+	// would give the VM new work until the next beat.
+	writing sync.Mutex
 
 	mu     sync.Mutex
 	rows   map[string]*seen
@@ -127,6 +131,8 @@
 }
 
 func (l *List) writeBeat(ctx context.Context) {
+	l.writing.Lock()
+	defer l.writing.Unlock()
 	vm := l.self
 	vm.Leaving = l.leaving.Load()
 	vm.Beat = l.beat.Add(1)
