--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -67,7 +67,6 @@
 	beat    atomic.Uint64
 	failing atomic.Bool
 	leaving atomic.Bool
-	poke    chan struct{}
 	// writing orders the beats of this VM. A beat that was under way when the VM
 	// began to leave would otherwise overwrite the one that says so, and the others
 	// would give the VM new work until the next beat.
@@ -83,7 +82,7 @@
 func New(self VM, domains []string, store kept.Store, events *event.Recorder) *List {
 	return &List{
 		self: self, domains: domains, store: store, events: events,
-		rows: make(map[string]*seen), poke: make(chan struct{}, 1),
+		rows: make(map[string]*seen),
 	}
 }
 
@@ -106,7 +105,6 @@
 		cancel()
 		select {
 		case <-ctx.Done():
-		case <-l.poke:
 		case <-time.After(max(l.period()-time.Since(started), l.period()/2)):
 		}
 	}
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -203,16 +203,6 @@
 	return nil, false
 }
 
-// RouteNamed returns the route with a name; ok is false when it was removed.
-func (s *Snapshot) RouteNamed(name string) (r *Route, ok bool) {
-	for _, r := range s.routes {
-		if r.Name == name {
-			return r, true
-		}
-	}
-	return nil, false
-}
-
 // Authenticate returns the client account of a key. Anonymous routes need none.
 // It fails with *fault.KeyMissing or *fault.KeyInvalid.
 func (s *Snapshot) Authenticate(r *Route, key string) (account string, err error) {
--- a/internal/step/manager.go
+++ b/internal/step/manager.go
@@ -85,8 +85,6 @@
 	orphan  map[string]time.Time
 	carried *carried
 	leaving bool
-	// followed is true once the states were read.
-	followed bool
 
 	loops sync.WaitGroup
 	// ctx is the life of the runs. It begins with the manager, not with Run: a
@@ -338,7 +336,6 @@
 	m.apply(rows)
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.followed = true
 	for id, r := range m.known {
 		if !listed[id] && r.Ended {
 			delete(m.known, id)
