--- a/internal/usage/matrix_test.go
+++ b/internal/usage/matrix_test.go
@@ -140,8 +140,13 @@
 	return false
 }
 
-// check returns what is wrong with how the scene ended.
+// check returns what is wrong with how the scene ended. Reports that take effect at
+// the same instant count: the bubble is idle before anything is judged. Later ones,
+// of a process that was killed meanwhile, still write while this reads.
 func (s *scene) check() error {
+	synctest.Wait()
+	s.billing.mu.Lock()
+	defer s.billing.mu.Unlock()
 	if len(s.billing.changed) > 0 {
 		return fmt.Errorf("reported twice: %v", s.billing.changed)
 	}
@@ -247,3 +252,23 @@
 	})
 	return failed
 }
+
+// A report that was delayed past its timeout takes effect at the very instant at
+// which the scene is judged. The verdict must neither race with it nor depend on
+// which of the two comes first.
+func TestReportAtTheInstantOfTheVerdict(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &scene{billing: &matrixBilling{accepted: make(map[string]platform.UsageReport)}}
+		const delay = time.Second
+		for window := range int64(4) {
+			go func() {
+				time.Sleep(delay)
+				s.billing.accept(platform.UsageReport{Window: window, Account: string(berry)})
+			}()
+		}
+		time.Sleep(delay)
+		if err := s.check(); err != nil {
+			t.Error(err)
+		}
+	})
+}
