A randomized fault soak of real processes

Six VMs as separate processes, engines, desks, store and platform as stand-ins; ways between them through loopback proxies. 20 kinds of disturbance overlap at random; what callers, trainers, upstreams and the platform see is held against the promises.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 
 PROTO := internal/peer/peerpb/peer.proto
 
-.PHONY: build test check fmt-check vet lint gen gen-check spec unit fuzz smoke run matrix bench slopes docs
+.PHONY: soak build test check fmt-check vet lint gen gen-check spec unit fuzz smoke run matrix bench slopes docs
 
 build:
 	$(GO) build -o $(BIN)/ ./cmd/...
@@ -62,5 +62,9 @@
 	$(GO) test -run "^$$" -bench AddedLatency -benchtime 4000x ./internal/processtest
 	$(GO) test -count=1 -run TestAttemptsPerRequest -v ./internal/generate
 
+# soak runs the fault soak with fresh seeds; see scripts/soak.sh.
+soak:
+	scripts/soak.sh
+
 slopes: build
 	scripts/slopes.sh
--- a/internal/kept/memory/memory.go
+++ b/internal/kept/memory/memory.go
@@ -173,6 +173,9 @@
 	_, _ = s.run(kept.Txn{Puts: []kept.Put{{Key: key, Value: []byte(value)}}})
 }
 
+// Remove removes a row as another writer would.
+func (s *Store) Remove(key kept.Key) { _, _ = s.run(kept.Txn{Removes: []kept.Key{key}}) }
+
 // Forget drops the history of changes.
 func (s *Store) Forget() {
 	s.mu.Lock()
