--- /dev/null
+++ b/internal/step/matrix_test.go
@@ -0,0 +1,225 @@
+package step
+
+import (
+	"context"
+	"fmt"
+	"reflect"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+
+	"dogwoodpond/internal/event"
+	"dogwoodpond/internal/fault"
+	"dogwoodpond/internal/kept"
+	"dogwoodpond/internal/kept/memory"
+	"dogwoodpond/internal/member"
+	"dogwoodpond/internal/platform/platformtest"
+	"dogwoodpond/internal/route"
+	"dogwoodpond/internal/target"
+)
+
+const (
+	// matrixItems are handed in; matrixLate is how long a late effect takes, and
+	// matrixFault how long other faults last: longer than a VM counts as alive.
+	matrixItems = 6
+	matrixLate  = 5 * time.Second
+	matrixFault = 4 * time.Second
+	// matrixTime bounds a run, with two faults in it.
+	matrixTime = 60 * time.Second
+)
+
+// episode is one step in the hands of VMs that suffer faults, with a trainer.
+type episode struct {
+	rows    *memory.Store
+	engines *engines
+
+	mu  sync.Mutex
+	vms map[string]*Manager
+}
+
+// matrixVM brings a VM to life on a store.
+func (e *episode) matrixVM(ctx context.Context, name, life string, store interface {
+	kept.Store
+	kept.Clock
+}) *Manager {
+	events := event.NewRecorder(name, 16, event.NewClock(time.Now), zap.NewNop())
+	roster := target.NewRoster(events)
+	roster.Replace([]target.Instance{
+		{ID: "e1", Service: "lm", Address: "e1", FailureDomain: "x", Slots: 2, Versions: map[string]int64{"m": 1}},
+		{ID: "e2", Service: "lm", Address: "e2", FailureDomain: "x", Slots: 2, Versions: map[string]int64{"m": 1}},
+	})
+	view := route.NewView()
+	view.Offer(route.NewSnapshot(1, []*route.Route{{
+		Name: "r", Host: "h", Prefix: "/s/", Kind: route.Steps, Split: []route.Share{{Service: "lm", Weight: 1}},
+	}}, nil, route.Limits{}, nil, false))
+	list := member.New(member.VM{ID: name, FailureDomain: "x", Life: life}, []string{"x"}, store, events)
+	m := NewManager(Config{
+		VM: name, Life: life, Domain: "x", Store: store, Clock: store, Members: list, View: view, Roster: roster,
+		Caller: e.engines, Events: events, Keep: time.Hour,
+		Named:     func(string) (int64, bool) { return 1, true },
+		Prefer:    func(string) (Process, bool) { return Process{}, false },
+		StoreWell: func() bool { return true },
+	})
+	e.mu.Lock()
+	e.vms[name] = m
+	e.mu.Unlock()
+	go list.Run(ctx)
+	return m
+}
+
+func (e *episode) vm(name string) *Manager {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.vms[name]
+}
+
+// submit hands the step in at one VM after the other until one accepts it.
+func (e *episode) submit() error {
+	for until := time.Now().Add(matrixTime); time.Now().Before(until); time.Sleep(200 * time.Millisecond) {
+		for _, name := range []string{"vm-a", "vm-b", "vm-c"} {
+			ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+			err := e.vm(name).Submit(ctx, spec("s"), items(matrixItems))
+			cancel()
+			if err == nil {
+				return nil
+			}
+			if _, accepted := e.state(); accepted && fault.ExecutionOf(err) == fault.NotRun {
+				return errors.Newf("%s says that the step was not kept, and it was", name)
+			}
+		}
+	}
+	return errors.New("no VM accepts the step")
+}
+
+// state returns the step's state as it lies in the store.
+func (e *episode) state() (record, bool) {
+	r, err := readState(context.Background(), e.rows, "s")
+	return r, err == nil
+}
+
+// pull reads the step at the VMs by turns until it is whole. What one VM showed at
+// a position all must show.
+func (e *episode) pull() ([]Result, error) {
+	var read []Result
+	turns := []string{"vm-b", "vm-a", "vm-c"}
+	for until := time.Now().Add(matrixTime); time.Now().Before(until); time.Sleep(100 * time.Millisecond) {
+		turns = append(turns[1:], turns[0])
+		ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+		results, total, err := e.vm(turns[0]).Results(ctx, "s", "acc", 0, 0)
+		cancel()
+		if fault.Is[*fault.StepUnknown](err) {
+			return nil, errors.Newf("%s does not know the step after its acceptance", turns[0])
+		}
+		if err != nil {
+			continue
+		}
+		for i := range min(len(read), len(results)) {
+			if !reflect.DeepEqual(read[i], results[i]) {
+				return nil, errors.Newf("position %d holds %+v at %s, and before %+v", i, results[i], turns[0], read[i])
+			}
+		}
+		if len(results) > len(read) {
+			read = slices.Clone(results)
+		}
+		if len(read) == total {
+			return read, nil
+		}
+	}
+	return nil, errors.Newf("%d of %d results in %s", len(read), matrixItems, matrixTime)
+}
+
+// checkWhole checks that each item stands once, with its whole text.
+func checkWhole(results []Result) error {
+	seen := map[string]bool{}
+	for _, r := range results {
+		want := strings.Join([]string{r.Item + "-1", r.Item + "-2", r.Item + "-3"}, "\n")
+		if seen[r.Item] || r.Outcome != Completed || r.Text != want {
+			return errors.Newf("item %s is listed as %+v, seen before: %t", r.Item, r, seen[r.Item])
+		}
+		seen[r.Item] = true
+	}
+	return nil
+}
+
+// end ends the step and checks that nothing of it runs some time later.
+func (e *episode) end() error {
+	for until := time.Now().Add(matrixTime); time.Now().Before(until); time.Sleep(100 * time.Millisecond) {
+		ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+		err := e.vm("vm-b").End(ctx, "s", "acc")
+		cancel()
+		if err != nil {
+			continue
+		}
+		time.Sleep(2 * matrixFault)
+		e.engines.mu.Lock()
+		defer e.engines.mu.Unlock()
+		if e.engines.active > 0 {
+			return errors.Newf("%d items run after the end", e.engines.active)
+		}
+		return nil
+	}
+	return errors.New("the step can't be ended")
+}
+
+// uneven runs last differently each time, so that two owners of a step gather its
+// results in different groups.
+func uneven(item string, n int) reply {
+	r := good
+	r.gap = time.Duration(100+70*((int(item[1])+3*n)%5)) * time.Millisecond
+	return r
+}
+
+// play runs an episode to its end. VMs a and b suffer the faults, c is well.
+func play(w *platformtest.World) error {
+	e := &episode{rows: memory.New(), vms: map[string]*Manager{}, engines: &engines{
+		behave: map[string]behaviour{"": uneven}, runs: map[string][]string{},
+	}}
+	ctx, stop := context.WithCancel(context.Background())
+	var group sync.WaitGroup
+	for _, name := range []string{"vm-a", "vm-b"} {
+		lives := 0
+		w.Supervise(ctx, &group, name, func(p *platformtest.Process) {
+			lives++
+			e.matrixVM(p.Context, name, fmt.Sprintf("%s/%d", name, lives), p.Kept(e.rows)).Run(p.Context)
+		})
+	}
+	group.Go(func() { e.matrixVM(ctx, "vm-c", "vm-c/1", e.rows).Run(ctx) })
+	defer func() {
+		stop()
+		group.Wait()
+		// Effects that come late are over before the bubble ends.
+		time.Sleep(2 * matrixLate)
+	}()
+	time.Sleep(2 * time.Second)
+	if err := e.submit(); err != nil {
+		return err
+	}
+	results, err := e.pull()
+	if err == nil {
+		err = checkWhole(results)
+	}
+	if err == nil {
+		err = e.end()
+	}
+	return err
+}
+
+// A step is handed in, run, read and ended while two VMs suffer each fault at each
+// call to the store, alone and in pairs. A trainer notices a wrong rule as a sample
+// that is lost, doubled or changed, or as a step that nobody runs.
+func TestMatrixSteps(t *testing.T) {
+	platformtest.RunMatrix(t, platformtest.Protocol{
+		Name: "steps on the partitioned store",
+		Lasts: map[platformtest.Kind]time.Duration{
+			platformtest.Late:        matrixLate,
+			platformtest.PauseBefore: matrixFault, platformtest.PauseAfter: matrixFault,
+			platformtest.StoreDown: matrixFault, platformtest.CutOff: matrixFault,
+		},
+		Run: play,
+	})
+}
