A failed request or step is explained from collected logs alone; metrics for each decision

New on the metrics address: failed attempts by reason, time of store calls by call and outcome, commit time of results, revision in force, age of each feed; METRICS.md is held equal to them.

--- a/Makefile
+++ b/Makefile
@@ -35,7 +35,7 @@
 
 # docs writes the tables of the pages that are held equal to the code.
 docs:
-	DOGWOODPOND_UPDATE_DOCS=1 $(GO) test ./internal/event ./internal/daemon ./internal/settings -run Page -count=1
+	DOGWOODPOND_UPDATE_DOCS=1 $(GO) test ./internal/event ./internal/daemon ./internal/node ./internal/settings -run Page -count=1
 
 spec:
 	scripts/spec.sh
--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -416,8 +416,8 @@
 // Scripts decide by the exit code. One that means something else than its page
 // says makes them repeat what was refused, or give up what was accepted.
 func TestOperatingPageListsTheExitCodes(t *testing.T) {
-	numbers := doccheck.Column(t, "docs/OPERATING.md", "exit-codes", 0)
-	lists := doccheck.Column(t, "docs/OPERATING.md", "exit-codes", 2)
+	numbers := doccheck.Column(t, "docs/OPERATIONS.md", "exit-codes", 0)
+	lists := doccheck.Column(t, "docs/OPERATIONS.md", "exit-codes", 2)
 	onPage := map[fault.Code]int{}
 	for i, number := range numbers {
 		if number != fmt.Sprint(i) {
--- a/internal/ctl/exit.go
+++ b/internal/ctl/exit.go
@@ -3,7 +3,7 @@
 import "dogwoodpond/internal/fault"
 
 // The exit codes of dogwoodpondctl, one for each class of failure. They are
-// part of the public interface; docs/OPERATING.md lists them.
+// part of the public interface; docs/OPERATIONS.md lists them.
 const (
 	ExitOK = 0
 	// ExitInternal is a defect or a failure of no other class.
--- a/internal/ctl/explain.go
+++ b/internal/ctl/explain.go
@@ -1,6 +1,7 @@
 package ctl
 
 import (
+	"cmp"
 	"fmt"
 	"io"
 	"maps"
@@ -52,27 +53,48 @@
 )
 
 func (a *App) explainCommand() {
-	command := a.kingpin.Command("explain", "Tell what happened to one request, and why.")
-	request := command.Arg("request", "The request's ID, as in X-Request-Id.").Required().String()
-	command.Action(func(*kingpin.ParseContext) error { return a.explain(*request) })
+	command := a.kingpin.Command("explain", "Tell what happened to one request or step, and why.")
+	id := command.Arg("id", "The request's ID, as in X-Request-Id, or the step's.").Required().String()
+	logs := logsFlag(command)
+	command.Action(func(*kingpin.ParseContext) error {
+		ask, err := a.source(*logs)
+		if err != nil {
+			return err
+		}
+		return a.explain(*id, ask)
+	})
 }
 
-func (a *App) explain(request string) error {
-	own, err := a.events(event.Query{Request: request})
+func (a *App) explain(request string, ask source) error {
+	own, err := ask(event.Query{Request: request})
 	if err != nil {
 		return err
 	}
 	told := explain(request, own.Events, own.Missing)
 	if len(told.Lines) == 0 {
-		return errors.WithStack(&fault.RequestUnknown{Request: request, Missing: own.Missing})
+		step, ok, err := explainStep(request, ask)
+		if err != nil {
+			return err
+		}
+		if !ok {
+			return errors.WithStack(&fault.RequestUnknown{Request: request, Missing: own.Missing})
+		}
+		return a.show(step, func(w io.Writer) { stepTable(w, step) })
 	}
 	if upstreams := told.upstreams(); len(upstreams) > 0 {
-		others, err := a.events(event.Query{Upstreams: upstreams, Numbers: upstreamEvents(), After: own.Events[0].Stamp})
+		others, err := ask(event.Query{Upstreams: upstreams, Numbers: upstreamEvents(), After: own.Events[0].Stamp})
 		if err != nil {
 			return err
 		}
 		told = explain(request, merge(own.Events, others.Events), own.Missing)
 	}
+	if told.Outcome == outcomeNotKnown {
+		around, err := ask(event.Query{Numbers: aroundVM, After: own.Events[0].Stamp})
+		if err != nil {
+			return err
+		}
+		told.befell(around.Events, own.Events[0])
+	}
 	return a.show(told, func(w io.Writer) { explainTable(w, told) })
 }
 
@@ -152,11 +174,12 @@
 	return told
 }
 
-// begins reports whether an event is the first of its request. The generations
-// of a step have no caller, so that their first event is a dispatch.
+// begins reports whether an event is the first of its request. The generations of a
+// step have no caller, and requests that are only sent on are not announced, so that
+// their first event is a dispatch.
 func begins(e event.Record) bool {
 	return e.Number == event.RequestAccepted || e.Number == event.RequestRefused ||
-		e.Step != "" && e.Number == event.RequestDispatched && e.Attempt == 1
+		e.Number == event.RequestDispatched && e.Attempt == 1
 }
 
 // take adds an event of the request itself.
@@ -185,6 +208,21 @@
 	})
 }
 
+// befell adds what happened to the VM of a request that has no end, up to the VM's
+// next process.
+func (x *Explanation) befell(around []event.Record, first event.Record) {
+	for _, e := range around {
+		if e.VM != first.VM {
+			continue
+		}
+		x.add(e, first.Stamp)
+		if e.Number == event.ProcessStarted {
+			break
+		}
+	}
+	slices.SortStableFunc(x.Lines, func(a, b ExplainLine) int { return cmp.Compare(a.SinceMicros, b.SinceMicros) })
+}
+
 // sentence tells an event in words.
 func sentence(e event.Record) string {
 	switch e.Number {
--- a/internal/ctl/timeline.go
+++ b/internal/ctl/timeline.go
@@ -1,11 +1,9 @@
 package ctl
 
 import (
-	"context"
 	"encoding/json"
 	"fmt"
 	"io"
-	"net/http"
 	"net/url"
 	"strconv"
 	"strings"
@@ -49,6 +47,7 @@
 	account := command.Flag("account", "Only this client account.").String()
 	since := command.Flag("since", "Only the latest events, for example 5m.").Duration()
 	follow := command.Flag("follow", "Go on until Ctrl-C.").Bool()
+	logs := logsFlag(command)
 	command.Action(func(*kingpin.ParseContext) error {
 		query := event.Query{Request: *request, Step: *step, Lease: *lease, Account: *account}
 		if *since > 0 {
@@ -57,18 +56,16 @@
 		if *follow {
 			return a.follow(query)
 		}
-		return a.timeline(query)
+		ask, err := a.source(*logs)
+		if err != nil {
+			return err
+		}
+		return a.timeline(query, ask)
 	})
 }
 
-func (a *App) events(query event.Query) (operator.EventsAnswer, error) {
-	var answer operator.EventsAnswer
-	err := a.client().Call(context.Background(), http.MethodGet, eventsRoute(query), nil, &answer)
-	return answer, err
-}
-
-func (a *App) timeline(query event.Query) error {
-	answer, err := a.events(query)
+func (a *App) timeline(query event.Query, ask source) error {
+	answer, err := ask(query)
 	if err != nil {
 		return err
 	}
@@ -107,7 +104,7 @@
 func (a *App) follow(query event.Query) error {
 	line := newFollower()
 	for {
-		answer, err := a.events(query)
+		answer, err := a.eventsOfVMs(query)
 		if err != nil {
 			return err
 		}
--- a/internal/doccheck/doccheck.go
+++ b/internal/doccheck/doccheck.go
@@ -22,6 +22,16 @@
 	return filepath.Join(filepath.Dir(self), "..", "..", name)
 }
 
+// Read returns the text of a page of the repository.
+func Read(t *testing.T, name string) string {
+	t.Helper()
+	text, err := os.ReadFile(Path(name))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(text)
+}
+
 // Section fails the test unless the page's section holds exactly wanted.
 func Section(t *testing.T, page, section, wanted string) {
 	t.Helper()
--- a/internal/fault/codes_test.go
+++ b/internal/fault/codes_test.go
@@ -14,7 +14,7 @@
 // A code without a line on the pages leaves a caller and an operator alone with
 // a word that they can look up nowhere.
 func TestPagesListAllCodes(t *testing.T) {
-	for _, page := range []string{"docs/API.md", "docs/OPERATING.md"} {
+	for _, page := range []string{"docs/API.md", "docs/OPERATIONS.md"} {
 		var listed []Code
 		for _, cell := range doccheck.Column(t, page, "codes", 0) {
 			listed = append(listed, Code(cell))
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -284,7 +284,7 @@
 	}
 	r.Events.Emit(event.AttemptFailed, event.Subject{
 		Request: r.call.ID, Account: r.call.Account, Upstream: a.entry.Info().ID, Attempt: len(r.used),
-		Detail: detail + " " + string(a.execution), Count: rest.Milliseconds(),
+		Detail: detail + " " + string(a.execution) + ": " + a.err.Error(), Count: rest.Milliseconds(),
 	})
 }
 
--- a/internal/kept/watch.go
+++ b/internal/kept/watch.go
@@ -36,6 +36,8 @@
 	// and when it can again, and for how long it could not.
 	Lost     func(error)
 	Regained func(time.Duration)
+	// Reached, if set, is called whenever the table was read.
+	Reached func()
 
 	lostAt time.Time
 }
@@ -142,6 +144,9 @@
 }
 
 func (w *Watcher) reached() {
+	if w.Reached != nil {
+		w.Reached()
+	}
 	if w.lostAt.IsZero() {
 		return
 	}
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -3,6 +3,8 @@
 import (
 	"net/http"
 	"strings"
+	"sync/atomic"
+	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/collectors"
@@ -18,10 +20,17 @@
 	registry *prometheus.Registry
 	events   *prometheus.CounterVec
 	refused  *prometheus.CounterVec
+	attempts *prometheus.CounterVec
 	latency  prometheus.Histogram
 	commit   prometheus.Counter
+	listing  prometheus.Histogram
+	store    *prometheus.HistogramVec
+	revision prometheus.Gauge
 }
 
+// storeBuckets resolve the store's usual 5 ms and its slow answers of up to 500 ms.
+var storeBuckets = []float64{.003, .006, .012, .025, .05, .1, .2, .4, .8, 1.6, 3.2}
+
 // NewMetrics registers the metrics of a VM.
 func NewMetrics(sink *logsink.Sink, life *Life) *Metrics {
 	m := &Metrics{
@@ -32,9 +41,17 @@
 			Name: "dogwoodpond_request_seconds", Help: "Time from a forwarded request's arrival to its answer.",
 			Buckets: []float64{.01, .02, .04, .08, .15, .3, .6, 1.2, 2.5, 5, 10},
 		}),
-		commit: prometheus.NewCounter(prometheus.CounterOpts{Name: "dogwoodpond_results_listed_total", Help: "Results of steps that were listed."}),
+		attempts: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "dogwoodpond_attempts_failed_total", Help: "Attempts at upstreams that failed, by reason."}, []string{"reason"}),
+		listing: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Name: "dogwoodpond_results_commit_seconds", Help: "Time that the store took to list results.", Buckets: storeBuckets,
+		}),
+		store: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "dogwoodpond_store_call_seconds", Help: "Time of direct calls to the store by call and outcome; those for changes wait on purpose.", Buckets: storeBuckets,
+		}, []string{"call", "outcome"}),
+		revision: prometheus.NewGauge(prometheus.GaugeOpts{Name: "dogwoodpond_configuration_revision", Help: "The revision in force on this VM."}),
+		commit:   prometheus.NewCounter(prometheus.CounterOpts{Name: "dogwoodpond_results_listed_total", Help: "Results of steps that were listed."}),
 	}
-	m.registry.MustRegister(m.events, m.refused, m.latency, m.commit, collectors.NewGoCollector(),
+	m.registry.MustRegister(m.events, m.refused, m.attempts, m.latency, m.commit, m.listing, m.store, m.revision, collectors.NewGoCollector(),
 		prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "dogwoodpond_open_requests", Help: "Requests that are being served."}, func() float64 { return float64(life.Open()) }),
 		prometheus.NewCounterFunc(prometheus.CounterOpts{Name: "dogwoodpond_log_lines_dropped_total", Help: "Log lines that found no room."}, func() float64 { return float64(sink.Dropped()) }),
 	)
@@ -51,11 +68,41 @@
 	case event.RequestRefused:
 		code, _, _ := strings.Cut(e.Detail, " ")
 		m.refused.WithLabelValues(code).Inc()
+	case event.AttemptFailed:
+		m.attempts.WithLabelValues(reasonOf(e.Detail)).Inc()
+	case event.RevisionApplied:
+		m.revision.Set(float64(e.Revision))
 	case event.SamplesCommitted:
 		m.commit.Add(float64(e.Count))
+		if took, err := time.ParseDuration(e.Detail); err == nil {
+			m.listing.Observe(took.Seconds())
+		}
 	}
 }
 
+// reasonOf returns the part of a detail that is the same for all failures of a kind.
+func reasonOf(detail string) string {
+	reason, _, _ := strings.Cut(detail, " after event")
+	reason, _, _ = strings.Cut(reason, ":")
+	return reason
+}
+
+// StoreCall counts a direct call to the store.
+func (m *Metrics) StoreCall(call, outcome string, took time.Duration) {
+	m.store.WithLabelValues(call, outcome).Observe(took.Seconds())
+}
+
+// Feed registers the age of what a VM knows of a list, and returns a function that
+// is to be called whenever the list has answered.
+func (m *Metrics) Feed(name string) (reached func()) {
+	var at atomic.Int64
+	at.Store(time.Now().UnixNano())
+	m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "dogwoodpond_feed_age_seconds", Help: "Time since a list that this VM follows answered last.", ConstLabels: prometheus.Labels{"feed": name},
+	}, func() float64 { return time.Since(time.Unix(0, at.Load())).Seconds() }))
+	return func() { at.Store(time.Now().UnixNano()) }
+}
+
 // Handler serves the metrics.
 func (m *Metrics) Handler() http.Handler {
 	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -382,8 +382,8 @@
 // An operator writes contracts from the page. A field that it does not name is
 // never set, and a wrong default is relied on.
 func TestOperatingPageListsTheFieldsOfAContract(t *testing.T) {
-	fields := doccheck.Column(t, "docs/OPERATING.md", "contract", 0)
-	defaults := doccheck.Column(t, "docs/OPERATING.md", "contract", 1)
+	fields := doccheck.Column(t, "docs/OPERATIONS.md", "contract", 0)
+	defaults := doccheck.Column(t, "docs/OPERATIONS.md", "contract", 1)
 	onPage := map[string]string{}
 	for i, field := range fields {
 		onPage[field] = defaults[i]
--- a/internal/processtest/tool_test.go
+++ b/internal/processtest/tool_test.go
@@ -247,7 +247,7 @@
 // A reader copies a command from a page and it fails: the page was written for
 // an earlier version.
 func TestCommandsOnThePagesRun(t *testing.T) {
-	for _, page := range []string{"README.md", "docs/OPERATING.md"} {
+	for _, page := range []string{"README.md", "docs/OPERATIONS.md"} {
 		t.Run(filepath.Base(page), func(t *testing.T) {
 			blocks := runnable(t, page)
 			if len(blocks) == 0 {
