A successor counts an item's failures on

Cause: the count lay in the owner's memory. Rows of texts that can't be read are told. Ruled out: a row of its own for each failure (a call to the store for each).

--- a/internal/step/item.go
+++ b/internal/step/item.go
@@ -93,9 +93,8 @@
 		entry.NoteSwap(n.model, now.Add(refusedRest))
 		r.again(i, 0)
 	case failed:
-		p.failures++
-		if p.failures >= max(r.rec.Attempts, 1) {
-			r.abandon(i, "failed "+strconv.Itoa(p.failures)+" times")
+		if n := r.countFailure(i); n >= max(r.rec.Attempts, 1) {
+			r.abandon(i, "failed "+strconv.Itoa(n)+" times")
 			return
 		}
 		r.again(i, failedPause)
--- a/internal/step/run.go
+++ b/internal/step/run.go
@@ -39,8 +39,10 @@
 	notBefore time.Time
 	// failures counts the answers that say that the item failed.
 	failures int
-	moves    int
-	partial  partial
+	// savedFailures is the count that was saved last.
+	savedFailures int
+	moves         int
+	partial       partial
 }
 
 // run is a step in the hands of its owner.
@@ -110,7 +112,12 @@
 	for i, item := range r.items {
 		saved, ok := texts[item.ID]
 		known[item.Group] = known[item.Group] || ok
-		if !ok || r.progress[i].phase == done || !mayGoOn(saved.Versions, r.rec.Spec) {
+		if !ok || r.progress[i].phase == done {
+			continue
+		}
+		p := &r.progress[i]
+		p.failures, p.savedFailures = max(p.failures, saved.Failures), saved.Failures
+		if !mayGoOn(saved.Versions, r.rec.Spec) {
 			continue
 		}
 		r.progress[i].partial = saved.partial()
@@ -185,6 +192,15 @@
 	r.progress[i].partial = text
 }
 
+// countFailure counts an answer that says that an item failed, and returns how many
+// there were.
+func (r *run) countFailure(i int) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.progress[i].failures++
+	return r.progress[i].failures
+}
+
 // finish takes an item's result.
 func (r *run) finish(i int, result Result) {
 	r.mu.Lock()
--- a/internal/step/step_test.go
+++ b/internal/step/step_test.go
@@ -565,6 +565,36 @@
 	}
 }
 
+// An item fails each time, a second after it began, and its owner dies after the
+// second failure. Its successor must not begin to count anew: with a few changes of
+// owner the item would reach engines far more often than its route allows.
+func TestSuccessorCountsFailuresOn(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		w := newWorld(t, "e1")
+		w.engines.behave[""] = func(item string, _ int) reply {
+			r := good
+			if item == "i1" {
+				time.Sleep(time.Second)
+				r.status = http.StatusInternalServerError
+			}
+			return r
+		}
+		a, b := w.start("a"), w.start("b")
+		submit(t, a, spec("s"), items(2))
+		time.Sleep(2900 * time.Millisecond)
+		w.crash(a)
+		for _, r := range readWhole(t, b, "s") {
+			if r.Item == "i1" && r.Outcome != Abandoned {
+				t.Errorf("the item is %s", r.Outcome)
+			}
+		}
+		// Two failures, the run that the owner's death broke off, and one more.
+		if n := w.engines.count("i1"); n > 4 {
+			t.Errorf("the item ran %d times, want 4 at most", n)
+		}
+	})
+}
+
 // No engine takes an item for as long as the step may last. It is given up only
 // then, and stands as abandoned.
 func TestItemsAreGivenUpAtTheirTimeOnly(t *testing.T) {
--- a/internal/step/takeover.go
+++ b/internal/step/takeover.go
@@ -9,6 +9,7 @@
 
 	"dogwoodpond/internal/event"
 	"dogwoodpond/internal/fault"
+	"dogwoodpond/internal/kept"
 	"dogwoodpond/internal/wait"
 )
 
@@ -98,7 +99,9 @@
 		}
 		var texts map[string]savedText
 		if err == nil && len(listed) < r.Total {
-			texts, err = readTexts(ctx, m.Store, r.ID)
+			texts, err = readTexts(ctx, m.Store, r.ID, func(row kept.Row) {
+				m.Events.Emit(event.RowUnreadable, event.Subject{Step: r.ID, Detail: row.String()})
+			})
 		}
 		if err == nil {
 			m.start(r, items, listed, texts)
--- a/internal/step/text.go
+++ b/internal/step/text.go
@@ -56,14 +56,21 @@
 	Versions []int64 `json:"versions"`
 	// Whole texts need no further run.
 	Whole bool `json:"whole,omitempty"`
+	// Failures counts the answers that said that the item failed. With the count a
+	// successor does not begin anew: an item that fails each time would reach engines
+	// again with every change of owner.
+	Failures int `json:"failures,omitempty"`
 }
 
 func (s savedText) partial() partial {
+	if s.Last == 0 && s.Text == "" {
+		return partial{}
+	}
 	return partial{data: [][]byte{[]byte(s.Text)}, last: s.Last, any: true, versions: s.Versions, saved: s.Last}
 }
 
-func (p partial) save() savedText {
-	return savedText{Text: joined(p.data), Last: p.last, Versions: p.versions}
+func (p partial) save(failures int) savedText {
+	return savedText{Text: joined(p.data), Last: p.last, Versions: p.versions, Failures: failures}
 }
 
 // mayGoOn reports whether a text of these versions may become a sample of a step.
@@ -81,8 +88,9 @@
 	txn := kept.Txn{Expected: []kept.Expectation{{Key: stateKey(rec.ID), Version: rec.version}}}
 	size := 0
 	for i, text := range r.grown(events) {
-		value, err := json.Marshal(text.save())
+		value, err := encode(text)
 		if err != nil || len(value) > rowLimit || size+len(value) > saveBytes {
+			// Texts that find no room are generated anew if the owner is lost.
 			continue
 		}
 		size += len(value)
@@ -99,23 +107,27 @@
 }
 
 // grown returns the texts that have grown by a number of events since they were
-// saved, and marks them as saved. One whose save fails is saved later, with more.
-func (r *run) grown(events int64) map[int]partial {
+// saved, and those of items that failed meanwhile, and marks them as saved. One whose
+// save fails is saved later, with more.
+func (r *run) grown(events int64) map[int]savedText {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	out := make(map[int]partial)
+	out := make(map[int]savedText)
 	for i := range r.progress {
 		p := &r.progress[i]
-		if p.phase != done && p.partial.any && p.partial.last >= p.partial.saved+events {
-			p.partial.saved = p.partial.last
-			out[i] = p.partial
+		longer := p.partial.any && p.partial.last >= p.partial.saved+events
+		if p.phase == done || !longer && p.failures == p.savedFailures {
+			continue
 		}
+		p.partial.saved, p.savedFailures = p.partial.last, p.failures
+		out[i] = p.partial.save(p.failures)
 	}
 	return out
 }
 
-// readTexts reads the saved texts of a step.
-func readTexts(ctx context.Context, store kept.Store, id string) (map[string]savedText, error) {
+// readTexts reads the saved texts of a step. Rows that can't be read cost their items
+// a run; unreadable is told of each.
+func readTexts(ctx context.Context, store kept.Store, id string, unreadable func(kept.Row)) (map[string]savedText, error) {
 	rows, err := kept.ReadAll(ctx, store, textTable, id)
 	if err != nil {
 		return nil, err
@@ -123,9 +135,11 @@
 	texts := make(map[string]savedText, len(rows))
 	for _, row := range rows {
 		var text savedText
-		if json.Unmarshal(row.Value, &text) == nil {
-			texts[row.Name] = text
+		if json.Unmarshal(row.Value, &text) != nil {
+			unreadable(row)
+			continue
 		}
+		texts[row.Name] = text
 	}
 	return texts, nil
 }
@@ -201,7 +215,7 @@
 		if result, ok := whole[item.ID]; ok && result.Outcome == Completed && result.Object == "" {
 			out[item.ID] = savedText{Text: result.Text, Versions: result.Versions, Whole: true}
 		} else if text := r.progress[i].partial; text.any && r.progress[i].phase != done {
-			out[item.ID] = text.save()
+			out[item.ID] = text.save(0)
 		}
 	}
 	return out
