--- a/internal/lease/manager.go
+++ b/internal/lease/manager.go
@@ -101,6 +101,13 @@
 	}
 }
 
+// Serve campaigns for the named lease until ctx ends, and calls serve whenever it
+// holds it. What serve fails with is told by the events of the lease; the failure of
+// the campaign itself is the end of ctx.
+func (m *Manager) Serve(ctx context.Context, name string, serve func(ctx context.Context, g Guard) error) {
+	_ = m.Campaign(ctx, name, func(ctx context.Context, g Guard) (bool, error) { return false, serve(ctx, g) })
+}
+
 // campaign is one call of Campaign.
 type campaign struct {
 	manager   *Manager
--- a/internal/loading/loader.go
+++ b/internal/loading/loader.go
@@ -115,18 +115,14 @@
 func (l *Loader) Run(ctx context.Context) {
 	l.busy = make(map[*target.Entry]bool)
 	l.rest = make(map[*target.Entry]time.Time)
-	name := lease.InDomain(leaseDuty, l.Domain)
-	err := l.Leases.Campaign(ctx, name, l.hold)
-	if ctx.Err() == nil {
-		l.Events.Emit(event.LeaseLost, event.Subject{Lease: name, Detail: err.Error()})
-	}
+	l.Leases.Serve(ctx, lease.InDomain(leaseDuty, l.Domain), l.hold)
 }
 
 // hold gives orders while the lease is held. It waits first: an order of the
 // earlier holder may be on its way, and these engines don't compare epochs.
-func (l *Loader) hold(ctx context.Context, guard lease.Guard) (bool, error) {
+func (l *Loader) hold(ctx context.Context, guard lease.Guard) error {
 	if err := lease.Settle(ctx, guard, orderTimeout); err != nil {
-		return false, err
+		return err
 	}
 	ticker := time.NewTicker(period)
 	defer ticker.Stop()
@@ -138,7 +134,7 @@
 		}
 		select {
 		case <-ctx.Done():
-			return false, context.Cause(ctx)
+			return context.Cause(ctx)
 		case <-ticker.C:
 		}
 	}
--- a/internal/supply/orderer.go
+++ b/internal/supply/orderer.go
@@ -80,29 +80,25 @@
 
 // Run campaigns for the lease of the failure domain until ctx ends.
 func (o *Orderer) Run(ctx context.Context) {
-	name := lease.InDomain(leaseDuty, o.Domain)
-	err := o.Leases.Campaign(ctx, name, o.hold)
-	if ctx.Err() == nil {
-		o.Events.Emit(event.LeaseLost, event.Subject{Lease: name, Detail: err.Error()})
-	}
+	o.Leases.Serve(ctx, lease.InDomain(leaseDuty, o.Domain), o.hold)
 }
 
 // hold gives orders while the lease is held. It waits first: an order of the
 // earlier holder may be on its way, and the platform does not compare epochs.
-func (o *Orderer) hold(ctx context.Context, guard lease.Guard) (bool, error) {
+func (o *Orderer) hold(ctx context.Context, guard lease.Guard) error {
 	if err := lease.Settle(ctx, guard, orderTimeout); err != nil {
-		return false, err
+		return err
 	}
 	o.given = make(map[subject]given)
 	ticker := time.NewTicker(period)
 	defer ticker.Stop()
 	for {
 		if err := o.orderDue(ctx, guard); err != nil {
-			return false, err
+			return err
 		}
 		select {
 		case <-ctx.Done():
-			return false, context.Cause(ctx)
+			return context.Cause(ctx)
 		case <-ticker.C:
 		}
 	}
--- a/internal/window/closer.go
+++ b/internal/window/closer.go
@@ -33,6 +33,8 @@
 	// catchUp is how many windows back a first holder looks if nobody has counted
 	// anything.
 	catchUp = 1
+	// leaseName names the lease of the one process that reports.
+	leaseName = "usage"
 	// sentName is the row that names the newest window that was reported.
 	sentName = "sent"
 )
@@ -69,19 +71,16 @@
 
 // Run campaigns for the lease until ctx ends.
 func (c *Closer) Run(ctx context.Context) {
-	err := c.Leases.Campaign(ctx, "usage", c.hold)
-	if ctx.Err() == nil {
-		c.Events.Emit(event.LeaseLost, event.Subject{Lease: "usage", Detail: err.Error()})
-	}
+	c.Leases.Serve(ctx, leaseName, c.hold)
 }
 
-func (c *Closer) hold(ctx context.Context, guard lease.Guard) (bool, error) {
+func (c *Closer) hold(ctx context.Context, guard lease.Guard) error {
 	if err := lease.Settle(ctx, guard, reportTimeout); err != nil {
-		return false, err
+		return err
 	}
 	next, err := c.firstWindow(ctx)
 	if err != nil {
-		return false, err
+		return err
 	}
 	ticker := time.NewTicker(lookEvery)
 	defer ticker.Stop()
@@ -100,7 +99,7 @@
 		}
 		select {
 		case <-ctx.Done():
-			return false, context.Cause(ctx)
+			return context.Cause(ctx)
 		case <-ticker.C:
 		}
 	}
