Items that break off at once are tried more and more rarely; results are listed in groups

And after a commit of results whatever had finished meanwhile was committed at once, mostly one result at a time. Ruled out: resting the engines longer (another model's items reach them first).

--- a/internal/ctl/explain.go
+++ b/internal/ctl/explain.go
@@ -167,13 +167,23 @@
 			}
 			continue
 		}
-		if e.Request == "" && told.seen[e.Upstream] && told.Outcome == outcomeNotKnown {
+		if e.Request == "" && told.seen[e.Upstream] && told.Outcome == outcomeNotKnown && !listedElsewhere(e, line) {
 			told.add(e, start)
 		}
 	}
 	return told
 }
 
+// listedElsewhere reports whether an event is only another VM's view of the platform's
+// list: each VM tells of each upstream that comes and goes.
+func listedElsewhere(e event.Record, line []event.Record) bool {
+	switch e.Number {
+	case event.UpstreamListed, event.UpstreamUnlisted, event.UpstreamLeaving:
+		return e.VM != line[0].VM
+	}
+	return false
+}
+
 // begins reports whether an event is the first of its request. The generations of a
 // step have no caller, and requests that are only sent on are not announced, so that
 // their first event is a dispatch.
--- a/internal/step/item.go
+++ b/internal/step/item.go
@@ -38,8 +38,12 @@
 	// refusedRest keeps a model's items off an engine that refused one: it is full
 	// or loads new weights, which takes about 0.9 s.
 	refusedRest = 120 * time.Millisecond
-	// failedPause is the pause before an item that failed is tried again.
-	failedPause = 40 * time.Millisecond
+	// failedPause is the pause before an item that failed is tried again. It doubles
+	// with each run in a row that broke off without a new event, up to
+	// longestPause: in a failure domain that is cut off from its engines 92 items broke
+	// off 4,381 times in 5 s, and their VM did little else.
+	failedPause  = 40 * time.Millisecond
+	longestPause = 640 * time.Millisecond
 )
 
 // ended says why a run of an item ended.
@@ -109,8 +113,22 @@
 		r.again(i, 0)
 	case broken:
 		entry.Failed(now)
-		r.again(i, failedPause)
+		r.again(i, r.pauseAfterBreak(i, read))
+	}
+}
+
+// pauseAfterBreak returns how long an item waits after a run that broke off, given
+// the text that was read of it so far.
+func (r *run) pauseAfterBreak(i int, read partial) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	p := &r.progress[i]
+	if read.last > p.readBefore {
+		p.readBefore, p.breaks = read.last, 0
 	}
+	pause := min(failedPause<<min(p.breaks, 8), longestPause)
+	p.breaks++
+	return pause
 }
 
 func (e ended) String() string {
--- a/internal/step/run.go
+++ b/internal/step/run.go
@@ -42,7 +42,11 @@
 	// savedFailures is the count that was saved last.
 	savedFailures int
 	moves         int
-	partial       partial
+	// breaks counts the runs in a row that broke off without a new event, and
+	// readBefore is the last event before them.
+	breaks     int
+	readBefore int64
+	partial    partial
 }
 
 // run is a step in the hands of its owner.
@@ -209,10 +213,7 @@
 	r.queue = append(r.queue, result)
 	r.queued += len(result.Text)
 	r.mu.Unlock()
-	select {
-	case r.more <- struct{}{}:
-	default:
-	}
+	r.signalMore()
 	r.m.poke()
 }
 
@@ -232,7 +233,36 @@
 		if !r.full() {
 			wait.For(r.ctx, groupTime)
 		}
-		r.flush(r.ctx)
+		r.listOnce(r.ctx)
+	}
+}
+
+// listOnce lists one group of what is finished. What finishes meanwhile waits for the
+// next group: listed one by one as the store answers, a step's results took some 60
+// commits in place of 25.
+func (r *run) listOnce(ctx context.Context) {
+	r.commit.Lock()
+	defer r.commit.Unlock()
+	batch, position := r.take()
+	if len(batch) == 0 || !r.list(ctx, batch, position) {
+		return
+	}
+	if r.waiting() > 0 {
+		r.signalMore()
+	}
+}
+
+// waiting returns how many results are finished and not listed.
+func (r *run) waiting() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.queue)
+}
+
+func (r *run) signalMore() {
+	select {
+	case r.more <- struct{}{}:
+	default:
 	}
 }
 
--- a/internal/step/step_test.go
+++ b/internal/step/step_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -595,6 +596,61 @@
 	})
 }
 
+// A failure domain is cut off from all engines. The items of its steps must not be
+// tried without a pause: the VM would do nothing else, and the engines get a storm of
+// connections the moment they are back.
+func TestItemsWithoutEnginesAreTriedMoreAndMoreRarely(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		w := newWorld(t, "e1", "e2")
+		back := time.Now().Add(6 * time.Second)
+		w.engines.behave[""] = func(string, int) reply {
+			if time.Now().Before(back) {
+				return reply{}
+			}
+			return good
+		}
+		a := w.start("a")
+		submit(t, a, spec("s"), items(8))
+		checkTexts(t, readWhole(t, a, "s"), 3)
+		if late := time.Since(back); late > 1500*time.Millisecond {
+			t.Errorf("whole %s after the engines were back", late)
+		}
+		for _, item := range items(8) {
+			if n := w.engines.count(item.ID); n > 16 {
+				t.Errorf("item %s was tried %d times in 6 s", item.ID, n)
+			}
+		}
+	})
+}
+
+// Items finish one after another for a while. Listed one by one they would cost the
+// store a transaction each, beside those of all other steps.
+func TestResultsAreListedInGroups(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		w := newWorld(t, "e1", "e2", "e3", "e4")
+		w.engines.behave[""] = func(item string, _ int) reply {
+			r := good
+			n, _ := strconv.Atoi(item[1:])
+			r.gap = time.Duration(100+10*n) * time.Millisecond
+			return r
+		}
+		commits := 0
+		w.store.SetFate(func(txn kept.Txn) memory.Fate {
+			if txn.Puts[0].Key.Table == resultTable {
+				commits++
+				time.Sleep(12 * time.Millisecond)
+			}
+			return memory.Normal
+		})
+		a := w.start("a")
+		submit(t, a, spec("s"), items(16))
+		checkTexts(t, readWhole(t, a, "s"), 3)
+		if commits > 8 {
+			t.Errorf("16 results that came within 0.5 s took %d commits", commits)
+		}
+	})
+}
+
 // No engine takes an item for as long as the step may last. It is given up only
 // then, and stands as abandoned.
 func TestItemsAreGivenUpAtTheirTimeOnly(t *testing.T) {
