VMs ask for changes of a busy list at a pace

Cause: upstreams renew their entries every 1.2 s, and each VM asked again as soon as the list answered. Ruled out: member list and leases (both already slow down with the fleet).

--- a/internal/kept/kept_test.go
+++ b/internal/kept/kept_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -260,3 +261,52 @@
 		t.Errorf("the write over another VM's fails with %v", err)
 	}
 }
+
+// countingFeed counts the calls for changes; each takes a moment.
+type countingFeed struct {
+	*memory.Store
+	calls atomic.Int64
+}
+
+func (c *countingFeed) Changes(ctx context.Context, table string, after int64, wait time.Duration) (kept.Page, error) {
+	c.calls.Add(1)
+	time.Sleep(4 * time.Millisecond)
+	return c.Store.Changes(ctx, table, after, wait)
+}
+
+// Thousands of upstreams renew their entries, so that the list changes every few
+// milliseconds. Each VM that asks again as soon as it is answered takes a hundred reads
+// a second of the store; with 300 VMs it refuses most calls of everybody, and edits and
+// steps stand still. A change that comes alone must still be seen at once.
+func TestWatcherPacesABusyTable(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		feed := &countingFeed{Store: memory.New()}
+		var rows atomic.Int64
+		apply := func(page []kept.Row) { rows.Add(int64(len(page))) }
+		w := kept.Watcher{
+			Store: feed, Table: "t", Part: "p", Wait: time.Second, Replace: apply, Apply: apply,
+			Pace: func() time.Duration { return 200 * time.Millisecond },
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go w.Run(ctx)
+		time.Sleep(2500 * time.Millisecond)
+		feed.Set(key, "alone")
+		time.Sleep(10 * time.Millisecond)
+		if n := rows.Load(); n != 1 {
+			t.Errorf("%d rows 10 ms after a change that came alone", n)
+		}
+		feed.calls.Store(0)
+		for range 1000 {
+			feed.Set(key, "again")
+			time.Sleep(2 * time.Millisecond)
+		}
+		if n := feed.calls.Load(); n > 11 {
+			t.Errorf("%d calls in 2 s of changes", n)
+		}
+		time.Sleep(300 * time.Millisecond)
+		if n := rows.Load(); n != 1001 {
+			t.Errorf("%d of 1001 changes were seen", n)
+		}
+	})
+}
--- a/internal/kept/watch.go
+++ b/internal/kept/watch.go
@@ -36,6 +36,10 @@
 	// and when it can again, and for how long it could not.
 	Lost     func(error)
 	Regained func(time.Duration)
+	// Pace, if set, is the least time between the starts of two calls for changes. A
+	// table that changes all the time would otherwise be asked again as soon as it
+	// answers, by every VM. A change that comes alone is not delayed.
+	Pace func() time.Duration
 	// Reached, if set, is called whenever the table was read.
 	Reached func()
 
@@ -107,6 +111,7 @@
 func (w *Watcher) follow(ctx context.Context, after int64) error {
 	until := time.Now().Add(rereadEvery)
 	for ctx.Err() == nil && time.Now().Before(until) {
+		asked := time.Now()
 		page, err := w.Store.Changes(ctx, w.Table, after, w.Wait)
 		if fault.Is[*HistoryGone](err) {
 			return nil
@@ -119,6 +124,9 @@
 			w.Apply(page.Rows)
 		}
 		after = max(after, page.Version)
+		if w.Pace != nil {
+			wait.For(ctx, w.Pace()-time.Since(asked))
+		}
 	}
 	return nil
 }
--- a/internal/loading/loader.go
+++ b/internal/loading/loader.go
@@ -314,7 +314,7 @@
 
 // Follow takes what the loaders of all failure domains publish into the roster,
 // until ctx ends.
-func Follow(ctx context.Context, store kept.Store, roster *target.Roster, services func() []string, events *event.Recorder, changed func()) {
+func Follow(ctx context.Context, store kept.Store, roster *target.Roster, services func() []string, pace func() time.Duration, events *event.Recorder, changed func()) {
 	apply := func(rows []kept.Row) {
 		for _, row := range rows {
 			if !row.Deleted {
@@ -324,7 +324,7 @@
 		changed()
 	}
 	watcher := kept.Watcher{
-		Store: store, Table: table, AllParts: true, Wait: watchWait, Replace: apply, Apply: apply,
+		Store: store, Table: table, AllParts: true, Wait: watchWait, Replace: apply, Apply: apply, Pace: pace,
 		Lost: events.Lost("loads of weights"), Regained: events.Regained("loads of weights"),
 	}
 	watcher.Run(ctx)
