--- a/internal/step/run.go
+++ b/internal/step/run.go
@@ -238,8 +238,8 @@
 }
 
 // listOnce lists one group of what is finished. What finishes meanwhile waits for the
-// next group: listed one by one as the store answers, a step's results took some 60
-// commits in place of 25.
+// next group: listed one by one as the store answers, a step's 124 results took 52
+// commits in place of 37.
 func (r *run) listOnce(ctx context.Context) {
 	r.commit.Lock()
 	defer r.commit.Unlock()
