--- a/internal/step/manager.go
+++ b/internal/step/manager.go
@@ -85,6 +85,8 @@
 	orphan  map[string]time.Time
 	carried *carried
 	leaving bool
+	// over is true once Run waits for the last runs.
+	over bool
 
 	loops sync.WaitGroup
 	// ctx is the life of the runs. It begins with the manager, not with Run: a
@@ -125,6 +127,10 @@
 	loops.Go(func() { m.considerLoop(ctx) })
 	loops.Go(func() { m.dispatchLoop(ctx) })
 	loops.Wait()
+	// A step that is handed in now must not begin a run beside the wait for the runs.
+	m.mu.Lock()
+	m.over = true
+	m.mu.Unlock()
 	m.loops.Wait()
 }
 
@@ -420,7 +426,7 @@
 	m.mu.Lock()
 	known, ok := m.known[rec.ID]
 	overtaken := ok && known.version > rec.version
-	if overtaken || m.runs[rec.ID] != nil || m.leaving || rec.Ended {
+	if overtaken || m.runs[rec.ID] != nil || m.leaving || m.over || rec.Ended {
 		m.mu.Unlock()
 		return nil
 	}
