--- a/internal/step/run.go
+++ b/internal/step/run.go
@@ -233,23 +233,23 @@
 		if !r.full() {
 			wait.For(r.ctx, groupTime)
 		}
-		r.listOnce(r.ctx)
+		if r.listOnce(r.ctx) {
+			r.signalMore()
+		}
 	}
 }
 
-// listOnce lists one group of what is finished. What finishes meanwhile waits for the
+// listOnce lists one group of what is finished, and reports whether more is. What finishes meanwhile waits for the
 // next group: listed one by one as the store answers, a step's 124 results took 52
 // commits in place of 37.
-func (r *run) listOnce(ctx context.Context) {
+func (r *run) listOnce(ctx context.Context) (more bool) {
 	r.commit.Lock()
 	defer r.commit.Unlock()
 	batch, position := r.take()
 	if len(batch) == 0 || !r.list(ctx, batch, position) {
-		return
-	}
-	if r.waiting() > 0 {
-		r.signalMore()
+		return false
 	}
+	return r.waiting() > 0
 }
 
 // waiting returns how many results are finished and not listed.
@@ -290,16 +290,9 @@
 
 // flush lists everything that is finished.
 func (r *run) flush(ctx context.Context) {
-	r.commit.Lock()
-	defer r.commit.Unlock()
-	for ctx.Err() == nil {
-		batch, position := r.take()
-		if len(batch) == 0 {
-			return
-		}
-		if !r.list(ctx, batch, position) {
-			return
-		}
+	more := true
+	for more && ctx.Err() == nil {
+		more = r.listOnce(ctx)
 	}
 }
 
