Scored items: a whole text waits for the digest of its call and is listed with it

An item's call goes by the route of its host and path in the configuration in force, by the forwarder of callers' idempotent requests (hedge, retries, suspicion) with a meter that counts nothing and a retry budget of its own. Its open calls are bounded by the free slots that the service reports, a quarter left to callers. 500s count up to the attempts of the call's own route, over changes of owner; anything else is tried again after 40 to 640 ms. The whole text is kept with the step's saved texts, the score only in the listed result. Samples of the product's own interface use the same count.

Weakened forms, each seen to fail the new tests: listed without score; whole carried text still waiting; a shorter saved text over a whole one; attempts of the item; counts forgotten by the successor; missing route gives up; never given up; calls outlive the step. Ruled out: to save scores with the texts (a second state to keep in step, for some 80 ms of work).

--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -44,6 +44,8 @@
 	ItemAbandoned    Number = 1413
 	StepStartedEarly Number = 1414
 	TextsSaved       Number = 1415
+	SampleScored     Number = 1416
+	ScoreFailed      Number = 1417
 
 	UpstreamEjected  Number = 1501
 	UpstreamRestored Number = 1502
@@ -112,6 +114,8 @@
 	{ItemAbandoned, zap.WarnLevel, "item abandoned", "An item of the step was given up; Detail tells why."},
 	{StepStartedEarly, zap.InfoLevel, "step started early", "The store has not confirmed the step yet; its items run, but nothing is listed. Count gives how many."},
 	{TextsSaved, zap.InfoLevel, "texts saved", "The texts of Count unfinished items were saved, for the case that the step changes hands."},
+	{SampleScored, zap.InfoLevel, "sample scored", "The call of the item's whole text returned its score. Request is the call, Count the milliseconds since the text was whole."},
+	{ScoreFailed, zap.WarnLevel, "score failed", "The call for the item's score was not answered with one and is made again; Count gives how many upstreams have said that it failed."},
 	{UpstreamEjected, zap.WarnLevel, "upstream ejected", "The upstream failed too often and gets no work for a while."},
 	{UpstreamRestored, zap.InfoLevel, "upstream restored", "The upstream gets work again."},
 	{UpstreamLeaving, zap.InfoLevel, "upstream leaving", "The upstream is leaving and gets no new work."},
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -66,6 +66,8 @@
 type Answer struct {
 	Status int
 	Header http.Header
+	// Digest is the upstream's digest of the answer.
+	Digest string
 	Length int64
 	Body   []byte
 	Rest   io.ReadCloser
@@ -79,6 +81,15 @@
 	Refused(account string, at time.Time)
 }
 
+// Unmetered is the meter of requests that are not callers' own and lie outside usage.
+type Unmetered struct{}
+
+// Began implements Meter.
+func (Unmetered) Began(string, time.Time) {}
+
+// Refused implements Meter.
+func (Unmetered) Refused(string, time.Time) {}
+
 // Forwarder sends requests on. It is safe for concurrent use.
 type Forwarder struct {
 	Roster *target.Roster
@@ -111,7 +122,9 @@
 	ran     int
 	refused int
 	pending int
-	last    error
+	// failedAnswers counts the upstreams that answered that the request failed.
+	failedAnswers int
+	last          error
 	// execution is what is known of the run after all attempts so far.
 	execution fault.Execution
 }
@@ -137,7 +150,7 @@
 		select {
 		case <-ctx.Done():
 			r.cancelAll()
-			return nil, r.outOfTime(ctx)
+			return nil, r.counted(r.outOfTime(ctx))
 		case <-hedge.C:
 			if r.mayHedge() {
 				r.launch(ctx)
@@ -154,7 +167,7 @@
 			}
 			if r.pending == 0 {
 				r.cancelAll()
-				return nil, r.failure(ctx)
+				return nil, r.counted(r.failure(ctx))
 			}
 		}
 	}
@@ -254,7 +267,7 @@
 
 // buffer reads an answer whole if it is short.
 func buffer(response *target.Response) (*Answer, error) {
-	answer := &Answer{Status: response.Status, Header: response.Header, Length: response.Length}
+	answer := &Answer{Status: response.Status, Header: response.Header, Digest: response.Digest, Length: response.Length}
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxBuffered))
 	if err != nil {
 		_ = response.Body.Close()
@@ -277,6 +290,9 @@
 	if a.execution != fault.NotRun {
 		r.ran++
 	}
+	if answer, ok := AnswerOf(a.err); ok && answer.Status == http.StatusInternalServerError {
+		r.failedAnswers++
+	}
 	detail := string(fault.CodeOf(a.err))
 	var rest time.Duration
 	if !fault.Is[*fault.CallerGone](a.err) {
@@ -351,6 +367,36 @@
 	return nil, false
 }
 
+// failedCall is the failure of a call with the number of upstreams that answered that
+// the request itself failed.
+type failedCall struct {
+	cause   error
+	answers int
+}
+
+func (f *failedCall) Error() string { return f.cause.Error() }
+
+// Unwrap returns the cause.
+func (f *failedCall) Unwrap() error { return f.cause }
+
+// counted notes the number of failed answers at a failure.
+func (r *run) counted(err error) error {
+	if r.failedAnswers == 0 {
+		return err
+	}
+	return &failedCall{cause: err, answers: r.failedAnswers}
+}
+
+// FailedAnswers returns how many upstreams answered a call that failed by saying that
+// the request failed, rather than that they could not take it.
+func FailedAnswers(err error) int {
+	var f *failedCall
+	if errors.As(err, &f) {
+		return f.answers
+	}
+	return 0
+}
+
 func closeRest(answer *Answer) {
 	if answer.Rest != nil {
 		_ = answer.Rest.Close()
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -26,6 +26,8 @@
 	listing  prometheus.Histogram
 	store    *prometheus.HistogramVec
 	revision prometheus.Gauge
+	scores   *prometheus.CounterVec
+	scoring  prometheus.Histogram
 }
 
 // storeBuckets resolve the store's usual 5 ms and its slow answers of up to 500 ms.
@@ -49,27 +51,38 @@
 			Name: "dogwoodpond_store_call_seconds", Help: "Time of direct calls to the store by call and outcome; those for changes wait on purpose.", Buckets: storeBuckets,
 		}, []string{"call", "outcome"}),
 		revision: prometheus.NewGauge(prometheus.GaugeOpts{Name: "dogwoodpond_configuration_revision", Help: "The revision in force on this VM."}),
-		commit:   prometheus.NewCounter(prometheus.CounterOpts{Name: "dogwoodpond_results_listed_total", Help: "Results of steps that were listed."}),
+		scores:   prometheus.NewCounterVec(prometheus.CounterOpts{Name: "dogwoodpond_score_calls_total", Help: "Calls for the scores of whole texts, by outcome."}, []string{"outcome"}),
+		scoring: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Name: "dogwoodpond_score_wait_seconds", Help: "Time from an item's whole text to its score.",
+			Buckets: []float64{.02, .04, .08, .15, .3, .6, 1.2, 2.5, 5, 10},
+		}),
+		commit: prometheus.NewCounter(prometheus.CounterOpts{Name: "dogwoodpond_results_listed_total", Help: "Results of steps that were listed."}),
 	}
-	m.registry.MustRegister(m.events, m.refused, m.attempts, m.latency, m.commit, m.listing, m.store, m.revision, collectors.NewGoCollector(),
+	m.registry.MustRegister(m.events, m.refused, m.attempts, m.latency, m.commit, m.listing, m.store, m.revision, m.scores, m.scoring, collectors.NewGoCollector(),
 		prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "dogwoodpond_open_requests", Help: "Requests that are being served."}, func() float64 { return float64(life.Open()) }),
 		prometheus.NewCounterFunc(prometheus.CounterOpts{Name: "dogwoodpond_log_lines_dropped_total", Help: "Log lines that found no room."}, func() float64 { return float64(sink.Dropped()) }),
 	)
 	return m
 }
 
+const millisPerSecond = 1000
+
 // Observe counts an event. It is given to event.Recorder.Observe.
 func (m *Metrics) Observe(e event.Record) {
 	m.events.WithLabelValues(e.Number.String()).Inc()
 	switch e.Number {
 	case event.RequestAnswered:
-		const millisPerSecond = 1000
 		m.latency.Observe(float64(e.Count) / millisPerSecond)
 	case event.RequestRefused:
 		code, _, _ := strings.Cut(e.Detail, " ")
 		m.refused.WithLabelValues(code).Inc()
 	case event.AttemptFailed:
 		m.attempts.WithLabelValues(reasonOf(e.Detail)).Inc()
+	case event.SampleScored:
+		m.scores.WithLabelValues("scored").Inc()
+		m.scoring.Observe(float64(e.Count) / millisPerSecond)
+	case event.ScoreFailed:
+		m.scores.WithLabelValues(reasonOf(e.Detail)).Inc()
 	case event.RevisionApplied:
 		m.revision.Set(float64(e.Revision))
 	case event.SamplesCommitted:
--- a/internal/rollout/scoring.go
+++ b/internal/rollout/scoring.go
@@ -6,6 +6,7 @@
 
 	"dogwoodpond/internal/fault"
 	"dogwoodpond/internal/sample"
+	"dogwoodpond/internal/scoring"
 )
 
 // scoringWidth is how many samples of a step are scored at once.
@@ -33,7 +34,8 @@
 // scoreUntil gives up only when the sample has become unfit to be committed.
 func (o *owner) scoreUntil(ctx context.Context, f *finished) error {
 	request := ScoreRequest{Step: o.ref.step, Slot: f.sample.Slot, Prompt: f.prompt, Text: f.sample.Text}
-	for rest := slotRestMin; ; rest = min(2*rest, slotRestMax) {
+	tries := scoring.Tries{Pauses: scoring.Pauses{First: slotRestMin, Longest: slotRestMax}}
+	for {
 		score, err := o.scorer.Score(ctx, o.ref.account, o.definition.Scorer, request)
 		if err == nil {
 			f.sample.Score = &score
@@ -43,7 +45,7 @@
 		select {
 		case <-ctx.Done():
 			return context.Cause(ctx)
-		case <-time.After(fault.RetryAfterOf(err, rest)):
+		case <-time.After(fault.RetryAfterOf(err, tries.Failed(err))):
 		}
 		v, err := o.judge.prepareFor(ctx, o.ref.account, o.definition.Model, []sample.Sample{f.sample})
 		if err != nil {
--- a/internal/step/dispatch.go
+++ b/internal/step/dispatch.go
@@ -31,6 +31,7 @@
 		case <-timer.C:
 		}
 		for _, r := range m.byUrgency() {
+			m.dispatchScores(r)
 			m.dispatch(r)
 		}
 	}
@@ -53,11 +54,11 @@
 	now := time.Now()
 	full := make(map[string]bool)
 	engines := make(map[string][]*target.Entry)
-	for at, ok := r.next(0, now); ok; at, ok = r.next(at+1, now) {
+	for at, ok := r.next(waiting, 0, now); ok; at, ok = r.next(waiting, at+1, now) {
 		i := r.order[at]
 		n, routed := r.needOf(i)
 		if !routed || m.tooLate(r) {
-			m.giveUp(r, i, routed)
+			r.giveUp(i, waiting, routed)
 			continue
 		}
 		if full[n.service] {
@@ -73,7 +74,7 @@
 			full[n.service] = true
 			continue
 		}
-		if r.begin(i) {
+		if r.begin(i, waiting, running) {
 			entry.Begin()
 			m.loops.Go(func() { r.runItem(i, n, entry) })
 		}
@@ -86,9 +87,9 @@
 	return ok && r.rec.GiveUp > 0 && now > r.rec.SubmittedAt+r.rec.GiveUp.Milliseconds()
 }
 
-// giveUp lists an item as abandoned.
-func (m *Manager) giveUp(r *run, i int, routed bool) {
-	if !r.begin(i) {
+// giveUp lists an item that waits in a phase as abandoned.
+func (r *run) giveUp(i int, from phase, routed bool) {
+	if !r.begin(i, from, running) {
 		return
 	}
 	reason := "out of time"
--- a/internal/step/item.go
+++ b/internal/step/item.go
@@ -135,17 +135,27 @@
 	return [...]string{"whole", "broke off", "refused unrun", "failed", "impossible", "moved", "too old weights"}[e]
 }
 
-// complete lists a whole text, unless its versions don't fit the step.
+// complete takes a whole text, unless its versions don't fit the step: it is listed at
+// once, or as soon as it is scored.
 func (r *run) complete(i int) {
 	text := r.text(i)
-	result := Result{Item: r.items[i].ID, Outcome: Completed, Versions: text.versions, Text: joined(text.data)}
-	if !fits(result.Versions, r.rec.Spec) {
-		r.m.Events.Emit(event.SampleRejected, event.Subject{Step: r.rec.ID, Slot: result.Item, Account: r.rec.Account, Detail: "versions don't fit the step"})
+	if !fits(text.versions, r.rec.Spec) {
+		r.m.Events.Emit(event.SampleRejected, event.Subject{Step: r.rec.ID, Slot: r.items[i].ID, Account: r.rec.Account, Detail: "versions don't fit the step"})
 		r.keepText(i, partial{})
 		r.again(i, failedPause)
 		return
 	}
-	r.finish(i, result)
+	if r.items[i].Score != nil {
+		r.awaitScore(i)
+		return
+	}
+	r.listText(i, "")
+}
+
+// listText finishes an item with its whole text and its score.
+func (r *run) listText(i int, score string) {
+	text := r.text(i)
+	r.finish(i, Result{Item: r.items[i].ID, Outcome: Completed, Versions: text.versions, Text: joined(text.data), Score: score})
 }
 
 // fits reports whether a text of these versions may be listed.
--- a/internal/step/manager.go
+++ b/internal/step/manager.go
@@ -12,6 +12,7 @@
 	"dogwoodpond/internal/fault"
 	"dogwoodpond/internal/kept"
 	"dogwoodpond/internal/route"
+	"dogwoodpond/internal/scoring"
 	"dogwoodpond/internal/target"
 )
 
@@ -60,6 +61,7 @@
 	View             *route.View
 	Roster           *target.Roster
 	Caller           target.Caller
+	Scorer           Scorer
 	Events           *event.Recorder
 	// Named returns the version of a model that its trainer named last.
 	Named func(model string) (int64, bool)
@@ -74,7 +76,8 @@
 // Manager accepts, owns, runs and reads steps. It is safe for concurrent use.
 type Manager struct {
 	Config
-	wake chan struct{}
+	wake  chan struct{}
+	lanes *scoring.Lanes
 	// look makes the manager look for steps to own at once.
 	look chan struct{}
 
@@ -101,6 +104,7 @@
 	return &Manager{
 		Config:  c,
 		wake:    make(chan struct{}, 1),
+		lanes:   scoring.NewLanes(),
 		look:    make(chan struct{}, 1),
 		known:   make(map[string]record),
 		runs:    make(map[string]*run),
--- a/internal/step/matrix_test.go
+++ b/internal/step/matrix_test.go
@@ -37,6 +37,7 @@
 type episode struct {
 	rows    *memory.Store
 	engines *engines
+	judge   *judgeService
 
 	mu  sync.Mutex
 	vms map[string]*Manager
@@ -51,16 +52,15 @@
 	roster := target.NewRoster(events)
 	roster.Replace([]target.Instance{
 		{ID: "e1", Service: "lm", Address: "e1", FailureDomain: "x", Slots: 2, Versions: map[string]int64{"m": 1}},
+		{ID: "j1", Service: "judge", Address: "j1", FailureDomain: "x", Slots: 4},
 		{ID: "e2", Service: "lm", Address: "e2", FailureDomain: "x", Slots: 2, Versions: map[string]int64{"m": 1}},
 	})
 	view := route.NewView()
-	view.Offer(route.NewSnapshot(1, []*route.Route{{
-		Name: "r", Host: "h", Prefix: "/s/", Kind: route.Steps, Split: []route.Share{{Service: "lm", Weight: 1}},
-	}}, nil, route.Limits{}, nil, false))
+	view.Offer(configuration(1, true))
 	list := member.New(member.VM{ID: name, FailureDomain: "x", Life: life}, []string{"x"}, store, events)
 	m := NewManager(Config{
 		VM: name, Life: life, Domain: "x", Store: store, Clock: store, Members: list, View: view, Roster: roster,
-		Caller: e.engines, Events: events, Keep: time.Hour,
+		Caller: e.engines, Scorer: e.judge, Events: events, Keep: time.Hour,
 		Named:     func(string) (int64, bool) { return 1, true },
 		Prefer:    func(string) (Process, bool) { return Process{}, false },
 		StoreWell: func() bool { return true },
@@ -83,7 +83,7 @@
 	for until := time.Now().Add(matrixTime); time.Now().Before(until); time.Sleep(200 * time.Millisecond) {
 		for _, name := range []string{"vm-a", "vm-b", "vm-c"} {
 			ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
-			err := e.vm(name).Submit(ctx, spec("s"), items(matrixItems))
+			err := e.vm(name).Submit(ctx, spec("s"), scoredItems(matrixItems))
 			cancel()
 			if err == nil {
 				return nil
@@ -138,7 +138,7 @@
 	seen := map[string]bool{}
 	for _, r := range results {
 		want := strings.Join([]string{r.Item + "-1", r.Item + "-2", r.Item + "-3"}, "\n")
-		if seen[r.Item] || r.Outcome != Completed || r.Text != want {
+		if seen[r.Item] || r.Outcome != Completed || r.Text != want || r.Score != "score of call-"+r.Item {
 			return errors.Newf("item %s is listed as %+v, seen before: %t", r.Item, r, seen[r.Item])
 		}
 		seen[r.Item] = true
@@ -174,11 +174,26 @@
 	return r
 }
 
+// unevenScore takes a while and fails a first call at times, so that faults fall
+// between a whole text and its score.
+func unevenScore(ctx context.Context, item string, n int) error {
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-time.After(time.Duration(60+50*((int(item[1])+2*n)%4)) * time.Millisecond):
+	}
+	if n == 1 && item[1]%3 == 0 {
+		return errors.New("no answer")
+	}
+	return nil
+}
+
 // play runs an episode to its end. VMs a and b suffer the faults, c is well.
 func play(w *platformtest.World) error {
 	e := &episode{rows: memory.New(), vms: map[string]*Manager{}, engines: &engines{
-		behave: map[string]behaviour{"": uneven}, runs: map[string][]string{},
+		behave: map[string]behaviour{"": uneven}, runs: map[string][]string{}, finished: map[string]int{},
 	}}
+	e.judge = &judgeService{engines: e.engines, calls: map[string]int{}, behave: unevenScore}
 	ctx, stop := context.WithCancel(context.Background())
 	var group sync.WaitGroup
 	for _, name := range []string{"vm-a", "vm-b"} {
@@ -203,6 +218,9 @@
 	if err == nil {
 		err = checkWhole(results)
 	}
+	if err == nil && len(e.judge.early) > 0 {
+		err = errors.Newf("calls for scores came before the texts of %v were whole", e.judge.early)
+	}
 	if err == nil {
 		err = e.end()
 	}
--- a/internal/step/run.go
+++ b/internal/step/run.go
@@ -10,6 +10,7 @@
 
 	"dogwoodpond/internal/event"
 	"dogwoodpond/internal/kept"
+	"dogwoodpond/internal/scoring"
 	"dogwoodpond/internal/target"
 	"dogwoodpond/internal/wait"
 )
@@ -29,6 +30,9 @@
 const (
 	waiting phase = iota
 	running
+	// unscored items have their whole text and wait for a call for its score.
+	unscored
+	beingScored
 	done
 )
 
@@ -39,7 +43,8 @@
 	notBefore time.Time
 	// failures counts the answers that say that the item failed.
 	failures int
-	// savedFailures is the count that was saved last.
+	// savedFailures is the count of all failures, those of scoring among them, that was
+	// saved last.
 	savedFailures int
 	moves         int
 	// breaks counts the runs in a row that broke off without a new event, and
@@ -47,6 +52,9 @@
 	breaks     int
 	readBefore int64
 	partial    partial
+	// tries are those to score the whole text, which was read at wholeAt.
+	tries   scoring.Tries
+	wholeAt time.Time
 }
 
 // run is a step in the hands of its owner.
@@ -120,11 +128,13 @@
 			continue
 		}
 		p := &r.progress[i]
-		p.failures, p.savedFailures = max(p.failures, saved.Failures), saved.Failures
-		if !mayGoOn(saved.Versions, r.rec.Spec) {
+		p.failures = max(p.failures, saved.Failures)
+		p.tries.Failures = max(p.tries.Failures, saved.ScoreFailures)
+		p.savedFailures = saved.Failures + saved.ScoreFailures
+		if p.phase != waiting || !mayGoOn(saved.Versions, r.rec.Spec) {
 			continue
 		}
-		r.progress[i].partial = saved.partial()
+		p.partial = saved.partial()
 		if saved.Whole {
 			r.complete(i)
 		}
@@ -147,36 +157,39 @@
 	return rec
 }
 
-// next returns the next item that may start, in the step's order, behind a
+// next returns the next item in a phase that may go on, in the step's order, behind a
 // position of that order; ok is false when there is none.
-func (r *run) next(from int, now time.Time) (at int, ok bool) {
+func (r *run) next(in phase, from int, now time.Time) (at int, ok bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for ; from < len(r.order); from++ {
 		p := &r.progress[r.order[from]]
-		if p.phase == waiting && !now.Before(p.notBefore) {
+		if p.phase == in && !now.Before(p.notBefore) {
 			return from, true
 		}
 	}
 	return 0, false
 }
 
-// begin marks an item as running; false when it is not waiting.
-func (r *run) begin(i int) bool {
+// begin moves an item from one phase to the next; false when it is not in the first.
+func (r *run) begin(i int, from, to phase) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.progress[i].phase != waiting || r.itemCtx.Err() != nil {
+	if r.progress[i].phase != from || r.itemCtx.Err() != nil {
 		return false
 	}
-	r.progress[i].phase = running
+	r.progress[i].phase = to
 	return true
 }
 
 // again puts an item back, to be tried after a pause.
-func (r *run) again(i int, pause time.Duration) {
+func (r *run) again(i int, pause time.Duration) { r.putBack(i, waiting, pause) }
+
+// putBack puts an item into a phase in which it is tried after a pause.
+func (r *run) putBack(i int, into phase, pause time.Duration) {
 	r.mu.Lock()
 	p := &r.progress[i]
-	p.phase = waiting
+	p.phase = into
 	p.notBefore = time.Now().Add(pause)
 	r.mu.Unlock()
 	r.m.poke()
--- a/internal/step/step.go
+++ b/internal/step/step.go
@@ -17,6 +17,7 @@
 
 	"dogwoodpond/internal/fault"
 	"dogwoodpond/internal/kept"
+	"dogwoodpond/internal/scoring"
 )
 
 // The tables of steps; the partition is the step's ID.
@@ -61,6 +62,8 @@
 	Group string `json:"group,omitempty"`
 	// Expected is the estimate of the number of output tokens; 0 when unknown.
 	Expected float64 `json:"expected,omitempty"`
+	// Score is the call that scores the whole text; nil when the sample needs none.
+	Score *scoring.Call `json:"score,omitempty"`
 }
 
 // State is the state row of a step.
@@ -103,6 +106,8 @@
 	Outcome  Outcome `json:"outcome"`
 	Text     string  `json:"text,omitempty"`
 	Versions []int64 `json:"versions,omitempty"`
+	// Score is what the item's call for a score returned.
+	Score string `json:"score,omitempty"`
 	// Object names the object that holds the text when it is too large for a row.
 	Object string `json:"object,omitempty"`
 }
--- a/internal/step/text.go
+++ b/internal/step/text.go
@@ -37,8 +37,12 @@
 	last     int64
 	any      bool
 	versions []int64
-	// saved is the last event that was saved.
-	saved int64
+	// whole texts need no further run.
+	whole bool
+	// saved is the last event that was saved, savedWhole true once the text was saved
+	// as a whole one.
+	saved      int64
+	savedWhole bool
 }
 
 func (p *partial) add(e *eventstream.Event, version int64) {
@@ -60,17 +64,21 @@
 	// successor does not begin anew: an item that fails each time would reach engines
 	// again with every change of owner.
 	Failures int `json:"failures,omitempty"`
+	// ScoreFailures counts the answers that said that the call for the score failed. A
+	// score itself is never saved but with its result: what is not listed is called for
+	// again, so that no score outlives the text that it was given for.
+	ScoreFailures int `json:"scoreFailures,omitempty"`
 }
 
 func (s savedText) partial() partial {
 	if s.Last == 0 && s.Text == "" {
 		return partial{}
 	}
-	return partial{data: [][]byte{[]byte(s.Text)}, last: s.Last, any: true, versions: s.Versions, saved: s.Last}
+	return partial{data: [][]byte{[]byte(s.Text)}, last: s.Last, any: true, versions: s.Versions, whole: s.Whole, saved: s.Last, savedWhole: s.Whole}
 }
 
-func (p partial) save(failures int) savedText {
-	return savedText{Text: joined(p.data), Last: p.last, Versions: p.versions, Failures: failures}
+func (p partial) save() savedText {
+	return savedText{Text: joined(p.data), Last: p.last, Versions: p.versions, Whole: p.whole}
 }
 
 // mayGoOn reports whether a text of these versions may become a sample of a step.
@@ -107,7 +115,7 @@
 }
 
 // grown returns the texts that have grown by a number of events since they were
-// saved, and those of items that failed meanwhile, and marks them as saved. One whose
+// saved, those that became whole, and those of items that failed meanwhile, and marks them as saved. One whose
 // save fails is saved later, with more.
 func (r *run) grown(events int64) map[int]savedText {
 	r.mu.Lock()
@@ -116,11 +124,15 @@
 	for i := range r.progress {
 		p := &r.progress[i]
 		longer := p.partial.any && p.partial.last >= p.partial.saved+events
-		if p.phase == done || !longer && p.failures == p.savedFailures {
+		becameWhole := p.partial.whole && !p.partial.savedWhole
+		failures := p.failures + p.tries.Failures
+		if p.phase == done || !longer && !becameWhole && failures == p.savedFailures {
 			continue
 		}
-		p.partial.saved, p.savedFailures = p.partial.last, p.failures
-		out[i] = p.partial.save(p.failures)
+		p.partial.saved, p.partial.savedWhole, p.savedFailures = p.partial.last, p.partial.whole, failures
+		text := p.partial.save()
+		text.Failures, text.ScoreFailures = p.failures, p.tries.Failures
+		out[i] = text
 	}
 	return out
 }
@@ -215,7 +227,7 @@
 		if result, ok := whole[item.ID]; ok && result.Outcome == Completed && result.Object == "" {
 			out[item.ID] = savedText{Text: result.Text, Versions: result.Versions, Whole: true}
 		} else if text := r.progress[i].partial; text.any && r.progress[i].phase != done {
-			out[item.ID] = text.save(0)
+			out[item.ID] = text.save()
 		}
 	}
 	return out
--- a/internal/step/world_test.go
+++ b/internal/step/world_test.go
@@ -18,6 +18,7 @@
 	"dogwoodpond/internal/fault"
 	"dogwoodpond/internal/kept/memory"
 	"dogwoodpond/internal/route"
+	"dogwoodpond/internal/scoring"
 	"dogwoodpond/internal/target"
 
 	"github.com/cockroachdb/errors"
@@ -28,6 +29,7 @@
 	t       *testing.T
 	store   *memory.Store
 	engines *engines
+	judge   *judgeService
 	list    []target.Instance
 
 	mu   sync.Mutex
@@ -51,7 +53,9 @@
 
 // newWorld returns a world with engines of 4 slots.
 func newWorld(t *testing.T, engineIDs ...string) *world {
-	w := &world{t: t, store: memory.New(), engines: &engines{behave: map[string]behaviour{}, runs: map[string][]string{}}, dead: map[string]bool{}, vms: map[string]*vm{}}
+	w := &world{t: t, store: memory.New(), engines: &engines{behave: map[string]behaviour{}, runs: map[string][]string{}, finished: map[string]int{}}, dead: map[string]bool{}, vms: map[string]*vm{}}
+	w.judge = &judgeService{engines: w.engines, calls: map[string]int{}}
+	w.list = append(w.list, target.Instance{ID: "j1", Service: "judge", Address: "j1", FailureDomain: "x", Slots: 8})
 	for _, id := range engineIDs {
 		w.list = append(w.list, target.Instance{ID: id, Service: "lm", Address: id, FailureDomain: "x", Slots: 4, Versions: map[string]int64{"m": 1}})
 	}
@@ -64,13 +68,11 @@
 	roster := target.NewRoster(events)
 	roster.Replace(w.list)
 	view := route.NewView()
-	view.Offer(route.NewSnapshot(1, []*route.Route{{
-		Name: "r", Host: "h", Prefix: "/s/", Kind: route.Steps, Split: []route.Share{{Service: "lm", Weight: 1}},
-	}}, nil, route.Limits{}, nil, false))
+	view.Offer(configuration(1, true))
 	ctx, kill := context.WithCancel(w.t.Context())
 	v := &vm{kill: kill, Manager: NewManager(Config{
 		VM: name, Life: name + "-1", Domain: "x", Store: w.store, Clock: w.store, Members: members{w, name},
-		View: view, Roster: roster, Caller: w.engines, Events: events, Keep: time.Minute,
+		View: view, Roster: roster, Caller: w.engines, Scorer: w.judge, Events: events, Keep: time.Minute,
 		Named:     func(string) (int64, bool) { return 1, true },
 		Prefer:    w.prefer,
 		StoreWell: func() bool { return true },
@@ -148,6 +150,8 @@
 	runs    map[string][]string
 	resumed []string
 	active  int
+	// finished counts the whole texts that were sent of each item.
+	finished map[string]int
 }
 
 func (e *engines) Call(ctx context.Context, entry *target.Entry, request *target.Request) (*target.Response, error) {
@@ -207,9 +211,88 @@
 			return
 		}
 	}
+	e.mu.Lock()
+	e.finished[request.ID]++
+	e.mu.Unlock()
 	_ = out.Close()
 }
 
+// configuration returns a version of the routes, with or without that of the scores.
+func configuration(version int64, scores bool) *route.Snapshot {
+	routes := []*route.Route{{
+		Name: "r", Host: "h", Prefix: "/s/", Kind: route.Steps, Split: []route.Share{{Service: "lm", Weight: 1}},
+	}}
+	if scores {
+		routes = append(routes, &route.Route{
+			Name: "j", Host: "h2", Prefix: "/j/", Kind: route.Idempotent, Attempts: 2, Split: []route.Share{{Service: "judge", Weight: 1}},
+		})
+	}
+	return route.NewSnapshot(version, routes, nil, route.Limits{}, nil, false)
+}
+
+// judgeService scores texts. It implements Scorer.
+type judgeService struct {
+	engines *engines
+	// behave answers the n-th call of an item, counted from 1; nil scores at once.
+	behave func(ctx context.Context, item string, n int) error
+
+	mu    sync.Mutex
+	calls map[string]int
+	// early lists the calls that came before the text of their item was whole.
+	early []string
+}
+
+func (j *judgeService) Score(ctx context.Context, call scoring.Call, _ *route.Route) (string, error) {
+	item := string(call.Body)
+	j.engines.mu.Lock()
+	finished := j.engines.finished[item]
+	j.engines.mu.Unlock()
+	j.mu.Lock()
+	j.calls[item]++
+	n := j.calls[item]
+	if finished == 0 {
+		j.early = append(j.early, item)
+	}
+	behave := j.behave
+	j.mu.Unlock()
+	if behave != nil {
+		if err := behave(ctx, item, n); err != nil {
+			return "", err
+		}
+	}
+	return "score of " + call.ID, nil
+}
+
+func (j *judgeService) count(item string) int {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.calls[item]
+}
+
+// scoredItems returns n items whose texts want a score.
+func scoredItems(n int) []Item {
+	list := items(n)
+	for i := range list {
+		list[i].Score = &scoring.Call{ID: "call-" + list[i].ID, Host: "h2", Path: "/j/x", Body: []byte(list[i].ID)}
+	}
+	return list
+}
+
+// checkScores checks that each item has its own score, given after its text.
+func (w *world) checkScores(results []Result) {
+	w.t.Helper()
+	for _, r := range results {
+		if r.Score != "score of call-"+r.Item {
+			w.t.Errorf("item %s has the score %q", r.Item, r.Score)
+		}
+	}
+	w.judge.mu.Lock()
+	defer w.judge.mu.Unlock()
+	if len(w.judge.early) > 0 {
+		w.t.Errorf("calls came before the texts of %v were whole", w.judge.early)
+	}
+}
+
 func (e *engines) count(item string) int {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/internal/target/call.go
+++ b/internal/target/call.go
@@ -33,6 +33,8 @@
 	Header http.Header
 	// NotRun is true when the upstream says that it did not run the request.
 	NotRun bool
+	// Digest is the upstream's digest of its answer; empty when it gave none.
+	Digest string
 	// Length is the length of the body; -1 when it is not known.
 	Length int64
 	// Framed is false when only the end of the connection ends the body, so that
