Orders under a lease are reset when they are given up, as requests to upstreams are

The write deadline of package fence holds back what is not written yet, not what is. Ruled out: a lease held twice (the epochs are in order, and the sender had lost the lease long before). Test: the receiver saw EOF before, a reset after.

--- a/internal/fence/fence.go
+++ b/internal/fence/fence.go
@@ -3,7 +3,8 @@
 // then go out although another process is in charge by now, and upstreams that
 // ignore fencing numbers would carry out both. So the lease is asked again once
 // the connection stands, directly before the write, and the connection gets the
-// end of the term as its write deadline.
+// end of the term as its write deadline. What was written and not answered in time is
+// taken back by a reset of the connection.
 package fence
 
 import (
@@ -12,6 +13,8 @@
 	"net/http"
 	"net/http/httptrace"
 	"time"
+
+	"dogwoodpond/internal/dial"
 )
 
 // Guard tells whether a lease is held.
@@ -45,12 +48,13 @@
 	}
 }
 
-// NewClient returns an HTTP client that uses a connection once only.
+// NewClient returns an HTTP client that uses a connection once only, and resets it when
+// the call is over.
 func NewClient(dialTimeout, callTimeout time.Duration) *http.Client {
 	return &http.Client{
 		Timeout: callTimeout,
 		Transport: &http.Transport{
-			DialContext:       (&net.Dialer{Timeout: dialTimeout}).DialContext,
+			DialContext:       dial.Resetting(dialTimeout),
 			DisableKeepAlives: true,
 		},
 	}
--- a/internal/fence/fence_test.go
+++ b/internal/fence/fence_test.go
@@ -1,11 +1,15 @@
 package fence
 
 import (
+	"bufio"
 	"context"
+	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -80,6 +84,47 @@
 	}
 }
 
+// The holder sends an order into a cut, gets no answer and gives up. If its kernel kept
+// the bytes, the receiver would get the order after the cut, behind those of the next
+// holder and with a lower epoch.
+func TestOrderThatWasGivenUpIsNotDeliveredLater(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = listener.Close() }()
+	ended := make(chan error, 1)
+	received := make(chan struct{})
+	go func() {
+		conn, err := listener.Accept()
+		if err != nil {
+			ended <- err
+			return
+		}
+		defer func() { _ = conn.Close() }()
+		in := bufio.NewReader(conn)
+		if _, err := http.ReadRequest(in); err != nil {
+			ended <- err
+			return
+		}
+		close(received)
+		_, err = io.Copy(io.Discard, in)
+		ended <- err
+	}()
+	ctx, giveUp := context.WithCancel(t.Context())
+	go func() {
+		<-received
+		giveUp()
+	}()
+	guard := &switched{deadline: time.Now().Add(time.Hour)}
+	if err := send(t, Context(ctx, guard), "http://"+listener.Addr().String()); err == nil {
+		t.Fatal("the order was answered")
+	}
+	if err := <-ended; !errors.Is(err, syscall.ECONNRESET) {
+		t.Errorf("the connection ended with %v, want a reset", err)
+	}
+}
+
 // The process is paused between the look at the lease and the system call that
 // writes. The term ends meanwhile, and only the connection's deadline is left
 // to stop the write.
