A hedge that wins tells of the upstream that it overtook

Hypothesis: an upstream that takes requests and never answers is the first choice of every request anew, since an attempt that is overtaken says nothing about it; each caller waits for the hedge, and each request costs two upstreams' time. Test: 20 of 20 requests went to the hanging upstream first, now 3 at most. Kept for what the test shows.

--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -110,13 +110,19 @@
 	execution fault.Execution
 }
 
+// sent is an attempt that is out.
+type sent struct {
+	cancel context.CancelFunc
+	at     time.Time
+}
+
 // run is one request on its way.
 type run struct {
 	*Forwarder
 	call    Call
 	service string
 	results chan attempt
-	cancels map[*target.Entry]context.CancelFunc
+	open    map[*target.Entry]sent
 
 	used    []*target.Entry
 	ran     int
@@ -138,7 +144,7 @@
 		call:      call,
 		service:   call.Route.Service(call.ID),
 		results:   make(chan attempt, call.Route.Attempts+refusedTries+1),
-		cancels:   make(map[*target.Entry]context.CancelFunc),
+		open:      make(map[*target.Entry]sent),
 		execution: fault.NotRun,
 	}
 	if !r.launch(ctx) {
@@ -205,7 +211,7 @@
 	r.used = append(r.used, entry)
 	r.pending++
 	attemptCtx, cancel := context.WithCancel(ctx)
-	r.cancels[entry] = cancel
+	r.open[entry] = sent{cancel: cancel, at: time.Now()}
 	entry.Begin()
 	r.Events.Emit(event.RequestDispatched, event.Subject{Request: r.call.ID, Account: r.call.Account, Upstream: entry.Info().ID, Attempt: len(r.used)})
 	go func() {
@@ -285,6 +291,8 @@
 
 // note takes what a failed attempt tells about its upstream and the run.
 func (r *run) note(a attempt) {
+	r.open[a.entry].cancel()
+	delete(r.open, a.entry)
 	r.last = a.err
 	r.execution = r.execution.Or(a.execution)
 	if a.execution != fault.NotRun {
@@ -304,20 +312,24 @@
 	})
 }
 
-// keepOnly ends the other attempts once one has won.
+// keepOnly ends the other attempts once one has won. What they took so far counts as
+// their upstreams' pace: one that hangs without failing would otherwise look as good as
+// before, and be the first choice of each request anew.
 func (r *run) keepOnly(winner *target.Entry) {
 	winner.Succeeded()
 	r.Budget.Success()
-	for entry, cancel := range r.cancels {
+	now := time.Now()
+	for entry, other := range r.open {
 		if entry != winner {
-			cancel()
+			entry.NoteSpeed(now.Sub(other.at), now)
+			other.cancel()
 		}
 	}
 }
 
 func (r *run) cancelAll() {
-	for _, cancel := range r.cancels {
-		cancel()
+	for _, attempt := range r.open {
+		attempt.cancel()
 	}
 }
 
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -103,6 +103,30 @@
 	return &Forwarder{Roster: roster, Caller: u, Meter: &meter{}, Events: events, Budget: retry.NewBudget(), Domain: "x"}
 }
 
+// An upstream takes requests and never answers, while its connections stand. A second
+// attempt saves each caller, but only after the pause for it, and each costs another
+// upstream's time; so later requests must go elsewhere at once.
+func TestHangingUpstreamIsAvoided(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		u := &upstreams{fallback: answer{after: 20 * time.Millisecond, status: http.StatusOK}, byID: map[string]answer{"a": {after: time.Hour}}}
+		f := newForwarder(u)
+		first := 0
+		for range 20 {
+			before := u.sent()
+			if _, err := f.Do(t.Context(), call(route.Idempotent, 2)); err != nil {
+				t.Fatal(err)
+			}
+			if u.reached[before] == "a" {
+				first++
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+		if first > 3 {
+			t.Errorf("%d of 20 requests went to the hanging upstream first", first)
+		}
+	})
+}
+
 func call(kind route.Kind, attempts int) Call {
 	return Call{ID: "q", Account: "acc", Arrived: time.Now(), Method: http.MethodPost, URI: "/a/", Route: &route.Route{
 		Kind: kind, Attempts: attempts, Objective: 150 * time.Millisecond, Split: []route.Share{{Service: "desk", Weight: 1}},
