--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -20,9 +20,9 @@
 
 const (
 	// hedgeShare is the part of the latency objective after which an idempotent
-	// request without an answer is sent to a second upstream. At 150 ms that is
-	// twice the mean work of 25 ms and more: one request in some 40 is sent twice
-	// on a calm day, and one to a dead upstream still comes in time.
+	// request without an answer is sent to a second upstream: late enough that few
+	// requests are sent twice, and early enough that one to a dead upstream still
+	// comes in time.
 	hedgeShare = 0.4
 	// hedgeAtLeast keeps routes with a very short objective from doubling
 	// everything.
@@ -33,15 +33,14 @@
 	// wayBack is what is taken off a request's time for the way of its answer to
 	// the caller.
 	wayBack = 10 * time.Millisecond
-	// maxBuffered is how much of an answer is read before the caller gets its
-	// first byte. Until then an attempt that breaks off can be repeated. Answers
-	// are some 800 bytes long, at most 4.8 KB in the users' traffic.
+	// maxBuffered is how much of an answer in bytes is read before the caller gets its
+	// first one. Until then an attempt that breaks off can be repeated.
 	maxBuffered = 64 << 10
-	// busyWait is the Retry-After when every upstream refused: a slot of a plain
-	// service frees every few milliseconds.
+	// busyWait is the Retry-After when every upstream refused; slots of a plain
+	// service free all the time.
 	busyWait = 250 * time.Millisecond
-	// absentWait is the Retry-After when a service has no upstream: a crashed
-	// one is back, or its successor listed, after a second or more.
+	// absentWait is the Retry-After when a service has no upstream: a crashed one has
+	// to start again first, or its successor to be listed.
 	absentWait = time.Second
 )
 
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -15,8 +15,7 @@
 )
 
 // stallTime is the silence after which a resumable stream goes on at another
-// upstream. Callers leave after two seconds without an event, and events come
-// every 20 to 50 ms.
+// upstream: well before its caller leaves, and long against the time between events.
 const stallTime = 900 * time.Millisecond
 
 // Sink takes a stream on its way to the caller.
--- a/internal/loading/loader.go
+++ b/internal/loading/loader.go
@@ -17,8 +17,8 @@
 )
 
 const (
-	// table tells all VMs which engines load and have loaded what; the platform's
-	// list shows it about 2 s later.
+	// table tells all VMs which engines load and have loaded what, earlier than the
+	// platform's list does.
 	table = "loaded"
 	// period is the time between two looks at the engines.
 	period = 100 * time.Millisecond
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -25,20 +25,18 @@
 	// fleet so that all beats together stay below beatsPerSecond.
 	beatEvery      = 500 * time.Millisecond
 	beatsPerSecond = 120
-	// deadAfter is the number of beats that a row must miss. At three beats a
-	// killed VM is noticed after some 2 s, and one late beat harms nobody.
+	// deadAfter is the number of beats that a row must miss; one late beat harms
+	// nobody.
 	deadAfter = 3
-	// callTimeout bounds one read or write; the store answers in 5 ms, and within
-	// 300 ms when it is slow.
+	// callTimeout bounds one read or write; a slow store answers within it.
 	callTimeout = 1200 * time.Millisecond
 	// missedAfter is how long a silent VM is waited for by what wants to hear
-	// everybody. Cuts that heal last some 5 s. After a VM was replaced, each window of
-	// usage waits so long for it; at 15 s an outage of the store that came then made
-	// reports late on 3 of 3 days.
+	// everybody: longer than most cuts last. After a VM was replaced, each window of
+	// usage waits so long for it, and must still be reported in time.
 	missedAfter = 8 * time.Second
 	// returnTime is how long a VM that was silent is waited for after its next beat.
-	// Its totals of usage follow within the 1.5 s after which a write whose answer was
-	// lost is given up, and the 0.4 s until the next.
+	// Its totals of usage follow within the timeout of one write and the pause until
+	// the next.
 	returnTime = 2 * time.Second
 )
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -26,8 +26,8 @@
 const (
 	// readHeaderTimeout ends connections that never send a request.
 	readHeaderTimeout = 10 * time.Second
-	// idleTimeout closes kept connections of callers; callers use one again after
-	// up to twelve seconds.
+	// idleTimeout closes kept connections of callers, long after the last time at
+	// which callers use one again.
 	idleTimeout = 75 * time.Second
 	// maxHeader bounds a request's header in bytes.
 	maxHeader = 64 << 10
@@ -42,9 +42,8 @@
 	// memoryShare is the part of the process's memory from which on the runtime
 	// collects garbage as hard as it can.
 	memoryShare = 0.7
-	// garbagePercent is by how many percent the heap may grow between collections. At
-	// the runtime's 100 the peak of a VM is 19.6 MB on a calm day and 35.6 MB on a heavy
-	// one, at 50 it is 16.1 and 25.7 MB, for 0.004 to 0.006 of a core more.
+	// garbagePercent is by how many percent the heap may grow between collections. Less
+	// than the runtime's 100 lowers the peak of memory for a little processor time.
 	garbagePercent = 50
 	// openPoll is the period of looking whether open requests have ended.
 	openPoll = 50 * time.Millisecond
--- a/internal/step/item.go
+++ b/internal/step/item.go
@@ -19,9 +19,8 @@
 )
 
 const (
-	// firstStall and nextStall are the silences after which an item goes on at
-	// another engine that has room. Events come every 25 to 60 ms, and an engine
-	// that takes new weights pauses for up to a second.
+	// firstStall and nextStall are the silences before the first and between later
+	// events after which an item goes on at another engine that has room.
 	firstStall = 700 * time.Millisecond
 	nextStall  = 500 * time.Millisecond
 	// stallAgain is the pause until the next look when no other engine has room.
@@ -30,18 +29,16 @@
 	// after each further such number.
 	slowEvents = 4
 	// moveFrom is how many times slower than the median engine an engine must be
-	// for its items to move. A move costs reading some 300 tokens again, less
-	// than a millisecond, but another engine's slot.
+	// for its items to move. The prompt is read again there, and a slot taken.
 	moveFrom = 1.8
 	// maxMoves bounds the moves of one item.
 	maxMoves = 4
 	// refusedRest keeps a model's items off an engine that refused one: it is full
-	// or loads new weights, which takes about 0.9 s.
+	// or loads new weights.
 	refusedRest = 120 * time.Millisecond
 	// failedPause is the pause before an item that failed is tried again. It doubles
-	// with each run in a row that broke off without a new event, up to
-	// longestPause: in a failure domain that is cut off from its engines 92 items broke
-	// off 4,381 times in 5 s, and their VM did little else.
+	// with each run in a row that broke off without a new event, up to longestPause:
+	// a VM that is cut off from all engines would do little else than try.
 	failedPause  = 40 * time.Millisecond
 	longestPause = 640 * time.Millisecond
 )
--- a/internal/step/manager.go
+++ b/internal/step/manager.go
@@ -18,24 +18,21 @@
 
 const (
 	// watchWait bounds one call for changes of states, and so for how long a feed
-	// that fell silent goes unnoticed. The end of a step must stop its items on
-	// every VM within 3 s.
+	// that fell silent goes unnoticed, and the items of an ended step run on.
 	watchWait = time.Second
 	// considerEvery is the period of looking for steps without a living owner.
 	considerEvery = 200 * time.Millisecond
 	// takeoverStep is how much longer each further VM waits before it takes over
-	// a step. A take-over takes two calls of some 10 ms.
+	// a step: the one before it needs two calls to the store for it.
 	takeoverStep = 600 * time.Millisecond
 	// loadPause is the pause between tries to read a step that is taken over.
 	loadPause = 100 * time.Millisecond
-	// submitTime bounds an acceptance. A trainer waits twelve seconds for it, and
-	// outages of the store last up to some eight; handing the step in at another VM
-	// would not find a better store.
+	// submitTime bounds an acceptance. While the store is away, handing the step in
+	// at another VM would not find a better one, so the trainer is kept waiting.
 	submitTime = 8 * time.Second
 	// earlyStart is how long an acceptance may be open before its items start all
-	// the same. The store accepts within 10 ms when it is well. While it is away
-	// the results are made but not listed, so that a step that is accepted after an
-	// outage of 7 s is whole within 0.2 s of it instead of some 4 s.
+	// the same. While the store is away the results are made but not listed, so that
+	// a step that is accepted after an outage is whole a moment later.
 	earlyStart = 250 * time.Millisecond
 	// refusedWait is the Retry-After when a step can't be kept now.
 	refusedWait = 300 * time.Millisecond
--- a/internal/step/place.go
+++ b/internal/step/place.go
@@ -19,10 +19,10 @@
 	domain string
 }
 
-// Weights of placing. The load is some fifty items a second in bursts of a hundred
-// on engines of 12 slots, each of which makes every item slower by some 3 %. So
-// items spread out; an engine that is measured at more than slowFrom times the
-// median gets work only when nothing else is free.
+// Weights of placing, in parts of an engine's slots. The load is bursts of items that
+// fill most slots at once, and each taken slot makes the others a little slower. So
+// items spread out; an engine that is slower than placeSlowFrom times the median gets
+// work only when nothing else is free.
 const (
 	placeSlowFrom = 1.8
 	placeSlowCost = 4.0
--- a/internal/step/read.go
+++ b/internal/step/read.go
@@ -10,7 +10,7 @@
 )
 
 // pollEvery is the period of looking for new results of a step that another VM
-// owns. Their owner commits every 60 ms; a look costs one small read.
+// owns; a look costs one small read.
 const pollEvery = 120 * time.Millisecond
 
 // Results returns a step's listed results from a position on, waiting for the
--- a/internal/step/run.go
+++ b/internal/step/run.go
@@ -17,8 +17,8 @@
 
 const (
 	// groupTime is how long finished results are gathered before they are
-	// committed together. A commit takes 5 ms of a partition and some 60 bytes of
-	// overhead a result; a trainer reads twice a second.
+	// committed together: short against a trainer's reads, and long enough that a
+	// step does not use up its partition's commits.
 	groupTime = 60 * time.Millisecond
 	// groupBytes commits earlier when that much has gathered.
 	groupBytes = 200 << 10
@@ -257,9 +257,9 @@
 	}
 }
 
-// listOnce lists one group of what is finished, and reports whether more is. What finishes meanwhile waits for the
-// next group: listed one by one as the store answers, a step's 124 results took 52
-// commits in place of 37.
+// listOnce lists one group of what is finished, and reports whether more is. What
+// finishes meanwhile waits for the next group: listed one by one as the store answers,
+// results would cost a commit each.
 func (r *run) listOnce(ctx context.Context) (more bool) {
 	r.commit.Lock()
 	defer r.commit.Unlock()
--- a/internal/step/text.go
+++ b/internal/step/text.go
@@ -16,9 +16,8 @@
 	// the step's ID, the name the item's.
 	textTable = "step_texts"
 	// saveEvery is how often the texts of long items are saved, saveEvents how many
-	// new events make a save worth while. A lost owner then costs its step's
-	// longest item some second instead of up to five; the texts of a step's last
-	// ten items are some 30 KB.
+	// new events make a save worth while. A lost owner costs its items what they
+	// made since, in place of their whole texts.
 	saveEvery  = 800 * time.Millisecond
 	saveEvents = 12
 	// saveTimeout bounds one save, and saveBytes its size.
--- a/internal/supply/orderer.go
+++ b/internal/supply/orderer.go
@@ -14,12 +14,11 @@
 	// period is the time between two looks at the need.
 	period = 500 * time.Millisecond
 	// orderTimeout bounds one order, and so how long a new holder waits before its
-	// first one. The platform answers in a few milliseconds, and within 300 ms when
-	// it is slow.
+	// first one. The platform answers within it also when it is slow.
 	orderTimeout = 800 * time.Millisecond
 	// retryPause is the pause after an order that was not answered, or that the
 	// platform could not carry out: upstreams that were reclaimed are to be had
-	// again some 9 s later.
+	// again some seconds later.
 	retryPause = 2 * time.Second
 	// repeatEvery repeats an order that was carried out. A copy of an earlier one
 	// that was delayed on the way may come behind it and undo it unseen.
--- a/internal/supply/plan.go
+++ b/internal/supply/plan.go
@@ -26,20 +26,14 @@
 
 const (
 	// slotsPercent is for how many of a hundred items there should be a slot at
-	// once. A step's items last from 0.1 s to 4 s, so that a slot serves several of
-	// them within the 7.5 s of a step; the deployments of 9 and 45 engines have 60.
-	// On the larger one 80 and 100 gave no more groups in time (mean worth of 5 days
-	// 0.764, 0.763, 0.762).
+	// once. Most items are short against their step, so that a slot serves several.
 	slotsPercent = 60
 	// perModel is how many engines each model should have in each failure domain.
 	// While one loads new weights it takes no requests, and with a single one the
-	// model stands still in that domain with each version. With 3 models on 9 engines
-	// in 3 domains, 6 in place of 3 in each brought the mean worth of 15 days with
-	// trouble from 0.847 to 0.915.
+	// model stands still in that domain with each version.
 	perModel = 2
-	// reclaimableOneIn is for how many engines one may be reclaimable. With 3 of 6 a
-	// day on which a domain's were taken away twice fell from 0.95 to 0.83, with 1 of
-	// 6 it stayed at 0.95.
+	// reclaimableOneIn is for how many engines one may be reclaimable: the loss of
+	// all reclaimable ones of a domain must leave its steps their slots.
 	reclaimableOneIn = 5
 )
 
--- a/internal/target/choose.go
+++ b/internal/target/choose.go
@@ -2,11 +2,10 @@
 
 import "time"
 
-// The weights by which plain requests choose. They answer the ordinary load of a
-// few requests a second on each VM, where an upstream has several free slots:
-// then the own failure domain is best, since its upstreams stay reachable when
-// the domain is cut off. An upstream that is half busier, or more than twice as
-// slow, loses against one in another domain.
+// The weights by which plain requests choose, in parts of an upstream's slots. They
+// answer a load under which an upstream has several free slots: then the own failure
+// domain is best, since its upstreams stay reachable when the domain is cut off. An
+// upstream that is much busier or slower loses against one in another domain.
 const (
 	otherDomainCost = 0.35
 	slowFrom        = 2.0
--- a/internal/target/instance.go
+++ b/internal/target/instance.go
@@ -30,17 +30,15 @@
 
 const (
 	// lingerTime is how long an upstream that vanished from the list without
-	// notice may still get work when there is no other. Entries that lapse while
-	// the store is away are back within 2 s, and work must stop 2 s after a
-	// removal.
+	// notice may still get work when there is no other: entries that lapse while
+	// the store is away come back, and work must stop soon after a removal.
 	lingerTime = 1700 * time.Millisecond
 	// firstSuspicion is how long an upstream rests after one failure; it doubles
 	// with each further failure up to longestSuspicion. A crashed upstream's entry
-	// lapses after some 3.6 s of silence, so a longer rest gains nothing.
+	// lapses a little later, so a longer rest gains nothing.
 	firstSuspicion   = 300 * time.Millisecond
 	longestSuspicion = 2400 * time.Millisecond
-	// loadLife is how long a reported load counts; the load of a server with 12
-	// slots turns over within some 500 ms.
+	// loadLife is how long a reported load counts.
 	loadLife = 500 * time.Millisecond
 	// speedWeight is the weight of a new measurement in the averages of speed.
 	speedWeight = 0.25
--- a/internal/window/closer.go
+++ b/internal/window/closer.go
@@ -16,10 +16,9 @@
 )
 
 const (
-	// closeAfter is when a window is added up after its end. Totals are written
-	// every 400 ms, and a slow store takes up to 500 ms for it. The sooner a window
-	// is reported, the less an outage of the store within the 10 s until it is due
-	// can make it late.
+	// closeAfter is when a window is added up after its end, once the last totals are
+	// written also by a slow store. The sooner a window is reported, the less an
+	// outage of the store before it is due can make it late.
 	closeAfter = 1400 * time.Millisecond
 	// closeLate is when it is added up though a VM is silent; reports are due
 	// 10 s after the end of their window.
@@ -27,8 +26,7 @@
 	// lookEvery is the period of looking for windows to close.
 	lookEvery = 400 * time.Millisecond
 	// reportTimeout bounds one report, and so how long a new holder waits before
-	// its first one. Billing answers in a few milliseconds, and within 300 ms when
-	// it is slow.
+	// its first one. Billing answers within it also when it is slow.
 	reportTimeout = 800 * time.Millisecond
 	// catchUp is how many windows back a first holder looks if nobody has counted
 	// anything.
