--- a/internal/ctl/explain.go
+++ b/internal/ctl/explain.go
@@ -13,6 +13,7 @@
 
 	"dogwoodpond/internal/event"
 	"dogwoodpond/internal/fault"
+	"dogwoodpond/internal/operator"
 )
 
 // Explanation is the account of one request.
@@ -21,7 +22,7 @@
 	Account string `json:"account"`
 	// Attempts is how many dispatches are known.
 	Attempts int `json:"attempts"`
-	// Outcome is "answered", "refused" or "not known".
+	// Outcome is one of the outcomes below.
 	Outcome string        `json:"outcome"`
 	Lines   []ExplainLine `json:"lines"`
 	// Partial is true when the request's first event is not among the kept ones,
@@ -49,12 +50,14 @@
 const (
 	outcomeAnswered = "answered"
 	outcomeRefused  = "refused"
+	outcomeScored   = "scored"
+	outcomeGivenUp  = "given up"
 	outcomeNotKnown = "not known"
 )
 
 func (a *App) explainCommand() {
-	command := a.kingpin.Command("explain", "Tell what happened to one request or step, and why.")
-	id := command.Arg("id", "The request's ID, as in X-Request-Id, or the step's.").Required().String()
+	command := a.kingpin.Command("explain", "Tell what happened to one request, step or item of a step, and why.")
+	id := command.Arg("id", "The request's ID, as in X-Request-Id, or that of the step or item.").Required().String()
 	logs := logsFlag(command)
 	command.Action(func(*kingpin.ParseContext) error {
 		ask, err := a.source(*logs)
@@ -67,6 +70,9 @@
 
 func (a *App) explain(request string, ask source) error {
 	own, err := ask(event.Query{Request: request})
+	if err == nil && len(own.Events) == 0 {
+		own, err = askItem(request, ask)
+	}
 	if err != nil {
 		return err
 	}
@@ -98,6 +104,34 @@
 	return a.show(told, func(w io.Writer) { explainTable(w, told) })
 }
 
+// askItem returns the events of an item of a step: those of its runs, and those of the
+// calls for its score, which bear IDs of their own.
+func askItem(item string, ask source) (operator.EventsAnswer, error) {
+	own, err := ask(event.Query{Slot: item})
+	if err != nil {
+		return own, err
+	}
+	for _, call := range slices.Sorted(maps.Keys(callsOf(item, own.Events))) {
+		sent, err := ask(event.Query{Request: call, Numbers: []event.Number{event.RequestDispatched, event.AttemptFailed}})
+		if err != nil {
+			return own, err
+		}
+		own.Events = merge(own.Events, sent.Events)
+	}
+	return own, nil
+}
+
+// callsOf returns the IDs of the calls for an item's score.
+func callsOf(item string, line []event.Record) map[string]bool {
+	calls := make(map[string]bool)
+	for _, e := range line {
+		if e.Slot == item && e.Request != "" {
+			calls[e.Request] = true
+		}
+	}
+	return calls
+}
+
 // The numbers of events about upstreams themselves.
 const (
 	firstUpstreamEvent event.Number = 1500
@@ -150,13 +184,14 @@
 
 const microsPerMilli = 1000
 
-// explain picks the events of a request, and those of its upstreams while it
-// ran, from a time line in order.
+// explain picks the events of a request or an item of a step, and those of its
+// upstreams while it ran, from a time line in order.
 func explain(request string, line []event.Record, missing []string) Explanation {
 	told := Explanation{Request: request, Outcome: outcomeNotKnown, Lines: []ExplainLine{}, Missing: missing, seen: map[string]bool{}}
 	var start event.Stamp
+	calls := callsOf(request, line)
 	for _, e := range line {
-		if e.Request == request {
+		if e.Request == request || e.Slot == request || calls[e.Request] {
 			if len(told.Lines) == 0 {
 				start = e.Stamp
 				told.Partial = !begins(e)
@@ -204,6 +239,10 @@
 		x.Outcome = outcomeAnswered
 	case event.RequestRefused:
 		x.Outcome = outcomeRefused
+	case event.SampleScored:
+		x.Outcome = outcomeScored
+	case event.ItemAbandoned:
+		x.Outcome = outcomeGivenUp
 	}
 	x.add(e, start)
 }
@@ -243,11 +282,16 @@
 	case event.StreamResumed:
 		return fmt.Sprintf("the stream goes on at upstream %s after %d tokens", e.Upstream, e.Count)
 	case event.AttemptFailed:
+		if e.Slot != "" {
+			return fmt.Sprintf("a run at upstream %s failed: %s", e.Upstream, e.Detail)
+		}
 		return fmt.Sprintf("attempt %d at upstream %s failed: %s", e.Attempt, e.Upstream, e.Detail)
 	case event.RequestAnswered:
 		return fmt.Sprintf("the caller got the whole answer (%d tokens)", e.Count)
 	case event.RequestRefused:
 		return fmt.Sprintf("the caller got a refusal: %s", e.Detail)
+	case event.SampleScored:
+		return fmt.Sprintf("call %s returned the score %d ms after the text was whole, made by upstream %s", e.Request, e.Count, e.Upstream)
 	case event.ClaimStored:
 		return "the claim of the idempotency key was stored"
 	default:
--- a/internal/ctl/explainstep.go
+++ b/internal/ctl/explainstep.go
@@ -25,8 +25,14 @@
 	GapFrom    time.Time     `json:"gapFrom"`
 	// Failures counts the failed runs of its items by reason.
 	Failures map[string]int `json:"failures"`
-	Lines    []ExplainLine  `json:"lines"`
-	Missing  []string       `json:"missing"`
+	// Scored counts the scores of its items, LongestScoreWait is the longest time from
+	// a whole text to its score, and ScoreFailures the failed calls by reason.
+	Scored           int            `json:"scored"`
+	LongestScoreWait time.Duration  `json:"longestScoreWaitNanos"`
+	SlowestScore     string         `json:"slowestScore,omitempty"`
+	ScoreFailures    map[string]int `json:"scoreFailures"`
+	Lines            []ExplainLine  `json:"lines"`
+	Missing          []string       `json:"missing"`
 
 	last event.Stamp
 }
@@ -44,7 +50,7 @@
 	if err != nil || len(own.Events) == 0 {
 		return told, false, err
 	}
-	told = StepAccount{Step: step, Failures: map[string]int{}, Missing: own.Missing}
+	told = StepAccount{Step: step, Failures: map[string]int{}, ScoreFailures: map[string]int{}, Missing: own.Missing}
 	first, last := own.Events[0].Stamp, own.Events[len(own.Events)-1].Stamp
 	around, err := ask(event.Query{Numbers: aroundVM, After: first})
 	if err != nil {
@@ -81,6 +87,12 @@
 		reason, _, _ := strings.Cut(e.Detail, " after event")
 		s.Failures[reason]++
 		return
+	case event.ScoreFailed:
+		s.ScoreFailures[e.Detail]++
+		return
+	case event.SampleScored:
+		s.scored(e)
+		return
 	case event.StepOwned:
 		s.Owners = append(s.Owners, e.VM)
 	case event.SamplesCommitted:
@@ -95,6 +107,14 @@
 	})
 }
 
+// scored counts a score.
+func (s *StepAccount) scored(e event.Record) {
+	s.Scored++
+	if waited := time.Duration(e.Count) * time.Millisecond; waited >= s.LongestScoreWait {
+		s.LongestScoreWait, s.SlowestScore = waited, e.Slot
+	}
+}
+
 // gap ends a time without new results.
 func (s *StepAccount) gap(at event.Stamp) {
 	length := time.Duration(at.WallMicros-s.last.WallMicros) * time.Microsecond
@@ -113,6 +133,12 @@
 	for _, reason := range slices.Sorted(maps.Keys(s.Failures)) {
 		_, _ = fmt.Fprintf(w, "failed runs of its items, %s: %d\n", reason, s.Failures[reason])
 	}
+	if s.Scored > 0 {
+		_, _ = fmt.Fprintf(w, "%d texts scored, the longest wait for a score: %s of item %s\n", s.Scored, s.LongestScoreWait, s.SlowestScore)
+	}
+	for _, reason := range slices.Sorted(maps.Keys(s.ScoreFailures)) {
+		_, _ = fmt.Fprintf(w, "failed calls for scores, %s: %d\n", reason, s.ScoreFailures[reason])
+	}
 	for _, line := range missingLines(s.Missing) {
 		_, _ = fmt.Fprintln(w, line)
 	}
--- a/internal/ctl/logs_test.go
+++ b/internal/ctl/logs_test.go
@@ -66,6 +66,45 @@
 	}
 }
 
+// A step came late because its scoring service did. The logs tell which item waited
+// longest, which engine made its text, and which upstreams its call went to.
+func TestItemAndScoresAreExplainedFromLogs(t *testing.T) {
+	dir := t.TempDir()
+	a := logOf(t, dir, "vm-a")
+	a.Emit(event.StepOpened, event.Subject{Step: "s", Account: "acc", Count: 2})
+	a.Emit(event.AttemptFailed, event.Subject{Step: "s", Slot: "i1", Upstream: "e1", Detail: "broke off after event 4"})
+	a.Emit(event.RequestDispatched, event.Subject{Request: "c1", Upstream: "d1", Attempt: 1})
+	a.Emit(event.AttemptFailed, event.Subject{Request: "c1", Upstream: "d1", Attempt: 1, Detail: "upstream_failed"})
+	a.Emit(event.ScoreFailed, event.Subject{Step: "s", Slot: "i1", Request: "c1", Detail: "upstream_failed", Count: 1})
+	a.Emit(event.RequestDispatched, event.Subject{Request: "c1", Upstream: "d2", Attempt: 1})
+	a.Emit(event.SampleScored, event.Subject{Step: "s", Slot: "i1", Request: "c1", Upstream: "e2", Count: 2300})
+	a.Emit(event.SampleScored, event.Subject{Step: "s", Slot: "i2", Request: "c2", Upstream: "e1", Count: 80})
+	step, err := runTool(t, "explain", "s", "--logs", dir)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, want := range []string{"2 texts scored, the longest wait for a score: 2.3s of item i1", "failed calls for scores, upstream_failed: 1"} {
+		if !strings.Contains(step, want) {
+			t.Errorf("%q is not told of the step:\n%s", want, step)
+		}
+	}
+	item, err := runTool(t, "explain", "i1", "--logs", dir)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, want := range []string{
+		"a run at upstream e1 failed: broke off after event 4", "attempt 1 goes to upstream d1", "attempt 1 goes to upstream d2",
+		"call c1 returned the score 2300 ms after the text was whole, made by upstream e2", "scored",
+	} {
+		if !strings.Contains(item, want) {
+			t.Errorf("%q is not told of the item:\n%s", want, item)
+		}
+	}
+	if strings.Contains(item, "c2") {
+		t.Errorf("the call of another item is told:\n%s", item)
+	}
+}
+
 func TestLogsThatTellNothing(t *testing.T) {
 	dir := t.TempDir()
 	logOf(t, dir, "vm-a")
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -114,7 +114,7 @@
 	{ItemAbandoned, zap.WarnLevel, "item abandoned", "An item of the step was given up; Detail tells why."},
 	{StepStartedEarly, zap.InfoLevel, "step started early", "The store has not confirmed the step yet; its items run, but nothing is listed. Count gives how many."},
 	{TextsSaved, zap.InfoLevel, "texts saved", "The texts of Count unfinished items were saved, for the case that the step changes hands."},
-	{SampleScored, zap.InfoLevel, "sample scored", "The call of the item's whole text returned its score. Request is the call, Count the milliseconds since the text was whole."},
+	{SampleScored, zap.InfoLevel, "sample scored", "The call of the item's whole text returned its score. Request is the call, Upstream made the text's last event, Count is the milliseconds since the text was whole."},
 	{ScoreFailed, zap.WarnLevel, "score failed", "The call for the item's score was not answered with one and is made again; Count gives how many upstreams have said that it failed."},
 	{UpstreamEjected, zap.WarnLevel, "upstream ejected", "The upstream failed too often and gets no work for a while."},
 	{UpstreamRestored, zap.InfoLevel, "upstream restored", "The upstream gets work again."},
--- a/internal/event/query.go
+++ b/internal/event/query.go
@@ -9,6 +9,8 @@
 	After   Stamp  `json:"after"`
 	Request string `json:"request,omitempty"`
 	Step    string `json:"step,omitempty"`
+	// Slot is an item of a step.
+	Slot    string `json:"slot,omitempty"`
 	Lease   string `json:"lease,omitempty"`
 	Account string `json:"account,omitempty"`
 	// Upstreams picks events of any of these upstreams.
@@ -22,6 +24,7 @@
 	return q.After.Before(r.Stamp) &&
 		matches(q.Request, r.Request) &&
 		matches(q.Step, r.Step) &&
+		matches(q.Slot, r.Slot) &&
 		matches(q.Lease, r.Lease) &&
 		matches(q.Account, r.Account) &&
 		among(q.Upstreams, r.Upstream) &&
--- a/internal/step/item.go
+++ b/internal/step/item.go
@@ -93,6 +93,7 @@
 	switch why {
 	case whole:
 		entry.Succeeded()
+		p.madeBy = entry.Info().ID
 		r.complete(i)
 	case refused:
 		entry.NoteSwap(n.model, now.Add(refusedRest))
--- a/internal/step/run.go
+++ b/internal/step/run.go
@@ -56,6 +56,9 @@
 	// tries are those to score the whole text, which was read at wholeAt.
 	tries   scoring.Tries
 	wholeAt time.Time
+	// madeBy is the upstream that made the last event of the text; empty when another
+	// owner read it.
+	madeBy string
 }
 
 // run is a step in the hands of its owner.
--- a/internal/step/score.go
+++ b/internal/step/score.go
@@ -88,7 +88,8 @@
 	}
 	subject := event.Subject{Step: r.rec.ID, Slot: item.ID, Account: r.rec.Account, Request: item.Score.ID}
 	if err == nil {
-		subject.Count = time.Since(r.wholeSince(i)).Milliseconds()
+		at, by := r.wholeText(i)
+		subject.Count, subject.Upstream = time.Since(at).Milliseconds(), by
 		r.m.Events.Emit(event.SampleScored, subject)
 		r.listText(i, score)
 		return
@@ -103,10 +104,11 @@
 	r.putBack(i, unscored, pause)
 }
 
-func (r *run) wholeSince(i int) time.Time {
+// wholeText returns when the text of an item was whole, and the upstream that made it.
+func (r *run) wholeText(i int) (at time.Time, by string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.progress[i].wholeAt
+	return r.progress[i].wholeAt, r.progress[i].madeBy
 }
 
 // countTry counts a failed try to score an item.
