--- /dev/null
+++ b/internal/dial/dialtest/dialtest.go
@@ -0,0 +1,47 @@
+// Package dialtest tells tests how the connection of a request ended.
+package dialtest
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+)
+
+// Silent is a peer that reads one request and never answers it.
+type Silent struct {
+	Address string
+	// Received is closed once the request was read.
+	Received <-chan struct{}
+	// Ended gets the error with which the connection ended, nil for an orderly close.
+	Ended <-chan error
+}
+
+// NewSilent starts a silent peer on loopback.
+func NewSilent(t *testing.T) Silent {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	received, ended := make(chan struct{}), make(chan error, 1)
+	go func() { ended <- readOne(listener, received) }()
+	return Silent{Address: listener.Addr().String(), Received: received, Ended: ended}
+}
+
+func readOne(listener net.Listener, received chan<- struct{}) error {
+	conn, err := listener.Accept()
+	if err != nil {
+		return err
+	}
+	defer func() { _ = conn.Close() }()
+	in := bufio.NewReader(conn)
+	if _, err := http.ReadRequest(in); err != nil {
+		return err
+	}
+	close(received)
+	_, err = io.Copy(io.Discard, in)
+	return err
+}
--- a/internal/fence/fence_test.go
+++ b/internal/fence/fence_test.go
@@ -1,10 +1,7 @@
 package fence
 
 import (
-	"bufio"
 	"context"
-	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -15,6 +12,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"dogwoodpond/internal/dial/dialtest"
 	"dogwoodpond/internal/fault"
 )
 
@@ -88,39 +86,17 @@
 // the bytes, the receiver would get the order after the cut, behind those of the next
 // holder and with a lower epoch.
 func TestOrderThatWasGivenUpIsNotDeliveredLater(t *testing.T) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer func() { _ = listener.Close() }()
-	ended := make(chan error, 1)
-	received := make(chan struct{})
-	go func() {
-		conn, err := listener.Accept()
-		if err != nil {
-			ended <- err
-			return
-		}
-		defer func() { _ = conn.Close() }()
-		in := bufio.NewReader(conn)
-		if _, err := http.ReadRequest(in); err != nil {
-			ended <- err
-			return
-		}
-		close(received)
-		_, err = io.Copy(io.Discard, in)
-		ended <- err
-	}()
+	peer := dialtest.NewSilent(t)
 	ctx, giveUp := context.WithCancel(t.Context())
 	go func() {
-		<-received
+		<-peer.Received
 		giveUp()
 	}()
 	guard := &switched{deadline: time.Now().Add(time.Hour)}
-	if err := send(t, Context(ctx, guard), "http://"+listener.Addr().String()); err == nil {
+	if err := send(t, Context(ctx, guard), "http://"+peer.Address); err == nil {
 		t.Fatal("the order was answered")
 	}
-	if err := <-ended; !errors.Is(err, syscall.ECONNRESET) {
+	if err := <-peer.Ended; !errors.Is(err, syscall.ECONNRESET) {
 		t.Errorf("the connection ended with %v, want a reset", err)
 	}
 }
--- a/internal/step/score.go
+++ b/internal/step/score.go
@@ -35,11 +35,12 @@
 // dispatchScores starts the calls of a run for which the services have room.
 func (m *Manager) dispatchScores(r *run) {
 	now := time.Now()
+	late := m.tooLate(r)
 	room := make(map[string]int)
 	for at, ok := r.next(unscored, 0, now); ok; at, ok = r.next(unscored, at+1, now) {
 		i := r.order[at]
 		by, routed := r.scoreRoute(i)
-		if m.tooLate(r) || !routed {
+		if late || !routed {
 			r.giveUp(i, unscored, routed)
 			continue
 		}
