Read-through: a judged pace looks at the other engines last; engines of a pass read once

judgePace had come to place an item among all engines at every fourth event of each item, before the cheap tests that mostly say no; it asks these first again, with the same outcome. dispatch read the usable engines twice a pass. A variable of score hid the route.

--- a/internal/step/dispatch.go
+++ b/internal/step/dispatch.go
@@ -52,9 +52,9 @@
 // dispatch starts the items of a run for which there is room.
 func (m *Manager) dispatch(r *run) {
 	now := time.Now()
-	m.chooseOrder(r, now)
 	full := make(map[string]bool)
 	engines := make(map[string][]*target.Entry)
+	m.chooseOrder(r, engines, now)
 	for at, ok := r.next(waiting, 0, now); ok; at, ok = r.next(waiting, at+1, now) {
 		i := r.order[at]
 		n, routed := r.needOf(i)
@@ -82,14 +82,16 @@
 	}
 }
 
-// chooseOrder puts the order in force that fits the engines which serve the run now.
-func (m *Manager) chooseOrder(r *run, now time.Time) {
+// chooseOrder puts the order in force that fits the engines which serve the run now,
+// and notes these engines for the rest of the pass.
+func (m *Manager) chooseOrder(r *run, engines map[string][]*target.Entry, now time.Time) {
 	at, ok := r.next(waiting, 0, now)
 	if !ok {
 		return
 	}
 	if n, routed := r.needOf(r.order[at]); routed {
-		r.order = r.orders.with(slotsFor(m.engines(n.service, now), n, now))
+		engines[n.service] = m.engines(n.service, now)
+		r.order = r.orders.with(slotsFor(engines[n.service], n, now))
 	}
 }
 
--- a/internal/step/move.go
+++ b/internal/step/move.go
@@ -54,21 +54,22 @@
 	if a.run.progress[a.index].moves >= maxMoves {
 		return
 	}
+	// The look at all engines comes last: most paces are fine, and most items wait.
+	limit := moveFrom * float64(target.MedianSpeed(engines, now))
+	slow := limit > 0 && float64(average) >= limit
+	idle := !a.run.anyWaiting()
+	if !slow && !idle {
+		return
+	}
 	other := place(engines, a.need, a.entry, now)
 	if other == nil {
 		return
 	}
-	if movesFromSlow(average, other, target.MedianSpeed(engines, now), now) || movesToFaster(average, other, now) && !a.run.anyWaiting() {
+	if slow && float64(other.Speed(now)) < limit || idle && movesToFaster(average, other, now) {
 		a.cancel(errMoved)
 	}
 }
 
-// movesFromSlow reports whether an engine's pace is so far behind the median that an
-// item of it is better off at another engine.
-func movesFromSlow(pace time.Duration, other *target.Entry, median time.Duration, now time.Time) bool {
-	return median > 0 && float64(pace) >= moveFrom*float64(median) && float64(other.Speed(now)) < moveFrom*float64(median)
-}
-
 // movesToFaster reports whether another engine is known to be enough faster that an
 // item gains by a move as long as no other item wants the slot.
 func movesToFaster(pace time.Duration, other *target.Entry, now time.Time) bool {
--- a/internal/step/score.go
+++ b/internal/step/score.go
@@ -89,8 +89,8 @@
 	}
 	subject := event.Subject{Step: r.rec.ID, Slot: item.ID, Account: r.rec.Account, Request: item.Score.ID}
 	if err == nil {
-		at, by := r.wholeText(i)
-		subject.Count, subject.Upstream = time.Since(at).Milliseconds(), by
+		at, engine := r.wholeText(i)
+		subject.Count, subject.Upstream = time.Since(at).Milliseconds(), engine
 		r.m.Events.Emit(event.SampleScored, subject)
 		r.listText(i, score)
 		return
