Roster: a change costs its entry, not a pass over all upstreams

Cause: every row of a feed rebuilt and sorted the lists of all services, looked through all entries for earlier lives, and each load's row searched all upstreams.

Change: entries are indexed by ID, an unchanged entry changes nothing, a page of changes is published once, and only the lists of services that an upstream joins or leaves are copied. Loads of weights find their upstream by its ID.

--- a/internal/loading/loader.go
+++ b/internal/loading/loader.go
@@ -314,11 +314,11 @@
 
 // Follow takes what the loaders of all failure domains publish into the roster,
 // until ctx ends.
-func Follow(ctx context.Context, store kept.Store, roster *target.Roster, services func() []string, pace func() time.Duration, events *event.Recorder, changed func()) {
+func Follow(ctx context.Context, store kept.Store, roster *target.Roster, pace func() time.Duration, events *event.Recorder, changed func()) {
 	apply := func(rows []kept.Row) {
 		for _, row := range rows {
 			if !row.Deleted {
-				take(row, roster, services(), events)
+				take(row, roster, events)
 			}
 		}
 		changed()
@@ -330,23 +330,20 @@
 	watcher.Run(ctx)
 }
 
-func take(row kept.Row, roster *target.Roster, services []string, events *event.Recorder) {
+func take(row kept.Row, roster *target.Roster, events *event.Recorder) {
 	var n notice
 	if err := json.Unmarshal(row.Value, &n); err != nil {
 		events.Emit(event.RowUnreadable, event.Subject{Detail: row.String()})
 		return
 	}
-	for _, service := range services {
-		for _, e := range roster.Service(service) {
-			if e.Info().ID != n.Upstream || e.Info().Started != n.Started {
-				continue
-			}
-			if n.Loading {
-				e.NoteSwap(n.Model, time.Now().Add(loadTime))
-				continue
-			}
-			e.NoteSwap(n.Model, time.Time{})
-			e.NoteVersion(n.Model, n.Version)
-		}
+	e := roster.Life(n.Upstream, n.Started)
+	if e == nil {
+		return
+	}
+	if n.Loading {
+		e.NoteSwap(n.Model, time.Now().Add(loadTime))
+		return
 	}
+	e.NoteSwap(n.Model, time.Time{})
+	e.NoteVersion(n.Model, n.Version)
 }
--- a/internal/loading/loading_test.go
+++ b/internal/loading/loading_test.go
@@ -389,7 +389,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		f, other := newFleet(2), newFleet(2)
 		events := event.NewRecorder("b", 16, event.NewClock(time.Now), zap.NewNop())
-		go Follow(t.Context(), f.store, other.roster, other.EngineServices, nil, events, func() {})
+		go Follow(t.Context(), f.store, other.roster, nil, events, func() {})
 		f.start(t, "a")
 		time.Sleep(2 * time.Second)
 		f.name("m", 2)
--- a/internal/target/instance.go
+++ b/internal/target/instance.go
@@ -59,6 +59,8 @@
 	failures     atomic.Int32
 	goneUntil    atomic.Int64
 	gone         atomic.Bool
+	// dropped entries are in no list any more. It belongs to the roster's lock.
+	dropped bool
 
 	mu      sync.Mutex
 	load    Load
--- a/internal/target/target_test.go
+++ b/internal/target/target_test.go
@@ -40,7 +40,7 @@
 // there would only be lost.
 func TestVanishedUpstreamGetsNothingBesideListedOnes(t *testing.T) {
 	r := newTestRoster(up("a", "x"), up("b", "x"))
-	r.Remove("a")
+	r.Apply(Unlisted("a"))
 	for range 10 {
 		if e := r.Choose("desk", "x", nil, time.Now()); e.Info().ID != "b" {
 			t.Fatalf("%s was chosen", e.Info().ID)
@@ -52,7 +52,7 @@
 	r := newTestRoster(up("a", "x"))
 	leaving := up("a", "x")
 	leaving.Leaving = true
-	r.Set(leaving)
+	r.Apply(Listed(leaving))
 	if e := r.Choose("desk", "x", nil, time.Now()); e != nil {
 		t.Errorf("%s was chosen", e.Info().ID)
 	}
@@ -68,7 +68,7 @@
 	old.NoteVersion("m", 7)
 	second := first
 	second.Started = 2
-	r.Set(second)
+	r.Apply(Listed(second))
 	e := r.Choose("desk", "x", nil, time.Now())
 	if e == old || e.Version("m") != 1 {
 		t.Errorf("the new life has version %d", e.Version("m"))
