A request of which no byte was written has not run

The event that decides is now the first write to the connection (dial.Conn): until then the request is withdrawn, and nothing of it can be written any more; from then on it may have run.

--- a/internal/dial/dial.go
+++ b/internal/dial/dial.go
@@ -1,4 +1,5 @@
-// Package dial opens connections whose requests end with them.
+// Package dial opens connections whose requests end with them, and that know whether a
+// request was written.
 package dial
 
 import (
@@ -12,7 +13,8 @@
 // Func opens a connection; it fits http.Transport.DialContext.
 type Func func(ctx context.Context, network, address string) (net.Conn, error)
 
-// Resetting returns a dialer of connections that are reset when they are closed.
+// Resetting returns a dialer of connections, each a *Conn, that are reset when they are
+// closed.
 // Closed in the usual way, what was written to a peer behind a cut stays with the
 // kernel, which delivers it seconds after the cut has healed, although the caller has
 // long given the request up: an item would run whose step has ended, and an order would
@@ -32,6 +34,6 @@
 			_ = conn.Close()
 			return nil, errors.WithStack(err)
 		}
-		return conn, nil
+		return NewConn(conn), nil
 	}
 }
