One budget for the store's calls; members are followed by their changes

Cause: the periods of beats, members and lists were constants (120 beats and 400 calls for changes a second for the whole fleet), whatever the store takes. With 300 VMs before a small store the calls of all loops together were more than it takes.

Change: package budget gives each recurring use of the store a share of its rates, which the settings name, divided by the VMs that beat; refusals because of the rate lengthen the periods of reads. Beats come every 0.5 s wherever the store allows it. Members read what changed in place of all rows of all failure domains (one call in place of five), and a beat that says nothing new costs a comparison of bytes.

--- /dev/null
+++ b/internal/budget/budget.go
@@ -0,0 +1,134 @@
+// Package budget divides the calls that the platform's store takes among the VMs of a
+// fleet. Every loop that calls the store again and again asks it how often it may. The
+// load is a fleet that grows while the store stays as it is: each period is what the
+// rates of the store, the number of VMs and the share of the loop leave, and grows while
+// the store refuses calls.
+package budget
+
+import (
+	"math"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// Rates are the calls a second that the store takes from the whole fleet.
+type Rates struct{ Writes, Reads int }
+
+// defaultRates hold where the settings name none.
+var defaultRates = Rates{Writes: 800, Reads: 2000}
+
+// Use is one purpose of calls to the store.
+type Use int
+
+// The uses of the store that recur. What they leave is for acceptance, listing and
+// ownership of steps and for leases, whose calls follow the work and not a period.
+const (
+	// Beats are the writes by which VMs tell that they live.
+	Beats Use = iota
+	// Totals are the writes of usage.
+	Totals
+	// Members are the reads of the others' beats.
+	Members
+	// Configuration are the calls for changes of the configuration and named versions.
+	Configuration
+	// Upstreams are the calls for changes of the list of upstreams.
+	Upstreams
+	// Steps are the calls for changes of the states of steps.
+	Steps
+	// Loads are the calls for changes of the engines' loads of weights.
+	Loads
+	uses
+)
+
+// shares are the parts of the writes or the reads that the uses may take.
+var shares = [uses]struct {
+	part   float64
+	writes bool
+}{
+	Beats:         {part: 0.25, writes: true},
+	Totals:        {part: 0.25, writes: true},
+	Members:       {part: 0.15},
+	Configuration: {part: 0.20},
+	Upstreams:     {part: 0.15},
+	Steps:         {part: 0.15},
+	Loads:         {part: 0.10},
+}
+
+const (
+	// slowBy is how much the periods grow when the store refuses calls, mostSlow how
+	// much they grow at most, and slowEvery how often.
+	slowBy    = 1.5
+	mostSlow  = 8
+	slowEvery = 250 * time.Millisecond
+	// recoverBy is how much of the growth is taken back in each recoverEvery without
+	// refusals.
+	recoverBy    = 0.25
+	recoverEvery = time.Second
+)
+
+// Budget is the part of one VM. It is safe for concurrent use.
+type Budget struct {
+	rates Rates
+	vms   atomic.Int64
+
+	mu     sync.Mutex
+	factor float64
+	// changed is when the factor grew or shrank last.
+	changed time.Time
+}
+
+// New returns the budget of a VM that knows no others yet.
+func New(rates Rates) *Budget {
+	if rates.Writes <= 0 {
+		rates.Writes = defaultRates.Writes
+	}
+	if rates.Reads <= 0 {
+		rates.Reads = defaultRates.Reads
+	}
+	b := &Budget{rates: rates, factor: 1}
+	b.SetFleet(1)
+	return b
+}
+
+// SetFleet sets among how many VMs the calls are divided.
+func (b *Budget) SetFleet(vms int) { b.vms.Store(int64(max(vms, 1))) }
+
+// Period returns the least time between two calls of this VM for a use, and at least
+// the time that the use wants. Refusals slow reads only: the other VMs know by the size
+// of the fleet how long they have to wait for what this one writes.
+func (b *Budget) Period(use Use, wanted time.Duration) time.Duration {
+	share := shares[use]
+	if share.writes {
+		return b.period(share.part*float64(b.rates.Writes), wanted)
+	}
+	period := b.period(share.part*float64(b.rates.Reads), wanted)
+	return time.Duration(float64(period) * b.slowness(time.Now()))
+}
+
+// period divides calls a second among the VMs.
+func (b *Budget) period(rate float64, wanted time.Duration) time.Duration {
+	perVM := float64(b.vms.Load()) / rate
+	return max(wanted, time.Duration(perVM*float64(time.Second)))
+}
+
+// Refused notes that the store refused a call because of its rate.
+func (b *Budget) Refused(now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if now.Sub(b.changed) < slowEvery {
+		return
+	}
+	b.factor, b.changed = min(b.factor*slowBy, mostSlow), now
+}
+
+// slowness returns by how much the periods are longer than the budget says.
+func (b *Budget) slowness(now time.Time) float64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if quiet := int(now.Sub(b.changed) / recoverEvery); quiet > 0 && b.factor > 1 {
+		b.factor = max(1, b.factor*math.Pow(1-recoverBy, float64(quiet)))
+		b.changed = b.changed.Add(time.Duration(quiet) * recoverEvery)
+	}
+	return b.factor
+}
--- a/internal/kept/watch.go
+++ b/internal/kept/watch.go
@@ -70,7 +70,7 @@
 	var rows []Row
 	after := int64(-1)
 	for _, part := range parts {
-		page, err := readAll(ctx, w.Store, w.Table, part)
+		page, err := ReadPartition(ctx, w.Store, w.Table, part)
 		if err != nil {
 			return 0, err
 		}
@@ -131,11 +131,11 @@
 	return nil
 }
 
-// readAll reads a partition over as many pages as it has. The version is that
-// of the first page, so that nothing written in between is missed.
-func readAll(ctx context.Context, store Store, table, part string) (Page, error) {
+// ReadPartition returns all rows of a partition, over as many reads as it has pages. The
+// version is that of the first page, so that nothing written in between is missed.
+func ReadPartition(ctx context.Context, store Store, table, part string) (Page, error) {
 	whole, err := store.Read(ctx, table, part, "", "")
-	for more := whole.More; err == nil && more; {
+	for more := whole.More && len(whole.Rows) > 0; err == nil && more; {
 		var page Page
 		from := whole.Rows[len(whole.Rows)-1].Name + "\x00"
 		page, err = store.Read(ctx, table, part, from, "")
@@ -147,7 +147,7 @@
 
 // ReadAll returns all rows of a partition, over several reads if need be.
 func ReadAll(ctx context.Context, store Store, table, part string) ([]Row, error) {
-	page, err := readAll(ctx, store, table, part)
+	page, err := ReadPartition(ctx, store, table, part)
 	return page.Rows, err
 }
 
--- a/internal/loading/loader.go
+++ b/internal/loading/loader.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"dogwoodpond/internal/budget"
 	"dogwoodpond/internal/event"
 	"dogwoodpond/internal/fault"
 	"dogwoodpond/internal/fence"
@@ -33,8 +34,10 @@
 	loadLimit = 5 * time.Second
 	// lookEvery is the period of looking whether a load is done.
 	lookEvery = 150 * time.Millisecond
-	// watchWait bounds one call for changes.
-	watchWait = 2 * time.Second
+	// watchWait bounds one call for changes, and followPace is the least time between
+	// two, of a small fleet.
+	watchWait  = 2 * time.Second
+	followPace = 100 * time.Millisecond
 )
 
 // Report is what an engine says of its orders.
@@ -314,7 +317,7 @@
 
 // Follow takes what the loaders of all failure domains publish into the roster,
 // until ctx ends.
-func Follow(ctx context.Context, store kept.Store, roster *target.Roster, pace func() time.Duration, events *event.Recorder, changed func()) {
+func Follow(ctx context.Context, store kept.Store, roster *target.Roster, calls *budget.Budget, events *event.Recorder, changed func()) {
 	apply := func(rows []kept.Row) {
 		for _, row := range rows {
 			if !row.Deleted {
@@ -323,6 +326,7 @@
 		}
 		changed()
 	}
+	pace := func() time.Duration { return calls.Period(budget.Loads, followPace) }
 	watcher := kept.Watcher{
 		Store: store, Table: table, AllParts: true, Wait: watchWait, Replace: apply, Apply: apply, Pace: pace,
 		Lost: events.Lost("loads of weights"), Regained: events.Regained("loads of weights"),
--- a/internal/loading/loading_test.go
+++ b/internal/loading/loading_test.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
+	"dogwoodpond/internal/budget"
 	"dogwoodpond/internal/event"
 	"dogwoodpond/internal/fault"
 	"dogwoodpond/internal/kept"
@@ -389,7 +390,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		f, other := newFleet(2), newFleet(2)
 		events := event.NewRecorder("b", 16, event.NewClock(time.Now), zap.NewNop())
-		go Follow(t.Context(), f.store, other.roster, nil, events, func() {})
+		go Follow(t.Context(), f.store, other.roster, budget.New(budget.Rates{}), events, func() {})
 		f.start(t, "a")
 		time.Sleep(2 * time.Second)
 		f.name("m", 2)
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -6,25 +6,31 @@
 package member
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
+	"math"
 	"sort"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"dogwoodpond/internal/budget"
 	"dogwoodpond/internal/event"
 	"dogwoodpond/internal/kept"
 	"dogwoodpond/internal/lease"
+	"dogwoodpond/internal/wait"
 )
 
 const (
 	// table holds a row for each VM, in a partition for each failure domain.
 	table = "vm"
-	// beatEvery is the period of the beats of a small fleet; it grows with the
-	// fleet so that all beats together stay below beatsPerSecond.
-	beatEvery      = 500 * time.Millisecond
-	beatsPerSecond = 120
+	// beatEvery is the period of the beats of a small fleet. A large one beats as often
+	// as the store's budget allows: the time until a dead VM's work goes on grows with it.
+	beatEvery = 500 * time.Millisecond
+	// rereadEvery is how often all rows are read anew without a reason, in case that
+	// changes were missed around a loss of the store's history.
+	rereadEvery = 20 * time.Second
 	// deadAfter is the number of beats that a row must miss; one late beat harms
 	// nobody.
 	deadAfter = 3
@@ -49,13 +55,14 @@
 	// PeerAddress is where the VM serves its peers.
 	PeerAddress string `json:"peerAddress"`
 	// Leaving VMs take no new work.
-	Leaving bool   `json:"leaving"`
-	Beat    uint64 `json:"beat"`
+	Leaving bool `json:"leaving"`
 }
 
-// seen is what this VM knows of another's row.
+// seen is what this VM knows of another's row. A beat writes the same value again; only
+// the version shows it.
 type seen struct {
 	vm      VM
+	value   []byte
 	version int64
 	// silent is for how long the row has stood still while the store answered.
 	silent time.Duration
@@ -68,9 +75,9 @@
 	self    VM
 	domains []string
 	store   kept.Store
+	budget  *budget.Budget
 	events  *event.Recorder
 
-	beat    atomic.Uint64
 	failing atomic.Bool
 	leaving atomic.Bool
 	// writing orders the beats of this VM. A beat that was under way when the VM
@@ -85,9 +92,9 @@
 }
 
 // New returns a list for the VM self in a fleet with the failure domains.
-func New(self VM, domains []string, store kept.Store, events *event.Recorder) *List {
+func New(self VM, domains []string, store kept.Store, calls *budget.Budget, events *event.Recorder) *List {
 	return &List{
-		self: self, domains: domains, store: store, events: events,
+		self: self, domains: domains, store: store, budget: calls, events: events,
 		rows: make(map[string]*seen),
 	}
 }
@@ -98,35 +105,42 @@
 // Run beats and reads until ctx ends.
 func (l *List) Run(ctx context.Context) {
 	var loops sync.WaitGroup
-	loops.Go(func() { l.every(ctx, l.writeBeat) })
-	loops.Go(func() { l.every(ctx, l.poll) })
+	loops.Go(func() { l.beat(ctx) })
+	loops.Go(func() { l.follow(ctx) })
 	loops.Wait()
 }
 
-func (l *List) every(ctx context.Context, work func(context.Context)) {
+func (l *List) beat(ctx context.Context) {
 	for ctx.Err() == nil {
 		started := time.Now()
 		call, cancel := context.WithTimeout(ctx, callTimeout)
-		work(call)
+		l.writeBeat(call)
 		cancel()
-		select {
-		case <-ctx.Done():
-		case <-time.After(max(l.period()-time.Since(started), l.period()/2)):
+		period := l.period()
+		wait.For(ctx, max(period-time.Since(started), period/2))
+	}
+}
+
+// follow reads all rows, and then what changes.
+func (l *List) follow(ctx context.Context) {
+	for ctx.Err() == nil {
+		after, err := l.readAll(ctx)
+		for until := time.Now().Add(rereadEvery); err == nil && ctx.Err() == nil && time.Now().Before(until); {
+			wait.For(ctx, l.readPeriod())
+			after, err = l.readChanges(ctx, after)
+		}
+		if err != nil {
+			l.lost()
+			wait.For(ctx, l.readPeriod())
 		}
 	}
 }
 
 // period returns the time between two beats of one VM.
-func (l *List) period() time.Duration {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.periodNow()
-}
+func (l *List) period() time.Duration { return l.budget.Period(budget.Beats, beatEvery) }
 
-// periodNow is period for callers that hold the lock.
-func (l *List) periodNow() time.Duration {
-	return max(beatEvery, time.Duration(len(l.rows))*time.Second/beatsPerSecond)
-}
+// readPeriod returns the time between two reads of the beats.
+func (l *List) readPeriod() time.Duration { return l.budget.Period(budget.Members, beatEvery) }
 
 // Leave tells the others that this VM takes no new work.
 func (l *List) Leave(ctx context.Context) {
@@ -139,7 +153,6 @@
 	defer l.writing.Unlock()
 	vm := l.self
 	vm.Leaving = l.leaving.Load()
-	vm.Beat = l.beat.Add(1)
 	value, err := json.Marshal(vm)
 	if err != nil {
 		l.events.Emit(event.BeatFailed, event.Subject{Detail: err.Error()})
@@ -152,19 +165,41 @@
 	}
 }
 
-// poll reads the rows of all failure domains. A silence counts only between two
-// polls that both succeeded.
-func (l *List) poll(ctx context.Context) {
+// readAll reads the rows of all failure domains, and returns the version from which
+// changes go on: pages of several partitions are of different moments.
+func (l *List) readAll(ctx context.Context) (after int64, err error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
 	var rows []kept.Row
+	after = math.MaxInt64
 	for _, domain := range l.domains {
-		part, err := kept.ReadAll(ctx, l.store, table, domain)
+		page, err := kept.ReadPartition(ctx, l.store, table, domain)
 		if err != nil {
-			l.lost()
-			return
+			return 0, err
 		}
-		rows = append(rows, part...)
+		rows = append(rows, page.Rows...)
+		after = min(after, page.Version)
 	}
-	l.take(rows, time.Now())
+	l.take(rows, true, time.Now())
+	return after, nil
+}
+
+// readChanges reads what changed after a version, over as many pages as there are: a
+// row that stands on a later page has not stood still.
+func (l *List) readChanges(ctx context.Context, after int64) (int64, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	var rows []kept.Row
+	for more := true; more; {
+		page, err := l.store.Changes(ctx, table, after, 0)
+		if err != nil {
+			return after, err
+		}
+		rows = append(rows, page.Rows...)
+		after, more = max(after, page.Version), page.More
+	}
+	l.take(rows, false, time.Now())
+	return after, nil
 }
 
 func (l *List) lost() {
@@ -173,56 +208,82 @@
 	l.polled = time.Time{}
 }
 
-func (l *List) take(rows []kept.Row, now time.Time) {
+// take takes rows after a read that succeeded: all there are, or those that changed since
+// the read before. A silence counts only between two reads that both succeeded.
+func (l *List) take(rows []kept.Row, whole bool, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	var passed time.Duration
 	if !l.polled.IsZero() {
 		// A pause of this process tells nothing about the others.
-		passed = min(now.Sub(l.polled), 2*l.periodNow())
+		passed = min(now.Sub(l.polled), 2*l.readPeriod())
 	}
 	l.polled, l.ready = now, true
+	beaten := make(map[string]bool, len(rows))
 	listed := make(map[string]bool, len(rows))
 	for _, row := range rows {
-		var vm VM
-		if err := json.Unmarshal(row.Value, &vm); err != nil || vm.ID == "" {
-			l.events.Emit(event.RowUnreadable, event.Subject{Detail: row.String()})
+		if row.Deleted {
+			delete(l.rows, row.Name)
 			continue
 		}
-		listed[vm.ID] = true
-		l.note(vm, row.Version, passed)
+		listed[row.Name] = true
+		beaten[row.Name] = l.note(row) || beaten[row.Name]
 	}
-	for id := range l.rows {
-		if !listed[id] {
-			delete(l.rows, id)
+	for name, s := range l.rows {
+		if whole && !listed[name] {
+			delete(l.rows, name)
+			continue
 		}
+		l.judge(s, beaten[name], passed)
 	}
+	l.budget.SetFleet(len(l.rows))
 }
 
-func (l *List) note(vm VM, version int64, passed time.Duration) {
-	known, ok := l.rows[vm.ID]
+// note takes a row and reports whether it changed.
+func (l *List) note(row kept.Row) bool {
+	known, ok := l.rows[row.Name]
+	if ok && known.version >= row.Version {
+		return false
+	}
+	if ok && bytes.Equal(known.value, row.Value) {
+		known.version = row.Version
+		return true
+	}
+	var vm VM
+	if err := json.Unmarshal(row.Value, &vm); err != nil || vm.ID == "" {
+		l.events.Emit(event.RowUnreadable, event.Subject{Detail: row.String()})
+		return false
+	}
 	if !ok {
-		l.rows[vm.ID] = &seen{vm: vm, version: version}
-		return
+		known = new(seen)
+		l.rows[row.Name] = known
 	}
-	wasAlive := l.alive(known)
-	if known.version != version {
-		known.vm, known.version, known.silent = vm, version, 0
+	known.vm, known.value, known.version = vm, row.Value, row.Version
+	return true
+}
+
+// judge takes whether a VM has beaten in the time that passed.
+func (l *List) judge(s *seen, beaten bool, passed time.Duration) {
+	wasAlive := l.alive(s)
+	if beaten {
+		s.silent = 0
 	} else {
-		known.silent += passed
+		s.silent += passed
 	}
-	if alive := l.alive(known); alive != wasAlive {
-		number := event.PeerSilent
-		if alive {
-			number = event.PeerReturned
-			known.returned = l.polled
-		}
-		l.events.Emit(number, event.Subject{Peer: vm.ID, Count: known.silent.Milliseconds(), Detail: "life " + vm.Life})
+	alive := l.alive(s)
+	if alive == wasAlive {
+		return
+	}
+	number := event.PeerSilent
+	if alive {
+		number = event.PeerReturned
+		s.returned = l.polled
 	}
+	l.events.Emit(number, event.Subject{Peer: s.vm.ID, Count: s.silent.Milliseconds(), Detail: "life " + s.vm.Life})
 }
 
 func (l *List) alive(s *seen) bool {
-	return s.silent < deadAfter*l.periodNow()
+	return s.silent < deadAfter*max(l.period(), l.readPeriod())
 }
 
 // Ready reports whether the list was read at least once.
--- a/internal/member/member_test.go
+++ b/internal/member/member_test.go
@@ -8,13 +8,14 @@
 
 	"go.uber.org/zap"
 
+	"dogwoodpond/internal/budget"
 	"dogwoodpond/internal/event"
 	"dogwoodpond/internal/kept/memory"
 )
 
 func start(t *testing.T, store *memory.Store, id, domain, life string) (*List, context.CancelFunc) {
 	events := event.NewRecorder(id, 16, event.NewClock(time.Now), zap.NewNop())
-	l := New(VM{ID: id, FailureDomain: domain, Life: life, PeerAddress: id + ":1"}, []string{"x", "y"}, store, events)
+	l := New(VM{ID: id, FailureDomain: domain, Life: life, PeerAddress: id + ":1"}, []string{"x", "y"}, store, budget.New(budget.Rates{}), events)
 	ctx, cancel := context.WithCancel(t.Context())
 	go l.Run(ctx)
 	t.Cleanup(cancel)
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -2,7 +2,11 @@
 // settings, its start, its readiness, and the order in which it stops.
 package node
 
-import "time"
+import (
+	"time"
+
+	"dogwoodpond/internal/budget"
+)
 
 // Settings are the settings of one process.
 type Settings struct {
@@ -27,6 +31,9 @@
 	ReportsUsage bool
 	// OrdersUpstreams tells whether upstreams are to be ordered.
 	OrdersUpstreams bool
+	// StoreRates are the calls a second that the store takes from all VMs together; what is
+	// 0 is not known.
+	StoreRates budget.Rates
 	// StepKeep is how long steps stay readable after their submission.
 	StepKeep time.Duration
 }
--- a/internal/step/manager.go
+++ b/internal/step/manager.go
@@ -8,6 +8,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/google/uuid"
 
+	"dogwoodpond/internal/budget"
 	"dogwoodpond/internal/event"
 	"dogwoodpond/internal/fault"
 	"dogwoodpond/internal/kept"
@@ -20,6 +21,8 @@
 	// watchWait bounds one call for changes of states, and so for how long a feed
 	// that fell silent goes unnoticed, and the items of an ended step run on.
 	watchWait = time.Second
+	// watchPace is the least time between two such calls, of a small fleet.
+	watchPace = 20 * time.Millisecond
 	// considerEvery is the period of looking for steps without a living owner.
 	considerEvery = 200 * time.Millisecond
 	// takeoverStep is how much longer each further VM waits before it takes over
@@ -57,6 +60,7 @@
 	// known to live, and StoreWell whether the store answered a moment ago.
 	Prefer    func(model string) (p Process, ok bool)
 	StoreWell func() bool
+	Calls     *budget.Budget
 	// Keep is how long ended steps stay readable after their submission.
 	Keep time.Duration
 }
@@ -110,6 +114,7 @@
 	defer context.AfterFunc(ctx, m.cancel)()
 	watcher := kept.Watcher{
 		Store: m.Store, Table: stateTable, AllParts: true, Wait: watchWait,
+		Pace:    func() time.Duration { return m.Calls.Period(budget.Steps, watchPace) },
 		Replace: func(rows []kept.Row) { m.replace(rows) },
 		Apply:   func(rows []kept.Row) { m.apply(rows) },
 		Lost:    m.Events.Lost("states of steps"), Regained: m.Events.Regained("states of steps"),
--- a/internal/step/matrix_test.go
+++ b/internal/step/matrix_test.go
@@ -13,6 +13,7 @@
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
+	"dogwoodpond/internal/budget"
 	"dogwoodpond/internal/event"
 	"dogwoodpond/internal/fault"
 	"dogwoodpond/internal/kept"
@@ -57,9 +58,10 @@
 	})
 	view := route.NewView()
 	view.Offer(configuration(1, true))
-	list := member.New(member.VM{ID: name, FailureDomain: "x", Life: life}, []string{"x"}, store, events)
+	list := member.New(member.VM{ID: name, FailureDomain: "x", Life: life}, []string{"x"}, store, budget.New(budget.Rates{}), events)
 	m := NewManager(Config{
-		VM: name, Life: life, Domain: "x", Store: store, Clock: store, Members: list, View: view, Roster: roster,
+		Calls: budget.New(budget.Rates{}),
+		VM:    name, Life: life, Domain: "x", Store: store, Clock: store, Members: list, View: view, Roster: roster,
 		Caller: e.engines, Scorer: e.judge, Events: events, Keep: time.Hour,
 		Named:     func(string) (int64, bool) { return 1, true },
 		Prefer:    func(string) (Process, bool) { return Process{}, false },
--- a/internal/step/world_test.go
+++ b/internal/step/world_test.go
@@ -14,6 +14,7 @@
 
 	"go.uber.org/zap"
 
+	"dogwoodpond/internal/budget"
 	"dogwoodpond/internal/event"
 	"dogwoodpond/internal/fault"
 	"dogwoodpond/internal/kept/memory"
@@ -71,7 +72,8 @@
 	view.Offer(configuration(1, true))
 	ctx, kill := context.WithCancel(w.t.Context())
 	v := &vm{kill: kill, Manager: NewManager(Config{
-		VM: name, Life: name + "-1", Domain: "x", Store: w.store, Clock: w.store, Members: members{w, name},
+		Calls: budget.New(budget.Rates{}),
+		VM:    name, Life: name + "-1", Domain: "x", Store: w.store, Clock: w.store, Members: members{w, name},
 		View: view, Roster: roster, Caller: w.engines, Scorer: w.judge, Events: events, Keep: time.Minute,
 		Named:     func(string) (int64, bool) { return 1, true },
 		Prefer:    w.prefer,
--- a/internal/window/matrix_test.go
+++ b/internal/window/matrix_test.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
+	"dogwoodpond/internal/budget"
 	"dogwoodpond/internal/event"
 	"dogwoodpond/internal/kept"
 	"dogwoodpond/internal/kept/memory"
@@ -57,7 +58,7 @@
 	for p.Context.Err() == nil && clock.Agree(p.Context, store) != nil {
 		time.Sleep(countEvery)
 	}
-	list := member.New(member.VM{ID: name, FailureDomain: "x", Life: name}, []string{"x"}, store, events)
+	list := member.New(member.VM{ID: name, FailureDomain: "x", Life: name}, []string{"x"}, store, budget.New(budget.Rates{}), events)
 	meter := NewMeter(clock, store, name, length, events)
 	closer := &Closer{
 		VM: name, Length: length, Clock: clock, Store: store, Billing: port{p, s.billing}, Events: events,
