What waits for a silent store goes on when it answers again

Cause: a call that is sent while the store is silent is never answered, also when the store is back. It waited for its timeout of 1.2 s, and commits for a further pause of up to 0.4 s.

During an outage each VM asks the store ten times a second, a large fleet more rarely, whether it is back, each time beside the calls that hang; then the calls of the outage end.

--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -38,6 +38,9 @@
 	Steps
 	// Loads are the calls for changes of the engines' loads of weights.
 	Loads
+	// Probes are the reads that look whether the store answers again. The other loops
+	// wait meanwhile, so that they take their part.
+	Probes
 	uses
 )
 
@@ -53,6 +56,7 @@
 	Upstreams:     {part: 0.15},
 	Steps:         {part: 0.15},
 	Loads:         {part: 0.10},
+	Probes:        {part: 0.50},
 }
 
 const (
--- a/internal/budget/budget_test.go
+++ b/internal/budget/budget_test.go
@@ -15,6 +15,9 @@
 			b.SetFleet(vms)
 			var writes, reads float64
 			for use := range uses {
+				if use == Probes {
+					continue
+				}
 				calls := float64(vms) / b.Period(use, 0).Seconds()
 				if shares[use].writes {
 					writes += calls
--- a/internal/kept/surely.go
+++ b/internal/kept/surely.go
@@ -48,6 +48,9 @@
 			return 0, err
 		}
 		maybeDone = maybeDone || lost.EffectUnknown
+		if lost.Back {
+			pause = firstPause
+		}
 		if !wait.For(ctx, pause) {
 			return 0, errors.WithStack(&fault.StoreUnavailable{Operation: "commit", EffectUnknown: maybeDone})
 		}
