Steps are owned by strong VMs of the failure domain in which they are handed in

Cause: the owner of a model's steps was any VM of the fleet.

Change: VMs say how much processor they have; owners are the first of the strongest VMs in the domain in which the step was handed in, successors the first of the strongest anywhere. VMs count as equally strong from three quarters of the largest on.

Test: TestWorkGoesToStrongVMsOfItsDomain.

--- a/internal/lease/rank.go
+++ b/internal/lease/rank.go
@@ -31,6 +31,16 @@
 	return rank
 }
 
+// First returns the VM that Rank ranks first; ok is false when there is none.
+func First(lease string, live []string) (first string, ok bool) {
+	for _, vm := range live {
+		if !ok || weight(lease, vm) > weight(lease, first) {
+			first, ok = vm, true
+		}
+	}
+	return first, ok
+}
+
 func weight(lease, vm string) uint64 { return xxhash.Sum64String(lease + "\x00" + vm) }
 
 // spread returns a share in [0,1) that is fixed for a lease and an owner, so
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -10,6 +10,7 @@
 	"context"
 	"encoding/json"
 	"math"
+	"slices"
 	"sort"
 	"sync"
 	"sync/atomic"
@@ -54,6 +55,8 @@
 	Life string `json:"life"`
 	// PeerAddress is where the VM serves its peers.
 	PeerAddress string `json:"peerAddress"`
+	// Processor is how many cores the VM has, as a fraction; 0 when not known.
+	Processor float64 `json:"processor,omitempty"`
 	// Leaving VMs take no new work.
 	Leaving bool `json:"leaving"`
 }
@@ -355,31 +358,53 @@
 // Rank returns this VM's rank among the live VMs for a piece of work, from 0.
 // Ranks spare lost races; they decide nothing.
 func (l *List) Rank(work string) int {
-	return lease.Rank(work, l.self.ID, ids(l.Live()))
+	able := strongest(l.Live())
+	if slices.ContainsFunc(able, func(vm VM) bool { return vm.ID == l.self.ID }) {
+		return lease.Rank(work, l.self.ID, ids(able))
+	}
+	return len(able) + lease.Rank(work, l.self.ID, ids(l.Live()))
 }
 
-// First returns the live VM that ranks first for a piece of work; ok is false when
-// all leave.
-func (l *List) First(work string) (first VM, ok bool) {
+// First returns the live VM that ranks first for a piece of work, one of the failure
+// domain if any lives there; ok is false when all leave.
+func (l *List) First(work, domain string) (first VM, ok bool) {
 	live := l.Live()
-	names := ids(live)
-	for _, vm := range live {
-		if lease.Rank(work, vm.ID, names) == 0 {
-			return vm, true
+	if near := within(live, domain); len(near) > 0 {
+		live = near
+	}
+	able := strongest(live)
+	id, ok := lease.First(work, ids(able))
+	for _, vm := range able {
+		if vm.ID == id {
+			first = vm
 		}
 	}
-	return VM{}, false
+	return first, ok
+}
+
+// strongShare is the part of the largest processor from which on VMs count as equally
+// strong.
+const strongShare = 0.75
+
+// strongest returns the VMs with the most processor. The load is a step of hundreds of
+// items, all of which start at once: on a VM with a fraction of a core the start takes
+// as long as many of the items do.
+func strongest(vms []VM) []VM {
+	most := 0.0
+	for _, vm := range vms {
+		most = max(most, vm.Processor)
+	}
+	return slices.DeleteFunc(slices.Clone(vms), func(vm VM) bool { return vm.Processor < strongShare*most })
+}
+
+func within(vms []VM, domain string) []VM {
+	return slices.DeleteFunc(slices.Clone(vms), func(vm VM) bool { return vm.FailureDomain != domain })
 }
 
 // RankIn is Rank with the VMs of a failure domain before all others.
 func (l *List) RankIn(work, domain string) int {
 	live := l.Live()
-	var inside []VM
-	for _, vm := range live {
-		if vm.FailureDomain == domain {
-			inside = append(inside, vm)
-		}
-	}
+	inside := within(live, domain)
 	if l.self.FailureDomain == domain {
 		return lease.Rank(work, l.self.ID, ids(inside))
 	}
--- a/internal/member/member_test.go
+++ b/internal/member/member_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -165,3 +166,29 @@
 		}
 	})
 }
+
+// Guards against steps that are owned in a failure domain other than their trainer's, or
+// by a VM too weak to start hundreds of items at once.
+func TestWorkGoesToStrongVMsOfItsDomain(t *testing.T) {
+	l := New(VM{ID: "self", FailureDomain: "x", Processor: 0.2}, []string{"x", "y"}, memory.New(), budget.New(budget.Rates{}),
+		event.NewRecorder("self", 16, event.NewClock(time.Now), zap.NewNop()))
+	add := func(id, domain string, processor float64) {
+		l.rows[id] = &seen{vm: VM{ID: id, FailureDomain: domain, Processor: processor}}
+	}
+	add("weak", "x", 0.2)
+	add("strong", "x", 0.8)
+	add("stronger", "x", 0.9)
+	add("far", "y", 1)
+	for n := range 50 {
+		work := fmt.Sprint("work", n)
+		if first, ok := l.First(work, "x"); !ok || first.ID != "strong" && first.ID != "stronger" {
+			t.Errorf("%s goes to %q", work, first.ID)
+		}
+		if first, ok := l.First(work, "z"); !ok || first.ID == "weak" || first.ID == "self" {
+			t.Errorf("%s of a domain without VMs goes to %q", work, first.ID)
+		}
+		if l.Rank(work) < 3 {
+			t.Errorf("a weak VM ranks %d among three strong ones", l.Rank(work))
+		}
+	}
+}
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -19,6 +19,8 @@
 	CallerAddress, ReadyAddress, PeerAddress string
 	// MetricsAddress serves the metrics; empty serves none.
 	MetricsAddress string
+	// Processor is how many cores the process may use, as a fraction.
+	Processor float64
 	// MemoryMB is the memory of the process in megabytes, above which it is killed.
 	MemoryMB int
 	// Grace is the time from the signal to stop until the process is killed.
