Usage keeps to the budget; everybody is waited for after an outage of the store

Now all VMs are waited for as long as one that was silent; a history that the store has dropped is no outage. Totals of usage are written at the period of the budget, and a window is closed a second behind the last writes.

Test: TestEverybodyIsWaitedForAfterAnOutageOfTheStore, which fails without the change.

--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -18,6 +18,7 @@
 
 	"dogwoodpond/internal/budget"
 	"dogwoodpond/internal/event"
+	"dogwoodpond/internal/fault"
 	"dogwoodpond/internal/kept"
 	"dogwoodpond/internal/lease"
 	"dogwoodpond/internal/wait"
@@ -41,8 +42,8 @@
 	// everybody: longer than most cuts last. After a VM was replaced, each window of
 	// usage waits so long for it, and must still be reported in time.
 	missedAfter = 8 * time.Second
-	// returnTime is how long a VM that was silent is waited for after its next beat.
-	// Its totals of usage follow within the timeout of one write and the pause until
+	// returnTime is how long a VM that was silent is waited for after its next beat, and
+	// all VMs after the store was away. Their totals of usage follow within the timeout of one write and the pause until
 	// the next.
 	returnTime = 2 * time.Second
 )
@@ -91,7 +92,9 @@
 	mu     sync.Mutex
 	rows   map[string]*seen
 	polled time.Time
-	ready  bool
+	// back is when a read succeeded first after the store had been away.
+	back  time.Time
+	ready bool
 }
 
 // New returns a list for the VM self in a fleet with the failure domains.
@@ -132,7 +135,7 @@
 			wait.For(ctx, l.readPeriod())
 			after, err = l.readChanges(ctx, after)
 		}
-		if err != nil {
+		if err != nil && !fault.Is[*kept.HistoryGone](err) {
 			l.lost()
 			wait.For(ctx, l.readPeriod())
 		}
@@ -221,6 +224,9 @@
 		// A pause of this process tells nothing about the others.
 		passed = min(now.Sub(l.polled), 2*l.readPeriod())
 	}
+	if l.polled.IsZero() {
+		l.back = now
+	}
 	l.polled, l.ready = now, true
 	beaten := make(map[string]bool, len(rows))
 	listed := make(map[string]bool, len(rows))
@@ -343,7 +349,7 @@
 func (l *List) AllHeard() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if !l.ready || l.polled.IsZero() {
+	if !l.ready || l.polled.IsZero() || l.polled.Sub(l.back) < returnTime {
 		return false
 	}
 	for id, s := range l.rows {
--- a/internal/member/member_test.go
+++ b/internal/member/member_test.go
@@ -123,6 +123,33 @@
 	})
 }
 
+// Guards against a bill that lacks what other VMs counted while the store was away: they
+// write it a moment after its return.
+func TestEverybodyIsWaitedForAfterAnOutageOfTheStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := memory.New()
+		a, _ := start(t, store, "a", "x", "1")
+		start(t, store, "b", "y", "1")
+		time.Sleep(4 * time.Second)
+		if !a.AllHeard() {
+			t.Fatal("a VM is waited for without an outage")
+		}
+		store.SetDown(true)
+		time.Sleep(4 * time.Second)
+		store.SetDown(false)
+		for range 15 {
+			time.Sleep(100 * time.Millisecond)
+			if a.AllHeard() {
+				t.Fatal("nobody is waited for within 1.5 s of the store's return")
+			}
+		}
+		time.Sleep(2 * time.Second)
+		if !a.AllHeard() {
+			t.Error("a VM is still waited for 3.5 s after the store's return")
+		}
+	})
+}
+
 func TestLeavingVMTakesNoNewWork(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		store := memory.New()
--- a/internal/window/closer.go
+++ b/internal/window/closer.go
@@ -8,6 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"dogwoodpond/internal/budget"
 	"dogwoodpond/internal/event"
 	"dogwoodpond/internal/fault"
 	"dogwoodpond/internal/fence"
@@ -16,10 +17,10 @@
 )
 
 const (
-	// closeAfter is when a window is added up after its end, once the last totals are
-	// written also by a slow store. The sooner a window is reported, the less an
+	// closeAfter is when a window is added up behind the last writes of its totals, which
+	// a slow store carries out within it. The sooner a window is reported, the less an
 	// outage of the store before it is due can make it late.
-	closeAfter = 1400 * time.Millisecond
+	closeAfter = time.Second
 	// closeLate is when it is added up though a VM is silent; reports are due
 	// 10 s after the end of their window.
 	closeLate = 7 * time.Second
@@ -60,6 +61,7 @@
 	Store   kept.Store
 	Billing Billing
 	Leases  *lease.Manager
+	Calls   *budget.Budget
 	Events  *event.Recorder
 	// Accounts returns the client accounts of the configuration in force.
 	Accounts func() []string
@@ -158,7 +160,7 @@
 		return false
 	}
 	since := time.Duration(c.Clock.Millis(time.Now())-(window+1)*c.Length.Milliseconds()) * time.Millisecond
-	return since >= closeLate || since >= closeAfter && c.AllHeard()
+	return since >= closeLate || since >= flushPeriod(c.Calls)+closeAfter && c.AllHeard()
 }
 
 // close adds a window up, fixes the sum and reports it.
--- a/internal/window/matrix_test.go
+++ b/internal/window/matrix_test.go
@@ -59,9 +59,10 @@
 		time.Sleep(countEvery)
 	}
 	list := member.New(member.VM{ID: name, FailureDomain: "x", Life: name}, []string{"x"}, store, budget.New(budget.Rates{}), events)
-	meter := NewMeter(clock, store, name, length, events)
+	meter := NewMeter(clock, store, name, length, budget.New(budget.Rates{}), events)
 	closer := &Closer{
-		VM: name, Length: length, Clock: clock, Store: store, Billing: port{p, s.billing}, Events: events,
+		Calls: budget.New(budget.Rates{}),
+		VM:    name, Length: length, Clock: clock, Store: store, Billing: port{p, s.billing}, Events: events,
 		Leases:   lease.NewManager(kept.NewTables(store, "lease"), name, 3*time.Second, events),
 		Accounts: func() []string { return []string{"acc"} },
 		AllHeard: list.AllHeard,
--- a/internal/window/meter.go
+++ b/internal/window/meter.go
@@ -10,14 +10,16 @@
 
 	"github.com/cockroachdb/errors"
 
+	"dogwoodpond/internal/budget"
 	"dogwoodpond/internal/event"
 	"dogwoodpond/internal/fault"
 	"dogwoodpond/internal/kept"
+	"dogwoodpond/internal/wait"
 )
 
 const (
-	// flushEvery is how often changed totals are written. What a VM counted since
-	// is lost with its power.
+	// flushEvery is how often changed totals are written by a VM of a small fleet. What a
+	// VM counted since is lost with its power.
 	flushEvery = 400 * time.Millisecond
 	// flushTimeout bounds one write.
 	flushTimeout = 1500 * time.Millisecond
@@ -31,6 +33,7 @@
 	store  kept.Store
 	name   string
 	length time.Duration
+	calls  *budget.Budget
 	events *event.Recorder
 
 	mu      sync.Mutex
@@ -48,8 +51,8 @@
 
 // NewMeter returns a meter. name is unique for each process, so that its totals
 // overwrite nobody else's.
-func NewMeter(clock *Clock, store kept.Store, name string, length time.Duration, events *event.Recorder) *Meter {
-	return &Meter{clock: clock, store: store, name: name, length: length, events: events, windows: make(map[int64]*totals)}
+func NewMeter(clock *Clock, store kept.Store, name string, length time.Duration, calls *budget.Budget, events *event.Recorder) *Meter {
+	return &Meter{clock: clock, store: store, name: name, length: length, calls: calls, events: events, windows: make(map[int64]*totals)}
 }
 
 // Began counts a run of the account that an upstream began at a moment.
@@ -78,17 +81,15 @@
 
 // Run writes the totals until ctx ends, and a last time then.
 func (m *Meter) Run(ctx context.Context) {
-	ticker := time.NewTicker(flushEvery)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			m.flush(context.WithoutCancel(ctx))
-			return
-		case <-ticker.C:
-			m.flush(ctx)
-		}
+	for wait.For(ctx, flushPeriod(m.calls)) {
+		m.flush(ctx)
 	}
+	m.flush(context.WithoutCancel(ctx))
+}
+
+// flushPeriod is how often each VM of the fleet writes changed totals.
+func flushPeriod(calls *budget.Budget) time.Duration {
+	return calls.Period(budget.Totals, flushEvery)
 }
 
 // flush writes the windows that have changed. The totals are absolute, so that a
--- a/internal/window/window_test.go
+++ b/internal/window/window_test.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
+	"dogwoodpond/internal/budget"
 	"dogwoodpond/internal/event"
 	"dogwoodpond/internal/fault"
 	"dogwoodpond/internal/kept"
@@ -67,9 +68,10 @@
 	if err := clock.Agree(t.Context(), store); err != nil {
 		t.Fatal(err)
 	}
-	meter := NewMeter(clock, store, name+"/1", length, events)
+	meter := NewMeter(clock, store, name+"/1", length, budget.New(budget.Rates{}), events)
 	closer := &Closer{
-		VM: name, Length: length, Clock: clock, Store: store, Billing: b, Events: events,
+		Calls: budget.New(budget.Rates{}),
+		VM:    name, Length: length, Clock: clock, Store: store, Billing: b, Events: events,
 		Leases:   lease.NewManager(kept.NewTables(store, "lease"), name, 3*time.Second, events),
 		Accounts: func() []string { return []string{"acc", "idle"} },
 		AllHeard: func() bool { return true },
