--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -105,6 +105,13 @@
 	m.store.WithLabelValues(call, outcome).Observe(took.Seconds())
 }
 
+// Budget registers by how much this VM's reads of the store are slowed.
+func (m *Metrics) Budget(slowness func() float64) {
+	m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "dogwoodpond_store_slowness", Help: "By how much the periods of reads of the store are longer than its rates ask for, because it refused calls; 1 when it refuses none.",
+	}, slowness))
+}
+
 // Feed registers the age of what a VM knows of a list, and returns a function that
 // is to be called whenever the list has answered.
 func (m *Metrics) Feed(name string) (reached func()) {
--- a/internal/node/metrics_test.go
+++ b/internal/node/metrics_test.go
@@ -26,6 +26,7 @@
 	m.Observe(event.Record{Number: event.SamplesCommitted, Subject: event.Subject{Count: 2, Detail: "6ms"}})
 	m.StoreCall("commit", "answered", time.Millisecond)
 	m.Feed("configuration")()
+	m.Budget(func() float64 { return 1 })
 }
 
 func TestMetricsPageListsThoseOfTheUsersPlatform(t *testing.T) {
