--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -60,6 +60,8 @@
 	Processor float64 `json:"processor,omitempty"`
 	// Leaving VMs take no new work.
 	Leaving bool `json:"leaving"`
+	// Detour is true while the VM reaches the store only through its peers.
+	Detour bool `json:"detour,omitempty"`
 }
 
 // seen is what this VM knows of another's row. A beat writes the same value again; only
@@ -82,6 +84,9 @@
 	budget  *budget.Budget
 	events  *event.Recorder
 
+	// onDetour reports whether this VM reaches the store only through its peers.
+	onDetour func() bool
+
 	failing atomic.Bool
 	leaving atomic.Bool
 	// writing orders the beats of this VM. A beat that was under way when the VM
@@ -98,9 +103,10 @@
 }
 
 // New returns a list for the VM self in a fleet with the failure domains.
-func New(self VM, domains []string, store kept.Store, calls *budget.Budget, events *event.Recorder) *List {
+// onDetour reports whether this VM reaches the store only through its peers.
+func New(self VM, domains []string, store kept.Store, onDetour func() bool, calls *budget.Budget, events *event.Recorder) *List {
 	return &List{
-		self: self, domains: domains, store: store, budget: calls, events: events,
+		self: self, onDetour: onDetour, domains: domains, store: store, budget: calls, events: events,
 		rows: make(map[string]*seen),
 	}
 }
@@ -159,6 +165,7 @@
 	defer l.writing.Unlock()
 	vm := l.self
 	vm.Leaving = l.leaving.Load()
+	vm.Detour = l.onDetour()
 	value, err := json.Marshal(vm)
 	if err != nil {
 		l.events.Emit(event.BeatFailed, event.Subject{Detail: err.Error()})
@@ -326,7 +333,9 @@
 		}
 	}
 	if !l.leaving.Load() {
-		live = append(live, l.self)
+		self := l.self
+		self.Detour = l.onDetour()
+		live = append(live, self)
 	}
 	sort.Slice(live, func(i, j int) bool { return live[i].ID < live[j].ID })
 	return live
@@ -392,10 +401,15 @@
 // strong.
 const strongShare = 0.75
 
-// strongest returns the VMs with the most processor. The load is a step of hundreds of
+// strongest returns the VMs with the most processor among those that reach the store
+// themselves, or among all if none does. The load is a step of hundreds of
 // items, all of which start at once: on a VM with a fraction of a core the start takes
 // as long as many of the items do.
 func strongest(vms []VM) []VM {
+	direct := slices.DeleteFunc(slices.Clone(vms), func(vm VM) bool { return vm.Detour })
+	if len(direct) > 0 {
+		vms = direct
+	}
 	most := 0.0
 	for _, vm := range vms {
 		most = max(most, vm.Processor)
--- a/internal/member/member_test.go
+++ b/internal/member/member_test.go
@@ -14,9 +14,11 @@
 	"dogwoodpond/internal/kept/memory"
 )
 
+func direct() bool { return false }
+
 func start(t *testing.T, store *memory.Store, id, domain, life string) (*List, context.CancelFunc) {
 	events := event.NewRecorder(id, 16, event.NewClock(time.Now), zap.NewNop())
-	l := New(VM{ID: id, FailureDomain: domain, Life: life, PeerAddress: id + ":1"}, []string{"x", "y"}, store, budget.New(budget.Rates{}), events)
+	l := New(VM{ID: id, FailureDomain: domain, Life: life, PeerAddress: id + ":1"}, []string{"x", "y"}, store, direct, budget.New(budget.Rates{}), events)
 	ctx, cancel := context.WithCancel(t.Context())
 	go l.Run(ctx)
 	t.Cleanup(cancel)
@@ -194,10 +196,10 @@
 	})
 }
 
-// Guards against steps that are owned in a failure domain other than their trainer's, or
-// by a VM too weak to start hundreds of items at once.
+// Guards against steps that are owned in a failure domain other than their trainer's, by a
+// VM too weak to start hundreds of items at once, or by one that the store turns away.
 func TestWorkGoesToStrongVMsOfItsDomain(t *testing.T) {
-	l := New(VM{ID: "self", FailureDomain: "x", Processor: 0.2}, []string{"x", "y"}, memory.New(), budget.New(budget.Rates{}),
+	l := New(VM{ID: "self", FailureDomain: "x", Processor: 0.2}, []string{"x", "y"}, memory.New(), direct, budget.New(budget.Rates{}),
 		event.NewRecorder("self", 16, event.NewClock(time.Now), zap.NewNop()))
 	add := func(id, domain string, processor float64) {
 		l.rows[id] = &seen{vm: VM{ID: id, FailureDomain: domain, Processor: processor}}
@@ -206,6 +208,8 @@
 	add("strong", "x", 0.8)
 	add("stronger", "x", 0.9)
 	add("far", "y", 1)
+	add("turned away", "x", 0.9)
+	l.rows["turned away"].vm.Detour = true
 	for n := range 50 {
 		work := fmt.Sprint("work", n)
 		if first, ok := l.First(work, "x"); !ok || first.ID != "strong" && first.ID != "stronger" {
--- a/internal/outage/outage.go
+++ b/internal/outage/outage.go
@@ -81,22 +81,22 @@
 	return w.begun
 }
 
-// Probe asks the dependency again and again during each outage until ctx ends. ask runs
-// beside those before it, which may hang; it must call Answers when it gets an answer.
+// Probe asks the dependency again and again during each outage until ctx ends: one
+// question at a time, each on a connection of its own. ask must bound its time, and call
+// Answers when it gets an answer.
 func (w *Watch) Probe(ctx context.Context, period func() time.Duration, ask func(context.Context)) {
 	w.mu.Lock()
 	begun := w.wakeUp()
 	w.mu.Unlock()
-	var asked sync.WaitGroup
-	defer asked.Wait()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-begun:
 		}
-		for !w.Well() && wait.For(ctx, period()) {
-			asked.Go(func() { ask(ctx) })
+		for asked := time.Now(); !w.Well() && wait.For(ctx, period()-time.Since(asked)); {
+			asked = time.Now()
+			ask(ctx)
 		}
 	}
 }
--- a/internal/outage/outage_test.go
+++ b/internal/outage/outage_test.go
@@ -41,7 +41,7 @@
 }
 
 // Guards against an end of the outage that nobody notices, because every call hangs.
-func TestProbesNoticeTheEndThoughEarlierOnesHang(t *testing.T) {
+func TestProbesNoticeTheEndOfASilence(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		var w Watch
 		ctx, stop := context.WithCancel(t.Context())
@@ -51,7 +51,7 @@
 		go w.Probe(ctx, func() time.Duration { return period }, func(ctx context.Context) {
 			asked.Add(1)
 			if time.Now().Before(back) {
-				call, cancel := context.WithTimeout(ctx, time.Second)
+				call, cancel := context.WithTimeout(ctx, period)
 				defer cancel()
 				<-call.Done()
 				return
--- a/internal/step/matrix_test.go
+++ b/internal/step/matrix_test.go
@@ -58,7 +58,7 @@
 	})
 	view := route.NewView()
 	view.Offer(configuration(1, true))
-	list := member.New(member.VM{ID: name, FailureDomain: "x", Life: life}, []string{"x"}, store, budget.New(budget.Rates{}), events)
+	list := member.New(member.VM{ID: name, FailureDomain: "x", Life: life}, []string{"x"}, store, func() bool { return false }, budget.New(budget.Rates{}), events)
 	m := NewManager(Config{
 		Calls: budget.New(budget.Rates{}),
 		VM:    name, Life: life, Domain: "x", Store: store, Clock: store, Members: list, View: view, Roster: roster,
--- a/internal/window/matrix_test.go
+++ b/internal/window/matrix_test.go
@@ -58,7 +58,7 @@
 	for p.Context.Err() == nil && clock.Agree(p.Context, store) != nil {
 		time.Sleep(countEvery)
 	}
-	list := member.New(member.VM{ID: name, FailureDomain: "x", Life: name}, []string{"x"}, store, budget.New(budget.Rates{}), events)
+	list := member.New(member.VM{ID: name, FailureDomain: "x", Life: name}, []string{"x"}, store, func() bool { return false }, budget.New(budget.Rates{}), events)
 	meter := NewMeter(clock, store, name, length, budget.New(budget.Rates{}), events)
 	closer := &Closer{
 		Calls: budget.New(budget.Rates{}),
