--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -46,6 +46,7 @@
 	TextsSaved       Number = 1415
 	SampleScored     Number = 1416
 	ScoreFailed      Number = 1417
+	StepNotTaken     Number = 1418
 
 	UpstreamEjected  Number = 1501
 	UpstreamRestored Number = 1502
@@ -116,6 +117,7 @@
 	{TextsSaved, zap.InfoLevel, "texts saved", "The texts of Count unfinished items were saved, for the case that the step changes hands."},
 	{SampleScored, zap.InfoLevel, "sample scored", "The call of the item's whole text returned its score. Request is the call, Upstream made the text's last event, Count is the milliseconds since the text was whole."},
 	{ScoreFailed, zap.WarnLevel, "score failed", "The call for the item's score was not answered with one and is made again; Count gives how many upstreams have said that it failed."},
+	{StepNotTaken, zap.WarnLevel, "step not taken over", "The change of owner of a step without a living one was not committed; it is tried again. Detail tells why."},
 	{UpstreamEjected, zap.WarnLevel, "upstream ejected", "The upstream failed too often and gets no work for a while."},
 	{UpstreamRestored, zap.InfoLevel, "upstream restored", "The upstream gets work again."},
 	{UpstreamLeaving, zap.InfoLevel, "upstream leaving", "The upstream is leaving and gets no new work."},
--- a/internal/step/takeover.go
+++ b/internal/step/takeover.go
@@ -86,6 +86,9 @@
 		next.Epoch++
 		next.Nonce = uuid.NewString()
 		owned, done, err := m.replaceState(ctx, r, next)
+		if err != nil {
+			m.Events.Emit(event.StepNotTaken, event.Subject{Step: r.ID, Account: r.Account, Epoch: uint64(next.Epoch), Detail: err.Error()})
+		}
 		if err != nil || !done {
 			return
 		}
