After an outage the early run that is furthest goes on, not the copy accepted first

Cause: while the store is away a trainer hands its step in again every 1.3 s, each time at another VM, which begins it early. The first commit after the store's return decides who owns it.

Change: a VM with an early run of a step that was accepted elsewhere takes it over, if the step was handed in here half a second sooner or more, and only from the first owner. The further a run is, the sooner it does. It reads what was listed meanwhile after the change of owner, as every take-over does; the state keeps the earlier time of submission, from which the trainer counts. An early run is no longer ended as soon as the feed shows another owner, but by this decision.

Test: TestEarlyRunThatIsFurthestGoesOn plays three copies of a step; without the change no result is there a second after the outage.

--- a/internal/step/accept.go
+++ b/internal/step/accept.go
@@ -99,6 +99,7 @@
 			return decodeErr
 		}
 		m.learn(kept)
+		early.decide(kept)
 		return sameAccount(kept, r.Spec)
 	}
 	var lost *fault.StoreUnavailable
--- a/internal/step/early.go
+++ b/internal/step/early.go
@@ -1,14 +1,35 @@
 package step
 
 import (
+	"context"
 	"sync"
+	"time"
+
+	"github.com/google/uuid"
 
 	"dogwoodpond/internal/event"
+	"dogwoodpond/internal/wait"
+)
+
+const (
+	// claimLead is how much sooner than the accepted copy a step must have been handed in
+	// here for its early run to go on in place of the accepted one.
+	claimLead = 500 * time.Millisecond
+	// claimSpread is how long an early run that is at its beginning leaves the step to
+	// those that are further.
+	claimSpread = 200 * time.Millisecond
+	// claimTime bounds a change of owner to an early run.
+	claimTime = 2 * time.Second
 )
 
 // earlyRun runs a step's items while its acceptance is still open, because the
 // store does not answer. Nothing is listed before the step is accepted, and if it
 // is not, the items stop and the trainer is told that nothing is known.
+//
+// The trainer hands the step in again and again meanwhile, each time at another VM, and
+// any copy may be accepted in the end. The load is a step of hundreds of items and an
+// outage of seconds: the accepted copy may be at its beginning while an earlier one has
+// nearly all texts. So the early run that is furthest takes the step over.
 type earlyRun struct {
 	manager *Manager
 	state   State
@@ -17,6 +38,9 @@
 	mu     sync.Mutex
 	run    *run
 	closed bool
+	// decided is closed when it is clear what becomes of the run after another copy of
+	// the step was accepted; nil until then.
+	decided chan struct{}
 }
 
 // start begins the items, unless the acceptance was decided already.
@@ -27,7 +51,7 @@
 	if e.closed || e.state.Owner != m.VM {
 		return
 	}
-	e.run = m.startRun(record{State: e.state}, e.items, nil, nil)
+	e.run = m.startRun(record{State: e.state}, e.items, nil, nil, e)
 	if e.run != nil {
 		m.Events.Emit(event.StepStartedEarly, event.Subject{Step: e.state.ID, Account: e.state.Account, Count: int64(len(e.items))})
 	}
@@ -57,3 +81,57 @@
 	e.manager.stop(e.run)
 	return true
 }
+
+// decide ends the run, or makes it that of the step, after another copy of the step was
+// accepted.
+func (e *earlyRun) decide(accepted record) {
+	e.mu.Lock()
+	run, decided := e.run, e.decided
+	if decided == nil {
+		e.decided = make(chan struct{})
+		defer close(e.decided)
+	}
+	e.mu.Unlock()
+	switch {
+	case decided != nil:
+		<-decided
+	case run == nil:
+	case !e.mayClaim(accepted) || !e.claim(run, accepted):
+		e.manager.stop(run)
+	}
+}
+
+// mayClaim reports whether the run began well before the accepted copy. Only its first
+// owner is replaced: by then no other early run has taken the step over.
+func (e *earlyRun) mayClaim(accepted record) bool {
+	lead := time.Duration(accepted.SubmittedAt-e.state.SubmittedAt) * time.Millisecond
+	return !accepted.Ended && accepted.Epoch == 1 && lead >= claimLead
+}
+
+// claim takes the accepted step over, and reports whether it did. What its owner has
+// listed meanwhile is read after the change of owner: nobody else can add any then.
+func (e *earlyRun) claim(run *run, accepted record) bool {
+	m := e.manager
+	if !wait.For(run.ctx, time.Duration(run.undone()*float64(claimSpread))) {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(run.ctx, claimTime)
+	defer cancel()
+	next := accepted.State
+	next.Owner, next.OwnerLife, next.Nonce = m.VM, m.Life, uuid.NewString()
+	next.Epoch++
+	next.SubmittedAt = e.state.SubmittedAt
+	owned, done, err := m.replaceState(ctx, accepted, next)
+	listed := 0
+	if err == nil && done {
+		listed, err = run.adopt(ctx, m)
+	}
+	if err != nil {
+		m.Events.Emit(event.StepNotTaken, event.Subject{Step: next.ID, Account: next.Account, Epoch: uint64(next.Epoch), Detail: err.Error()})
+	}
+	if err != nil || !done || !e.accept(owned) {
+		return false
+	}
+	m.Events.Emit(event.StepOwned, event.Subject{Step: next.ID, Account: next.Account, Epoch: uint64(next.Epoch), Count: int64(listed)})
+	return true
+}
--- a/internal/step/manager.go
+++ b/internal/step/manager.go
@@ -277,9 +277,14 @@
 		return
 	}
 	current := m.runOf(r.ID)
-	if current != nil && (r.Ended || r.Owner != m.VM || r.OwnerLife != m.Life) {
-		m.stop(current)
+	if current == nil || !r.Ended && r.Owner == m.VM && r.OwnerLife == m.Life {
+		return
+	}
+	if current.early != nil && !current.accepted() {
+		go current.early.decide(r)
+		return
 	}
+	m.stop(current)
 }
 
 // stop ends a run and forgets it.
@@ -295,7 +300,7 @@
 
 // start runs a step that this VM owns.
 func (m *Manager) start(rec record, items []Item, listed []Result, texts map[string]savedText) {
-	r := m.startRun(rec, items, listed, texts)
+	r := m.startRun(rec, items, listed, texts, nil)
 	if r == nil {
 		return
 	}
@@ -304,8 +309,9 @@
 }
 
 // startRun starts a step's items; its results are listed once the run is accepted.
-// It returns nil when the step runs already, or is known to be another VM's.
-func (m *Manager) startRun(rec record, items []Item, listed []Result, texts map[string]savedText) *run {
+// early is set while that is open. It returns nil when the step runs already, or is known
+// to be another VM's.
+func (m *Manager) startRun(rec record, items []Item, listed []Result, texts map[string]savedText, early *earlyRun) *run {
 	m.mu.Lock()
 	known, ok := m.known[rec.ID]
 	overtaken := ok && known.version > rec.version
@@ -314,6 +320,7 @@
 		return nil
 	}
 	r := newRun(m, rec, items, listed)
+	r.early = early
 	r.resume(m.carried.of(rec.Account, items))
 	r.resume(texts)
 	m.runs[rec.ID] = r
--- a/internal/step/run.go
+++ b/internal/step/run.go
@@ -64,6 +64,8 @@
 	stopItems context.CancelFunc
 	due       int64
 
+	// early is set while the step's acceptance is open.
+	early *earlyRun
 	// isAccepted is closed once the step stands in the store.
 	isAccepted chan struct{}
 	version    atomic.Int64
@@ -187,16 +189,58 @@
 // again puts an item back, to be tried after a pause.
 func (r *run) again(i int, pause time.Duration) { r.putBack(i, waiting, pause) }
 
-// putBack puts an item into a phase in which it is tried after a pause.
+// putBack puts an item into a phase in which it is tried after a pause, unless its result
+// is listed.
 func (r *run) putBack(i int, into phase, pause time.Duration) {
 	r.mu.Lock()
-	p := &r.progress[i]
-	p.phase = into
-	p.notBefore = time.Now().Add(pause)
+	if p := &r.progress[i]; p.phase != done {
+		p.phase = into
+		p.notBefore = time.Now().Add(pause)
+	}
 	r.mu.Unlock()
 	r.m.poke()
 }
 
+// undone returns the part of the items that have no whole text.
+func (r *run) undone() float64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	open := 0
+	for i := range r.progress {
+		if phase := r.progress[i].phase; phase == waiting || phase == running {
+			open++
+		}
+	}
+	return float64(open) / float64(max(len(r.items), 1))
+}
+
+// adopt takes the results that another owner has listed, before the run is accepted, and
+// returns how many there are.
+func (r *run) adopt(ctx context.Context, m *Manager) (int, error) {
+	listed, err := readAllResults(ctx, m.Store, r.rec.ID)
+	if err != nil {
+		return 0, err
+	}
+	theirs := make(map[string]bool, len(listed))
+	for _, result := range listed {
+		theirs[result.Item] = true
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.listed = listed
+	for i, item := range r.items {
+		if theirs[item.ID] {
+			r.progress[i].phase = done
+		}
+	}
+	r.queue = slices.DeleteFunc(r.queue, func(result Result) bool { return theirs[result.Item] })
+	r.queued = 0
+	for _, result := range r.queue {
+		r.queued += len(result.Text)
+	}
+	return len(listed), nil
+}
+
 // text returns the text of an item as far as it was read.
 func (r *run) text(i int) partial {
 	r.mu.Lock()
@@ -223,6 +267,10 @@
 // finish takes an item's result.
 func (r *run) finish(i int, result Result) {
 	r.mu.Lock()
+	if r.progress[i].phase == done {
+		r.mu.Unlock()
+		return
+	}
 	r.progress[i].phase = done
 	r.progress[i].partial = partial{}
 	r.queue = append(r.queue, result)
--- a/internal/step/step_test.go
+++ b/internal/step/step_test.go
@@ -146,6 +146,47 @@
 	})
 }
 
+// Guards against a step that begins anew after an outage though another VM has nearly all
+// its texts: the trainer hands it in again at one VM after another, and the copy that came
+// last is accepted first.
+func TestEarlyRunThatIsFurthestGoesOn(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		w := newWorld(t, "e1", "e2", "e3", "e4", "e5", "e6")
+		const events = 10
+		w.engines.behave[""] = func(string, int) reply {
+			r := good
+			r.events, r.gap = events, 350*time.Millisecond
+			return r
+		}
+		a, b, c := w.start("a"), w.start("b"), w.start("c")
+		time.Sleep(time.Second)
+		w.store.SetDown(true)
+		accepted := make(chan error, 3)
+		handIn := func(v *vm) { go func() { accepted <- v.Submit(t.Context(), spec("s"), items(6)) }() }
+		handIn(a)
+		time.Sleep(2 * time.Second)
+		handIn(b)
+		time.Sleep(1700 * time.Millisecond)
+		w.store.SetDown(false)
+		handIn(c)
+		for range 3 {
+			if err := <-accepted; err != nil {
+				t.Error(err)
+			}
+		}
+		time.Sleep(time.Second)
+		results, _, err := c.Results(t.Context(), "s", "acc", 0, 0)
+		if err != nil || len(results) != 6 {
+			t.Errorf("%d results a second after the outage, %v; the first copy had nearly all texts", len(results), err)
+		}
+		checkTexts(t, readWhole(t, b, "s"), events)
+		state, err := readState(t.Context(), w.store, "s")
+		if err != nil || state.Owner != "a" || state.Epoch != 2 {
+			t.Errorf("the step is %s's in epoch %d, %v; want a's in epoch 2", state.Owner, state.Epoch, err)
+		}
+	})
+}
+
 // The store is not there when the VM starts. No part of the step was kept or
 // begun, and the trainer may be told so.
 func TestRefusedAcceptanceSaysSo(t *testing.T) {
