--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -107,7 +107,7 @@
 		return b.period(share.part*float64(b.rates.Writes), wanted)
 	}
 	period := b.period(share.part*float64(b.rates.Reads), wanted)
-	return time.Duration(float64(period) * b.Slowness(time.Now()))
+	return time.Duration(float64(period) * b.BackoffFactor(time.Now()))
 }
 
 // period divides calls a second among the VMs.
@@ -126,8 +126,8 @@
 	b.factor, b.changed = min(b.factor*slowBy, mostSlow), now
 }
 
-// Slowness returns by how much the periods of reads are longer than the rates ask for.
-func (b *Budget) Slowness(now time.Time) float64 {
+// BackoffFactor returns by how much the periods of reads are longer than the rates ask for.
+func (b *Budget) BackoffFactor(now time.Time) float64 {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if quiet := int(now.Sub(b.changed) / recoverEvery); quiet > 0 && b.factor > 1 {
--- a/internal/carry/ways.go
+++ b/internal/carry/selector.go
@@ -17,11 +17,11 @@
 	longestRest = 2400 * time.Millisecond
 )
 
-// Ways remembers which peers reach the store. The load is a store that turns a part of
+// Selector remembers which peers reach the store. The load is a store that turns a part of
 // the fleet away, or answers nobody: a peer that carried a call is asked again, so that
 // most calls take one hop, and peers that did not are left alone for a while. It is safe
 // for concurrent use.
-type Ways struct {
+type Selector struct {
 	mu    sync.Mutex
 	good  string
 	avoid map[string]time.Time
@@ -31,69 +31,69 @@
 	rest     time.Time
 }
 
-// NewWays returns ways of which nothing is known.
-func NewWays() *Ways { return &Ways{avoid: make(map[string]time.Time)} }
+// NewSelector returns a selector that knows nothing of any peer.
+func NewSelector() *Selector { return &Selector{avoid: make(map[string]time.Time)} }
 
 // Order returns the peers to ask for a call, in order, or none while peers are left
 // alone.
-func (w *Ways) Order(peers []string, now time.Time) []string {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if now.Before(w.rest) {
+func (s *Selector) Order(peers []string, now time.Time) []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if now.Before(s.rest) {
 		return nil
 	}
 	order := slices.Clone(peers)
 	rand.Shuffle(len(order), func(i, j int) { order[i], order[j] = order[j], order[i] })
-	slices.SortStableFunc(order, func(a, b string) int { return w.rank(a, now) - w.rank(b, now) })
+	slices.SortStableFunc(order, func(a, b string) int { return s.rank(a, now) - s.rank(b, now) })
 	return order
 }
 
 // rank orders peers: the one that carried the last call, those of which nothing bad is
 // known, and those that failed a moment ago.
-func (w *Ways) rank(peer string, now time.Time) int {
+func (s *Selector) rank(peer string, now time.Time) int {
 	switch {
-	case peer == w.good:
+	case peer == s.good:
 		return 0
-	case now.Before(w.avoid[peer]):
+	case now.Before(s.avoid[peer]):
 		return 2
 	}
 	return 1
 }
 
 // Carried notes that a peer carried a call.
-func (w *Ways) Carried(peer string) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.good, w.failures = peer, 0
-	delete(w.avoid, peer)
+func (s *Selector) Carried(peer string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.good, s.failures = peer, 0
+	delete(s.avoid, peer)
 }
 
 // Known reports whether a peer is known to reach the store.
-func (w *Ways) Known() bool {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return w.good != ""
+func (s *Selector) Known() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.good != ""
 }
 
 // Failed notes that a peer did not carry a call.
-func (w *Ways) Failed(peer string, now time.Time) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if w.good == peer {
-		w.good = ""
+func (s *Selector) Failed(peer string, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.good == peer {
+		s.good = ""
 	}
-	for other, until := range w.avoid {
+	for other, until := range s.avoid {
 		if now.After(until) {
-			delete(w.avoid, other)
+			delete(s.avoid, other)
 		}
 	}
-	w.avoid[peer] = now.Add(avoidTime)
+	s.avoid[peer] = now.Add(avoidTime)
 }
 
 // NoneCarried notes that none of the peers that were asked carried a call.
-func (w *Ways) NoneCarried(now time.Time) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.rest = now.Add(min(restTime<<min(w.failures, 8), longestRest))
-	w.failures++
+func (s *Selector) NoneCarried(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.rest = now.Add(min(restTime<<min(s.failures, 8), longestRest))
+	s.failures++
 }
--- a/internal/carry/ways_test.go
+++ b/internal/carry/selector_test.go
@@ -6,9 +6,9 @@
 	"time"
 )
 
-// ask asks peers in the order of ways, of which those in away do not reach the store,
+// ask asks peers in the order of selector, of which those in away do not reach the store,
 // and reports whether one carried the call and how many were asked.
-func ask(w *Ways, peers []string, away map[string]bool, most int, now time.Time) (carried bool, asked int) {
+func ask(w *Selector, peers []string, away map[string]bool, most int, now time.Time) (carried bool, asked int) {
 	order := w.Order(peers, now)
 	for _, peer := range order[:min(most, len(order))] {
 		asked++
@@ -41,7 +41,7 @@
 	start := time.Now()
 	failed, asked := 0, 0
 	for range vms {
-		w := NewWays()
+		w := NewSelector()
 		for n := range calls {
 			carried, hops := ask(w, peers, away, most, start.Add(time.Duration(n)*20*time.Millisecond))
 			asked += hops
@@ -62,7 +62,7 @@
 func TestPeersAreLeftAloneWhileNobodyReachesTheStore(t *testing.T) {
 	const calls, most = 500, 4
 	peers, away := fleet(40, 40)
-	w, start, asked := NewWays(), time.Now(), 0
+	w, start, asked := NewSelector(), time.Now(), 0
 	for n := range calls {
 		_, hops := ask(w, peers, away, most, start.Add(time.Duration(n)*20*time.Millisecond))
 		asked += hops
@@ -75,7 +75,7 @@
 // Guards against a peer that is asked on and on after it stopped reaching the store.
 func TestPeerThatStopsCarryingIsLeft(t *testing.T) {
 	peers, away := fleet(10, 0)
-	w, now := NewWays(), time.Now()
+	w, now := NewSelector(), time.Now()
 	ask(w, peers, away, 1, now)
 	first := w.good
 	away[first] = true
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -60,8 +60,8 @@
 	Processor float64 `json:"processor,omitempty"`
 	// Leaving VMs take no new work.
 	Leaving bool `json:"leaving"`
-	// Detour is true while the VM reaches the store only through its peers.
-	Detour bool `json:"detour,omitempty"`
+	// ViaPeers is true while the VM reaches the store only through its peers.
+	ViaPeers bool `json:"viaPeers,omitempty"`
 }
 
 // seen is what this VM knows of another's row. A beat writes the same value again; only
@@ -84,8 +84,8 @@
 	budget  *budget.Budget
 	events  *event.Recorder
 
-	// onDetour reports whether this VM reaches the store only through its peers.
-	onDetour func() bool
+	// viaPeers reports whether this VM reaches the store only through its peers.
+	viaPeers func() bool
 
 	failing atomic.Bool
 	leaving atomic.Bool
@@ -103,10 +103,10 @@
 }
 
 // New returns a list for the VM self in a fleet with the failure domains.
-// onDetour reports whether this VM reaches the store only through its peers.
-func New(self VM, domains []string, store kept.Store, onDetour func() bool, calls *budget.Budget, events *event.Recorder) *List {
+// viaPeers reports whether this VM reaches the store only through its peers.
+func New(self VM, domains []string, store kept.Store, viaPeers func() bool, calls *budget.Budget, events *event.Recorder) *List {
 	return &List{
-		self: self, onDetour: onDetour, domains: domains, store: store, budget: calls, events: events,
+		self: self, viaPeers: viaPeers, domains: domains, store: store, budget: calls, events: events,
 		rows: make(map[string]*seen),
 	}
 }
@@ -165,7 +165,7 @@
 	defer l.writing.Unlock()
 	vm := l.self
 	vm.Leaving = l.leaving.Load()
-	vm.Detour = l.onDetour()
+	vm.ViaPeers = l.viaPeers()
 	value, err := json.Marshal(vm)
 	if err != nil {
 		l.events.Emit(event.BeatFailed, event.Subject{Detail: err.Error()})
@@ -334,7 +334,7 @@
 	}
 	if !l.leaving.Load() {
 		self := l.self
-		self.Detour = l.onDetour()
+		self.ViaPeers = l.viaPeers()
 		live = append(live, self)
 	}
 	sort.Slice(live, func(i, j int) bool { return live[i].ID < live[j].ID })
@@ -406,7 +406,7 @@
 // items, all of which start at once: on a VM with a fraction of a core the start takes
 // as long as many of the items do.
 func strongest(vms []VM) []VM {
-	direct := slices.DeleteFunc(slices.Clone(vms), func(vm VM) bool { return vm.Detour })
+	direct := slices.DeleteFunc(slices.Clone(vms), func(vm VM) bool { return vm.ViaPeers })
 	if len(direct) > 0 {
 		vms = direct
 	}
--- a/internal/member/member_test.go
+++ b/internal/member/member_test.go
@@ -209,7 +209,7 @@
 	add("stronger", "x", 0.9)
 	add("far", "y", 1)
 	add("turned away", "x", 0.9)
-	l.rows["turned away"].vm.Detour = true
+	l.rows["turned away"].vm.ViaPeers = true
 	for n := range 50 {
 		work := fmt.Sprint("work", n)
 		if first, ok := l.First(work, "x"); !ok || first.ID != "strong" && first.ID != "stronger" {
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -106,10 +106,10 @@
 }
 
 // Budget registers by how much this VM's reads of the store are slowed.
-func (m *Metrics) Budget(slowness func() float64) {
+func (m *Metrics) Budget(backoffFactor func() float64) {
 	m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
-		Name: "dogwoodpond_store_slowness", Help: "By how much the periods of reads of the store are longer than its rates ask for, because it refused calls; 1 when it refuses none.",
-	}, slowness))
+		Name: "dogwoodpond_store_backoff_factor", Help: "By how much the periods of reads of the store are longer than its rates ask for, because it refused calls; 1 when it refuses none.",
+	}, backoffFactor))
 }
 
 // Feed registers the age of what a VM knows of a list, and returns a function that
