--- a/internal/kept/memory/memory.go
+++ b/internal/kept/memory/memory.go
@@ -223,14 +223,14 @@
 
 // Changes implements kept.Store.
 func (s *Store) Changes(ctx context.Context, table string, after int64, wait time.Duration) (kept.Page, error) {
-	timeout := time.NewTimer(wait)
+	timeout := time.NewTimer(max(wait, time.Nanosecond))
 	defer timeout.Stop()
 	for {
 		if err := s.down("changes"); err != nil {
 			return kept.Page{}, err
 		}
 		page, wake, err := s.changed(table, after)
-		if err != nil || len(page.Rows) > 0 {
+		if err != nil || len(page.Rows) > 0 || wait <= 0 {
 			return page, err
 		}
 		select {
