--- a/internal/dial/dial.go
+++ b/internal/dial/dial.go
@@ -15,6 +15,7 @@
 
 // Resetting returns a dialer of connections, each a *Conn, that are reset when they are
 // closed.
+//
 // Closed in the usual way, what was written to a peer behind a cut stays with the
 // kernel, which delivers it seconds after the cut has healed, although the caller has
 // long given the request up: an item would run whose step has ended, and an order would
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -43,8 +43,8 @@
 	// usage waits so long for it, and must still be reported in time.
 	missedAfter = 8 * time.Second
 	// returnTime is how long a VM that was silent is waited for after its next beat, and
-	// all VMs after the store was away. Their totals of usage follow within the timeout of one write and the pause until
-	// the next.
+	// all VMs after the store was away. Their totals of usage follow within the timeout of
+	// one write and the pause until the next.
 	returnTime = 2 * time.Second
 )
 
@@ -227,12 +227,11 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	var passed time.Duration
-	if !l.polled.IsZero() {
-		// A pause of this process tells nothing about the others.
-		passed = min(now.Sub(l.polled), 2*l.readPeriod())
-	}
 	if l.polled.IsZero() {
 		l.back = now
+	} else {
+		// A pause of this process tells nothing about the others.
+		passed = min(now.Sub(l.polled), 2*l.readPeriod())
 	}
 	l.polled, l.ready = now, true
 	beaten := make(map[string]bool, len(rows))
