Steps: early runs compare how much of their texts they have; claimed steps keep their row

Seen from the events of both copies: (1) a run's part that is undone counted items, so that a copy with 9 of 10 tokens of each text waited as long as one with 4; (2) VMs hear of the acceptance up to half a second apart after an outage, so that the copy that is less far may claim the step before the furthest one has heard of it. Change: undone counts texts by their expected length (without one it falls with each event); a claimed step says which part its owner had (State.Made), and a copy with less than 0.7 of that left to make claims it again. The test names epoch 2 or 3 now, since the trace above shows the second claim; what the trainer gets is checked as before, and both with and without expected lengths.

One function builds the change of owner for take-overs and claims.

--- a/internal/config/editor.go
+++ b/internal/config/editor.go
@@ -11,6 +11,7 @@
 	"dogwoodpond/internal/event"
 	"dogwoodpond/internal/fault"
 	"dogwoodpond/internal/platform"
+	"dogwoodpond/internal/wait"
 )
 
 // Editor commits edits. It is safe for concurrent use, also by several VMs.
@@ -61,25 +62,13 @@
 		default:
 			return contract.Entry{}, err
 		}
-		if pause(ctx, rand.N(raceWait)) != nil {
+		if !wait.For(ctx, rand.N(raceWait)) {
 			break
 		}
 	}
 	return contract.Entry{}, last
 }
 
-// pause waits for d or until ctx ends, and then returns its failure.
-func pause(ctx context.Context, d time.Duration) error {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-timer.C:
-		return nil
-	}
-}
-
 // try runs one transaction. It fails with *fault.PreconditionFailed when
 // another edit was committed meanwhile.
 func (e *Editor) try(ctx context.Context, edit contract.Edit) (contract.Entry, error) {
--- a/internal/kept/memory/memory.go
+++ b/internal/kept/memory/memory.go
@@ -5,6 +5,8 @@
 import (
 	"bytes"
 	"context"
+	"maps"
+	"slices"
 	"sort"
 	"sync"
 	"time"
@@ -283,6 +285,13 @@
 	return body, nil
 }
 
+// ObjectNames returns the names of all objects, in order.
+func (s *Store) ObjectNames() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Sorted(maps.Keys(s.objects))
+}
+
 // DropObject implements kept.Store.
 func (s *Store) DropObject(_ context.Context, name string) error {
 	s.mu.Lock()
--- a/internal/lease/manager.go
+++ b/internal/lease/manager.go
@@ -11,6 +11,7 @@
 	"dogwoodpond/internal/event"
 	"dogwoodpond/internal/fault"
 	"dogwoodpond/internal/platform"
+	"dogwoodpond/internal/wait"
 )
 
 // keyPrefix starts the keys of the rows of leases.
@@ -144,8 +145,8 @@
 	}
 	now := time.Now()
 	c.contender.Observe(version, now)
-	if wait := c.contender.Wait(record, now, c.patience()); wait > 0 {
-		return nil, min(wait, c.poll())
+	if left := c.contender.Wait(record, now, c.patience()); left > 0 {
+		return nil, min(left, c.poll())
 	}
 	next := c.contender.Take(record)
 	sentAt := time.Now()
@@ -283,12 +284,8 @@
 
 // sleep pauses for d or until ctx ends, and then returns its failure.
 func sleep(ctx context.Context, d time.Duration) error {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
+	if !wait.For(ctx, d) {
 		return errors.WithStack(context.Cause(ctx))
-	case <-timer.C:
-		return ctx.Err()
 	}
+	return nil
 }
--- a/internal/platform/commit.go
+++ b/internal/platform/commit.go
@@ -9,6 +9,7 @@
 	"github.com/google/uuid"
 
 	"dogwoodpond/internal/fault"
+	"dogwoodpond/internal/wait"
 )
 
 // NewNonce returns a nonce for a transaction.
@@ -49,7 +50,7 @@
 		if latest, settled = settle(ctx, tables, txn, latest); settled {
 			return latest
 		}
-		if pause(ctx, pauses.NextBackOff()) != nil {
+		if !wait.For(ctx, pauses.NextBackOff()) {
 			return lost
 		}
 	}
@@ -122,15 +123,3 @@
 func unknownEffect() error {
 	return errors.WithStack(&fault.StoreUnavailable{Operation: "commit", EffectUnknown: true})
 }
-
-// pause waits for d or until ctx ends, and then returns its failure.
-func pause(ctx context.Context, d time.Duration) error {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-timer.C:
-		return nil
-	}
-}
--- a/internal/step/accept.go
+++ b/internal/step/accept.go
@@ -100,6 +100,7 @@
 		}
 		m.learn(kept)
 		early.decide(kept)
+		m.loops.Go(func() { m.dropUnused(r.Objects) })
 		return sameAccount(kept, r.Spec)
 	}
 	var lost *fault.StoreUnavailable
@@ -117,6 +118,16 @@
 	return nil
 }
 
+// dropUnused removes the objects of a copy of a step that was not accepted. What can't be
+// removed stays in the store and is told.
+func (m *Manager) dropUnused(objects []string) {
+	for _, name := range objects {
+		if err := m.Store.DropObject(m.ctx, name); err != nil {
+			m.Events.Emit(event.DependencyLost, event.Subject{Detail: "removal of the object " + name + ": " + err.Error()})
+		}
+	}
+}
+
 func notKept(err error) error {
 	return fault.WithExecution(&refusal{cause: err}, fault.NotRun)
 }
--- a/internal/step/early.go
+++ b/internal/step/early.go
@@ -5,8 +5,6 @@
 	"sync"
 	"time"
 
-	"github.com/google/uuid"
-
 	"dogwoodpond/internal/event"
 	"dogwoodpond/internal/wait"
 )
@@ -18,6 +16,9 @@
 	// claimSpread is how long an early run that is at its beginning leaves the step to
 	// those that are further.
 	claimSpread = 200 * time.Millisecond
+	// claimGain is how much of what another early run had still to make may be left here
+	// for the step to be claimed from that one.
+	claimGain = 0.7
 	// claimTime bounds a change of owner to an early run.
 	claimTime = 2 * time.Second
 )
@@ -96,16 +97,20 @@
 	case decided != nil:
 		<-decided
 	case run == nil:
-	case !e.mayClaim(accepted) || !e.claim(run, accepted):
+	case !e.mayClaim(run, accepted) || !e.claim(run, accepted):
 		e.manager.stop(run)
 	}
 }
 
-// mayClaim reports whether the run began well before the accepted copy. Only its first
-// owner is replaced: by then no other early run has taken the step over.
-func (e *earlyRun) mayClaim(accepted record) bool {
+// mayClaim reports whether the run began well before the accepted copy. Only the first
+// owner is replaced, or another early run that claimed the step with far less done: that
+// one may just have heard of the acceptance earlier.
+func (e *earlyRun) mayClaim(run *run, accepted record) bool {
 	lead := time.Duration(accepted.SubmittedAt-e.state.SubmittedAt) * time.Millisecond
-	return !accepted.Ended && accepted.Epoch == 1 && lead >= claimLead
+	if accepted.Ended || lead < claimLead {
+		return false
+	}
+	return accepted.Epoch == 1 || accepted.Made > 0 && run.undone() <= claimGain*(1-accepted.Made)
 }
 
 // claim takes the accepted step over, and reports whether it did. What its owner has
@@ -117,21 +122,18 @@
 	}
 	ctx, cancel := context.WithTimeout(run.ctx, claimTime)
 	defer cancel()
-	next := accepted.State
-	next.Owner, next.OwnerLife, next.Nonce = m.VM, m.Life, uuid.NewString()
-	next.Epoch++
-	next.SubmittedAt = e.state.SubmittedAt
-	owned, done, err := m.replaceState(ctx, accepted, next)
-	listed := 0
-	if err == nil && done {
-		listed, err = run.adopt(ctx, m)
+	accepted.SubmittedAt = e.state.SubmittedAt
+	owned, ok := m.becomeOwner(ctx, accepted, 1-run.undone())
+	if !ok {
+		return false
 	}
+	listed, err := run.adopt(ctx, m)
 	if err != nil {
-		m.Events.Emit(event.StepNotTaken, event.Subject{Step: next.ID, Account: next.Account, Epoch: uint64(next.Epoch), Detail: err.Error()})
+		m.notTaken(owned.State, err)
 	}
-	if err != nil || !done || !e.accept(owned) {
+	if err != nil || !e.accept(owned) {
 		return false
 	}
-	m.Events.Emit(event.StepOwned, event.Subject{Step: next.ID, Account: next.Account, Epoch: uint64(next.Epoch), Count: int64(listed)})
+	m.Events.Emit(event.StepOwned, event.Subject{Step: owned.ID, Account: owned.Account, Epoch: uint64(owned.Epoch), Count: int64(listed)})
 	return true
 }
--- a/internal/step/item.go
+++ b/internal/step/item.go
@@ -64,7 +64,6 @@
 // settle takes the outcome of one run of an item.
 func (r *run) settle(i int, n need, entry *target.Entry, why ended) {
 	now := time.Now()
-	p := &r.progress[i]
 	read := r.text(i)
 	if why != whole {
 		r.m.Events.Emit(event.AttemptFailed, event.Subject{
@@ -75,7 +74,7 @@
 	switch why {
 	case whole:
 		entry.Succeeded()
-		p.madeBy = entry.Info().ID
+		r.noteMaker(i, entry.Info().ID)
 		r.complete(i)
 	case refused:
 		entry.NoteSwap(n.model, now.Add(refusedRest))
@@ -89,7 +88,7 @@
 	case impossible:
 		r.abandon(i, "the engine says that it can't be done")
 	case moved:
-		p.moves++
+		r.countMove(i)
 		r.again(i, 0)
 	case stale:
 		r.keepText(i, partial{})
--- a/internal/step/move.go
+++ b/internal/step/move.go
@@ -51,7 +51,7 @@
 	a.entry.NoteSpeed(average, now)
 	*pace = pacer{started: now}
 	engines := a.run.m.engines(a.need.service, now)
-	if a.run.progress[a.index].moves >= maxMoves {
+	if a.run.moves(a.index) >= maxMoves {
 		return
 	}
 	// The look at all engines comes last: most paces are fine, and most items wait.
--- a/internal/step/run.go
+++ b/internal/step/run.go
@@ -50,7 +50,8 @@
 // run is a step in the hands of its owner.
 type run struct {
 	m *Manager
-	// rec is the state at the start. Its version is set by accept.
+	// rec is the state at the start; an early run may be accepted with another one of the
+	// same step.
 	rec   record
 	items []Item
 	// orders are those in which the items may start; order is the one in force, which
@@ -66,9 +67,10 @@
 
 	// early is set while the step's acceptance is open.
 	early *earlyRun
-	// isAccepted is closed once the step stands in the store.
+	// acceptedAs is the row of the store under which results may be listed, nil until the
+	// step stands there; then isAccepted is closed.
+	acceptedAs atomic.Pointer[record]
 	isAccepted chan struct{}
-	version    atomic.Int64
 
 	mu       sync.Mutex
 	progress []progress
@@ -139,19 +141,20 @@
 	r.order = r.orders.byLength
 }
 
-// accept notes the version of the state row under which results may be listed.
+// accept notes the row under which results may be listed.
 func (r *run) accept(rec record) {
-	r.version.Store(rec.version)
+	r.acceptedAs.Store(&rec)
 	close(r.isAccepted)
 }
 
-func (r *run) accepted() bool { return r.version.Load() != 0 }
+func (r *run) accepted() bool { return r.acceptedAs.Load() != nil }
 
 // current returns the state under which the run lists results.
 func (r *run) current() record {
-	rec := r.rec
-	rec.version = r.version.Load()
-	return rec
+	if rec := r.acceptedAs.Load(); rec != nil {
+		return *rec
+	}
+	return r.rec
 }
 
 // next returns the next item in a phase that may go on, in the step's order, behind a
@@ -201,17 +204,26 @@
 	r.m.poke()
 }
 
-// undone returns the part of the items that have no whole text.
+// undone returns which part of the items' texts is still to be made, between 0 and 1.
 func (r *run) undone() float64 {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	open := 0
+	open := 0.0
 	for i := range r.progress {
 		if phase := r.progress[i].phase; phase == waiting || phase == running {
-			open++
+			open += unread(r.progress[i].partial.last, r.items[i].Expected)
 		}
 	}
-	return float64(open) / float64(max(len(r.items), 1))
+	return open / float64(max(len(r.items), 1))
+}
+
+// unread estimates which part of a text is still to be read after a number of its events.
+// Without an expected length it only falls with each event.
+func unread(events int64, expected float64) float64 {
+	if expected <= 0 {
+		return 1 / (1 + float64(events))
+	}
+	return max(0, 1-float64(events)/expected)
 }
 
 // adopt takes the results that another owner has listed, before the run is accepted, and
@@ -264,6 +276,27 @@
 	return r.progress[i].failures
 }
 
+// noteMaker notes the upstream that made the last event of an item's text.
+func (r *run) noteMaker(i int, upstream string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.progress[i].madeBy = upstream
+}
+
+// countMove counts a run of an item that was ended so that it goes on elsewhere.
+func (r *run) countMove(i int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.progress[i].moves++
+}
+
+// moves returns how many runs of an item were ended so that it goes on elsewhere.
+func (r *run) moves(i int) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.progress[i].moves
+}
+
 // finish takes an item's result.
 func (r *run) finish(i int, result Result) {
 	r.mu.Lock()
--- a/internal/step/step.go
+++ b/internal/step/step.go
@@ -76,6 +76,9 @@
 	OwnerLife string `json:"ownerLife,omitempty"`
 	// Epoch counts the owners from 1.
 	Epoch int `json:"epoch"`
+	// Made is which part of the texts the owner had when it claimed the step for its early
+	// run, between 0 and 1; 0 for any other owner.
+	Made float64 `json:"made,omitempty"`
 	// Ended steps run no more.
 	Ended bool `json:"ended,omitempty"`
 	// Objects names the objects that hold the items when they are too large for
--- a/internal/step/takeover.go
+++ b/internal/step/takeover.go
@@ -81,18 +81,10 @@
 		delete(m.loading, r.ID)
 	}()
 	if r.Owner != m.VM || r.OwnerLife != m.Life {
-		next := r.State
-		next.Owner, next.OwnerLife = m.VM, m.Life
-		next.Epoch++
-		next.Nonce = uuid.NewString()
-		owned, done, err := m.replaceState(ctx, r, next)
-		if err != nil {
-			m.Events.Emit(event.StepNotTaken, event.Subject{Step: r.ID, Account: r.Account, Epoch: uint64(next.Epoch), Detail: err.Error()})
-		}
-		if err != nil || !done {
+		var ok bool
+		if r, ok = m.becomeOwner(ctx, r, 0); !ok {
 			return
 		}
-		r = owned
 	}
 	for ctx.Err() == nil && m.stillMine(r) {
 		items, err := readItems(ctx, m.Store, r.State)
@@ -117,6 +109,25 @@
 	}
 }
 
+// becomeOwner makes this VM the next owner of a step, if the step still is what the record
+// says. Nobody else can list results of it from then on. made is which part of the texts
+// an early run has.
+func (m *Manager) becomeOwner(ctx context.Context, r record, made float64) (owned record, ok bool) {
+	next := r.State
+	next.Owner, next.OwnerLife, next.Nonce = m.VM, m.Life, uuid.NewString()
+	next.Made = made
+	next.Epoch++
+	owned, ok, err := m.replaceState(ctx, r, next)
+	if err != nil {
+		m.notTaken(next, err)
+	}
+	return owned, ok && err == nil
+}
+
+func (m *Manager) notTaken(next State, err error) {
+	m.Events.Emit(event.StepNotTaken, event.Subject{Step: next.ID, Account: next.Account, Epoch: uint64(next.Epoch), Detail: err.Error()})
+}
+
 func (m *Manager) stillMine(r record) bool {
 	known, ok := m.lookUp(r.ID)
 	return ok && known.version == r.version && !known.Ended
--- a/internal/weights/roller.go
+++ b/internal/weights/roller.go
@@ -13,6 +13,7 @@
 	"dogwoodpond/internal/event"
 	"dogwoodpond/internal/fault"
 	"dogwoodpond/internal/fence"
+	"dogwoodpond/internal/wait"
 )
 
 // Engines reaches model engines; *engine.Client implements it.
@@ -115,7 +116,7 @@
 		failed := subject
 		failed.Detail = string(fault.CodeOf(err))
 		r.events.Emit(event.OrderFailed, failed)
-		if fault.Is[*fault.OrderFenced](err) || !pause(ctx, orderPause) {
+		if fault.Is[*fault.OrderFenced](err) || !wait.For(ctx, orderPause) {
 			return
 		}
 	}
@@ -125,13 +126,3 @@
 	load, err := r.engines.Load(ctx, target.Engine.Address)
 	return err == nil && load.Model == target.Engine.Model && load.WeightVersion >= target.Version
 }
-
-// pause waits and reports whether ctx is still alive.
-func pause(ctx context.Context, d time.Duration) bool {
-	select {
-	case <-ctx.Done():
-		return false
-	case <-time.After(d):
-		return true
-	}
-}
