Members: rows of VMs that are silent for a minute are removed

Cause: rows of table vm stayed for good, and the budget of the store's calls divided by all of them: after some hundred replacements beats would come seldom. The VM that ranks first removes a row that has stood still for a minute, on the condition that it still does; a VM that comes back writes a new one. TestRowsOfReplacedVMsAreRemoved failed first.

--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -98,6 +98,9 @@
 // SetFleet sets among how many VMs the calls are divided.
 func (b *Budget) SetFleet(vms int) { b.vms.Store(int64(max(vms, 1))) }
 
+// FleetSize returns among how many VMs the calls are divided.
+func (b *Budget) FleetSize() int { return int(b.vms.Load()) }
+
 // Period returns the least time between two calls of this VM for a use, and at least
 // the time that the use wants. Refusals slow reads only: the other VMs know by the size
 // of the fleet how long they have to wait for what this one writes.
@@ -112,7 +115,7 @@
 
 // period divides calls a second among the VMs.
 func (b *Budget) period(rate float64, wanted time.Duration) time.Duration {
-	perVM := float64(b.vms.Load()) / rate
+	perVM := float64(b.FleetSize()) / rate
 	return max(wanted, time.Duration(perVM*float64(time.Second)))
 }
 
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -65,6 +65,7 @@
 	PeerSilent   Number = 1701
 	PeerReturned Number = 1702
 	BeatFailed   Number = 1703
+	PeerRemoved  Number = 1704
 
 	DependencyLost     Number = 1801
 	DependencyRegained Number = 1802
@@ -133,6 +134,7 @@
 	{PeerSilent, zap.WarnLevel, "peer silent", "A peer has not answered for a while."},
 	{PeerReturned, zap.InfoLevel, "peer returned", "A silent peer answers again."},
 	{BeatFailed, zap.WarnLevel, "beat failed", "The VM could not write its row in the list of members; Detail gives the failure."},
+	{PeerRemoved, zap.InfoLevel, "peer removed", "The row of a VM that has been silent for Count milliseconds was removed from the list of members; it is written anew if the VM comes back."},
 	{DependencyLost, zap.WarnLevel, "dependency lost", "Something that the process needs does not answer; Detail names it and the failure."},
 	{DependencyRegained, zap.InfoLevel, "dependency regained", "It answers again; Count gives the milliseconds in between."},
 	{RowUnreadable, zap.WarnLevel, "row unreadable", "A row of the store is not what this program reads and is left out; Detail names it."},
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -137,6 +137,9 @@
 func (l *List) follow(ctx context.Context) {
 	for ctx.Err() == nil {
 		after, err := l.readAll(ctx)
+		if err == nil {
+			l.removeSilent(ctx)
+		}
 		for until := time.Now().Add(rereadEvery); err == nil && ctx.Err() == nil && time.Now().Before(until); {
 			wait.For(ctx, l.readPeriod())
 			after, err = l.readChanges(ctx, after)
--- a/internal/member/member_test.go
+++ b/internal/member/member_test.go
@@ -11,6 +11,7 @@
 
 	"dogwoodpond/internal/budget"
 	"dogwoodpond/internal/event"
+	"dogwoodpond/internal/kept"
 	"dogwoodpond/internal/kept/memory"
 )
 
@@ -65,6 +66,35 @@
 	})
 }
 
+// Guards against a list of members that grows with each VM that is replaced, and with it
+// the time between two beats.
+func TestRowsOfReplacedVMsAreRemoved(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := memory.New()
+		start(t, store, "a", "x", "1")
+		c, _ := start(t, store, "c", "x", "1")
+		_, killB := start(t, store, "b", "y", "1")
+		time.Sleep(2 * time.Second)
+		killB()
+		time.Sleep(removeAfter / 2)
+		if rows, err := kept.ReadAll(t.Context(), store, table, "y"); err != nil || len(rows) != 1 {
+			t.Errorf("%d rows, %v; a VM that may come back was removed", len(rows), err)
+		}
+		time.Sleep(removeAfter/2 + 2*rereadEvery)
+		if rows, err := kept.ReadAll(t.Context(), store, table, "y"); err != nil || len(rows) != 0 {
+			t.Errorf("%d rows of a VM that is gone, %v", len(rows), err)
+		}
+		if n := c.budget.FleetSize(); n != 2 {
+			t.Errorf("the calls are divided by %d VMs, and 2 are left", n)
+		}
+		start(t, store, "b", "y", "2")
+		time.Sleep(2 * time.Second)
+		if !c.Alive("b", "2") {
+			t.Error("a VM that came back after its removal is not known")
+		}
+	})
+}
+
 // A VM was cut off and beats again. What it counted meanwhile reaches the store a
 // moment later than its beat: its other calls still wait for answers that were lost.
 // A window that is closed in between is billed with too little.
