Dispatch: reclaimable engines are shared apart; engines are watched while work waits

The parts of a failure domain were laid over its engines in the order of their names, so that all parts of vm-b1 lay on cheap-b1 and cheap-b2. Its account's share of reclaimable engines allows nothing before work has ended elsewhere, so the stream could only borrow; and ten seconds after the latest request nobody asked the lending engines for their load any more, so that none was seen to have room again. Change: paid and reclaimable engines are apportioned each for themselves, the last resort of one place is one that takes all work, and engines are watched as long as work waits. TestEveryVMHasAPlaceThatTakesAllWork and TestEnginesAreWatchedWhileWorkWaits failed first. Ruled out: a lost wake-up (the queue is looked at every 100 ms), a grant never returned.

--- a/internal/dispatch/apportion_test.go
+++ b/internal/dispatch/apportion_test.go
@@ -1,8 +1,11 @@
 package dispatch
 
 import (
+	"context"
 	"fmt"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/leanovate/gopter/gen"
 	"github.com/leanovate/gopter/prop"
@@ -234,6 +237,55 @@
 	}
 }
 
+// Guards against a VM whose parts all lie on reclaimable engines: work that may not run
+// there, or not yet by its account's share, would wait for ever beside idle engines.
+func TestEveryVMHasAPlaceThatTakesAllWork(t *testing.T) {
+	cheap := func(id string) platform.Upstream {
+		u := engineOf(id, "b", 8)
+		u.Reclaimable = true
+		return u
+	}
+	list := []platform.Upstream{cheap("cheap-1"), cheap("cheap-2"), engineOf("paid", "b", 8)}
+	members := vmsOf("b", 2)
+	for _, m := range members {
+		d := division{list: list, limits: make(parts), borrowed: make(map[string]bool)}
+		d.shared(m.VM, "b", testPool, members)
+		own := map[bool]int{}
+		for _, u := range list {
+			if !d.borrowed[u.ID] {
+				own[u.Reclaimable] += d.limits[u.ID]
+			}
+		}
+		if own[false] != 4 || own[true] != 8 {
+			t.Errorf("%s has %d slots that take all work and %d reclaimable ones", m.VM, own[false], own[true])
+		}
+	}
+}
+
+// Guards against a request that waits for a borrowed place when nobody asks the engine for
+// its load any more: it would never be seen to have room.
+func TestEnginesAreWatchedWhileWorkWaits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		vm := newTestVM(ctx, engineOf("e1", "a", 1))
+		g, err := vm.Acquire(ctx, engineWork("fields", 10))
+		if err != nil {
+			t.Fatal(err)
+		}
+		go func() { _, _ = vm.Acquire(ctx, engineWork("fields", 10)) }()
+		time.Sleep(watchTime + time.Second)
+		if len(vm.Watched()) != 1 {
+			t.Error("nobody watches the engine for which a request waits")
+		}
+		g.Done(Result{Cost: 1})
+		time.Sleep(watchTime + time.Second)
+		if len(vm.Watched()) != 0 {
+			t.Error("engines are watched for nothing")
+		}
+	})
+}
+
 // One engine is idle and hundreds of VMs see it. Were it lent to all, they would
 // overrun it before its next report; it must be lent to a few.
 func TestIdleEngineIsLentToAFewVMs(t *testing.T) {
--- a/internal/dispatch/division.go
+++ b/internal/dispatch/division.go
@@ -186,10 +186,23 @@
 	}
 }
 
-// shared gives the VM its parts of the engines.
+// shared gives the VM its parts of the engines. Reclaimable engines are shared apart: not
+// all work may run there, and a VM with parts of no others could not run the rest.
 func (d *division) shared(vm, domain string, pool uint32, members []Member) {
+	list := reachable(d.list, members)
+	for _, reclaimable := range []bool{false, true} {
+		d.share(vm, pool, slices.DeleteFunc(slices.Clone(list), func(u platform.Upstream) bool {
+			return u.Reclaimable != reclaimable
+		}), members)
+	}
+	d.borrow(vm, domain, members)
+	d.atLeastOne(vm, domain)
+}
+
+// share gives the VM its parts of engines of one kind.
+func (d *division) share(vm string, pool uint32, list []platform.Upstream, members []Member) {
 	byDomain := make(map[string][]place)
-	for _, u := range reachable(d.list, members) {
+	for _, u := range list {
 		byDomain[u.FailureDomain] = append(byDomain[u.FailureDomain], place{upstream: u.ID, slots: max(1, u.Slots)})
 	}
 	for engines, places := range byDomain {
@@ -197,8 +210,6 @@
 			d.limits[id] = n
 		}
 	}
-	d.borrow(vm, domain, members)
-	d.atLeastOne(vm, domain)
 }
 
 // reachable returns the engines that are to be shared: those that answer. An
@@ -322,12 +333,16 @@
 	return keeping
 }
 
-// atLeastOne gives a VM without any part one place, so that its callers are
-// served, if slowly, however many VMs share few slots. The overcommit is at
-// most one request for each VM beyond the number of slots.
+// atLeastOne gives a VM without any part of engines that take all work one place there,
+// so that its callers are served, if slowly, however many VMs share few slots. The
+// overcommit is at most one request for each VM beyond the number of slots.
 func (d *division) atLeastOne(vm, domain string) {
 	best := -1
+	anyPaid := slices.ContainsFunc(d.list, func(u platform.Upstream) bool { return !u.Reclaimable })
 	for i, u := range d.list {
+		if u.Reclaimable && anyPaid {
+			continue
+		}
 		if d.limits[u.ID] > 0 && !d.borrowed[u.ID] {
 			return
 		}
@@ -348,7 +363,8 @@
 	return borrowWeight(a.ID, vm) > borrowWeight(b.ID, vm)
 }
 
-// watchTime is how long after its last request a pool's engines are watched.
+// watchTime is how long after its last request a pool's engines are watched when none
+// waits.
 const watchTime = 10 * time.Second
 
 // watched returns the engines that the VM may use or keeps an eye on, while it
@@ -360,7 +376,7 @@
 	now := time.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if now.Sub(p.usedAt) > watchTime {
+	if p.queue.total == 0 && now.Sub(p.usedAt) > watchTime {
 		return nil
 	}
 	p.divide(now)
--- a/internal/processtest/process_test.go
+++ b/internal/processtest/process_test.go
@@ -88,10 +88,29 @@
 		p.err = p.cmd.Wait()
 		close(p.exited)
 	}()
-	t.Cleanup(func() { p.kill() })
+	t.Cleanup(func() {
+		p.kill()
+		if dir := os.Getenv(variableLogs); dir != "" && t.Failed() {
+			p.keepOutput(t, dir)
+		}
+	})
 	return p
 }
 
+// variableLogs names a directory that keeps what the processes of failed tests printed.
+const variableLogs = "DOGWOODPOND_PROCESS_LOGS"
+
+func (p *process) keepOutput(t testing.TB, dir string) {
+	dir = filepath.Join(dir, t.Name())
+	err := os.MkdirAll(dir, 0o755)
+	if err == nil {
+		err = os.WriteFile(filepath.Join(dir, p.name+".log"), []byte(p.out.String()), 0o600)
+	}
+	if err != nil {
+		t.Errorf("output of %s: %v", p.name, err)
+	}
+}
+
 // kill ends the process at once, also when it is paused.
 func (p *process) kill() {
 	_ = p.cmd.Process.Kill()
