Usage: the first reporter begins with the window in which the fleet began

Two outages of 4 s keep all totals of the first window from the store until 10.3 s. The first holder looks for the oldest totals just before they come and begins with the window before the present one; the first of all is never billed. Change: the row of the fleet's clock says since when it counts; the first holder begins there, or earlier if totals are older. Rows of earlier releases (the offset alone) are still read.

--- a/internal/window/clock.go
+++ b/internal/window/clock.go
@@ -12,6 +12,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"dogwoodpond/internal/fault"
 	"dogwoodpond/internal/kept"
 )
 
@@ -31,9 +32,18 @@
 type Clock struct {
 	store  kept.Clock
 	offset atomic.Int64
+	since  atomic.Int64
 	agreed atomic.Bool
 }
 
+// agreement is the row of the fleet's clock.
+type agreement struct {
+	// Offset is what the store's clock is behind true time, in milliseconds.
+	Offset int64 `json:"offset"`
+	// Since is the true time of the agreement, in Unix milliseconds.
+	Since int64 `json:"since"`
+}
+
 // NewClock returns a clock that goes by the time of day until Agree succeeds.
 func NewClock(store kept.Clock) *Clock { return &Clock{store: store} }
 
@@ -48,8 +58,9 @@
 		return c.take(page.Rows[0])
 	}
 	now, _ := c.store.StoreNow()
-	offset := time.Now().UnixMilli() - now
-	value, err := json.Marshal(offset)
+	since := time.Now().UnixMilli()
+	first := agreement{Offset: since - now, Since: since}
+	value, err := json.Marshal(first)
 	if err != nil {
 		return err
 	}
@@ -62,25 +73,33 @@
 		return c.take(conflict.Row(key))
 	}
 	if err == nil {
-		c.set(offset)
+		c.set(first)
 	}
 	return err
 }
 
 func (c *Clock) take(row kept.Row) error {
-	var offset int64
-	if err := json.Unmarshal(row.Value, &offset); err != nil {
-		return err
+	var a agreement
+	// Earlier releases wrote the offset alone.
+	if json.Unmarshal(row.Value, &a.Offset) != nil {
+		if err := json.Unmarshal(row.Value, &a); err != nil {
+			return errors.WithStack(&fault.Internal{Where: "row " + row.String()})
+		}
 	}
-	c.set(offset)
+	c.set(a)
 	return nil
 }
 
-func (c *Clock) set(offset int64) {
-	c.offset.Store(offset)
+func (c *Clock) set(a agreement) {
+	c.offset.Store(a.Offset)
+	c.since.Store(a.Since)
 	c.agreed.Store(true)
 }
 
+// Since returns the true time since which the fleet counts, in Unix milliseconds; 0 when
+// it is not known.
+func (c *Clock) Since() int64 { return c.since.Load() }
+
 // Agreed reports whether the clock goes by the store.
 func (c *Clock) Agreed() bool { return c.agreed.Load() }
 
--- a/internal/window/closer.go
+++ b/internal/window/closer.go
@@ -29,9 +29,6 @@
 	// reportTimeout bounds one report, and so how long a new holder waits before
 	// its first one. Billing answers within it also when it is slow.
 	reportTimeout = 800 * time.Millisecond
-	// catchUp is how many windows back a first holder looks if nobody has counted
-	// anything.
-	catchUp = 1
 	// leaseName names the lease of the one process that reports.
 	leaseName = "usage"
 	// sentName is the row that names the newest window that was reported.
@@ -134,9 +131,14 @@
 
 // oldestWindow returns the first window that anybody counted in. The first holder may
 // come late: the store was away, or the one before died before its first report. It
-// would never bill what was counted until then.
+// would never bill what was counted until then. Counts may not be written yet, so it
+// begins with the window in which the fleet did, or earlier if a VM counted before.
 func (c *Closer) oldestWindow(ctx context.Context) (int64, error) {
-	oldest := c.Clock.Millis(time.Now())/c.Length.Milliseconds() - catchUp
+	since := c.Clock.Since()
+	if since == 0 {
+		since = c.Clock.Millis(time.Now()) - c.Length.Milliseconds()
+	}
+	oldest := since / c.Length.Milliseconds()
 	for after := ""; ; {
 		parts, more, err := c.Store.Parts(ctx, totalsTable, after)
 		if err != nil {
--- a/internal/window/window_test.go
+++ b/internal/window/window_test.go
@@ -249,6 +249,27 @@
 	})
 }
 
+// Guards against windows that nobody bills: two outages of the store keep all totals from
+// being written until after the first holder has looked for the oldest ones.
+func TestFirstReporterBeginsWithTheFleet(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store, b := memory.New(), &billing{}
+		clock := NewClock(store)
+		if err := clock.Agree(t.Context(), store); err != nil {
+			t.Fatal(err)
+		}
+		window := clock.Millis(time.Now()) / length.Milliseconds()
+		time.Sleep(3 * length)
+		start(t, store, b, "a")
+		time.Sleep(2 * length)
+		for n := range int64(3) {
+			if len(b.of(window+n)) == 0 {
+				t.Errorf("window %d after the first is not reported", n)
+			}
+		}
+	})
+}
+
 // The VM that reports for the first time does so late: the store was away, or the one
 // in charge died before its first report. Requests of the windows before would never be
 // billed.
