Store calls: whole reads go on where they were refused, and firm uses are not slowed

Before: 10,000 reads a second are attempted, 8,000 refused, for as long as the test runs; after 30 s 126 VMs have no whole list of upstreams, 281 not all members, 111 a configuration of more than 2 s before. A refused page made a VM begin its whole read anew (three partitions of members, seven pages of upstreams) after 100 ms, so that hardly any whole read ended: an overload that keeps itself up.

--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -7,6 +7,7 @@
 
 import (
 	"math"
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -48,11 +49,14 @@
 var shares = [uses]struct {
 	part   float64
 	writes bool
+	// firm uses are not slowed by refusals, and the others make room for them: they bound
+	// by how old a configuration a VM serves, and when the work of a dead one goes on.
+	firm bool
 }{
 	Beats:         {part: 0.25, writes: true},
 	Totals:        {part: 0.25, writes: true},
-	Members:       {part: 0.15},
-	Configuration: {part: 0.20},
+	Members:       {part: 0.15, firm: true},
+	Configuration: {part: 0.20, firm: true},
 	Upstreams:     {part: 0.15},
 	Steps:         {part: 0.15},
 	Loads:         {part: 0.10},
@@ -68,7 +72,7 @@
 	// recoverBy is how much of the growth is taken back in each recoverEvery without
 	// refusals.
 	recoverBy    = 0.25
-	recoverEvery = time.Second
+	recoverEvery = 500 * time.Millisecond
 )
 
 // Budget is the part of one VM. It is safe for concurrent use.
@@ -110,9 +114,27 @@
 		return b.period(share.part*float64(b.rates.Writes), wanted)
 	}
 	period := b.period(share.part*float64(b.rates.Reads), wanted)
+	if share.firm {
+		return period
+	}
 	return time.Duration(float64(period) * b.BackoffFactor(time.Now()))
 }
 
+// Retry returns the pause after a read that failed: the one that is wanted, or, while the
+// store refuses calls, some time around the period of the use. VMs whose calls were refused
+// together come again apart.
+func (b *Budget) Retry(use Use, wanted time.Duration) time.Duration {
+	if b.BackoffFactor(time.Now()) <= 1 {
+		return wanted
+	}
+	share := shares[use]
+	period := b.period(share.part*float64(b.rates.Reads), wanted)
+	if share.firm {
+		period /= 2
+	}
+	return period/2 + rand.N(period)
+}
+
 // period divides calls a second among the VMs.
 func (b *Budget) period(rate float64, wanted time.Duration) time.Duration {
 	perVM := float64(b.FleetSize()) / rate
--- a/internal/kept/watch.go
+++ b/internal/kept/watch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"dogwoodpond/internal/fault"
@@ -15,6 +16,8 @@
 	// feed can fall silent while its connection stays open, or miss changes
 	// around a loss of history; this bounds how long that goes unnoticed.
 	rereadEvery = 20 * time.Second
+	// rereadPause is how many times as long as a whole read lies at least between two.
+	rereadPause = 10
 )
 
 // Watcher follows one table.
@@ -40,6 +43,8 @@
 	// table that changes all the time would otherwise be asked again as soon as it
 	// answers, by every VM. A change that comes alone is not delayed.
 	Pace func() time.Duration
+	// Retry, if set, is the pause after a call that failed.
+	Retry func() time.Duration
 	// Reached, if set, is called whenever the table was read.
 	Reached func()
 
@@ -49,28 +54,38 @@
 // Run follows the table until ctx ends.
 func (w *Watcher) Run(ctx context.Context) {
 	for ctx.Err() == nil {
+		started := time.Now()
 		after, err := w.reread(ctx)
 		if err == nil {
-			err = w.follow(ctx, after)
+			// Those that started together reread apart.
+			err = w.follow(ctx, after, max(rereadEvery-rand.N(rereadEvery/4), rereadPause*time.Since(started)))
 		}
 		if err != nil && ctx.Err() == nil {
 			w.failed(err)
-			wait.For(ctx, retryPause)
+			wait.For(ctx, w.retry())
 		}
 	}
 }
 
+func (w *Watcher) retry() time.Duration {
+	if w.Retry == nil {
+		return retryPause
+	}
+	return w.Retry()
+}
+
 // reread reads the whole table and returns the version to go on from. Pages of
 // several partitions are of different moments, so the oldest version counts.
 func (w *Watcher) reread(ctx context.Context) (int64, error) {
-	parts, err := w.parts(ctx)
+	store := Patient{Store: w.Store, Pause: w.retry, Failed: w.failed}
+	parts, err := w.parts(ctx, store)
 	if err != nil {
 		return 0, err
 	}
 	var rows []Row
 	after := int64(-1)
 	for _, part := range parts {
-		page, err := ReadPartition(ctx, w.Store, w.Table, part)
+		page, err := ReadPartition(ctx, store, w.Table, part)
 		if err != nil {
 			return 0, err
 		}
@@ -84,7 +99,7 @@
 	return max(after, 0), nil
 }
 
-func (w *Watcher) parts(ctx context.Context) ([]string, error) {
+func (w *Watcher) parts(ctx context.Context, store Store) ([]string, error) {
 	if !w.AllParts {
 		return []string{w.Part}, nil
 	}
@@ -92,7 +107,7 @@
 	// version from which the feed goes on when the table is still empty.
 	all := []string{""}
 	for after := ""; ; after = all[len(all)-1] {
-		parts, more, err := w.Store.Parts(ctx, w.Table, after)
+		parts, more, err := store.Parts(ctx, w.Table, after)
 		if err != nil {
 			return nil, err
 		}
@@ -107,9 +122,10 @@
 	}
 }
 
-// follow takes changes until a read fails or the rows have to be read anew.
-func (w *Watcher) follow(ctx context.Context, after int64) error {
-	until := time.Now().Add(rereadEvery)
+// follow takes changes until a read fails or the rows have to be read anew, after a time
+// at the latest.
+func (w *Watcher) follow(ctx context.Context, after int64, most time.Duration) error {
+	until := time.Now().Add(most)
 	for ctx.Err() == nil && time.Now().Before(until) {
 		asked := time.Now()
 		page, err := w.Store.Changes(ctx, w.Table, after, w.Wait)
--- a/internal/lease/manager.go
+++ b/internal/lease/manager.go
@@ -23,7 +23,9 @@
 	renewParts = 3
 	retryParts = 12
 	pollParts  = 3
-	callParts  = 6
+	// readyPoll is how often a VM looks whether its rank is known.
+	readyPoll = 50 * time.Millisecond
+	callParts = 6
 )
 
 // Manager campaigns for leases on behalf of one VM. It is safe for concurrent
@@ -36,6 +38,8 @@
 	ranker Ranker
 	// sole is true when no earlier process of the holder's VM can still run.
 	sole bool
+	// ready tells whether the VM's rank is known.
+	ready func() bool
 }
 
 // Option changes a Manager.
@@ -47,6 +51,12 @@
 	return func(m *Manager) { m.ranker = ranker }
 }
 
+// WithReady lets the VM contend only once its rank is known. VMs that start together would
+// otherwise all contend for every lease.
+func WithReady(ready func() bool) Option {
+	return func(m *Manager) { m.ready = ready }
+}
+
 // WithSoleProcess tells that the VM runs one process at a time, and that no other VM
 // ever bears the holder's name. A new process then takes the leases of its
 // predecessor without waiting for the end of their terms.
@@ -64,6 +74,7 @@
 		timing: timing,
 		events: events,
 		ranker: func(string) int { return 0 },
+		ready:  func() bool { return true },
 	}
 	for _, option := range options {
 		option(m)
@@ -125,6 +136,11 @@
 
 // acquire contends until the lease is held or ctx ends.
 func (c *campaign) acquire(ctx context.Context) (*Hold, error) {
+	for !c.manager.ready() {
+		if err := sleep(ctx, readyPoll); err != nil {
+			return nil, err
+		}
+	}
 	for {
 		hold, pause := c.contend(ctx)
 		if hold != nil {
--- a/internal/loading/loader.go
+++ b/internal/loading/loader.go
@@ -327,8 +327,9 @@
 		changed()
 	}
 	pace := func() time.Duration { return calls.Period(budget.Loads, followPace) }
+	retry := func() time.Duration { return calls.Retry(budget.Loads, followPace) }
 	watcher := kept.Watcher{
-		Store: store, Table: table, AllParts: true, Wait: watchWait, Replace: apply, Apply: apply, Pace: pace,
+		Store: store, Table: table, AllParts: true, Wait: watchWait, Replace: apply, Apply: apply, Pace: pace, Retry: retry,
 		Lost: events.Lost("loads of weights"), Regained: events.Regained("loads of weights"),
 	}
 	watcher.Run(ctx)
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -10,6 +10,7 @@
 	"context"
 	"encoding/json"
 	"math"
+	"math/rand/v2"
 	"slices"
 	"sort"
 	"sync"
@@ -30,6 +31,11 @@
 	// beatEvery is the period of the beats of a small fleet. A large one beats as often
 	// as the store's budget allows: the time until a dead VM's work goes on grows with it.
 	beatEvery = 500 * time.Millisecond
+	// beatSpread is the part of a period, as one in so many, by which beats come earlier at
+	// random.
+	beatSpread = 5
+	// retryPause is the pause after a read that failed.
+	retryPause = 100 * time.Millisecond
 	// rereadEvery is how often all rows are read anew without a reason, in case that
 	// changes were missed around a loss of the store's history.
 	rereadEvery = 20 * time.Second
@@ -129,6 +135,8 @@
 		l.writeBeat(call)
 		cancel()
 		period := l.period()
+		// VMs that started together beat apart.
+		period -= rand.N(period / beatSpread)
 		wait.For(ctx, max(period-time.Since(started), period/2))
 	}
 }
@@ -184,12 +192,15 @@
 // readAll reads the rows of all failure domains, and returns the version from which
 // changes go on: pages of several partitions are of different moments.
 func (l *List) readAll(ctx context.Context) (after int64, err error) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
+	store := kept.Patient{
+		Store:  l.store,
+		Pause:  func() time.Duration { return l.budget.Retry(budget.Members, retryPause) },
+		Failed: func(error) { l.lost() },
+	}
 	var rows []kept.Row
 	after = math.MaxInt64
 	for _, domain := range l.domains {
-		page, err := kept.ReadPartition(ctx, l.store, table, domain)
+		page, err := kept.ReadPartition(ctx, store, table, domain)
 		if err != nil {
 			return 0, err
 		}
--- a/internal/step/manager.go
+++ b/internal/step/manager.go
@@ -115,6 +115,7 @@
 	watcher := kept.Watcher{
 		Store: m.Store, Table: stateTable, AllParts: true, Wait: watchWait,
 		Pace:    func() time.Duration { return m.Calls.Period(budget.Steps, watchPace) },
+		Retry:   func() time.Duration { return m.Calls.Retry(budget.Steps, watchPace) },
 		Replace: func(rows []kept.Row) { m.replace(rows) },
 		Apply:   func(rows []kept.Row) { m.apply(rows) },
 		Lost:    m.Events.Lost("states of steps"), Regained: m.Events.Regained("states of steps"),
