Steps: objects of a copy that another VM took over are kept

They are removed only if the accepted state names others. TestItemsOfAnAcceptedCopyStay failed first.

--- a/internal/lease/manager.go
+++ b/internal/lease/manager.go
@@ -23,11 +23,12 @@
 	renewParts = 3
 	retryParts = 12
 	pollParts  = 3
-	// readyPoll is how often a VM looks whether its rank is known.
-	readyPoll = 50 * time.Millisecond
-	callParts = 6
+	callParts  = 6
 )
 
+// readyPoll is how often a VM looks whether its rank is known.
+const readyPoll = 50 * time.Millisecond
+
 // Manager campaigns for leases on behalf of one VM. It is safe for concurrent
 // use.
 type Manager struct {
--- a/internal/step/accept.go
+++ b/internal/step/accept.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -100,7 +101,9 @@
 		}
 		m.learn(kept)
 		early.decide(kept)
-		m.loops.Go(func() { m.dropUnused(r.Objects) })
+		if !slices.Equal(kept.Objects, r.Objects) {
+			m.loops.Go(func() { m.dropUnused(r.Objects) })
+		}
 		return sameAccount(kept, r.Spec)
 	}
 	var lost *fault.StoreUnavailable
--- a/internal/step/step_test.go
+++ b/internal/step/step_test.go
@@ -255,6 +255,35 @@
 	})
 }
 
+// Guards against the loss of a step whose acceptance got no answer: another VM has taken it
+// over by the repeat, and its items are those of the copy that seems refused.
+func TestItemsOfAnAcceptedCopyStay(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		w := newWorld(t, "e1")
+		a := w.start("a")
+		list := items(2)
+		list[0].Body = bytes.Repeat([]byte("x"), rowLimit)
+		_, state, err := creation(t.Context(), w.store, State{Spec: spec("s"), Owner: "a", Epoch: 1, Total: 2}, list)
+		if err != nil || len(state.Objects) == 0 {
+			t.Fatalf("the step has the objects %v, %v", state.Objects, err)
+		}
+		taken := state
+		taken.Owner, taken.Epoch = "b", 2
+		value, err := encode(taken)
+		if err != nil {
+			t.Fatal(err)
+		}
+		conflict := &kept.Conflict{Current: []kept.Row{{Key: stateKey("s"), Value: value, Version: 7}}}
+		if err := a.submitted(record{State: state}, list, &earlyRun{manager: a.Manager, state: state}, conflict); err != nil {
+			t.Error(err)
+		}
+		time.Sleep(time.Second)
+		if names := w.store.ObjectNames(); !slices.Equal(names, state.Objects) {
+			t.Errorf("the store holds %v of the objects %v", names, state.Objects)
+		}
+	})
+}
+
 // The store is not there when the VM starts. No part of the step was kept or
 // begun, and the trainer may be told so.
 func TestRefusedAcceptanceSaysSo(t *testing.T) {
