--- a/internal/ctl/app.go
+++ b/internal/ctl/app.go
@@ -46,6 +46,7 @@
 	a.fleetCommands()
 	a.timelineCommand()
 	a.explainCommand()
+	a.reportCommand()
 	a.settingsCommands()
 	return a
 }
--- /dev/null
+++ b/internal/ctl/report_test.go
@@ -0,0 +1,70 @@
+package ctl
+
+import (
+	"encoding/json"
+	"strings"
+	"testing"
+	"time"
+
+	"dogwoodpond/internal/event"
+)
+
+// Guards against a report that blames the wrong phase: one step waits for its owner, which
+// dies, and another for its trainer.
+func TestReportNamesTheLongestPhase(t *testing.T) {
+	var line []event.Record
+	at := func(millis int64, vm, step string, number event.Number) {
+		line = append(line, event.Record{
+			Stamp: event.Stamp{WallMicros: 1_000_000 + millis*1000}, VM: vm, Number: number,
+			Subject: event.Subject{Step: step, Account: "acc"},
+		})
+	}
+	at(0, "a", "late", event.StepStartedEarly)
+	at(100, "a", "read", event.StepOpened)
+	at(110, "a", "read", event.StepOwned)
+	at(300, "b", "late", event.StepOpened)
+	at(310, "b", "late", event.StepOwned)
+	at(500, "a", "read", event.SamplesCommitted)
+	at(700, "b", "late", event.SamplesCommitted)
+	at(800, "b", "late", event.AttemptFailed)
+	at(3700, "c", "late", event.StepOwned)
+	at(4700, "c", "late", event.SamplesCommitted)
+	at(4800, "c", "late", event.StepEnded)
+	at(4900, "c", "cut", event.SamplesCommitted)
+	at(2600, "a", "read", event.StepEnded)
+	told := reportOn(line, nil)
+	if len(told.Steps) != 2 || told.Steps[0].Step != "late" || told.Steps[1].Step != "read" {
+		t.Fatalf("the steps are %+v", told.Steps)
+	}
+	late, read := told.Steps[0], told.Steps[1]
+	want := [phases]time.Duration{300 * time.Millisecond, 10 * time.Millisecond, 390 * time.Millisecond, 4 * time.Second, 100 * time.Millisecond}
+	if late.Phases != want || late.Longest != "results" || late.Gap != 4*time.Second || late.Owners != 2 || late.Failed != 1 || !late.Ended {
+		t.Errorf("the late step: %+v", late)
+	}
+	if read.Longest != "reading" || read.Whole != 2500*time.Millisecond {
+		t.Errorf("the one read late: %+v", read)
+	}
+}
+
+// Guards against a command that prints what its page does not say, and against logs that
+// hold no steps.
+func TestReportOfLogs(t *testing.T) {
+	dir := t.TempDir()
+	a := logOf(t, dir, "vm-a")
+	out, err := runTool(t, "report", "--logs", dir)
+	if err != nil || !strings.Contains(out, "0 steps") {
+		t.Errorf("a report of nothing: %v\n%s", err, out)
+	}
+	a.Emit(event.StepOpened, event.Subject{Step: "s", Account: "acc", Count: 3})
+	a.Emit(event.StepOwned, event.Subject{Step: "s", Epoch: 1})
+	a.Emit(event.SamplesCommitted, event.Subject{Step: "s", Count: 3})
+	out, err = runTool(t, "report", "--logs", dir)
+	if err != nil || !strings.Contains(out, "1 steps") || !strings.Contains(out, "not ended") {
+		t.Errorf("%v\n%s", err, out)
+	}
+	out, err = runTool(t, "report", "--logs", dir, "--output", "json")
+	var told Report
+	if err != nil || json.Unmarshal([]byte(out), &told) != nil || len(told.Steps) != 1 || told.Steps[0].Owners != 1 {
+		t.Errorf("%v\n%s", err, out)
+	}
+}
