Steps: an early run whose claim came second looks again whether it may claim

Now it goes by the state that the conflict shows, as long as that is newer. TestFurthestEarlyRunClaimsFromAQuickerOne failed first.

--- a/internal/kept/memory/memory.go
+++ b/internal/kept/memory/memory.go
@@ -285,6 +285,13 @@
 	return body, nil
 }
 
+// Row returns the row with a key; its version is 0 when there is none.
+func (s *Store) Row(key kept.Key) kept.Row {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.rows[key]
+}
+
 // ObjectNames returns the names of all objects, in order.
 func (s *Store) ObjectNames() []string {
 	s.mu.Lock()
--- a/internal/step/early.go
+++ b/internal/step/early.go
@@ -96,12 +96,27 @@
 	switch {
 	case decided != nil:
 		<-decided
-	case run == nil:
-	case !e.mayClaim(run, accepted) || !e.claim(run, accepted):
+	case run != nil && !e.claimNewest(run, accepted):
 		e.manager.stop(run)
 	}
 }
 
+// claimNewest claims the step as long as the run may, also after another early run was
+// quicker, and reports whether it did.
+func (e *earlyRun) claimNewest(run *run, accepted record) bool {
+	for e.mayClaim(run, accepted) {
+		if e.claim(run, accepted) {
+			return true
+		}
+		now, ok := e.manager.lookUp(accepted.ID)
+		if !ok || now.version <= accepted.version {
+			return false
+		}
+		accepted = now
+	}
+	return false
+}
+
 // mayClaim reports whether the run began well before the accepted copy. Only the first
 // owner is replaced, or another early run that claimed the step with far less done: that
 // one may just have heard of the acceptance earlier.
--- a/internal/step/step_test.go
+++ b/internal/step/step_test.go
@@ -206,6 +206,58 @@
 	}
 }
 
+// Guards against the furthest early run ending since another one, with far less, claimed the
+// step between its look at the state and its own claim.
+func TestFurthestEarlyRunClaimsFromAQuickerOne(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		w := newWorld(t, "e1", "e2")
+		const events = 10
+		w.engines.behave[""] = func(string, int) reply {
+			r := good
+			r.events, r.gap = events, 350*time.Millisecond
+			return r
+		}
+		list := items(6)
+		for i := range list {
+			list[i].Expected = events
+		}
+		a := w.start("a")
+		time.Sleep(time.Second)
+		w.store.SetDown(true)
+		accepted := make(chan error, 1)
+		go func() { accepted <- a.Submit(t.Context(), spec("s"), list) }()
+		time.Sleep(3 * time.Second)
+		now, _ := w.store.StoreNow()
+		put := func(owner string, epoch int, made float64) record {
+			state := State{Spec: spec("s"), Owner: owner, OwnerLife: owner + "-1", Total: 6, Epoch: epoch, Made: made, Nonce: owner}
+			state.SubmittedAt = now
+			value, err := encode(state)
+			if err != nil {
+				t.Fatal(err)
+			}
+			w.store.Set(stateKey("s"), string(value))
+			read, err := decodeState(w.store.Row(stateKey("s")))
+			if err != nil {
+				t.Fatal(err)
+			}
+			return read
+		}
+		seen := put("c", 1, 0)
+		put("b", 2, 0.2)
+		go a.runOf("s").early.decide(seen)
+		time.Sleep(500 * time.Millisecond)
+		w.store.SetDown(false)
+		if err := <-accepted; err != nil {
+			t.Error(err)
+		}
+		checkTexts(t, readWhole(t, a, "s"), events)
+		state, err := readState(t.Context(), w.store, "s")
+		if err != nil || state.Owner != "a" || state.Epoch != 3 {
+			t.Errorf("the step is %s's in epoch %d, %v; want a's in epoch 3", state.Owner, state.Epoch, err)
+		}
+	})
+}
+
 // Guards against a hand-over that sets a claimed step back to the copy that was not
 // accepted: its count of owners would fall.
 func TestHandOverOfAClaimedStep(t *testing.T) {
