--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -109,12 +109,8 @@
 // the time that the use wants. Refusals slow reads only: the other VMs know by the size
 // of the fleet how long they have to wait for what this one writes.
 func (b *Budget) Period(use Use, wanted time.Duration) time.Duration {
-	share := shares[use]
-	if share.writes {
-		return b.period(share.part*float64(b.rates.Writes), wanted)
-	}
-	period := b.period(share.part*float64(b.rates.Reads), wanted)
-	if share.firm {
+	period := b.period(use, wanted)
+	if shares[use].writes || shares[use].firm {
 		return period
 	}
 	return time.Duration(float64(period) * b.BackoffFactor(time.Now()))
@@ -127,17 +123,20 @@
 	if b.BackoffFactor(time.Now()) <= 1 {
 		return wanted
 	}
-	share := shares[use]
-	period := b.period(share.part*float64(b.rates.Reads), wanted)
-	if share.firm {
+	period := b.period(use, wanted)
+	if shares[use].firm {
 		period /= 2
 	}
 	return period/2 + rand.N(period)
 }
 
-// period divides calls a second among the VMs.
-func (b *Budget) period(rate float64, wanted time.Duration) time.Duration {
-	perVM := float64(b.FleetSize()) / rate
+// period divides the calls a second that a use may make among the VMs.
+func (b *Budget) period(use Use, wanted time.Duration) time.Duration {
+	rate := b.rates.Reads
+	if shares[use].writes {
+		rate = b.rates.Writes
+	}
+	perVM := float64(b.FleetSize()) / (shares[use].part * float64(rate))
 	return max(wanted, time.Duration(perVM*float64(time.Second)))
 }
 
--- a/internal/ctl/explainstep.go
+++ b/internal/ctl/explainstep.go
@@ -117,7 +117,7 @@
 
 // gap ends a time without new results.
 func (s *StepAccount) gap(at event.Stamp) {
-	length := time.Duration(at.WallMicros-s.last.WallMicros) * time.Microsecond
+	length := since(s.last.WallMicros, at.WallMicros)
 	if length > s.LongestGap {
 		s.LongestGap, s.GapFrom = length, stampTime(s.last)
 	}
--- a/internal/ctl/report.go
+++ b/internal/ctl/report.go
@@ -99,8 +99,8 @@
 		if e.Step == "" {
 			continue
 		}
-		s, ok := known[e.Step]
-		if !ok && (e.Number == event.StepOpened || e.Number == event.StepStartedEarly) {
+		s := known[e.Step]
+		if s == nil && (e.Number == event.StepOpened || e.Number == event.StepStartedEarly) {
 			s = &StepTimes{Step: e.Step, Account: e.Account, Began: stampTime(e.Stamp)}
 			known[e.Step] = s
 			told.Steps = append(told.Steps, s)
--- a/internal/step/step_test.go
+++ b/internal/step/step_test.go
@@ -104,11 +104,7 @@
 func TestEarlyItemsForbidThePromise(t *testing.T) {
 	bubble(t, func(t *testing.T) {
 		w := newWorld(t, "e1")
-		w.engines.behave[""] = func(string, int) reply {
-			r := good
-			r.events, r.gap = 1000, 100*time.Millisecond
-			return r
-		}
+		w.engines.behave[""] = paced(1000, 100*time.Millisecond)
 		a := w.start("a")
 		time.Sleep(time.Second)
 		w.store.SetDown(true)
@@ -152,18 +148,15 @@
 // The scene of the tests below: a and b run a step early during an outage, a longer by two
 // seconds, and c's copy is accepted after it. known tells whether the texts' lengths are
 // expected.
-func handInThrice(t *testing.T, w *world, list []Item, events int, known bool) (a, b, c *vm) {
-	w.engines.behave[""] = func(string, int) reply {
-		r := good
-		r.events, r.gap = events, 350*time.Millisecond
-		return r
-	}
-	for i := range list {
-		if known {
+func handInThrice(t *testing.T, w *world, list []Item, events int, known bool) (b, c *vm) {
+	w.engines.behave[""] = paced(events, 350*time.Millisecond)
+	if known {
+		for i := range list {
 			list[i].Expected = float64(events)
 		}
 	}
-	a, b, c = w.start("a"), w.start("b"), w.start("c")
+	a := w.start("a")
+	b, c = w.start("b"), w.start("c")
 	time.Sleep(time.Second)
 	w.store.SetDown(true)
 	accepted := make(chan error, 3)
@@ -179,7 +172,7 @@
 			t.Error(err)
 		}
 	}
-	return a, b, c
+	return b, c
 }
 
 // Guards against a step that begins anew after an outage though another VM has nearly all
@@ -190,7 +183,7 @@
 		bubble(t, func(t *testing.T) {
 			w := newWorld(t, "e1", "e2", "e3", "e4", "e5", "e6")
 			const events = 10
-			_, b, c := handInThrice(t, w, items(6), events, known)
+			b, c := handInThrice(t, w, items(6), events, known)
 			time.Sleep(time.Second)
 			results, _, err := c.Results(t.Context(), "s", "acc", 0, 0)
 			if err != nil || len(results) != 6 {
@@ -212,11 +205,7 @@
 	bubble(t, func(t *testing.T) {
 		w := newWorld(t, "e1", "e2")
 		const events = 10
-		w.engines.behave[""] = func(string, int) reply {
-			r := good
-			r.events, r.gap = events, 350*time.Millisecond
-			return r
-		}
+		w.engines.behave[""] = paced(events, 350*time.Millisecond)
 		list := items(6)
 		for i := range list {
 			list[i].Expected = events
@@ -264,7 +253,7 @@
 	bubble(t, func(t *testing.T) {
 		w := newWorld(t, "e1", "e2", "e3", "e4", "e5", "e6")
 		const events = 20
-		_, _, c := handInThrice(t, w, items(6), events, true)
+		_, c := handInThrice(t, w, items(6), events, true)
 		time.Sleep(time.Second)
 		claimed, err := readState(t.Context(), w.store, "s")
 		if err != nil || claimed.Epoch == 1 {
@@ -483,11 +472,7 @@
 func TestLongTextSurvivesItsOwner(t *testing.T) {
 	bubble(t, func(t *testing.T) {
 		w := newWorld(t, "e1")
-		w.engines.behave[""] = func(string, int) reply {
-			r := good
-			r.events, r.gap = 60, 100*time.Millisecond
-			return r
-		}
+		w.engines.behave[""] = paced(60, 100*time.Millisecond)
 		a, b := w.start("a"), w.start("b")
 		submit(t, a, spec("s"), items(1))
 		time.Sleep(3 * time.Second)
@@ -620,11 +605,7 @@
 func TestEndStopsItemsEverywhere(t *testing.T) {
 	bubble(t, func(t *testing.T) {
 		w := newWorld(t, "e1", "e2")
-		w.engines.behave[""] = func(string, int) reply {
-			r := good
-			r.events, r.gap = 100, 100*time.Millisecond
-			return r
-		}
+		w.engines.behave[""] = paced(100, 100*time.Millisecond)
 		a, b := w.start("a"), w.start("b")
 		submit(t, a, spec("s"), items(8))
 		time.Sleep(500 * time.Millisecond)
--- a/internal/step/world_test.go
+++ b/internal/step/world_test.go
@@ -144,6 +144,13 @@
 
 var good = reply{status: http.StatusOK, version: 1, events: 3, gap: 10 * time.Millisecond}
 
+// paced is the behaviour of an engine that answers well, event by event.
+func paced(events int, gap time.Duration) behaviour {
+	r := good
+	r.events, r.gap = events, gap
+	return func(string, int) reply { return r }
+}
+
 // engines are all engines of a world. It implements target.Caller.
 type engines struct {
 	mu     sync.Mutex
--- a/internal/window/window_test.go
+++ b/internal/window/window_test.go
@@ -249,16 +249,21 @@
 	})
 }
 
+// beginFleet agrees on the fleet's clock and returns the window in which that was.
+func beginFleet(t *testing.T, store *memory.Store) int64 {
+	clock := NewClock(store)
+	if err := clock.Agree(t.Context(), store); err != nil {
+		t.Fatal(err)
+	}
+	return clock.Millis(time.Now()) / length.Milliseconds()
+}
+
 // Guards against windows that nobody bills: two outages of the store keep all totals from
 // being written until after the first holder has looked for the oldest ones.
 func TestFirstReporterBeginsWithTheFleet(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		store, b := memory.New(), &billing{}
-		clock := NewClock(store)
-		if err := clock.Agree(t.Context(), store); err != nil {
-			t.Fatal(err)
-		}
-		window := clock.Millis(time.Now()) / length.Milliseconds()
+		window := beginFleet(t, store)
 		time.Sleep(3 * length)
 		start(t, store, b, "a")
 		time.Sleep(2 * length)
@@ -276,11 +281,7 @@
 func TestFirstReporterBeginsWithTheOldestWindow(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		store, b := memory.New(), &billing{}
-		clock := NewClock(store)
-		if err := clock.Agree(t.Context(), store); err != nil {
-			t.Fatal(err)
-		}
-		window := clock.Millis(time.Now()) / length.Milliseconds()
+		window := beginFleet(t, store)
 		for n := range int64(4) {
 			store.Set(kept.Key{Table: totalsTable, Part: windowName(window + n), Name: "gone/1"}, `{"acc":3}`)
 		}
