Cold upstreams get a bounded number of requests, evacuated failure domains none

Cause: the product read neither cold_remaining_ms nor op/evacuate.

Change: an entry of the roster limits what this VM sends in any 1.2 s. Of the bound of an upstream that is cold by its own word, one VM may use half: the first by rendezvous among the owners of open steps that it can serve, or among all VMs. Half is left for a VM that held the turn before and has not heard. An upstream that was silent, or whose list has not answered for 3 s, may get a quarter from each VM; a warm one three quarters, at least its slots, since it may turn cold unnoticed. Cold engines are the last resort in placing. Evacuated domains are rows followed with the configuration; nothing goes there, loads and looks at engines included, and what runs comes to its end.

Ruled out: the heartbeat's delay (rows of cold engines come within 20 ms of the change, one of five came 1.3 s late).

Tests failed first with each rule taken out in turn.

--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -57,6 +57,8 @@
 	WeightsLoaded    Number = 1507
 	UpstreamListed   Number = 1508
 	UpstreamUnlisted Number = 1509
+	DomainEvacuated  Number = 1510
+	DomainRestored   Number = 1511
 
 	WindowSealed    Number = 1601
 	UsageReported   Number = 1602
@@ -128,6 +130,8 @@
 	{WeightsLoaded, zap.InfoLevel, "weights loaded", "An engine serves the version that Count gives."},
 	{UpstreamListed, zap.InfoLevel, "upstream listed", "The platform's list has a new upstream; Detail gives its service and address."},
 	{UpstreamUnlisted, zap.InfoLevel, "upstream unlisted", "The upstream is no longer in the platform's list."},
+	{DomainEvacuated, zap.WarnLevel, "failure domain evacuated", "Nothing more goes to the upstreams of the failure domain in Detail, of which Count are known; 0 of a domain in which none runs."},
+	{DomainRestored, zap.InfoLevel, "failure domain restored", "The evacuation of the failure domain in Detail is over; its Count upstreams get work again as they warm up."},
 	{WindowSealed, zap.InfoLevel, "window sealed", "The VM sealed its usage of the window."},
 	{UsageReported, zap.InfoLevel, "usage reported", "The report of the window that starts at Count and of the account was accepted by billing; Detail says whether it corrects an earlier window."},
 	{UsageIncomplete, zap.WarnLevel, "usage incomplete", "The report of the window lacks figures of a VM that died; it says so."},
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -203,7 +203,7 @@
 
 // launch sends the request to the next upstream; false when there is none left.
 func (r *run) launch(ctx context.Context) bool {
-	entry := r.Roster.Choose(r.service, r.Domain, r.used, time.Now())
+	entry := r.Roster.Reserve(r.service, r.Domain, r.used)
 	if entry == nil {
 		return false
 	}
@@ -211,7 +211,6 @@
 	r.pending++
 	attemptCtx, cancel := context.WithCancel(ctx)
 	r.open[entry] = sent{cancel: cancel, at: time.Now()}
-	entry.Begin()
 	r.Events.Emit(event.RequestDispatched, event.Subject{Request: r.call.ID, Account: r.call.Account, Upstream: entry.Info().ID, Attempt: len(r.used)})
 	go func() {
 		defer entry.End()
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -33,7 +33,7 @@
 func (f *Forwarder) Stream(ctx context.Context, call Call, sink Sink) (started bool, err error) {
 	s := &streaming{Forwarder: f, call: call, sink: sink, service: call.Route.Service(call.ID), last: call.Resume, execution: fault.NotRun}
 	for {
-		entry := f.Roster.Choose(s.service, f.Domain, s.used, time.Now())
+		entry := f.Roster.Reserve(s.service, f.Domain, s.used)
 		if entry == nil {
 			return s.started, s.exhausted()
 		}
@@ -60,11 +60,10 @@
 	execution fault.Execution
 }
 
-// attempt runs the stream at one upstream until it ends.
+// attempt runs the stream at a reserved upstream until it ends.
 func (s *streaming) attempt(ctx context.Context, entry *target.Entry) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	entry.Begin()
 	defer entry.End()
 	s.Events.Emit(event.RequestDispatched, event.Subject{Request: s.call.ID, Account: s.call.Account, Upstream: entry.Info().ID, Attempt: len(s.used)})
 	r := &run{Forwarder: s.Forwarder, call: s.call}
--- a/internal/loading/loader.go
+++ b/internal/loading/loader.go
@@ -220,7 +220,7 @@
 	ctx, cancel := context.WithTimeout(ctx, loadLimit)
 	defer cancel()
 	subject := event.Subject{Upstream: order.Engine.Info().ID, Epoch: guard.Epoch(), Count: order.Version, Detail: order.Model}
-	for ctx.Err() == nil {
+	for ctx.Err() == nil && !l.Roster.Evacuated(l.Domain) {
 		report, err := l.report(ctx, order.Engine)
 		if err != nil {
 			l.restEngine(order.Engine)
--- a/internal/loading/loading_test.go
+++ b/internal/loading/loading_test.go
@@ -413,3 +413,24 @@
 		}
 	})
 }
+
+// Guards against orders and looks at the engines of a failure domain that the operator
+// evacuates, and against engines that stay behind after its return.
+func TestEvacuatedDomainGetsNoOrders(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(4)
+		f.start(t, "a")
+		time.Sleep(2 * time.Second)
+		f.roster.Evacuate("x")
+		f.name("m", 2)
+		time.Sleep(5 * time.Second)
+		if n := f.loads(); n != 0 {
+			t.Errorf("%d loads were ordered in an evacuated domain", n)
+		}
+		f.roster.Restore("x")
+		time.Sleep(5 * time.Second)
+		if byVersion := f.versions("m"); byVersion[2] < 2 {
+			t.Errorf("5 s after the return the engines have %v", byVersion)
+		}
+	})
+}
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -112,6 +112,13 @@
 	}, backoffFactor))
 }
 
+// Evacuations registers how many failure domains this VM takes for evacuated.
+func (m *Metrics) Evacuations(domains func() int) {
+	m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "dogwoodpond_evacuated_domains", Help: "Failure domains whose upstreams get nothing because the operator evacuates them.",
+	}, func() float64 { return float64(domains()) }))
+}
+
 // Feed registers the age of what a VM knows of a list, and returns a function that
 // is to be called whenever the list has answered.
 func (m *Metrics) Feed(name string) (reached func()) {
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -36,6 +36,24 @@
 	// StoreRates are the calls a second that the store takes from all VMs together; what is
 	// 0 is not known.
 	StoreRates budget.Rates
+	// Cold is what the deployment allows to upstreams that warm up.
+	Cold ColdAllowance
 	// StepKeep is how long steps stay readable after their submission.
 	StepKeep time.Duration
 }
+
+// ColdAllowance is how far the requests to a cold upstream may exceed the rate that it
+// bears. The zero value sets no bound.
+type ColdAllowance struct {
+	// Factor multiplies the rate; Extra is added for each second.
+	Factor, Extra float64
+}
+
+// PerSecond returns the most requests in any second to an upstream that bears a rate; 0
+// sets no bound.
+func (c ColdAllowance) PerSecond(rate float64) int {
+	if c.Factor <= 0 && c.Extra <= 0 {
+		return 0
+	}
+	return max(int(rate*c.Factor+c.Extra), 1)
+}
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -98,6 +98,10 @@
 	HealthPath string
 	// Connections bounds the connections to one upstream over all callers.
 	Connections int
+	// Warmup is how long an upstream is cold after its start, and ColdRate how many
+	// requests a second it bears then.
+	Warmup   time.Duration
+	ColdRate float64
 	// Engine is set for model engines.
 	Engine *Engine
 	// Scale is set where upstreams can be ordered.
--- a/internal/step/place.go
+++ b/internal/step/place.go
@@ -31,6 +31,9 @@
 	// of the bytes between failure domains.
 	otherDomainCost = 0.04
 	suspectCost     = 16.0
+	// coldCost makes engines that warm up the last resort: they bear few requests, and a
+	// step that is spread over them waits for their turn.
+	coldCost = 8.0
 )
 
 // place returns the engine that an item should run at, or nil when none has room:
@@ -41,7 +44,7 @@
 	var best *target.Entry
 	var least float64
 	for _, e := range engines {
-		if e == avoid || !serves(e, n, now) || e.Free(now) <= 0 {
+		if e == avoid || !serves(e, n, now) || e.Free(now) <= 0 || !e.Admits(now) {
 			continue
 		}
 		cost := placeCost(e, n, median, now)
@@ -71,6 +74,9 @@
 	if e.Suspect(now) {
 		cost += suspectCost
 	}
+	if e.Cold(now) {
+		cost += coldCost
+	}
 	return cost
 }
 
@@ -79,7 +85,7 @@
 	slots := 0
 	for _, e := range engines {
 		if serves(e, n, now) && !e.Suspect(now) {
-			slots += e.Slots()
+			slots += min(e.Slots(), e.Admissible(now)+e.InFlight())
 		}
 	}
 	return slots
--- /dev/null
+++ b/internal/step/turn_test.go
@@ -0,0 +1,122 @@
+package step
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"dogwoodpond/internal/target"
+)
+
+// Guards against a cold engine that is given to a VM which sends it nothing, or to two.
+func TestOneOwnerOfOpenStepsUsesAColdEngine(t *testing.T) {
+	w := newWorld(t, "e1", "e2", "e3", "e4")
+	a, b := w.start("a"), w.start("b")
+	for _, vm := range []*vm{a, b} {
+		vm.note(record{State: State{Spec: Spec{ID: "s1", Model: "m"}, Owner: "a"}, version: 1})
+		vm.note(record{State: State{Spec: Spec{ID: "s2", Model: "m"}, Owner: "b"}, version: 2})
+		vm.note(record{State: State{Spec: Spec{ID: "s3", Model: "m", MinVersion: 9}, Owner: "c"}, version: 3})
+		vm.note(record{State: State{Spec: Spec{ID: "s4", Model: "m"}, Owner: "d", Ended: true}, version: 4})
+	}
+	turns := map[string]int{}
+	for _, e := range a.Roster.Service("lm") {
+		for _, vm := range []*vm{a, b} {
+			first, ok := vm.FirstSender(e)
+			if !ok {
+				t.Fatal("no owner is known")
+			}
+			if first {
+				turns[e.Info().ID]++
+			}
+		}
+	}
+	for _, e := range a.Roster.Service("lm") {
+		if n := turns[e.Info().ID]; n != 1 {
+			t.Errorf("%d VMs use the cold engine %s", n, e.Info().ID)
+		}
+	}
+}
+
+// Guards against a turn that nobody has when no step is open.
+func TestNoOwnerHasATurnWithoutOpenSteps(t *testing.T) {
+	w := newWorld(t, "e1")
+	a := w.start("a")
+	e := a.Roster.Service("lm")[0]
+	if first, ok := a.FirstSender(e); first || ok {
+		t.Error("a VM has a turn though no step is open")
+	}
+}
+
+// Guards against items that start in a failure domain that is evacuated, and against a
+// step that waits for one. What runs there comes to its end.
+func TestStepGoesOnOutsideAnEvacuatedDomain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, "e1", "e2")
+		w.list[2].FailureDomain = "y"
+		w.engines.behave[""] = paced(20, 50*time.Millisecond)
+		a := w.start("a")
+		if err := a.Submit(t.Context(), spec("s"), items(40)); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(500 * time.Millisecond)
+		a.Roster.Evacuate("y")
+		w.engines.mu.Lock()
+		before := len(w.engines.runs)
+		w.engines.mu.Unlock()
+		if results := readWhole(t, a, "s"); len(results) != 40 {
+			t.Fatalf("%d results", len(results))
+		}
+		w.engines.mu.Lock()
+		defer w.engines.mu.Unlock()
+		there := 0
+		for _, runs := range w.engines.runs {
+			if len(runs) != 1 {
+				t.Errorf("an item ran at %v", runs)
+			}
+			if runs[0] == "e2" {
+				there++
+			}
+		}
+		if there > before/2 {
+			t.Errorf("%d items ran in the evacuated domain, of %d that had started", there, before)
+		}
+	})
+}
+
+// Guards against an engine that crashes under a step's first items because it has just
+// started, and against a step that is late because it waits for engines to warm up.
+func TestStepStartsOnColdEnginesWithinTheirBound(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, "e1", "e2", "e3")
+		for i := range w.list {
+			w.list[i].ColdFor = 3 * time.Second
+		}
+		w.engines.behave[""] = paced(5, 20*time.Millisecond)
+		a := w.start("a")
+		const bound = 8
+		a.Roster.SetSlowStarts(map[string]target.SlowStart{"lm": {PerSecond: bound, Warmup: 3 * time.Second}})
+		began := time.Now()
+		if err := a.Submit(t.Context(), spec("s"), items(60)); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(1100 * time.Millisecond)
+		w.engines.mu.Lock()
+		counts := map[string]int{}
+		for _, runs := range w.engines.runs {
+			counts[runs[0]]++
+		}
+		w.engines.mu.Unlock()
+		for _, id := range []string{"e1", "e2", "e3"} {
+			// Another VM may have had the turn just before, and sent as much.
+			if n := counts[id]; n == 0 || 2*n > bound {
+				t.Errorf("%s got %d items in its first second, half of %d are allowed to one VM", id, n, bound)
+			}
+		}
+		if results := readWhole(t, a, "s"); len(results) != 60 {
+			t.Fatalf("%d results", len(results))
+		}
+		if took := time.Since(began); took > 7*time.Second {
+			t.Errorf("the step took %s", took)
+		}
+	})
+}
--- a/internal/target/choose.go
+++ b/internal/target/choose.go
@@ -1,6 +1,9 @@
 package target
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // The weights by which plain requests choose, in parts of an upstream's slots. They
 // answer a load under which an upstream has several free slots: then the own failure
@@ -10,6 +13,8 @@
 	otherDomainCost = 0.35
 	slowFrom        = 2.0
 	slowCost        = 0.8
+	// coldCost sends requests to an upstream that warms up only when the others are full.
+	coldCost = 1.0
 )
 
 // Choose returns the upstream of a service that a plain request should go to,
@@ -21,7 +26,7 @@
 	var best *Entry
 	var least float64
 	for _, e := range usable {
-		if contains(skip, e) {
+		if contains(skip, e) || !e.Admits(now) {
 			continue
 		}
 		if cost := costOf(e, domain, median, now); best == nil || cost < least {
@@ -31,6 +36,18 @@
 	return best
 }
 
+// Reserve is Choose, and counts the request to the upstream as Begin does. The upstreams
+// that were passed over because others were quicker are left out.
+func (r *Roster) Reserve(service, domain string, skip []*Entry) *Entry {
+	for {
+		e := r.Choose(service, domain, skip, time.Now())
+		if e == nil || e.TryBegin() {
+			return e
+		}
+		skip = append(slices.Clip(skip), e)
+	}
+}
+
 func costOf(e *Entry, domain string, median time.Duration, now time.Time) float64 {
 	cost := float64(e.InFlight()+e.Foreign(now)) / float64(e.Slots())
 	if e.Info().FailureDomain != domain {
@@ -39,6 +56,9 @@
 	if s := slowness(e, median, now); s > slowFrom {
 		cost += slowCost
 	}
+	if e.Cold(now) {
+		cost += coldCost
+	}
 	if e.Suspect(now) {
 		const behindAllOthers = 100
 		cost += behindAllOthers
--- a/internal/target/instance.go
+++ b/internal/target/instance.go
@@ -26,6 +26,8 @@
 	Started int64
 	// Versions are the versions of the models that it has loaded.
 	Versions map[string]int64
+	// ColdFor is how much longer it stays cold after its start.
+	ColdFor time.Duration
 }
 
 const (
@@ -52,7 +54,8 @@
 // Entry is an upstream in the roster with what this VM learnt of it. It is safe
 // for concurrent use.
 type Entry struct {
-	info atomic.Pointer[Instance]
+	info   atomic.Pointer[Instance]
+	roster *Roster
 
 	inFlight     atomic.Int32
 	suspectUntil atomic.Int64
@@ -72,6 +75,8 @@
 	usual    float64
 	learnt   map[string]int64
 	swapping map[string]time.Time
+	// admission limits what is sent while the upstream warms up.
+	admission admission
 }
 
 // Load is what an upstream reports of its work.
@@ -79,8 +84,8 @@
 	Running, Waiting, Slots int
 }
 
-func newEntry(info Instance) *Entry {
-	e := &Entry{learnt: make(map[string]int64), swapping: make(map[string]time.Time)}
+func newEntry(roster *Roster, info Instance) *Entry {
+	e := &Entry{roster: roster, learnt: make(map[string]int64), swapping: make(map[string]time.Time)}
 	e.info.Store(&info)
 	return e
 }
@@ -92,7 +97,13 @@
 func (e *Entry) InFlight() int { return int(e.inFlight.Load()) }
 
 // Begin counts a request to the upstream; End takes it back.
-func (e *Entry) Begin() { e.inFlight.Add(1) }
+func (e *Entry) Begin() {
+	now := time.Now()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.admission.count(now)
+	e.inFlight.Add(1)
+}
 
 // End ends a request that Begin counted.
 func (e *Entry) End() { e.inFlight.Add(-1) }
@@ -114,6 +125,9 @@
 // Failed notes that the upstream failed an attempt, and returns how long it
 // rests.
 func (e *Entry) Failed(now time.Time) time.Duration {
+	e.mu.Lock()
+	e.admission.failed()
+	e.mu.Unlock()
 	n := e.failures.Add(1)
 	rest := min(firstSuspicion<<min(n-1, 4), longestSuspicion)
 	e.suspectUntil.Store(now.Add(rest).UnixNano())
@@ -122,6 +136,10 @@
 
 // Succeeded notes that the upstream did well.
 func (e *Entry) Succeeded() {
+	now := time.Now()
+	e.mu.Lock()
+	e.admission.answered(now)
+	e.mu.Unlock()
 	e.failures.Store(0)
 	e.suspectUntil.Store(0)
 }
@@ -136,6 +154,7 @@
 func (e *Entry) NoteLoad(load Load, now time.Time) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.admission.answered(now)
 	e.load, e.loadOwn, e.loadAt = load, e.inFlight.Load(), now
 }
 
--- a/internal/target/roster.go
+++ b/internal/target/roster.go
@@ -24,6 +24,15 @@
 	// gone are the entries that are no longer listed.
 	gone    map[*Entry]bool
 	current atomic.Pointer[map[string][]*Entry]
+	// slowStarts are the bounds of the services whose upstreams warm up.
+	slowStarts map[string]SlowStart
+
+	// reached is when the list was known to be complete last, in Unix nanoseconds.
+	reached atomic.Int64
+	// turn tells whether this VM is the one that may use a cold upstream.
+	turn atomic.Pointer[func(*Entry) bool]
+	// evacuated are the failure domains whose upstreams get nothing.
+	evacuated atomic.Pointer[map[string]bool]
 }
 
 // Change is one change of the platform's list.
@@ -42,9 +51,44 @@
 func NewRoster(events *event.Recorder) *Roster {
 	r := &Roster{events: events, lives: make(map[string][]*Entry), gone: make(map[*Entry]bool)}
 	r.current.Store(&map[string][]*Entry{})
+	r.evacuated.Store(&map[string]bool{})
+	r.Reached()
 	return r
 }
 
+// Reached notes that the platform's list answered: what it holds is known here.
+func (r *Roster) Reached() { r.reached.Store(time.Now().UnixNano()) }
+
+// stale reports whether changes of the list may have gone unnoticed for long.
+func (r *Roster) stale(now time.Time) bool {
+	return now.UnixNano()-r.reached.Load() > int64(staleAfter)
+}
+
+// TakeTurns sets what tells whether this VM is the one that may use a cold upstream. It
+// must be called before the roster is used.
+func (r *Roster) TakeTurns(turn func(*Entry) bool) { r.turn.Store(&turn) }
+
+func (r *Roster) isFirst(e *Entry) bool {
+	turn := r.turn.Load()
+	return turn == nil || (*turn)(e)
+}
+
+// SetSlowStarts sets the bounds of the services whose upstreams warm up; the upstreams of
+// all others have none.
+func (r *Roster) SetSlowStarts(bounds map[string]SlowStart) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if maps.Equal(r.slowStarts, bounds) {
+		return
+	}
+	r.slowStarts = maps.Clone(bounds)
+	for _, lives := range r.lives {
+		for _, e := range lives {
+			e.setSlowStart(r.slowStarts[e.Info().Service])
+		}
+	}
+}
+
 // Replace takes a whole list.
 func (r *Roster) Replace(list []Instance) {
 	listed := make(map[string]bool, len(list))
@@ -71,7 +115,7 @@
 }
 
 func (r *Roster) apply(changes []Change) {
-	touched := make(touchedServices)
+	touched, now := make(touchedServices), time.Now()
 	for _, c := range changes {
 		if c.info == nil {
 			for _, e := range r.lives[c.id] {
@@ -79,9 +123,9 @@
 			}
 			continue
 		}
-		r.list(*c.info, touched)
+		r.list(*c.info, touched, now)
 	}
-	r.drop(touched, time.Now())
+	r.drop(touched, now)
 	r.publish(touched)
 }
 
@@ -111,12 +155,13 @@
 
 // list takes an upstream's entry. An upstream that starts again under its old ID knows
 // nothing of before, so that each life has an entry of its own.
-func (r *Roster) list(info Instance, touched touchedServices) {
+func (r *Roster) list(info Instance, touched touchedServices, now time.Time) {
 	for _, e := range r.lives[info.ID] {
 		known := e.Info()
 		if known.Started != info.Started {
 			continue
 		}
+		e.noteListed(info.ColdFor, now)
 		if e.gone.Swap(false) {
 			delete(r.gone, e)
 		}
@@ -130,6 +175,7 @@
 		if known.Service != info.Service {
 			touched.leave(known.Service)
 			touched.join(info.Service, e)
+			e.setSlowStart(r.slowStarts[info.Service])
 		}
 		return
 	}
@@ -137,7 +183,9 @@
 		earlier.Misaddressed()
 		r.gone[earlier] = true
 	}
-	e := newEntry(info)
+	e := newEntry(r, info)
+	e.setSlowStart(r.slowStarts[info.Service])
+	e.noteListed(info.ColdFor, now)
 	r.lives[info.ID] = append(r.lives[info.ID], e)
 	touched.join(info.Service, e)
 	r.events.Emit(event.UpstreamListed, event.Subject{Upstream: info.ID, Detail: info.Service + " at " + info.Address})
@@ -231,14 +279,15 @@
 func (r *Roster) Known() bool { return len(*r.current.Load()) > 0 }
 
 // Usable returns the upstreams of a service that may get work, the listed ones
-// if there are any: one that vanished from the list has most likely crashed.
+// if there are any: one that vanished from the list has most likely crashed. Those of
+// evacuated failure domains get none.
 func (r *Roster) Usable(service string, now time.Time) []*Entry {
 	all := r.Service(service)
 	listed := make([]*Entry, 0, len(all))
 	var lingering []*Entry
 	for _, e := range all {
 		switch {
-		case !e.Usable(now):
+		case !e.Usable(now) || r.Evacuated(e.Info().FailureDomain):
 		case e.Listed():
 			listed = append(listed, e)
 		default:
