--- a/internal/ctl/app.go
+++ b/internal/ctl/app.go
@@ -47,6 +47,7 @@
 	a.timelineCommand()
 	a.explainCommand()
 	a.reportCommand()
+	a.evacuationsCommand()
 	a.settingsCommands()
 	return a
 }
