Owners of steps keep to engines that no other owner fills at the same moment

Cause: engines that have just started have the newest version of every model, so the owners of all models may use them, and none sees what the others send before an answer tells.

Change: for each engine one owner of open steps that it can serve ranks first, by the states that all VMs know. Others take it after their own, one item at a time until it has told its load.

--- a/internal/step/dispatch.go
+++ b/internal/step/dispatch.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"dogwoodpond/internal/event"
-	"dogwoodpond/internal/target"
 	"dogwoodpond/internal/wait"
 )
 
@@ -53,8 +52,8 @@
 func (m *Manager) dispatch(r *run) {
 	now := time.Now()
 	full := make(map[string]bool)
-	engines := make(map[string][]*target.Entry)
-	m.chooseOrder(r, engines, now)
+	pools := make(map[string]pool)
+	m.chooseOrder(r, pools, now)
 	for at, ok := r.next(waiting, 0, now); ok; at, ok = r.next(waiting, at+1, now) {
 		i := r.order[at]
 		n, routed := r.needOf(i)
@@ -65,12 +64,12 @@
 		if full[n.service] {
 			continue
 		}
-		list, known := engines[n.service]
+		p, known := pools[n.service]
 		if !known {
-			list = m.engines(n.service, now)
-			engines[n.service] = list
+			p = m.pool(n.service, now)
+			pools[n.service] = p
 		}
-		entry := place(list, n, nil, now)
+		entry := place(p, n, nil, now)
 		if entry == nil {
 			full[n.service] = true
 			continue
@@ -84,14 +83,15 @@
 
 // chooseOrder puts the order in force that fits the engines which serve the run now,
 // and notes these engines for the rest of the pass.
-func (m *Manager) chooseOrder(r *run, engines map[string][]*target.Entry, now time.Time) {
+func (m *Manager) chooseOrder(r *run, pools map[string]pool, now time.Time) {
 	at, ok := r.next(waiting, 0, now)
 	if !ok {
 		return
 	}
 	if n, routed := r.needOf(r.order[at]); routed {
-		engines[n.service] = m.engines(n.service, now)
-		r.order = r.orders.with(slotsFor(engines[n.service], n, now))
+		p := m.pool(n.service, now)
+		pools[n.service] = p
+		r.order = r.orders.with(slotsFor(p.engines, n, now))
 	}
 }
 
--- a/internal/step/move.go
+++ b/internal/step/move.go
@@ -61,7 +61,7 @@
 	if !slow && !idle {
 		return
 	}
-	other := place(engines, a.need, a.entry, now)
+	other := place(a.run.m.pool(a.need.service, now), a.need, a.entry, now)
 	if other == nil {
 		return
 	}
@@ -84,8 +84,7 @@
 		return
 	}
 	now := time.Now()
-	engines := a.run.m.engines(a.need.service, now)
-	if place(engines, a.need, a.entry, now) == nil {
+	if place(a.run.m.pool(a.need.service, now), a.need, a.entry, now) == nil {
 		a.stall.Reset(stallAgain)
 		return
 	}
--- a/internal/step/place.go
+++ b/internal/step/place.go
@@ -34,20 +34,32 @@
 	// coldCost makes engines that warm up the last resort: they bear few requests, and a
 	// step that is spread over them waits for their turn.
 	coldCost = 8.0
+	// othersCost keeps items off engines that the owner of another step fills at the same
+	// moment as long as an own one has a slot.
+	othersCost = 2.0
+	// othersUnseen is how many items may be at such an engine as long as it has not told
+	// its load: its answer tells.
+	othersUnseen = 1
 )
 
 // place returns the engine that an item should run at, or nil when none has room:
 // the engine's own queue is first in, first out and knows no deadlines, so that
 // waiting there is worse than waiting here.
-func place(engines []*target.Entry, n need, avoid *target.Entry, now time.Time) *target.Entry {
-	median := target.MedianPace(engines, now)
+func place(p pool, n need, avoid *target.Entry, now time.Time) *target.Entry {
+	median := target.MedianPace(p.engines, now)
 	var best *target.Entry
 	var least float64
-	for _, e := range engines {
+	for _, e := range p.engines {
 		if e == avoid || !serves(e, n, now) || e.Free(now) <= 0 || !e.Admits(now) {
 			continue
 		}
+		if p.others[e] && !e.LoadKnown(now) && e.InFlight() >= othersUnseen {
+			continue
+		}
 		cost := placeCost(e, n, median, now)
+		if p.others[e] {
+			cost += othersCost
+		}
 		if best == nil || cost < least {
 			best, least = e, cost
 		}
--- a/internal/step/place_test.go
+++ b/internal/step/place_test.go
@@ -55,7 +55,7 @@
 	engines, now := engineList(3, 4), time.Now()
 	n := need{model: "m", minVersion: 5, domain: "x"}
 	for range 12 {
-		e := place(engines, n, nil, now)
+		e := place(pool{engines: engines}, n, nil, now)
 		if e == nil {
 			t.Fatal("no engine though slots are free")
 		}
@@ -68,7 +68,7 @@
 			t.Fatalf("one engine has %d items and another %d", most, least)
 		}
 	}
-	if e := place(engines, n, nil, now); e != nil {
+	if e := place(pool{engines: engines}, n, nil, now); e != nil {
 		t.Error("an item was placed on a full engine")
 	}
 }
@@ -86,13 +86,13 @@
 	}
 	later := now.Add(time.Minute)
 	for i := range 8 {
-		e := place(engines, n, nil, later)
+		e := place(pool{engines: engines}, n, nil, later)
 		if e == engines[0] {
 			t.Fatalf("item %d goes to the slow engine though a fast one has room", i+1)
 		}
 		e.Begin()
 	}
-	if e := place(engines, n, nil, later); e != engines[0] {
+	if e := place(pool{engines: engines}, n, nil, later); e != engines[0] {
 		t.Error("the slow engine gets nothing when the others are full")
 	}
 }
@@ -105,18 +105,18 @@
 	for i, speed := range []time.Duration{0, 0, 200, 50, 55} {
 		engines[i].NoteSpeed(speed*time.Millisecond, now)
 	}
-	if e := place(engines, n, nil, now); e != engines[3] {
+	if e := place(pool{engines: engines}, n, nil, now); e != engines[3] {
 		t.Errorf("chose %s", e.Info().ID)
 	}
-	if e := place(engines, n, engines[3], now); e != engines[4] {
+	if e := place(pool{engines: engines}, n, engines[3], now); e != engines[4] {
 		t.Errorf("instead of the first choice: %s", e.Info().ID)
 	}
 	n.minVersion = 6
-	if e := place(engines, n, nil, now); e != nil {
+	if e := place(pool{engines: engines}, n, nil, now); e != nil {
 		t.Errorf("%s has old weights", e.Info().ID)
 	}
 	engines[2].NoteVersion("m", 6)
-	if e := place(engines, n, nil, now); e != engines[2] {
+	if e := place(pool{engines: engines}, n, nil, now); e != engines[2] {
 		t.Error("a slow engine is better than none")
 	}
 }
--- a/internal/step/turn.go
+++ b/internal/step/turn.go
@@ -1,22 +1,76 @@
 package step
 
 import (
+	"time"
+
 	"dogwoodpond/internal/lease"
 	"dogwoodpond/internal/target"
 )
 
-// FirstSender tells whether this VM ranks first for an engine among the owners of the open
-// steps that the engine can serve; ok is false when there are none. Owners are the VMs
-// that send items, and all VMs know them from the states of the steps.
-func (m *Manager) FirstSender(e *target.Entry) (first, ok bool) {
+// sender is an owner of open steps with what it asks of engines.
+type sender struct {
+	vm         string
+	model      string
+	minVersion int64
+}
+
+// senders returns the owners of the open steps. All VMs know them from the states of the
+// steps.
+func (m *Manager) senders() []sender {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	var owners []string
+	var all []sender
 	for _, r := range m.known {
-		if !r.Ended && r.Owner != "" && (r.Model == "" || e.Version(r.Model) >= r.MinVersion) {
-			owners = append(owners, r.Owner)
+		if !r.Ended && r.Owner != "" {
+			all = append(all, sender{vm: r.Owner, model: r.Model, minVersion: r.MinVersion})
 		}
 	}
-	chosen, ok := lease.First("cold/"+e.Info().ID, owners)
-	return chosen == m.VM, ok
+	return all
+}
+
+// firstOf returns the VM that ranks first for an engine among the senders that it can
+// serve; ok is false when there are none.
+func firstOf(all []sender, e *target.Entry) (vm string, ok bool) {
+	able := make([]string, 0, len(all))
+	for _, s := range all {
+		if s.model == "" || e.Version(s.model) >= s.minVersion {
+			able = append(able, s.vm)
+		}
+	}
+	return lease.First("engine/"+e.Info().ID, able)
+}
+
+// FirstSender tells whether this VM ranks first for an engine among the owners of the open
+// steps that the engine can serve; ok is false when there are none.
+func (m *Manager) FirstSender(e *target.Entry) (first, ok bool) {
+	vm, ok := firstOf(m.senders(), e)
+	return vm == m.VM, ok
+}
+
+// others returns the engines for which the owner of another open step ranks first.
+//
+// The load is trainers that hand their steps in at the same moment. Engines that have just
+// started have the newest version of every model, and no owner sees yet what the others
+// send: all of them would fill the same engines, whose queues then hold most items up.
+func (m *Manager) others(engines []*target.Entry) map[*target.Entry]bool {
+	all := m.senders()
+	out := make(map[*target.Entry]bool)
+	for _, e := range engines {
+		if vm, ok := firstOf(all, e); ok && vm != m.VM {
+			out[e] = true
+		}
+	}
+	return out
+}
+
+// pool is the engines of a service as one pass over the items sees them.
+type pool struct {
+	engines []*target.Entry
+	// others are those that other owners use first.
+	others map[*target.Entry]bool
+}
+
+func (m *Manager) pool(service string, now time.Time) pool {
+	engines := m.engines(service, now)
+	return pool{engines: engines, others: m.others(engines)}
 }
--- a/internal/step/turn_test.go
+++ b/internal/step/turn_test.go
@@ -120,3 +120,59 @@
 		}
 	})
 }
+
+// Guards against items that wait in engines' own queues because the owners of several steps
+// filled the same engines at the same moment, while other engines had room.
+func TestOwnersDontFillTheSameEngines(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, "e1", "e2", "e3", "e4", "e5", "e6")
+		for i := range w.list {
+			w.list[i].Versions = map[string]int64{"m": 1, "n": 1}
+		}
+		w.engines.behave[""] = paced(20, 50*time.Millisecond)
+		a, b := w.start("a"), w.start("b")
+		of := func(id, model string) Spec {
+			s := spec(id)
+			s.Model = model
+			return s
+		}
+		submit(t, a, of("s0", "m"), items(1))
+		submit(t, b, of("s1", "n"), items(1))
+		time.Sleep(3 * time.Second)
+		began := time.Now()
+		submit(t, a, of("s2", "m"), items(24))
+		submit(t, b, of("s3", "n"), otherItems(24))
+		time.Sleep(100 * time.Millisecond)
+		w.engines.mu.Lock()
+		at := map[string]int{}
+		for item, runs := range w.engines.runs {
+			if item != "i0" {
+				at[runs[len(runs)-1]]++
+			}
+		}
+		w.engines.mu.Unlock()
+		const slots = 4
+		for id, n := range at {
+			if n > slots+othersUnseen {
+				t.Errorf("%s with %d slots got %d items at once", id, slots, n)
+			}
+		}
+		for _, s := range []string{"s2", "s3"} {
+			if results := readWhole(t, a, s); len(results) != 24 {
+				t.Errorf("%d results of %s", len(results), s)
+			}
+		}
+		if took := time.Since(began); took > 4*time.Second {
+			t.Errorf("the steps took %s", took)
+		}
+	})
+}
+
+// otherItems returns items with other IDs than items does.
+func otherItems(n int) []Item {
+	list := items(n)
+	for i := range list {
+		list[i].ID = "o" + list[i].ID
+	}
+	return list
+}
--- a/internal/target/instance.go
+++ b/internal/target/instance.go
@@ -158,6 +158,13 @@
 	e.load, e.loadOwn, e.loadAt = load, e.inFlight.Load(), now
 }
 
+// LoadKnown reports whether the upstream told its load a moment ago.
+func (e *Entry) LoadKnown(now time.Time) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return !e.loadAt.IsZero() && now.Sub(e.loadAt) <= loadLife
+}
+
 // Foreign estimates how many requests of other VMs the upstream has.
 func (e *Entry) Foreign(now time.Time) int {
 	e.mu.Lock()
