--- a/internal/step/step_test.go
+++ b/internal/step/step_test.go
@@ -573,6 +573,28 @@
 	})
 }
 
+// Guards against steps that wait after a loss of power: the VM that restarts knows that its
+// life before is over, while those that rank before it still take it for alive.
+func TestRestartedOwnerGoesOnAtOnce(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		w := newWorld(t, "e1")
+		w.engines.behave[""] = paced(30, 50*time.Millisecond)
+		w.start("a")
+		owner := w.start("b")
+		submit(t, owner, spec("s"), items(4))
+		time.Sleep(300 * time.Millisecond)
+		owner.kill()
+		owner = w.startLife("b", "b-2")
+		began := time.Now()
+		for owner.runOf("s") == nil && time.Since(began) < 5*time.Second {
+			time.Sleep(10 * time.Millisecond)
+		}
+		if took := time.Since(began); took >= takeoverStep {
+			t.Errorf("the owner goes on %s after its restart", took)
+		}
+	})
+}
+
 // A VM that is told to stop gives its steps up, and another one has them without
 // waiting for the first one's death to be noticed.
 func TestHandOver(t *testing.T) {
--- a/internal/step/takeover.go
+++ b/internal/step/takeover.go
@@ -61,7 +61,9 @@
 			since = now
 			m.orphan[id] = now
 		}
-		mine := r.Owner == m.VM && r.OwnerLife == m.Life
+		// The life before of this VM is over, whatever its row says to the others: this VM
+		// knows it first when all lost power together.
+		mine := r.Owner == m.VM
 		if !mine && now.Sub(since) < time.Duration(m.Members.Rank(id))*takeoverStep {
 			continue
 		}
--- a/internal/step/world_test.go
+++ b/internal/step/world_test.go
@@ -63,8 +63,11 @@
 	return w
 }
 
-// start brings a VM to life.
-func (w *world) start(name string) *vm {
+// start brings a VM to life for the first time.
+func (w *world) start(name string) *vm { return w.startLife(name, name+"-1") }
+
+// startLife begins a life of a VM.
+func (w *world) startLife(name, life string) *vm {
 	events := event.NewRecorder(name, 64, event.NewClock(time.Now), zap.NewNop())
 	roster := target.NewRoster(events)
 	roster.Replace(w.list)
@@ -73,7 +76,7 @@
 	ctx, kill := context.WithCancel(w.t.Context())
 	v := &vm{kill: kill, Manager: NewManager(Config{
 		Calls: budget.New(budget.Rates{}),
-		VM:    name, Life: name + "-1", Domain: "x", Store: w.store, Clock: w.store, Members: members{w, name},
+		VM:    name, Life: life, Domain: "x", Store: w.store, Clock: w.store, Members: members{w, name, life},
 		View: view, Roster: roster, Caller: w.engines, Scorer: w.judge, Events: events, Keep: time.Minute,
 		Named:     func(string) (int64, bool) { return 1, true },
 		Prefer:    w.prefer,
@@ -97,13 +100,16 @@
 
 // members is the list of members as one VM sees it.
 type members struct {
-	w    *world
-	self string
+	w          *world
+	self, life string
 }
 
 func (m members) Ready() bool { return true }
 
-func (m members) Alive(id, _ string) bool {
+func (m members) Alive(id, life string) bool {
+	if id == m.self {
+		return life == m.life
+	}
 	m.w.mu.Lock()
 	defer m.w.mu.Unlock()
 	return !m.w.dead[id]
