Turns at cold upstreams only with fresh states, a third of the bound each

A copy that prints each send shows three VMs that each held themselves for first at one engine (7.5 s): without the states of the steps each remembers other owners, often only itself. 3 x 9 is above the bound of 19. Ruled out: what the list says (rows of these engines name the right times).

Cold engines come after all that have a slot, and no longer after slow ones.

--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -226,6 +226,9 @@
 	// upstream has answered.
 	r.Meter.Began(r.call.Account, started)
 	response, err := r.Caller.Call(ctx, entry, r.request(ctx))
+	if err != nil && ctx.Err() == nil {
+		entry.NoAnswer()
+	}
 	if err == nil && response.NotRun {
 		_ = response.Body.Close()
 		err = fault.WithExecution(errors.WithStack(&fault.UpstreamFailed{Upstream: entry.Info().ID, Reason: "refused"}), fault.NotRun)
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -322,6 +322,13 @@
 	return l.ready
 }
 
+// Current reports whether the last read of the list succeeded.
+func (l *List) Current() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.ready && !l.polled.IsZero()
+}
+
 // Alive reports whether a process still runs, as far as is known: the VM beats
 // and is still in the same life.
 func (l *List) Alive(id, life string) bool {
--- a/internal/step/item.go
+++ b/internal/step/item.go
@@ -95,6 +95,7 @@
 		entry.NoteSwap(n.model, now.Add(refusedRest))
 		r.again(i, 0)
 	case broken:
+		entry.NoAnswer()
 		entry.Failed(now)
 		r.again(i, r.pauseAfterBreak(i, read))
 	}
--- a/internal/step/manager.go
+++ b/internal/step/manager.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -72,6 +73,8 @@
 	lanes *scoring.Lanes
 	// look makes the manager look for steps to own at once.
 	look chan struct{}
+	// statesRead is when the states of steps were read last, in Unix nanoseconds.
+	statesRead atomic.Int64
 
 	mu      sync.Mutex
 	known   map[string]record
@@ -118,6 +121,7 @@
 		Retry:   func() time.Duration { return m.Calls.Retry(budget.Steps, watchPace) },
 		Replace: func(rows []kept.Row) { m.replace(rows) },
 		Apply:   func(rows []kept.Row) { m.apply(rows) },
+		Reached: func() { m.statesRead.Store(time.Now().UnixNano()) },
 		Lost:    m.Events.Lost("states of steps"), Regained: m.Events.Regained("states of steps"),
 	}
 	var loops sync.WaitGroup
--- a/internal/step/move.go
+++ b/internal/step/move.go
@@ -88,6 +88,7 @@
 		a.stall.Reset(stallAgain)
 		return
 	}
+	a.entry.NoAnswer()
 	a.entry.Failed(now)
 	a.cancel(errMoved)
 }
--- a/internal/step/place.go
+++ b/internal/step/place.go
@@ -31,9 +31,9 @@
 	// of the bytes between failure domains.
 	otherDomainCost = 0.04
 	suspectCost     = 16.0
-	// coldCost makes engines that warm up the last resort: they bear few requests, and a
-	// step that is spread over them waits for their turn.
-	coldCost = 8.0
+	// coldCost is the load of a full engine: those that warm up come after all that have a
+	// slot, and still before slow ones.
+	coldCost = 1.0
 	// othersCost keeps items off engines that the owner of another step fills at the same
 	// moment as long as an own one has a slot.
 	othersCost = 2.0
--- a/internal/step/turn.go
+++ b/internal/step/turn.go
@@ -40,9 +40,18 @@
 	return lease.First("engine/"+e.Info().ID, able)
 }
 
+// statesFresh is the age of the states up to which this VM knows the owners of the steps.
+// A call for changes returns within watchWait.
+const statesFresh = 2 * watchWait
+
 // FirstSender tells whether this VM ranks first for an engine among the owners of the open
-// steps that the engine can serve; ok is false when there are none.
+// steps that the engine can serve; ok is false when there are none. A VM that can't read
+// the states is never first: each one would otherwise take the owners that it remembers,
+// and often only itself, for all there are.
 func (m *Manager) FirstSender(e *target.Entry) (first, ok bool) {
+	if time.Now().UnixNano()-m.statesRead.Load() > int64(statesFresh) {
+		return false, true
+	}
 	vm, ok := firstOf(m.senders(), e)
 	return vm == m.VM, ok
 }
--- a/internal/target/instance.go
+++ b/internal/target/instance.go
@@ -125,9 +125,6 @@
 // Failed notes that the upstream failed an attempt, and returns how long it
 // rests.
 func (e *Entry) Failed(now time.Time) time.Duration {
-	e.mu.Lock()
-	e.admission.failed()
-	e.mu.Unlock()
 	n := e.failures.Add(1)
 	rest := min(firstSuspicion<<min(n-1, 4), longestSuspicion)
 	e.suspectUntil.Store(now.Add(rest).UnixNano())
--- a/internal/target/slowstart.go
+++ b/internal/target/slowstart.go
@@ -18,8 +18,10 @@
 	warm warmth = iota
 	// cold upstreams said themselves that they are.
 	cold
-	// unsure is an upstream that may have started again since it was last heard of.
+	// unsure is an upstream that left an attempt unanswered and may have started again.
 	unsure
+	// outdated is an upstream of a list that has not answered for long.
+	outdated
 )
 
 const (
@@ -27,11 +29,16 @@
 	// second of the bound, because requests of this VM reach an upstream at uneven delays.
 	admissionWindow = 1200 * time.Millisecond
 	// sharesOfCold is into how many equal shares the bound of a cold upstream is cut. One
-	// VM at a time uses one; the other is for the VM before it, which may not have heard
-	// yet that its turn is over.
-	sharesOfCold = 2
-	// sharesOfUnsure is the same for an upstream that several VMs may take for warm or not.
-	sharesOfUnsure = 4
+	// VM at a time uses one; the others are for VMs before it that have not heard yet that
+	// their turn is over.
+	sharesOfCold = 3
+	// sharesOfUnsure and sharesOfOutdated are the same for upstreams that every VM that
+	// runs a copy of a step may use, each by what it knows itself.
+	sharesOfUnsure   = 6
+	sharesOfOutdated = 4
+	// warmReserve is the part of the bound, as one in so many, that stays free while the
+	// upstream is warm: it may turn cold unnoticed, and what was sent just before counts.
+	warmReserve = 4
 	// staleAfter is the age of the list from which on every upstream may have started
 	// again unnoticed.
 	staleAfter = 3 * time.Second
@@ -48,7 +55,7 @@
 	coldUntil time.Time
 	// unsureUntil is until when it may be cold unknown to this VM.
 	unsureUntil time.Time
-	// silent is true from a failed attempt until the upstream answers again.
+	// silent is true from an attempt without an answer until the upstream answers again.
 	silent bool
 	// sent are the latest requests, oldest first.
 	sent []time.Time
@@ -60,9 +67,6 @@
 	a.unsureUntil, a.silent = time.Time{}, false
 }
 
-// failed notes an attempt without an answer: the upstream may be starting again.
-func (a *admission) failed() { a.silent = true }
-
 // answered notes an answer. An upstream that was silent may have started just before.
 func (a *admission) answered(now time.Time) {
 	if a.silent {
@@ -74,8 +78,10 @@
 	switch {
 	case now.Before(a.coldUntil):
 		return cold
-	case a.bound.Warmup > 0 && (stale || a.silent || now.Before(a.unsureUntil)):
+	case a.bound.Warmup > 0 && (a.silent || now.Before(a.unsureUntil)):
 		return unsure
+	case a.bound.Warmup > 0 && stale:
+		return outdated
 	}
 	return warm
 }
@@ -97,11 +103,12 @@
 		return 0, true
 	case w == unsure:
 		return max(per/sharesOfUnsure, 1), true
+	case w == outdated:
+		return max(per/sharesOfOutdated, 1), true
 	case s.Warmup <= 0:
 		return 0, false
 	}
-	// A warm upstream may turn cold unnoticed. What is sent just before counts too.
-	return max(per-per/sharesOfUnsure, slots), true
+	return max(per-per/warmReserve, slots), true
 }
 
 // recent returns how many requests were sent within the window.
@@ -162,6 +169,13 @@
 	e.admission.listed(coldFor, now)
 }
 
+// NoAnswer notes an attempt that got no whole answer: the upstream may be starting again.
+func (e *Entry) NoAnswer() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.admission.silent = true
+}
+
 // Cold reports whether the upstream is warming up by its own word.
 func (e *Entry) Cold(now time.Time) bool {
 	e.mu.Lock()
