--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -3,6 +3,7 @@
 package node
 
 import (
+	"math"
 	"time"
 
 	"dogwoodpond/internal/budget"
@@ -55,5 +56,5 @@
 	if c.Factor <= 0 && c.Extra <= 0 {
 		return 0
 	}
-	return max(int(rate*c.Factor+c.Extra), 1)
+	return int(min(max(rate*c.Factor+c.Extra, 1), math.MaxInt32))
 }
