Streams that run on end the doubt whether an upstream has started again

Cause: any attempt without an answer made its engine count as one that may have started again, with a sixth of the bound for at least a warm-up, although engines also lose, garble or hang single answers while their other streams run on. Change: an answer or event of an attempt that began before the lost one proves that the upstream has not started again since.

--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -244,6 +244,7 @@
 		return r.failed(entry, err, fault.Ran)
 	}
 	entry.NoteSpeed(time.Since(started), time.Now())
+	entry.RunsOn(started)
 	if answer.Status >= http.StatusInternalServerError && r.call.Route.Repeatable() {
 		closeRest(answer)
 		return attempt{entry: entry, answer: nil, err: errors.WithStack(&serverError{answer: answer}), execution: fault.Ran}
--- a/internal/step/item.go
+++ b/internal/step/item.go
@@ -170,10 +170,13 @@
 	cancel context.CancelCauseFunc
 	stall  *time.Timer
 	over   atomic.Bool
+	// began is when the run began.
+	began time.Time
 }
 
 // generate reads the item's stream to its end.
 func (a *itemRun) generate(ctx context.Context) ended {
+	a.began = time.Now()
 	a.stall = time.AfterFunc(firstStall, a.stalled)
 	defer func() {
 		a.over.Store(true)
@@ -249,6 +252,7 @@
 			return broken
 		}
 		a.stall.Reset(nextStall)
+		a.entry.RunsOn(a.began)
 		if changed, ok := e.Field(response.VersionField); ok {
 			version, err = strconv.ParseInt(changed, 10, 64)
 			if err != nil {
--- a/internal/target/slowstart.go
+++ b/internal/target/slowstart.go
@@ -53,10 +53,12 @@
 	bound SlowStart
 	// coldUntil is when the upstream is warm by its own word.
 	coldUntil time.Time
-	// unsureUntil is until when it may be cold unknown to this VM.
-	unsureUntil time.Time
-	// silent is true from an attempt without an answer until the upstream answers again.
-	silent bool
+	// doubtedAt is when the first attempt ended without an answer since the upstream was
+	// known to run on; zero when there is no doubt.
+	doubtedAt time.Time
+	// warmBy is when it is warm even if it has started just before its first answer since
+	// then; zero until that answer.
+	warmBy time.Time
 	// sent are the latest requests, oldest first.
 	sent []time.Time
 }
@@ -64,13 +66,28 @@
 // listed takes what the upstream's entry says of its warmth.
 func (a *admission) listed(coldFor time.Duration, now time.Time) {
 	a.coldUntil = now.Add(min(max(coldFor, 0), longestWarmup))
-	a.unsureUntil, a.silent = time.Time{}, false
+	a.trust()
 }
 
-// answered notes an answer. An upstream that was silent may have started just before.
+// trust ends the doubt whether the upstream has started again.
+func (a *admission) trust() { a.doubtedAt, a.warmBy = time.Time{}, time.Time{} }
+
+// unanswered notes an attempt without an answer: the upstream may be starting again.
+func (a *admission) unanswered(now time.Time) {
+	if !a.doubted(now) {
+		a.doubtedAt = now
+	}
+	a.warmBy = time.Time{}
+}
+
+func (a *admission) doubted(now time.Time) bool {
+	return !a.doubtedAt.IsZero() && (a.warmBy.IsZero() || now.Before(a.warmBy))
+}
+
+// answered notes an answer. An upstream that is doubted may have started just before.
 func (a *admission) answered(now time.Time) {
-	if a.silent {
-		a.silent, a.unsureUntil = false, now.Add(a.bound.Warmup)
+	if !a.doubtedAt.IsZero() && a.warmBy.IsZero() {
+		a.warmBy = now.Add(a.bound.Warmup)
 	}
 }
 
@@ -78,7 +95,7 @@
 	switch {
 	case now.Before(a.coldUntil):
 		return cold
-	case a.bound.Warmup > 0 && (a.silent || now.Before(a.unsureUntil)):
+	case a.bound.Warmup > 0 && a.doubted(now):
 		return unsure
 	case a.bound.Warmup > 0 && stale:
 		return outdated
@@ -171,9 +188,20 @@
 
 // NoAnswer notes an attempt that got no whole answer: the upstream may be starting again.
 func (e *Entry) NoAnswer() {
+	now := time.Now()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.admission.unanswered(now)
+}
+
+// RunsOn notes that an attempt that began at a moment still gets its answer: the upstream
+// has not started again since then, whatever became of other attempts.
+func (e *Entry) RunsOn(began time.Time) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.admission.silent = true
+	if began.Before(e.admission.doubtedAt) {
+		e.admission.trust()
+	}
 }
 
 // Cold reports whether the upstream is warming up by its own word.
--- a/internal/target/slowstart_test.go
+++ b/internal/target/slowstart_test.go
@@ -253,3 +253,26 @@
 		}
 	})
 }
+
+// Guards against an upstream that gets a fraction of its work because single answers are
+// lost, garbled or hang, while its other streams run on.
+func TestUpstreamWhoseStreamsRunOnIsNotTakenForCold(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		_, e := slowStarting(0)
+		began := time.Now()
+		time.Sleep(100 * time.Millisecond)
+		e.NoAnswer()
+		time.Sleep(100 * time.Millisecond)
+		later := time.Now()
+		e.RunsOn(later)
+		if n := e.Admissible(later); n > testBound/sharesOfUnsure {
+			t.Errorf("%d requests are admitted by an attempt that began after the lost one", n)
+		}
+		e.Succeeded()
+		e.NoAnswer()
+		e.RunsOn(began)
+		if n := e.Admissible(later); n <= testBound/sharesOfCold {
+			t.Errorf("only %d requests are admitted though a stream runs on", n)
+		}
+	})
+}
