An owner has a turn at cold engines only once its step has been known for a while

Several owners get their first steps at the same moment then; until the states have gone around each knows only of itself, and takes itself for first at every engine. Change: owners count for turns half a second after this VM heard of them. Test: TestOneOwnerOfOpenStepsUsesAColdEngine failed first (both owners use the engines).

--- a/internal/step/manager.go
+++ b/internal/step/manager.go
@@ -267,9 +267,14 @@
 func (m *Manager) note(r record) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if known, ok := m.known[r.ID]; ok && known.version >= r.version {
+	known, ok := m.known[r.ID]
+	if ok && known.version >= r.version {
 		return false
 	}
+	r.ownedSince = time.Now()
+	if ok && known.Owner == r.Owner {
+		r.ownedSince = known.ownedSince
+	}
 	m.known[r.ID] = r
 	delete(m.orphan, r.ID)
 	return true
--- a/internal/step/step.go
+++ b/internal/step/step.go
@@ -135,6 +135,8 @@
 type record struct {
 	State
 	version int64
+	// ownedSince is when this VM heard that the owner has the step.
+	ownedSince time.Time
 }
 
 func decodeState(row kept.Row) (record, error) {
--- a/internal/step/turn.go
+++ b/internal/step/turn.go
@@ -1,6 +1,7 @@
 package step
 
 import (
+	"slices"
 	"time"
 
 	"dogwoodpond/internal/lease"
@@ -12,6 +13,8 @@
 	vm         string
 	model      string
 	minVersion int64
+	// since is when this VM heard that the owner has the step.
+	since time.Time
 }
 
 // senders returns the owners of the open steps. All VMs know them from the states of the
@@ -22,7 +25,7 @@
 	var all []sender
 	for _, r := range m.known {
 		if !r.Ended && r.Owner != "" {
-			all = append(all, sender{vm: r.Owner, model: r.Model, minVersion: r.MinVersion})
+			all = append(all, sender{vm: r.Owner, model: r.Model, minVersion: r.MinVersion, since: r.ownedSince})
 		}
 	}
 	return all
@@ -44,6 +47,11 @@
 // A call for changes returns within watchWait.
 const statesFresh = 2 * watchWait
 
+// ownersSettle is how long an owner is known before it may have a turn. Trainers hand steps
+// in at the same moment, and until their states have gone around, each owner knows only of
+// itself.
+const ownersSettle = 500 * time.Millisecond
+
 // FirstSender tells whether this VM ranks first for an engine among the owners of the open
 // steps that the engine can serve; ok is false when there are none. A VM that can't read
 // the states is never first: each one would otherwise take the owners that it remembers,
@@ -52,7 +60,9 @@
 	if time.Now().UnixNano()-m.statesRead.Load() > int64(statesFresh) {
 		return false, true
 	}
-	vm, ok := firstOf(m.senders(), e)
+	now := time.Now()
+	settled := slices.DeleteFunc(m.senders(), func(s sender) bool { return now.Sub(s.since) < ownersSettle })
+	vm, ok := firstOf(settled, e)
 	return vm == m.VM, ok
 }
 
--- a/internal/step/turn_test.go
+++ b/internal/step/turn_test.go
@@ -17,7 +17,7 @@
 		a := w.start("a")
 		time.Sleep(time.Second)
 		submit(t, a, spec("s"), items(4))
-		time.Sleep(500 * time.Millisecond)
+		time.Sleep(ownersSettle)
 		e := a.Roster.Service("lm")[0]
 		if first, ok := a.FirstSender(e); !first || !ok {
 			t.Fatal("the only owner has no turn")
@@ -35,34 +35,46 @@
 	})
 }
 
-// Guards against a cold engine that is given to a VM which sends it nothing, or to two.
+// Guards against a cold engine that is given to a VM which sends it nothing, or to two: also
+// while the owners of steps that were just handed in don't know of each other.
 func TestOneOwnerOfOpenStepsUsesAColdEngine(t *testing.T) {
-	w := newWorld(t, "e1", "e2", "e3", "e4")
-	a, b := w.start("a"), w.start("b")
-	for _, vm := range []*vm{a, b} {
-		vm.statesRead.Store(time.Now().UnixNano())
-		vm.note(record{State: State{Spec: Spec{ID: "s1", Model: "m"}, Owner: "a"}, version: 1})
-		vm.note(record{State: State{Spec: Spec{ID: "s2", Model: "m"}, Owner: "b"}, version: 2})
-		vm.note(record{State: State{Spec: Spec{ID: "s3", Model: "m", MinVersion: 9}, Owner: "c"}, version: 3})
-		vm.note(record{State: State{Spec: Spec{ID: "s4", Model: "m"}, Owner: "d", Ended: true}, version: 4})
-	}
-	turns := map[string]int{}
-	for _, e := range a.Roster.Service("lm") {
-		for _, vm := range []*vm{a, b} {
-			first, ok := vm.FirstSender(e)
-			if !ok {
-				t.Fatal("no owner is known")
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, "e1", "e2", "e3", "e4")
+		a, b := w.start("a"), w.start("b")
+		time.Sleep(time.Second)
+		steps := []record{
+			{State: State{Spec: Spec{ID: "s1", Model: "m"}, Owner: "a"}, version: 1},
+			{State: State{Spec: Spec{ID: "s2", Model: "m"}, Owner: "b"}, version: 2},
+			{State: State{Spec: Spec{ID: "s3", Model: "m", MinVersion: 9}, Owner: "c"}, version: 3},
+			{State: State{Spec: Spec{ID: "s4", Model: "m"}, Owner: "d", Ended: true}, version: 4},
+		}
+		a.note(steps[0])
+		b.note(steps[1])
+		for _, e := range a.Roster.Service("lm") {
+			for _, vm := range []*vm{a, b} {
+				if first, _ := vm.FirstSender(e); first {
+					t.Errorf("%s, which knows only of its own new step, uses %s", vm.VM, e.Info().ID)
+				}
 			}
-			if first {
-				turns[e.Info().ID]++
+		}
+		for _, vm := range []*vm{a, b} {
+			for _, s := range steps {
+				vm.note(s)
 			}
 		}
-	}
-	for _, e := range a.Roster.Service("lm") {
-		if n := turns[e.Info().ID]; n != 1 {
-			t.Errorf("%d VMs use the cold engine %s", n, e.Info().ID)
+		time.Sleep(ownersSettle)
+		for _, e := range a.Roster.Service("lm") {
+			turns := 0
+			for _, vm := range []*vm{a, b} {
+				if first, ok := vm.FirstSender(e); first && ok {
+					turns++
+				}
+			}
+			if turns != 1 {
+				t.Errorf("%d VMs use the cold engine %s", turns, e.Info().ID)
+			}
 		}
-	}
+	})
 }
 
 // Guards against a turn that nobody has when no step is open.
