--- a/internal/step/move.go
+++ b/internal/step/move.go
@@ -61,7 +61,7 @@
 	if !slow && !idle {
 		return
 	}
-	other := place(a.run.m.pool(a.need.service, now), a.need, a.entry, now)
+	other := place(pool{engines: engines, others: a.run.m.others(engines)}, a.need, a.entry, now)
 	if other == nil {
 		return
 	}
--- a/internal/step/turn.go
+++ b/internal/step/turn.go
@@ -57,10 +57,10 @@
 // the states is never first: each one would otherwise take the owners that it remembers,
 // and often only itself, for all there are.
 func (m *Manager) FirstSender(e *target.Entry) (first, ok bool) {
-	if time.Now().UnixNano()-m.statesRead.Load() > int64(statesFresh) {
+	now := time.Now()
+	if now.UnixNano()-m.statesRead.Load() > int64(statesFresh) {
 		return false, true
 	}
-	now := time.Now()
 	settled := slices.DeleteFunc(m.senders(), func(s sender) bool { return now.Sub(s.since) < ownersSettle })
 	vm, ok := firstOf(settled, e)
 	return vm == m.VM, ok
