Requests stay in the regions that their route and client account allow

Change: a residency (failure domains, from the settings' zones) at routes and accounts, both bind; it limits the choice for plain requests, streams, hedges, calls for scores and items, whose turn it is at a cold engine, the owner of a step and who takes it over, and the peers that carry calls to the store. Without any nothing changes: the old choices are taken.

--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -56,6 +56,8 @@
 	Host    string
 	Header  http.Header
 	Body    []byte
+	// Residency limits the failure domains to which the request may go.
+	Residency route.Residency
 	// Resume is the last event that the caller has, when it resumes a stream.
 	Resume string
 }
@@ -203,7 +205,7 @@
 
 // launch sends the request to the next upstream; false when there is none left.
 func (r *run) launch(ctx context.Context) bool {
-	entry := r.Roster.Reserve(r.service, r.Domain, r.used)
+	entry := r.Roster.Reserve(target.Want{Service: r.service, Domain: r.Domain, Residency: r.call.Residency, Skip: r.used})
 	if entry == nil {
 		return false
 	}
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -33,7 +33,7 @@
 func (f *Forwarder) Stream(ctx context.Context, call Call, sink Sink) (started bool, err error) {
 	s := &streaming{Forwarder: f, call: call, sink: sink, service: call.Route.Service(call.ID), last: call.Resume, execution: fault.NotRun}
 	for {
-		entry := f.Roster.Reserve(s.service, f.Domain, s.used)
+		entry := f.Roster.Reserve(target.Want{Service: s.service, Domain: f.Domain, Residency: call.Residency, Skip: s.used})
 		if entry == nil {
 			return s.started, s.exhausted()
 		}
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -22,6 +22,7 @@
 	"dogwoodpond/internal/fault"
 	"dogwoodpond/internal/kept"
 	"dogwoodpond/internal/lease"
+	"dogwoodpond/internal/route"
 	"dogwoodpond/internal/wait"
 )
 
@@ -392,18 +393,30 @@
 
 // Rank returns this VM's rank among the live VMs for a piece of work, from 0.
 // Ranks spare lost races; they decide nothing.
-func (l *List) Rank(work string) int {
-	able := strongest(l.Live())
+func (l *List) Rank(work string) int { return l.rankAmong(work, l.Live()) }
+
+// RankWithin is Rank among the VMs of the failure domains that a residency allows.
+func (l *List) RankWithin(work string, residency route.Residency) int {
+	return l.rankAmong(work, allowed(l.Live(), residency))
+}
+
+func (l *List) rankAmong(work string, live []VM) int {
+	able := strongest(live)
 	if slices.ContainsFunc(able, func(vm VM) bool { return vm.ID == l.self.ID }) {
 		return lease.Rank(work, l.self.ID, ids(able))
 	}
-	return len(able) + lease.Rank(work, l.self.ID, ids(l.Live()))
+	return len(able) + lease.Rank(work, l.self.ID, ids(live))
 }
 
-// First returns the live VM that ranks first for a piece of work, one of the failure
-// domain if any lives there; ok is false when all leave.
-func (l *List) First(work, domain string) (first VM, ok bool) {
-	live := l.Live()
+func allowed(vms []VM, residency route.Residency) []VM {
+	return slices.DeleteFunc(slices.Clone(vms), func(vm VM) bool { return !residency.Allows(vm.FailureDomain) })
+}
+
+// First returns the live VM that ranks first for a piece of work among those that a
+// residency allows, one of the failure domain if any lives there; ok is false when there
+// is none.
+func (l *List) First(work, domain string, residency route.Residency) (first VM, ok bool) {
+	live := allowed(l.Live(), residency)
 	if near := within(live, domain); len(near) > 0 {
 		live = near
 	}
--- a/internal/member/member_test.go
+++ b/internal/member/member_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"dogwoodpond/internal/route"
 	"fmt"
 	"testing"
 	"testing/synctest"
@@ -242,10 +243,10 @@
 	l.rows["turned away"].vm.ViaPeers = true
 	for n := range 50 {
 		work := fmt.Sprint("work", n)
-		if first, ok := l.First(work, "x"); !ok || first.ID != "strong" && first.ID != "stronger" {
+		if first, ok := l.First(work, "x", route.Residency{}); !ok || first.ID != "strong" && first.ID != "stronger" {
 			t.Errorf("%s goes to %q", work, first.ID)
 		}
-		if first, ok := l.First(work, "z"); !ok || first.ID == "weak" || first.ID == "self" {
+		if first, ok := l.First(work, "z", route.Residency{}); !ok || first.ID == "weak" || first.ID == "self" {
 			t.Errorf("%s of a domain without VMs goes to %q", work, first.ID)
 		}
 		if l.Rank(work) < 3 {
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -15,6 +15,8 @@
 	FailureDomain string
 	// FailureDomains are all of the deployment, in order.
 	FailureDomains []string
+	// Regions holds the region of each failure domain.
+	Regions map[string]string
 	// CallerAddress serves callers, ReadyAddress the balancer's question whether
 	// this VM takes new connections, PeerAddress the other VMs.
 	CallerAddress, ReadyAddress, PeerAddress string
--- /dev/null
+++ b/internal/route/residency_test.go
@@ -0,0 +1,33 @@
+package route
+
+import (
+	"slices"
+	"testing"
+	"testing/quick"
+)
+
+// Guards against data in a failure domain that one of two limits rules out.
+func TestBothLimitsBind(t *testing.T) {
+	binds := func(a, b []string, domain string, limited bool) bool {
+		one, other := ResideIn(a), Residency{}
+		want := slices.Contains(a, domain)
+		if limited {
+			other = ResideIn(b)
+			want = want && slices.Contains(b, domain)
+		}
+		return one.And(other).Allows(domain) == want && other.And(one).Allows(domain) == want
+	}
+	if err := quick.Check(binds, nil); err != nil {
+		t.Error(err)
+	}
+	one := ResideIn([]string{"x", "y"})
+	if r := one.And(ResideIn([]string{"y", "z"})); r.Allows("x") || r.Allows("z") || !r.Allows("y") {
+		t.Errorf("both limits allow x %v, y %v, z %v", r.Allows("x"), r.Allows("y"), r.Allows("z"))
+	}
+	if r := ResideIn(nil); !r.Limited() || r.Allows("x") {
+		t.Error("a limit without failure domains allows one")
+	}
+	if r := (Residency{}); r.Limited() || !r.Allows("x") {
+		t.Error("no limit forbids a failure domain")
+	}
+}
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -57,6 +57,8 @@
 	RunObjective, GiveUp time.Duration
 	// SingleVersion wants each sample from one version of the weights.
 	SingleVersion bool
+	// Residency limits where the requests of the route may go.
+	Residency Residency
 }
 
 // Share is one service of a route and its weight.
@@ -138,6 +140,8 @@
 	Keys []string
 	// Priority ranks the account; nil means that its routes' priorities hold.
 	Priority *int
+	// Residency limits where the account's requests may go.
+	Residency Residency
 }
 
 // Snapshot is one version of the configuration.
@@ -153,6 +157,9 @@
 	byHost map[string][]*Route
 	byKey  map[string]string
 	routes []*Route
+	// residencies holds the limits of the accounts that have any.
+	residencies map[string]Residency
+	resident    bool
 }
 
 // NewSnapshot indexes a configuration. keyed tells whether it names accounts.
@@ -166,8 +173,11 @@
 		byHost:   make(map[string][]*Route),
 		byKey:    make(map[string]string),
 		routes:   routes,
+
+		residencies: make(map[string]Residency),
 	}
 	for _, r := range routes {
+		s.resident = s.resident || r.Residency.Limited()
 		host := strings.ToLower(r.Host)
 		s.byHost[host] = append(s.byHost[host], r)
 	}
@@ -178,10 +188,22 @@
 		for _, key := range a.Keys {
 			s.byKey[key] = a.Name
 		}
+		if a.Residency.Limited() {
+			s.residencies[a.Name] = a.Residency
+			s.resident = true
+		}
 	}
 	return s
 }
 
+// Residency returns where a request of a route and an account may go: both limits bind.
+func (s *Snapshot) Residency(r *Route, account string) Residency {
+	return r.Residency.And(s.residencies[account])
+}
+
+// Resident reports whether any route or account limits where its requests may go.
+func (s *Snapshot) Resident() bool { return s.resident }
+
 // Routes returns all routes.
 func (s *Snapshot) Routes() []*Route { return s.routes }
 
--- a/internal/scoring/client.go
+++ b/internal/scoring/client.go
@@ -39,13 +39,14 @@
 
 // Score makes a call by a route and returns the digest of the service's whole,
 // successful answer. forward.FailedAnswers tells of its failures how many upstreams
-// said that the call failed.
-func (c *Client) Score(ctx context.Context, call Call, by *route.Route) (string, error) {
+// said that the call failed. residency limits the failure domains to which it may go.
+func (c *Client) Score(ctx context.Context, call Call, by *route.Route, residency route.Residency) (string, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeFor(by))
 	defer cancel()
 	answer, err := c.Forwarder.Do(ctx, forward.Call{
 		ID: call.ID, Route: repeatable(by), Arrived: time.Now(),
 		Method: http.MethodPost, URI: call.Path, Host: call.Host, Header: make(http.Header), Body: call.Body,
+		Residency: residency,
 	})
 	if err != nil {
 		return "", err
--- a/internal/scoring/scoring_test.go
+++ b/internal/scoring/scoring_test.go
@@ -72,7 +72,7 @@
 func TestScoreIsTheDigestOfTheAnswer(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		j := &judges{answer: func(string) *target.Response { return scored("d1", "text") }}
-		score, err := newClient(j).Score(t.Context(), call, judgeRoute(2))
+		score, err := newClient(j).Score(t.Context(), call, judgeRoute(2), route.Residency{})
 		if err != nil || score != "d1" {
 			t.Errorf("Score = %q, %v", score, err)
 		}
@@ -97,7 +97,7 @@
 			return scored("d2", "")
 		}
 		started := time.Now()
-		score, err := newClient(j).Score(t.Context(), call, judgeRoute(2))
+		score, err := newClient(j).Score(t.Context(), call, judgeRoute(2), route.Residency{})
 		if err != nil || score != "d2" || time.Since(started) > 400*time.Millisecond {
 			t.Errorf("Score = %q, %v after %s", score, err, time.Since(started))
 		}
@@ -109,7 +109,7 @@
 func TestFailedAnswersAreCounted(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		j := &judges{answer: func(string) *target.Response { return failed() }}
-		_, err := newClient(j).Score(t.Context(), call, judgeRoute(2))
+		_, err := newClient(j).Score(t.Context(), call, judgeRoute(2), route.Residency{})
 		if n := forward.FailedAnswers(err); n != 2 {
 			t.Errorf("%d failed answers, want 2: %v", n, err)
 		}
@@ -148,7 +148,7 @@
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				j := &judges{answer: func(string) *target.Response { return response() }}
-				score, err := newClient(j).Score(t.Context(), call, judgeRoute(2))
+				score, err := newClient(j).Score(t.Context(), call, judgeRoute(2), route.Residency{})
 				if err == nil || score != "" || forward.FailedAnswers(err) != 0 {
 					t.Errorf("Score = %q, %v", score, err)
 				}
--- a/internal/step/accept.go
+++ b/internal/step/accept.go
@@ -63,7 +63,7 @@
 // owners would fill the same ones, and has connections to them. While the store is
 // away the step stays here, where its items can start at once.
 func (m *Manager) ownerFor(spec Spec) (vm, life string) {
-	if p, ok := m.Prefer(spec.Model); ok && m.StoreWell() {
+	if p, ok := m.Prefer(spec.Model, m.stepResidency(spec)); ok && m.StoreWell() {
 		return p.VM, p.Life
 	}
 	if m.isLeaving() {
--- a/internal/step/manager.go
+++ b/internal/step/manager.go
@@ -38,6 +38,8 @@
 	Ready() bool
 	Alive(id, life string) bool
 	Rank(work string) int
+	// RankWithin is Rank among the VMs of the failure domains that a residency allows.
+	RankWithin(work string, residency route.Residency) int
 }
 
 // Process names one life of a VM's process.
@@ -58,8 +60,8 @@
 	// Named returns the version of a model that its trainer named last.
 	Named func(model string) (int64, bool)
 	// Prefer returns the process that should own the steps of a model, if one is
-	// known to live, and StoreWell whether the store answered a moment ago.
-	Prefer    func(model string) (p Process, ok bool)
+	// known to live where they may be, and StoreWell whether the store answered a moment ago.
+	Prefer    func(model string, residency route.Residency) (p Process, ok bool)
 	StoreWell func() bool
 	Calls     *budget.Budget
 	// Keep is how long ended steps stay readable after their submission.
--- a/internal/step/matrix_test.go
+++ b/internal/step/matrix_test.go
@@ -64,7 +64,7 @@
 		VM:    name, Life: life, Domain: "x", Store: store, Clock: store, Members: list, View: view, Roster: roster,
 		Caller: e.engines, Scorer: e.judge, Events: events, Keep: time.Hour,
 		Named:     func(string) (int64, bool) { return 1, true },
-		Prefer:    func(string) (Process, bool) { return Process{}, false },
+		Prefer:    func(string, route.Residency) (Process, bool) { return Process{}, false },
 		StoreWell: func() bool { return true },
 	})
 	e.mu.Lock()
--- a/internal/step/place.go
+++ b/internal/step/place.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"dogwoodpond/internal/route"
 	"dogwoodpond/internal/target"
 )
 
@@ -14,6 +15,8 @@
 	minVersion int64
 	// domain is the failure domain of this VM.
 	domain string
+	// residency limits the failure domains of the engines.
+	residency route.Residency
 }
 
 // Weights of placing, in parts of an engine's slots. The load is bursts of items that
@@ -69,6 +72,9 @@
 
 // serves reports whether an engine may run items of the model now.
 func serves(e *target.Entry, n need, now time.Time) bool {
+	if !n.residency.Allows(e.Info().FailureDomain) {
+		return false
+	}
 	if n.model == "" {
 		return true
 	}
--- a/internal/step/run.go
+++ b/internal/step/run.go
@@ -355,6 +355,7 @@
 		model:      r.rec.Model,
 		minVersion: r.rec.MinVersion,
 		domain:     r.m.Domain,
+		residency:  snapshot.Residency(matched, r.rec.Account),
 	}, true
 }
 
--- a/internal/step/score.go
+++ b/internal/step/score.go
@@ -17,7 +17,7 @@
 // Scorer sends the calls that score texts. It is safe for concurrent use.
 type Scorer interface {
 	// Score returns the score that the service of a route gave.
-	Score(ctx context.Context, call scoring.Call, by *route.Route) (string, error)
+	Score(ctx context.Context, call scoring.Call, by *route.Route, residency route.Residency) (string, error)
 }
 
 // awaitScore keeps the whole text of an item until its score is known. The item is no
@@ -83,7 +83,7 @@
 // score makes the call for an item once, and decides how it goes on.
 func (r *run) score(i int, by *route.Route) {
 	item := r.items[i]
-	score, err := r.m.Scorer.Score(r.itemCtx, *item.Score, by)
+	score, err := r.m.Scorer.Score(r.itemCtx, *item.Score, by, r.m.residency(r.rec.Account, by))
 	if r.itemCtx.Err() != nil {
 		return
 	}
--- a/internal/step/score_test.go
+++ b/internal/step/score_test.go
@@ -32,7 +32,7 @@
 		"": func(string, int) reply { return reply{status: http.StatusInternalServerError} },
 	}}
 	client := &scoring.Client{Forwarder: &forward.Forwarder{Roster: roster, Caller: failing, Meter: forward.Unmetered{}, Events: events, Budget: retry.NewBudget()}}
-	_, err := client.Score(t.Context(), scoring.Call{ID: "q"}, &route.Route{Attempts: 1, Split: []route.Share{{Service: "judge", Weight: 1}}})
+	_, err := client.Score(t.Context(), scoring.Call{ID: "q"}, &route.Route{Attempts: 1, Split: []route.Share{{Service: "judge", Weight: 1}}}, route.Residency{})
 	if forward.FailedAnswers(err) != 1 {
 		t.Fatalf("the failure is %v", err)
 	}
--- a/internal/step/takeover.go
+++ b/internal/step/takeover.go
@@ -64,7 +64,7 @@
 		// The life before of this VM is over, whatever its row says to the others: this VM
 		// knows it first when all lost power together.
 		mine := r.Owner == m.VM
-		if !mine && now.Sub(since) < time.Duration(m.Members.Rank(id))*takeoverStep {
+		if !mine && !m.mayTakeOver(r, now.Sub(since)) {
 			continue
 		}
 		m.loading[id] = true
@@ -73,6 +73,16 @@
 	return found
 }
 
+// mayTakeOver reports whether this VM may take a step over that has had no living owner for
+// a while: one that may read its items, when its turn by rank has come.
+func (m *Manager) mayTakeOver(r record, orphanFor time.Duration) bool {
+	residency := m.stepResidency(r.Spec)
+	if !residency.Limited() {
+		return orphanFor >= time.Duration(m.Members.Rank(r.ID))*takeoverStep
+	}
+	return residency.Allows(m.Domain) && orphanFor >= time.Duration(m.Members.RankWithin(r.ID, residency))*takeoverStep
+}
+
 // takeOver makes this VM the owner of a step and runs what is not listed yet.
 // The results are read after the change of owner: from then on nobody else can
 // list any, so that what is read is all there is.
--- a/internal/step/turn.go
+++ b/internal/step/turn.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"dogwoodpond/internal/lease"
+	"dogwoodpond/internal/route"
 	"dogwoodpond/internal/target"
 )
 
@@ -15,6 +16,8 @@
 	minVersion int64
 	// since is when this VM heard that the owner has the step.
 	since time.Time
+	// residency limits the failure domains of its engines.
+	residency route.Residency
 }
 
 // senders returns the owners of the open steps. All VMs know them from the states of the
@@ -25,7 +28,7 @@
 	var all []sender
 	for _, r := range m.known {
 		if !r.Ended && r.Owner != "" {
-			all = append(all, sender{vm: r.Owner, model: r.Model, minVersion: r.MinVersion, since: r.ownedSince})
+			all = append(all, sender{vm: r.Owner, model: r.Model, minVersion: r.MinVersion, since: r.ownedSince, residency: m.stepResidency(r.Spec)})
 		}
 	}
 	return all
@@ -36,7 +39,7 @@
 func firstOf(all []sender, e *target.Entry) (vm string, ok bool) {
 	able := make([]string, 0, len(all))
 	for _, s := range all {
-		if s.model == "" || e.Version(s.model) >= s.minVersion {
+		if s.residency.Allows(e.Info().FailureDomain) && (s.model == "" || e.Version(s.model) >= s.minVersion) {
 			able = append(able, s.vm)
 		}
 	}
--- a/internal/step/world_test.go
+++ b/internal/step/world_test.go
@@ -38,9 +38,13 @@
 	vms  map[string]*vm
 	// preferred owns the steps of all models, if it is set.
 	preferred string
+	// domains are the failure domains of VMs that are not in "x", and configuration is the
+	// one in force.
+	domains       map[string]string
+	configuration *route.Snapshot
 }
 
-func (w *world) prefer(string) (Process, bool) {
+func (w *world) prefer(string, route.Residency) (Process, bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	return Process{VM: w.preferred, Life: w.preferred + "-1"}, w.preferred != ""
@@ -54,7 +58,7 @@
 
 // newWorld returns a world with engines of 4 slots.
 func newWorld(t *testing.T, engineIDs ...string) *world {
-	w := &world{t: t, store: memory.New(), engines: &engines{behave: map[string]behaviour{}, runs: map[string][]string{}, finished: map[string]int{}}, dead: map[string]bool{}, vms: map[string]*vm{}}
+	w := &world{t: t, store: memory.New(), engines: &engines{behave: map[string]behaviour{}, runs: map[string][]string{}, finished: map[string]int{}}, dead: map[string]bool{}, vms: map[string]*vm{}, domains: map[string]string{}, configuration: configuration(1, true)}
 	w.judge = &judgeService{engines: w.engines, calls: map[string]int{}}
 	w.list = append(w.list, target.Instance{ID: "j1", Service: "judge", Address: "j1", FailureDomain: "x", Slots: 8})
 	for _, id := range engineIDs {
@@ -72,11 +76,15 @@
 	roster := target.NewRoster(events)
 	roster.Replace(w.list)
 	view := route.NewView()
-	view.Offer(configuration(1, true))
+	view.Offer(w.configuration)
+	domain := "x"
+	if other, ok := w.domains[name]; ok {
+		domain = other
+	}
 	ctx, kill := context.WithCancel(w.t.Context())
 	v := &vm{kill: kill, Manager: NewManager(Config{
 		Calls: budget.New(budget.Rates{}),
-		VM:    name, Life: life, Domain: "x", Store: w.store, Clock: w.store, Members: members{w, name, life},
+		VM:    name, Life: life, Domain: domain, Store: w.store, Clock: w.store, Members: members{w, name, life},
 		View: view, Roster: roster, Caller: w.engines, Scorer: w.judge, Events: events, Keep: time.Minute,
 		Named:     func(string) (int64, bool) { return 1, true },
 		Prefer:    w.prefer,
@@ -115,12 +123,14 @@
 	return !m.w.dead[id]
 }
 
-func (m members) Rank(string) int {
+func (m members) Rank(work string) int { return m.RankWithin(work, route.Residency{}) }
+
+func (m members) RankWithin(_ string, residency route.Residency) int {
 	m.w.mu.Lock()
 	defer m.w.mu.Unlock()
 	rank := 0
-	for name := range m.w.vms {
-		if name < m.self && !m.w.dead[name] {
+	for name, v := range m.w.vms {
+		if name < m.self && !m.w.dead[name] && residency.Allows(v.Domain) {
 			rank++
 		}
 	}
@@ -257,7 +267,7 @@
 	early []string
 }
 
-func (j *judgeService) Score(ctx context.Context, call scoring.Call, _ *route.Route) (string, error) {
+func (j *judgeService) Score(ctx context.Context, call scoring.Call, _ *route.Route, _ route.Residency) (string, error) {
 	item := string(call.Body)
 	j.engines.mu.Lock()
 	finished := j.engines.finished[item]
--- a/internal/target/choose.go
+++ b/internal/target/choose.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"dogwoodpond/internal/route"
 )
 
 // The weights by which plain requests choose, in parts of an upstream's slots. They
@@ -17,19 +19,29 @@
 	coldCost = 1.0
 )
 
-// Choose returns the upstream of a service that a plain request should go to,
-// leaving out those in skip, or nil. Suspect upstreams come last: refusing a
-// request that one of them might serve helps nobody.
-func (r *Roster) Choose(service, domain string, skip []*Entry, now time.Time) *Entry {
-	usable := r.Usable(service, now)
+// Want says what a plain request asks of an upstream.
+type Want struct {
+	Service string
+	// Domain is the failure domain of this VM.
+	Domain string
+	// Residency limits the failure domains.
+	Residency route.Residency
+	// Skip are the upstreams that are left out.
+	Skip []*Entry
+}
+
+// Choose returns the upstream that a plain request should go to, or nil. Suspect
+// upstreams come last: refusing a request that one of them might serve helps nobody.
+func (r *Roster) Choose(w Want, now time.Time) *Entry {
+	usable := r.Usable(w.Service, now)
 	median := MedianSpeed(usable, now)
 	var best *Entry
 	var least float64
 	for _, e := range usable {
-		if contains(skip, e) || !e.Admits(now) {
+		if contains(w.Skip, e) || !w.Residency.Allows(e.Info().FailureDomain) || !e.Admits(now) {
 			continue
 		}
-		if cost := costOf(e, domain, median, now); best == nil || cost < least {
+		if cost := costOf(e, w.Domain, median, now); best == nil || cost < least {
 			best, least = e, cost
 		}
 	}
@@ -38,13 +50,13 @@
 
 // Reserve is Choose, and counts the request to the upstream as Begin does. The upstreams
 // that were passed over because others were quicker are left out.
-func (r *Roster) Reserve(service, domain string, skip []*Entry) *Entry {
+func (r *Roster) Reserve(w Want) *Entry {
 	for {
-		e := r.Choose(service, domain, skip, time.Now())
+		e := r.Choose(w, time.Now())
 		if e == nil || e.TryBegin() {
 			return e
 		}
-		skip = append(slices.Clip(skip), e)
+		w.Skip = append(slices.Clip(w.Skip), e)
 	}
 }
 
--- a/internal/target/evacuation_test.go
+++ b/internal/target/evacuation_test.go
@@ -21,7 +21,7 @@
 	if got := usableIDs(r); !slices.Equal(got, []string{"b"}) {
 		t.Fatalf("%v may get work", got)
 	}
-	if e := r.Reserve("desk", "x", nil); e == nil || e.Info().ID != "b" {
+	if e := r.Reserve(Want{Service: "desk", Domain: "x"}); e == nil || e.Info().ID != "b" {
 		t.Error("the upstream of the other domain was not chosen")
 	}
 	r.Restore("x")
--- a/internal/target/slowstart_test.go
+++ b/internal/target/slowstart_test.go
@@ -62,7 +62,7 @@
 		if n := sendAll(e); n != 0 {
 			t.Errorf("a VM whose turn it is not sent %d requests", n)
 		}
-		if chosen := r.Reserve("desk", "x", nil); chosen != nil {
+		if chosen := r.Reserve(Want{Service: "desk", Domain: "x"}); chosen != nil {
 			t.Error("the upstream was chosen")
 		}
 	})
--- a/internal/target/target_test.go
+++ b/internal/target/target_test.go
@@ -1,6 +1,7 @@
 package target
 
 import (
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -8,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"dogwoodpond/internal/event"
+	"dogwoodpond/internal/route"
 )
 
 func newTestRoster(list ...Instance) *Roster {
@@ -26,11 +28,11 @@
 	synctest.Test(t, func(t *testing.T) {
 		r := newTestRoster(up("a", "x"), up("b", "x"))
 		r.Replace(nil)
-		if e := r.Choose("desk", "x", nil, time.Now()); e == nil {
+		if e := r.Choose(Want{Service: "desk", Domain: "x"}, time.Now()); e == nil {
 			t.Fatal("no upstream right after the entries lapsed")
 		}
 		time.Sleep(lingerTime)
-		if e := r.Choose("desk", "x", nil, time.Now()); e != nil {
+		if e := r.Choose(Want{Service: "desk", Domain: "x"}, time.Now()); e != nil {
 			t.Errorf("%s still gets work %s after its removal", e.Info().ID, lingerTime)
 		}
 	})
@@ -42,7 +44,7 @@
 	r := newTestRoster(up("a", "x"), up("b", "x"))
 	r.Apply(Unlisted("a"))
 	for range 10 {
-		if e := r.Choose("desk", "x", nil, time.Now()); e.Info().ID != "b" {
+		if e := r.Choose(Want{Service: "desk", Domain: "x"}, time.Now()); e.Info().ID != "b" {
 			t.Fatalf("%s was chosen", e.Info().ID)
 		}
 	}
@@ -53,7 +55,7 @@
 	leaving := up("a", "x")
 	leaving.Leaving = true
 	r.Apply(Listed(leaving))
-	if e := r.Choose("desk", "x", nil, time.Now()); e != nil {
+	if e := r.Choose(Want{Service: "desk", Domain: "x"}, time.Now()); e != nil {
 		t.Errorf("%s was chosen", e.Info().ID)
 	}
 }
@@ -69,7 +71,7 @@
 	second := first
 	second.Started = 2
 	r.Apply(Listed(second))
-	e := r.Choose("desk", "x", nil, time.Now())
+	e := r.Choose(Want{Service: "desk", Domain: "x"}, time.Now())
 	if e == old || e.Version("m") != 1 {
 		t.Errorf("the new life has version %d", e.Version("m"))
 	}
@@ -79,19 +81,19 @@
 	now := time.Now()
 	r := newTestRoster(up("near", "x"), up("far", "y"))
 	near, far := r.Service("desk")[1], r.Service("desk")[0]
-	if e := r.Choose("desk", "x", nil, now); e != near {
+	if e := r.Choose(Want{Service: "desk", Domain: "x"}, now); e != near {
 		t.Errorf("idle: %s", e.Info().ID)
 	}
 	near.Begin()
 	near.Begin()
-	if e := r.Choose("desk", "x", nil, now); e != far {
+	if e := r.Choose(Want{Service: "desk", Domain: "x"}, now); e != far {
 		t.Errorf("the near one is half busy: %s", e.Info().ID)
 	}
 	far.Failed(now)
-	if e := r.Choose("desk", "x", nil, now); e != near {
+	if e := r.Choose(Want{Service: "desk", Domain: "x"}, now); e != near {
 		t.Errorf("the far one failed: %s", e.Info().ID)
 	}
-	if e := r.Choose("desk", "x", []*Entry{near}, now); e != far {
+	if e := r.Choose(Want{Service: "desk", Domain: "x", Skip: []*Entry{near}}, now); e != far {
 		t.Error("a suspect upstream is better than none")
 	}
 }
@@ -129,3 +131,21 @@
 		t.Errorf("Foreign = %d after its life", got)
 	}
 }
+
+// Guards against a request that goes to a region where it may not be because all upstreams
+// where it may be are busy, failing or gone.
+func TestRequestStaysWhereItMayBe(t *testing.T) {
+	r := newTestRoster(up("away", "n"), up("home", "s"))
+	want := Want{Service: "desk", Domain: "n", Residency: route.ResideIn([]string{"s"})}
+	for range 5 {
+		e := r.Reserve(want)
+		if e == nil || e.Info().ID != "home" {
+			t.Fatalf("the request goes to %v", e)
+		}
+		e.Failed(time.Now())
+	}
+	want.Skip = slices.DeleteFunc(slices.Clone(r.Service("desk")), func(e *Entry) bool { return e.Info().ID == "away" })
+	if e := r.Reserve(want); e != nil {
+		t.Errorf("the request goes to %s", e.Info().ID)
+	}
+}
