A step that started early tells who owns it

Cause: an acceptance that takes over 250 ms starts the items early, and an early run that is accepted told nothing of its owner, so that explain left out what befell it; report had no time of ownership for it either. Test: TestStepThatStartedEarlyNamesItsOwner failed first (0 events).

--- a/internal/step/accept.go
+++ b/internal/step/accept.go
@@ -115,7 +115,11 @@
 	}
 	m.Events.Emit(event.StepOpened, event.Subject{Step: r.ID, Account: r.Account, Count: int64(r.Total)})
 	m.note(r)
-	if r.Owner == m.VM && !early.accept(r) {
+	switch {
+	case r.Owner != m.VM:
+	case early.accept(r):
+		m.owned(r, 0)
+	default:
 		m.start(r, items, nil, nil)
 	}
 	return nil
--- a/internal/step/early.go
+++ b/internal/step/early.go
@@ -149,6 +149,6 @@
 	if err != nil || !e.accept(owned) {
 		return false
 	}
-	m.Events.Emit(event.StepOwned, event.Subject{Step: owned.ID, Account: owned.Account, Epoch: uint64(owned.Epoch), Count: int64(listed)})
+	m.owned(owned, listed)
 	return true
 }
--- a/internal/step/manager.go
+++ b/internal/step/manager.go
@@ -317,7 +317,12 @@
 		return
 	}
 	r.accept(rec)
-	m.Events.Emit(event.StepOwned, event.Subject{Step: rec.ID, Account: rec.Account, Epoch: uint64(rec.Epoch), Count: int64(len(listed))})
+	m.owned(rec, len(listed))
+}
+
+// owned tells that this VM owns a step of which some results are listed already.
+func (m *Manager) owned(r record, listed int) {
+	m.Events.Emit(event.StepOwned, event.Subject{Step: r.ID, Account: r.Account, Epoch: uint64(r.Epoch), Count: int64(listed)})
 }
 
 // startRun starts a step's items; its results are listed once the run is accepted.
--- a/internal/step/step_test.go
+++ b/internal/step/step_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"dogwoodpond/internal/event"
 	"dogwoodpond/internal/fault"
 	"dogwoodpond/internal/kept"
 	"dogwoodpond/internal/kept/memory"
@@ -121,6 +122,27 @@
 	})
 }
 
+// Guards against a step whose logs name no owner, so that an operator can't find what held
+// it up: its acceptance took long enough for its items to start before.
+func TestStepThatStartedEarlyNamesItsOwner(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		w := newWorld(t, "e1")
+		a := w.start("a")
+		time.Sleep(time.Second)
+		w.store.SetDown(true)
+		accepted := make(chan error, 1)
+		go func() { accepted <- a.Submit(t.Context(), spec("s"), items(4)) }()
+		time.Sleep(time.Second)
+		w.store.SetDown(false)
+		if err := <-accepted; err != nil {
+			t.Fatal(err)
+		}
+		if owned := a.Events.Select(event.Query{Step: "s", Numbers: []event.Number{event.StepOwned}}); len(owned) != 1 {
+			t.Errorf("%d events tell who owns the step, want 1", len(owned))
+		}
+	})
+}
+
 // The same step is handed in at two VMs while the store is away. Both run items,
 // and only one of them may list results.
 func TestEarlyRunsOfOneStep(t *testing.T) {
