Watches read the version to go on from before they list the partitions

Cause: a whole read listed the partitions first and took the oldest version of the pages read after it. A partition written in between was neither in the list nor among the changes that followed, until the next whole read 15 to 20 s later. Change: the first page, read before the list, gives the version. Test: TestWatcherSeesAPartitionThatIsWrittenDuringAWholeRead failed first.

--- a/internal/kept/kept_test.go
+++ b/internal/kept/kept_test.go
@@ -208,6 +208,42 @@
 	})
 }
 
+// listedBetween is a store in which a new partition is written right after the partitions
+// were listed.
+type listedBetween struct {
+	*memory.Store
+	key kept.Key
+}
+
+func (s listedBetween) Parts(ctx context.Context, table, after string) ([]string, bool, error) {
+	parts, more, err := s.Store.Parts(ctx, table, after)
+	s.Set(s.key, "new")
+	return parts, more, err
+}
+
+// Guards against a partition that no watcher hears of until the next whole read: it is
+// written between the list of partitions and the first read.
+func TestWatcherSeesAPartitionThatIsWrittenDuringAWholeRead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := memory.New()
+		store.Set(key, "one")
+		added := kept.Key{Table: key.Table, Part: key.Part + " later", Name: key.Name}
+		seen := make(map[string]bool)
+		apply := func(rows []kept.Row) {
+			for _, row := range rows {
+				seen[row.Part] = true
+			}
+		}
+		w := kept.Watcher{Store: listedBetween{store, added}, Table: "t", AllParts: true, Wait: time.Second, Replace: apply, Apply: apply}
+		go w.Run(t.Context())
+		time.Sleep(2 * time.Second)
+		synctest.Wait()
+		if !seen[key.Part] || !seen[added.Part] {
+			t.Errorf("the watcher saw the partitions %v", seen)
+		}
+	})
+}
+
 // The leases count the writes of a row; the store's versions come from one
 // counter. A lease that mixed the two would lose every renewal.
 func TestTablesCountWrites(t *testing.T) {
--- a/internal/kept/watch.go
+++ b/internal/kept/watch.go
@@ -74,52 +74,51 @@
 	return w.Retry()
 }
 
-// reread reads the whole table and returns the version to go on from. Pages of
-// several partitions are of different moments, so the oldest version counts.
+// reread reads the whole table and returns the version to go on from. Pages of several
+// partitions are of different moments, so the version of the first one counts. That one is
+// read before the partitions are listed: a partition that is written after the list was
+// made is then among the changes.
 func (w *Watcher) reread(ctx context.Context) (int64, error) {
 	store := Patient{Store: w.Store, Pause: w.retry, Failed: w.failed}
-	parts, err := w.parts(ctx, store)
+	first, err := ReadPartition(ctx, store, w.Table, w.Part)
 	if err != nil {
 		return 0, err
 	}
-	var rows []Row
-	after := int64(-1)
-	for _, part := range parts {
-		page, err := ReadPartition(ctx, store, w.Table, part)
+	rows := first.Rows
+	if w.AllParts {
+		others, err := w.otherParts(ctx, store)
 		if err != nil {
 			return 0, err
 		}
-		rows = append(rows, page.Rows...)
-		if after < 0 || page.Version < after {
-			after = page.Version
-		}
+		rows = append(rows, others...)
 	}
 	w.reached()
 	w.Replace(rows)
-	return max(after, 0), nil
+	return first.Version, nil
 }
 
-func (w *Watcher) parts(ctx context.Context, store Store) ([]string, error) {
-	if !w.AllParts {
-		return []string{w.Part}, nil
-	}
-	// A partition that does not exist is read as well: its page carries the
-	// version from which the feed goes on when the table is still empty.
-	all := []string{""}
-	for after := ""; ; after = all[len(all)-1] {
-		parts, more, err := store.Parts(ctx, w.Table, after)
+// otherParts reads the partitions that the table has besides Part.
+func (w *Watcher) otherParts(ctx context.Context, store Store) ([]Row, error) {
+	var rows []Row
+	for after, more := "", true; more; {
+		parts, further, err := store.Parts(ctx, w.Table, after)
 		if err != nil {
 			return nil, err
 		}
 		for _, part := range parts {
-			if part != "" {
-				all = append(all, part)
+			after = part
+			if part == w.Part {
+				continue
 			}
+			page, err := ReadPartition(ctx, store, w.Table, part)
+			if err != nil {
+				return nil, err
+			}
+			rows = append(rows, page.Rows...)
 		}
-		if !more || len(parts) == 0 {
-			return all, nil
-		}
+		more = further && len(parts) > 0
 	}
+	return rows, nil
 }
 
 // follow takes changes until a read fails or the rows have to be read anew, after a time
