--- a/internal/step/place_test.go
+++ b/internal/step/place_test.go
@@ -41,14 +41,16 @@
 	}
 }
 
-func engineList(n, slots int) []*target.Entry {
+func engineList(n, slots int) []*target.Entry { return engineRoster(n, slots).Service("lm") }
+
+func engineRoster(n, slots int) *target.Roster {
 	roster := target.NewRoster(event.NewRecorder("vm", 16, event.NewClock(time.Now), zap.NewNop()))
 	var list []target.Instance
 	for i := range n {
 		list = append(list, target.Instance{ID: fmt.Sprint("e", i), Service: "lm", FailureDomain: "x", Slots: slots, Versions: map[string]int64{"m": 5}})
 	}
 	roster.Replace(list)
-	return roster.Service("lm")
+	return roster
 }
 
 // Items spread over the engines, and none is put into an engine's own queue.
--- a/internal/step/turn_test.go
+++ b/internal/step/turn_test.go
@@ -1,10 +1,12 @@
 package step
 
 import (
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"dogwoodpond/internal/route"
 	"dogwoodpond/internal/target"
 )
 
@@ -217,3 +219,19 @@
 	}
 	return list
 }
+
+// BenchmarkPool looks at the engines as each pass over the items does.
+func BenchmarkPool(b *testing.B) {
+	for _, size := range []struct{ engines, steps int }{{45, 8}, {720, 8}} {
+		b.Run(fmt.Sprintf("%d engines, %d open steps", size.engines, size.steps), func(b *testing.B) {
+			m := NewManager(Config{VM: "vm-0", View: route.NewView(), Roster: engineRoster(size.engines, 8)})
+			for i := range size.steps {
+				m.note(record{State: State{Spec: Spec{ID: fmt.Sprint("s", i), Model: "m"}, Owner: fmt.Sprint("vm-", i/2)}, version: int64(i + 1)})
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				m.pool("lm", time.Now())
+			}
+		})
+	}
+}
