--- a/internal/lease/rank.go
+++ b/internal/lease/rank.go
@@ -33,15 +33,24 @@
 
 // First returns the VM that Rank ranks first; ok is false when there is none.
 func First(lease string, live []string) (first string, ok bool) {
+	var most uint64
 	for _, vm := range live {
-		if !ok || weight(lease, vm) > weight(lease, first) {
-			first, ok = vm, true
+		if w := weight(lease, vm); !ok || w > most {
+			first, most, ok = vm, w, true
 		}
 	}
 	return first, ok
 }
 
-func weight(lease, vm string) uint64 { return xxhash.Sum64String(lease + "\x00" + vm) }
+func weight(lease, vm string) uint64 {
+	var d xxhash.Digest
+	d.Reset()
+	// A digest takes any text.
+	_, _ = d.WriteString(lease)
+	_, _ = d.WriteString("\x00")
+	_, _ = d.WriteString(vm)
+	return d.Sum64()
+}
 
 // spread returns a share in [0,1) that is fixed for a lease and an owner, so
 // that contenders don't all read the store at the same moment.
--- a/internal/step/turn.go
+++ b/internal/step/turn.go
@@ -34,10 +34,14 @@
 	return all
 }
 
+// fewSenders is for how many owners firstOf needs no memory of its own.
+const fewSenders = 16
+
 // firstOf returns the VM that ranks first for an engine among the senders that it can
 // serve; ok is false when there are none.
 func firstOf(all []sender, e *target.Entry) (vm string, ok bool) {
-	able := make([]string, 0, len(all))
+	var few [fewSenders]string
+	able := few[:0]
 	for _, s := range all {
 		if s.residency.Allows(e.Info().FailureDomain) && (s.model == "" || e.Version(s.model) >= s.minVersion) {
 			able = append(able, s.vm)
