An owner has the turn at a cold engine only while its states are younger than settling takes

Cause, found by reading for a model of the turns: states up to 2 s old gave a turn, owners settle in 0.5 s. Five owners whose states have been unreadable for 0.3 s when their steps open are first at the same engine 0.5 s later: five shares of a third of the bound. Change: states up to 0.4 s old, so that whoever has the turn knows all owners that have settled. Owners ask for changes every 0.3 s, also in a large fleet (they are few), so that nothing is lost while nothing changes. Tests: TestOwnersThatCantHearOfEachOtherHaveNoTurn failed first (5 owners have the turn); TestOwnerKeepsItsTurnWhileNothingChanges. Two tests that note states by hand wait for the call under way to end.

--- a/internal/kept/watch.go
+++ b/internal/kept/watch.go
@@ -31,6 +31,8 @@
 	// Wait is how long one call for changes may stay open. It bounds how long a
 	// feed that fell silent goes unnoticed.
 	Wait time.Duration
+	// WaitNow, if set, gives the time for each call in place of Wait.
+	WaitNow func() time.Duration
 	// Replace takes the whole table after a full read; Apply takes changed rows.
 	// A row may come more than once; its version tells old from new.
 	Replace func(rows []Row)
@@ -67,6 +69,13 @@
 	}
 }
 
+func (w *Watcher) wait() time.Duration {
+	if w.WaitNow == nil {
+		return w.Wait
+	}
+	return w.WaitNow()
+}
+
 func (w *Watcher) retry() time.Duration {
 	if w.Retry == nil {
 		return retryPause
@@ -127,7 +136,7 @@
 	until := time.Now().Add(most)
 	for ctx.Err() == nil && time.Now().Before(until) {
 		asked := time.Now()
-		page, err := w.Store.Changes(ctx, w.Table, after, w.Wait)
+		page, err := w.Store.Changes(ctx, w.Table, after, w.wait())
 		if fault.Is[*HistoryGone](err) {
 			return nil
 		}
--- a/internal/step/manager.go
+++ b/internal/step/manager.go
@@ -118,8 +118,8 @@
 func (m *Manager) Run(ctx context.Context) {
 	defer context.AfterFunc(ctx, m.cancel)()
 	watcher := kept.Watcher{
-		Store: m.Store, Table: stateTable, AllParts: true, Wait: watchWait,
-		Pace:    func() time.Duration { return m.Calls.Period(budget.Steps, watchPace) },
+		Store: m.Store, Table: stateTable, AllParts: true, Wait: watchWait, WaitNow: m.stateWait,
+		Pace:    m.statePace,
 		Retry:   func() time.Duration { return m.Calls.Retry(budget.Steps, watchPace) },
 		Replace: func(rows []kept.Row) { m.replace(rows) },
 		Apply:   func(rows []kept.Row) { m.apply(rows) },
--- a/internal/step/residency_test.go
+++ b/internal/step/residency_test.go
@@ -117,7 +117,8 @@
 		w := newRegions(t, route.ResideIn(south), route.Residency{})
 		a := w.vms["vm-s1"]
 		a.note(record{State: State{Spec: spec("s"), Owner: a.VM}, version: 1})
-		time.Sleep(ownersSettle)
+		// The call for changes that is under way ends, since no row was written.
+		time.Sleep(ownersSettle + watchWait)
 		for _, e := range a.Roster.Service("lm") {
 			in := slices.Contains(south, e.Info().FailureDomain)
 			if first, _ := a.FirstSender(e); first != in {
--- a/internal/step/turn.go
+++ b/internal/step/turn.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"dogwoodpond/internal/budget"
 	"dogwoodpond/internal/lease"
 	"dogwoodpond/internal/route"
 	"dogwoodpond/internal/target"
@@ -50,14 +51,22 @@
 	return lease.First("engine/"+e.Info().ID, able)
 }
 
-// statesFresh is the age of the states up to which this VM knows the owners of the steps.
-// A call for changes returns within watchWait.
-const statesFresh = 2 * watchWait
-
-// ownersSettle is how long an owner is known before it may have a turn. Trainers hand steps
-// in at the same moment, and until their states have gone around, each owner knows only of
-// itself.
-const ownersSettle = 500 * time.Millisecond
+const (
+	// statesKnown is the age of the states up to which this VM knows whether steps are open.
+	// A call for changes returns within watchWait.
+	statesKnown = 2 * watchWait
+	// ownersSettle is how long an owner is known before it may have a turn. Trainers hand
+	// steps in at the same moment, and until their states have gone around, each owner knows
+	// only of itself.
+	ownersSettle = 500 * time.Millisecond
+	// statesFresh is the age of the states up to which an owner may have a turn. It is below
+	// ownersSettle: whoever has the turn then knows all owners that have settled, and ranks
+	// them as they do.
+	statesFresh = 400 * time.Millisecond
+	// ownerWatchWait bounds the calls for changes of a VM that owns steps, so that its states
+	// stay fresh while nothing changes.
+	ownerWatchWait = 300 * time.Millisecond
+)
 
 // FirstSender tells whether this VM ranks first for an engine among the owners of the open
 // steps that the engine can serve; ok is false when there are none. A VM that can't read
@@ -65,12 +74,42 @@
 // and often only itself, for all there are.
 func (m *Manager) FirstSender(e *target.Entry) (first, ok bool) {
 	now := time.Now()
-	if now.UnixNano()-m.statesRead.Load() > int64(statesFresh) {
+	age := time.Duration(now.UnixNano() - m.statesRead.Load())
+	if age > statesKnown {
 		return false, true
 	}
 	settled := slices.DeleteFunc(m.senders(), func(s sender) bool { return now.Sub(s.since) < ownersSettle })
 	vm, ok := firstOf(settled, e)
-	return vm == m.VM, ok
+	return vm == m.VM && age <= statesFresh, ok
+}
+
+// stateWait is how long a call for changes of states may stay open.
+func (m *Manager) stateWait() time.Duration {
+	if m.ownsSteps() {
+		return ownerWatchWait
+	}
+	return watchWait
+}
+
+// statePace is the least time between two such calls. The owners of steps are few, so that
+// the store has room for their calls whatever the size of the fleet.
+func (m *Manager) statePace() time.Duration {
+	pace := m.Calls.Period(budget.Steps, watchPace)
+	if m.ownsSteps() {
+		return min(pace, ownerWatchWait)
+	}
+	return pace
+}
+
+func (m *Manager) ownsSteps() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, r := range m.known {
+		if !r.Ended && r.Owner == m.VM {
+			return true
+		}
+	}
+	return false
 }
 
 // others returns the engines for which the owner of another open step ranks first.
--- a/internal/step/turn_test.go
+++ b/internal/step/turn_test.go
@@ -37,6 +37,58 @@
 	})
 }
 
+// Guards against a cold engine that more owners of new steps fill at the same moment than
+// its bound has shares for: the states of steps have been unreadable for a moment, and each
+// owner knows only of itself.
+func TestOwnersThatCantHearOfEachOtherHaveNoTurn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, "e1", "e2", "e3")
+		var owners []*vm
+		for _, name := range []string{"a", "b", "c", "d", "e"} {
+			owners = append(owners, w.start(name))
+		}
+		time.Sleep(time.Second)
+		w.store.SetDown(true)
+		time.Sleep(300 * time.Millisecond)
+		for i, v := range owners {
+			v.note(record{State: State{Spec: Spec{ID: fmt.Sprint("s", i), Model: "m"}, Owner: v.VM}, version: int64(i + 1)})
+		}
+		for range 40 {
+			for _, e := range owners[0].Roster.Service("lm") {
+				firsts := 0
+				for _, v := range owners {
+					if first, _ := v.FirstSender(e); first {
+						firsts++
+					}
+				}
+				if firsts > 1 {
+					t.Fatalf("%d owners have the turn at %s", firsts, e.Info().ID)
+				}
+			}
+			time.Sleep(50 * time.Millisecond)
+		}
+	})
+}
+
+// Guards against an owner that loses its turn because nothing changes: it hears that at once
+// often enough.
+func TestOwnerKeepsItsTurnWhileNothingChanges(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, "e1")
+		w.engines.behave[""] = paced(1000, 50*time.Millisecond)
+		a := w.start("a")
+		time.Sleep(time.Second)
+		submit(t, a, spec("s"), items(4))
+		time.Sleep(ownersSettle + watchWait)
+		for range 40 {
+			if first, _ := a.FirstSender(a.Roster.Service("lm")[0]); !first {
+				t.Fatal("the only owner has lost its turn")
+			}
+			time.Sleep(73 * time.Millisecond)
+		}
+	})
+}
+
 // Guards against a cold engine that is given to a VM which sends it nothing, or to two: also
 // while the owners of steps that were just handed in don't know of each other.
 func TestOneOwnerOfOpenStepsUsesAColdEngine(t *testing.T) {
@@ -64,7 +116,8 @@
 				vm.note(s)
 			}
 		}
-		time.Sleep(ownersSettle)
+		// The call for changes that is under way ends, since no row was written.
+		time.Sleep(ownersSettle + watchWait)
 		for _, e := range a.Roster.Service("lm") {
 			turns := 0
 			for _, vm := range []*vm{a, b} {
