--- a/internal/step/turn.go
+++ b/internal/step/turn.go
@@ -21,6 +21,11 @@
 	residency route.Residency
 }
 
+// able reports whether an engine can serve the owner's step.
+func (s sender) able(e *target.Entry) bool {
+	return s.residency.Allows(e.Info().FailureDomain) && (s.model == "" || e.Version(s.model) >= s.minVersion)
+}
+
 // senders returns the owners of the open steps. All VMs know them from the states of the
 // steps.
 func (m *Manager) senders() []sender {
@@ -44,7 +49,7 @@
 	var few [fewSenders]string
 	able := few[:0]
 	for _, s := range all {
-		if s.residency.Allows(e.Info().FailureDomain) && (s.model == "" || e.Version(s.model) >= s.minVersion) {
+		if s.able(e) {
 			able = append(able, s.vm)
 		}
 	}
@@ -55,13 +60,13 @@
 	// statesKnown is the age of the states up to which this VM knows whether steps are open.
 	// A call for changes returns within watchWait.
 	statesKnown = 2 * watchWait
-	// ownersSettle is how long an owner is known before it may have a turn. Trainers hand
-	// steps in at the same moment, and until their states have gone around, each owner knows
-	// only of itself.
+	// ownersSettle is how long a step has been open before its owner may have a turn.
+	// Trainers hand steps in at the same moment, and until their states have gone around,
+	// each owner knows only of itself.
 	ownersSettle = 500 * time.Millisecond
 	// statesFresh is the age of the states up to which an owner may have a turn. It is below
-	// ownersSettle: whoever has the turn then knows all owners that have settled, and ranks
-	// them as they do.
+	// ownersSettle: whoever has the turn knows all owners whose steps have been open for that
+	// long, and leaves the engine to those that rank before it from when it hears of them.
 	statesFresh = 400 * time.Millisecond
 	// ownerWatchWait bounds the calls for changes of a VM that owns steps, so that its states
 	// stay fresh while nothing changes.
@@ -78,9 +83,14 @@
 	if age > statesKnown {
 		return false, true
 	}
-	settled := slices.DeleteFunc(m.senders(), func(s sender) bool { return now.Sub(s.since) < ownersSettle })
-	vm, ok := firstOf(settled, e)
-	return vm == m.VM && age <= statesFresh, ok
+	all := m.senders()
+	vm, ok := firstOf(all, e)
+	if vm != m.VM || age > statesFresh {
+		return false, ok
+	}
+	return slices.ContainsFunc(all, func(s sender) bool {
+		return s.vm == m.VM && s.able(e) && now.Sub(s.since) >= ownersSettle
+	}), true
 }
 
 // stateWait is how long a call for changes of states may stay open.
--- a/internal/step/turn_test.go
+++ b/internal/step/turn_test.go
@@ -70,6 +70,36 @@
 	})
 }
 
+// Guards against two owners that use a cold engine because the one before gives its turn up
+// later than the next one takes it: it heard of the next one late.
+func TestOwnerGivesItsTurnUpBeforeTheNextTakesIt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, "e1", "e2", "e3", "e4")
+		a, b := w.start("a"), w.start("b")
+		time.Sleep(time.Second)
+		opened := func(step, owner string, version int64) record {
+			return record{State: State{Spec: Spec{ID: step, Model: "m"}, Owner: owner}, version: version}
+		}
+		b.note(opened("s1", "b", 1))
+		a.note(opened("s1", "b", 1))
+		time.Sleep(2 * time.Second)
+		a.note(opened("s2", "a", 2))
+		const heardAfter = statesFresh - 100*time.Millisecond
+		time.Sleep(heardAfter)
+		b.note(opened("s2", "a", 2))
+		for range 30 {
+			for _, e := range a.Roster.Service("lm") {
+				one, _ := a.FirstSender(e)
+				other, _ := b.FirstSender(e)
+				if one && other {
+					t.Fatalf("both owners use the cold engine %s", e.Info().ID)
+				}
+			}
+			time.Sleep(50 * time.Millisecond)
+		}
+	})
+}
+
 // Guards against an owner that loses its turn because nothing changes: it hears that at once
 // often enough.
 func TestOwnerKeepsItsTurnWhileNothingChanges(t *testing.T) {
