--- a/internal/step/takeover.go
+++ b/internal/step/takeover.go
@@ -77,9 +77,6 @@
 // a while: one that may read its items, when its turn by rank has come.
 func (m *Manager) mayTakeOver(r record, orphanFor time.Duration) bool {
 	residency := m.stepResidency(r.Spec)
-	if !residency.Limited() {
-		return orphanFor >= time.Duration(m.Members.Rank(r.ID))*takeoverStep
-	}
 	return residency.Allows(m.Domain) && orphanFor >= time.Duration(m.Members.RankWithin(r.ID, residency))*takeoverStep
 }
 
