--- a/internal/step/ranking.go
+++ b/internal/step/ranking.go
@@ -15,7 +15,7 @@
 	need   need
 	now    time.Time
 	median time.Duration
-	order  costs
+	order  byCost
 }
 
 func newRanking(p pool, n need, now time.Time) *ranking {
@@ -55,15 +55,15 @@
 	at    int
 }
 
-// costs is a heap of candidates, the cheapest first, and of equal ones the first in the
+// byCost is a heap of candidates, the cheapest first, and of equal ones the first in the
 // pool.
-type costs []candidate
+type byCost []candidate
 
 // Len implements heap.Interface.
-func (c costs) Len() int { return len(c) }
+func (c byCost) Len() int { return len(c) }
 
 // Less implements heap.Interface.
-func (c costs) Less(i, j int) bool {
+func (c byCost) Less(i, j int) bool {
 	if c[i].cost != c[j].cost {
 		return c[i].cost < c[j].cost
 	}
@@ -71,13 +71,13 @@
 }
 
 // Swap implements heap.Interface.
-func (c costs) Swap(i, j int) { c[i], c[j] = c[j], c[i] }
+func (c byCost) Swap(i, j int) { c[i], c[j] = c[j], c[i] }
 
 // Push implements heap.Interface.
-func (c *costs) Push(x any) { *c = append(*c, x.(candidate)) }
+func (c *byCost) Push(x any) { *c = append(*c, x.(candidate)) }
 
 // Pop implements heap.Interface.
-func (c *costs) Pop() any {
+func (c *byCost) Pop() any {
 	last := (*c)[len(*c)-1]
 	*c = (*c)[:len(*c)-1]
 	return last
