--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -227,14 +227,7 @@
 	// A run counts from when it is sent: its window may be closed before a slow
 	// upstream has answered.
 	r.Meter.Began(r.call.Account, started)
-	response, err := r.Caller.Call(ctx, entry, r.request(ctx))
-	if err != nil && ctx.Err() == nil {
-		entry.NoAnswer()
-	}
-	if err == nil && response.NotRun {
-		_ = response.Body.Close()
-		err = fault.WithExecution(errors.WithStack(&fault.UpstreamFailed{Upstream: entry.Info().ID, Reason: "refused"}), fault.NotRun)
-	}
+	response, err := r.send(ctx, entry, r.request(ctx))
 	if err != nil {
 		if fault.ExecutionOf(err) == fault.NotRun {
 			r.Meter.Refused(r.call.Account, started)
@@ -254,6 +247,23 @@
 	return attempt{entry: entry, answer: answer}
 }
 
+// send sends one attempt to an upstream. An upstream that refuses it unrun is a failure,
+// and one that gives no answer may be starting again.
+func (f *Forwarder) send(ctx context.Context, entry *target.Entry, request *target.Request) (*target.Response, error) {
+	response, err := f.Caller.Call(ctx, entry, request)
+	if err != nil {
+		if ctx.Err() == nil {
+			entry.NoAnswer()
+		}
+		return nil, err
+	}
+	if response.NotRun {
+		_ = response.Body.Close()
+		return nil, fault.WithExecution(errors.WithStack(&fault.UpstreamFailed{Upstream: entry.Info().ID, Reason: "refused"}), fault.NotRun)
+	}
+	return response, nil
+}
+
 func (r *run) failed(entry *target.Entry, err error, execution fault.Execution) attempt {
 	return attempt{entry: entry, err: err, execution: execution}
 }
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -69,14 +69,7 @@
 	r := &run{Forwarder: s.Forwarder, call: s.call}
 	request := r.request(ctx)
 	request.ResumeAfter = s.last
-	response, err := s.Caller.Call(ctx, entry, request)
-	if err != nil && ctx.Err() == nil {
-		entry.NoAnswer()
-	}
-	if err == nil && response.NotRun {
-		_ = response.Body.Close()
-		err = fault.WithExecution(errors.WithStack(&fault.UpstreamFailed{Upstream: entry.Info().ID, Reason: "refused"}), fault.NotRun)
-	}
+	response, err := s.send(ctx, entry, request)
 	if err != nil {
 		entry.Failed(time.Now())
 		return err
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -393,14 +393,11 @@
 
 // Rank returns this VM's rank among the live VMs for a piece of work, from 0.
 // Ranks spare lost races; they decide nothing.
-func (l *List) Rank(work string) int { return l.rankAmong(work, l.Live()) }
+func (l *List) Rank(work string) int { return l.RankWithin(work, route.Residency{}) }
 
 // RankWithin is Rank among the VMs of the failure domains that a residency allows.
 func (l *List) RankWithin(work string, residency route.Residency) int {
-	return l.rankAmong(work, allowed(l.Live(), residency))
-}
-
-func (l *List) rankAmong(work string, live []VM) int {
+	live := allowed(l.Live(), residency)
 	able := strongest(live)
 	if slices.ContainsFunc(able, func(vm VM) bool { return vm.ID == l.self.ID }) {
 		return lease.Rank(work, l.self.ID, ids(able))
--- a/internal/step/turn_test.go
+++ b/internal/step/turn_test.go
@@ -10,6 +10,11 @@
 	"dogwoodpond/internal/target"
 )
 
+// opened is an open step of model m as its owner has written it.
+func opened(step, owner string, version int64) record {
+	return record{State: State{Spec: Spec{ID: step, Model: "m"}, Owner: owner}, version: version}
+}
+
 // Guards against several VMs that each take themselves for the one that may use a cold
 // engine, because none of them can read who owns the open steps.
 func TestNoTurnWithoutTheStatesOfSteps(t *testing.T) {
@@ -51,7 +56,7 @@
 		w.store.SetDown(true)
 		time.Sleep(300 * time.Millisecond)
 		for i, v := range owners {
-			v.note(record{State: State{Spec: Spec{ID: fmt.Sprint("s", i), Model: "m"}, Owner: v.VM}, version: int64(i + 1)})
+			v.note(opened(fmt.Sprint("s", i), v.VM, int64(i+1)))
 		}
 		for range 40 {
 			for _, e := range owners[0].Roster.Service("lm") {
@@ -77,9 +82,6 @@
 		w := newWorld(t, "e1", "e2", "e3", "e4")
 		a, b := w.start("a"), w.start("b")
 		time.Sleep(time.Second)
-		opened := func(step, owner string, version int64) record {
-			return record{State: State{Spec: Spec{ID: step, Model: "m"}, Owner: owner}, version: version}
-		}
 		b.note(opened("s1", "b", 1))
 		a.note(opened("s1", "b", 1))
 		time.Sleep(2 * time.Second)
@@ -127,8 +129,8 @@
 		a, b := w.start("a"), w.start("b")
 		time.Sleep(time.Second)
 		steps := []record{
-			{State: State{Spec: Spec{ID: "s1", Model: "m"}, Owner: "a"}, version: 1},
-			{State: State{Spec: Spec{ID: "s2", Model: "m"}, Owner: "b"}, version: 2},
+			opened("s1", "a", 1),
+			opened("s2", "b", 2),
 			{State: State{Spec: Spec{ID: "s3", Model: "m", MinVersion: 9}, Owner: "c"}, version: 3},
 			{State: State{Spec: Spec{ID: "s4", Model: "m"}, Owner: "d", Ended: true}, version: 4},
 		}
@@ -309,7 +311,7 @@
 		b.Run(fmt.Sprintf("%d engines, %d open steps", size.engines, size.steps), func(b *testing.B) {
 			m := NewManager(Config{VM: "vm-0", View: route.NewView(), Roster: engineRoster(size.engines, 8)})
 			for i := range size.steps {
-				m.note(record{State: State{Spec: Spec{ID: fmt.Sprint("s", i), Model: "m"}, Owner: fmt.Sprint("vm-", i/2)}, version: int64(i + 1)})
+				m.note(opened(fmt.Sprint("s", i), fmt.Sprint("vm-", i/2), int64(i+1)))
 			}
 			b.ReportAllocs()
 			for b.Loop() {
--- a/internal/target/instance.go
+++ b/internal/target/instance.go
@@ -159,6 +159,11 @@
 func (e *Entry) LoadKnown(now time.Time) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	return e.knowsLoad(now)
+}
+
+// knowsLoad is LoadKnown for those that hold the lock.
+func (e *Entry) knowsLoad(now time.Time) bool {
 	return !e.loadAt.IsZero() && now.Sub(e.loadAt) <= loadLife
 }
 
@@ -166,8 +171,7 @@
 func (e *Entry) Foreign(now time.Time) int {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	age := now.Sub(e.loadAt)
-	if e.loadAt.IsZero() || age > loadLife {
+	if !e.knowsLoad(now) {
 		return 0
 	}
 	foreign := e.load.Running + e.load.Waiting - int(e.loadOwn)
