Read load reports that grow; the slowdown in them chooses nothing

Cause: parseLoad took three figures and nothing else, so each report with a fourth figure was dropped, and a VM knew nothing of the load that other VMs put on an upstream.

Each figure has a bound and a defined outcome, counted by part. The slowdown goes to a histogram.

--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -28,6 +28,8 @@
 	revision         prometheus.Gauge
 	scoreCalls       *prometheus.CounterVec
 	scoreWaitSeconds prometheus.Histogram
+	reportDefects    *prometheus.CounterVec
+	slowdowns        prometheus.Histogram
 }
 
 // storeBuckets are in seconds. They cover the store's usual latency of 5 ms and slow answers
@@ -57,9 +59,14 @@
 			Name: "dogwoodpond_score_wait_seconds", Help: "Time from an item's complete text to its score.",
 			Buckets: []float64{.02, .04, .08, .15, .3, .6, 1.2, 2.5, 5, 10},
 		}),
+		reportDefects: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "dogwoodpond_load_report_defects_total", Help: "Load reports of upstreams that can't be used, by part: all of the report for its counts, only the slowdown for its slowdown."}, []string{"part"}),
+		slowdowns: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Name: "dogwoodpond_upstream_slowdown_ratio", Help: "Slowdowns that upstreams report with their load: how long work takes on their machine, as a multiple of the usual time.",
+			Buckets: []float64{.5, .75, 1, 1.5, 2, 3, 5, 10},
+		}),
 		committedResults: prometheus.NewCounter(prometheus.CounterOpts{Name: "dogwoodpond_results_listed_total", Help: "Committed results of steps."}),
 	}
-	m.registry.MustRegister(m.events, m.refusals, m.failedAttempts, m.requestSeconds, m.committedResults, m.commitSeconds, m.storeCallSeconds, m.revision, m.scoreCalls, m.scoreWaitSeconds, collectors.NewGoCollector(),
+	m.registry.MustRegister(m.events, m.refusals, m.failedAttempts, m.requestSeconds, m.committedResults, m.commitSeconds, m.storeCallSeconds, m.revision, m.scoreCalls, m.scoreWaitSeconds, m.reportDefects, m.slowdowns, collectors.NewGoCollector(),
 		prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "dogwoodpond_open_requests", Help: "Requests that are being served."}, func() float64 { return float64(incarnation.OpenRequests()) }),
 		prometheus.NewCounterFunc(prometheus.CounterOpts{Name: "dogwoodpond_log_lines_dropped_total", Help: "Log lines dropped because the log buffer was full."}, func() float64 { return float64(sink.Dropped()) }),
 	)
@@ -107,6 +114,15 @@
 	m.storeCallSeconds.WithLabelValues(call, outcome).Observe(duration.Seconds())
 }
 
+// CountLoadReportDefect counts a load report by the part that can't be used.
+func (m *Metrics) CountLoadReportDefect(part string) {
+	m.reportDefects.WithLabelValues(part).Inc()
+}
+
+// ObserveSlowdown records a slowdown that an upstream reported, as a multiple of the usual
+// time.
+func (m *Metrics) ObserveSlowdown(slowdown float64) { m.slowdowns.Observe(slowdown) }
+
 // RegisterBackoffFactor registers the metric of the factor by which the intervals between
 // this VM's reads of the store are longer because the store refused calls.
 func (m *Metrics) RegisterBackoffFactor(backoffFactor func() float64) {
