Repeated full reads of the step states leave out steps that have ended

Cause: every VM reads the states of all steps in full each 20 s, one call per step, since each step has its own partition, and ended steps stay for 150 s. That is n x steps / 20 s reads: with 6 trainers that submit every 4 s some 225 steps, 986 VMs 11,000 reads a second of the 2,400 meant for them. A state that has ended no longer changes, so the repeat needs the open ones only.

Count of reads for a repeated full read with 5 open steps and 50, 100, 200 retained ones: 51, 101, 201 before (worked out: one a partition and the first), 6, 6, 6 after (the test).

--- a/internal/rowstore/store_test.go
+++ b/internal/rowstore/store_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -351,3 +352,50 @@
 		}
 	})
 }
+
+// partitionReadCounter counts the reads of partitions.
+type partitionReadCounter struct {
+	noChanges
+	reads *atomic.Int64
+}
+
+func (s partitionReadCounter) Read(ctx context.Context, table, partition, from, to string) (rowstore.Page, error) {
+	s.reads.Add(1)
+	return s.noChanges.Read(ctx, table, partition, from, to)
+}
+
+// Guards against full reads whose calls grow with all partitions that a table retains, each
+// of them made by every VM of the fleet.
+func TestRepeatedFullReadSkipsPartitionsThatNoLongerChange(t *testing.T) {
+	const changing = 5
+	for _, retained := range []int{50, 100, 200} {
+		synctest.Test(t, func(t *testing.T) {
+			store := partitionReadCounter{noChanges{memory.New()}, new(atomic.Int64)}
+			known := make(map[string]bool)
+			for i := range retained {
+				store.Set(rowstore.Key{Table: "t", Part: fmt.Sprintf("p%03d", i), Name: "row"}, "value")
+			}
+			isFinal := func(partition string) bool { return known[partition] && partition >= fmt.Sprintf("p%03d", changing) }
+			w := rowstore.Watcher{
+				Store: store, Table: "t", AllParts: true, PollTimeout: time.Second, SkipPart: isFinal,
+				Apply: func([]rowstore.Row) {},
+				Replace: func(rows []rowstore.Row) {
+					for _, row := range rows {
+						known[row.Part] = true
+					}
+				},
+			}
+			go w.Run(t.Context())
+			synctest.Wait()
+			if first := store.reads.Load(); first != int64(retained)+1 {
+				t.Errorf("the first full read of %d partitions made %d reads", retained, first)
+			}
+			store.reads.Store(0)
+			time.Sleep(25 * time.Second)
+			synctest.Wait()
+			if repeated := store.reads.Load(); repeated != changing+1 {
+				t.Errorf("a repeated full read of %d partitions, %d of which still change, made %d reads", retained, changing, repeated)
+			}
+		})
+	}
+}
--- a/internal/rowstore/watch.go
+++ b/internal/rowstore/watch.go
@@ -31,6 +31,10 @@
 	Part string
 	// AllParts extends a full read to every partition of the table.
 	AllParts bool
+	// SkipPart, if set, reports whether a full read of all partitions may leave one out,
+	// because its rows are known and no longer change. Otherwise the calls of a full read
+	// grow with all that the table retains.
+	SkipPart func(partition string) bool
 	// PollTimeout is the longest time that the store holds one long poll open. It bounds how long
 	// an unresponsive connection goes unnoticed.
 	PollTimeout time.Duration
@@ -121,7 +125,7 @@
 		}
 		for _, partition := range partitions {
 			after = partition
-			if partition == w.Part {
+			if partition == w.Part || w.SkipPart != nil && w.SkipPart(partition) {
 				continue
 			}
 			page, err := ReadPartition(ctx, store, w.Table, partition)
--- a/internal/step/manager.go
+++ b/internal/step/manager.go
@@ -135,14 +135,23 @@
 // ends.
 func (m *Manager) Run(ctx context.Context) {
 	defer context.AfterFunc(ctx, m.cancel)()
+	// skipped holds the ended steps that the current full read leaves out.
+	skipped := make(map[string]bool)
 	watcher := rowstore.Watcher{
 		Store: m.Store, Table: stateTable, AllParts: true, PollTimeout: watchTimeout, PollTimeoutFunc: m.stateWatchTimeout,
 		MinPollInterval: m.stateWatchInterval,
 		RetryBackoff:    func() time.Duration { return m.CallBudget.RetryBackoff(budget.Steps, minWatchInterval) },
-		Replace:         func(rows []rowstore.Row) { m.replace(rows) },
-		Apply:           func(rows []rowstore.Row) { m.apply(rows) },
-		OnRead:          func() { m.statesReadAt.Store(time.Now().UnixNano()) },
-		OnOutage:        m.Events.OnDependencyLost("states of steps"), OnRecovery: m.Events.OnDependencyRegained("states of steps"),
+		SkipPart: func(id string) bool {
+			skipped[id] = m.isEnded(id)
+			return skipped[id]
+		},
+		Replace: func(rows []rowstore.Row) {
+			m.replace(rows, skipped)
+			clear(skipped)
+		},
+		Apply:    func(rows []rowstore.Row) { m.apply(rows) },
+		OnRead:   func() { m.statesReadAt.Store(time.Now().UnixNano()) },
+		OnOutage: m.Events.OnDependencyLost("states of steps"), OnRecovery: m.Events.OnDependencyRegained("states of steps"),
 	}
 	var loops sync.WaitGroup
 	loops.Go(func() { watcher.Run(ctx) })
@@ -243,9 +252,9 @@
 	return m.leaving
 }
 
-// replace applies the state rows of a full read, and removes the ended steps that the read
-// does not contain.
-func (m *Manager) replace(rows []rowstore.Row) {
+// replace applies the state rows of a full read, and removes the ended steps that the store
+// no longer has. skipped contains the ended steps that the store has and the read left out.
+func (m *Manager) replace(rows []rowstore.Row, skipped map[string]bool) {
 	present := make(map[string]bool, len(rows))
 	for _, row := range rows {
 		present[row.Part] = true
@@ -254,7 +263,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for id, r := range m.states {
-		if !present[id] && r.Ended {
+		if !present[id] && !skipped[id] && r.Ended {
 			delete(m.states, id)
 		}
 	}
