Weight loads follow the need of the steps, not the number of engines

Cause: half of each model's share of the engines loaded each version, whatever the steps need: with 2,861 engines, 6 models and a version every 4 s some 357 loads a second, each with an order, polls and two rows of one partition a failure domain (143 writes a second of its 200), and a changed entry of the list of upstreams; every VM reads all of them. The steps have 160 to 208 items, some 35 engines of 6 slots.

A failure domain now loads as many engines of a model as a whole step needs with 1.25 times the slots, so that a domain that is cut off still runs a whole step; on deployments with fewer engines a domain nothing changes. Loads for 6 versions of 2 models whose steps use 4 engines, with 16, 32, 64 engines: 48, 96, 192 before; 24 at most after (TestLoadsFollowTheNeedOfTheSteps).

The pass that plans loads, ten times a second, sorted engines x models by comparison.

--- a/internal/node/demand.go
+++ b/internal/node/demand.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"math"
 	"slices"
 	"sort"
 	"sync"
@@ -80,20 +81,38 @@
 	if snapshot == nil || snapshot.Services[service] == nil || snapshot.Services[service].Engine == nil {
 		return nil
 	}
+	engine := snapshot.Services[service].Engine
 	demands := d.steps.ModelDemands()
 	var out []weightload.Demand
-	for _, model := range snapshot.Services[service].Engine.Models {
+	for _, model := range engine.Models {
 		version, ok := d.announced.Version(model)
 		if !ok {
 			continue
 		}
 		demand := demands[model]
-		out = append(out, weightload.Demand{Model: model, AnnouncedVersion: version, MaxVersionLag: maxVersionLag(version, demand), ExpectedTokens: demand.ExpectedTokens})
+		out = append(out, weightload.Demand{
+			Model: model, AnnouncedVersion: version, MaxVersionLag: maxVersionLag(version, demand), ExpectedTokens: demand.ExpectedTokens,
+			MaxEngines: maxEnginesPerDomain(demand.MaxItems, engine.Slots),
+		})
 	}
 	sort.Slice(out, func(i, j int) bool { return out[i].Model < out[j].Model })
 	return out
 }
 
+// engineHeadroom is how many more slots than items a failure domain has for a step: some of
+// its engines are slow, suspect or loading.
+const engineHeadroom = 1.25
+
+// maxEnginesPerDomain returns how many engines of one failure domain the steps of a model can
+// use, so that a failure domain that is cut off can still run a whole step; 0 if that is not
+// known.
+func maxEnginesPerDomain(items, slots int) int {
+	if items <= 0 || slots <= 0 {
+		return 0
+	}
+	return int(math.Ceil(engineHeadroom * float64(items) / float64(slots)))
+}
+
 // defaultMaxVersionLag is the maximum version lag of the next step if no step of the model
 // is known.
 const defaultMaxVersionLag = 1
--- a/internal/weightload/plan.go
+++ b/internal/weightload/plan.go
@@ -28,6 +28,10 @@
 	// ExpectedTokens is the expected output of the model's latest steps; only the ratio
 	// between models matters.
 	ExpectedTokens float64
+	// MaxEngines is how many engines of one failure domain the model's steps can use; 0 if
+	// that is not known. Loads on further engines would cost an order, rows in the store and a
+	// change of the list of upstreams on every VM, in proportion to the number of engines.
+	MaxEngines int
 }
 
 // minShare is the smallest share of a model, before all shares are divided by their sum.
@@ -59,7 +63,7 @@
 // returns the number for each. preceding is the number of engines in the failure
 // domains with smaller names. Rounding continues over all failure domains, so that each
 // model gets its share of all engines; rounding in each domain alone would give the
-// remainder to the same model every time.
+// remainder to the same model every time. Engines that no model can use are left over.
 func engineCounts(demands []Demand, preceding, engines int) []int {
 	modelShares := shares(demands)
 	out := make([]int, len(demands))
@@ -76,7 +80,13 @@
 		precedingCount := firstModels(preceding, i+1) - firstModels(preceding, i)
 		out[i] = cumulative - precedingCount
 	}
-	return correctRounding(out, engines)
+	out = correctRounding(out, engines)
+	for i, d := range demands {
+		if d.MaxEngines > 0 {
+			out[i] = min(out[i], d.MaxEngines)
+		}
+	}
+	return out
 }
 
 // correctRounding removes negative counts, gives each model at least one engine if
@@ -112,31 +122,33 @@
 	return index
 }
 
-// assignEngines assigns a model to each engine, counts[i] engines to the model of
-// demands[i]. The engines with the newest weights of a model are assigned to it first,
-// since another assignment costs a weight load.
+// maxLag is the largest version lag that assignEngines tells apart.
+const maxLag = 8
+
+// assignEngines assigns models to engines, counts[i] engines to the model of demands[i]. The
+// engines with the newest weights of a model are assigned to it first, since another
+// assignment costs a weight load. It runs in each pass over the engines of a failure domain,
+// so it sorts by the few different lags rather than by comparison.
 func assignEngines(engines []*target.Entry, demands []Demand, counts []int) map[*target.Entry]string {
-	remaining := make(map[string]int, len(demands))
-	for i, d := range demands {
-		remaining[d.Model] = counts[i]
-	}
 	type candidate struct {
 		engine *target.Entry
-		model  string
-		lag    int64
+		demand int
 	}
-	var candidates []candidate
+	var byLag [maxLag + 1][]candidate
 	for _, e := range engines {
-		for _, d := range demands {
-			candidates = append(candidates, candidate{e, d.Model, d.AnnouncedVersion - e.Version(d.Model)})
+		for i, d := range demands {
+			lag := min(max(d.AnnouncedVersion-e.Version(d.Model), 0), maxLag)
+			byLag[lag] = append(byLag[lag], candidate{e, i})
 		}
 	}
-	sort.SliceStable(candidates, func(i, j int) bool { return candidates[i].lag < candidates[j].lag })
+	remaining := slices.Clone(counts)
 	out := make(map[*target.Entry]string, len(engines))
-	for _, c := range candidates {
-		if _, taken := out[c.engine]; !taken && remaining[c.model] > 0 {
-			out[c.engine] = c.model
-			remaining[c.model]--
+	for _, candidates := range byLag {
+		for _, c := range candidates {
+			if _, taken := out[c.engine]; !taken && remaining[c.demand] > 0 {
+				out[c.engine] = demands[c.demand].Model
+				remaining[c.demand]--
+			}
 		}
 	}
 	return out
--- a/internal/weightload/weightload_test.go
+++ b/internal/weightload/weightload_test.go
@@ -352,6 +352,36 @@
 	}
 }
 
+// Guards against orders, rows in the store and changes of the list of upstreams that grow with
+// the engines although the steps use only some: each is sent to every VM.
+func TestLoadsFollowTheNeedOfTheSteps(t *testing.T) {
+	const maxEngines, versions = 4, 6
+	for _, engines := range []int{16, 32, 64} {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFleet(engines)
+			for _, model := range []string{"m", "n"} {
+				f.demands = append(f.demands, Demand{Model: model, AnnouncedVersion: 1, MaxVersionLag: 1, ExpectedTokens: 1, MaxEngines: maxEngines})
+			}
+			f.startLoader(t, "a")
+			time.Sleep(2 * time.Second)
+			for v := int64(2); v < 2+versions; v++ {
+				f.announceVersion("m", v)
+				f.announceVersion("n", v)
+				time.Sleep(4 * time.Second)
+				for _, model := range []string{"m", "n"} {
+					if n := f.countReady(model, v-1); n < maxEngines {
+						t.Errorf("%d of %d engines can run the next step of %s, want %d", n, engines, model, maxEngines)
+					}
+				}
+			}
+			// Half of the engines of each model load each version.
+			if n := f.loads(); n > 2*versions*maxEngines/2 {
+				t.Errorf("%d engines: %d loads for %d versions of 2 models that can use %d engines each", engines, n, versions, maxEngines)
+			}
+		})
+	}
+}
+
 // All engines are too old after a long outage. If they were loaded model by model, the
 // last model would wait for seconds although one engine is enough to begin its step.
 func TestEachModelGetsOneLoadFirst(t *testing.T) {
