In a large fleet VMs follow digests of the heartbeats of each failure domain

Cause: every VM read the heartbeats of all others, n rows for each of n VMs in each interval. At 1,000 VMs that is 1,038 rows and 301 KB a second for a VM and 2,407 Mbit/s for the fleet, at 2,000 4,969 Mbit/s, of a store with 4,000 Mbit/s.

Above 400 VMs the two VMs that rank first in a failure domain read its heartbeats and write digests: who missed heartbeats and for how long, rows that changed, and a fingerprint of all rows. The others follow the digests, and read the rows of a domain themselves when its digests stop or their rows differ. Heartbeats stay the only evidence; a row's version against the versions of earlier polls tells its age by one read. A digest replaces only the one that its writer knows, so a frozen writer can't put old news over new.

Weighed: fewer polls by VMs that can't own steps (rows fall by a factor, the exponent stays); readers that pass changes on over peers' streams (state on both ends, age of knowledge to be proven; the digest row carries the store's version). After a failed poll the cursor stays: before, each VM read all rows again after an outage.

Fleets of up to 400 VMs read as before.

--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -1,6 +1,6 @@
 // Package member maintains the list of the fleet's VMs. Each VM writes its own status
 // row at regular intervals; such a write is a heartbeat. The other VMs read the rows of
-// a failure domain together. A VM counts as dead once its row has not been written for
+// a failure domain together or, in a large fleet, digests of them. A VM counts as dead once its row has not been written for
 // some time while the store was available. During an outage of the store no VM can
 // write a heartbeat, so none is declared dead because of the outage.
 package member
@@ -38,9 +38,9 @@
 	jitterDivisor = 5
 	// readBackoff is the wait after a failed read.
 	readBackoff = 100 * time.Millisecond
-	// fullReadInterval is the interval at which all rows are read again, in case
+	// minFullReadInterval is the interval at which all rows are read again, in case
 	// changes were missed when the store lost its history of changes.
-	fullReadInterval = 20 * time.Second
+	minFullReadInterval = 20 * time.Second
 	// maxMissedHeartbeats is the number of heartbeat intervals without a new version of
 	// the row after which a VM counts as dead. One late heartbeat has no effect.
 	maxMissedHeartbeats = 3
@@ -86,6 +86,10 @@
 	unchangedFor time.Duration
 	// returnedAt is when the VM wrote a heartbeat again after it had been unresponsive.
 	returnedAt time.Time
+	// valueChangedAt is when this VM learned of the present value.
+	valueChangedAt time.Time
+	// fingerprint is the row's part in the fingerprint of its domain.
+	fingerprint uint64
 }
 
 // List is the list of members as this VM knows it. It is safe for concurrent use.
@@ -99,7 +103,11 @@
 	// viaPeers reports whether this VM reaches the store only through its peers.
 	viaPeers func() bool
 
+	// maxDirectVMs is the largest fleet whose VMs read each other's heartbeats.
+	maxDirectVMs int
+
 	heartbeatFailing atomic.Bool
+	digestFailing    atomic.Bool
 	leaving          atomic.Bool
 	// writeMu serializes the heartbeats of this VM. A heartbeat in progress when the VM
 	// begins to leave would otherwise overwrite the one that announces it, and the
@@ -108,6 +116,10 @@
 
 	mu   sync.Mutex
 	rows map[string]*statusRow
+	// views holds the failure domains while this VM follows digests, nil otherwise.
+	views map[string]*domainView
+	// history tells the age of rows while this VM follows digests.
+	history pollHistory
 	// polledAt is when the rows were last read, or zero after a failed read.
 	polledAt time.Time
 	// availableSince is when a read succeeded for the first time after an outage of the
@@ -121,7 +133,7 @@
 func New(self VM, domains []string, store rowstore.Store, viaPeers func() bool, calls *budget.Budget, events *event.Recorder) *List {
 	return &List{
 		self: self, viaPeers: viaPeers, domains: domains, store: store, budget: calls, events: events,
-		rows: make(map[string]*statusRow),
+		rows: make(map[string]*statusRow), maxDirectVMs: maxDirectVMs,
 	}
 }
 
@@ -149,17 +161,20 @@
 	}
 }
 
-// pollLoop reads all rows, and then polls for changes until the next full read is due
-// or a read fails. After each full read it removes expired rows.
+// pollLoop reads all rows, and then follows the heartbeats or, in a large fleet, the digests,
+// until the next full read is due or a read fails. After each full read it removes expired
+// rows.
 func (l *List) pollLoop(ctx context.Context) {
 	for ctx.Err() == nil {
 		after, err := l.readAll(ctx)
 		if err == nil {
 			l.removeExpired(ctx)
-		}
-		for until := time.Now().Add(fullReadInterval); err == nil && ctx.Err() == nil && time.Now().Before(until); {
-			wait.For(ctx, l.pollInterval())
-			after, err = l.readChanges(ctx, after)
+			until := time.Now().Add(l.fullReadInterval())
+			if l.followsDigests() {
+				err = l.followDigests(ctx, after, until)
+			} else {
+				err = l.followHeartbeats(ctx, after, until)
+			}
 		}
 		if err != nil && !fault.Is[*rowstore.HistoryTruncated](err) {
 			l.markUnavailable()
@@ -168,6 +183,41 @@
 	}
 }
 
+// followHeartbeats follows the heartbeats of all VMs after a version until a time. It returns
+// early when the fleet has become large or the history of changes was lost.
+func (l *List) followHeartbeats(ctx context.Context, after int64, until time.Time) error {
+	l.mu.Lock()
+	l.views = nil
+	l.mu.Unlock()
+	return l.poll(ctx, until, func() bool { return !l.followsDigests() }, func() (err error) {
+		after, err = l.readChanges(ctx, after)
+		return err
+	})
+}
+
+// poll calls read at the poll interval until a time, or while the condition holds. After a
+// failed read it continues with the next one: what changed meanwhile is still in the history
+// of changes, and a full read by every VM after an outage would load the store at once.
+func (l *List) poll(ctx context.Context, until time.Time, condition func() bool, read func() error) error {
+	for ctx.Err() == nil && time.Now().Before(until) && condition() {
+		wait.For(ctx, l.pollInterval())
+		err := read()
+		if fault.Is[*rowstore.HistoryTruncated](err) {
+			return err
+		}
+		if err != nil {
+			l.markUnavailable()
+		}
+	}
+	return nil
+}
+
+// fullReadInterval returns the interval between two full reads. It grows with the fleet, so
+// that a VM reads at most maxDirectVMs rows in minFullReadInterval.
+func (l *List) fullReadInterval() time.Duration {
+	return minFullReadInterval * time.Duration(max(l.budget.FleetSize(), l.maxDirectVMs)) / time.Duration(l.maxDirectVMs)
+}
+
 // heartbeatInterval returns the interval between two heartbeats of one VM.
 func (l *List) heartbeatInterval() time.Duration {
 	return l.budget.Interval(budget.Heartbeats, minHeartbeatInterval)
@@ -251,13 +301,9 @@
 	l.polledAt = time.Time{}
 }
 
-// applyRows records the rows of a successful read: all rows if full, otherwise those
-// that changed since the previous read. The time since the previous read counts toward
-// unchangedFor only if that read succeeded too.
-func (l *List) applyRows(rows []rowstore.Row, full bool, now time.Time) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	var elapsed time.Duration
+// notePoll records a successful read and returns the time since the previous one, which
+// counts toward unchangedFor only if that read succeeded too. l.mu must be held.
+func (l *List) notePoll(now time.Time) (elapsed time.Duration) {
 	if l.polledAt.IsZero() {
 		l.availableSince = now
 	} else {
@@ -265,6 +311,15 @@
 		elapsed = min(now.Sub(l.polledAt), 2*l.pollInterval())
 	}
 	l.polledAt, l.ready = now, true
+	return elapsed
+}
+
+// applyRows records the rows of a successful read: all rows if full, otherwise those
+// that changed since the previous read.
+func (l *List) applyRows(rows []rowstore.Row, full bool, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	elapsed := l.notePoll(now)
 	updated := make(map[string]bool, len(rows))
 	present := make(map[string]bool, len(rows))
 	for _, row := range rows {
@@ -280,7 +335,12 @@
 			delete(l.rows, name)
 			continue
 		}
-		l.updateLiveness(status, updated[name], elapsed)
+		// The version of a row whose VM was followed by digests may have changed long ago.
+		if updated[name] && l.views == nil {
+			l.setUnchangedFor(status, 0)
+		} else {
+			l.setUnchangedFor(status, status.unchangedFor+elapsed)
+		}
 	}
 	l.budget.SetFleetSize(len(l.rows))
 }
@@ -305,19 +365,16 @@
 		status = new(statusRow)
 		l.rows[row.Name] = status
 	}
-	status.vm, status.value, status.version = vm, row.Value, row.Version
+	status.vm, status.value, status.version, status.valueChangedAt = vm, row.Value, row.Version, time.Now()
+	status.fingerprint = fingerprintOf(row.Name, row.Value)
 	return true
 }
 
-// updateLiveness records whether a row was updated within the elapsed time, and emits
-// an event when its VM becomes unresponsive or returns.
-func (l *List) updateLiveness(status *statusRow, updated bool, elapsed time.Duration) {
+// setUnchangedFor records for how long a row has not been written, and emits an event when
+// its VM becomes unresponsive or returns.
+func (l *List) setUnchangedFor(status *statusRow, unchangedFor time.Duration) {
 	wasAlive := l.isAlive(status)
-	if updated {
-		status.unchangedFor = 0
-	} else {
-		status.unchangedFor += elapsed
-	}
+	status.unchangedFor = unchangedFor
 	isAlive := l.isAlive(status)
 	if isAlive == wasAlive {
 		return
--- a/internal/member/member_test.go
+++ b/internal/member/member_test.go
@@ -82,7 +82,7 @@
 		if rows, err := rowstore.ReadAll(t.Context(), store, table, "y"); err != nil || len(rows) != 1 {
 			t.Errorf("%d rows, %v; the row of a VM that may return was removed", len(rows), err)
 		}
-		time.Sleep(statusRowTTL/2 + 2*fullReadInterval)
+		time.Sleep(statusRowTTL/2 + 2*minFullReadInterval)
 		if rows, err := rowstore.ReadAll(t.Context(), store, table, "y"); err != nil || len(rows) != 0 {
 			t.Errorf("%d rows of a dead VM, %v", len(rows), err)
 		}
