Watches continue after an outage; full reads of large tables are rarer

The cursor is still good: the store answers 410 if its history no longer reaches back. And a full read each 20 s costs rows in proportion to the table: 3,000 upstreams are 150 rows a second for each VM, as many as the changes.

A watch now continues with its cursor (TestWatcherContinuesWithoutAFullReadAfterAnOutage: one read in place of two), and repeats a full read at most at 50 rows a second, 60 s for 3,000 rows.

--- a/internal/rowstore/store_test.go
+++ b/internal/rowstore/store_test.go
@@ -353,15 +353,39 @@
 	})
 }
 
-// partitionReadCounter counts the reads of partitions.
-type partitionReadCounter struct {
-	noChanges
+// Guards against a herd of full reads at the return of the store: each VM would read every page
+// of every table at once. What changed during the outage must still be seen.
+func TestWatcherContinuesWithoutAFullReadAfterAnOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		reads := new(atomic.Int64)
+		store := readCounter{memory.New(), reads}
+		store.Set(key, "one")
+		var seen string
+		apply := func(rows []rowstore.Row) { seen = string(rows[len(rows)-1].Value) }
+		w := rowstore.Watcher{Store: store, Table: key.Table, Part: key.Part, PollTimeout: time.Second, Replace: apply, Apply: apply}
+		go w.Run(t.Context())
+		time.Sleep(2 * time.Second)
+		store.SetDown(true)
+		time.Sleep(5 * time.Second)
+		store.SetDown(false)
+		store.Set(key, "two")
+		time.Sleep(2 * time.Second)
+		synctest.Wait()
+		if seen != "two" || reads.Load() != 1 {
+			t.Errorf("the watcher delivered %q last, after %d full reads; want the second value and one read", seen, reads.Load())
+		}
+	})
+}
+
+// readCounter counts the reads of partitions.
+type readCounter struct {
+	*memory.Store
 	reads *atomic.Int64
 }
 
-func (s partitionReadCounter) Read(ctx context.Context, table, partition, from, to string) (rowstore.Page, error) {
+func (s readCounter) Read(ctx context.Context, table, partition, from, to string) (rowstore.Page, error) {
 	s.reads.Add(1)
-	return s.noChanges.Read(ctx, table, partition, from, to)
+	return s.Store.Read(ctx, table, partition, from, to)
 }
 
 // Guards against full reads whose calls grow with all partitions that a table retains, each
@@ -370,7 +394,7 @@
 	const changing = 5
 	for _, retained := range []int{50, 100, 200} {
 		synctest.Test(t, func(t *testing.T) {
-			store := partitionReadCounter{noChanges{memory.New()}, new(atomic.Int64)}
+			store := readCounter{memory.New(), new(atomic.Int64)}
 			known := make(map[string]bool)
 			for i := range retained {
 				store.Set(rowstore.Key{Table: "t", Part: fmt.Sprintf("p%03d", i), Name: "row"}, "value")
--- a/internal/rowstore/watch.go
+++ b/internal/rowstore/watch.go
@@ -12,10 +12,13 @@
 const (
 	// defaultRetryBackoff is the backoff after a failed read if Watcher.RetryBackoff is nil.
 	defaultRetryBackoff = 100 * time.Millisecond
-	// fullReadInterval is the longest time between two full reads of a small table. Long
-	// polls can stop returning changes although the connection stays open, and can miss
-	// changes around a loss of history; the interval bounds how long that goes unnoticed.
-	fullReadInterval = 20 * time.Second
+	// minFullReadInterval is the time between two full reads of a small table. Long polls can
+	// stop returning changes although the connection stays open, and can miss changes around a
+	// loss of history; the interval bounds how long that goes unnoticed.
+	minFullReadInterval = 20 * time.Second
+	// maxFullReadRate bounds the rows per second that a VM reads by repeated full reads of a
+	// large table. All VMs of the fleet make them.
+	maxFullReadRate = 50
 	// fullReadFactor is the minimum time between two full reads as a multiple of the duration
 	// of the first of them.
 	fullReadFactor = 10
@@ -65,18 +68,23 @@
 func (w *Watcher) Run(ctx context.Context) {
 	for ctx.Err() == nil {
 		started := time.Now()
-		after, err := w.readTable(ctx)
+		after, rows, err := w.readTable(ctx)
 		if err == nil {
 			// The jitter spreads the full reads of VMs that started together.
-			err = w.follow(ctx, after, max(fullReadInterval-rand.N(fullReadInterval/4), fullReadFactor*time.Since(started)))
-		}
-		if err != nil && ctx.Err() == nil {
+			interval := fullReadInterval(rows)
+			w.follow(ctx, after, max(interval-rand.N(interval/4), fullReadFactor*time.Since(started)))
+		} else if ctx.Err() == nil {
 			w.noteFailure(err)
 			wait.For(ctx, w.retryBackoff())
 		}
 	}
 }
 
+// fullReadInterval returns the time between two full reads of a table with a number of rows.
+func fullReadInterval(rows int) time.Duration {
+	return max(minFullReadInterval, time.Duration(rows)*time.Second/maxFullReadRate)
+}
+
 // pollTimeout returns how long the store may hold the next long poll open.
 func (w *Watcher) pollTimeout() time.Duration {
 	if w.PollTimeoutFunc == nil {
@@ -92,27 +100,28 @@
 	return w.RetryBackoff()
 }
 
-// readTable reads the table in full and returns the version from which to follow changes. The
+// readTable reads the table in full and returns the version from which to follow changes, and
+// the number of rows. The
 // pages of several partitions are read at different times, so this is the version of the
 // first page. Part is read before the partitions are listed, so that a partition that is
 // created after the listing is among the changes.
-func (w *Watcher) readTable(ctx context.Context) (int64, error) {
+func (w *Watcher) readTable(ctx context.Context) (after int64, count int, err error) {
 	store := RetryingStore{Store: w.Store, Backoff: w.retryBackoff, OnFailure: w.noteFailure}
 	first, err := ReadPartition(ctx, store, w.Table, w.Part)
 	if err != nil {
-		return 0, err
+		return 0, 0, err
 	}
 	rows := first.Rows
 	if w.AllParts {
 		others, err := w.readOtherPartitions(ctx, store)
 		if err != nil {
-			return 0, err
+			return 0, 0, err
 		}
 		rows = append(rows, others...)
 	}
 	w.noteSuccess()
 	w.Replace(rows)
-	return first.Version, nil
+	return first.Version, len(rows), nil
 }
 
 // readOtherPartitions reads all partitions of the table except Part.
@@ -139,19 +148,24 @@
 	return rows, nil
 }
 
-// follow applies changes after a version. It returns nil when the table has to be read in full
-// again, because maxDuration has passed or the history was lost, and when ctx has ended. It
-// returns an error if a long poll fails.
-func (w *Watcher) follow(ctx context.Context, after int64, maxDuration time.Duration) error {
+// follow applies changes after a version. It returns when the table has to be read in full
+// again, because maxDuration has passed or the history was lost, and when ctx has ended. After a
+// failed long poll it continues: what changed meanwhile is still in the history. If every VM
+// read the table in full after an outage, the store would refuse most calls at its return.
+func (w *Watcher) follow(ctx context.Context, after int64, maxDuration time.Duration) {
 	deadline := time.Now().Add(maxDuration)
 	for ctx.Err() == nil && time.Now().Before(deadline) {
 		pollStart := time.Now()
 		page, err := w.Store.Changes(ctx, w.Table, after, w.pollTimeout())
 		if fault.Is[*HistoryTruncated](err) {
-			return nil
+			return
 		}
 		if err != nil {
-			return err
+			if ctx.Err() == nil {
+				w.noteFailure(err)
+				wait.For(ctx, w.retryBackoff())
+			}
+			continue
 		}
 		w.noteSuccess()
 		if len(page.Rows) > 0 {
@@ -162,7 +176,6 @@
 			wait.For(ctx, w.MinPollInterval()-time.Since(pollStart))
 		}
 	}
-	return nil
 }
 
 // ReadPartition returns all rows of a partition, page by page. The version is that of the
