Only VMs that run steps, or would own the next one, read the weight loads

Cause: every VM followed the rows of all weight loads, two for each load: at 1,000 VMs 431 rows and 95 KB a second for a VM, 759 Mbit/s for the fleet, though only owners of steps use the versions.

A VM reads them while it runs steps, for 30 s after, and while it ranks first for a model's steps in its failure domain, so that it knows them when a step arrives.

--- a/internal/rowstore/watch.go
+++ b/internal/rowstore/watch.go
@@ -101,10 +101,9 @@
 }
 
 // readTable reads the table in full and returns the version from which to follow changes, and
-// the number of rows. The
-// pages of several partitions are read at different times, so this is the version of the
-// first page. Part is read before the partitions are listed, so that a partition that is
-// created after the listing is among the changes.
+// the number of rows. The pages of several partitions are read at different times, so the version
+// is that of the first page. Part is read before the partitions are listed, so that a partition
+// that is created after the listing is among the changes.
 func (w *Watcher) readTable(ctx context.Context) (after int64, count int, err error) {
 	store := RetryingStore{Store: w.Store, Backoff: w.retryBackoff, OnFailure: w.noteFailure}
 	first, err := ReadPartition(ctx, store, w.Table, w.Part)
--- a/internal/step/manager.go
+++ b/internal/step/manager.go
@@ -92,8 +92,9 @@
 	mu sync.Mutex
 	// states holds the newest known state of each step.
 	states map[string]stateRecord
-	// runs holds the steps that run on this VM.
-	runs map[string]*run
+	// runs holds the steps that run on this VM; lastRunAt is when the last of them started.
+	runs      map[string]*run
+	lastRunAt time.Time
 	// takingOver holds the steps that this VM is taking over.
 	takingOver map[string]bool
 	// unownedSince is when this VM first found that a step has no live owner.
@@ -374,7 +375,7 @@
 	r.early = early
 	r.restoreTexts(m.retained.forItems(rec.Account, items))
 	r.restoreTexts(texts)
-	m.runs[rec.ID] = r
+	m.runs[rec.ID], m.lastRunAt = r, time.Now()
 	m.tasks.Go(r.commitLoop)
 	m.tasks.Go(r.saveLoop)
 	m.mu.Unlock()
@@ -382,6 +383,17 @@
 	return r
 }
 
+// recentRunPeriod is how long after its last run a VM still counts as one that runs steps. Its
+// models' next steps usually come within seconds.
+const recentRunPeriod = 30 * time.Second
+
+// RunsSteps reports whether this VM runs steps or has run some within recentRunPeriod.
+func (m *Manager) RunsSteps() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return len(m.runs) > 0 || !m.lastRunAt.IsZero() && time.Since(m.lastRunAt) < recentRunPeriod
+}
+
 // NotifyDispatcher notifies the dispatcher that engines or their versions have changed.
 func (m *Manager) NotifyDispatcher() { m.notifyDispatcher() }
 
--- a/internal/weightload/loader.go
+++ b/internal/weightload/loader.go
@@ -322,22 +322,61 @@
 	}
 }
 
-// WatchLoads watches the weight loads that the loaders of all failure domains publish and
-// records them in the roster, until ctx ends. It calls changed after each update.
-func WatchLoads(ctx context.Context, store rowstore.Store, roster *target.Roster, callBudget *budget.Budget, events *event.Recorder, changed func()) {
+// neededCheckInterval is the interval at which a Watch checks whether it is needed.
+const neededCheckInterval = 100 * time.Millisecond
+
+// Watch watches the weight loads that the loaders of all failure domains publish, and records
+// them in the roster.
+type Watch struct {
+	Store      rowstore.Store
+	Roster     *target.Roster
+	CallBudget *budget.Budget
+	Events     *event.Recorder
+	// Needed reports whether this VM uses the versions of engines: whether it runs steps, or will
+	// when one is submitted. The other VMs don't read the loads. Each load is two rows, and in a
+	// fleet with thousands of engines there are hundreds a second.
+	Needed func() bool
+	// OnChange is called after each update.
+	OnChange func()
+}
+
+// Run watches the loads while they are needed, until ctx ends.
+func (w *Watch) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		if w.Needed() {
+			w.runWhileNeeded(ctx)
+		}
+		wait.For(ctx, neededCheckInterval)
+	}
+}
+
+func (w *Watch) runWhileNeeded(ctx context.Context) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	var watching sync.WaitGroup
+	watching.Go(func() { w.watch(ctx) })
+	for ctx.Err() == nil && w.Needed() {
+		wait.For(ctx, neededCheckInterval)
+	}
+	cancel()
+	watching.Wait()
+}
+
+// watch watches the loads until ctx ends.
+func (w *Watch) watch(ctx context.Context) {
 	apply := func(rows []rowstore.Row) {
 		for _, row := range rows {
 			if !row.Deleted {
-				applyRow(row, roster, events)
+				applyRow(row, w.Roster, w.Events)
 			}
 		}
-		changed()
+		w.OnChange()
 	}
-	pollInterval := func() time.Duration { return callBudget.Interval(budget.WeightLoads, minPollInterval) }
-	retryBackoff := func() time.Duration { return callBudget.RetryBackoff(budget.WeightLoads, minPollInterval) }
 	watcher := rowstore.Watcher{
-		Store: store, Table: table, AllParts: true, PollTimeout: pollTimeout, Replace: apply, Apply: apply, MinPollInterval: pollInterval, RetryBackoff: retryBackoff,
-		OnOutage: events.OnDependencyLost("loads of weights"), OnRecovery: events.OnDependencyRegained("loads of weights"),
+		Store: w.Store, Table: table, AllParts: true, PollTimeout: pollTimeout, Replace: apply, Apply: apply,
+		MinPollInterval: func() time.Duration { return w.CallBudget.Interval(budget.WeightLoads, minPollInterval) },
+		RetryBackoff:    func() time.Duration { return w.CallBudget.RetryBackoff(budget.WeightLoads, minPollInterval) },
+		OnOutage:        w.Events.OnDependencyLost("loads of weights"), OnRecovery: w.Events.OnDependencyRegained("loads of weights"),
 	}
 	watcher.Run(ctx)
 }
--- a/internal/weightload/weightload_test.go
+++ b/internal/weightload/weightload_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -352,6 +353,40 @@
 	}
 }
 
+// Guards against rows that every VM of a large fleet reads although only a few run steps. A VM
+// that begins to run steps must soon know the loads.
+func TestLoadsAreReadOnlyWhileNeeded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, other := newFleet(1), newFleet(1)
+		var needed atomic.Bool
+		watch := Watch{
+			Store: f.store, Roster: other.roster, CallBudget: budget.New(budget.Rates{}), Needed: needed.Load, OnChange: func() {},
+			Events: event.NewRecorder("vm", 16, event.NewClock(time.Now), zap.NewNop()),
+		}
+		go watch.Run(t.Context())
+		version := func() int64 { return other.roster.Upstreams("lm")[0].Version("m") }
+		publish := func(version int64) {
+			f.store.Set(rowstore.Key{Table: table, Part: "x", Name: "e00/m"}, fmt.Sprintf(`{"upstream":"e00","model":"m","version":%d}`, version))
+			time.Sleep(time.Second)
+		}
+		publish(5)
+		if got := version(); got != 1 {
+			t.Errorf("a VM without steps knows version %d", got)
+		}
+		needed.Store(true)
+		time.Sleep(2 * neededCheckInterval)
+		if got := version(); got != 5 {
+			t.Errorf("a VM that has just begun to run steps knows version %d, want 5", got)
+		}
+		needed.Store(false)
+		time.Sleep(2 * neededCheckInterval)
+		publish(6)
+		if got := version(); got != 5 {
+			t.Errorf("a VM that no longer runs steps knows version %d", got)
+		}
+	})
+}
+
 // Guards against orders, rows in the store and changes of the list of upstreams that grow with
 // the engines although the steps use only some: each is sent to every VM.
 func TestLoadsFollowTheNeedOfTheSteps(t *testing.T) {
@@ -423,7 +458,8 @@
 	synctest.Test(t, func(t *testing.T) {
 		f, other := newFleet(2), newFleet(2)
 		events := event.NewRecorder("b", 16, event.NewClock(time.Now), zap.NewNop())
-		go WatchLoads(t.Context(), f.store, other.roster, budget.New(budget.Rates{}), events, func() {})
+		watch := Watch{Store: f.store, Roster: other.roster, CallBudget: budget.New(budget.Rates{}), Events: events, Needed: func() bool { return true }, OnChange: func() {}}
+		go watch.Run(t.Context())
 		f.startLoader(t, "a")
 		time.Sleep(2 * time.Second)
 		f.announceVersion("m", 2)
