--- a/internal/target/instance.go
+++ b/internal/target/instance.go
@@ -76,6 +76,8 @@
 	unitTimeAt     time.Time
 	// longTermUnitTime is the long-term average duration of a unit of work.
 	longTermUnitTime float64
+	// observedVersions and unavailableUntil are nil for the many upstreams that this VM never
+	// uses.
 	observedVersions map[string]int64
 	unavailableUntil map[string]time.Time
 	// admission limits the requests while the upstream warms up.
@@ -88,7 +90,7 @@
 }
 
 func newEntry(roster *Roster, info Instance) *Entry {
-	e := &Entry{roster: roster, observedVersions: make(map[string]int64), unavailableUntil: make(map[string]time.Time)}
+	e := &Entry{roster: roster}
 	e.info.Store(&info)
 	return e
 }
@@ -248,9 +250,13 @@
 func (e *Entry) NoteVersion(model string, version int64) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if version > e.observedVersions[model] {
-		e.observedVersions[model] = version
+	if version <= e.observedVersions[model] {
+		return
 	}
+	if e.observedVersions == nil {
+		e.observedVersions = make(map[string]int64)
+	}
+	e.observedVersions[model] = version
 }
 
 // NoteModelUnavailable records that the upstream is to get no requests for a model until a time:
@@ -258,6 +264,9 @@
 func (e *Entry) NoteModelUnavailable(model string, until time.Time) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if e.unavailableUntil == nil {
+		e.unavailableUntil = make(map[string]time.Time)
+	}
 	e.unavailableUntil[model] = until
 }
 
