--- a/internal/target/roster.go
+++ b/internal/target/roster.go
@@ -117,6 +117,7 @@
 
 func (r *Roster) apply(changes []Change) {
 	touched, now := make(listChanges), time.Now()
+	var added []*Entry
 	for _, c := range changes {
 		if c.info == nil {
 			for _, e := range r.entriesByID[c.id] {
@@ -124,12 +125,31 @@
 			}
 			continue
 		}
-		r.upsert(*c.info, touched, now)
+		if e := r.upsert(*c.info, touched, now); e != nil {
+			added = append(added, e)
+		}
 	}
+	r.emitListed(added)
 	r.evict(touched, now)
 	r.publish(touched)
 }
 
+// maxListedEvents is the number of new upstreams up to which each gets an event of its own.
+const maxListedEvents = 10
+
+// emitListed emits the events of upstreams that were added at once. A process that starts adds
+// all of them, thousands in a large fleet, and each event is a line in the log of every VM.
+func (r *Roster) emitListed(added []*Entry) {
+	if len(added) > maxListedEvents {
+		r.events.Emit(event.UpstreamListed, event.Subject{Count: int64(len(added))})
+		return
+	}
+	for _, e := range added {
+		info := e.Info()
+		r.events.Emit(event.UpstreamListed, event.Subject{Upstream: info.ID, Detail: info.Service + " at " + info.Address})
+	}
+}
+
 // listChanges holds the changes to the lists of services.
 type listChanges map[string]*listChange
 
@@ -154,9 +174,9 @@
 
 func (l listChanges) remove(service string) { l.of(service).removed = true }
 
-// upsert adds or updates the entry of an upstream. An upstream that restarts with the same
-// ID has lost its state, so each incarnation has its own entry.
-func (r *Roster) upsert(info Instance, touched listChanges, now time.Time) {
+// upsert adds or updates the entry of an upstream, and returns it if it was added. An upstream
+// that restarts with the same ID has lost its state, so each incarnation has its own entry.
+func (r *Roster) upsert(info Instance, touched listChanges, now time.Time) (added *Entry) {
 	for _, e := range r.entriesByID[info.ID] {
 		known := e.Info()
 		if known.Started != info.Started {
@@ -167,7 +187,7 @@
 			delete(r.unlisted, e)
 		}
 		if sameContent(known, &info) {
-			return
+			return nil
 		}
 		if info.Leaving && !known.Leaving {
 			r.events.Emit(event.UpstreamLeaving, event.Subject{Upstream: info.ID, Detail: info.Service})
@@ -178,7 +198,7 @@
 			touched.add(info.Service, e)
 			e.setSlowStart(r.slowStarts[info.Service])
 		}
-		return
+		return nil
 	}
 	for _, earlier := range r.entriesByID[info.ID] {
 		earlier.NoteMisaddressed()
@@ -189,7 +209,7 @@
 	e.noteListed(info.ColdFor, now)
 	r.entriesByID[info.ID] = append(r.entriesByID[info.ID], e)
 	touched.add(info.Service, e)
-	r.events.Emit(event.UpstreamListed, event.Subject{Upstream: info.ID, Detail: info.Service + " at " + info.Address})
+	return e
 }
 
 // sameContent reports whether two listings of one incarnation have the same content.
--- a/internal/target/roster_test.go
+++ b/internal/target/roster_test.go
@@ -4,6 +4,10 @@
 	"fmt"
 	"testing"
 	"time"
+
+	"go.uber.org/zap"
+
+	"dogwoodpond/internal/event"
 )
 
 // newInstances returns n upstreams of one service.
@@ -124,3 +128,29 @@
 		})
 	}
 }
+
+// Guards against a line in the log of every VM for each of thousands of upstreams when the fleet
+// starts.
+func TestUpstreamsListedAtOnceGetOneEvent(t *testing.T) {
+	for _, n := range []int{maxListedEvents, 2 * maxListedEvents, 4 * maxListedEvents} {
+		emitted := 0
+		recorder := event.NewRecorder("vm", 256, event.NewClock(time.Now), zap.NewNop())
+		recorder.Observe(func(e event.Record) {
+			if e.Number == event.UpstreamListed {
+				emitted++
+			}
+		})
+		var list []Instance
+		for i := range n {
+			list = append(list, newInstance(fmt.Sprint("up-", i), "x"))
+		}
+		NewRoster(recorder).Replace(list)
+		want := n
+		if n > maxListedEvents {
+			want = 1
+		}
+		if emitted != want {
+			t.Errorf("%d upstreams listed at once: %d events, want %d", n, emitted, want)
+		}
+	}
+}
