--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -129,7 +129,7 @@
 	{WeightsPublished, zap.InfoLevel, "weights published", "The weight store has a new version; Count is the version."},
 	{WeightsLoaded, zap.InfoLevel, "weights loaded", "An engine has loaded the weight version in Count."},
 	{UpstreamListed, zap.InfoLevel, "upstream listed", "The platform's list contains a new upstream; Detail gives its service and address. For many at once, there is one event with their number as Count."},
-	{UpstreamUnlisted, zap.InfoLevel, "upstream unlisted", "The upstream is no longer in the platform's list."},
+	{UpstreamUnlisted, zap.InfoLevel, "upstream unlisted", "The upstream is no longer in the platform's list, or this VM no longer needs it. For many at once, there is one event with their number as Count."},
 	{DomainEvacuated, zap.WarnLevel, "failure domain evacuated", "The failure domain in Detail is evacuated; its upstreams receive no more work. Count is the number of its listed upstreams."},
 	{DomainRestored, zap.InfoLevel, "failure domain restored", "The evacuation of the failure domain in Detail has ended; its Count upstreams receive work again as they warm up."},
 	{WindowSealed, zap.InfoLevel, "window sealed", "The VM stored its final usage of the window that starts at Count."},
--- a/internal/lease/manager.go
+++ b/internal/lease/manager.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -41,8 +42,13 @@
 	soleProcess bool
 	// ready reports whether the VM's rank is known.
 	ready func() bool
+	// held is the number of leases that the VM holds.
+	held atomic.Int64
 }
 
+// Held returns the number of leases that the VM holds.
+func (m *Manager) Held() int { return int(m.held.Load()) }
+
 // Option configures a Manager.
 type Option func(*Manager)
 
@@ -177,7 +183,10 @@
 	return NewHold(c.name, c.manager.timing, next, version+1, sentAt), 0
 }
 
-func (c *campaign) isCandidate() bool { return c.manager.ranker(c.name) < maxCandidates }
+func (c *campaign) isCandidate() bool { return c.manager.IsCandidate(c.name) }
+
+// IsCandidate reports whether the VM ranks so high for a lease that it may hold it soon.
+func (m *Manager) IsCandidate(name string) bool { return m.ranker(name) < maxCandidates }
 
 func (c *campaign) standbyDelay() time.Duration {
 	if c.isCandidate() {
@@ -203,6 +212,8 @@
 
 // runWhileHeld calls run while the lease is renewed, and then releases the lease.
 func (c *campaign) runWhileHeld(ctx context.Context, hold *Hold, run func(context.Context, Guard) (bool, error)) (bool, error) {
+	c.manager.held.Add(1)
+	defer c.manager.held.Add(-1)
 	renewCtx, stopRenewing := context.WithCancel(context.WithoutCancel(ctx))
 	runCtx, stopRun := context.WithCancelCause(ctx)
 	// Both renewLoop and the check after run can find the loss; the event is emitted
--- a/internal/member/digest.go
+++ b/internal/member/digest.go
@@ -302,6 +302,18 @@
 	return rank, writes
 }
 
+// WritesDigest reports whether this VM writes the digest of its failure domain.
+func (l *List) WritesDigest() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	view := l.views[l.self.FailureDomain]
+	return view != nil && view.isWriter
+}
+
+// FollowsDigests reports whether the fleet is so large that its VMs read digests in place of
+// lists that grow with it.
+func (l *List) FollowsDigests() bool { return l.followsDigests() }
+
 // domainsToRead returns the domains whose rows are read directly now: those whose digests have
 // stopped or differ, and the own one if this VM writes its digest.
 func (l *List) domainsToRead() []string {
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -207,6 +207,22 @@
 	return r.Residency.And(s.residencies[account])
 }
 
+// ForwardsToEngines reports whether requests of callers, other than steps, are forwarded to
+// model engines or to services that the configuration does not describe.
+func (s *Snapshot) ForwardsToEngines() bool {
+	for _, r := range s.routes {
+		if r.Kind == Steps {
+			continue
+		}
+		for _, share := range r.Split {
+			if service := s.Services[share.Service]; service == nil || service.Engine != nil {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // HasResidencyLimits reports whether any route or account has a limited residency.
 func (s *Snapshot) HasResidencyLimits() bool { return s.hasResidencyLimits }
 
--- a/internal/rowstore/watch.go
+++ b/internal/rowstore/watch.go
@@ -60,6 +60,9 @@
 	RetryBackoff func() time.Duration
 	// OnRead, if set, is called after each full read and each successful long poll.
 	OnRead func()
+	// OnVersion, if set, is called after Replace and Apply with the version of the store up to
+	// which all changes were delivered.
+	OnVersion func(version int64)
 
 	outageSince time.Time // zero while the table can be read
 }
@@ -120,6 +123,7 @@
 	}
 	w.noteSuccess()
 	w.Replace(rows)
+	w.noteVersion(first.Version)
 	return first.Version, len(rows), nil
 }
 
@@ -171,6 +175,7 @@
 			w.Apply(page.Rows)
 		}
 		after = max(after, page.Version)
+		w.noteVersion(after)
 		if w.MinPollInterval != nil {
 			wait.For(ctx, w.MinPollInterval()-time.Since(pollStart))
 		}
@@ -197,6 +202,12 @@
 	return page.Rows, err
 }
 
+func (w *Watcher) noteVersion(version int64) {
+	if w.OnVersion != nil {
+		w.OnVersion(version)
+	}
+}
+
 // noteSuccess records a successful read and reports the end of an outage.
 func (w *Watcher) noteSuccess() {
 	if w.OnRead != nil {
--- a/internal/scaling/orderer.go
+++ b/internal/scaling/orderer.go
@@ -79,9 +79,12 @@
 // leaseDuty is the duty in the names of the orderers' leases.
 const leaseDuty = "supply"
 
+// LeaseName returns the name of the lease for the orders of a failure domain.
+func LeaseName(domain string) string { return lease.NameInDomain(leaseDuty, domain) }
+
 // Run campaigns for the lease of the failure domain until ctx ends.
 func (o *Orderer) Run(ctx context.Context) {
-	o.Leases.Serve(ctx, lease.NameInDomain(leaseDuty, o.Domain), o.serveTerm)
+	o.Leases.Serve(ctx, LeaseName(o.Domain), o.serveTerm)
 }
 
 // serveTerm sends orders during one lease term, until ctx ends or the lease is lost. It
@@ -135,7 +138,7 @@
 	err := o.Platform.OrderUpstreams(orderCtx, Order{
 		Service: key.service, Domain: o.Domain, Kind: key.kind, Count: count, Holder: o.VM, Epoch: guard.Epoch(),
 	})
-	subject := event.Subject{Lease: lease.NameInDomain(leaseDuty, o.Domain), Epoch: guard.Epoch(), Count: int64(count), Detail: key.service + " " + key.kind.String()}
+	subject := event.Subject{Lease: LeaseName(o.Domain), Epoch: guard.Epoch(), Count: int64(count), Detail: key.service + " " + key.kind.String()}
 	if err != nil {
 		subject.Detail += ": " + string(fault.CodeOf(err)) + ": " + err.Error()
 		o.Events.Emit(event.OrderFailed, subject)
--- a/internal/target/instance.go
+++ b/internal/target/instance.go
@@ -121,6 +121,9 @@
 	return !e.unlisted.Load() || now.UnixNano() < e.graceUntil.Load()
 }
 
+// Unlisted reports whether the upstream is no longer in the platform's list.
+func (e *Entry) Unlisted() bool { return e.unlisted.Load() }
+
 // Listed reports whether the upstream is in the platform's list and not leaving.
 func (e *Entry) Listed() bool { return !e.unlisted.Load() && !e.Info().Leaving }
 
--- a/internal/target/roster.go
+++ b/internal/target/roster.go
@@ -60,9 +60,14 @@
 // NoteListRead records that the platform's list was read and the roster is up to date.
 func (r *Roster) NoteListRead() { r.listReadAt.Store(time.Now().UnixNano()) }
 
+// ListAge returns the time since the platform's list was last read.
+func (r *Roster) ListAge(now time.Time) time.Duration {
+	return now.Sub(time.Unix(0, r.listReadAt.Load()))
+}
+
 // stale reports whether the list was last read more than staleAfter ago.
 func (r *Roster) stale(now time.Time) bool {
-	return now.UnixNano()-r.listReadAt.Load() > int64(staleAfter)
+	return r.ListAge(now) > staleAfter
 }
 
 // SetColdSender sets the function that reports whether this VM may send requests to a cold
@@ -117,11 +122,13 @@
 
 func (r *Roster) apply(changes []Change) {
 	touched, now := make(listChanges), time.Now()
-	var added []*Entry
+	var added, removed []*Entry
 	for _, c := range changes {
 		if c.info == nil {
 			for _, e := range r.entriesByID[c.id] {
-				r.unlist(e)
+				if r.unlist(e) {
+					removed = append(removed, e)
+				}
 			}
 			continue
 		}
@@ -129,24 +136,27 @@
 			added = append(added, e)
 		}
 	}
-	r.emitListed(added)
+	r.emitEach(event.UpstreamListed, added)
+	r.emitEach(event.UpstreamUnlisted, removed)
 	r.evict(touched, now)
 	r.publish(touched)
 }
 
-// maxListedEvents is the number of new upstreams up to which each gets an event of its own.
-const maxListedEvents = 10
+// maxUpstreamEvents is the number of upstreams changed at once up to which each gets an event of
+// its own.
+const maxUpstreamEvents = 10
 
-// emitListed emits the events of upstreams that were added at once. A process that starts adds
-// all of them, thousands in a large fleet, and each event is a line in the log of every VM.
-func (r *Roster) emitListed(added []*Entry) {
-	if len(added) > maxListedEvents {
-		r.events.Emit(event.UpstreamListed, event.Subject{Count: int64(len(added))})
+// emitEach emits the events of upstreams that were listed or unlisted at once. A process that
+// starts lists all of them, thousands in a large fleet, and each event is a line in the log of
+// every VM.
+func (r *Roster) emitEach(number event.Number, entries []*Entry) {
+	if len(entries) > maxUpstreamEvents {
+		r.events.Emit(number, event.Subject{Count: int64(len(entries))})
 		return
 	}
-	for _, e := range added {
+	for _, e := range entries {
 		info := e.Info()
-		r.events.Emit(event.UpstreamListed, event.Subject{Upstream: info.ID, Detail: info.Service + " at " + info.Address})
+		r.events.Emit(number, event.Subject{Upstream: info.ID, Detail: info.Service + " at " + info.Address})
 	}
 }
 
@@ -219,15 +229,16 @@
 		a.Slots == b.Slots && a.Leaving == b.Leaving && a.Reclaimable == b.Reclaimable && maps.Equal(a.Versions, b.Versions)
 }
 
-// unlist starts the grace period in which an unlisted upstream may still be used.
-func (r *Roster) unlist(e *Entry) {
+// unlist starts the grace period in which an unlisted upstream may still be used, and reports
+// whether the upstream was listed until now.
+func (r *Roster) unlist(e *Entry) bool {
 	r.unlisted[e] = true
 	if e.unlisted.Load() {
-		return
+		return false
 	}
 	e.graceUntil.Store(time.Now().Add(unlistedGracePeriod).UnixNano())
 	e.unlisted.Store(true)
-	r.events.Emit(event.UpstreamUnlisted, event.Subject{Upstream: e.Info().ID, Detail: e.Info().Service})
+	return true
 }
 
 // evict removes unlisted entries whose grace period is over and that have no requests in
--- a/internal/target/roster_test.go
+++ b/internal/target/roster_test.go
@@ -132,7 +132,7 @@
 // Guards against a line in the log of every VM for each of thousands of upstreams when the fleet
 // starts.
 func TestUpstreamsListedAtOnceGetOneEvent(t *testing.T) {
-	for _, n := range []int{maxListedEvents, 2 * maxListedEvents, 4 * maxListedEvents} {
+	for _, n := range []int{maxUpstreamEvents, 2 * maxUpstreamEvents, 4 * maxUpstreamEvents} {
 		emitted := 0
 		recorder := event.NewRecorder("vm", 256, event.NewClock(time.Now), zap.NewNop())
 		recorder.Observe(func(e event.Record) {
@@ -146,7 +146,7 @@
 		}
 		NewRoster(recorder).Replace(list)
 		want := n
-		if n > maxListedEvents {
+		if n > maxUpstreamEvents {
 			want = 1
 		}
 		if emitted != want {
--- a/internal/weightload/loader.go
+++ b/internal/weightload/loader.go
@@ -119,11 +119,14 @@
 // leaseDuty is the duty in the names of the loaders' leases.
 const leaseDuty = "weights"
 
+// LeaseName returns the name of the lease for the weight loads of a failure domain.
+func LeaseName(domain string) string { return lease.NameInDomain(leaseDuty, domain) }
+
 // Run campaigns for the lease of the failure domain until ctx ends.
 func (l *Loader) Run(ctx context.Context) {
 	l.busy = make(map[*target.Entry]bool)
 	l.suspectUntil = make(map[*target.Entry]time.Time)
-	l.Leases.Serve(ctx, lease.NameInDomain(leaseDuty, l.Domain), l.serveTerm)
+	l.Leases.Serve(ctx, LeaseName(l.Domain), l.serveTerm)
 }
 
 // serveTerm orders weight loads during one lease term, until ctx ends. It first waits
