--- a/internal/upstreamdigest/digest.go
+++ b/internal/upstreamdigest/digest.go
@@ -101,11 +101,11 @@
 	// The version is read first: the roster may be newer, never older.
 	version := w.ListVersion()
 	upstreams := w.upstreams()
-	print, err := fingerprint(upstreams)
+	current, err := fingerprint(upstreams)
 	if err != nil {
 		return err
 	}
-	if print != w.written {
+	if current != w.written {
 		encoded, err := json.Marshal(upstreams)
 		if err != nil || len(encoded) > maxContentBytes {
 			return err
@@ -113,9 +113,9 @@
 		if err := w.put(ctx, contentTable, encoded); err != nil {
 			return err
 		}
-		w.written = print
+		w.written = current
 	}
-	encoded, err := json.Marshal(beat{Version: version, Fingerprint: print})
+	encoded, err := json.Marshal(beat{Version: version, Fingerprint: current})
 	if err != nil {
 		return err
 	}
@@ -166,9 +166,9 @@
 }
 
 // Run follows the digests until ctx ends, or until they have stopped while the store is
-// available.
+// available. It must be called once.
 func (f *Follower) Run(ctx context.Context) {
-	*f = Follower{Store: f.Store, Roster: f.Roster, Events: f.Events, PollInterval: f.PollInterval, OnRead: f.OnRead, newerAt: time.Now()}
+	f.newerAt = time.Now()
 	for ctx.Err() == nil {
 		started := time.Now()
 		if err := f.poll(ctx); err != nil {
@@ -250,7 +250,7 @@
 		f.Events.Emit(event.RowUnreadable, event.Subject{Detail: page.Rows[0].String()})
 		return nil
 	}
-	if print, err := fingerprint(upstreams); err != nil || print != expected {
+	if held, err := fingerprint(upstreams); err != nil || held != expected {
 		return err
 	}
 	list := make([]target.Instance, 0, len(upstreams))
