Events tell commits with unknown outcomes, adopted results and items that are listed twice

The logs of the incident could not tell its hypotheses apart: batches had no positions (two commits from one position, H2), commits without a known outcome left no line (H2), and nothing said what was being generated when results were adopted (H1). Events 1419 to 1421, the position in 1403 and 1412. Metrics count them by number. No change of logic.

--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -47,6 +47,9 @@
 	SampleScored     Number = 1416
 	ScoreFailed      Number = 1417
 	TakeoverFailed   Number = 1418
+	CommitUnknown    Number = 1419
+	ResultsAdopted   Number = 1420
+	ItemListedTwice  Number = 1421
 
 	UpstreamEjected  Number = 1501
 	UpstreamRestored Number = 1502
@@ -105,7 +108,7 @@
 	{CircuitClosed, zap.InfoLevel, "circuit closed", "An attempt at the upstream succeeded, and it receives attempts again."},
 	{StepOpened, zap.InfoLevel, "step opened", "A trainer opened the step."},
 	{StepOwned, zap.InfoLevel, "step owned", "The VM became the owner of the step under a lease with the given epoch; Count slots already have a sample."},
-	{SamplesCommitted, zap.InfoLevel, "samples committed", "Count samples of the step were committed in one transaction."},
+	{SamplesCommitted, zap.InfoLevel, "samples committed", "Count samples of the step were committed in one transaction; Position is that of the first result."},
 	{SamplesDelivered, zap.InfoLevel, "samples delivered", "Count samples were sent to the trainer."},
 	{StepCompleted, zap.InfoLevel, "step completed", "Every slot of the step has a committed sample; Count is the highest sample number."},
 	{SampleRejected, zap.WarnLevel, "sample rejected", "A generated sample was stale or can't be attributed to weight versions; its slot is generated again."},
@@ -114,13 +117,16 @@
 	{WorkerFailed, zap.WarnLevel, "worker failed", "The peer failed to generate the slot, which is assigned to another worker."},
 	{StepEnded, zap.InfoLevel, "step ended", "The trainer ended the step; no more of its items run."},
 	{StepHandedOver, zap.InfoLevel, "step handed over", "The VM is leaving and released ownership of the step, so that another VM can take it over."},
-	{StepLost, zap.WarnLevel, "step lost", "The store rejected the VM's results: the step has ended, or another VM owns it now."},
+	{StepLost, zap.WarnLevel, "step lost", "The store rejected the VM's results, the first of which had the given Position: the step has ended, another VM owns it now, or Detail says that the rows exist."},
 	{ItemAbandoned, zap.WarnLevel, "item abandoned", "An item of the step was abandoned; Detail gives the reason."},
 	{StepStartedEarly, zap.InfoLevel, "step started early", "Count items of the step run before the store has accepted the step; no results are committed until then."},
 	{TextsSaved, zap.InfoLevel, "texts saved", "The texts of Count unfinished items were stored for a possible takeover of the step."},
 	{SampleScored, zap.InfoLevel, "sample scored", "The score call for the item's complete text returned a score. Request is the call, Upstream sent the last event of the text, Count is the time in milliseconds since the text was complete."},
 	{ScoreFailed, zap.WarnLevel, "score failed", "The score call for the item did not return a score; it is retried unless the item is abandoned. Count is the number of upstreams that have answered with a failure."},
 	{TakeoverFailed, zap.WarnLevel, "takeover failed", "The takeover of a step of a dead owner was not committed and is retried; Detail gives the reason."},
+	{CommitUnknown, zap.WarnLevel, "commit outcome unknown", "The commit of Count results, the first at Position, ended without a known outcome; Detail gives the failure."},
+	{ResultsAdopted, zap.InfoLevel, "results adopted", "The early run that claimed the step adopted the Count results of the previous owner; Detail gives the state of their items in this run."},
+	{ItemListedTwice, zap.ErrorLevel, "item listed twice", "The item of the step has a second committed result, at Position; Detail gives the first position. A step must list each item once."},
 	{UpstreamEjected, zap.WarnLevel, "upstream ejected", "The upstream failed too often and receives no work for a while."},
 	{UpstreamRestored, zap.InfoLevel, "upstream restored", "The upstream receives work again."},
 	{UpstreamLeaving, zap.InfoLevel, "upstream leaving", "The upstream is leaving and receives no new work."},
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -46,6 +46,8 @@
 	Attempt int `json:"attempt,omitempty"`
 	// Count is a number; the catalogue defines its meaning for each event.
 	Count int64 `json:"count,omitempty"`
+	// Position is a position in the results of a step, counted from 0.
+	Position int64 `json:"position,omitempty"`
 	// Detail is a short text, for example a failure code.
 	Detail string `json:"detail,omitempty"`
 }
@@ -165,5 +167,8 @@
 	if s.Count != 0 {
 		enc.AddInt64("count", s.Count)
 	}
+	if s.Position != 0 {
+		enc.AddInt64("position", s.Position)
+	}
 	return nil
 }
--- a/internal/step/commit.go
+++ b/internal/step/commit.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strconv"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -120,26 +121,34 @@
 	_, err = rowstore.CommitConfirmed(ctx, r.m.Store, txn)
 	var conflict *rowstore.Conflict
 	if errors.As(err, &conflict) {
-		r.handleConflict(conflict)
+		r.handleConflict(conflict, position)
 		return false
 	}
 	if err != nil {
+		r.m.Events.Emit(event.CommitUnknown, event.Subject{
+			Step: rec.ID, Account: rec.Account, Epoch: uint64(rec.Epoch), Count: int64(len(batch)), Position: int64(position), Detail: err.Error(),
+		})
 		return false
 	}
 	r.markCommitted(batch)
 	r.m.Events.Emit(event.SamplesCommitted, event.Subject{
-		Step: rec.ID, Account: rec.Account, Epoch: uint64(rec.Epoch), Count: int64(len(batch)),
+		Step: rec.ID, Account: rec.Account, Epoch: uint64(rec.Epoch), Count: int64(len(batch)), Position: int64(position),
 		Detail: time.Since(started).Round(time.Millisecond).String(),
 	})
 	return true
 }
 
-// handleConflict stops the run after the store rejected its results because the state row has
-// changed: another VM owns the step now, or the step has ended.
-func (r *run) handleConflict(conflict *rowstore.Conflict) {
+// handleConflict stops the run after the store rejected its results from a position on, because
+// the state row has changed: another VM owns the step now, or the step has ended.
+func (r *run) handleConflict(conflict *rowstore.Conflict, position int) {
 	rec := r.current()
-	r.m.Events.Emit(event.StepLost, event.Subject{Step: rec.ID, Account: rec.Account, Epoch: uint64(rec.Epoch)})
-	if now, err := decodeState(conflict.Row(stateKey(rec.ID))); err == nil {
+	now, err := decodeState(conflict.Row(stateKey(rec.ID)))
+	lost := event.Subject{Step: rec.ID, Account: rec.Account, Epoch: uint64(rec.Epoch), Position: int64(position)}
+	if err == nil && now.version == rec.version {
+		lost.Detail = "the state is unchanged, but rows of these results exist"
+	}
+	r.m.Events.Emit(event.StepLost, lost)
+	if err == nil {
 		r.m.observeState(now)
 	}
 	r.m.stop(r)
@@ -153,7 +162,7 @@
 		r.uncommittedBytes -= len(result.Text)
 	}
 	r.uncommitted = r.uncommitted[len(batch):]
-	r.committed = append(r.committed, batch...)
+	r.appendCommitted(batch)
 	close(r.committedCh)
 	r.committedCh = make(chan struct{})
 	if len(r.committed) == len(r.items) {
@@ -161,6 +170,23 @@
 	}
 }
 
+// appendCommitted appends committed results. An item that is committed already is reported by an
+// event. r.mu must be held.
+func (r *run) appendCommitted(results []Result) {
+	for _, result := range results {
+		position := len(r.committed)
+		if first, ok := r.positions[result.Item]; ok {
+			r.m.Events.Emit(event.ItemListedTwice, event.Subject{
+				Step: r.rec.ID, Slot: result.Item, Account: r.rec.Account, Position: int64(position),
+				Detail: "first position " + strconv.Itoa(first),
+			})
+		} else {
+			r.positions[result.Item] = position
+		}
+		r.committed = append(r.committed, result)
+	}
+}
+
 // resultsFrom returns the committed results from a position on, and a channel that is
 // closed when more are committed.
 func (r *run) resultsFrom(position int) ([]Result, <-chan struct{}) {
--- a/internal/step/run.go
+++ b/internal/step/run.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"dogwoodpond/internal/event"
 	"dogwoodpond/internal/scoring"
 	"dogwoodpond/internal/target"
 )
@@ -91,6 +93,8 @@
 	uncommitted      []Result
 	uncommittedBytes int
 	committed        []Result
+	// positions holds the position of each committed item.
+	positions map[string]int
 	// committedCh is closed and replaced when results have been committed.
 	committedCh chan struct{}
 	// uncommittedCh signals commitLoop that uncommitted may have results.
@@ -108,7 +112,7 @@
 		startOrders:   newStartOrders(items, nil),
 		due:           rec.SubmittedAt + rec.RunObjective.Milliseconds(),
 		progress:      make([]itemProgress, len(items)),
-		committed:     committed,
+		positions:     make(map[string]int, len(items)),
 		committedCh:   make(chan struct{}),
 		uncommittedCh: make(chan struct{}, 1),
 
@@ -126,6 +130,7 @@
 			r.progress[i].phase = phaseDone
 		}
 	}
+	r.appendCommitted(committed)
 	return r
 }
 
@@ -260,12 +265,17 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.committed = results
+	r.committed = nil
+	clear(r.positions)
+	r.appendCommitted(results)
+	states := make(map[phase]int)
 	for i, item := range r.items {
 		if committed[item.ID] {
+			states[r.progress[i].phase]++
 			r.progress[i].phase = phaseDone
 		}
 	}
+	r.emitAdopted(len(results), states)
 	r.uncommitted = slices.DeleteFunc(r.uncommitted, func(result Result) bool { return committed[result.Item] })
 	r.uncommittedBytes = 0
 	for _, result := range r.uncommitted {
@@ -274,6 +284,16 @@
 	return len(results), nil
 }
 
+// emitAdopted emits the event that a previous owner's results were adopted; states counts their
+// items by their phase in this run.
+func (r *run) emitAdopted(results int, states map[phase]int) {
+	r.m.Events.Emit(event.ResultsAdopted, event.Subject{
+		Step: r.rec.ID, Account: r.rec.Account, Count: int64(results),
+		Detail: fmt.Sprintf("%d pending, %d running, %d unscored, %d scoring, %d done",
+			states[phasePending], states[phaseRunning], states[phaseUnscored], states[phaseScoring], states[phaseDone]),
+	})
+}
+
 // text returns the text of an item as far as it has been read.
 func (r *run) text(i int) partialText {
 	r.mu.Lock()
