--- a/internal/step/cluster_test.go
+++ b/internal/step/cluster_test.go
@@ -18,6 +18,7 @@
 	"dogwoodpond/internal/event"
 	"dogwoodpond/internal/fault"
 	"dogwoodpond/internal/route"
+	"dogwoodpond/internal/rowstore"
 	"dogwoodpond/internal/rowstore/memory"
 	"dogwoodpond/internal/scoring"
 	"dogwoodpond/internal/target"
@@ -373,16 +374,31 @@
 			t.Errorf("item %s is committed twice", r.Item)
 		}
 		seen[r.Item] = true
-		var want []string
-		for n := 1; n <= events; n++ {
-			want = append(want, r.Item+"-"+strconv.Itoa(n))
-		}
-		if r.Outcome != Completed || r.Text != strings.Join(want, "\n") {
+		if r.Outcome != Completed || r.Text != textOf(r.Item, events) {
 			t.Errorf("item %s is %s with text %q", r.Item, r.Outcome, r.Text)
 		}
 	}
 }
 
+// textOf returns the complete text of an item with a number of events.
+func textOf(item string, events int) string {
+	var lines []string
+	for n := 1; n <= events; n++ {
+		lines = append(lines, item+"-"+strconv.Itoa(n))
+	}
+	return strings.Join(lines, "\n")
+}
+
+// setRow writes a row like another VM.
+func (cl *cluster) setRow(key rowstore.Key, value any) {
+	cl.t.Helper()
+	text, err := encodeRow(value)
+	if err != nil {
+		cl.t.Fatal(err)
+	}
+	cl.store.Set(key, string(text))
+}
+
 // bubble runs f in a synctest bubble.
 func bubble(t *testing.T, f func(t *testing.T)) { synctest.Test(t, f) }
 
