One list decides over the phases and results of a run's items; a done item stays done

Cause: the phase of an item was a field that each transition set for itself. An early run that claims a step adopts the results that the previous owner has committed and marks their items as done, while their attempts go on. Each transition but one looked at the phase first. awaitScore, by which the end of an attempt asks for a score, did not: done became unscored, the text was scored and a second result queued and committed under the run's own, valid state row. Class: the late outcome of a canceled or superseded activity overwrites a final state.

The fix: itemList is the only place that changes phases. A result makes an item done, whether it is committed here or adopted, and nothing moves a done item; a second result is not queued. Events of abandoned and scored items are emitted only for results that count.

--- a/internal/step/adopt_test.go
+++ b/internal/step/adopt_test.go
@@ -1,6 +1,7 @@
 package step
 
 import (
+	"context"
 	"testing"
 	"time"
 )
@@ -56,3 +57,45 @@
 		})
 	}
 }
+
+// Guards against attempts that keep an engine's slots although their items have results already.
+func TestAdoptionCancelsAttempts(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		cl := newCluster(t, "e1", "e2")
+		claimDuringAttempts(t, cl, scoredItems(6), 14)
+		time.Sleep(400 * time.Millisecond)
+		cl.engines.mu.Lock()
+		defer cl.engines.mu.Unlock()
+		if cl.engines.active != 5 {
+			t.Errorf("%d attempts are in progress for the 5 items without a result", cl.engines.active)
+		}
+	})
+}
+
+// Guards against score calls that keep a scoring service's slots although their items have results
+// already.
+func TestAdoptionCancelsScoreCalls(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		cl := newCluster(t, "e1", "e2")
+		canceled := 0
+		cl.scorer.behave = func(ctx context.Context, item string, _ int) error {
+			if item != "i0" {
+				return nil
+			}
+			<-ctx.Done()
+			canceled++
+			return errUnavailable
+		}
+		const events = 3
+		claimDuringAttempts(t, cl, scoredItems(6), events)
+		time.Sleep(2 * time.Second)
+		results, err := readAllResults(t.Context(), cl.store, "s")
+		if err != nil || len(results) != 6 {
+			t.Errorf("%d results are committed, %v; want 6", len(results), err)
+		}
+		checkTexts(t, results, events)
+		if calls := cl.scorer.count("i0"); canceled != 1 || calls != 1 {
+			t.Errorf("%d of %d score calls of the adopted item were canceled, want 1 of 1", canceled, calls)
+		}
+	})
+}
--- a/internal/step/commit.go
+++ b/internal/step/commit.go
@@ -62,7 +62,7 @@
 func (r *run) uncommittedCount() int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return len(r.uncommitted)
+	return len(r.list.queued)
 }
 
 // signalUncommitted notifies commitLoop of finished results.
@@ -78,7 +78,7 @@
 func (r *run) isBatchFull() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.uncommittedBytes >= commitBatchBytes
+	return r.list.queuedBytes >= commitBatchBytes
 }
 
 // flush commits all finished results. It stops when a commit fails or ctx ends.
@@ -89,18 +89,12 @@
 	}
 }
 
-// nextBatch returns the next results to commit and the position of the first. They stay in
-// uncommitted until markCommitted removes them.
+// nextBatch returns the next results to commit and the position of the first. They stay queued
+// until markCommitted is called.
 func (r *run) nextBatch() ([]Result, int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	const maxResults = 60
-	n, size := 0, 0
-	for n < len(r.uncommitted) && n < maxResults && (n == 0 || size < commitBatchBytes) {
-		size += len(r.uncommitted[n].Text)
-		n++
-	}
-	return append([]Result(nil), r.uncommitted[:n]...), len(r.committed)
+	return r.list.batch()
 }
 
 // commitResults commits results at a position and reports whether another batch may follow.
@@ -154,36 +148,29 @@
 	r.m.stop(r)
 }
 
-// markCommitted moves a batch from uncommitted to committed and notifies readers.
+// markCommitted marks a batch as committed and notifies readers.
 func (r *run) markCommitted(batch []Result) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	for _, result := range batch {
-		r.uncommittedBytes -= len(result.Text)
-	}
-	r.uncommitted = r.uncommitted[len(batch):]
-	r.appendCommitted(batch)
+	position := len(r.list.committed)
+	r.list.confirm(batch)
+	r.emitRepeated(position)
 	close(r.committedCh)
 	r.committedCh = make(chan struct{})
-	if len(r.committed) == len(r.items) {
-		r.m.Events.Emit(event.StepCompleted, event.Subject{Step: r.rec.ID, Account: r.rec.Account, Count: int64(len(r.committed))})
+	if r.list.complete() {
+		r.m.Events.Emit(event.StepCompleted, event.Subject{Step: r.rec.ID, Account: r.rec.Account, Count: int64(len(r.list.committed))})
 	}
 }
 
-// appendCommitted appends committed results. An item that is committed already is reported by an
-// event. r.mu must be held.
-func (r *run) appendCommitted(results []Result) {
-	for _, result := range results {
-		position := len(r.committed)
-		if first, ok := r.positions[result.Item]; ok {
-			r.m.Events.Emit(event.ItemListedTwice, event.Subject{
-				Step: r.rec.ID, Slot: result.Item, Account: r.rec.Account, Position: int64(position),
-				Detail: "first position " + strconv.Itoa(first),
-			})
-		} else {
-			r.positions[result.Item] = position
-		}
-		r.committed = append(r.committed, result)
+// emitRepeated emits an event for each committed result, from a position on, whose item has an
+// earlier result too.
+func (r *run) emitRepeated(from int) {
+	for _, position := range r.list.repeated(from) {
+		item := r.list.committed[position].Item
+		r.m.Events.Emit(event.ItemListedTwice, event.Subject{
+			Step: r.rec.ID, Slot: item, Account: r.rec.Account, Position: int64(position),
+			Detail: "first position " + strconv.Itoa(r.list.positions[item]),
+		})
 	}
 }
 
@@ -192,8 +179,8 @@
 func (r *run) resultsFrom(position int) ([]Result, <-chan struct{}) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if position >= len(r.committed) {
+	if position >= len(r.list.committed) {
 		return nil, r.committedCh
 	}
-	return truncateResults(readLimit, r.committed[position:]), r.committedCh
+	return truncateResults(readLimit, r.list.committed[position:]), r.committedCh
 }
--- a/internal/step/dispatch.go
+++ b/internal/step/dispatch.go
@@ -111,6 +111,7 @@
 
 // abandon finishes an item without a text.
 func (r *run) abandon(i int, reason string) {
-	r.m.Events.Emit(event.ItemAbandoned, event.Subject{Step: r.rec.ID, Slot: r.items[i].ID, Account: r.rec.Account, Detail: reason})
-	r.finish(i, Result{Item: r.items[i].ID, Outcome: Abandoned})
+	if r.finish(i, Result{Item: r.items[i].ID, Outcome: Abandoned}) {
+		r.m.Events.Emit(event.ItemAbandoned, event.Subject{Step: r.rec.ID, Slot: r.items[i].ID, Account: r.rec.Account, Detail: reason})
+	}
 }
--- a/internal/step/item.go
+++ b/internal/step/item.go
@@ -56,11 +56,11 @@
 // runAttempt makes one attempt at an item at an engine and handles its outcome.
 func (r *run) runAttempt(i int, n need, entry *target.Entry) {
 	defer entry.End()
-	ctx, cancel := context.WithCancelCause(r.itemCtx)
+	ctx, cancel := r.beginCall(i)
 	defer cancel(nil)
 	a := &attempt{run: r, index: i, need: n, entry: entry, cancel: cancel}
 	outcome := a.generate(ctx)
-	if r.itemCtx.Err() != nil {
+	if r.isObsolete(i) {
 		return
 	}
 	if errors.Is(context.Cause(ctx), errMoved) {
--- a/internal/step/run.go
+++ b/internal/step/run.go
@@ -2,36 +2,21 @@
 
 import (
 	"context"
-	"fmt"
-	"slices"
+	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"dogwoodpond/internal/event"
 	"dogwoodpond/internal/scoring"
 	"dogwoodpond/internal/target"
 )
 
-// phase is the state of an item in a run.
-type phase int
-
-const (
-	// phasePending items are pending: they need an attempt at an engine.
-	phasePending phase = iota
-	// phaseRunning items have an attempt in progress.
-	phaseRunning
-	// phaseUnscored items have a complete text that still needs a score call.
-	phaseUnscored
-	// phaseScoring items have a score call in progress.
-	phaseScoring
-	// phaseDone items have a result, committed or queued for commit.
-	phaseDone
-)
-
-// itemProgress is the state of one item in a run.
+// itemProgress is what a run knows of one item beside its phase and its result.
 type itemProgress struct {
-	phase phase
 	// notBefore is the time before which no attempt or score call may start.
 	notBefore time.Time
 	// failures counts the answers that reported the item as failed.
@@ -53,8 +38,14 @@
 	// lastUpstream is the upstream that sent the last event of the text; empty when a previous
 	// owner read that event.
 	lastUpstream string
+	// cancelCall cancels the attempt or score call that started last; nil before the first.
+	cancelCall context.CancelCauseFunc
 }
 
+// errAdopted is the cancellation cause of an attempt or score call whose item got a result of the
+// previous owner.
+var errAdopted = errors.New("item has a result of the previous owner")
+
 // run is the execution of a step by its owner.
 type run struct {
 	m *Manager
@@ -88,16 +79,10 @@
 	// mu guards the fields down to committedCh.
 	mu       sync.Mutex
 	progress []itemProgress
-	// uncommitted holds the finished results that are not committed, uncommittedBytes the size
-	// of their texts, and committed the committed results in the order of their positions.
-	uncommitted      []Result
-	uncommittedBytes int
-	committed        []Result
-	// positions holds the position of each committed item.
-	positions map[string]int
+	list     *itemList
 	// committedCh is closed and replaced when results have been committed.
 	committedCh chan struct{}
-	// uncommittedCh signals commitLoop that uncommitted may have results.
+	// uncommittedCh signals commitLoop that results may be queued.
 	uncommittedCh chan struct{}
 	// commitMu is held during a commit of results.
 	commitMu sync.Mutex
@@ -112,7 +97,7 @@
 		startOrders:   newStartOrders(items, nil),
 		due:           rec.SubmittedAt + rec.RunObjective.Milliseconds(),
 		progress:      make([]itemProgress, len(items)),
-		positions:     make(map[string]int, len(items)),
+		list:          newItemList(items),
 		committedCh:   make(chan struct{}),
 		uncommittedCh: make(chan struct{}, 1),
 
@@ -121,16 +106,8 @@
 	r.order = r.startOrders.byLength
 	r.ctx, r.cancel = context.WithCancel(m.ctx)
 	r.itemCtx, r.stopItems = context.WithCancel(r.ctx)
-	index := make(map[string]int, len(items))
-	for i, item := range items {
-		index[item.ID] = i
-	}
-	for _, result := range committed {
-		if i, ok := index[result.Item]; ok {
-			r.progress[i].phase = phaseDone
-		}
-	}
-	r.appendCommitted(committed)
+	r.list.adopt(committed)
+	r.emitRepeated(0)
 	return r
 }
 
@@ -144,14 +121,14 @@
 	for i, item := range r.items {
 		saved, ok := texts[item.ID]
 		restored[item.Group] = restored[item.Group] || ok
-		if !ok || r.progress[i].phase == phaseDone {
+		if !ok || r.list.phase(i) == phaseDone {
 			continue
 		}
 		p := &r.progress[i]
 		p.failures = max(p.failures, saved.Failures)
 		p.scoreTries.NegativeAnswers = max(p.scoreTries.NegativeAnswers, saved.ScoreFailures)
 		p.savedFailures = saved.Failures + saved.ScoreFailures
-		if p.phase != phasePending || !canResume(saved.Versions, r.rec.Spec) {
+		if r.list.phase(i) != phasePending || !canResume(saved.Versions, r.rec.Spec) {
 			continue
 		}
 		p.partial = saved.toPartial()
@@ -187,8 +164,8 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for ; from < len(r.order); from++ {
-		p := &r.progress[r.order[from]]
-		if p.phase == in && !now.Before(p.notBefore) {
+		i := r.order[from]
+		if r.list.phase(i) == in && !now.Before(r.progress[i].notBefore) {
 			return from, true
 		}
 	}
@@ -199,7 +176,7 @@
 func (r *run) hasPending() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return slices.ContainsFunc(r.progress, func(p itemProgress) bool { return p.phase == phasePending })
+	return r.list.has(phasePending)
 }
 
 // changePhase moves an item from one phase to another. It returns false when the item is not in
@@ -207,26 +184,46 @@
 func (r *run) changePhase(i int, from, to phase) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.progress[i].phase != from || r.itemCtx.Err() != nil {
-		return false
-	}
-	r.progress[i].phase = to
-	return true
+	return r.itemCtx.Err() == nil && r.list.move(i, to, from)
 }
 
 // requeue makes an item pending again, for an attempt after a backoff.
-func (r *run) requeue(i int, backoff time.Duration) { r.requeueIn(i, phasePending, backoff) }
+func (r *run) requeue(i int, backoff time.Duration) {
+	r.moveAfter(i, backoff, phasePending, phasePending, phaseRunning)
+}
 
-// requeueIn puts an item into a phase from which it is retried after a backoff, unless it is
-// done.
-func (r *run) requeueIn(i int, into phase, backoff time.Duration) {
+// moveAfter moves an item from one of the phases from to another, from which it is continued
+// after a backoff. It reports whether it did.
+func (r *run) moveAfter(i int, backoff time.Duration, to phase, from ...phase) bool {
 	r.mu.Lock()
-	if p := &r.progress[i]; p.phase != phaseDone {
-		p.phase = into
-		p.notBefore = time.Now().Add(backoff)
+	moved := r.list.move(i, to, from...)
+	if moved {
+		r.progress[i].notBefore = time.Now().Add(backoff)
 	}
 	r.mu.Unlock()
 	r.m.notifyDispatcher()
+	return moved
+}
+
+// beginCall returns the context of an attempt or score call of an item. It ends with the run's
+// attempts and score calls, or when the item gets a result of the previous owner.
+func (r *run) beginCall(i int) (context.Context, context.CancelCauseFunc) {
+	ctx, cancel := context.WithCancelCause(r.itemCtx)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.progress[i].cancelCall = cancel
+	if r.list.phase(i) == phaseDone {
+		cancel(errAdopted)
+	}
+	return ctx, cancel
+}
+
+// isObsolete reports whether the outcome of an item's attempt or score call is of no use any
+// more: the item has a result, or the run's attempts and score calls have been canceled.
+func (r *run) isObsolete(i int) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.itemCtx.Err() != nil || r.list.phase(i) == phaseDone
 }
 
 // remaining estimates which part of the items' texts is still to be generated, between 0
@@ -236,7 +233,7 @@
 	defer r.mu.Unlock()
 	left := 0.0
 	for i := range r.progress {
-		if phase := r.progress[i].phase; phase == phasePending || phase == phaseRunning {
+		if phase := r.list.phase(i); phase == phasePending || phase == phaseRunning {
 			left += remainingShare(r.progress[i].partial.lastEvent, r.items[i].ExpectedTokens)
 		}
 	}
@@ -252,45 +249,41 @@
 	return max(0, 1-float64(events)/expected)
 }
 
-// adoptCommitted reads the results that the previous owner committed, marks their items as
-// done, and returns the number of those results. It must be called before the run is accepted.
+// adoptCommitted reads the results that the previous owner committed, adopts them, and returns
+// their number. It cancels the attempts and score calls of their items, which would keep slots
+// that other items need. It must be called before the run is accepted.
 func (r *run) adoptCommitted(ctx context.Context, m *Manager) (int, error) {
 	results, err := readAllResults(ctx, m.Store, r.rec.ID)
 	if err != nil {
 		return 0, err
 	}
-	committed := make(map[string]bool, len(results))
-	for _, result := range results {
-		committed[result.Item] = true
-	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.committed = nil
-	clear(r.positions)
-	r.appendCommitted(results)
-	states := make(map[phase]int)
-	for i, item := range r.items {
-		if committed[item.ID] {
-			states[r.progress[i].phase]++
-			r.progress[i].phase = phaseDone
+	adopted := r.list.adopt(results)
+	r.emitRepeated(0)
+	for i := range adopted {
+		r.progress[i].partial = partialText{}
+		if cancel := r.progress[i].cancelCall; cancel != nil {
+			cancel(errAdopted)
 		}
 	}
-	r.emitAdopted(len(results), states)
-	r.uncommitted = slices.DeleteFunc(r.uncommitted, func(result Result) bool { return committed[result.Item] })
-	r.uncommittedBytes = 0
-	for _, result := range r.uncommitted {
-		r.uncommittedBytes += len(result.Text)
-	}
+	r.emitAdopted(len(results), adopted)
 	return len(results), nil
 }
 
-// emitAdopted emits the event that a previous owner's results were adopted; states counts their
-// items by their phase in this run.
-func (r *run) emitAdopted(results int, states map[phase]int) {
+// emitAdopted emits the event that a previous owner's results were adopted; adopted holds the
+// phases in which their items were.
+func (r *run) emitAdopted(results int, adopted map[int]phase) {
+	counts := make(map[phase]int)
+	for _, p := range adopted {
+		counts[p]++
+	}
+	var parts []string
+	for p := phasePending; p <= phaseDone; p++ {
+		parts = append(parts, strconv.Itoa(counts[p])+" "+p.String())
+	}
 	r.m.Events.Emit(event.ResultsAdopted, event.Subject{
-		Step: r.rec.ID, Account: r.rec.Account, Count: int64(results),
-		Detail: fmt.Sprintf("%d pending, %d running, %d unscored, %d scoring, %d done",
-			states[phasePending], states[phaseRunning], states[phaseUnscored], states[phaseScoring], states[phaseDone]),
+		Step: r.rec.ID, Account: r.rec.Account, Count: int64(results), Detail: strings.Join(parts, ", "),
 	})
 }
 
@@ -338,21 +331,20 @@
 	return r.progress[i].moves
 }
 
-// finish queues an item's result for commit. An item that is done already keeps its first
-// result.
-func (r *run) finish(i int, result Result) {
+// finish queues an item's result for commit. It returns false when the item has a result already,
+// which it keeps.
+func (r *run) finish(i int, result Result) bool {
 	r.mu.Lock()
-	if r.progress[i].phase == phaseDone {
-		r.mu.Unlock()
-		return
+	queued := r.list.queue(i, result)
+	if queued {
+		r.progress[i].partial = partialText{}
 	}
-	r.progress[i].phase = phaseDone
-	r.progress[i].partial = partialText{}
-	r.uncommitted = append(r.uncommitted, result)
-	r.uncommittedBytes += len(result.Text)
 	r.mu.Unlock()
-	r.signalUncommitted()
-	r.m.notifyDispatcher()
+	if queued {
+		r.signalUncommitted()
+		r.m.notifyDispatcher()
+	}
+	return queued
 }
 
 // saveLoop saves the texts of long items at intervals, so that another VM can resume them
--- a/internal/step/score.go
+++ b/internal/step/score.go
@@ -20,14 +20,16 @@
 	Score(ctx context.Context, call scoring.Call, callRoute *route.Route, residency route.Residency) (string, error)
 }
 
-// awaitScore moves an item with a complete text to the phase in which it needs a score. The
-// item must not stay pending: it would be generated again and its result committed twice.
+// awaitScore moves an item with a complete text to the phase in which it needs a score, so that
+// it is not generated again meanwhile.
 func (r *run) awaitScore(i int) {
 	r.mu.Lock()
-	p := &r.progress[i]
-	p.phase, p.notBefore = phaseUnscored, time.Time{}
-	p.partial.complete, p.completedAt = true, time.Now()
-	p.scoreTries.Backoff = scoreBackoff
+	if r.list.move(i, phaseUnscored, phasePending, phaseRunning) {
+		p := &r.progress[i]
+		p.notBefore = time.Time{}
+		p.partial.complete, p.completedAt = true, time.Now()
+		p.scoreTries.Backoff = scoreBackoff
+	}
 	r.mu.Unlock()
 	r.m.notifyDispatcher()
 }
@@ -85,8 +87,10 @@
 // the next attempt.
 func (r *run) score(i int, callRoute *route.Route) {
 	item := r.items[i]
-	score, err := r.m.Scorer.Score(r.itemCtx, *item.Score, callRoute, r.m.residency(r.rec.Account, callRoute))
-	if r.itemCtx.Err() != nil {
+	ctx, cancel := r.beginCall(i)
+	defer cancel(nil)
+	score, err := r.m.Scorer.Score(ctx, *item.Score, callRoute, r.m.residency(r.rec.Account, callRoute))
+	if r.isObsolete(i) {
 		return
 	}
 	subject := event.Subject{Step: r.rec.ID, Slot: item.ID, Account: r.rec.Account, Request: item.Score.ID}
@@ -104,7 +108,7 @@
 		r.abandon(i, "its call for a score failed at every attempt")
 		return
 	}
-	r.requeueIn(i, phaseUnscored, backoff)
+	r.moveAfter(i, backoff, phaseUnscored, phaseScoring)
 }
 
 // completedBy returns when the text of an item was complete, and the upstream that sent its
--- a/internal/step/score_test.go
+++ b/internal/step/score_test.go
@@ -191,8 +191,8 @@
 		r := newRun(a.Manager, stateRecord{State: State{Spec: spec("s")}}, list, nil)
 		r.restoreTexts(map[string]savedText{"i0": {Text: "1\n2\n3", LastEvent: 3, Versions: []int64{1}, Complete: true}})
 		r.restoreTexts(map[string]savedText{"i0": {Text: "1", LastEvent: 1, Versions: []int64{1}, ScoreFailures: 1}})
-		if text := r.text(0); r.progress[0].phase != phaseUnscored || joinText(text.data) != "1\n2\n3" {
-			t.Errorf("the item is in phase %d with the text %q", r.progress[0].phase, joinText(text.data))
+		if text := r.text(0); r.list.phase(0) != phaseUnscored || joinText(text.data) != "1\n2\n3" {
+			t.Errorf("the item is in phase %d with the text %q", r.list.phase(0), joinText(text.data))
 		}
 		if n := r.progress[0].scoreTries.NegativeAnswers; n != 1 {
 			t.Errorf("%d failures are counted, want 1", n)
--- a/internal/step/text.go
+++ b/internal/step/text.go
@@ -134,7 +134,7 @@
 		grew := p.partial.hasEvents && p.partial.lastEvent >= p.partial.savedEvent+minEvents
 		becameComplete := p.partial.complete && !p.partial.savedComplete
 		failures := p.failures + p.scoreTries.NegativeAnswers
-		if p.phase == phaseDone || !grew && !becameComplete && failures == p.savedFailures {
+		if r.list.phase(i) == phaseDone || !grew && !becameComplete && failures == p.savedFailures {
 			continue
 		}
 		p.partial.savedEvent, p.partial.savedComplete, p.savedFailures = p.partial.lastEvent, p.partial.complete, failures
@@ -219,12 +219,12 @@
 	defer r.mu.Unlock()
 	incomplete := make(map[string]bool)
 	for i := range r.progress {
-		if r.progress[i].phase != phaseDone {
+		if r.list.phase(i) != phaseDone {
 			incomplete[r.items[i].Group] = true
 		}
 	}
 	results := make(map[string]Result)
-	for _, list := range [][]Result{r.committed, r.uncommitted} {
+	for _, list := range [][]Result{r.list.committed, r.list.queued} {
 		for _, result := range list {
 			results[result.Item] = result
 		}
@@ -236,7 +236,7 @@
 		}
 		if result, ok := results[item.ID]; ok && result.Outcome == Completed && result.Object == "" {
 			texts[item.ID] = savedText{Text: result.Text, Versions: result.Versions, Complete: true}
-		} else if text := r.progress[i].partial; text.hasEvents && r.progress[i].phase != phaseDone {
+		} else if text := r.progress[i].partial; text.hasEvents && r.list.phase(i) != phaseDone {
 			texts[item.ID] = text.toSaved()
 		}
 	}
