The outcome of a load poll counts only if no later poll was answered

What callers would see: polls of an engine overlap by up to a second (each begins at a random time of its interval and may take as long as the interval). An older answer that arrives after a newer one counted as fresh: work went to an engine by the model, version and load that it had before. A poll that failed after a newer one was answered counted as missed; two of them make an engine unreachable.

Cause: noteMiss and Set didn't look at which poll was the later one; noteMiss read and wrote the report in two steps, so that it could also undo an answer that came between.

The fix: a report has the time at which its poll began, and outcomes of earlier polls are dropped under a lock.

--- a/internal/upstream/loads.go
+++ b/internal/upstream/loads.go
@@ -16,6 +16,8 @@
 	At time.Time
 	// MissedPolls counts consecutive polls that failed.
 	MissedPolls int
+	// polledAt is when the poll began that the report answered.
+	polledAt time.Time
 }
 
 // confidenceDecayTime is the age at which the confidence in a report has fallen to a third.
@@ -35,6 +37,8 @@
 // Loads holds the latest load report of each engine. It is safe for concurrent use;
 // readers take no lock.
 type Loads struct {
+	// mu serializes the outcomes of polls.
+	mu      sync.Mutex
 	reports sync.Map
 }
 
@@ -53,11 +57,25 @@
 // Set stores a report.
 func (l *Loads) Set(id string, r Report) { l.reports.Store(id, r) }
 
-// noteMiss counts a failed poll. The latest report and its time do not change.
-func (l *Loads) noteMiss(id string) {
-	r, _ := l.Get(id)
-	r.MissedPolls++
-	l.Set(id, r)
+// noteAnswer records the answer to the poll that began at polledAt, unless a later poll was
+// answered already.
+func (l *Loads) noteAnswer(id string, load engine.Load, polledAt time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if r, _ := l.Get(id); !polledAt.Before(r.polledAt) {
+		l.Set(id, Report{Load: load, At: time.Now(), polledAt: polledAt})
+	}
+}
+
+// noteMiss counts the failed poll that began at polledAt, unless a later poll was answered
+// already. The latest report and its time do not change.
+func (l *Loads) noteMiss(id string, polledAt time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if r, _ := l.Get(id); !polledAt.Before(r.polledAt) {
+		r.MissedPolls++
+		l.Set(id, r)
+	}
 }
 
 // Retain removes the reports of all upstreams that are not in ids.
@@ -114,10 +132,11 @@
 		return
 	case <-time.After(rand.N(p.interval)):
 	}
+	polledAt := time.Now()
 	load, err := p.reader.LoadReport(ctx, u.Address)
 	if err != nil {
-		p.loads.noteMiss(u.ID)
+		p.loads.noteMiss(u.ID, polledAt)
 		return
 	}
-	p.loads.Set(u.ID, Report{Load: load, At: time.Now()})
+	p.loads.noteAnswer(u.ID, load, polledAt)
 }
