Test of a claim whose late copy takes effect after its withdrawal, failing

go test -run TestLateClaim ./internal/request claim after the withdrawal: the outcome of the request with this idempotency key is unknown

--- a/internal/request/claim_test.go
+++ b/internal/request/claim_test.go
@@ -232,3 +232,28 @@
 		t.Errorf("duplicate: %+v, %v", duplicate, err)
 	}
 }
+
+// Guards against a request that can never run: a late copy of a claim takes effect after the
+// claim was withdrawn, and every repeat is refused.
+func TestLateClaimDoesNotBlockWithdrawnKey(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cluster := faultinject.NewCluster(func(s faultinject.Step) faultinject.Fault {
+			if s.Process == "vm-1" && s.Index == 0 {
+				return faultinject.Fault{Kind: faultinject.DelayEffect, Duration: 30 * time.Second}
+			}
+			return faultinject.Fault{}
+		})
+		claims := startVMs(cluster, "vm-1", "vm-2")
+		claim, err := acquire(claims[0])
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := claims[0].Withdraw(context.Background(), claim); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(time.Minute)
+		if _, err := acquire(claims[1]); err != nil {
+			t.Errorf("claim after the withdrawal: %v", err)
+		}
+	})
+}
