The row of a withdrawn claim stays, so that no late copy of the claim restores it

What callers would see: a service call with an idempotency key is refused as not run, and every repeat is refused with claim_unknown, on all VMs, for good: a request that was never sent can never run.

Cause: a claim requires that its row is absent, and a withdrawal deleted the row. If the store gives no answer to the claim, it is sent again; a copy that the store runs after the withdrawal met its condition again.

The fix: a withdrawal replaces the row by one that says so, and the next claim requires exactly that row. Its version never repeats, so no copy of an earlier claim meets it. A VM of an earlier release answers claim_unknown for such a row, as for a claim that it finds. A key that is claimed after a withdrawal costs a read and a commit more.

--- a/internal/request/claim.go
+++ b/internal/request/claim.go
@@ -26,6 +26,9 @@
 	Fingerprint string           `json:"fingerprint"`
 	// Answer is set when the request has an outcome.
 	Answer *service.Answer `json:"answer,omitempty"`
+	// Withdrawn is true when the claim was withdrawn, so that the key can be claimed. The row
+	// stays: a late copy of the claim requires that it is absent.
+	Withdrawn bool `json:"withdrawn,omitempty"`
 }
 
 // Claims manages the claims of non-idempotent requests in the store, so that each
@@ -78,9 +81,10 @@
 // Abandon.
 func (c *Claims) Acquire(ctx context.Context, account contract.Account, idempotencyKey, fingerprint string) (Claim, error) {
 	claim := Claim{account: account, key: rowKey(account, idempotencyKey), fingerprint: fingerprint}
+	withdrawnVersion := uint64(0)
 	for range maxAcquireTries {
 		claim.nonce = platformapi.NewNonce()
-		err := c.insert(ctx, claim)
+		err := c.insert(ctx, claim, withdrawnVersion)
 		if err == nil {
 			c.markRunning(claim)
 			return claim, nil
@@ -89,50 +93,55 @@
 			return Claim{}, err
 		}
 		existing, withdrawn, err := c.readExisting(ctx, claim, idempotencyKey)
-		if !withdrawn {
+		if withdrawn == nil {
 			return existing, err
 		}
+		withdrawnVersion = withdrawn.Version
 	}
 	return Claim{}, errors.WithStack(&fault.ClaimUnknown{IdempotencyKey: idempotencyKey})
 }
 
-func (c *Claims) insert(ctx context.Context, claim Claim) error {
+// insert writes a claim's row. version is the version of the row of a withdrawn claim that it
+// replaces, or 0 if there is none.
+func (c *Claims) insert(ctx context.Context, claim Claim, version uint64) error {
 	return platformapi.CommitConfirmed(ctx, c.tables, platformapi.Txn{
 		Nonce:         claim.nonce,
-		Preconditions: []platformapi.Precondition{{Key: claim.key}},
+		Preconditions: []platformapi.Precondition{{Key: claim.key, Version: version}},
 		Writes:        []platformapi.Write{{Key: claim.key, Value: claim.encodeRow(nil)}},
 	})
 }
 
-// readExisting returns the result of Acquire for a key that is already claimed.
-// withdrawn reports that the claim was withdrawn in the meantime, so that the
-// key can be claimed.
-func (c *Claims) readExisting(ctx context.Context, claim Claim, idempotencyKey string) (existing Claim, withdrawn bool, err error) {
+// readExisting returns the result of Acquire for a key that is already claimed. If the key can
+// be claimed, withdrawn is its row: that of a withdrawn claim, or an absent one.
+func (c *Claims) readExisting(ctx context.Context, claim Claim, idempotencyKey string) (existing Claim, withdrawn *platformapi.Row, err error) {
 	row, err := c.tables.Get(ctx, claim.key)
 	if err != nil {
-		return Claim{}, false, err
+		return Claim{}, nil, err
 	}
 	if !row.Exists() {
-		return Claim{}, true, nil
+		return Claim{}, &row, nil
 	}
 	var stored claimRow
 	if err := json.Unmarshal(row.Value, &stored); err != nil {
-		return Claim{}, false, errors.WithStack(&fault.Internal{Where: "claim"})
+		return Claim{}, nil, errors.WithStack(&fault.Internal{Where: "claim"})
+	}
+	if stored.Withdrawn {
+		return Claim{}, &row, nil
 	}
 	if stored.Fingerprint != claim.fingerprint || stored.Account != claim.account {
-		return Claim{}, false, errors.WithStack(&fault.ClaimMismatch{})
+		return Claim{}, nil, errors.WithStack(&fault.ClaimMismatch{})
 	}
 	if stored.Answer != nil {
 		claim.Answer = stored.Answer
-		return claim, false, nil
+		return claim, nil, nil
 	}
 	// The request of a claim without an outcome may be running on another VM, or
 	// that VM may be dead. Only this process's own requests are known to be
 	// running.
 	if c.isRunning(claim) {
-		return Claim{}, false, errors.WithStack(&fault.ClaimInProgress{Wait: inProgressRetryAfter})
+		return Claim{}, nil, errors.WithStack(&fault.ClaimInProgress{Wait: inProgressRetryAfter})
 	}
-	return Claim{}, false, errors.WithStack(&fault.ClaimUnknown{IdempotencyKey: idempotencyKey})
+	return Claim{}, nil, errors.WithStack(&fault.ClaimUnknown{IdempotencyKey: idempotencyKey})
 }
 
 const (
@@ -153,15 +162,15 @@
 // remains correct.
 func (c *Claims) Finish(ctx context.Context, claim Claim, answer service.Answer) error {
 	defer c.Abandon(claim)
-	return c.finalize(ctx, claim, platformapi.Write{Key: claim.key, Value: claim.encodeRow(&answer)})
+	return c.finalize(ctx, claim, claim.encodeRow(&answer))
 }
 
-// Withdraw removes a claim whose request certainly did not run, so that a duplicate
+// Withdraw ends a claim whose request certainly did not run, so that a duplicate
 // can run. It fails with *fault.StoreUnavailable; a duplicate may then get
 // *fault.ClaimUnknown.
 func (c *Claims) Withdraw(ctx context.Context, claim Claim) error {
 	defer c.Abandon(claim)
-	return c.finalize(ctx, claim, platformapi.Write{Key: claim.key, Delete: true})
+	return c.finalize(ctx, claim, encode(claimRow{Account: claim.account, Fingerprint: claim.fingerprint, Withdrawn: true}))
 }
 
 // Abandon ends a claim whose request has an unknown outcome. A duplicate then gets
@@ -172,11 +181,10 @@
 	delete(c.running, claim.key)
 }
 
-// finalize replaces or deletes the claim's row and retries until the write took
-// effect, ctx ends or the tries are used up. A row with another nonce is this
-// claim's final row or a claim made after this one's withdrawal; neither may be
-// changed.
-func (c *Claims) finalize(ctx context.Context, claim Claim, write platformapi.Write) error {
+// finalize replaces the claim's row and retries until the write took effect, ctx
+// ends or the tries are used up. A row with another nonce is this claim's final
+// row or a claim made after this one's withdrawal; neither may be changed.
+func (c *Claims) finalize(ctx context.Context, claim Claim, value []byte) error {
 	var lastErr error
 	for range maxFinalizeTries {
 		row, err := c.tables.Get(ctx, claim.key)
@@ -187,7 +195,7 @@
 			err = c.tables.Commit(ctx, platformapi.Txn{
 				Nonce:         platformapi.NewNonce(),
 				Preconditions: []platformapi.Precondition{{Key: claim.key, Version: row.Version}},
-				Writes:        []platformapi.Write{write},
+				Writes:        []platformapi.Write{{Key: claim.key, Value: value}},
 			})
 		}
 		if err == nil {
@@ -218,7 +226,11 @@
 
 // encodeRow returns the value of the claim's row.
 func (c Claim) encodeRow(answer *service.Answer) []byte {
-	value, err := json.Marshal(claimRow{Account: c.account, Fingerprint: c.fingerprint, Answer: answer})
+	return encode(claimRow{Account: c.account, Fingerprint: c.fingerprint, Answer: answer})
+}
+
+func encode(row claimRow) []byte {
+	value, err := json.Marshal(row)
 	if err != nil {
 		panic(err)
 	}
--- a/spec/claim.pml
+++ b/spec/claim.pml
@@ -18,43 +18,60 @@
  * weaken: WEAKEN_WITHDRAW_AFTER_RUN
  * weaken: WEAKEN_WITHDRAW_WITHOUT_VERSION
  * weaken: WEAKEN_NOT_RUN_ON_UNKNOWN
+ * weaken: WEAKEN_WITHDRAW_DELETES
  */
 
 #define VMS 2
 #define TRIES 3		/* requests with the same key over all VMs */
 #define FREE 0
 
-/* The row of the claim: the nonce of the claimer, FREE if there is no row, the row
- * version, the newest version so far, and whether the outcome is stored. */
+/* The row of the claim: the nonce of the claimer, FREE if there is no row or its claim was
+ * withdrawn, the row version, 0 if there is no row, the newest version so far, and whether
+ * the outcome is stored. */
 byte claimer, version, versions;
 bit outcome;
 
 byte nonces;
 byte runs;		/* how often the request was run */
 bit ranAfterNotRun;
-/* Late copies that have not taken effect: the nonce of an insert, and the row version
- * that a withdrawal expects; 0 is none. */
-byte lateInsert, lateDelete;
+/* Late copies that have not taken effect: the nonce of an insert with the row version that
+ * it expects, and the row version that a withdrawal expects; 0 is none. */
+byte lateInsert, lateInsertVersion, lateDelete;
+/* The claims that were withdrawn, by nonce. */
+bit withdrawn[TRIES + 1];
 
-inline insert(nonce) {
+inline insert(nonce, expected) {
 	if
 #ifdef WEAKEN_BLIND_INSERT
 	:: true ->
 #else
-	:: claimer == FREE ->
+	:: claimer == FREE && version == expected ->
 #endif
 		versions++;
 		version = versions;
 		claimer = nonce;
-		outcome = 0
-	:: claimer != FREE
+		outcome = 0;
+		assert(!withdrawn[nonce])
+	:: claimer != FREE || version != expected
 	fi
 }
 
+/* A withdrawal replaces the row. */
+inline withdraw() {
+	withdrawn[claimer] = 1;
+#ifdef WEAKEN_WITHDRAW_DELETES
+	version = 0;
+#else
+	versions++;
+	version = versions;
+#endif
+	claimer = FREE; outcome = 0
+}
+
 /* Late copies of commits take effect at any time, or never. */
 proctype LateCommits() {
 end:	do
-	:: atomic { lateInsert != 0 -> insert(lateInsert); lateInsert = 0 }
+	:: atomic { lateInsert != 0 -> insert(lateInsert, lateInsertVersion); lateInsert = 0 }
 	:: atomic { lateInsert != 0 -> lateInsert = 0 }
 	:: atomic {
 		lateDelete != 0 ->
@@ -64,7 +81,7 @@
 #else
 		:: version == lateDelete && claimer != FREE ->
 #endif
-			claimer = FREE; outcome = 0
+			withdraw()
 		:: version != lateDelete || claimer == FREE
 		fi;
 		lateDelete = 0
@@ -84,9 +101,13 @@
 #endif
 		/* Claim. */
 		if
-		:: atomic { insert(myNonce); claimed = (claimer == myNonce) }
+		:: atomic { insert(myNonce, version); claimed = (claimer == myNonce) }
+		:: atomic {	/* no reply; sent again, and the first copy is late */
+			lateInsert == 0 -> lateInsert = myNonce; lateInsertVersion = version;
+			insert(myNonce, version); claimed = (claimer == myNonce)
+		   }
 		:: atomic {	/* no reply, and the row can't be read back */
-			lateInsert == 0 -> lateInsert = myNonce;
+			lateInsert == 0 -> lateInsert = myNonce; lateInsertVersion = version;
 #ifdef WEAKEN_RUN_ON_UNKNOWN
 			claimed = 1
 #endif
@@ -118,15 +139,15 @@
 			:: true		/* the outcome can't be stored */
 			fi;
 #ifdef WEAKEN_WITHDRAW_AFTER_RUN
-			atomic { if :: claimer == myNonce -> claimer = FREE; outcome = 0 :: else fi }
+			atomic { if :: claimer == myNonce -> withdraw() :: else fi }
 #endif
 		:: !dispatched ->
 			if
-			:: atomic { claimer == myNonce -> claimer = FREE; outcome = 0 }
+			:: atomic { claimer == myNonce -> withdraw() }
 			:: atomic { claimer == myNonce && lateDelete == 0 -> lateDelete = myVersion }
 			:: atomic {	/* no reply; sent again, and the first copy is late */
 				claimer == myNonce && lateDelete == 0 ->
-				lateDelete = myVersion; claimer = FREE; outcome = 0
+				lateDelete = myVersion; withdraw()
 			   }
 			:: true
 			fi;
