Test of a withdrawal that ends after the key was claimed again, failing

go test -run TestEndOfWithdrawn ./internal/request err = the outcome of the request with this idempotency key is unknown, want *fault.ClaimInProgress

--- a/internal/request/claim_test.go
+++ b/internal/request/claim_test.go
@@ -257,3 +257,29 @@
 		}
 	})
 }
+
+// Guards against a caller that is told to look for the outcome of a request that still runs: the
+// withdrawal of an earlier claim ends after the key was claimed again on the same VM.
+func TestEndOfWithdrawnClaimKeepsLaterClaimInProgress(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cluster := faultinject.NewCluster(func(s faultinject.Step) faultinject.Fault {
+			if s.Index == 2 { // the withdrawal's commit
+				return faultinject.Fault{Kind: faultinject.LoseReply}
+			}
+			return faultinject.Fault{}
+		})
+		claims := startVMs(cluster, "vm-1")[0]
+		first, err := acquire(claims)
+		if err != nil {
+			t.Fatal(err)
+		}
+		go func() { _ = claims.Withdraw(context.Background(), first) }()
+		synctest.Wait()
+		if _, err := acquire(claims); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(time.Minute)
+		_, err = acquire(claims)
+		wantError[*fault.ClaimInProgress](t, err)
+	})
+}
