The end of a claim doesn't end a later claim of its key

What callers would see: a repeat of a service call that is running on this VM is refused with claim_unknown ("find out at the service what happened") in place of claim_in_progress with a time to repeat.

Cause: the claims that run in the process were a set of keys. When the store doesn't answer a withdrawal that took effect, Withdraw goes on trying while the key is free; its end removed the key although a later request had claimed it.

The fix: the running claim of a key is known by its nonce; only its own end removes it, and a row counts as running only with that nonce.

--- a/internal/request/claim.go
+++ b/internal/request/claim.go
@@ -37,13 +37,13 @@
 	tables platformapi.Tables
 
 	mu sync.Mutex
-	// running holds the row keys of the claims whose requests run in this process.
-	running map[string]struct{}
+	// running holds the claims whose requests run in this process: their nonces by row key.
+	running map[string]string
 }
 
 // NewClaims returns the claims that are stored in tables.
 func NewClaims(tables platformapi.Tables) *Claims {
-	return &Claims{tables: tables, running: make(map[string]struct{})}
+	return &Claims{tables: tables, running: make(map[string]string)}
 }
 
 // Claim is the right to run a request, or the answer of a request that has run.
@@ -138,7 +138,7 @@
 	// The request of a claim without an outcome may be running on another VM, or
 	// that VM may be dead. Only this process's own requests are known to be
 	// running.
-	if c.isRunning(claim) {
+	if c.isRunning(claim.key, row.Nonce) {
 		return Claim{}, nil, errors.WithStack(&fault.ClaimInProgress{Wait: inProgressRetryAfter})
 	}
 	return Claim{}, nil, errors.WithStack(&fault.ClaimUnknown{IdempotencyKey: idempotencyKey})
@@ -178,7 +178,10 @@
 func (c *Claims) Abandon(claim Claim) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	delete(c.running, claim.key)
+	// After a withdrawal the key may have been claimed again.
+	if c.running[claim.key] == claim.nonce {
+		delete(c.running, claim.key)
+	}
 }
 
 // finalize replaces the claim's row and retries until the write took effect, ctx
@@ -214,14 +217,14 @@
 func (c *Claims) markRunning(claim Claim) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.running[claim.key] = struct{}{}
+	c.running[claim.key] = claim.nonce
 }
 
-func (c *Claims) isRunning(claim Claim) bool {
+func (c *Claims) isRunning(key, nonce string) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	_, running := c.running[claim.key]
-	return running
+	running, ok := c.running[key]
+	return ok && running == nonce
 }
 
 // encodeRow returns the value of the claim's row.
