Tests of heartbeats that take effect late, failing

go test -run TestLateHeartbeat ./internal/member live: [{a x 1 a:1 0 false false} {b y 1 b:1 0 false false}], want only a incarnation 1 of b is alive, or incarnation 2 is not

--- a/internal/member/member_test.go
+++ b/internal/member/member_test.go
@@ -258,3 +258,57 @@
 		}
 	}
 }
+
+// faultOf returns a choice of faults that injects one into the heartbeats of a VM.
+func faultOf(vm string, injected memory.Fault) func(rowstore.Txn) memory.Fault {
+	return func(txn rowstore.Txn) memory.Fault {
+		if len(txn.Puts) > 0 && txn.Puts[0].Key.Name == vm {
+			return injected
+		}
+		return memory.NoFault
+	}
+}
+
+// Guards against new work for a VM that is leaving: a heartbeat from before its announcement takes
+// effect late.
+func TestLateHeartbeatDoesNotReplaceLeave(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := memory.New()
+		a, _ := startVM(t, store, "a", "x", "1")
+		b, stopB := startVM(t, store, "b", "y", "1")
+		time.Sleep(2 * time.Second)
+		store.SetFault(faultOf("b", memory.EffectDelayed))
+		time.Sleep(600 * time.Millisecond)
+		store.SetFault(nil)
+		b.Leave(t.Context())
+		stopB()
+		store.RunDelayed()
+		time.Sleep(600 * time.Millisecond)
+		if len(a.Live()) != 1 {
+			t.Errorf("live: %v, want only a", a.Live())
+		}
+	})
+}
+
+// Guards against the takeover of steps of a VM that has restarted: a heartbeat of its earlier
+// process takes effect late, and its present one seems dead.
+func TestLateHeartbeatDoesNotRestoreEarlierIncarnation(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := memory.New()
+		a, _ := startVM(t, store, "a", "x", "1")
+		_, killB := startVM(t, store, "b", "y", "1")
+		time.Sleep(2 * time.Second)
+		store.SetFault(faultOf("b", memory.EffectDelayed))
+		time.Sleep(600 * time.Millisecond)
+		store.SetFault(nil)
+		killB()
+		startVM(t, store, "b", "y", "2")
+		time.Sleep(time.Second)
+		store.SetFault(faultOf("b", memory.Refused))
+		store.RunDelayed()
+		time.Sleep(600 * time.Millisecond)
+		if a.Alive("b", "1") || !a.Alive("b", "2") {
+			t.Error("incarnation 1 of b is alive, or incarnation 2 is not")
+		}
+	})
+}
