Test of a digest's contents that take effect late, failing

go test -run TestLateContents ./internal/upstreamdigest a new follower holds 0 upstreams, want 3; stopped true

--- a/internal/upstreamdigest/digest_test.go
+++ b/internal/upstreamdigest/digest_test.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"dogwoodpond/internal/event"
+	"dogwoodpond/internal/rowstore"
 	"dogwoodpond/internal/rowstore/memory"
 	"dogwoodpond/internal/target"
 	"dogwoodpond/internal/wait"
@@ -203,3 +204,31 @@
 		t.Errorf("sizes of the contents by engines: %v", sizes)
 	}
 }
+
+// Guards against followers without the upstreams of a writer: contents without an answer take
+// effect after newer ones, and the writer's beats no longer describe its contents.
+func TestLateContentsDoNotReplaceNewerOnes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := memory.New()
+		w := startWriter(t, store, "a", 10, newInstance("d1", "desk", false))
+		time.Sleep(time.Second)
+		store.SetFault(func(txn rowstore.Txn) memory.Fault {
+			if txn.Puts[0].Key.Table == contentTable {
+				return memory.EffectDelayed
+			}
+			return memory.NoFault
+		})
+		w.Roster.Apply(target.ListedChange(newInstance("d2", "desk", false)))
+		time.Sleep(600 * time.Millisecond)
+		store.SetFault(nil)
+		w.Roster.Apply(target.ListedChange(newInstance("d3", "desk", false)))
+		time.Sleep(time.Second)
+		store.RunDelayed()
+		time.Sleep(time.Second)
+		roster, stopped := startFollower(t, store)
+		time.Sleep(5 * time.Second)
+		if n := len(roster.Upstreams("desk")); n != 3 || stopped.Load() {
+			t.Errorf("a new follower holds %d upstreams, want 3; stopped %t", n, stopped.Load())
+		}
+	})
+}
