--- a/internal/weightload/weightload_test.go
+++ b/internal/weightload/weightload_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -483,6 +484,40 @@
 	})
 }
 
+// Guards against engines that get no requests although they have loaded: the row that announces a
+// load takes effect late, after the one that says it is done.
+func TestLateAnnouncementOfALoadDoesNotBlockTheEngine(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, other := newFleet(2), newFleet(2)
+		events := event.NewRecorder("b", 16, event.NewClock(time.Now), zap.NewNop())
+		watch := Watch{Store: f.store, Roster: other.roster, CallBudget: budget.New(budget.Rates{}), Events: events, Needed: func() bool { return true }, OnChange: func() {}}
+		go watch.Run(t.Context())
+		f.startLoader(t, "a")
+		time.Sleep(2 * time.Second)
+		f.store.SetFault(func(txn rowstore.Txn) memory.Fault {
+			if txn.Puts[0].Key.Table == table && strings.Contains(string(txn.Puts[0].Value), `"loading":true`) {
+				return memory.EffectDelayed
+			}
+			return memory.NoFault
+		})
+		f.announceVersion("m", 2)
+		time.Sleep(5 * time.Second)
+		f.store.RunDelayed()
+		blocked := 0
+		for range 300 {
+			time.Sleep(100 * time.Millisecond)
+			for _, e := range other.roster.Upstreams("lm") {
+				if e.Version("m") == 2 && e.ModelUnavailable("m", time.Now()) {
+					blocked += 100
+				}
+			}
+		}
+		if blocked > 0 {
+			t.Errorf("engines that have the version got no requests for %d ms", blocked)
+		}
+	})
+}
+
 // Guards against orders to engines, and reads of their state, in a failure domain that the
 // operator evacuates, and against engines that keep old weights after its restore.
 func TestEvacuatedDomainGetsNoOrders(t *testing.T) {
