An announced weight load doesn't block an engine that has the version

What callers would see: items wait though an engine with their version is free; the engine gets no requests of the model for 0.9 s when the row appears, and for 0.9 s again at each full read of the table by each VM, until its next load.

Cause: the row that announces a load and the one that ends it are written without a condition. If the first gets no answer, it may take effect after the second; the readers then blocked the engine without a look at its version.

--- a/internal/weightload/loader.go
+++ b/internal/weightload/loader.go
@@ -395,7 +395,10 @@
 		return
 	}
 	if record.Loading {
-		e.NoteModelUnavailable(record.Model, time.Now().Add(expectedLoadTime))
+		// A row that took effect late, after the one that ended the load, stays until the next load.
+		if e.Version(record.Model) < record.Version {
+			e.NoteModelUnavailable(record.Model, time.Now().Add(expectedLoadTime))
+		}
 		return
 	}
 	e.NoteModelUnavailable(record.Model, time.Time{})
