Test of a commit whose retry is refused after a copy without an answer, failing

go test -run TestRefusedRetry ./internal/rowstore the commit failed with the platform refused commit with status 507, want one whose effect is unknown

--- a/internal/rowstore/store_test.go
+++ b/internal/rowstore/store_test.go
@@ -423,3 +423,39 @@
 		})
 	}
 }
+
+// fullStore is a store that becomes full: it refuses every commit after the first.
+type fullStore struct {
+	*memory.Store
+	commits int
+}
+
+func (s *fullStore) Commit(ctx context.Context, txn rowstore.Txn) (int64, error) {
+	s.commits++
+	if s.commits > 1 {
+		return 0, errors.WithStack(&fault.PlatformRefused{Operation: "commit", Status: 507})
+	}
+	return s.Store.Commit(ctx, txn)
+}
+
+// Guards against a caller that is told that nothing was done although a copy of the commit may
+// have taken effect: the first copy gets no answer, and the store refuses its retry.
+func TestRefusedRetryLeavesTheEffectUnknown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &fullStore{Store: memory.New()}
+		store.SetFault(firstCommit(memory.EffectDelayed))
+		_, err := rowstore.CommitConfirmed(t.Context(), store, createRow("mine"))
+		var unavailable *fault.StoreUnavailable
+		if !errors.As(err, &unavailable) || !unavailable.EffectUnknown {
+			t.Errorf("the commit failed with %v, want one whose effect is unknown", err)
+		}
+		store.RunDelayed()
+		if row := store.Row(key); string(row.Value) != "mine" {
+			t.Errorf("the row has the value %q, want that of the late copy", row.Value)
+		}
+		_, err = rowstore.CommitConfirmed(t.Context(), store, createRow("mine"))
+		if !fault.Is[*fault.PlatformRefused](err) {
+			t.Errorf("a commit whose only copy was refused failed with %v, want the refusal", err)
+		}
+	})
+}
