A refused retry leaves the effect of an unanswered commit unknown

What callers would see: a trainer that ends a step is answered 503, "not run", though the end takes effect seconds later; the same for every caller of CommitConfirmed that takes a refusal for certain.

Cause: CommitConfirmed returned at once with any error that is neither a conflict nor an unavailable store, such as 507 or a 4xx, and forgot that an earlier copy had got no answer.

The callers in internal/step take every other error as unknown already, but for End.

The fix: such an error after a copy without an answer becomes StoreUnavailable with EffectUnknown; the refusal stays attached for the log.

--- a/internal/rowstore/commit.go
+++ b/internal/rowstore/commit.go
@@ -29,7 +29,8 @@
 // The transaction must put at least one row that it also expects, with a value that no
 // other writer writes. CommitConfirmed fails with *Conflict if another writer won; then no
 // copy ever takes effect. If ctx ends first it fails with *fault.StoreUnavailable, whose
-// EffectUnknown is true if a copy may have taken effect or may still do so.
+// EffectUnknown is true if a copy may have taken effect or may still do so. It also fails with
+// that if the store refuses a copy for another reason after one without an answer.
 func CommitConfirmed(ctx context.Context, store Store, txn Txn) (int64, error) {
 	backoff, effectUnknown := minCommitBackoff, false
 	for {
@@ -46,6 +47,10 @@
 		}
 		var unavailable *fault.StoreUnavailable
 		if !errors.As(err, &unavailable) {
+			if effectUnknown {
+				// The refusal says nothing about the earlier copies.
+				return 0, errors.WithSecondaryError(newUnavailable(true), err)
+			}
 			return 0, err
 		}
 		effectUnknown = effectUnknown || unavailable.EffectUnknown
@@ -54,12 +59,16 @@
 			backoff = minCommitBackoff
 		}
 		if !wait.For(ctx, backoff) {
-			return 0, errors.WithStack(&fault.StoreUnavailable{Operation: "commit", EffectUnknown: effectUnknown})
+			return 0, newUnavailable(effectUnknown)
 		}
 		backoff = min(2*backoff, maxCommitBackoff)
 	}
 }
 
+func newUnavailable(effectUnknown bool) error {
+	return errors.WithStack(&fault.StoreUnavailable{Operation: "commit", EffectUnknown: effectUnknown})
+}
+
 // isCommitted reports whether the rows that the transaction both expects and puts have the
 // values of its puts, and the version of these rows.
 func isCommitted(conflict *Conflict, txn Txn) (committed bool, version int64) {
