A rejected sample doesn't reopen a slot that has one

What callers would see: nothing wrong, but an attempt on an engine in vain, until the next read of the progress, up to a second later.

Cause: the samples of a batch whose commit gets no answer wait for the next commit. If they are stale by then, their slots are generated again, without a write; the first commit may still take effect, and the slot is filled. The new sample, which is being scored, may be rejected after that, and retry made the slot pending whatever its phase. Each other transition looks at it.

The fix: retry leaves a filled slot as it is; only reconcile, which reads the progress, reopens one.

--- a/internal/rollout/plan.go
+++ b/internal/rollout/plan.go
@@ -241,9 +241,13 @@
 
 // retry makes a slot without an accepted result pending again. The backoff
 // grows with each failure, to limit the load on an engine that always
-// misreports.
+// misreports. A filled slot stays filled: only reconcile knows that its sample was
+// withdrawn.
 func (p *plan) retry(position int, now time.Time) {
 	s := &p.slots[position]
+	if s.phase == filled {
+		return
+	}
 	p.cancelAttempts(s)
 	s.phase = pending
 	s.retryAt = now.Add(min(maxSlotBackoff, minSlotBackoff<<min(s.failures, maxDoublings)))
