--- a/internal/dispatch/scheduler_test.go
+++ b/internal/dispatch/scheduler_test.go
@@ -485,6 +485,46 @@
 	}
 }
 
+// Guards against an engine that stays ejected although its probe succeeds: a request from before
+// the engine moved to its present pool ends while the probe runs.
+func TestEndOfEarlierRequestDoesNotEndProbe(t *testing.T) {
+	for name, end := range map[string]Result{"failed": {Cost: 10, Failed: true}, "canceled": {}, "answered": {Cost: 10}} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				vm := newTestVM(ctx, engineOf("moved", "a", 4))
+				acquire := func(work Work) Grant {
+					g, err := vm.Acquire(ctx, work)
+					if err != nil {
+						t.Fatal(err)
+					}
+					return g
+				}
+				earlier := acquire(engineWork("fields", 10))
+				moved, other := engineOf("moved", "a", 4), engineOf("other", "a", 4)
+				moved.Model, other.Model = "rota-2", "rota-2"
+				vm.directory.Replace([]platformapi.Upstream{moved, other})
+				work := engineWork("fields", 10)
+				work.Pool.Model, work.Exclude = "rota-2", []string{"other"}
+				for range 3 {
+					acquire(work).Done(Result{Cost: 10, Failed: true})
+				}
+				time.Sleep(3 * time.Second)
+				probe := acquire(work)
+				earlier.Done(end)
+				if health := vm.config.Health; health.State("moved", time.Now()) != upstream.Ejected {
+					t.Error("the engine gets requests while its probe runs")
+				}
+				probe.Done(Result{Cost: 10})
+				if health := vm.config.Health; health.State("moved", time.Now()) != upstream.Healthy {
+					t.Error("the engine is ejected after its probe succeeded")
+				}
+			})
+		})
+	}
+}
+
 // Guards against ejecting every engine when all fail at once, for example because of a
 // bad model, which would replace slow service by none. Half of a pool must stay in
 // rotation.
