Only its probe decides over an ejected engine

What callers would see: after an engine was moved to another pool and ejected there, it stays out for a further ejection (4 s and up) although its probe was answered, or gets requests before its probe has ended.

Cause: the end of each attempt was reported to the health record by the engine's name alone. While the engine is in one pool, a probe waits until its earlier requests have ended; after a move the earlier pool's requests end at any time, and the first that ended during the probe was taken for it.

The fix: a grant knows whether it is the probe. While an engine is ejected, other ends don't reach its record, as TestAnswersFromBeforeAnEjectionDoNotChangeIt already asks for without a probe.

--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -175,15 +175,15 @@
 	var done atomic.Bool
 	return Grant{Upstream: u, Done: func(r Result) {
 		if done.CompareAndSwap(false, true) {
-			p.finish(req, u, r, now)
+			p.finish(req, c, r, now)
 		}
 	}}
 }
 
 // finish releases a slot and corrects the cost that its account was charged.
-func (p *poolQueue) finish(req *request, u platformapi.Upstream, r Result, started time.Time) {
-	now := time.Now()
-	p.recordHealth(u, r, now.Sub(started), now)
+func (p *poolQueue) finish(req *request, c candidate, r Result, started time.Time) {
+	now, u := time.Now(), c.upstream
+	p.recordHealth(c, r, now.Sub(started), now)
 	wasAtLimit := p.scheduler.account(req.work.Account).release(req.work, u.Reclaimable, r.Cost)
 	p.mu.Lock()
 	p.inFlight[u.ID]--
@@ -199,9 +199,14 @@
 	}
 }
 
-// recordHealth reports the result of an attempt to the upstream's health record.
-func (p *poolQueue) recordHealth(u platformapi.Upstream, r Result, elapsed time.Duration, now time.Time) {
-	health := p.scheduler.config.Health
+// recordHealth reports the result of an attempt to the upstream's health record. While the
+// upstream is ejected only its probe counts: an earlier request may end during the probe, in
+// another pool if the engine has moved.
+func (p *poolQueue) recordHealth(c candidate, r Result, elapsed time.Duration, now time.Time) {
+	health, u := p.scheduler.config.Health, c.upstream
+	if !c.probe && health.State(u.ID, now) != upstream.Healthy {
+		return
+	}
 	peers := p.upstreamIDs()
 	switch {
 	case r.Failed:
