--- a/internal/request/claim_test.go
+++ b/internal/request/claim_test.go
@@ -232,3 +232,54 @@
 		t.Errorf("duplicate: %+v, %v", duplicate, err)
 	}
 }
+
+// Guards against a request that can never run: a late copy of a claim takes effect after the
+// claim was withdrawn, and every repeat is refused.
+func TestLateClaimDoesNotBlockWithdrawnKey(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cluster := faultinject.NewCluster(func(s faultinject.Step) faultinject.Fault {
+			if s.Process == "vm-1" && s.Index == 0 {
+				return faultinject.Fault{Kind: faultinject.DelayEffect, Duration: 30 * time.Second}
+			}
+			return faultinject.Fault{}
+		})
+		claims := startVMs(cluster, "vm-1", "vm-2")
+		claim, err := acquire(claims[0])
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := claims[0].Withdraw(context.Background(), claim); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(time.Minute)
+		if _, err := acquire(claims[1]); err != nil {
+			t.Errorf("claim after the withdrawal: %v", err)
+		}
+	})
+}
+
+// Guards against a caller that is told to look for the outcome of a request that still runs: the
+// withdrawal of an earlier claim ends after the key was claimed again on the same VM.
+func TestEndOfWithdrawnClaimKeepsLaterClaimInProgress(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cluster := faultinject.NewCluster(func(s faultinject.Step) faultinject.Fault {
+			if s.Index == 2 { // the withdrawal's commit
+				return faultinject.Fault{Kind: faultinject.LoseReply}
+			}
+			return faultinject.Fault{}
+		})
+		claims := startVMs(cluster, "vm-1")[0]
+		first, err := acquire(claims)
+		if err != nil {
+			t.Fatal(err)
+		}
+		go func() { _ = claims.Withdraw(context.Background(), first) }()
+		synctest.Wait()
+		if _, err := acquire(claims); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(time.Minute)
+		_, err = acquire(claims)
+		wantError[*fault.ClaimInProgress](t, err)
+	})
+}
