A handover ends with its context while a commit of results waits for the store

A VM that is told to leave while the store doesn't answer doesn't return from Leave when its context ends, but only with the commit that its run has in progress.

Cause: flush, which has the context of the handover, waits for commitMu without it. The commit loop holds commitMu during CommitConfirmed, which repeats until the store answers or the run ends, and the run ends only after the handover. Class: a lock held across I/O makes others wait without their deadlines.

Evidence: TestLeaveEndsWithItsContextDuringCommit, before: "test timed out after 10s", with the handover in sync.Mutex.Lock of commitBatch (virtual time stands still while a goroutine waits for a mutex); after: passes in 0.01 s, Leave returns within 0.1 s of the end of its context.

The fix: a channel with one slot in place of the mutex, for which commitBatch waits at most as long as its context lasts.

--- a/internal/step/cluster_test.go
+++ b/internal/step/cluster_test.go
@@ -43,6 +43,10 @@
 	domains map[string]string
 	// configuration is the configuration of VMs that are started from now on.
 	configuration *route.Snapshot
+	// remote, if set, returns the store as a VM reaches it.
+	remote func(vm string) rowstore.Store
+	// observe, if set, is called with each event of a VM.
+	observe func(event.Record)
 }
 
 // preferredOwner implements Config.PreferredOwner.
@@ -75,6 +79,11 @@
 // startIncarnation starts an incarnation of a VM.
 func (cl *cluster) startIncarnation(name, incarnation string) *testVM {
 	events := event.NewRecorder(name, 64, event.NewClock(time.Now), zap.NewNop())
+	events.Observe(cl.observe)
+	var store rowstore.Store = cl.store
+	if cl.remote != nil {
+		store = cl.remote(name)
+	}
 	roster := target.NewRoster(events)
 	roster.Replace(cl.instances)
 	view := route.NewView()
@@ -86,7 +95,7 @@
 	ctx, kill := context.WithCancel(cl.t.Context())
 	v := &testVM{kill: kill, Manager: NewManager(Config{
 		CallBudget: budget.New(budget.Rates{}),
-		VM:         name, Incarnation: incarnation, Domain: domain, Store: cl.store, Clock: cl.store, Members: fakeMembers{cl, name, incarnation},
+		VM:         name, Incarnation: incarnation, Domain: domain, Store: store, Clock: cl.store, Members: fakeMembers{cl, name, incarnation},
 		View: view, Roster: roster, Transport: cl.engines, Scorer: cl.scorer, Events: events, Retention: time.Minute,
 		AnnouncedVersion: func(string) (int64, bool) { return 1, true },
 		PreferredOwner:   cl.preferredOwner,
--- a/internal/step/commit.go
+++ b/internal/step/commit.go
@@ -49,8 +49,12 @@
 // Results that finish during the commit are left for the next batch, since committing each
 // as soon as the store answers would cost one transaction per result.
 func (r *run) commitBatch(ctx context.Context) (more bool) {
-	r.commitMu.Lock()
-	defer r.commitMu.Unlock()
+	select {
+	case <-ctx.Done():
+		return false
+	case r.commitSlot <- struct{}{}:
+	}
+	defer func() { <-r.commitSlot }()
 	batch, position := r.nextBatch()
 	if len(batch) == 0 || !r.commitResults(ctx, batch, position) {
 		return false
--- /dev/null
+++ b/internal/step/handover_test.go
@@ -0,0 +1,34 @@
+package step
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"dogwoodpond/internal/rowstore"
+)
+
+// Guards against a VM that can't leave while a commit of results waits for the store: the handover
+// must end with its context.
+func TestLeaveEndsWithItsContextDuringCommit(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		cl := newCluster(t, "e1")
+		var remote *remoteStore
+		cl.remote = func(string) rowstore.Store {
+			remote = newRemoteStore(cl.store, 1, true)
+			return remote
+		}
+		a := cl.start("a")
+		submit(t, a, spec("s"), items(4))
+		remote.setCut(true)
+		time.Sleep(time.Second)
+		const timeout = 2 * time.Second
+		ctx, cancel := context.WithTimeout(t.Context(), timeout)
+		defer cancel()
+		started := time.Now()
+		a.Leave(ctx)
+		if took := time.Since(started); took > timeout+100*time.Millisecond {
+			t.Errorf("Leave took %s, its context ended after %s", took, timeout)
+		}
+	})
+}
--- a/internal/step/run.go
+++ b/internal/step/run.go
@@ -84,8 +84,9 @@
 	committedCh chan struct{}
 	// uncommittedCh signals commitLoop that results may be queued.
 	uncommittedCh chan struct{}
-	// commitMu is held during a commit of results.
-	commitMu sync.Mutex
+	// commitSlot has one element during a commit of results. It is no mutex, because a handover
+	// must not wait for it longer than its context lasts.
+	commitSlot chan struct{}
 }
 
 // newRun returns a run of a step; the items with a result in committed are done.
@@ -100,6 +101,7 @@
 		list:          newItemList(items),
 		committedCh:   make(chan struct{}),
 		uncommittedCh: make(chan struct{}, 1),
+		commitSlot:    make(chan struct{}, 1),
 
 		acceptedCh: make(chan struct{}),
 	}
