Tests of a batch of results that replaces one with an unknown outcome, failing

In the first one, the commit of i0 and i1 gets no answer and its retries are refused with status 507. CommitConfirmed returns the refusal as if no copy could take effect, i2 and i3 finish, and a batch of four is committed from the same position under a row of another name. Then the first copy takes effect. In the second one, the context of a handover's flush ends during the commit.

The fake store gets the fault StorageFull.

--- a/internal/rowstore/memory/memory.go
+++ b/internal/rowstore/memory/memory.go
@@ -6,6 +6,7 @@
 	"bytes"
 	"context"
 	"maps"
+	"net/http"
 	"slices"
 	"sort"
 	"sync"
@@ -64,6 +65,8 @@
 	Refused
 	// RequestLost loses the request: the commit has no effect and gets no answer.
 	RequestLost
+	// StorageFull refuses the commit because the storage is full, with *fault.PlatformRefused.
+	StorageFull
 )
 
 // New returns an empty store.
@@ -110,6 +113,8 @@
 	case AnswerLost:
 		_, _ = s.apply(txn)
 		return 0, errors.WithStack(&fault.StoreUnavailable{Operation: "commit", EffectUnknown: true})
+	case StorageFull:
+		return 0, errors.WithStack(&fault.PlatformRefused{Operation: "commit", Status: http.StatusInsufficientStorage})
 	case NoFault:
 	}
 	return s.apply(txn)
--- /dev/null
+++ b/internal/step/unknown_commit_test.go
@@ -0,0 +1,98 @@
+package step
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"dogwoodpond/internal/rowstore"
+	"dogwoodpond/internal/rowstore/memory"
+)
+
+// setResultFaults injects faults into the next commits of results, one each.
+func (cl *cluster) setResultFaults(faults ...memory.Fault) {
+	cl.store.SetFault(func(txn rowstore.Txn) memory.Fault {
+		if len(faults) == 0 || txn.Puts == nil || txn.Puts[0].Key.Table != resultTable {
+			return memory.NoFault
+		}
+		injected := faults[0]
+		faults = faults[1:]
+		return injected
+	})
+}
+
+// checkResults checks the number of committed results, which must cover each position once, and
+// their texts.
+func (cl *cluster) checkResults(want, events int) {
+	cl.t.Helper()
+	rows, err := rowstore.ReadAll(cl.t.Context(), cl.store, resultTable, "s")
+	if err != nil {
+		cl.t.Fatal(err)
+	}
+	next := 0
+	for _, row := range rows {
+		results, first, err := decodeResults(row)
+		if err != nil || first != next {
+			cl.t.Errorf("row %s holds %d results from position %d, want %d; %v", row.Name, len(results), first, next, err)
+		}
+		next = first + len(results)
+	}
+	results, err := readAllResults(cl.t.Context(), cl.store, "s")
+	if err != nil || len(results) != want {
+		cl.t.Errorf("%d results are committed, %v; want %d", len(results), err, want)
+	}
+	checkTexts(cl.t, results, events)
+}
+
+// halvesBehaviour completes the texts of i0 and i1 at once and those of the other items after
+// half a second or more.
+func halvesBehaviour(item string, _ int) reply {
+	r := goodReply
+	if item > "i1" {
+		r.gap = 200 * time.Millisecond
+	}
+	return r
+}
+
+// Guards against two rows of results from one position: the first batch's commit may still take
+// effect when the next, longer one is committed.
+func TestBatchOfUnknownOutcomeIsNotReplacedByALongerOne(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		cl := newCluster(t, "e1")
+		cl.engines.behave[""] = halvesBehaviour
+		a, b := cl.start("a"), cl.start("b")
+		cl.setResultFaults(memory.EffectDelayed, memory.StorageFull, memory.StorageFull)
+		submit(t, a, spec("s"), items(4))
+		time.Sleep(3 * time.Second)
+		cl.store.RunDelayed()
+		cl.checkResults(4, 3)
+		checkTexts(t, readUntilComplete(t, b, "s"), 3)
+	})
+}
+
+// Guards against two rows of results from one position after a handover whose context ended during
+// a commit.
+func TestFlushOfUnknownOutcomeIsNotReplacedByALongerBatch(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		cl := newCluster(t)
+		a := cl.start("a")
+		submit(t, a, spec("s"), items(2))
+		r := a.runOf("s")
+		result := func(i int) Result {
+			item := r.items[i].ID
+			return Result{Item: item, Outcome: Completed, Versions: []int64{1}, Text: textOf(item, 3)}
+		}
+		// The result is queued without a signal to commitLoop, so that only flush commits it.
+		r.mu.Lock()
+		r.list.queue(0, result(0))
+		r.mu.Unlock()
+		cl.setResultFaults(memory.EffectDelayed, memory.RequestLost, memory.RequestLost, memory.RequestLost)
+		ctx, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
+		defer cancel()
+		r.flush(ctx)
+		r.finish(1, result(1))
+		time.Sleep(2 * time.Second)
+		cl.store.RunDelayed()
+		cl.checkResults(2, 3)
+	})
+}
