A batch of results stays the next commit until its outcome is known

Cause: a commit of results that ended with an unknown outcome was followed, under the same state row, by a new batch from the same position, with the results that had finished since. Rows of results are named by their last position, so the expectation that the new row is absent doesn't meet the first one; if the first copy takes effect late, both rows stand. Two ways led there: CommitConfirmed returned a refusal (507, any 4xx) at once even after a copy without an answer, and the flush of a handover ends with its own context while the run goes on. Class: the outcome of a retry is taken for the outcome of all copies.

The fix: rowstore.PendingCommit keeps over several calls whether a copy may have an effect; after such a copy a refusal is retried like no answer, until ctx ends with EffectUnknown. The run keeps the prepared transaction as its next commit until it is confirmed, with the same objects for large texts. The lock around commits is a channel, so that a handover doesn't wait for the run's own commit beyond its context. A commit that certainly has no effect is no longer reported as one with an unknown outcome. No additional rows or calls; a refused batch with large texts no longer stores these again.

--- a/internal/rowstore/commit.go
+++ b/internal/rowstore/commit.go
@@ -19,7 +19,22 @@
 	maxCommitBackoff = 400 * time.Millisecond
 )
 
-// CommitConfirmed runs a transaction and retries it until its outcome is known or ctx ends. A
+// CommitConfirmed runs a transaction and retries it until its outcome is known or ctx ends. See
+// PendingCommit.Confirm for its errors.
+func CommitConfirmed(ctx context.Context, store Store, txn Txn) (int64, error) {
+	return (&PendingCommit{Txn: txn}).Confirm(ctx, store)
+}
+
+// PendingCommit is a transaction whose outcome is to be found out, possibly by several calls of
+// Confirm. Its zero value with a Txn has not been sent.
+type PendingCommit struct {
+	Txn Txn
+	// EffectUnknown is true if a copy of the transaction may have taken effect or may still do
+	// so.
+	EffectUnknown bool
+}
+
+// Confirm runs the transaction and retries it until its outcome is known or ctx ends. A
 // commit without an answer may have taken effect, or may do so seconds later if its
 // expectations still hold, so reading the rows proves nothing. Therefore the same
 // transaction is sent again: the first copy that the store runs changes the versions of the
@@ -27,34 +42,41 @@
 // transaction, one of its copies has taken effect.
 //
 // The transaction must put at least one row that it also expects, with a value that no
-// other writer writes. CommitConfirmed fails with *Conflict if another writer won; then no
-// copy ever takes effect. If ctx ends first it fails with *fault.StoreUnavailable, whose
-// EffectUnknown is true if a copy may have taken effect or may still do so.
-func CommitConfirmed(ctx context.Context, store Store, txn Txn) (int64, error) {
-	backoff, effectUnknown := minCommitBackoff, false
+// other writer writes. Confirm fails with *Conflict if another writer won; then no
+// copy ever takes effect. It fails with another error, such as *fault.PlatformRefused, only
+// while no copy can have taken effect; after a copy without an answer, such an error says
+// nothing about that copy and is retried. If ctx ends first, Confirm fails with
+// *fault.StoreUnavailable, whose EffectUnknown is that of the PendingCommit.
+func (p *PendingCommit) Confirm(ctx context.Context, store Store) (int64, error) {
+	backoff := minCommitBackoff
 	for {
-		version, err := store.Commit(ctx, txn)
+		version, err := store.Commit(ctx, p.Txn)
 		if err == nil {
+			p.EffectUnknown = false
 			return version, nil
 		}
 		var conflict *Conflict
 		if errors.As(err, &conflict) {
-			if committed, rowVersion := isCommitted(conflict, txn); effectUnknown && committed {
+			committed, rowVersion := isCommitted(conflict, p.Txn)
+			committed = committed && p.EffectUnknown
+			p.EffectUnknown = false
+			if committed {
 				return rowVersion, nil
 			}
 			return 0, err
 		}
 		var unavailable *fault.StoreUnavailable
-		if !errors.As(err, &unavailable) {
+		if errors.As(err, &unavailable) {
+			p.EffectUnknown = p.EffectUnknown || unavailable.EffectUnknown
+		} else if !p.EffectUnknown {
 			return 0, err
 		}
-		effectUnknown = effectUnknown || unavailable.EffectUnknown
-		if unavailable.Recovered {
+		if unavailable != nil && unavailable.Recovered {
 			// The store has answered other calls since, so the outage is over.
 			backoff = minCommitBackoff
 		}
 		if !wait.For(ctx, backoff) {
-			return 0, errors.WithStack(&fault.StoreUnavailable{Operation: "commit", EffectUnknown: effectUnknown})
+			return 0, errors.WithStack(&fault.StoreUnavailable{Operation: "commit", EffectUnknown: p.EffectUnknown})
 		}
 		backoff = min(2*backoff, maxCommitBackoff)
 	}
--- a/internal/step/commit.go
+++ b/internal/step/commit.go
@@ -45,14 +45,37 @@
 	}
 }
 
+// pendingBatch is a batch of finished results with the transaction that commits it.
+type pendingBatch struct {
+	results []Result
+	// position is that of the first result.
+	position int
+	commit   rowstore.PendingCommit
+}
+
 // commitBatch commits one batch of finished results and reports whether more are queued.
 // Results that finish during the commit are left for the next batch, since committing each
 // as soon as the store answers would cost one transaction per result.
+//
+// A batch whose commit failed stays the next one, with the same transaction: its copies may still
+// take effect, and the rows of another batch from the same position need not conflict with its
+// rows, which are named by their last position.
 func (r *run) commitBatch(ctx context.Context) (more bool) {
-	r.commitMu.Lock()
-	defer r.commitMu.Unlock()
-	batch, position := r.nextBatch()
-	if len(batch) == 0 || !r.commitResults(ctx, batch, position) {
+	select {
+	case <-ctx.Done():
+		return false
+	case r.commitSlot <- struct{}{}:
+	}
+	defer func() { <-r.commitSlot }()
+	if r.pending == nil {
+		batch, err := r.nextBatch(ctx)
+		if err != nil {
+			r.m.Events.Emit(event.DependencyLost, event.Subject{Step: r.rec.ID, Detail: "results: " + err.Error()})
+			return wait.For(ctx, stepIOBackoff)
+		}
+		r.pending = batch
+	}
+	if r.pending == nil || !r.commitPending(ctx) {
 		return false
 	}
 	return r.uncommittedCount() > 0
@@ -89,46 +112,54 @@
 	}
 }
 
-// nextBatch returns the next results to commit and the position of the first. They stay queued
-// until markCommitted is called.
-func (r *run) nextBatch() ([]Result, int) {
+// nextBatch returns the next batch to commit, nil if no results are queued. They stay queued until
+// markCommitted is called. It fails if a text that is too large for a row can't be stored.
+func (r *run) nextBatch(ctx context.Context) (*pendingBatch, error) {
 	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.list.batch()
-}
-
-// commitResults commits results at a position and reports whether another batch may follow.
-// It may after a commit. It also may after a failure to prepare the rows, for example to
-// store a text that is too large for one; commitResults then waits for stepIOBackoff first.
-func (r *run) commitResults(ctx context.Context, batch []Result, position int) bool {
+	results, position := r.list.batch()
+	r.mu.Unlock()
+	if len(results) == 0 {
+		return nil, nil
+	}
 	rec := r.current()
-	puts, err := resultPuts(ctx, r.m.Store, rec.ID, position, batch)
+	puts, err := resultPuts(ctx, r.m.Store, rec.ID, position, results)
 	if err != nil {
-		r.m.Events.Emit(event.DependencyLost, event.Subject{Step: rec.ID, Detail: "results: " + err.Error()})
-		return wait.For(ctx, stepIOBackoff)
+		return nil, err
 	}
 	txn := rowstore.Txn{Puts: puts, Expected: []rowstore.Expectation{{Key: stateKey(rec.ID), Version: rec.version}}}
 	for _, put := range puts {
 		txn.Expected = append(txn.Expected, rowstore.Expectation{Key: put.Key})
 	}
+	return &pendingBatch{results: results, position: position, commit: rowstore.PendingCommit{Txn: txn}}, nil
+}
+
+// commitPending commits the pending batch and reports whether another one may follow.
+func (r *run) commitPending(ctx context.Context) bool {
+	rec, batch := r.current(), r.pending
 	started := time.Now()
-	_, err = rowstore.CommitConfirmed(ctx, r.m.Store, txn)
+	_, err := batch.commit.Confirm(ctx, r.m.Store)
 	var conflict *rowstore.Conflict
 	if errors.As(err, &conflict) {
-		r.handleConflict(conflict, position)
+		r.handleConflict(conflict, batch.position)
 		return false
 	}
+	subject := event.Subject{
+		Step: rec.ID, Account: rec.Account, Epoch: uint64(rec.Epoch), Count: int64(len(batch.results)), Position: int64(batch.position),
+	}
 	if err != nil {
-		r.m.Events.Emit(event.CommitUnknown, event.Subject{
-			Step: rec.ID, Account: rec.Account, Epoch: uint64(rec.Epoch), Count: int64(len(batch)), Position: int64(position), Detail: err.Error(),
-		})
+		subject.Detail = err.Error()
+		switch {
+		case batch.commit.EffectUnknown:
+			r.m.Events.Emit(event.CommitUnknown, subject)
+		case ctx.Err() == nil:
+			r.m.Events.Emit(event.DependencyLost, event.Subject{Step: rec.ID, Detail: "results: " + err.Error()})
+		}
 		return false
 	}
-	r.markCommitted(batch)
-	r.m.Events.Emit(event.SamplesCommitted, event.Subject{
-		Step: rec.ID, Account: rec.Account, Epoch: uint64(rec.Epoch), Count: int64(len(batch)), Position: int64(position),
-		Detail: time.Since(started).Round(time.Millisecond).String(),
-	})
+	r.pending = nil
+	r.markCommitted(batch.results)
+	subject.Detail = time.Since(started).Round(time.Millisecond).String()
+	r.m.Events.Emit(event.SamplesCommitted, subject)
 	return true
 }
 
--- a/internal/step/run.go
+++ b/internal/step/run.go
@@ -84,8 +84,10 @@
 	committedCh chan struct{}
 	// uncommittedCh signals commitLoop that results may be queued.
 	uncommittedCh chan struct{}
-	// commitMu is held during a commit of results.
-	commitMu sync.Mutex
+	// commitSlot holds a value during a commit of results. pending, which it guards, is the batch
+	// whose commit was prepared or sent and is not confirmed; nil if there is none.
+	commitSlot chan struct{}
+	pending    *pendingBatch
 }
 
 // newRun returns a run of a step; the items with a result in committed are done.
@@ -100,6 +102,7 @@
 		list:          newItemList(items),
 		committedCh:   make(chan struct{}),
 		uncommittedCh: make(chan struct{}, 1),
+		commitSlot:    make(chan struct{}, 1),
 
 		acceptedCh: make(chan struct{}),
 	}
--- a/spec/score.pml
+++ b/spec/score.pml
@@ -7,7 +7,7 @@
  *   generate    step.run.runAttempt, handleComplete and awaitScore
  *   call        step.run.score
  *   save        step.run.saveTexts: expects the version of the state row
- *   commit      step.run.commitResults: expects the version of the state row and the
+ *   commit      step.run.commitPending: expects the version of the state row and the
  *               absence of its own row
  *   take over   step.Manager.takeOver, run.restoreTexts
  *
--- a/spec/step.pml
+++ b/spec/step.pml
@@ -5,7 +5,7 @@
  * Go functions that the model represents:
  *   accept      step.Manager.Submit, rowstore.CommitConfirmed
  *   take over   step.Manager.takeOver: replaces the state row, then reads the results
- *   commit      step.run.commitResults: expects the version of the state row and the
+ *   commit      step.run.commitPending: expects the version of the state row and the
  *               absence of its own row
  *   end         step.Manager.End
  *
