A commit of results expects that the results end before its first position

Cause: a commit expected only the absence of its own rows, which are named by their last position. A shorter or longer row from the same position has another name, so the store accepted both. What kept rows apart was only that one run at a time commits under a state row and knows the outcome of its last batch.

The fix: endOfResults expects the absence of every row that could hold the first position, whose names are the next 60 (maxBatchResults). The store itself then rejects overlapping rows, whichever run of whichever process sends them, in whatever order they take effect. A run whose batch is rejected is stopped as before, and the next one reads the results. Up to 59 more expectations (87 bytes each, for a step ID of 16 bytes) in a call; no additional rows or calls. The number of entries stays within the 100 that the store accepts.

Weighed instead: a new state row for each takeover by the process that owns the step already. It costs a commit in the usual case of a step that was submitted at another VM, and guards only against commits of former runs.

--- a/internal/step/commit.go
+++ b/internal/step/commit.go
@@ -66,8 +66,7 @@
 // as soon as the store answers would cost one transaction per result.
 //
 // A batch whose commit failed stays the next one, with the same transaction: its copies may still
-// take effect, and the rows of another batch from the same position need not conflict with its
-// rows, which are named by their last position.
+// take effect.
 func (r *run) commitBatch(ctx context.Context) (more bool, err error) {
 	select {
 	case <-ctx.Done():
@@ -138,10 +137,9 @@
 	if err != nil {
 		return nil, err
 	}
-	txn := rowstore.Txn{Puts: puts, Expected: []rowstore.Expectation{{Key: stateKey(rec.ID), Version: rec.version}}}
-	for _, put := range puts {
-		txn.Expected = append(txn.Expected, rowstore.Expectation{Key: put.Key})
-	}
+	txn := rowstore.Txn{Puts: puts, Expected: append(
+		[]rowstore.Expectation{{Key: stateKey(rec.ID), Version: rec.version}}, endOfResults(rec.ID, position, puts)...,
+	)}
 	return &pendingBatch{results: results, position: position, commit: rowstore.PendingCommit{Txn: txn}}, nil
 }
 
--- a/internal/step/itemlist.go
+++ b/internal/step/itemlist.go
@@ -4,6 +4,10 @@
 	"slices"
 )
 
+// maxBatchResults is the maximum number of results that are committed together, and so of the
+// results in one row.
+const maxBatchResults = 60
+
 // phase is the state of an item in a run.
 type phase int
 
@@ -106,9 +110,8 @@
 // batch returns the next results to commit and the position of the first. They stay queued until
 // confirm is called.
 func (l *itemList) batch() (results []Result, position int) {
-	const maxResults = 60
 	n, size := 0, 0
-	for n < len(l.queued) && n < maxResults && (n == 0 || size < commitBatchBytes) {
+	for n < len(l.queued) && n < maxBatchResults && (n == 0 || size < commitBatchBytes) {
 		size += len(l.queued[n].Text)
 		n++
 	}
--- a/internal/step/rows.go
+++ b/internal/step/rows.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"strconv"
 
 	"github.com/cockroachdb/errors"
@@ -18,6 +19,8 @@
 	// txnLimit is the maximum size of the values in one transaction; the store accepts
 	// 1 MB, with all values encoded in base64.
 	txnLimit = 600 << 10
+	// txnMaxEntries is the maximum number of expectations, puts and deletes in one transaction.
+	txnMaxEntries = 100
 	// objectLimit is the maximum size of an object; the store accepts 8 MiB.
 	objectLimit = 6 << 20
 	// readLimit is the maximum size of the texts that one read returns; callers accept
@@ -241,6 +244,26 @@
 	return puts, nil
 }
 
+// endOfResults returns the expectations that a step's committed results end before a position,
+// where puts adds results. If they don't, the position is in a row of at most maxBatchResults
+// results, whose name is its last position; so none of the next maxBatchResults names may exist.
+// Expecting only the absence of the rows in puts would not suffice: a row of fewer or more
+// results from the same position has another name.
+func endOfResults(id string, position int, puts []rowstore.Put) []rowstore.Expectation {
+	var expected []rowstore.Expectation
+	for _, put := range puts {
+		expected = append(expected, rowstore.Expectation{Key: put.Key})
+	}
+	// One entry is the state row's.
+	for last := position; last < position+maxBatchResults && 1+len(expected)+len(puts) < txnMaxEntries; last++ {
+		key := resultKey(id, last)
+		if !slices.ContainsFunc(puts, func(put rowstore.Put) bool { return put.Key == key }) {
+			expected = append(expected, rowstore.Expectation{Key: key})
+		}
+	}
+	return expected
+}
+
 // offloadText stores the text of a result as an object if it is too large for a row, and
 // returns the result to store in the row.
 func offloadText(ctx context.Context, store rowstore.Store, id string, r Result) (Result, error) {
--- a/internal/step/unknown_commit_test.go
+++ b/internal/step/unknown_commit_test.go
@@ -109,3 +109,39 @@
 		cl.checkResults(4, 3)
 	})
 }
+
+// Guards against overlapping rows when another run has committed results under the same state row,
+// in a batch that is shorter or longer.
+func TestBatchIsRejectedIfItsPositionIsTaken(t *testing.T) {
+	for name, taken := range map[string][]string{"shorter": {"i1"}, "longer": {"i1", "i3", "i2"}} {
+		t.Run(name, func(t *testing.T) {
+			bubble(t, func(t *testing.T) {
+				cl := newCluster(t, "e1")
+				cl.engines.behave[""] = halvesBehaviour
+				a := cl.start("a")
+				submit(t, a, spec("s"), items(4))
+				var results []Result
+				for _, item := range taken {
+					results = append(results, Result{Item: item, Outcome: Completed, Versions: []int64{1}, Text: textOf(item, 3)})
+				}
+				cl.setRow(resultKey("s", len(results)-1), results)
+				time.Sleep(3 * time.Second)
+				cl.checkResults(4, 3)
+			})
+		})
+	}
+}
+
+// Guards against transactions with more entries than the store accepts.
+func TestCommitOfResultsFitsATransaction(t *testing.T) {
+	for _, rows := range []int{1, 2, 38, 39, 40, 45} {
+		puts := make([]rowstore.Put, rows)
+		for i := range puts {
+			puts[i].Key = resultKey("s", 7+i)
+		}
+		expected := endOfResults("s", 7, puts)
+		if entries := 1 + len(expected) + len(puts); entries > txnMaxEntries || len(expected) < min(maxBatchResults, 99-rows) {
+			t.Errorf("%d rows: %d entries, %d of them expect the absence of a row", rows, entries, len(expected))
+		}
+	}
+}
