Test of a step's results under random faults of their commits

300 seeds: ten items that end at random times, twelve random faults, late copies at random times, in every other seed a handover with a context of 300 ms.

--- a/internal/step/unknown_commit_test.go
+++ b/internal/step/unknown_commit_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"math/rand/v2"
+	"strconv"
+	"sync"
 	"testing"
 	"time"
 
@@ -11,7 +14,10 @@
 
 // setResultFaults injects faults into the next commits of results, one each.
 func (cl *cluster) setResultFaults(faults ...memory.Fault) {
+	var mu sync.Mutex
 	cl.store.SetFault(func(txn rowstore.Txn) memory.Fault {
+		mu.Lock()
+		defer mu.Unlock()
 		if len(faults) == 0 || txn.Puts == nil || txn.Puts[0].Key.Table != resultTable {
 			return memory.NoFault
 		}
@@ -145,3 +151,49 @@
 		}
 	}
 }
+
+// Guards against an item that is listed twice or never when commits of results fail in any way.
+func TestResultsStayDisjointUnderCommitFaults(t *testing.T) {
+	kinds := []memory.Fault{memory.NoFault, memory.AnswerLost, memory.EffectDelayed, memory.Refused, memory.RequestLost, memory.StorageFull}
+	for seed := range uint64(300) {
+		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
+			bubble(t, func(t *testing.T) {
+				random := rand.New(rand.NewPCG(seed, 42))
+				cl := newCluster(t, "e1", "e2", "e3")
+				gaps := make(map[string]time.Duration)
+				for _, item := range items(10) {
+					gaps[item.ID] = time.Duration(random.IntN(600)) * time.Millisecond
+				}
+				cl.engines.behave[""] = func(item string, _ int) reply {
+					r := goodReply
+					r.gap = gaps[item]
+					return r
+				}
+				faults := make([]memory.Fault, 12)
+				for i := range faults {
+					faults[i] = kinds[random.IntN(len(kinds))]
+				}
+				cl.setResultFaults(faults...)
+				a, b := cl.start("a"), cl.start("b")
+				submit(t, a, spec("s"), items(10))
+				leaveAt := random.IntN(12)
+				for n := range 12 {
+					time.Sleep(time.Duration(random.IntN(500)) * time.Millisecond)
+					if random.IntN(3) == 0 {
+						cl.store.RunDelayed()
+					}
+					if n == leaveAt && seed%2 == 0 {
+						ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
+						a.Leave(ctx)
+						cancel()
+						cl.crash(a)
+					}
+				}
+				cl.store.SetFault(nil)
+				checkTexts(t, readUntilComplete(t, b, "s"), 3)
+				cl.store.RunDelayed()
+				cl.checkResults(10, 3)
+			})
+		})
+	}
+}
