--- a/internal/step/commit.go
+++ b/internal/step/commit.go
@@ -20,6 +20,9 @@
 	// commitBatchBytes is the size of collected texts from which on a commit doesn't wait for
 	// commitDelay.
 	commitBatchBytes = 200 << 10
+	// refusedCommitBackoff is the backoff after a commit that the store refused. Refused calls are
+	// charged, and full storage stays full until expired steps are removed.
+	refusedCommitBackoff = time.Second
 )
 
 // commitLoop commits finished results in batches, from the acceptance of the step until
@@ -39,27 +42,53 @@
 		if !r.isBatchFull() {
 			wait.For(r.ctx, commitDelay)
 		}
-		if r.commitBatch(r.ctx) {
+		more, err := r.commitBatch(r.ctx)
+		if err != nil {
+			more = wait.For(r.ctx, refusedCommitBackoff)
+		}
+		if more {
 			r.signalUncommitted()
 		}
 	}
 }
 
-// commitBatch commits one batch of finished results and reports whether more are queued.
+// pendingBatch is a batch of finished results with the transaction that commits it.
+type pendingBatch struct {
+	results []Result
+	// position is that of the first result.
+	position int
+	commit   rowstore.PendingCommit
+}
+
+// commitBatch commits one batch of finished results and reports whether more are queued. It fails
+// if the commit fails; the failure has been handled.
 // Results that finish during the commit are left for the next batch, since committing each
 // as soon as the store answers would cost one transaction per result.
-func (r *run) commitBatch(ctx context.Context) (more bool) {
+//
+// A batch whose commit failed stays the next one, with the same transaction: its copies may still
+// take effect.
+func (r *run) commitBatch(ctx context.Context) (more bool, err error) {
 	select {
 	case <-ctx.Done():
-		return false
+		return false, nil
 	case r.commitSlot <- struct{}{}:
 	}
 	defer func() { <-r.commitSlot }()
-	batch, position := r.nextBatch()
-	if len(batch) == 0 || !r.commitResults(ctx, batch, position) {
-		return false
+	if r.pending == nil {
+		batch, err := r.nextBatch(ctx)
+		if err != nil {
+			r.m.Events.Emit(event.DependencyLost, event.Subject{Step: r.rec.ID, Detail: "results: " + err.Error()})
+			return wait.For(ctx, stepIOBackoff), nil
+		}
+		r.pending = batch
+	}
+	if r.pending == nil {
+		return false, nil
 	}
-	return r.uncommittedCount() > 0
+	if err := r.commitPending(ctx); err != nil {
+		return false, err
+	}
+	return r.uncommittedCount() > 0, nil
 }
 
 // uncommittedCount returns the number of results that are finished but not committed.
@@ -89,51 +118,59 @@
 func (r *run) flush(ctx context.Context) {
 	more := true
 	for more && ctx.Err() == nil {
-		more = r.commitBatch(ctx)
+		// commitBatch has handled the error.
+		more, _ = r.commitBatch(ctx)
 	}
 }
 
-// nextBatch returns the next results to commit and the position of the first. They stay queued
-// until markCommitted is called.
-func (r *run) nextBatch() ([]Result, int) {
+// nextBatch returns the next batch to commit, nil if no results are queued. They stay queued until
+// markCommitted is called. It fails if a text that is too large for a row can't be stored.
+func (r *run) nextBatch(ctx context.Context) (*pendingBatch, error) {
 	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.list.batch()
-}
-
-// commitResults commits results at a position and reports whether another batch may follow.
-// It may after a commit. It also may after a failure to prepare the rows, for example to
-// store a text that is too large for one; commitResults then waits for stepIOBackoff first.
-func (r *run) commitResults(ctx context.Context, batch []Result, position int) bool {
+	results, position := r.list.batch()
+	r.mu.Unlock()
+	if len(results) == 0 {
+		return nil, nil
+	}
 	rec := r.current()
-	puts, err := resultPuts(ctx, r.m.Store, rec.ID, position, batch)
+	puts, err := resultPuts(ctx, r.m.Store, rec.ID, position, results)
 	if err != nil {
-		r.m.Events.Emit(event.DependencyLost, event.Subject{Step: rec.ID, Detail: "results: " + err.Error()})
-		return wait.For(ctx, stepIOBackoff)
-	}
-	txn := rowstore.Txn{Puts: puts, Expected: []rowstore.Expectation{{Key: stateKey(rec.ID), Version: rec.version}}}
-	for _, put := range puts {
-		txn.Expected = append(txn.Expected, rowstore.Expectation{Key: put.Key})
+		return nil, err
 	}
+	txn := rowstore.Txn{Puts: puts, Expected: append(
+		[]rowstore.Expectation{{Key: stateKey(rec.ID), Version: rec.version}}, endOfResults(rec.ID, position, puts)...,
+	)}
+	return &pendingBatch{results: results, position: position, commit: rowstore.PendingCommit{Txn: txn}}, nil
+}
+
+// commitPending commits the pending batch. It stops the run if the store rejected the batch.
+func (r *run) commitPending(ctx context.Context) error {
+	rec, batch := r.current(), r.pending
 	started := time.Now()
-	_, err = rowstore.CommitConfirmed(ctx, r.m.Store, txn)
+	_, err := batch.commit.Confirm(ctx, r.m.Store)
 	var conflict *rowstore.Conflict
 	if errors.As(err, &conflict) {
-		r.handleConflict(conflict, position)
-		return false
+		r.handleConflict(conflict, batch.position)
+		return err
+	}
+	subject := event.Subject{
+		Step: rec.ID, Account: rec.Account, Epoch: uint64(rec.Epoch), Count: int64(len(batch.results)), Position: int64(batch.position),
 	}
 	if err != nil {
-		r.m.Events.Emit(event.CommitUnknown, event.Subject{
-			Step: rec.ID, Account: rec.Account, Epoch: uint64(rec.Epoch), Count: int64(len(batch)), Position: int64(position), Detail: err.Error(),
-		})
-		return false
-	}
-	r.markCommitted(batch)
-	r.m.Events.Emit(event.SamplesCommitted, event.Subject{
-		Step: rec.ID, Account: rec.Account, Epoch: uint64(rec.Epoch), Count: int64(len(batch)), Position: int64(position),
-		Detail: time.Since(started).Round(time.Millisecond).String(),
-	})
-	return true
+		subject.Detail = err.Error()
+		switch {
+		case batch.commit.EffectUnknown:
+			r.m.Events.Emit(event.CommitUnknown, subject)
+		case ctx.Err() == nil:
+			r.m.Events.Emit(event.DependencyLost, event.Subject{Step: rec.ID, Detail: "results: " + err.Error()})
+		}
+		return err
+	}
+	r.pending = nil
+	r.markCommitted(batch.results)
+	subject.Detail = time.Since(started).Round(time.Millisecond).String()
+	r.m.Events.Emit(event.SamplesCommitted, subject)
+	return nil
 }
 
 // handleConflict stops the run after the store rejected its results from a position on, because
--- a/internal/step/run.go
+++ b/internal/step/run.go
@@ -84,9 +84,11 @@
 	committedCh chan struct{}
 	// uncommittedCh signals commitLoop that results may be queued.
 	uncommittedCh chan struct{}
-	// commitSlot has one element during a commit of results. It is no mutex, because a handover
-	// must not wait for it longer than its context lasts.
+	// commitSlot holds a value during a commit of results. It is no mutex, because a handover must
+	// not wait for it longer than its context lasts. pending, which it guards, is the batch whose
+	// commit was prepared or sent and is not confirmed; nil if there is none.
 	commitSlot chan struct{}
+	pending    *pendingBatch
 }
 
 // newRun returns a run of a step; the items with a result in committed are done.
