Tests of two runs under one state row and of a change during a claim, failing

- A run with a commit in flight is stopped while its step still names this process.
The takeover writes no state row, so the next run commits under the same version; then the commit of the first takes effect.
The stop is called directly; observeState makes it when a goroutine is suspended between recordState and runOf, while the step is claimed or taken over here: it then stops the newer run.

go test -run TestCommitOfStoppedRun ./internal/step runs_test.go:62: 8 results are committed, <nil>; want 6 runs_test.go:64: item i0 is committed twice

- The state row changes after an early run has written its claim and before it has read the committed results. observeState leaves the run to the claim that is in progress, and the claim accepts the run under the older state.

go test -run TestRunStopsWhenItsStepChanges ./internal/step runs_test.go:95: 6 items ran, want 6; 5 still run, want 0

--- a/internal/step/adopt_test.go
+++ b/internal/step/adopt_test.go
@@ -6,10 +6,10 @@
 	"time"
 )
 
-// claimDuringAttempts submits a step at VM a during an outage of the store. When the store is back,
-// it holds another copy whose owner c has committed the first item; a claims the step while its own
-// attempts at all items are in progress. It returns a once it owns the step.
-func claimDuringAttempts(t *testing.T, cl *cluster, list []Item, events int) *testVM {
+// submitBeforeAcceptedCopy submits a step at VM a during an outage of the store. When the store is
+// back, it holds another copy, submitted later, whose owner c has committed the first item; a claims
+// the step while its own attempts at all items are in progress. It returns a after the submission.
+func submitBeforeAcceptedCopy(t *testing.T, cl *cluster, list []Item, events int) *testVM {
 	t.Helper()
 	cl.engines.behave[""] = pacedBehaviour(events, 350*time.Millisecond)
 	a := cl.start("a")
@@ -31,6 +31,13 @@
 	if err := <-accepted; err != nil {
 		t.Error(err)
 	}
+	return a
+}
+
+// claimDuringAttempts is submitBeforeAcceptedCopy, and checks that a owns the step.
+func claimDuringAttempts(t *testing.T, cl *cluster, list []Item, events int) *testVM {
+	t.Helper()
+	a := submitBeforeAcceptedCopy(t, cl, list, events)
 	owned, err := readState(t.Context(), cl.store, "s")
 	if err != nil || owned.Owner != "a" || owned.Epoch != 2 {
 		t.Fatalf("the step is owned by %s in epoch %d, %v; want a in epoch 2", owned.Owner, owned.Epoch, err)
--- a/internal/step/cluster_test.go
+++ b/internal/step/cluster_test.go
@@ -41,6 +41,8 @@
 	preferred string
 	// domains maps VMs that are not in failure domain "x" to their domains.
 	domains map[string]string
+	// storeOf, if set, returns the store that a VM uses.
+	storeOf func(name string) rowstore.Store
 	// configuration is the configuration of VMs that are started from now on.
 	configuration *route.Snapshot
 }
@@ -83,10 +85,14 @@
 	if other, ok := cl.domains[name]; ok {
 		domain = other
 	}
+	var store rowstore.Store = cl.store
+	if cl.storeOf != nil {
+		store = cl.storeOf(name)
+	}
 	ctx, kill := context.WithCancel(cl.t.Context())
 	v := &testVM{kill: kill, Manager: NewManager(Config{
 		CallBudget: budget.New(budget.Rates{}),
-		VM:         name, Incarnation: incarnation, Domain: domain, Store: cl.store, Clock: cl.store, Members: fakeMembers{cl, name, incarnation},
+		VM:         name, Incarnation: incarnation, Domain: domain, Store: store, Clock: cl.store, Members: fakeMembers{cl, name, incarnation},
 		View: view, Roster: roster, Transport: cl.engines, Scorer: cl.scorer, Events: events, Retention: time.Minute,
 		AnnouncedVersion: func(string) (int64, bool) { return 1, true },
 		PreferredOwner:   cl.preferredOwner,
--- /dev/null
+++ b/internal/step/runs_test.go
@@ -0,0 +1,100 @@
+package step
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+
+	"dogwoodpond/internal/rowstore"
+	"dogwoodpond/internal/rowstore/memory"
+)
+
+// resultReadHook is a store that calls a function before the first read of results.
+type resultReadHook struct {
+	rowstore.Store
+	once sync.Once
+	call func()
+}
+
+func (s *resultReadHook) Read(ctx context.Context, table, partition, from, to string) (rowstore.Page, error) {
+	if table == resultTable {
+		s.once.Do(s.call)
+	}
+	return s.Store.Read(ctx, table, partition, from, to)
+}
+
+// delayResultCommits makes the store delay the commits of results of all VMs.
+func delayResultCommits(cl *cluster) {
+	cl.store.SetFault(func(txn rowstore.Txn) memory.Fault {
+		if len(txn.Puts) > 0 && txn.Puts[0].Key.Table == resultTable {
+			return memory.EffectDelayed
+		}
+		return memory.NoFault
+	})
+}
+
+// Guards against two runs of one process that commit under one version of the state row: a commit
+// of the first that takes effect late would then list items a second time.
+func TestCommitOfStoppedRunHasNoEffectAfterNextRunStarts(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		cl := newCluster(t, "e1")
+		cl.engines.behave[""] = func(item string, n int) reply {
+			r := reply{status: http.StatusOK, version: 1, events: 3, gap: 10 * time.Millisecond}
+			if n == 1 && item != "i0" && item != "i1" {
+				r.gap = time.Minute
+			}
+			return r
+		}
+		a := cl.start("a")
+		submit(t, a, spec("s"), items(6))
+		delayResultCommits(cl)
+		time.Sleep(500 * time.Millisecond)
+		a.stop(a.runOf("s"))
+		cl.store.SetFault(nil)
+		time.Sleep(2 * time.Second)
+		cl.store.RunDelayed()
+		results, err := readAllResults(t.Context(), cl.store, "s")
+		if err != nil || len(results) != 6 {
+			t.Errorf("%d results are committed, %v; want 6", len(results), err)
+		}
+		checkTexts(t, results, 3)
+	})
+}
+
+// Guards against an early run that goes on although its step ended, or got another owner, after the
+// run had claimed the step and before it had read the committed results.
+func TestRunStopsWhenItsStepChangesDuringTheClaim(t *testing.T) {
+	for name, change := range map[string]func(*State){
+		"ended":       func(s *State) { s.Ended = true },
+		"other owner": func(s *State) { s.Owner, s.OwnerIncarnation, s.Epoch = "d", "d-1", s.Epoch+1 },
+	} {
+		t.Run(name, func(t *testing.T) {
+			bubble(t, func(t *testing.T) {
+				cl := newCluster(t, "e1", "e2")
+				cl.storeOf = func(string) rowstore.Store {
+					return &resultReadHook{Store: cl.store, call: func() {
+						state, err := readState(t.Context(), cl.store, "s")
+						if err != nil || state.Owner != "a" || state.Epoch != 2 {
+							t.Errorf("the step is owned by %s in epoch %d, %v; want a in epoch 2", state.Owner, state.Epoch, err)
+						}
+						change(&state.State)
+						state.Nonce = uuid.NewString()
+						cl.setRow(stateKey("s"), state.State)
+						time.Sleep(300 * time.Millisecond)
+					}}
+				}
+				submitBeforeAcceptedCopy(t, cl, items(6), 40)
+				time.Sleep(400 * time.Millisecond)
+				cl.engines.mu.Lock()
+				defer cl.engines.mu.Unlock()
+				if len(cl.engines.attempts) != 6 || cl.engines.active != 0 {
+					t.Errorf("%d items ran, want 6; %d still run, want 0", len(cl.engines.attempts), cl.engines.active)
+				}
+			})
+		})
+	}
+}
