One method accepts runs, under the lock that guards the newest state of the step

What callers saw: nothing in the users' record; the items of a step that had ended, or that another VM had claimed, kept engine slots.

Cause: a change of the state row that arrived while an early run claimed the step was left to the claim, which then accepted the run under the older state. Nothing stopped the run before its next commit. More generally, acceptance was decided in three places without the lock under which states are recorded, and observeState chose the run to stop after it had let go of the lock. The run that it stopped could be one that had been accepted since, under a newer state.

The fix: Manager.accept decides once, under mu: the run is the step's run here, it was not accepted before, and no newer state is known. The results of the previous owner are adopted in the same step, so a run that commits never replaces its committed results. observeState records the state and chooses the run under the same lock; any newer state stops an accepted run. A claim that finds no results emits no "results adopted".

--- a/internal/step/accept.go
+++ b/internal/step/accept.go
@@ -117,7 +117,7 @@
 	m.recordState(r)
 	switch {
 	case r.Owner != m.VM:
-	case early.accept(r):
+	case early.accept(r, nil):
 		m.emitOwned(r, 0)
 	default:
 		m.start(r, items, nil, nil)
--- a/internal/step/early.go
+++ b/internal/step/early.go
@@ -60,17 +60,14 @@
 	}
 }
 
-// accept makes the early run the run of the accepted step r. It reports whether there is
-// an early run that is still active.
-func (e *earlyRun) accept(r stateRecord) bool {
+// accept makes the early run the run of the accepted step r, whose previous owner committed
+// results. It reports whether it did: there may be no early run, and Manager.accept may refuse it.
+// start has no effect afterwards.
+func (e *earlyRun) accept(r stateRecord, committed []Result) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.closed = true
-	if e.run == nil || e.run.ctx.Err() != nil {
-		return false
-	}
-	e.run.accept(r)
-	return true
+	return e.run != nil && e.manager.accept(e.run, r, committed)
 }
 
 // close stops a run that was not accepted, and reports whether there was one. start has
@@ -149,13 +146,13 @@
 	if !ok {
 		return false
 	}
-	committed, err := run.adoptCommitted(ctx, m)
+	committed, err := readAllResults(ctx, m.Store, owned.ID)
 	if err != nil {
 		m.emitTakeoverFailed(owned.State, err)
 	}
-	if err != nil || !e.accept(owned) {
+	if err != nil || !e.accept(owned, committed) {
 		return false
 	}
-	m.emitOwned(owned, committed)
+	m.emitOwned(owned, len(committed))
 	return true
 }
--- a/internal/step/manager.go
+++ b/internal/step/manager.go
@@ -302,6 +302,11 @@
 func (m *Manager) recordState(r stateRecord) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	return m.recordStateLocked(r)
+}
+
+// recordStateLocked is recordState with mu held.
+func (m *Manager) recordStateLocked(r stateRecord) bool {
 	known, ok := m.states[r.ID]
 	if ok && known.version >= r.version {
 		return false
@@ -315,33 +320,68 @@
 	return true
 }
 
-// observeState records a state. If the step has ended or has another owner now, it stops the
-// step's run on this VM. An early run that was not accepted may claim the step first.
+// observeState records a state. It stops the step's run on this VM if that was accepted under an
+// older state. An early run that was not accepted may claim a step that has another owner now.
+//
+// The state is recorded and the run is chosen under one lock: a run that is accepted later is
+// accepted under this state or a newer one.
 func (m *Manager) observeState(r stateRecord) {
-	if !m.recordState(r) {
+	m.mu.Lock()
+	current := m.runs[r.ID]
+	if !m.recordStateLocked(r) || current == nil {
+		m.mu.Unlock()
 		return
 	}
-	current := m.runOf(r.ID)
-	if current == nil || !r.Ended && r.Owner == m.VM && r.OwnerIncarnation == m.Incarnation {
-		return
+	accepted := current.accepted()
+	if accepted {
+		m.removeRunLocked(current)
 	}
-	if current.early != nil && !current.accepted() {
+	m.mu.Unlock()
+	switch {
+	case accepted:
+		current.cancel()
+	case current.early != nil && (r.Ended || !m.isOwner(r)):
 		go current.early.claimOrStop(r)
-		return
 	}
-	m.stop(current)
 }
 
-// stop cancels a run and removes it. The texts of its incomplete groups are retained for
-// later steps.
+// isOwner reports whether this process is the owner of a step.
+func (m *Manager) isOwner(r stateRecord) bool {
+	return r.Owner == m.VM && r.OwnerIncarnation == m.Incarnation
+}
+
+// accept makes rec the state under which a run commits results; committed are the results of the
+// previous owner that the run has not adopted yet. It refuses if the run was stopped or accepted
+// before, or if a newer state is known. Every run is accepted here.
+func (m *Manager) accept(r *run, rec stateRecord, committed []Result) bool {
+	m.mu.Lock()
+	if m.runs[rec.ID] != r || r.ctx.Err() != nil || r.accepted() || m.states[rec.ID].version > rec.version {
+		m.mu.Unlock()
+		return false
+	}
+	adopted := r.accept(rec, committed)
+	m.mu.Unlock()
+	if adopted != nil {
+		r.emitAdopted(len(committed), adopted)
+	}
+	return true
+}
+
+// stop cancels a run and removes it.
 func (m *Manager) stop(r *run) {
 	m.mu.Lock()
+	m.removeRunLocked(r)
+	m.mu.Unlock()
+	r.cancel()
+}
+
+// removeRunLocked removes a run, with mu held. The texts of its incomplete groups are retained
+// for later steps.
+func (m *Manager) removeRunLocked(r *run) {
 	if m.runs[r.rec.ID] == r {
 		delete(m.runs, r.rec.ID)
 		m.retained.add(r.rec.Account, r.incompleteTexts(), time.Now())
 	}
-	m.mu.Unlock()
-	r.cancel()
 }
 
 // start runs a step that this VM owns.
@@ -350,7 +390,10 @@
 	if r == nil {
 		return
 	}
-	r.accept(rec)
+	if !m.accept(r, rec, nil) {
+		m.stop(r)
+		return
+	}
 	m.emitOwned(rec, len(committed))
 }
 
--- a/internal/step/run.go
+++ b/internal/step/run.go
@@ -140,10 +140,17 @@
 	r.order = r.startOrders.byLength
 }
 
-// accept sets the state row under which results may be committed.
-func (r *run) accept(rec stateRecord) {
+// accept sets the state row under which results may be committed, after it has adopted the results
+// that the previous owner committed. It returns the phases in which the items of these were. Only
+// Manager.accept calls it, at most once.
+func (r *run) accept(rec stateRecord, committed []Result) map[int]phase {
+	var adopted map[int]phase
+	if len(committed) > 0 {
+		adopted = r.adopt(committed)
+	}
 	r.acceptedState.Store(&rec)
 	close(r.acceptedCh)
+	return adopted
 }
 
 // accepted reports whether results may be committed.
@@ -249,14 +256,10 @@
 	return max(0, 1-float64(events)/expected)
 }
 
-// adoptCommitted reads the results that the previous owner committed, adopts them, and returns
-// their number. It cancels the attempts and score calls of their items, which would keep slots
-// that other items need. It must be called before the run is accepted.
-func (r *run) adoptCommitted(ctx context.Context, m *Manager) (int, error) {
-	results, err := readAllResults(ctx, m.Store, r.rec.ID)
-	if err != nil {
-		return 0, err
-	}
+// adopt adopts the results that the previous owner committed. It cancels the attempts and score
+// calls of their items, which would keep slots that other items need. It returns the phases in
+// which the items were.
+func (r *run) adopt(results []Result) map[int]phase {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	adopted := r.list.adopt(results)
@@ -267,8 +270,7 @@
 			cancel(errAdopted)
 		}
 	}
-	r.emitAdopted(len(results), adopted)
-	return len(results), nil
+	return adopted
 }
 
 // emitAdopted emits the event that a previous owner's results were adopted; adopted holds the
--- a/internal/step/runs_test.go
+++ b/internal/step/runs_test.go
@@ -98,3 +98,37 @@
 		})
 	}
 }
+
+// Guards against a run that is accepted by two paths: the process would end, or committed results would
+// be replaced while the run commits.
+func TestRunIsAcceptedOnce(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		cl := newCluster(t, "e1")
+		a := cl.start("a")
+		rec := openStepRecord("s", "a", 1)
+		rec.OwnerIncarnation = a.Incarnation
+		a.recordState(rec)
+		r := a.startRun(rec, items(4), nil, nil, nil)
+		newer := rec
+		newer.version++
+		first, second := a.accept(r, rec, nil), a.accept(r, newer, []Result{{Item: "i0", Outcome: Completed}})
+		if !first || second || r.current().version != rec.version || r.list.phase(0) == phaseDone {
+			t.Errorf("accepted %t, then %t; the run commits under version %d and item i0 is %s", first, second, r.current().version, r.list.phase(0))
+		}
+	})
+}
+
+// Guards against a run that commits under a state that is known to be obsolete.
+func TestRunIsNotAcceptedUnderObsoleteState(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		cl := newCluster(t, "e1")
+		a := cl.start("a")
+		rec := openStepRecord("s", "a", 1)
+		e := &earlyRun{manager: a.Manager, state: rec.State, items: items(4)}
+		e.start()
+		a.recordState(openStepRecord("s", "b", 2))
+		if e.accept(rec, nil) || e.run.accepted() {
+			t.Error("the run was accepted under version 1, but version 2 is known")
+		}
+	})
+}
