A run starts only under a state row under which no earlier run of the process was accepted

Cause: the version of the state row keeps the commits of two owners apart. A takeover of a step whose row names this process wrote no row, so when a run had been stopped without a change of the row, the next one had the same version. A commit of the first without an answer could take effect after the next run had read the results; a row of results is named by its last position, so the two rows overlapped.

The fix: the manager knows the version under which it last accepted a run of a step. Manager.accept refuses a second run under it, and a takeover then writes a new row before it reads the results. A new row for each takeover was weighed and rejected: a row that names this process and that no run of it was accepted under can have no commit of results in flight. The usual start at the owner that the submission chose stays at one write of the row (TestFirstRunWritesNoStateRow; 2 with a row for each takeover). A restart doesn't change: another incarnation wrote a row before, too.

--- a/internal/step/manager.go
+++ b/internal/step/manager.go
@@ -95,6 +95,9 @@
 	// runs holds the steps that run on this VM; lastRunAt is when the last of them started.
 	runs      map[string]*run
 	lastRunAt time.Time
+	// acceptedVersions holds, for each step, the version of the newest state row under which a run
+	// of this process was accepted.
+	acceptedVersions map[string]int64
 	// takingOver holds the steps that this VM is taking over.
 	takingOver map[string]bool
 	// unownedSince is when this VM first found that a step has no live owner.
@@ -118,17 +121,18 @@
 func NewManager(c Config) *Manager {
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Manager{
-		Config:         c,
-		dispatchSignal: make(chan struct{}, 1),
-		callLimiter:    scoring.NewCallLimiter(),
-		takeoverSignal: make(chan struct{}, 1),
-		states:         make(map[string]stateRecord),
-		runs:           make(map[string]*run),
-		takingOver:     make(map[string]bool),
-		unownedSince:   make(map[string]time.Time),
-		retained:       newRetainedTexts(),
-		ctx:            ctx,
-		cancel:         cancel,
+		Config:           c,
+		dispatchSignal:   make(chan struct{}, 1),
+		callLimiter:      scoring.NewCallLimiter(),
+		takeoverSignal:   make(chan struct{}, 1),
+		states:           make(map[string]stateRecord),
+		runs:             make(map[string]*run),
+		acceptedVersions: make(map[string]int64),
+		takingOver:       make(map[string]bool),
+		unownedSince:     make(map[string]time.Time),
+		retained:         newRetainedTexts(),
+		ctx:              ctx,
+		cancel:           cancel,
 	}
 }
 
@@ -265,7 +269,7 @@
 	defer m.mu.Unlock()
 	for id, r := range m.states {
 		if !present[id] && !skipped[id] && r.Ended {
-			delete(m.states, id)
+			m.removeStateLocked(id)
 		}
 	}
 }
@@ -294,7 +298,13 @@
 func (m *Manager) removeState(id string) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.removeStateLocked(id)
+}
+
+// removeStateLocked is removeState with mu held.
+func (m *Manager) removeStateLocked(id string) {
 	delete(m.states, id)
+	delete(m.acceptedVersions, id)
 }
 
 // recordState records a state unless the same or a newer version is known, and reports whether
@@ -352,13 +362,15 @@
 
 // accept makes rec the state under which a run commits results; committed are the results of the
 // previous owner that the run has not adopted yet. It refuses if the run was stopped or accepted
-// before, or if a newer state is known. Every run is accepted here.
+// before, if a newer state is known, or if another run was accepted under rec. Every run is accepted
+// here.
 func (m *Manager) accept(r *run, rec stateRecord, committed []Result) bool {
 	m.mu.Lock()
-	if m.runs[rec.ID] != r || r.ctx.Err() != nil || r.accepted() || m.states[rec.ID].version > rec.version {
+	if m.runs[rec.ID] != r || r.ctx.Err() != nil || r.accepted() || m.states[rec.ID].version > rec.version || m.hadRunLocked(rec) {
 		m.mu.Unlock()
 		return false
 	}
+	m.acceptedVersions[rec.ID] = rec.version
 	adopted := r.accept(rec, committed)
 	m.mu.Unlock()
 	if adopted != nil {
@@ -367,6 +379,21 @@
 	return true
 }
 
+// hadRun reports whether a run of this process was accepted under a state of a step, or under a
+// newer one. A commit of that run may still take effect while the state row is unchanged, so the
+// next run needs a new row.
+func (m *Manager) hadRun(r stateRecord) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.hadRunLocked(r)
+}
+
+// hadRunLocked is hadRun with mu held.
+func (m *Manager) hadRunLocked(r stateRecord) bool {
+	version, ok := m.acceptedVersions[r.ID]
+	return ok && version >= r.version
+}
+
 // stop cancels a run and removes it.
 func (m *Manager) stop(r *run) {
 	m.mu.Lock()
--- a/internal/step/runs_test.go
+++ b/internal/step/runs_test.go
@@ -132,3 +132,26 @@
 		}
 	})
 }
+
+// Guards against a transaction more for each step that starts at the owner that its submission chose.
+func TestFirstRunWritesNoStateRow(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		cl := newCluster(t, "e1")
+		cl.preferred = "b"
+		a, b := cl.start("a"), cl.start("b")
+		written := 0
+		cl.store.SetFault(func(txn rowstore.Txn) memory.Fault {
+			for _, put := range txn.Puts {
+				if put.Key.Table == stateTable {
+					written++
+				}
+			}
+			return memory.NoFault
+		})
+		submit(t, a, spec("s"), items(4))
+		checkTexts(t, readUntilComplete(t, b, "s"), 3)
+		if runs := b.runOf("s") != nil; !runs || written != 1 {
+			t.Errorf("the state row was written %d times, want 1; the preferred owner runs the step: %t", written, runs)
+		}
+	})
+}
--- a/internal/step/takeover.go
+++ b/internal/step/takeover.go
@@ -53,7 +53,7 @@
 		if r.Ended || m.runs[id] != nil || m.takingOver[id] {
 			continue
 		}
-		if r.Owner != "" && m.Members.Alive(r.Owner, r.OwnerIncarnation) && (r.Owner != m.VM || r.OwnerIncarnation != m.Incarnation) {
+		if r.Owner != "" && m.Members.Alive(r.Owner, r.OwnerIncarnation) && !m.isOwner(r) {
 			delete(m.unownedSince, id)
 			continue
 		}
@@ -84,15 +84,16 @@
 }
 
 // takeOver makes this VM the owner of a step and runs the items without a committed
-// result. The results are read after the change of owner: from then on no other VM can
-// commit any, so the read is complete.
+// result. The results are read after the change of the state row: from then on no other run can
+// commit any, so the read is complete. The row is left as it is if it names this process, which has
+// not run the step under it.
 func (m *Manager) takeOver(ctx context.Context, r stateRecord) {
 	defer func() {
 		m.mu.Lock()
 		defer m.mu.Unlock()
 		delete(m.takingOver, r.ID)
 	}()
-	if r.Owner != m.VM || r.OwnerIncarnation != m.Incarnation {
+	if !m.isOwner(r) || m.hadRun(r) {
 		var ok bool
 		if r, ok = m.becomeOwner(ctx, r, 0); !ok {
 			return
@@ -122,7 +123,7 @@
 }
 
 // becomeOwner makes this VM the next owner of a step, unless the state row has changed
-// since r was read. From then on no other VM can commit results of the step. generated is
+// since r was read. From then on no earlier run can commit results of the step. generated is
 // the share of the texts that an early run has generated; 0 without an early run.
 func (m *Manager) becomeOwner(ctx context.Context, r stateRecord, generated float64) (owned stateRecord, ok bool) {
 	next := r.State
