--- a/internal/step/cluster_test.go
+++ b/internal/step/cluster_test.go
@@ -41,10 +41,10 @@
 	preferred string
 	// domains maps VMs that are not in failure domain "x" to their domains.
 	domains map[string]string
+	// storeOf, if set, returns the store that a VM uses.
+	storeOf func(name string) rowstore.Store
 	// configuration is the configuration of VMs that are started from now on.
 	configuration *route.Snapshot
-	// remote, if set, returns the store as a VM reaches it.
-	remote func(vm string) rowstore.Store
 	// observe, if set, is called with each event of a VM.
 	observe func(event.Record)
 }
@@ -80,10 +80,6 @@
 func (cl *cluster) startIncarnation(name, incarnation string) *testVM {
 	events := event.NewRecorder(name, 64, event.NewClock(time.Now), zap.NewNop())
 	events.Observe(cl.observe)
-	var store rowstore.Store = cl.store
-	if cl.remote != nil {
-		store = cl.remote(name)
-	}
 	roster := target.NewRoster(events)
 	roster.Replace(cl.instances)
 	view := route.NewView()
@@ -92,6 +88,10 @@
 	if other, ok := cl.domains[name]; ok {
 		domain = other
 	}
+	var store rowstore.Store = cl.store
+	if cl.storeOf != nil {
+		store = cl.storeOf(name)
+	}
 	ctx, kill := context.WithCancel(cl.t.Context())
 	v := &testVM{kill: kill, Manager: NewManager(Config{
 		CallBudget: budget.New(budget.Rates{}),
--- a/internal/step/handover_test.go
+++ b/internal/step/handover_test.go
@@ -14,7 +14,7 @@
 	bubble(t, func(t *testing.T) {
 		cl := newCluster(t, "e1")
 		var remote *remoteStore
-		cl.remote = func(string) rowstore.Store {
+		cl.storeOf = func(string) rowstore.Store {
 			remote = newRemoteStore(cl.store, 1, true)
 			return remote
 		}
