--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -17,8 +17,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
 	"dogwoodpond/internal/budget"
 	"dogwoodpond/internal/event"
 	"dogwoodpond/internal/fault"
@@ -115,9 +113,8 @@
 	// begins to leave would otherwise overwrite the one that announces it, and the
 	// other VMs would give this VM new work until the next heartbeat.
 	writeMu sync.Mutex
-	// writtenVersion is the version of this VM's row as far as it knows, 0 if it knows none.
-	// writeMu guards it.
-	writtenVersion int64
+	// ownRow is this VM's row. writeMu guards it.
+	ownRow rowstore.OwnRow
 
 	mu   sync.Mutex
 	rows map[string]*statusRow
@@ -250,38 +247,12 @@
 		l.events.Emit(event.HeartbeatFailed, event.Subject{Detail: err.Error()})
 		return
 	}
-	err = l.replaceRow(ctx, rowstore.Key{Table: table, Part: vm.FailureDomain, Name: vm.ID}, value)
+	err = l.ownRow.Write(ctx, l.store, rowstore.Key{Table: table, Part: vm.FailureDomain, Name: vm.ID}, value)
 	if failed := err != nil; failed != l.heartbeatFailing.Swap(failed) && failed {
 		l.events.Emit(event.HeartbeatFailed, event.Subject{Detail: err.Error()})
 	}
 }
 
-// maxHeartbeatTries is the largest number of tries of one heartbeat. The second follows the late
-// effect of an earlier heartbeat, and the first heartbeat of a process that has restarted.
-const maxHeartbeatTries = 3
-
-// replaceRow writes this VM's row. It expects the version that it replaces, so that an earlier
-// heartbeat without an answer has no effect after this one. l.writeMu must be held.
-func (l *List) replaceRow(ctx context.Context, key rowstore.Key, value []byte) (err error) {
-	for range maxHeartbeatTries {
-		var version int64
-		version, err = l.store.Commit(ctx, rowstore.Txn{
-			Expected: []rowstore.Expectation{{Key: key, Version: l.writtenVersion}},
-			Puts:     []rowstore.Put{{Key: key, Value: value}},
-		})
-		if err == nil {
-			l.writtenVersion = version
-			return nil
-		}
-		var conflict *rowstore.Conflict
-		if !errors.As(err, &conflict) {
-			return err
-		}
-		l.writtenVersion = conflict.Row(key).Version
-	}
-	return err
-}
-
 // readAll reads the rows of all failure domains, and returns the version after which to
 // read changes. That is the lowest version of the pages, because the partitions are
 // read at different times.
--- a/internal/upstreamdigest/digest.go
+++ b/internal/upstreamdigest/digest.go
@@ -12,7 +12,6 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
-	"github.com/cockroachdb/errors"
 
 	"dogwoodpond/internal/event"
 	"dogwoodpond/internal/fault"
@@ -78,10 +77,10 @@
 	Writes func() bool
 
 	written uint64
-	// contentVersion is the version of the row of contents as far as this VM knows, 0 if it knows
-	// none.
-	contentVersion int64
-	failing        bool
+	// contents is this VM's row of contents. Contents that take effect late, after newer ones,
+	// would not be those that the beats describe.
+	contents rowstore.OwnRow
+	failing  bool
 }
 
 // Run writes the digest until ctx ends.
@@ -114,7 +113,7 @@
 		if err != nil || len(encoded) > maxContentBytes {
 			return err
 		}
-		if err := w.replaceContents(ctx, encoded); err != nil {
+		if err := w.contents.Write(ctx, w.Store, w.key(contentTable), encoded); err != nil {
 			return err
 		}
 		w.written = current
@@ -131,34 +130,6 @@
 	return rowstore.Key{Table: table, Part: w.Domain, Name: w.VM}
 }
 
-// maxContentTries is the largest number of tries to write contents. The second follows the late
-// effect of earlier ones, and the first contents of a process that has restarted.
-const maxContentTries = 3
-
-// replaceContents writes the contents. It expects the version that it replaces, so that earlier
-// contents without an answer have no effect after these. A beat would otherwise describe contents
-// that are not there.
-func (w *Writer) replaceContents(ctx context.Context, value []byte) (err error) {
-	key := w.key(contentTable)
-	for range maxContentTries {
-		var version int64
-		version, err = w.Store.Commit(ctx, rowstore.Txn{
-			Expected: []rowstore.Expectation{{Key: key, Version: w.contentVersion}},
-			Puts:     []rowstore.Put{{Key: key, Value: value}},
-		})
-		if err == nil {
-			w.contentVersion = version
-			return nil
-		}
-		var conflict *rowstore.Conflict
-		if !errors.As(err, &conflict) {
-			return err
-		}
-		w.contentVersion = conflict.Row(key).Version
-	}
-	return err
-}
-
 func (w *Writer) upstreams() []upstream {
 	all := []upstream{}
 	for _, service := range w.PlainServices() {
