A step that is accepted at a leaving VM is handed over

A trainer whose submission was accepted by a VM that had begun to leave got 202, and no item of the step ran until the process had ended and the other VMs had noticed.

Cause: Leave hands over the steps that run when it is called. An early run that is not accepted is only stopped; when the commit of the submission succeeds afterwards, no run starts, because the VM is leaving, and the state row names a live process as the owner.

Fix: the submission clears the owner in the state row if the VM is leaving and no run of the step started.

--- a/internal/step/accept.go
+++ b/internal/step/accept.go
@@ -50,7 +50,7 @@
 	timer := time.AfterFunc(earlyStartDelay, early.start)
 	version, err := rowstore.CommitConfirmed(ctx, m.Store, txn)
 	timer.Stop()
-	err = m.handleSubmitOutcome(stateRecord{State: state, version: version}, items, early, err)
+	err = m.handleSubmitOutcome(ctx, stateRecord{State: state, version: version}, items, early, err)
 	if early.close() {
 		// Items have run, so the error must not claim that nothing was executed.
 		return fault.WithExecution(err, fault.Unknown)
@@ -92,7 +92,7 @@
 }
 
 // handleSubmitOutcome handles the outcome of the commit that creates a step.
-func (m *Manager) handleSubmitOutcome(r stateRecord, items []Item, early *earlyRun, err error) error {
+func (m *Manager) handleSubmitOutcome(ctx context.Context, r stateRecord, items []Item, early *earlyRun, err error) error {
 	var conflict *rowstore.Conflict
 	if errors.As(err, &conflict) {
 		accepted, decodeErr := decodeState(conflict.Row(stateKey(r.ID)))
@@ -121,6 +121,10 @@
 		m.emitOwned(r, 0)
 	default:
 		m.start(r, items, nil, nil)
+		if m.isLeaving() && m.runOf(r.ID) == nil {
+			// Leave hands over only the steps that run, and this one doesn't start here any more.
+			m.releaseStep(ctx, r)
+		}
 	}
 	return nil
 }
--- a/internal/step/handover_test.go
+++ b/internal/step/handover_test.go
@@ -32,3 +32,23 @@
 		}
 	})
 }
+
+// Guards against a step that nobody runs until this process ends: it is accepted here after the VM
+// began to leave.
+func TestStepAcceptedAtALeavingVMIsHandedOver(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		cl := newCluster(t, "e1")
+		a, b := cl.start("a"), cl.start("b")
+		time.Sleep(time.Second)
+		cl.store.SetDown(true)
+		accepted := make(chan error, 1)
+		go func() { accepted <- a.Submit(t.Context(), spec("s"), items(4)) }()
+		time.Sleep(2 * time.Second)
+		a.Leave(t.Context())
+		cl.store.SetDown(false)
+		if err := <-accepted; err != nil {
+			t.Fatal(err)
+		}
+		checkTexts(t, readUntilComplete(t, b, "s"), 3)
+	})
+}
--- a/internal/step/step_test.go
+++ b/internal/step/step_test.go
@@ -338,7 +338,7 @@
 			t.Fatal(err)
 		}
 		conflict := &rowstore.Conflict{Current: []rowstore.Row{{Key: stateKey("s"), Value: value, Version: 7}}}
-		if err := a.handleSubmitOutcome(stateRecord{State: state}, list, &earlyRun{manager: a.Manager, state: state}, conflict); err != nil {
+		if err := a.handleSubmitOutcome(t.Context(), stateRecord{State: state}, list, &earlyRun{manager: a.Manager, state: state}, conflict); err != nil {
 			t.Error(err)
 		}
 		time.Sleep(time.Second)
--- a/internal/step/takeover.go
+++ b/internal/step/takeover.go
@@ -177,11 +177,15 @@
 	}
 	r.flush(ctx)
 	r.saveTexts(ctx, 1)
-	rec := r.current()
+	m.releaseStep(ctx, r.current())
+	m.stop(r)
+}
+
+// releaseStep clears the owner in the state row of a step that this VM owns.
+func (m *Manager) releaseStep(ctx context.Context, rec stateRecord) {
 	next := rec.State
 	next.Owner, next.OwnerIncarnation, next.Nonce = "", "", uuid.NewString()
 	if _, replaced, err := m.replaceState(ctx, rec, next); err == nil && replaced {
 		m.Events.Emit(event.StepHandedOver, event.Subject{Step: rec.ID, Account: rec.Account, Epoch: uint64(rec.Epoch)})
 	}
-	m.stop(r)
 }
