A reader doesn't wait for results of a run that has ended

A caller that read a step's results at a VM which lost the step or handed it over got an empty answer at the end of its wait (1 s for trainers), although the next owner had committed results meanwhile.

Cause: Results waited for the run's own next commit. A run that has ended makes none, and nothing woke the reader.

Fix: the end of the run wakes the reader, which goes on with the store. A run that has ended but is still listed, as at the end of the process, isn't read from, since the reader would be busy.

--- a/internal/step/handover_test.go
+++ b/internal/step/handover_test.go
@@ -52,3 +52,38 @@
 		checkTexts(t, readUntilComplete(t, b, "s"), 3)
 	})
 }
+
+// Guards against a reader that doesn't learn of results while it waits at a VM that runs the step no
+// more: the next owner commits them.
+func TestReaderDoesNotWaitForAHandedOverRun(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		cl := newCluster(t, "e1")
+		cl.engines.behave[""] = pacedBehaviour(3, 300*time.Millisecond)
+		a := cl.start("a")
+		cl.start("b")
+		submit(t, a, spec("s"), items(4))
+		time.Sleep(100 * time.Millisecond)
+		go a.Leave(t.Context())
+		started := time.Now()
+		results, _, err := a.Results(t.Context(), "s", "acc", 0, 20*time.Second)
+		if took := time.Since(started); err != nil || len(results) == 0 || took > 5*time.Second {
+			t.Errorf("%d results after %s, %v", len(results), took, err)
+		}
+	})
+}
+
+// Guards against a busy reader after the process's runs have ended without being removed.
+func TestReaderWaitsAfterTheProcessEnds(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		cl := newCluster(t, "e1")
+		cl.engines.behave[""] = pacedBehaviour(3, time.Minute)
+		a := cl.start("a")
+		submit(t, a, spec("s"), items(4))
+		time.Sleep(100 * time.Millisecond)
+		cl.crash(a)
+		time.Sleep(100 * time.Millisecond)
+		if results, _, err := a.Results(t.Context(), "s", "acc", 0, time.Second); err != nil || len(results) != 0 {
+			t.Errorf("%d results, %v", len(results), err)
+		}
+	})
+}
--- a/internal/step/read.go
+++ b/internal/step/read.go
@@ -23,8 +23,8 @@
 	}
 	deadline := time.Now().Add(wait)
 	for {
-		var changed <-chan struct{}
-		results, changed, err = m.committedResults(ctx, id, from)
+		var changed, ended <-chan struct{}
+		results, changed, ended, err = m.committedResults(ctx, id, from)
 		if err == nil && len(results) > 0 {
 			err = loadOffloadedTexts(ctx, m.Store, results)
 		}
@@ -32,7 +32,7 @@
 		if err != nil || len(results) > 0 || from >= rec.Total || remaining <= 0 || m.isEnded(id) {
 			return results, rec.Total, err
 		}
-		awaitChange(ctx, changed, remaining)
+		awaitChange(ctx, changed, ended, remaining)
 		if ctx.Err() != nil {
 			return nil, rec.Total, errors.WithStack(&fault.CallerGone{})
 		}
@@ -40,15 +40,16 @@
 }
 
 // committedResults returns the committed results without waiting: from memory when this VM
-// runs the step, otherwise from the store. The channel is closed when there are more
-// results; it is nil when they come from the store.
-func (m *Manager) committedResults(ctx context.Context, id string, from int) ([]Result, <-chan struct{}, error) {
-	if r := m.runOf(id); r != nil {
+// runs the step, otherwise from the store. Channel changed is closed when there are more results,
+// ended when the run ends, so that others may commit more; both are nil when the results come from
+// the store.
+func (m *Manager) committedResults(ctx context.Context, id string, from int) (results []Result, changed, ended <-chan struct{}, err error) {
+	if r := m.runOf(id); r != nil && r.ctx.Err() == nil {
 		results, changed := r.resultsFrom(from)
-		return append([]Result(nil), results...), changed, nil
+		return append([]Result(nil), results...), changed, r.ctx.Done(), nil
 	}
-	results, err := readResults(ctx, m.Store, id, from)
-	return results, nil, err
+	results, err = readResults(ctx, m.Store, id, from)
+	return results, nil, nil, err
 }
 
 func (m *Manager) isEnded(id string) bool {
@@ -58,7 +59,7 @@
 
 // awaitChange waits until there may be more results, at most for remaining. A nil changed
 // means that the store must be polled.
-func awaitChange(ctx context.Context, changed <-chan struct{}, remaining time.Duration) {
+func awaitChange(ctx context.Context, changed, ended <-chan struct{}, remaining time.Duration) {
 	timeout := remaining
 	if changed == nil {
 		timeout = min(remaining, pollInterval)
@@ -68,6 +69,7 @@
 	select {
 	case <-ctx.Done():
 	case <-changed:
+	case <-ended:
 	case <-timer.C:
 	}
 }
