Readers learn of results that a run adopts

A caller that waited for results at a VM whose early run claimed the step got those of the previous owner only with the run's own first commit, or at the end of its wait.

Cause: adoption replaced the committed results without waking readers; only a commit did.

Evidence: TestReaderGetsAdoptedResultsAtOnce failed before ("read after 11.287s", with slow items and a wait of 20 s).

Fix: adoption wakes readers as a commit does.

--- a/internal/step/adopt_test.go
+++ b/internal/step/adopt_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"testing"
 	"time"
+
+	"dogwoodpond/internal/rowstore"
 )
 
 // submitBeforeAcceptedCopy submits a step at VM a during an outage of the store. When the store is
@@ -106,3 +108,30 @@
 		}
 	})
 }
+
+// Guards against a reader that doesn't learn of the results that a run adopts until it commits more.
+func TestReaderGetsAdoptedResultsAtOnce(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		cl := newCluster(t, "e1", "e2")
+		var took time.Duration
+		done := make(chan struct{})
+		cl.storeOf = func(string) rowstore.Store {
+			return &resultReadHook{Store: cl.store, call: func() {
+				go func() {
+					defer close(done)
+					started := time.Now()
+					if results, _, err := cl.vms["a"].Results(t.Context(), "s", "acc", 0, 20*time.Second); err != nil || len(results) == 0 {
+						t.Errorf("%d results, %v", len(results), err)
+					}
+					took = time.Since(started)
+				}()
+				time.Sleep(10 * time.Millisecond)
+			}}
+		}
+		claimDuringAttempts(t, cl, items(6), 40)
+		<-done
+		if took > 100*time.Millisecond {
+			t.Errorf("the adopted result was read after %s", took)
+		}
+	})
+}
--- a/internal/step/commit.go
+++ b/internal/step/commit.go
@@ -196,13 +196,18 @@
 	position := len(r.list.committed)
 	r.list.confirm(batch)
 	r.emitRepeated(position)
-	close(r.committedCh)
-	r.committedCh = make(chan struct{})
+	r.notifyReadersLocked()
 	if r.list.complete() {
 		r.m.Events.Emit(event.StepCompleted, event.Subject{Step: r.rec.ID, Account: r.rec.Account, Count: int64(len(r.list.committed))})
 	}
 }
 
+// notifyReadersLocked notifies readers of committed results, with mu held.
+func (r *run) notifyReadersLocked() {
+	close(r.committedCh)
+	r.committedCh = make(chan struct{})
+}
+
 // emitRepeated emits an event for each committed result, from a position on, whose item has an
 // earlier result too.
 func (r *run) emitRepeated(from int) {
--- a/internal/step/run.go
+++ b/internal/step/run.go
@@ -268,6 +268,7 @@
 	defer r.mu.Unlock()
 	adopted := r.list.adopt(results)
 	r.emitRepeated(0)
+	r.notifyReadersLocked()
 	for i := range adopted {
 		r.progress[i].partial = partialText{}
 		if cancel := r.progress[i].cancelCall; cancel != nil {
