A VM that becomes the owner while it leaves hands the step over

A step that a leaving VM took over or claimed as an early run had a live owner that didn't run it, so its results stopped until that process had ended and the others had noticed.

Evidence: TestStepTakenOverByALeavingVMIsHandedOver failed before for both ways ("0 results of 6 items; the step is owned by "a""; "1 results of 6 items").

Fix: whoever became the owner clears the owner in the state row if the VM is leaving and no run of the step is left.

--- a/internal/step/accept.go
+++ b/internal/step/accept.go
@@ -121,10 +121,7 @@
 		m.emitOwned(r, 0)
 	default:
 		m.start(r, items, nil, nil)
-		if m.isLeaving() && m.runOf(r.ID) == nil {
-			// Leave hands over only the steps that run, and this one doesn't start here any more.
-			m.releaseStep(ctx, r)
-		}
+		m.releaseIfLeaving(ctx, r)
 	}
 	return nil
 }
--- a/internal/step/early.go
+++ b/internal/step/early.go
@@ -151,6 +151,10 @@
 		m.emitTakeoverFailed(owned.State, err)
 	}
 	if err != nil || !e.accept(owned, committed) {
+		// The run's context ends when the VM leaves.
+		releaseCtx, cancel := context.WithTimeout(m.ctx, claimTimeout)
+		defer cancel()
+		m.releaseIfLeaving(releaseCtx, owned)
 		return false
 	}
 	m.emitOwned(owned, len(committed))
--- a/internal/step/handover_test.go
+++ b/internal/step/handover_test.go
@@ -87,3 +87,42 @@
 		}
 	})
 }
+
+// Guards against a step that nobody runs until this process ends: it became the owner, by a takeover
+// or a claim, when the VM began to leave.
+func TestStepTakenOverByALeavingVMIsHandedOver(t *testing.T) {
+	for _, change := range []string{"takeover", "claim"} {
+		t.Run(change, func(t *testing.T) {
+			bubble(t, func(t *testing.T) {
+				cl := newCluster(t, "e1", "e2")
+				cl.storeOf = func(name string) rowstore.Store {
+					if name != "a" {
+						return cl.store
+					}
+					return &resultReadHook{Store: cl.store, call: func() {
+						if state, err := readState(t.Context(), cl.store, "s"); err != nil || state.Owner != "a" {
+							t.Errorf("the step is owned by %s, %v; want a", state.Owner, err)
+						}
+						cl.vms["a"].Leave(t.Context())
+					}}
+				}
+				if change == "claim" {
+					submitBeforeAcceptedCopy(t, cl, items(6), 10)
+					cl.setRow(itemsKey("s", 0), items(6))
+				} else {
+					c := cl.start("c")
+					submit(t, c, spec("s"), items(6))
+					cl.crash(c)
+					cl.start("a")
+					time.Sleep(3 * time.Second)
+				}
+				b := cl.start("b")
+				time.Sleep(10 * time.Second)
+				if results, total, err := b.Results(t.Context(), "s", "acc", 0, 0); err != nil || len(results) != total {
+					state, _ := readState(t.Context(), cl.store, "s")
+					t.Errorf("%d results of %d items, %v; the step is owned by %q", len(results), total, err, state.Owner)
+				}
+			})
+		})
+	}
+}
--- a/internal/step/takeover.go
+++ b/internal/step/takeover.go
@@ -113,6 +113,7 @@
 		}
 		if err == nil {
 			m.start(r, items, committed, texts)
+			m.releaseIfLeaving(ctx, r)
 			return
 		}
 		if fault.Is[*fault.Internal](err) {
@@ -181,6 +182,14 @@
 	m.stop(r)
 }
 
+// releaseIfLeaving hands over a step that this VM owns if it doesn't run because the VM is leaving.
+// Leave hands over only the steps that run.
+func (m *Manager) releaseIfLeaving(ctx context.Context, rec stateRecord) {
+	if m.isLeaving() && m.runOf(rec.ID) == nil {
+		m.releaseStep(ctx, rec)
+	}
+}
+
 // releaseStep clears the owner in the state row of a step that this VM owns.
 func (m *Manager) releaseStep(ctx context.Context, rec stateRecord) {
 	next := rec.State
