--- a/internal/step/handover_test.go
+++ b/internal/step/handover_test.go
@@ -103,7 +103,10 @@
 						if state, err := readState(t.Context(), cl.store, "s"); err != nil || state.Owner != "a" {
 							t.Errorf("the step is owned by %s, %v; want a", state.Owner, err)
 						}
-						cl.vms["a"].Leave(t.Context())
+						cl.mu.Lock()
+						a := cl.vms["a"]
+						cl.mu.Unlock()
+						a.Leave(t.Context())
 					}}
 				}
 				if change == "claim" {
