--- a/internal/step/handover_test.go
+++ b/internal/step/handover_test.go
@@ -32,3 +32,100 @@
 		}
 	})
 }
+
+// Guards against a step that nobody runs until this process ends: it is accepted here after the VM
+// began to leave.
+func TestStepAcceptedAtALeavingVMIsHandedOver(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		cl := newCluster(t, "e1")
+		a, b := cl.start("a"), cl.start("b")
+		time.Sleep(time.Second)
+		cl.store.SetDown(true)
+		accepted := make(chan error, 1)
+		go func() { accepted <- a.Submit(t.Context(), spec("s"), items(4)) }()
+		time.Sleep(2 * time.Second)
+		a.Leave(t.Context())
+		cl.store.SetDown(false)
+		if err := <-accepted; err != nil {
+			t.Fatal(err)
+		}
+		checkTexts(t, readUntilComplete(t, b, "s"), 3)
+	})
+}
+
+// Guards against a reader that doesn't learn of results while it waits at a VM that runs the step no
+// more: the next owner commits them.
+func TestReaderDoesNotWaitForAHandedOverRun(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		cl := newCluster(t, "e1")
+		cl.engines.behave[""] = pacedBehaviour(3, 300*time.Millisecond)
+		a := cl.start("a")
+		cl.start("b")
+		submit(t, a, spec("s"), items(4))
+		time.Sleep(100 * time.Millisecond)
+		go a.Leave(t.Context())
+		started := time.Now()
+		results, _, err := a.Results(t.Context(), "s", "acc", 0, 20*time.Second)
+		if took := time.Since(started); err != nil || len(results) == 0 || took > 5*time.Second {
+			t.Errorf("%d results after %s, %v", len(results), took, err)
+		}
+	})
+}
+
+// Guards against a busy reader after the process's runs have ended without being removed.
+func TestReaderWaitsAfterTheProcessEnds(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		cl := newCluster(t, "e1")
+		cl.engines.behave[""] = pacedBehaviour(3, time.Minute)
+		a := cl.start("a")
+		submit(t, a, spec("s"), items(4))
+		time.Sleep(100 * time.Millisecond)
+		cl.crash(a)
+		time.Sleep(100 * time.Millisecond)
+		if results, _, err := a.Results(t.Context(), "s", "acc", 0, time.Second); err != nil || len(results) != 0 {
+			t.Errorf("%d results, %v", len(results), err)
+		}
+	})
+}
+
+// Guards against a step that nobody runs until this process ends: it became the owner, by a takeover
+// or a claim, when the VM began to leave.
+func TestStepTakenOverByALeavingVMIsHandedOver(t *testing.T) {
+	for _, change := range []string{"takeover", "claim"} {
+		t.Run(change, func(t *testing.T) {
+			bubble(t, func(t *testing.T) {
+				cl := newCluster(t, "e1", "e2")
+				cl.storeOf = func(name string) rowstore.Store {
+					if name != "a" {
+						return cl.store
+					}
+					return &resultReadHook{Store: cl.store, call: func() {
+						if state, err := readState(t.Context(), cl.store, "s"); err != nil || state.Owner != "a" {
+							t.Errorf("the step is owned by %s, %v; want a", state.Owner, err)
+						}
+						cl.mu.Lock()
+						a := cl.vms["a"]
+						cl.mu.Unlock()
+						a.Leave(t.Context())
+					}}
+				}
+				if change == "claim" {
+					submitBeforeAcceptedCopy(t, cl, items(6), 10)
+					cl.setRow(itemsKey("s", 0), items(6))
+				} else {
+					c := cl.start("c")
+					submit(t, c, spec("s"), items(6))
+					cl.crash(c)
+					cl.start("a")
+					time.Sleep(3 * time.Second)
+				}
+				b := cl.start("b")
+				time.Sleep(10 * time.Second)
+				if results, total, err := b.Results(t.Context(), "s", "acc", 0, 0); err != nil || len(results) != total {
+					state, _ := readState(t.Context(), cl.store, "s")
+					t.Errorf("%d results of %d items, %v; the step is owned by %q", len(results), total, err, state.Owner)
+				}
+			})
+		})
+	}
+}
--- a/internal/step/takeover.go
+++ b/internal/step/takeover.go
@@ -113,6 +113,7 @@
 		}
 		if err == nil {
 			m.start(r, items, committed, texts)
+			m.releaseIfLeaving(ctx, r)
 			return
 		}
 		if fault.Is[*fault.Internal](err) {
@@ -177,11 +178,23 @@
 	}
 	r.flush(ctx)
 	r.saveTexts(ctx, 1)
-	rec := r.current()
+	m.releaseStep(ctx, r.current())
+	m.stop(r)
+}
+
+// releaseIfLeaving hands over a step that this VM owns if it doesn't run because the VM is leaving.
+// Leave hands over only the steps that run.
+func (m *Manager) releaseIfLeaving(ctx context.Context, rec stateRecord) {
+	if m.isLeaving() && m.runOf(rec.ID) == nil {
+		m.releaseStep(ctx, rec)
+	}
+}
+
+// releaseStep clears the owner in the state row of a step that this VM owns.
+func (m *Manager) releaseStep(ctx context.Context, rec stateRecord) {
 	next := rec.State
 	next.Owner, next.OwnerIncarnation, next.Nonce = "", "", uuid.NewString()
 	if _, replaced, err := m.replaceState(ctx, rec, next); err == nil && replaced {
 		m.Events.Emit(event.StepHandedOver, event.Subject{Step: rec.ID, Account: rec.Account, Epoch: uint64(rec.Epoch)})
 	}
-	m.stop(r)
 }
