--- a/internal/step/commit.go
+++ b/internal/step/commit.go
@@ -173,8 +173,8 @@
 	return nil
 }
 
-// handleConflict stops the run after the store rejected its results from a position on, because
-// the state row has changed: another VM owns the step now, or the step has ended.
+// handleConflict stops the run after the store rejected its results from a position on: another VM
+// owns the step now, the step has ended, or, under an unchanged state row, the position is taken.
 func (r *run) handleConflict(conflict *rowstore.Conflict, position int) {
 	rec := r.current()
 	now, err := decodeState(conflict.Row(stateKey(rec.ID)))
