--- a/internal/step/commit.go
+++ b/internal/step/commit.go
@@ -37,7 +37,7 @@
 		select {
 		case <-r.ctx.Done():
 			return
-		case <-r.uncommittedCh:
+		case <-r.queuedCh:
 		}
 		if !r.isBatchFull() {
 			wait.For(r.ctx, commitDelay)
@@ -47,7 +47,7 @@
 			more = wait.For(r.ctx, refusedCommitBackoff)
 		}
 		if more {
-			r.signalUncommitted()
+			r.signalQueued()
 		}
 	}
 }
@@ -88,20 +88,20 @@
 	if err := r.commitPending(ctx); err != nil {
 		return false, err
 	}
-	return r.uncommittedCount() > 0, nil
+	return r.queuedCount() > 0, nil
 }
 
-// uncommittedCount returns the number of results that are finished but not committed.
-func (r *run) uncommittedCount() int {
+// queuedCount returns the number of results that are finished but not committed.
+func (r *run) queuedCount() int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return len(r.list.queued)
 }
 
-// signalUncommitted notifies commitLoop of finished results.
-func (r *run) signalUncommitted() {
+// signalQueued notifies commitLoop of finished results.
+func (r *run) signalQueued() {
 	select {
-	case r.uncommittedCh <- struct{}{}:
+	case r.queuedCh <- struct{}{}:
 	default:
 	}
 }
--- a/internal/step/run.go
+++ b/internal/step/run.go
@@ -82,8 +82,8 @@
 	list     *itemList
 	// committedCh is closed and replaced when results have been committed.
 	committedCh chan struct{}
-	// uncommittedCh signals commitLoop that results may be queued.
-	uncommittedCh chan struct{}
+	// queuedCh signals commitLoop that results may be queued.
+	queuedCh chan struct{}
 	// commitSlot holds a value during a commit of results. It is no mutex, because a handover must
 	// not wait for it longer than its context lasts. pending, which it guards, is the batch whose
 	// commit was prepared or sent and is not confirmed; nil if there is none.
@@ -94,16 +94,16 @@
 // newRun returns a run of a step; the items with a result in committed are done.
 func newRun(m *Manager, rec stateRecord, items []Item, committed []Result) *run {
 	r := &run{
-		m:             m,
-		rec:           rec,
-		items:         items,
-		startOrders:   newStartOrders(items, nil),
-		due:           rec.SubmittedAt + rec.RunObjective.Milliseconds(),
-		progress:      make([]itemProgress, len(items)),
-		list:          newItemList(items),
-		committedCh:   make(chan struct{}),
-		uncommittedCh: make(chan struct{}, 1),
-		commitSlot:    make(chan struct{}, 1),
+		m:           m,
+		rec:         rec,
+		items:       items,
+		startOrders: newStartOrders(items, nil),
+		due:         rec.SubmittedAt + rec.RunObjective.Milliseconds(),
+		progress:    make([]itemProgress, len(items)),
+		list:        newItemList(items),
+		committedCh: make(chan struct{}),
+		queuedCh:    make(chan struct{}, 1),
+		commitSlot:  make(chan struct{}, 1),
 
 		acceptedCh: make(chan struct{}),
 	}
@@ -348,7 +348,7 @@
 	}
 	r.mu.Unlock()
 	if queued {
-		r.signalUncommitted()
+		r.signalQueued()
 		r.m.notifyDispatcher()
 	}
 	return queued
