Observability: the way to a lease, unanswered orders, pauses and suspensions

"lease acquired" (1201) now says why the VM did not have to wait any longer (H5, H6). "order unanswered" (1512) reports each order to an engine that got no answer, with its sequence number and the rest of the term when it was started (H1, H2, H4); before, such an order left no line unless the whole load failed.

--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -8,6 +8,8 @@
 	DrainStarted   Number = 1002
 	ProcessStopped Number = 1003
 	PanicRecovered Number = 1004
+	ProcessPaused  Number = 1005
+	ClocksDiverged Number = 1006
 
 	EditAccepted           Number = 1101
 	RevisionApplied        Number = 1102
@@ -63,6 +65,7 @@
 	UpstreamUnlisted Number = 1509
 	DomainEvacuated  Number = 1510
 	DomainRestored   Number = 1511
+	OrderUnanswered  Number = 1512
 
 	WindowSealed    Number = 1601
 	UsageReported   Number = 1602
@@ -91,12 +94,14 @@
 	{DrainStarted, zap.InfoLevel, "drain started", "The process received a stop signal and accepts no new work."},
 	{ProcessStopped, zap.InfoLevel, "process stopped", "All running work has ended and the process exits."},
 	{PanicRecovered, zap.ErrorLevel, "panic recovered", "A request handler panicked; only its request failed. Detail gives the component."},
+	{ProcessPaused, zap.WarnLevel, "process paused", "The process did not run for Count milliseconds: it was paused, or its VM had no processor time."},
+	{ClocksDiverged, zap.WarnLevel, "clocks diverged", "The wall clock advanced by Count milliseconds more than the monotonic clock: the VM was suspended, or its wall clock was set. Terms of leases run on the monotonic clock."},
 	{EditAccepted, zap.InfoLevel, "edit accepted", "An operator's edit was committed as the revision."},
 	{RevisionApplied, zap.InfoLevel, "revision applied", "The VM applied the revision of the configuration."},
 	{ConfigurationStale, zap.WarnLevel, "configuration stale", "The configuration revision has not been confirmed as current for a long time; the VM may be cut off."},
 	{ConfigurationConfirmed, zap.InfoLevel, "configuration confirmed", "The configuration revision is confirmed as current again."},
 	{KeyWithdrawn, zap.InfoLevel, "key withdrawn", "The VM applied the withdrawal of the key in Detail and cancelled the key's running requests; Count is their number."},
-	{LeaseAcquired, zap.InfoLevel, "lease acquired", "The VM acquired the lease with the given epoch."},
+	{LeaseAcquired, zap.InfoLevel, "lease acquired", "The VM acquired the lease with the given epoch. Detail says why it did not have to wait any longer."},
 	{LeaseReleased, zap.InfoLevel, "lease released", "The VM released the lease."},
 	{LeaseLost, zap.WarnLevel, "lease lost", "The VM did not renew the lease in time, or another VM acquired it."},
 	{RequestAccepted, zap.InfoLevel, "request accepted", "A caller's request was authenticated."},
@@ -141,6 +146,7 @@
 	{UpstreamUnlisted, zap.InfoLevel, "upstream unlisted", "The upstream is no longer in the platform's list, or this VM no longer needs it. For many at once, there is one event with their number as Count."},
 	{DomainEvacuated, zap.WarnLevel, "failure domain evacuated", "The failure domain in Detail is evacuated; its upstreams receive no more work. Count is the number of its listed upstreams."},
 	{DomainRestored, zap.InfoLevel, "failure domain restored", "The evacuation of the failure domain in Detail has ended; its Count upstreams receive work again as they warm up."},
+	{OrderUnanswered, zap.WarnLevel, "order unanswered", "An order to an engine got no answer and may still take effect. Detail gives the expected sequence number, the rest of the term when the order was started, and the time until it was abandoned."},
 	{WindowSealed, zap.InfoLevel, "window sealed", "The VM stored its final usage of the window that starts at Count."},
 	{UsageReported, zap.InfoLevel, "usage reported", "Billing accepted the account's report of the window that starts at Count; Detail says whether the report corrects an earlier window."},
 	{UsageIncomplete, zap.WarnLevel, "usage incomplete", "Usage of a window was not stored or not reported; Detail gives the reason. Without Detail, the account's report lacks usage of a dead VM."},
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -10,6 +10,7 @@
 package lease
 
 import (
+	"fmt"
 	"strings"
 	"sync"
 	"time"
@@ -112,6 +113,22 @@
 	return c.predecessorPrefix != "" && strings.HasPrefix(record.Holder, c.predecessorPrefix)
 }
 
+// AcquisitionReason returns why the contender may take the lease over record at now, for
+// the log.
+func (c *Contender) AcquisitionReason(record Record, now time.Time) string {
+	switch {
+	case record.Epoch == 0:
+		return "no earlier holder"
+	case record.Holder == "":
+		return "released"
+	case record.Holder == c.identity:
+		return "own commit whose reply was lost"
+	case c.isHeldByPredecessor(record):
+		return "held by an earlier process of this VM"
+	}
+	return fmt.Sprintf("expired: %s did not renew it for %s", record.Holder, c.UnchangedFor(now).Round(time.Millisecond))
+}
+
 // AcquireRecord returns the record that makes the contender the holder. The epoch rises even
 // over the contender's own record, so that no epoch is used twice.
 func (c *Contender) AcquireRecord(record Record) Record {
--- a/internal/lease/manager.go
+++ b/internal/lease/manager.go
@@ -179,7 +179,7 @@
 	if err := c.write(ctx, next, version); err != nil {
 		return nil, c.retryBackoff()
 	}
-	c.emit(event.LeaseAcquired, next.Epoch)
+	c.manager.events.Emit(event.LeaseAcquired, event.Subject{Lease: c.name, Epoch: next.Epoch, Detail: c.contender.AcquisitionReason(record, now)})
 	return NewHold(c.name, c.manager.timing, next, version+1, sentAt), 0
 }
 
--- a/internal/weightload/loader.go
+++ b/internal/weightload/loader.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"sort"
 	"sync"
 	"time"
@@ -247,10 +248,15 @@
 			wait.For(ctx, loadPollInterval)
 			continue
 		}
+		startedAt, termEnd := time.Now(), guard.Deadline()
 		reply, err := l.sendOrder(ctx, guard, planned, report.Sequence)
 		if err != nil && fault.Is[*fault.LeaseLost](err) {
 			return
 		}
+		if err != nil && !fault.Is[*fault.OrderFenced](err) {
+			l.Events.Emit(event.OrderUnanswered, withDetail(subject, fmt.Sprintf("%s: expected %d, term left %s, abandoned after %s: %v",
+				planned.Model, report.Sequence, termEnd.Sub(startedAt).Round(time.Millisecond), time.Since(startedAt).Round(time.Millisecond), err)))
+		}
 		if err == nil && reply == Rejected {
 			l.markSuspect(planned.Engine)
 			l.Events.Emit(event.OrderFailed, withDetail(subject, planned.Model+": rejected"))
