--- a/spec/lease.pml
+++ b/spec/lease.pml
@@ -16,8 +16,10 @@
  * Time is counted in ticks. A pause is a tick that occurs while a node is
  * between two steps. So a node can be paused anywhere and for any time, except
  * between the check and the end of an order to the receiver that ignores
- * fencing tokens, which lasts at most ORDER ticks. docs/PROOFS.md states that
- * longer pauses there are not covered.
+ * fencing tokens: this model assumes that an order takes effect at most ORDER ticks
+ * after the check. A receiver that stands still breaks that assumption, since its kernel
+ * keeps the order. spec/receiver.pml does without it, and assumes of the lease what
+ * is proved here. docs/PROOFS.md states what neither covers.
  *
  * Each rule that makes the protocol safe can be removed:
  * weaken: WEAKEN_TERM_FROM_REPLY
@@ -41,9 +43,10 @@
 #else
 #define MARGIN 1
 #endif
-#define ORDER 1		/* longest time from the check to an order's effect */
+#define ORDER 1		/* assumed longest time from the check to an order's effect */
 /* SETTLE is the order grace period: the ticks for which a new holder waits before its
- * first order to the receiver that ignores fencing tokens. */
+ * first order to the receiver that ignores fencing tokens. It is enough only under the
+ * assumption on ORDER. */
 #ifdef WEAKEN_NO_SETTLE
 #define SETTLE 0
 #else
@@ -139,7 +142,7 @@
 }
 
 /* Wire delivers orders at any time, those to the receiver that ignores fencing tokens
- * by their due tick. */
+ * by their due tick, as assumed. */
 proctype Wire() {
 end:	do
 	:: atomic { toChecking[0] != 0 -> arriveAtChecking(0) }
