Test of engines that stand still while an order arrives, failing

The fake fleet now has engines that stand still: calls get no answer, the orders that arrived stay in the engine's queue although their senders have given up, and after the stall new calls are answered at once, while the engine reads each queued order after up to 300 ms of running. Holders of real lease.Managers follow each other by a planned stop, or because the store is out of the holder's reach until its term has ended.

go test -run TestEngineThatStoodStill ./internal/weightload -count=1 on the loader as it is: of 20 plays each, 10 with planned stops and 9 with expired terms have an order of a lower epoch after one of a higher, 22 to 34 such orders in each of three more runs (goroutines that are due at the same moment run in no fixed order). A part of the output:

--- FAIL: TestEngineThatStoodStillGetsNoLowerEpochAfterHigher/planned_stop_2 (0.04s) stall_test.go:238: e01 read an order of vm-1 with epoch 2 after epoch 3 stall_test.go:238: e01 read an order of vm-4 with epoch 5 after epoch 6 --- FAIL: TestEngineThatStoodStillGetsNoLowerEpochAfterHigher/term_expires_4 (0.01s) stall_test.go:238: e03 read an order of vm-1 with epoch 2 after epoch 3

--- a/internal/weightload/weightload_test.go
+++ b/internal/weightload/weightload_test.go
@@ -34,6 +34,7 @@
 	// delayOrders is the number of next orders that get no reply and are executed
 	// 3 s later; dropOrders is the number of next orders that are lost.
 	delayOrders, dropOrders int
+	stalls                  stalls
 }
 
 func (e *fakeEngine) execute(c Order) Reply {
@@ -100,8 +101,11 @@
 
 func (f *fleet) EngineServices() []string { return []string{"lm"} }
 
-func (f *fleet) Report(_ context.Context, t *target.Entry) (Report, error) {
+func (f *fleet) Report(ctx context.Context, t *target.Entry) (Report, error) {
 	e := f.engines[t.Info().ID]
+	if !e.awaitRunning(ctx) {
+		return Report{}, errors.WithStack(&fault.UpstreamFailed{Upstream: t.Info().ID})
+	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	versions := map[string]int64{}
@@ -111,10 +115,20 @@
 	return Report{Sequence: e.sequence, Busy: time.Now().Before(e.loadingUntil), Versions: versions}, nil
 }
 
-func (f *fleet) Order(_ context.Context, t *target.Entry, c Order) (Reply, error) {
+func (f *fleet) Order(ctx context.Context, t *target.Entry, c Order) (Reply, error) {
 	e := f.engines[t.Info().ID]
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if answer := e.enqueueIfStill(c); answer != nil {
+		e.mu.Unlock()
+		defer e.mu.Lock()
+		select {
+		case <-ctx.Done():
+			return Rejected, errors.WithStack(&fault.UpstreamFailed{Upstream: t.Info().ID})
+		case reply := <-answer:
+			return reply, nil
+		}
+	}
 	e.holders, e.epochs = append(e.holders, c.Holder), append(e.epochs, c.Epoch)
 	noReply := errors.WithStack(&fault.UpstreamFailed{Upstream: t.Info().ID})
 	if e.dropOrders > 0 {
