Failing tests: an order is written after its lease was lost between the check and the write

The guard is checked once, when the connection is handed over; after that only the write deadline, a timer of the runtime, holds the write back. The tests lose the lease after that check while the deadline is an hour away.

--- a/internal/fence/fence_test.go
+++ b/internal/fence/fence_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
+	"net/http/httptrace"
 	"strings"
 	"sync/atomic"
 	"syscall"
@@ -114,3 +117,59 @@
 		t.Errorf("the receiver got %d orders, want none", count.Load())
 	}
 }
+
+// Guards against a holder that is paused between the check at its connection and the
+// system call: the lease is lost in between, and the write deadline, a timer of the
+// runtime, has not fired yet.
+func TestOrderIsNotWrittenWhenTheLeaseIsLostBeforeTheWrite(t *testing.T) {
+	target, count := startCountingServer(t)
+	guard := &fakeGuard{deadline: time.Now().Add(time.Hour)}
+	ctx := httptrace.WithClientTrace(WithGuard(t.Context(), guard), &httptrace.ClientTrace{
+		// The headers are buffered; no byte was written yet.
+		WroteHeaders: func() { guard.lost.Store(true) },
+	})
+	if err := sendOrder(t, ctx, target); err == nil {
+		t.Error("the order was written without the lease")
+	}
+	if count.Load() != 0 {
+		t.Errorf("the receiver got %d orders, want none", count.Load())
+	}
+}
+
+// Guards against the rest of an order that follows when its receiver reads on: the lease
+// was lost while the write waited for the receiver.
+func TestRestOfAnOrderIsNotWrittenWithoutTheLease(t *testing.T) {
+	const size = 64 << 20
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	guard := &fakeGuard{deadline: time.Now().Add(time.Hour)}
+	received := make(chan int64, 1)
+	go func() {
+		conn, err := listener.Accept()
+		if err != nil {
+			received <- 0
+			return
+		}
+		defer func() { _ = conn.Close() }()
+		// The sender waits for the receiver once it wrote what the kernels buffer.
+		first, _ := io.CopyN(io.Discard, conn, 1)
+		guard.lost.Store(true)
+		rest, _ := io.Copy(io.Discard, conn)
+		received <- first + rest
+	}()
+	client := NewClient(time.Second, 10*time.Second)
+	request, err := http.NewRequestWithContext(WithGuard(t.Context(), guard), http.MethodPost, "http://"+listener.Addr().String(), strings.NewReader(strings.Repeat("x", size)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if response, err := client.Do(request); err == nil {
+		_ = response.Body.Close()
+		t.Error("the order was answered")
+	}
+	if n := <-received; n >= size {
+		t.Errorf("the receiver got %d bytes, want less than the order's %d", n, size)
+	}
+}
