Failing test: an order of a stopped holder takes effect after one of the next holder

A planned stop cancels an order in flight and releases the lease. The platform may still have to execute that order, but the next holder waits 1.0 s only.

go test ./internal/scaling -count=1: --- FAIL: TestOrderThatWaitsAtThePlatformIsNotOvertakenAfterAStop (0.00s) --- FAIL: .../order_in_flight (0.00s) scaling_test.go:290: phase 0s: epochs [1 2 1] scaling_test.go:293: phase 0s: the last order has epoch 1, want 2 of the new holder --- FAIL: .../order_in_flight_at_a_long_stall (0.00s) scaling_test.go:290: phase 0s: epochs [1 2 1 2] --- FAIL: .../abandoned_order (0.00s) scaling_test.go:290: phase 0s: epochs [1 2 1 2]

--- a/internal/scaling/scaling_test.go
+++ b/internal/scaling/scaling_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -102,7 +103,7 @@
 
 const leaseTerm = 3 * time.Second
 
-func startOrderer(t *testing.T, store *memory.Store, counts *fakeCounts, p *fakePlatform, vm string) context.CancelFunc {
+func startOrderer(t *testing.T, store *memory.Store, counts *fakeCounts, p Platform, vm string) context.CancelFunc {
 	events := event.NewRecorder(vm, 16, event.NewClock(time.Now), zap.NewNop())
 	o := &Orderer{
 		VM: vm, Domain: "x", DesiredCounts: counts, Platform: p, Events: events,
@@ -197,3 +198,102 @@
 		}
 	})
 }
+
+// stallingPlatform stands still for a while: it accepts connections, and executes what
+// waits there, the newest order first, when it goes on. It executes orders also if their
+// sender has given up.
+type stallingPlatform struct {
+	mu      sync.Mutex
+	stalled bool
+	waiting []Order
+	goOn    chan struct{}
+	// executed holds the epochs of the orders in the order of their execution.
+	executed []uint64
+}
+
+func (p *stallingPlatform) OrderUpstreams(ctx context.Context, order Order) error {
+	p.mu.Lock()
+	if !p.stalled {
+		p.executed = append(p.executed, order.Epoch)
+		p.mu.Unlock()
+		return nil
+	}
+	p.waiting = append(p.waiting, order)
+	goOn := p.goOn
+	p.mu.Unlock()
+	select {
+	case <-goOn:
+		return nil
+	case <-ctx.Done():
+		return errors.WithStack(&fault.StoreUnavailable{Operation: "order", EffectUnknown: true})
+	}
+}
+
+func (p *stallingPlatform) stall() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.stalled, p.goOn = true, make(chan struct{})
+}
+
+func (p *stallingPlatform) resume() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for i := len(p.waiting) - 1; i >= 0; i-- {
+		p.executed = append(p.executed, p.waiting[i].Epoch)
+	}
+	p.stalled, p.waiting = false, nil
+	close(p.goOn)
+}
+
+// awaitOrder waits until an order waits.
+func (p *stallingPlatform) awaitOrder() {
+	for {
+		p.mu.Lock()
+		n := len(p.waiting)
+		p.mu.Unlock()
+		if n > 0 {
+			return
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// Guards against a stop that lets the next holder order while an order of the stopped one
+// waits at a platform that stands still.
+func TestOrderThatWaitsAtThePlatformIsNotOvertakenAfterAStop(t *testing.T) {
+	for _, c := range []struct {
+		name                  string
+		stalledFor, stopAfter time.Duration
+	}{
+		{"order in flight", 1500 * time.Millisecond, 10 * time.Millisecond},
+		{"order in flight at a long stall", 3 * time.Second, 10 * time.Millisecond},
+		{"abandoned order", 3 * time.Second, orderTimeout + 100*time.Millisecond},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			// The phases shift the stop against the polls of the next holder.
+			for phase := time.Duration(0); phase < leaseTerm; phase += 100 * time.Millisecond {
+				synctest.Test(t, func(t *testing.T) {
+					store, counts, p := memory.New(), &fakeCounts{set: map[string]KindCounts{"lm": {4, 0}}}, &stallingPlatform{}
+					stop := startOrderer(t, store, counts, p, "a")
+					time.Sleep(5 * time.Second)
+					startOrderer(t, store, counts, p, "b")
+					time.Sleep(time.Second + phase)
+					p.stall()
+					counts.replace(map[string]KindCounts{"lm": {5, 0}})
+					p.awaitOrder()
+					time.Sleep(c.stopAfter)
+					stop()
+					time.Sleep(c.stalledFor - c.stopAfter)
+					p.resume()
+					time.Sleep(10 * time.Second)
+					if !slices.IsSorted(p.executed) {
+						t.Errorf("phase %s: epochs %v", phase, p.executed)
+					}
+					if last := p.executed[len(p.executed)-1]; last != 2 {
+						t.Errorf("phase %s: the last order has epoch %d, want 2 of the new holder", phase, last)
+					}
+				})
+			}
+		})
+	}
+}
