Failing test: a usage report of a stopped holder is taken after one of the next holder

go test -run TestReportThatWaits ./internal/usagewindow -count=1: --- FAIL: TestReportThatWaitsAtBillingIsNotOvertakenAfterAStop (0.01s) --- FAIL: .../report_in_flight (0.01s) phase 400ms: reports of holders a (epoch 1), b (2), a (1), b (2), b (2) --- FAIL: .../report_in_flight_at_a_long_stall (0.00s) phase 0s: a (1), b (2), b (2), a (1), b (2), b (2) --- FAIL: .../abandoned_report (0.00s) phase 0s: a (1), b (2), a (1), a (1), b (2), b (2)

--- a/internal/usagewindow/usagewindow_test.go
+++ b/internal/usagewindow/usagewindow_test.go
@@ -1,9 +1,11 @@
 package usagewindow
 
 import (
+	"cmp"
 	"context"
 	"maps"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -63,7 +65,7 @@
 	kill  context.CancelFunc
 }
 
-func startVM(t *testing.T, store *memory.Store, b *fakeBilling, name string) vm {
+func startVM(t *testing.T, store *memory.Store, b Billing, name string) vm {
 	events := event.NewRecorder(name, 64, event.NewClock(time.Now), zap.NewNop())
 	clock := NewFleetClock(store)
 	if err := clock.SyncOffset(t.Context(), store); err != nil {
@@ -439,3 +441,102 @@
 		})
 	}
 }
+
+// stallingBilling stands still for a while: it accepts connections, and takes what waits
+// there, the newest report first, when it goes on. It takes reports also if their sender has
+// given up.
+type stallingBilling struct {
+	mu      sync.Mutex
+	stalled bool
+	waiting []Report
+	goOn    chan struct{}
+	// taken holds the reports in the order in which they were taken.
+	taken []Report
+}
+
+func (b *stallingBilling) ReportUsage(ctx context.Context, report Report) error {
+	b.mu.Lock()
+	if !b.stalled {
+		b.taken = append(b.taken, report)
+		b.mu.Unlock()
+		return nil
+	}
+	b.waiting = append(b.waiting, report)
+	goOn := b.goOn
+	b.mu.Unlock()
+	select {
+	case <-goOn:
+		return nil
+	case <-ctx.Done():
+		return errors.WithStack(&fault.StoreUnavailable{Operation: "report", EffectUnknown: true})
+	}
+}
+
+func (b *stallingBilling) stall() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.stalled, b.goOn = true, make(chan struct{})
+}
+
+func (b *stallingBilling) resume() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for i := len(b.waiting) - 1; i >= 0; i-- {
+		b.taken = append(b.taken, b.waiting[i])
+	}
+	b.stalled, b.waiting = false, nil
+	close(b.goOn)
+}
+
+// awaitReport waits until a report waits.
+func (b *stallingBilling) awaitReport() {
+	for {
+		b.mu.Lock()
+		n := len(b.waiting)
+		b.mu.Unlock()
+		if n > 0 {
+			return
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// Guards against a stop that lets the next holder report while a report of the stopped one
+// waits at billing, which stands still.
+func TestReportThatWaitsAtBillingIsNotOvertakenAfterAStop(t *testing.T) {
+	for _, c := range []struct {
+		name                  string
+		stalledFor, stopAfter time.Duration
+	}{
+		{"report in flight", 1500 * time.Millisecond, 10 * time.Millisecond},
+		{"report in flight at a long stall", 3 * time.Second, 10 * time.Millisecond},
+		{"abandoned report", 3 * time.Second, reportTimeout + 100*time.Millisecond},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			// The phases shift the stop against the polls of the next holder.
+			for phase := time.Duration(0); phase < windowLength; phase += 200 * time.Millisecond {
+				synctest.Test(t, func(t *testing.T) {
+					store, b := memory.New(), &stallingBilling{}
+					a := startVM(t, store, b, "a")
+					a.waitForNextWindow()
+					time.Sleep(phase)
+					startVM(t, store, b, "b")
+					a.waitForNextWindow()
+					b.stall()
+					b.awaitReport()
+					time.Sleep(c.stopAfter)
+					a.kill()
+					time.Sleep(c.stalledFor - c.stopAfter)
+					b.resume()
+					time.Sleep(10 * time.Second)
+					if !slices.IsSortedFunc(b.taken, func(x, y Report) int { return cmp.Compare(x.Epoch, y.Epoch) }) {
+						t.Errorf("phase %s: reports %+v", phase, b.taken)
+					}
+					if last := b.taken[len(b.taken)-1]; last.Holder != "b" {
+						t.Errorf("phase %s: the last report is %+v, want one of b", phase, last)
+					}
+				})
+			}
+		})
+	}
+}
