Check the lease directly before each system call that writes an order

An order could be written by a process that had lost its lease. The guard was checked when the connection was handed over (GotConn). Between that and the system call lie two handoffs between goroutines, and a large write makes several system calls and waits for its receiver between them; there only the write deadline held it back. The deadline is a timer of the runtime: a goroutine that is past its test of it, or runs before the timer does, writes after a pause.

The connection (dial.Conn) now checks the guard itself before each system call, within the runtime's write lock of the socket; connections with TLS are checked underneath. The write deadline stays. A connection that can't be checked is closed, so its request fails unwritten. What remains is a pause between the check and the system call (docs/PROOFS.md).

--- a/internal/dial/conn.go
+++ b/internal/dial/conn.go
@@ -2,7 +2,9 @@
 
 import (
 	"net"
+	"os"
 	"sync/atomic"
+	"syscall"
 
 	"github.com/cockroachdb/errors"
 )
@@ -23,6 +25,7 @@
 type Conn struct {
 	net.Conn
 	state atomic.Int32
+	check atomic.Pointer[func() error]
 }
 
 // NewConn returns a Conn that wraps conn.
@@ -32,13 +35,17 @@
 // overlap.
 func (c *Conn) Begin() { c.state.Store(unwritten) }
 
+// CheckBeforeWrites makes Write call check directly before each system call that writes,
+// and fail with check's error without that call. It stays in force for later requests.
+func (c *Conn) CheckBeforeWrites(check func() error) { c.check.Store(&check) }
+
 // Write implements net.Conn. It fails if the request was withdrawn.
 func (c *Conn) Write(p []byte) (int, error) {
 	first := c.state.CompareAndSwap(unwritten, written)
 	if !first && c.state.Load() == withdrawn {
 		return 0, errors.WithStack(errWithdrawn)
 	}
-	n, err := c.Conn.Write(p)
+	n, err := c.write(p)
 	if first && n == 0 {
 		// The peer had reset the connection already and received nothing.
 		c.state.Store(unwritten)
@@ -46,6 +53,52 @@
 	return n, err
 }
 
+func (c *Conn) write(p []byte) (int, error) {
+	check := c.check.Load()
+	if check == nil {
+		return c.Conn.Write(p)
+	}
+	if socket, ok := c.Conn.(syscall.Conn); ok {
+		return writeChecked(socket, p, *check)
+	}
+	if err := (*check)(); err != nil {
+		return 0, err
+	}
+	return c.Conn.Write(p)
+}
+
+// writeChecked writes p to the socket and calls check before each system call. A single
+// Write of net.Conn can make several, and waits for the peer between them.
+func writeChecked(socket syscall.Conn, p []byte, check func() error) (n int, err error) {
+	raw, err := socket.SyscallConn()
+	if err != nil {
+		return 0, errors.WithStack(err)
+	}
+	var failure error
+	err = raw.Write(func(fd uintptr) (done bool) {
+		for n < len(p) {
+			if failure = check(); failure != nil {
+				return true
+			}
+			written, err := syscall.Write(int(fd), p[n:])
+			n += max(written, 0)
+			switch {
+			case err == nil, errors.Is(err, syscall.EINTR):
+			case errors.Is(err, syscall.EAGAIN):
+				return false
+			default:
+				failure = errors.WithStack(os.NewSyscallError("write", err))
+				return true
+			}
+		}
+		return true
+	})
+	if failure == nil && err != nil {
+		failure = errors.WithStack(err)
+	}
+	return n, failure
+}
+
 // Withdraw withdraws the current request unless a byte of it was written, and reports
 // whether it did.
 func (c *Conn) Withdraw() bool { return c.state.CompareAndSwap(unwritten, withdrawn) }
--- a/internal/fence/fence.go
+++ b/internal/fence/fence.go
@@ -1,14 +1,15 @@
 // Package fence ties requests on the wire to a lease. A process can be paused between
 // its last check of the lease and the write of an order. The order would then be sent
 // although another process holds the lease by then, and upstreams that ignore fencing
-// tokens would execute the orders of both. So the lease is checked again once the
-// connection is established, directly before the write, and the end of the term becomes
-// the write deadline of the connection. The connection of a request that is not
-// answered in time is reset, so that the kernel does not deliver the request later.
+// tokens would execute the orders of both. So the connection checks the lease directly
+// before each system call that writes, and the end of the term is its write deadline. The
+// connection of a request that is not answered in time is reset, so that the kernel does
+// not deliver the request later.
 package fence
 
 import (
 	"context"
+	"crypto/tls"
 	"net"
 	"net/http"
 	"net/http/httptrace"
@@ -28,24 +29,30 @@
 }
 
 // WithGuard returns a context whose HTTP requests are written only while the guard's
-// lease is held. Use it with a client of NewClient: on a reused connection the write
-// deadline would outlast the request.
+// lease is held. Use it with a client of NewClient only: other connections are closed, and
+// on a reused one the limits would outlast the request.
 func WithGuard(ctx context.Context, guard Guard) context.Context {
 	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) { limitWrites(info.Conn, guard) },
 	})
 }
 
-// limitWrites makes writes to conn fail after the end of the term, and at once if the
-// lease is not held. If it can't set the deadline it closes the connection, so that the
-// request fails unwritten.
+// limitWrites makes writes to conn fail once the lease is not held, and after the end of
+// the present term. The write deadline alone is not enough: it is a timer of the runtime,
+// and a write that is past its test of the deadline goes on. If the limits can't be set,
+// the connection is closed, so that the request fails unwritten.
 func limitWrites(conn net.Conn, guard Guard) {
-	deadline := guard.Deadline()
-	if guard.Check() != nil {
-		deadline = time.Unix(1, 0)
+	if encrypted, ok := conn.(*tls.Conn); ok {
+		conn = encrypted.NetConn()
 	}
-	if err := conn.SetWriteDeadline(deadline); err != nil {
+	checked, ok := conn.(*dial.Conn)
+	if !ok {
 		_ = conn.Close()
+		return
+	}
+	checked.CheckBeforeWrites(guard.Check)
+	if err := checked.SetWriteDeadline(guard.Deadline()); err != nil {
+		_ = checked.Close()
 	}
 }
 
--- a/internal/fence/fence_test.go
+++ b/internal/fence/fence_test.go
@@ -173,3 +173,33 @@
 		t.Errorf("the receiver got %d bytes, want less than the order's %d", n, size)
 	}
 }
+
+// Guards against a lease that is not checked at connections with TLS, which hide the
+// checked one.
+func TestOrderOverTLSIsSentOnlyWhileTheLeaseIsHeld(t *testing.T) {
+	var count atomic.Int64
+	server := httptest.NewTLSServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { count.Add(1) }))
+	t.Cleanup(server.Close)
+	for _, lost := range []bool{false, true} {
+		guard := &fakeGuard{deadline: time.Now().Add(time.Hour)}
+		ctx := httptrace.WithClientTrace(WithGuard(t.Context(), guard), &httptrace.ClientTrace{
+			WroteHeaders: func() { guard.lost.Store(lost) },
+		})
+		client := NewClient(time.Second, 10*time.Second)
+		client.Transport.(*http.Transport).TLSClientConfig = server.Client().Transport.(*http.Transport).TLSClientConfig
+		request, err := http.NewRequestWithContext(ctx, http.MethodPost, server.URL, strings.NewReader("order"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		response, err := client.Do(request)
+		if err == nil {
+			_ = response.Body.Close()
+		}
+		if (err != nil) != lost {
+			t.Errorf("lease lost %v: %v", lost, err)
+		}
+	}
+	if count.Load() != 1 {
+		t.Errorf("the receiver got %d orders, want 1", count.Load())
+	}
+}
