A new lease holder orders an engine only after it has seen it running for 500 ms

An engine that stands still doesn't read its connections, but its kernel keeps what arrived, also after the sender reset the connection at its order timeout. On its return the engine serves what waits in no particular order. The next holder waited 1.0 s from its acquisition, whatever the engine did, and then trusted a report that had just been answered.

The loader now probes the engines of its failure domain from 0.4 s after the acquisition, by reports over a new connection each. Connections are accepted in their order, so an answer shows that the engine has accepted what arrived earlier. The first order of a term goes to an engine once its answers cover 500 ms, each gap counted as at most 100 ms. A failed probe starts over, after the backoff of a failed load. Unsettled engines take no place of loads in progress; engines without a due load are settled in the background, 16 at once.

This is a bound and not a proof: an engine that answers new connections must read what waits on its other ones within 500 ms of running, and a stall between two answers counts as up to 100 ms of running. A kernel that resends for a paused holder is not bounded by this change.

Cost: eight reports of each engine in each term.

--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -66,6 +66,7 @@
 	DomainEvacuated  Number = 1510
 	DomainRestored   Number = 1511
 	OrderUnanswered  Number = 1512
+	OrderHeldBack    Number = 1513
 
 	WindowSealed    Number = 1601
 	UsageReported   Number = 1602
@@ -147,6 +148,7 @@
 	{DomainEvacuated, zap.WarnLevel, "failure domain evacuated", "The failure domain in Detail is evacuated; its upstreams receive no more work. Count is the number of its listed upstreams."},
 	{DomainRestored, zap.InfoLevel, "failure domain restored", "The evacuation of the failure domain in Detail has ended; its Count upstreams receive work again as they warm up."},
 	{OrderUnanswered, zap.WarnLevel, "order unanswered", "An order to an engine got no answer and may still take effect. Detail gives the expected sequence number, the rest of the term when the order was started, and the time until it was abandoned."},
+	{OrderHeldBack, zap.WarnLevel, "order held back", "A load of the weight version in Count is due on an engine that this lease holder has not yet seen running for long enough, since an order of the previous holder may still wait there. Reported once per engine and term; Detail gives the model, when the first load was due, and the failure of the last probe."},
 	{WindowSealed, zap.InfoLevel, "window sealed", "The VM stored its final usage of the window that starts at Count."},
 	{UsageReported, zap.InfoLevel, "usage reported", "Billing accepted the account's report of the window that starts at Count; Detail says whether the report corrects an earlier window."},
 	{UsageIncomplete, zap.WarnLevel, "usage incomplete", "Usage of a window was not stored or not reported; Detail gives the reason. Without Detail, the account's report lacks usage of a dead VM."},
--- a/internal/weightload/loader.go
+++ b/internal/weightload/loader.go
@@ -87,6 +87,9 @@
 type Engines interface {
 	Report(ctx context.Context, e *target.Entry) (Report, error)
 	Order(ctx context.Context, e *target.Entry, order Order) (Reply, error)
+	// Probe reads the engine's report over a new connection. An engine accepts connections
+	// in their order, so an answer shows that it has accepted all earlier ones.
+	Probe(ctx context.Context, e *target.Entry) error
 }
 
 // Demands reports the demand for the models, in a fixed order.
@@ -131,38 +134,84 @@
 }
 
 // serveTerm orders weight loads during one lease term, until ctx ends. It first waits
-// until no order of the previous holder can arrive any more, since these engines don't
-// compare epochs.
+// until no order of the previous holder can be sent any more, since these engines don't
+// compare epochs. An engine that stood still can read such an order later, so it gets no
+// order before the settler has seen it running for a while.
 func (l *Loader) serveTerm(ctx context.Context, guard lease.Guard) error {
-	if err := lease.WaitOrderGracePeriod(ctx, guard, orderTimeout); err != nil {
+	var tasks sync.WaitGroup
+	defer tasks.Wait()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	settler := newSettler(l, guard.Epoch())
+	// An order that the previous holder's kernel still resends after an expired term ends by
+	// the order timeout, which the lease's margin and this wait exceed.
+	const settleWindow = settleTime + settleSlack
+	grace := lease.OrderGracePeriod(orderTimeout)
+	if !wait.For(ctx, grace-settleWindow) {
+		return context.Cause(ctx)
+	}
+	if err := repeat(ctx, settleWindow, func() { l.startTasks(ctx, guard, settler, false, &tasks) }); err != nil {
+		return err
+	}
+	if err := guard.Check(); err != nil {
 		return err
 	}
+	return repeat(ctx, 0, func() { l.startTasks(ctx, guard, settler, true, &tasks) })
+}
+
+// repeat calls pass at once and then at each planInterval, for d or without an end if d is
+// 0. It fails with the cause of ctx when ctx ends first.
+func repeat(ctx context.Context, d time.Duration, pass func()) error {
+	var end <-chan time.Time
+	if d > 0 {
+		timer := time.NewTimer(d)
+		defer timer.Stop()
+		end = timer.C
+	}
 	ticker := time.NewTicker(planInterval)
 	defer ticker.Stop()
-	var loads sync.WaitGroup
-	defer loads.Wait()
 	for {
-		for _, service := range l.Demands.EngineServices() {
-			l.startDueLoads(ctx, guard, service, &loads)
-		}
+		pass()
 		select {
 		case <-ctx.Done():
 			return context.Cause(ctx)
+		case <-end:
+			return nil
 		case <-ticker.C:
 		}
 	}
 }
 
-// startDueLoads starts the weight loads of a service that are due.
-func (l *Loader) startDueLoads(ctx context.Context, guard lease.Guard, service string, loads *sync.WaitGroup) {
-	demands := l.Demands.Models(service)
-	engines, preceding := l.domainEngines(service)
-	if len(demands) == 0 || len(engines) == 0 {
-		return
+// startTasks starts the weight loads that are due, if orders are allowed already, and the
+// probes of engines that are not settled.
+func (l *Loader) startTasks(ctx context.Context, guard lease.Guard, settler *settler, ordersAllowed bool, tasks *sync.WaitGroup) {
+	for _, service := range l.Demands.EngineServices() {
+		engines, preceding := l.domainEngines(service)
+		busy := l.busyEngines(engines)
+		var due []PlannedLoad
+		if demands := l.Demands.Models(service); len(demands) > 0 && len(engines) > 0 {
+			due = planLoads(engines, demands, engineCounts(demands, preceding, len(engines)), busy, len(engines))
+		}
+		limit := maxConcurrentLoads(len(engines))
+		if ordersAllowed {
+			l.startDueLoads(ctx, guard, settler, due, limit-l.countLoading(), tasks)
+		}
+		settler.startDue(ctx, due, max(limit, maxBackgroundProbes), tasks)
+		settler.startOthers(ctx, engines, busy, tasks)
 	}
-	busy := l.busyEngines(engines)
-	limit := maxConcurrentLoads(len(engines)) - l.countLoading()
-	for _, planned := range planLoads(engines, demands, engineCounts(demands, preceding, len(engines)), busy, limit) {
+}
+
+// startDueLoads starts at most limit of the due loads on settled engines.
+func (l *Loader) startDueLoads(ctx context.Context, guard lease.Guard, settler *settler, due []PlannedLoad, limit int, loads *sync.WaitGroup) {
+	for _, planned := range due {
+		if !settler.isSettled(planned.Engine) {
+			settler.noteHeldBack(planned)
+			continue
+		}
+		if limit <= 0 {
+			continue
+		}
+		limit--
 		l.setBusy(planned.Engine, true)
 		loads.Go(func() {
 			defer l.setBusy(planned.Engine, false)
@@ -285,6 +334,12 @@
 	return l.Engines.Report(ctx, e)
 }
 
+func (l *Loader) probe(ctx context.Context, e *target.Entry) error {
+	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
+	defer cancel()
+	return l.Engines.Probe(ctx, e)
+}
+
 func (l *Loader) sendOrder(ctx context.Context, guard lease.Guard, planned PlannedLoad, sequence int64) (Reply, error) {
 	if err := guard.Check(); err != nil {
 		return Rejected, err
--- /dev/null
+++ b/internal/weightload/settle.go
@@ -0,0 +1,178 @@
+package weightload
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"dogwoodpond/internal/event"
+	"dogwoodpond/internal/target"
+	"dogwoodpond/internal/wait"
+)
+
+const (
+	// settleTime is how long a new lease holder must see an engine running before its
+	// first order there. An engine that answers new connections has read by then what
+	// waited on its other connections.
+	settleTime = 500 * time.Millisecond
+	// settleSlack is the time for the answers to the probes of an engine that runs all
+	// along, so that it is settled at the end of the order grace period.
+	settleSlack = 100 * time.Millisecond
+	// probeInterval is the interval between two probes of an engine. maxCountedGap is how
+	// much of the time between two answers counts as running, at most.
+	probeInterval = 80 * time.Millisecond
+	maxCountedGap = 100 * time.Millisecond
+	// maxBackgroundProbes is how many engines without a due load are probed at once.
+	maxBackgroundProbes = 16
+	// heldBackReportAfter is how long loads on an engine are held back before an event
+	// reports it.
+	heldBackReportAfter = time.Second
+)
+
+// settling decides whether an engine has run for settleTime, from the times of its answers.
+// What happened between two answers is not known: the engine may have stood still. So a
+// stall counts as at most maxCountedGap of running. A slow engine settles too, since each
+// answer counts. After a probe without an answer, a new settling must be started.
+type settling struct {
+	lastAnswer time.Time
+	counted    time.Duration
+}
+
+// noteAnswer records that the engine answered a probe at now.
+func (s *settling) noteAnswer(now time.Time) {
+	if !s.lastAnswer.IsZero() {
+		s.counted += min(now.Sub(s.lastAnswer), maxCountedGap)
+	}
+	s.lastAnswer = now
+}
+
+func (s *settling) settled() bool { return s.counted >= settleTime }
+
+// settler probes the engines of a failure domain during one lease term, and knows which of
+// them may get orders in this term. It is safe for concurrent use.
+type settler struct {
+	loader *Loader
+	epoch  uint64
+
+	mu      sync.Mutex
+	settled map[*target.Entry]bool
+	probing map[*target.Entry]bool
+	// heldBack holds the engines on which a load was due before they were settled.
+	heldBack map[*target.Entry]*heldBack
+}
+
+// heldBack says since when loads on an engine are held back.
+type heldBack struct {
+	// since is when the first load was due.
+	since    time.Time
+	reported bool
+	// failure is the failure of the last probe without an answer.
+	failure error
+}
+
+func newSettler(l *Loader, epoch uint64) *settler {
+	return &settler{
+		loader: l, epoch: epoch,
+		settled: make(map[*target.Entry]bool), probing: make(map[*target.Entry]bool), heldBack: make(map[*target.Entry]*heldBack),
+	}
+}
+
+func (s *settler) isSettled(e *target.Entry) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.settled[e]
+}
+
+// startDue starts to probe the engines of due loads. At most limit engines are probed at
+// once.
+func (s *settler) startDue(ctx context.Context, due []PlannedLoad, limit int, probes *sync.WaitGroup) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, planned := range due {
+		s.start(ctx, planned.Engine, limit, probes)
+	}
+}
+
+// startOthers starts to probe the engines that are not busy, so that a later load finds
+// them settled.
+func (s *settler) startOthers(ctx context.Context, engines []*target.Entry, busy map[*target.Entry]bool, probes *sync.WaitGroup) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, e := range engines {
+		if !busy[e] {
+			s.start(ctx, e, maxBackgroundProbes, probes)
+		}
+	}
+}
+
+// start starts to probe an engine, unless it is settled or limit engines are being probed.
+// s.mu must be held.
+func (s *settler) start(ctx context.Context, e *target.Entry, limit int, probes *sync.WaitGroup) {
+	if s.settled[e] || s.probing[e] || len(s.probing) >= limit {
+		return
+	}
+	s.probing[e] = true
+	probes.Go(func() { s.settle(ctx, e) })
+}
+
+// settle probes the engine until it is settled, a probe fails or ctx ends.
+func (s *settler) settle(ctx context.Context, e *target.Entry) {
+	defer func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		delete(s.probing, e)
+	}()
+	var answers settling
+	for ctx.Err() == nil && !s.loader.Roster.Evacuated(s.loader.Domain) {
+		startedAt := time.Now()
+		if err := s.loader.probe(ctx, e); err != nil {
+			if ctx.Err() == nil {
+				s.loader.markSuspect(e)
+				s.noteFailure(e, err)
+			}
+			return
+		}
+		answers.noteAnswer(time.Now())
+		if answers.settled() {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			s.settled[e] = true
+			delete(s.heldBack, e)
+			return
+		}
+		wait.For(ctx, time.Until(startedAt.Add(probeInterval)))
+	}
+}
+
+func (s *settler) noteFailure(e *target.Entry, err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if held := s.heldBack[e]; held != nil {
+		held.failure = err
+	}
+}
+
+// noteHeldBack records that a load is due on an engine that is not settled, and reports it
+// once if that takes long.
+func (s *settler) noteHeldBack(planned PlannedLoad) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	held := s.heldBack[planned.Engine]
+	if held == nil {
+		held = &heldBack{since: time.Now()}
+		s.heldBack[planned.Engine] = held
+	}
+	age := time.Since(held.since)
+	if held.reported || age < heldBackReportAfter {
+		return
+	}
+	held.reported = true
+	detail := fmt.Sprintf("%s: first load due %s ago", planned.Model, age.Round(time.Millisecond))
+	if held.failure != nil {
+		detail += ": " + held.failure.Error()
+	}
+	s.loader.Events.Emit(event.OrderHeldBack, event.Subject{
+		Upstream: planned.Engine.Info().ID, Epoch: s.epoch, Count: planned.Version, Detail: detail,
+	})
+}
--- a/internal/weightload/weightload_test.go
+++ b/internal/weightload/weightload_test.go
@@ -115,6 +115,11 @@
 	return Report{Sequence: e.sequence, Busy: time.Now().Before(e.loadingUntil), Versions: versions}, nil
 }
 
+func (f *fleet) Probe(ctx context.Context, t *target.Entry) error {
+	_, err := f.Report(ctx, t)
+	return err
+}
+
 func (f *fleet) Order(ctx context.Context, t *target.Entry, c Order) (Reply, error) {
 	e := f.engines[t.Info().ID]
 	e.mu.Lock()
