A holder confirms its lease at the store before each order

One way to it: terms run on the monotonic clock, which stops while the machine is suspended. A holder that resumes passes its own check until its next renewal is refused, up to a third of a term and longer while it can't reach the store, although another VM holds the lease. Local clocks can't tell; the store can. The same holds for a process whose VM runs a newer one that has taken its lease without a wait.

Guard.Confirm reads the row with a read that begins after the call. Another holder or epoch ends the hold and the context of its duty at once; without an answer the order isn't sent now and is due again at the next search. It compares holder and epoch only, so a renewal in flight does not matter, and leaves the version to the renewals. Concurrent calls share a read that was not sent yet. It stands before each order of weightload, scaling and usagewindow, each report of usage and each round of orders of control.

What remains: a suspension between the answer to Confirm and the write.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -125,6 +125,9 @@
 		return
 	}
 	observed := c.observe(ctx, upstreams)
+	if guard.Confirm(ctx) != nil {
+		return
+	}
 	if versions, err := c.Platform.Latest(ctx); err == nil {
 		c.WeightUpdater.Tick(ctx, guard, weightEngines(observed), latestVersions(versions))
 	}
--- /dev/null
+++ b/internal/lease/confirm_test.go
@@ -0,0 +1,214 @@
+package lease
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"dogwoodpond/internal/fault"
+	"dogwoodpond/internal/platformapi"
+	"dogwoodpond/internal/platformapi/faultinject"
+)
+
+// overwriteRow gives a lease to another holder, as the row of a VM with a later epoch.
+func overwriteRow(t *testing.T, cluster *faultinject.Cluster, name string) {
+	t.Helper()
+	row, err := cluster.Rows.Get(t.Context(), keyPrefix+name)
+	if err != nil {
+		t.Fatal(err)
+	}
+	err = cluster.Rows.Commit(t.Context(), platformapi.Txn{
+		Nonce:         platformapi.NewNonce(),
+		Preconditions: []platformapi.Precondition{{Key: row.Key, Version: row.Version}},
+		Writes:        []platformapi.Write{{Key: row.Key, Value: platformapi.EncodeValue(Record{Holder: "vm-2/x", Epoch: 2})}},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+}
+
+// The row shows another holder before the term has ended by the local clock. The hold must end
+// at once, with the context of run, and not at the next renewal.
+func TestConfirmEndsAHoldThatTheRowContradicts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cluster := faultinject.NewCluster(faultinject.NoFaults)
+		p := cluster.Start(t.Context(), "vm-1")
+		defer p.Stop()
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			_ = newTestManager(p).Campaign(p.Context, "a", func(ctx context.Context, g Guard) (bool, error) {
+				if err := g.Confirm(ctx); err != nil {
+					t.Errorf("Confirm of a held lease: %v", err)
+				}
+				overwriteRow(t, cluster, "a")
+				started := time.Now()
+				if err := g.Confirm(ctx); !fault.Is[*fault.LeaseLost](err) {
+					t.Errorf("Confirm of a lost lease: %v, want a lost lease", err)
+				}
+				if g.Check() == nil || !fault.Is[*fault.LeaseLost](context.Cause(ctx)) {
+					t.Errorf("after a refused Confirm the guard passes or run goes on: cause %v", context.Cause(ctx))
+				}
+				if time.Since(started) > 0 {
+					t.Errorf("the hold ended after %s", time.Since(started))
+				}
+				return true, nil
+			})
+		}()
+		time.Sleep(testTerm)
+		p.Stop()
+		<-done
+		row, err := cluster.Rows.Get(t.Context(), keyPrefix+"a")
+		var record Record
+		if err != nil || row.Decode(&record) != nil || record.Holder != "vm-2/x" {
+			t.Errorf("the row of the next holder was overwritten: %s, error %v", row.Value, err)
+		}
+	})
+}
+
+// The store does not answer. The lease is neither confirmed nor lost.
+func TestUnansweredConfirmKeepsTheHold(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cluster := faultinject.NewCluster(faultinject.NoFaults)
+		p := cluster.Start(t.Context(), "vm-1")
+		_ = newTestManager(p).Campaign(p.Context, "a", func(ctx context.Context, g Guard) (bool, error) {
+			cluster.TakeStoreDown(2 * time.Second)
+			if err := g.Confirm(ctx); !fault.Is[*fault.StoreUnavailable](err) {
+				t.Errorf("Confirm without an answer: %v, want an unavailable store", err)
+			}
+			if g.Check() != nil || ctx.Err() != nil {
+				t.Error("the hold ended without an answer of the store")
+			}
+			time.Sleep(2 * time.Second)
+			if err := g.Confirm(ctx); err != nil {
+				t.Errorf("Confirm after the outage: %v", err)
+			}
+			return true, nil
+		})
+	})
+}
+
+// slowTables answers each read of a row after delay, with the row as it was at first.
+type slowTables struct {
+	platformapi.Tables
+	delay time.Duration
+	reads atomic.Int64
+}
+
+func (s *slowTables) Get(ctx context.Context, key string) (platformapi.Row, error) {
+	s.reads.Add(1)
+	row, err := s.Tables.Get(ctx, key)
+	time.Sleep(s.delay)
+	return row, err
+}
+
+// Many calls begin while a read is in flight. They must share one read; and they must not take the
+// result of the one in flight, which began before the row changed.
+func TestConcurrentConfirmsShareALaterRead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cluster := faultinject.NewCluster(faultinject.NoFaults)
+		p := cluster.Start(t.Context(), "vm-1")
+		tables := &slowTables{Tables: p, delay: 100 * time.Millisecond}
+		m := newTestManager(p)
+		m.tables = tables
+		_ = m.Campaign(p.Context, "a", func(ctx context.Context, g Guard) (bool, error) {
+			before := tables.reads.Load()
+			var first error
+			var calls sync.WaitGroup
+			calls.Go(func() { first = g.Confirm(ctx) })
+			time.Sleep(50 * time.Millisecond)
+			overwriteRow(t, cluster, "a")
+			var lost atomic.Int64
+			for range 20 {
+				calls.Go(func() {
+					if fault.Is[*fault.LeaseLost](g.Confirm(context.WithoutCancel(ctx))) {
+						lost.Add(1)
+					}
+				})
+			}
+			calls.Wait()
+			if first != nil || lost.Load() != 20 {
+				t.Errorf("the first call failed with %v, %d of 20 later ones found the loss", first, lost.Load())
+			}
+			if n := tables.reads.Load() - before; n != 2 {
+				t.Errorf("21 calls made %d reads, want 2", n)
+			}
+			return true, nil
+		})
+	})
+}
+
+// A caller that gives up must not end the read for the others.
+func TestCanceledConfirmDoesNotFailTheOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cluster := faultinject.NewCluster(faultinject.NoFaults)
+		p := cluster.Start(t.Context(), "vm-1")
+		m := newTestManager(p)
+		m.tables = &slowTables{Tables: p, delay: 100 * time.Millisecond}
+		_ = m.Campaign(p.Context, "a", func(ctx context.Context, g Guard) (bool, error) {
+			var calls sync.WaitGroup
+			calls.Go(func() {
+				early, cancel := context.WithTimeout(ctx, 10*time.Millisecond)
+				defer cancel()
+				if g.Confirm(early) == nil {
+					t.Error("a call confirmed the lease after its context had ended")
+				}
+			})
+			synctest.Wait()
+			calls.Go(func() {
+				if err := g.Confirm(ctx); err != nil {
+					t.Errorf("another call failed: %v", err)
+				}
+			})
+			calls.Wait()
+			return true, nil
+		})
+	})
+}
+
+// Renewals are in flight, late, lost or repeated while the lease is confirmed. A row with the own
+// holder and epoch must not end the hold, and a Confirm must not disturb the renewals.
+func TestConfirmDoesNotEndAHoldDuringRenewals(t *testing.T) {
+	for seed := range uint64(200) {
+		synctest.Test(t, func(t *testing.T) {
+			random, pauses := rand.New(rand.NewPCG(seed, 0)), rand.New(rand.NewPCG(seed, 1))
+			cluster := faultinject.NewCluster(func(s faultinject.Step) faultinject.Fault {
+				if s.Index < 2 || random.IntN(3) > 0 {
+					return faultinject.Fault{}
+				}
+				kinds := []faultinject.Kind{faultinject.LoseReply, faultinject.LoseRequest, faultinject.DelayEffect}
+				if s.Call == "get" {
+					kinds = kinds[:2]
+				}
+				return faultinject.Fault{Kind: kinds[random.IntN(len(kinds))], Duration: time.Duration(random.Int64N(int64(testTerm)))}
+			})
+			p := cluster.Start(t.Context(), "vm-1")
+			epochs := 0
+			var group sync.WaitGroup
+			group.Go(func() {
+				_ = newTestManager(p).Campaign(p.Context, "a", func(ctx context.Context, g Guard) (bool, error) {
+					epochs++
+					for ctx.Err() == nil {
+						deadline := g.Deadline()
+						if err := g.Confirm(ctx); fault.Is[*fault.LeaseLost](err) && time.Now().Before(deadline) {
+							t.Errorf("seed %d: epoch %d: %v, %s before the end of the term", seed, g.Epoch(), err, time.Until(deadline))
+						}
+						_ = sleep(ctx, time.Duration(pauses.Int64N(int64(300*time.Millisecond))))
+					}
+					return false, nil
+				})
+			})
+			time.Sleep(10 * testTerm)
+			p.Stop()
+			group.Wait()
+			time.Sleep(testTerm)
+			if epochs == 0 {
+				t.Errorf("seed %d: the lease was never held", seed)
+			}
+		})
+	}
+}
--- a/internal/lease/manager.go
+++ b/internal/lease/manager.go
@@ -216,7 +216,7 @@
 	defer c.manager.held.Add(-1)
 	renewCtx, stopRenewing := context.WithCancel(context.WithoutCancel(ctx))
 	runCtx, stopRun := context.WithCancelCause(ctx)
-	// Both renewLoop and the check after run can find the loss; the event is emitted
+	// renewLoop, Confirm and the check after run can find the loss; the event is emitted
 	// once.
 	emitLoss := sync.OnceFunc(func() { c.emit(event.LeaseLost, hold.Epoch()) })
 	var renewals sync.WaitGroup
@@ -236,7 +236,17 @@
 		}
 		c.release(ctx, hold)
 	}()
-	return run(runCtx, hold)
+	return run(runCtx, &confirmer{
+		Hold: hold,
+		read: func(ctx context.Context) (Record, error) {
+			record, _, err := c.read(ctx)
+			return record, err
+		},
+		onLost: func(err error) {
+			emitLoss()
+			stopRun(err)
+		},
+	})
 }
 
 // renewLoop renews the lease. It returns nil when ctx ends, and *fault.LeaseLost when
--- a/internal/scaling/orderer.go
+++ b/internal/scaling/orderer.go
@@ -110,7 +110,8 @@
 }
 
 // sendDueOrders sends the orders that are due, one after another. It fails when the
-// lease is lost.
+// lease is lost. If the store doesn't confirm the lease, the rest is due again at the next
+// call.
 func (o *Orderer) sendDueOrders(ctx context.Context, guard lease.Guard) error {
 	for service, counts := range o.DesiredCounts.Upstreams(o.Domain) {
 		for kind, count := range counts {
@@ -122,8 +123,8 @@
 			if known && last.count == count && time.Now().Before(last.repeatAt) {
 				continue
 			}
-			if err := guard.Check(); err != nil {
-				return err
+			if err := guard.Confirm(ctx); err != nil {
+				return o.noteUnconfirmed(err)
 			}
 			o.sendOrder(ctx, guard, key, count)
 		}
@@ -131,6 +132,16 @@
 	return nil
 }
 
+// noteUnconfirmed emits an event for a lease that was not confirmed, and returns the error if
+// the lease is lost.
+func (o *Orderer) noteUnconfirmed(err error) error {
+	if fault.Is[*fault.LeaseLost](err) {
+		return err
+	}
+	o.Events.Emit(event.OrderFailed, event.Subject{Lease: LeaseName(o.Domain), Detail: "lease not confirmed: " + err.Error()})
+	return nil
+}
+
 // sendOrder sends one order and records when it is sent again.
 func (o *Orderer) sendOrder(ctx context.Context, guard lease.Guard, key orderKey, count int) {
 	orderCtx, cancel := context.WithTimeout(fence.WithGuard(ctx, guard), orderTimeout)
--- a/internal/scaling/stopped_clock_test.go
+++ b/internal/scaling/stopped_clock_test.go
@@ -49,3 +49,25 @@
 		}
 	})
 }
+
+// Guards against an order that is lost because the store did not confirm the lease in time. The
+// outage is shorter than the term.
+func TestUnconfirmedOrderIsSentAfterTheOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store, counts, p := memory.New(), &fakeCounts{set: map[string]KindCounts{"lm": {4, 0}}}, &fakePlatform{}
+		startOrderer(t, store, counts, p, "a")
+		time.Sleep(5 * time.Second)
+		before := len(p.received())
+		store.SetDown(true)
+		counts.replace(map[string]KindCounts{"lm": {5, 0}})
+		time.Sleep(3 * planInterval)
+		if n := len(p.received()); n != before {
+			t.Errorf("%d orders without a confirmed lease", n-before)
+		}
+		store.SetDown(false)
+		time.Sleep(2 * planInterval)
+		if got := p.received()[before:]; len(got) != 1 || got[0].Count != 5 || got[0].Epoch != 1 {
+			t.Errorf("orders after the outage: %+v", got)
+		}
+	})
+}
--- a/internal/usage/reporter.go
+++ b/internal/usage/reporter.go
@@ -10,6 +10,7 @@
 	"dogwoodpond/internal/event"
 	"dogwoodpond/internal/fault"
 	"dogwoodpond/internal/fence"
+	"dogwoodpond/internal/lease"
 	"dogwoodpond/internal/platformapi"
 )
 
@@ -63,7 +64,7 @@
 
 // Run closes and reports windows until ctx ends or the lease is lost. It waits for interval
 // after a failure and when nothing is due.
-func (r *Reporter) Run(ctx context.Context, guard fence.Guard, interval time.Duration) {
+func (r *Reporter) Run(ctx context.Context, guard lease.Guard, interval time.Duration) {
 	for ctx.Err() == nil && guard.Check() == nil {
 		more, err := r.Advance(ctx, guard)
 		if more && err == nil {
@@ -79,7 +80,7 @@
 // Advance makes the next change to the oldest window that may not be reported yet: it raises
 // the cursor's floor, closes the window, sends its reports, or moves the cursor to the
 // next window. more is true if Advance may be called again at once.
-func (r *Reporter) Advance(ctx context.Context, guard fence.Guard) (more bool, err error) {
+func (r *Reporter) Advance(ctx context.Context, guard lease.Guard) (more bool, err error) {
 	cursor, cursorRow, err := readCursor(ctx, r.tables)
 	if err != nil {
 		return false, err
@@ -289,7 +290,7 @@
 
 // sendReports sends every report row of the window to billing, exactly as inserted. A
 // retry, also by the next lease holder, sends the same counts.
-func (r *Reporter) sendReports(ctx context.Context, guard fence.Guard, w Window, windowRow platformapi.Row) error {
+func (r *Reporter) sendReports(ctx context.Context, guard lease.Guard, w Window, windowRow platformapi.Row) error {
 	stored, err := scan(ctx, r.tables, reportPrefix(w))
 	if err != nil {
 		return err
@@ -312,8 +313,8 @@
 
 // sendReport checks the lease directly before it sends the report, since the process may
 // have been paused since the last check.
-func (r *Reporter) sendReport(ctx context.Context, guard fence.Guard, report Report) error {
-	if err := guard.Check(); err != nil {
+func (r *Reporter) sendReport(ctx context.Context, guard lease.Guard, report Report) error {
+	if err := guard.Confirm(ctx); err != nil {
 		return err
 	}
 	start := int64(report.Window) * int64(r.config.WindowLength/time.Second)
--- a/internal/usage/usage_test.go
+++ b/internal/usage/usage_test.go
@@ -121,6 +121,8 @@
 func (h fakeGuard) Epoch() uint64     { return uint64(h) }
 func (fakeGuard) Deadline() time.Time { return time.Now().Add(time.Hour) }
 
+func (fakeGuard) Confirm(context.Context) error { return nil }
+
 func newEvents() *event.Recorder {
 	return event.NewRecorder("vm", 64, event.NewClock(time.Now), zap.NewNop())
 }
--- a/internal/usagewindow/reporter.go
+++ b/internal/usagewindow/reporter.go
@@ -184,7 +184,7 @@
 	if err != nil {
 		return err
 	}
-	if err := guard.Check(); err != nil {
+	if err := guard.Confirm(ctx); err != nil {
 		return err
 	}
 	callCtx, cancel := context.WithTimeout(fence.WithGuard(ctx, guard), reportTimeout)
--- a/internal/weightload/loader.go
+++ b/internal/weightload/loader.go
@@ -248,6 +248,9 @@
 			wait.For(ctx, loadPollInterval)
 			continue
 		}
+		if !l.confirm(ctx, guard, subject) {
+			return
+		}
 		startedAt, termEnd := time.Now(), guard.Deadline()
 		reply, err := l.sendOrder(ctx, guard, planned, report.Sequence)
 		if err != nil && fault.Is[*fault.LeaseLost](err) {
@@ -274,6 +277,21 @@
 	l.Events.Emit(event.OrderFailed, withDetail(subject, planned.Model+": not done in time"))
 }
 
+// confirm confirms the lease, and reports whether it is held. If the store doesn't answer, the
+// load is due again at the next search.
+func (l *Loader) confirm(ctx context.Context, guard lease.Guard, subject event.Subject) bool {
+	err := guard.Confirm(ctx)
+	if err == nil {
+		return true
+	}
+	if fault.Is[*fault.LeaseLost](err) {
+		return false
+	}
+	l.Events.Emit(event.OrderFailed, withDetail(subject, subject.Detail+": lease not confirmed: "+err.Error()))
+	wait.For(ctx, loadPollInterval)
+	return false
+}
+
 func withDetail(s event.Subject, detail string) event.Subject {
 	s.Detail = detail
 	return s
--- a/internal/weightload/stopped_clock_test.go
+++ b/internal/weightload/stopped_clock_test.go
@@ -69,3 +69,24 @@
 	}
 	return n
 }
+
+// Guards against a load that is lost, or an engine that is avoided, because the store did not
+// confirm the lease in time. The outage is shorter than the term.
+func TestUnconfirmedLoadIsOrderedAfterTheOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(1)
+		f.startLoader(t, "a")
+		time.Sleep(5 * time.Second)
+		f.store.SetDown(true)
+		f.announceVersion("m", 2)
+		time.Sleep(1500 * time.Millisecond)
+		if n := f.takeOrders("a"); n != 0 {
+			t.Errorf("%d orders without a confirmed lease", n)
+		}
+		f.store.SetDown(false)
+		time.Sleep(500 * time.Millisecond)
+		if n := f.takeOrders("a"); n != 1 {
+			t.Errorf("%d orders within 0.5 s after the outage, want 1", n)
+		}
+	})
+}
