A refused read of a lease is not taken for a refusal of the order

Guard.Confirm passed on *fault.PlatformRefused if the store refused the read. usagewindow takes that error of a report for a refusal by billing, and gives the window up: it would never be billed. The store's client turns 429 and 503 into an unavailable store, so only another 4xx could do that. Confirm now fails with *fault.StoreUnavailable, with the cause as its secondary error.

TestRefusedConfirmIsNotARefusalOfTheOrder, before: "the platform refused read with status 400, want an unavailable store and a held lease"; now it passes.

--- a/internal/lease/confirm.go
+++ b/internal/lease/confirm.go
@@ -5,6 +5,8 @@
 	"sync"
 
 	"github.com/cockroachdb/errors"
+
+	"dogwoodpond/internal/fault"
 )
 
 // confirmer is the Guard of a hold that can read the lease's row. It is safe for concurrent use.
@@ -79,6 +81,10 @@
 
 func (c *confirmer) readRow(ctx context.Context) error {
 	record, err := c.read(ctx)
+	if err != nil && !fault.Is[*fault.StoreUnavailable](err) {
+		// A caller must not take a refused read for a refusal of its order.
+		return errors.WithSecondaryError(errors.WithStack(&fault.StoreUnavailable{Operation: "confirmation of a lease"}), err)
+	}
 	if err != nil {
 		return err
 	}
--- a/internal/lease/confirm_test.go
+++ b/internal/lease/confirm_test.go
@@ -9,6 +9,8 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"dogwoodpond/internal/fault"
 	"dogwoodpond/internal/platformapi"
 	"dogwoodpond/internal/platformapi/faultinject"
@@ -92,6 +94,39 @@
 	})
 }
 
+// refusingTables refuses reads while refusing is true.
+type refusingTables struct {
+	platformapi.Tables
+	refusing atomic.Bool
+}
+
+func (r *refusingTables) Get(ctx context.Context, key string) (platformapi.Row, error) {
+	if r.refusing.Load() {
+		return platformapi.Row{}, errors.WithStack(&fault.PlatformRefused{Operation: "read", Status: 400})
+	}
+	return r.Tables.Get(ctx, key)
+}
+
+// Guards against a usage window that is given up as refused by billing, because the store
+// refused the read of the lease before the report.
+func TestRefusedConfirmIsNotARefusalOfTheOrder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := faultinject.NewCluster(faultinject.NoFaults).Start(t.Context(), "vm-1")
+		tables := &refusingTables{Tables: p}
+		m := newTestManager(p)
+		m.tables = tables
+		_ = m.Campaign(p.Context, "a", func(ctx context.Context, g Guard) (bool, error) {
+			tables.refusing.Store(true)
+			err := g.Confirm(ctx)
+			if !fault.Is[*fault.StoreUnavailable](err) || fault.Is[*fault.PlatformRefused](err) || g.Check() != nil {
+				t.Errorf("Confirm with a refused read: %v, want an unavailable store and a held lease", err)
+			}
+			tables.refusing.Store(false)
+			return true, nil
+		})
+	})
+}
+
 // slowTables answers each read of a row after delay, with the row as it was at first.
 type slowTables struct {
 	platformapi.Tables
