Let the kernel drop an order that is not acknowledged within its timeout

A process that is paused after it wrote an order can't reset the connection, and its kernel goes on sending the order again until it is acknowledged, for minutes. A receiver behind a failed link could get the order when the next holder had long ordered.

Connections of fence.NewClient now have TCP_USER_TIMEOUT. Linux counts it from the first retransmission and tests it at the next one, so the limit is 0.4 s shorter than the call's timeout (half of it below 0.8 s). With the order timeout of 0.8 s the limit ends a connection no earlier than the call itself does while its process runs. If the kernel refuses the option, the connection is used without it, and the client emits one event "socket option refused" (1007).

--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -35,8 +35,8 @@
 	maxWaitWindows = 2
 )
 
-func newEngines(s settings.Daemon) *engine.Client {
-	return engine.NewClient().WithOrderTimeout(s.OrderTimeout())
+func newEngines(s settings.Daemon, events *event.Recorder) *engine.Client {
+	return engine.NewClient(events).WithOrderTimeout(s.OrderTimeout())
 }
 
 func newWeightUpdater(s settings.Daemon, engines *engine.Client, events *event.Recorder) *weightupdate.Updater {
--- a/internal/daemon/providers.go
+++ b/internal/daemon/providers.go
@@ -64,7 +64,9 @@
 
 func newPeerMetrics(registry *prometheus.Registry) *peer.Metrics { return peer.NewMetrics(registry) }
 
-func newPlatform(s settings.Daemon) *platformapi.Client { return platformapi.NewClient(s.PlatformURL) }
+func newPlatform(s settings.Daemon, events *event.Recorder) *platformapi.Client {
+	return platformapi.NewClient(s.PlatformURL, events)
+}
 
 // newMetrics registers the observer of events before any component emits one, so that all
 // events are counted.
--- a/internal/daemon/wire_gen.go
+++ b/internal/daemon/wire_gen.go
@@ -24,7 +24,7 @@
 	}
 	recorder := newRecorder(s, logger)
 	registry := newRegistry()
-	client := newPlatform(s)
+	client := newPlatform(s, recorder)
 	directory := upstream.NewDirectory()
 	view := contract.NewView()
 	metrics := newPeerMetrics(registry)
@@ -37,7 +37,7 @@
 	syncer := newSyncer(s, client, gossip, view, recorder, daemonHooks)
 	metricsMetrics := newMetrics(s, recorder, registry, directory)
 	dispatcher := newDispatcher(s, scheduler, directory, metricsMetrics)
-	engineClient := newEngines(s)
+	engineClient := newEngines(s, recorder)
 	policy := newRetries(registry, recorder)
 	local := newRunner(view, dispatcher, engineClient, policy, recorder)
 	server := newPeerServer(recorder, view, daemonHooks, local, gossip)
--- a/internal/dial/dial.go
+++ b/internal/dial/dial.go
@@ -8,11 +8,30 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"golang.org/x/sys/unix"
 )
 
 // Func opens a connection; it fits http.Transport.DialContext.
 type Func func(ctx context.Context, network, address string) (net.Conn, error)
 
+// Option configures connections.
+type Option func(*options)
+
+type options struct {
+	unackedTimeout time.Duration
+	refused        func(error)
+}
+
+// WithUnackedTimeout makes the kernel drop a connection, and the data that it still holds
+// for it, when the peer has not acknowledged data for timeout. Unlike the timeouts of this
+// process, this one passes while the process is paused. Linux counts it from the first
+// retransmission and tests it at the next one that is due, so the connection ends somewhat
+// later. The option is an additional limit: if the kernel refuses it, refused is called with the
+// error and the connection is used without it.
+func WithUnackedTimeout(timeout time.Duration, refused func(error)) Option {
+	return func(o *options) { o.unackedTimeout, o.refused = timeout, refused }
+}
+
 // ResetOnClose returns a Func whose connections are of type *Conn and are reset when they
 // are closed.
 //
@@ -22,7 +41,11 @@
 // would run although its step has ended, or an order would arrive after that of the next
 // holder of the lease. A reset discards the data. It loses nothing as long as a
 // connection is closed only when its answer was read completely or is no longer needed.
-func ResetOnClose(timeout time.Duration) Func {
+func ResetOnClose(timeout time.Duration, opts ...Option) Func {
+	var o options
+	for _, option := range opts {
+		option(&o)
+	}
 	dialer := &net.Dialer{Timeout: timeout}
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
 		conn, err := dialer.DialContext(ctx, network, address)
@@ -31,6 +54,7 @@
 		}
 		if tcp, ok := conn.(*net.TCPConn); ok {
 			err = tcp.SetLinger(0)
+			o.limitUnacked(tcp)
 		}
 		if err != nil {
 			_ = conn.Close()
@@ -39,3 +63,23 @@
 		return NewConn(conn), nil
 	}
 }
+
+// limitUnacked sets the timeout for unacknowledged data, if there is one.
+func (o *options) limitUnacked(conn *net.TCPConn) {
+	if o.unackedTimeout <= 0 {
+		return
+	}
+	raw, err := conn.SyscallConn()
+	if err == nil {
+		controlErr := raw.Control(func(fd uintptr) {
+			millis := max(1, int(o.unackedTimeout.Milliseconds()))
+			err = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, millis)
+		})
+		if err == nil {
+			err = controlErr
+		}
+	}
+	if err != nil {
+		o.refused(errors.Wrap(err, "TCP_USER_TIMEOUT"))
+	}
+}
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -15,6 +15,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/tmaxmax/go-sse"
 
+	"dogwoodpond/internal/event"
 	"dogwoodpond/internal/fault"
 	"dogwoodpond/internal/fence"
 )
@@ -50,16 +51,19 @@
 type Client struct {
 	http     *http.Client
 	timeouts StreamTimeouts
+	events   *event.Recorder
 	// orders is the HTTP client for orders, which are guarded by a lease; see package
 	// fence.
 	orders *http.Client
 }
 
 // NewClient returns a client with the default stream timeouts.
-func NewClient() *Client { return NewClientWithTimeouts(DefaultStreamTimeouts) }
+func NewClient(events *event.Recorder) *Client {
+	return NewClientWithTimeouts(DefaultStreamTimeouts, events)
+}
 
 // NewClientWithTimeouts returns a client with the given stream timeouts.
-func NewClientWithTimeouts(timeouts StreamTimeouts) *Client {
+func NewClientWithTimeouts(timeouts StreamTimeouts, events *event.Recorder) *Client {
 	return &Client{
 		http: &http.Client{Transport: &http.Transport{
 			DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
@@ -68,14 +72,15 @@
 			DisableCompression:  true,
 		}},
 		timeouts: timeouts,
-		orders:   fence.NewClient(dialTimeout, DefaultOrderTimeout),
+		events:   events,
+		orders:   fence.NewClient(dialTimeout, DefaultOrderTimeout, events),
 	}
 }
 
 // WithOrderTimeout returns a copy of the client with another timeout of one order.
 func (c *Client) WithOrderTimeout(timeout time.Duration) *Client {
 	changed := *c
-	changed.orders = fence.NewClient(dialTimeout, timeout)
+	changed.orders = fence.NewClient(dialTimeout, timeout, c.events)
 	return &changed
 }
 
--- a/internal/entry/harness_test.go
+++ b/internal/entry/harness_test.go
@@ -104,7 +104,7 @@
 		options.timeouts = engine.DefaultStreamTimeouts
 	}
 	if options.runner == nil {
-		options.runner = generate.NewLocal(h.view, h.dispatcher, engine.NewClientWithTimeouts(options.timeouts), retries, h.events)
+		options.runner = generate.NewLocal(h.view, h.dispatcher, engine.NewClientWithTimeouts(options.timeouts, h.events), retries, h.events)
 	}
 	h.server = NewServer(Config{
 		View: h.view, ConfigurationAge: h.configurationAge, Upstreams: upstream.NewDirectory(), Runner: options.runner, Dispatcher: h.dispatcher, Retries: retries,
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -4,12 +4,13 @@
 
 // Numbers of all events. Each subject has a range of one hundred.
 const (
-	ProcessStarted Number = 1001
-	DrainStarted   Number = 1002
-	ProcessStopped Number = 1003
-	PanicRecovered Number = 1004
-	ProcessPaused  Number = 1005
-	ClocksDiverged Number = 1006
+	ProcessStarted      Number = 1001
+	DrainStarted        Number = 1002
+	ProcessStopped      Number = 1003
+	PanicRecovered      Number = 1004
+	ProcessPaused       Number = 1005
+	ClocksDiverged      Number = 1006
+	SocketOptionRefused Number = 1007
 
 	EditAccepted           Number = 1101
 	RevisionApplied        Number = 1102
@@ -96,6 +97,7 @@
 	{PanicRecovered, zap.ErrorLevel, "panic recovered", "A request handler panicked; only its request failed. Detail gives the component."},
 	{ProcessPaused, zap.WarnLevel, "process paused", "The process did not run for Count milliseconds: it was paused, or its VM had no processor time."},
 	{ClocksDiverged, zap.WarnLevel, "clocks diverged", "The wall clock advanced by Count milliseconds more than the monotonic clock: the VM was suspended, or its wall clock was set. Terms of leases run on the monotonic clock."},
+	{SocketOptionRefused, zap.WarnLevel, "socket option refused", "The kernel refused the socket option in Detail, an additional limit of connections for orders and reports. They work without it; the event is emitted once per client."},
 	{EditAccepted, zap.InfoLevel, "edit accepted", "An operator's edit was committed as the revision."},
 	{RevisionApplied, zap.InfoLevel, "revision applied", "The VM applied the revision of the configuration."},
 	{ConfigurationStale, zap.WarnLevel, "configuration stale", "The configuration revision has not been confirmed as current for a long time; the VM may be cut off."},
--- a/internal/fence/fence.go
+++ b/internal/fence/fence.go
@@ -4,7 +4,8 @@
 // tokens would execute the orders of both. So the connection checks the lease directly
 // before each system call that writes, and the end of the term is its write deadline. The
 // connection of a request that is not answered in time is reset, so that the kernel does
-// not deliver the request later.
+// not deliver the request later; while the process is paused a timeout of the kernel does
+// the same.
 package fence
 
 import (
@@ -13,9 +14,11 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"sync"
 	"time"
 
 	"dogwoodpond/internal/dial"
+	"dogwoodpond/internal/event"
 )
 
 // Guard checks whether a lease is held.
@@ -56,13 +59,32 @@
 	}
 }
 
+// retransmissionDelay is how much later than its limit for unacknowledged data Linux ends a
+// connection: the first two retransmission timeouts of a nearby peer. docs/PROOFS.md gives
+// the measurement.
+const retransmissionDelay = 400 * time.Millisecond
+
+// unackedTimeout returns the limit for unacknowledged data with which the kernel ends a
+// connection to a nearby peer about callTimeout after the write.
+func unackedTimeout(callTimeout time.Duration) time.Duration {
+	return max(callTimeout-retransmissionDelay, callTimeout/2)
+}
+
 // NewClient returns an HTTP client that uses each connection for one request only, and
-// resets it when the call ends.
-func NewClient(dialTimeout, callTimeout time.Duration) *http.Client {
+// resets it when the call ends, at the latest after callTimeout. The kernel drops a request
+// that was not acknowledged about callTimeout after the write even while the process is
+// paused and can't reset the connection; if the kernel refuses that limit, the client emits
+// one event and works without it. callTimeout must be at most the order timeout on which the order grace
+// period of the lease relies.
+func NewClient(dialTimeout, callTimeout time.Duration, events *event.Recorder) *http.Client {
+	var once sync.Once
+	refused := func(err error) {
+		once.Do(func() { events.Emit(event.SocketOptionRefused, event.Subject{Detail: err.Error()}) })
+	}
 	return &http.Client{
 		Timeout: callTimeout,
 		Transport: &http.Transport{
-			DialContext:       dial.ResetOnClose(dialTimeout),
+			DialContext:       dial.ResetOnClose(dialTimeout, dial.WithUnackedTimeout(unackedTimeout(callTimeout), refused)),
 			DisableKeepAlives: true,
 		},
 	}
--- a/internal/fence/fence_test.go
+++ b/internal/fence/fence_test.go
@@ -14,8 +14,10 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
 
 	"dogwoodpond/internal/dial/dialtest"
+	"dogwoodpond/internal/event"
 	"dogwoodpond/internal/fault"
 )
 
@@ -35,6 +37,10 @@
 func (g *fakeGuard) Epoch() uint64       { return 1 }
 func (g *fakeGuard) Deadline() time.Time { return g.deadline }
 
+func newRecorder() *event.Recorder {
+	return event.NewRecorder("vm", 16, event.NewClock(time.Now), zap.NewNop())
+}
+
 func startCountingServer(t *testing.T) (target string, count *atomic.Int64) {
 	count = new(atomic.Int64)
 	server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { count.Add(1) }))
@@ -44,7 +50,7 @@
 
 func sendOrder(t *testing.T, ctx context.Context, target string) error {
 	t.Helper()
-	client := NewClient(time.Second, 10*time.Second)
+	client := NewClient(time.Second, 10*time.Second, newRecorder())
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, target, strings.NewReader("order"))
 	if err != nil {
 		t.Fatal(err)
@@ -160,7 +166,7 @@
 		rest, _ := io.Copy(io.Discard, conn)
 		received <- first + rest
 	}()
-	client := NewClient(time.Second, 10*time.Second)
+	client := NewClient(time.Second, 10*time.Second, newRecorder())
 	request, err := http.NewRequestWithContext(WithGuard(t.Context(), guard), http.MethodPost, "http://"+listener.Addr().String(), strings.NewReader(strings.Repeat("x", size)))
 	if err != nil {
 		t.Fatal(err)
@@ -185,7 +191,7 @@
 		ctx := httptrace.WithClientTrace(WithGuard(t.Context(), guard), &httptrace.ClientTrace{
 			WroteHeaders: func() { guard.lost.Store(lost) },
 		})
-		client := NewClient(time.Second, 10*time.Second)
+		client := NewClient(time.Second, 10*time.Second, newRecorder())
 		client.Transport.(*http.Transport).TLSClientConfig = server.Client().Transport.(*http.Transport).TLSClientConfig
 		request, err := http.NewRequestWithContext(ctx, http.MethodPost, server.URL, strings.NewReader("order"))
 		if err != nil {
@@ -203,3 +209,32 @@
 		t.Errorf("the receiver got %d orders, want 1", count.Load())
 	}
 }
+
+// Guards against orders that fail because a kernel refuses the limit for unacknowledged
+// data, and against a refusal that nobody sees.
+func TestRefusedSocketOptionIsReportedOnce(t *testing.T) {
+	// The option takes at most 2^31-1 ms.
+	const refusedTimeout = 30 * 24 * time.Hour
+	target, count := startCountingServer(t)
+	events := newRecorder()
+	client := NewClient(time.Second, refusedTimeout, events)
+	guard := &fakeGuard{deadline: time.Now().Add(time.Hour)}
+	for range 2 {
+		request, err := http.NewRequestWithContext(WithGuard(t.Context(), guard), http.MethodPost, target, strings.NewReader("order"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		response, err := client.Do(request)
+		if err != nil {
+			t.Fatalf("send: %v", err)
+		}
+		_ = response.Body.Close()
+	}
+	if count.Load() != 2 {
+		t.Errorf("the receiver got %d orders, want 2", count.Load())
+	}
+	refused := events.Select(event.Query{Numbers: []event.Number{event.SocketOptionRefused}})
+	if len(refused) != 1 || !strings.Contains(refused[0].Detail, "TCP_USER_TIMEOUT") {
+		t.Errorf("events %+v, want one with the option", refused)
+	}
+}
--- a/internal/fence/retransmission_linux_test.go
+++ b/internal/fence/retransmission_linux_test.go
@@ -13,6 +13,7 @@
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"golang.org/x/sys/unix"
 )
 
@@ -45,7 +46,7 @@
 	if err != nil {
 		panic(err)
 	}
-	if response, err := NewClient(senderTimeout, senderTimeout).Do(request); err == nil {
+	if response, err := NewClient(senderTimeout, senderTimeout, newRecorder()).Do(request); err == nil {
 		_ = response.Body.Close()
 	}
 }
@@ -133,9 +134,10 @@
 	if err := conn.SetReadDeadline(time.Now().Add(3 * senderTimeout)); err != nil {
 		t.Fatal(err)
 	}
-	if n, err := conn.Read(make([]byte, 1<<10)); n > 0 {
+	n, err := conn.Read(make([]byte, 1<<10))
+	if n > 0 {
 		t.Errorf("%d bytes of an order arrived while its sender was paused", n)
-	} else {
-		t.Logf("no byte arrived: %v", err)
+	} else if !errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Errorf("the connection ended with %v: the sender gave up before it was stopped", err)
 	}
 }
--- a/internal/generate/attempts_test.go
+++ b/internal/generate/attempts_test.go
@@ -96,7 +96,7 @@
 	view := contract.NewView()
 	account := contract.DefaultContract("strathallan")
 	view.Advance(&contract.Snapshot{Revision: 1, Contracts: map[contract.Account]contract.Contract{account.Account: account}})
-	engines := engine.NewClient()
+	engines := engine.NewClient(newRecorder())
 	var served atomic.Int64
 	var workers sync.WaitGroup
 	for range attemptWorkers {
--- a/internal/generate/local_test.go
+++ b/internal/generate/local_test.go
@@ -40,7 +40,7 @@
 	view := contract.NewView()
 	account := contract.DefaultContract("strathallan")
 	view.Advance(&contract.Snapshot{Revision: 1, Contracts: map[contract.Account]contract.Contract{account.Account: account}})
-	local := NewLocal(view, dispatcher, engine.NewClient(), newPolicy(), newRecorder())
+	local := NewLocal(view, dispatcher, engine.NewClient(newRecorder()), newPolicy(), newRecorder())
 	func() {
 		defer func() {
 			if recover() == nil {
--- a/internal/lease/guard.go
+++ b/internal/lease/guard.go
@@ -20,6 +20,12 @@
 // Check implements Guard.
 func (h *Hold) Check() error { return h.CheckAt(time.Now()) }
 
+// OrderTimeout is the timeout of the orders and reports that are sent under the leases of a
+// fleet. Three limits must agree on it, so they all use it: the timeout of the call, the
+// limit that the sender's kernel keeps while the process is paused (see package fence), and
+// the wait of a new holder. A slow receiver still answers within it.
+const OrderTimeout = 800 * time.Millisecond
+
 // OrderGracePeriod returns how long a new holder waits before its first order to receivers
 // that ignore fencing tokens. An earlier holder may have sent an order just before its
 // term ended; orderTimeout is the longest time after which that order can still take
--- a/internal/platformapi/http.go
+++ b/internal/platformapi/http.go
@@ -13,6 +13,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"dogwoodpond/internal/event"
 	"dogwoodpond/internal/fault"
 	"dogwoodpond/internal/fence"
 )
@@ -79,7 +80,7 @@
 }
 
 // NewClient returns a client for the platform at the base URL.
-func NewClient(base string) *Client {
+func NewClient(base string, events *event.Recorder) *Client {
 	transport := &http.Transport{
 		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
 		MaxIdleConnsPerHost: 32,
@@ -90,7 +91,7 @@
 		http: &http.Client{Transport: transport, Timeout: CallTimeout},
 		// A connection is used for one order or report only, so that the write
 		// deadline set for its lease does not outlast it.
-		fencedHTTP: fence.NewClient(dialTimeout, CallTimeout),
+		fencedHTTP: fence.NewClient(dialTimeout, CallTimeout, events),
 	}
 }
 
--- a/internal/platformapi/lists_test.go
+++ b/internal/platformapi/lists_test.go
@@ -6,8 +6,17 @@
 	"net/http/httptest"
 	"sync/atomic"
 	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"dogwoodpond/internal/event"
 )
 
+func newRecorder() *event.Recorder {
+	return event.NewRecorder("vm", 16, event.NewClock(time.Now), zap.NewNop())
+}
+
 // listServer serves a list of VMs with an ETag, and counts the responses with a
 // body.
 type listServer struct {
@@ -36,7 +45,7 @@
 	lists.set(`"1"`, VM{ID: "vm-1"})
 	server := httptest.NewServer(lists)
 	defer server.Close()
-	client := NewClient(server.URL)
+	client := NewClient(server.URL, newRecorder())
 	for range 5 {
 		vms, err := client.VMs(t.Context())
 		if err != nil || len(vms) != 1 {
@@ -68,7 +77,7 @@
 		lists.ServeHTTP(w, r)
 	}))
 	defer server.Close()
-	client := NewClient(server.URL)
+	client := NewClient(server.URL, newRecorder())
 	if _, err := client.VMs(t.Context()); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/scaling/orderer.go
+++ b/internal/scaling/orderer.go
@@ -15,8 +15,8 @@
 	// counts.
 	planInterval = 500 * time.Millisecond
 	// orderTimeout is the timeout of one order. A new lease holder waits at least that
-	// long before its first order. A slow platform still answers within it.
-	orderTimeout = 800 * time.Millisecond
+	// long before its first order.
+	orderTimeout = lease.OrderTimeout
 	// retryBackoff is the wait before an order is sent again after it got no answer or
 	// the platform could not execute it: reclaimed upstreams become available again
 	// some seconds later.
--- a/internal/usagewindow/reporter.go
+++ b/internal/usagewindow/reporter.go
@@ -28,10 +28,9 @@
 	closeTimeout = 7 * time.Second
 	// closeCheckInterval is the interval between checks for windows to close.
 	closeCheckInterval = 400 * time.Millisecond
-	// reportTimeout is the timeout of one report. Billing answers within it also when it
-	// is slow. A new holder of the lease waits slightly longer before its first report,
-	// until no report of a previous holder can still take effect.
-	reportTimeout = 800 * time.Millisecond
+	// reportTimeout is the timeout of one report. A new holder of the lease waits slightly
+	// longer before its first report.
+	reportTimeout = lease.OrderTimeout
 	// leaseName is the lease whose holder reports.
 	leaseName = "usage"
 	// lastReportedName is the row with the number of the newest reported window.
