--- a/internal/fence/fence_test.go
+++ b/internal/fence/fence_test.go
@@ -82,9 +82,9 @@
 	}
 }
 
-// The holder sends an order during a network failure, gets no answer and cancels the
-// request. If its kernel still had the bytes, the receiver would get the order after
-// the failure: later than the orders of the next holder, and with a lower epoch.
+// Guards against a canceled order that the kernel of its sender delivers when a network failure ends.
+// It is discarded only because the connection is reset. An order that has arrived can't be taken back:
+// see TestReceiverReadsOrderAfterReset.
 func TestCanceledOrderIsNotDeliveredLater(t *testing.T) {
 	peer := dialtest.NewUnresponsivePeer(t)
 	ctx, cancel := context.WithCancel(t.Context())
