--- a/internal/fence/fence.go
+++ b/internal/fence/fence.go
@@ -40,6 +40,13 @@
 	})
 }
 
+// checkedConn is a connection that calls check before each system call that writes. *dial.Conn
+// implements it.
+type checkedConn interface {
+	net.Conn
+	CheckBeforeWrites(check func() error)
+}
+
 // limitWrites makes writes to conn fail once the lease is not held, and after the end of
 // the present term. The write deadline alone is not enough: it is a timer of the runtime,
 // and a write that is past its test of the deadline goes on. If the limits can't be set,
@@ -48,7 +55,7 @@
 	if encrypted, ok := conn.(*tls.Conn); ok {
 		conn = encrypted.NetConn()
 	}
-	checked, ok := conn.(*dial.Conn)
+	checked, ok := conn.(checkedConn)
 	if !ok {
 		_ = conn.Close()
 		return
--- a/internal/fence/late_receiver_test.go
+++ b/internal/fence/late_receiver_test.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"dogwoodpond/internal/dial"
 )
 
 // orderText is the body of an order.
@@ -67,15 +69,23 @@
 // startOrder sends an order under a lease and returns when its last byte has been written.
 func startOrder(t *testing.T, target string) startedOrder {
 	t.Helper()
-	client := NewClient(time.Minute, time.Minute)
+	client := NewClient(time.Minute, time.Minute, newRecorder())
 	transport, ok := client.Transport.(*http.Transport)
 	if !ok {
 		t.Fatalf("the transport is a %T", client.Transport)
 	}
-	written, dial := make(chan struct{}), transport.DialContext
+	written, dialOrder := make(chan struct{}), transport.DialContext
 	transport.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
-		conn, err := dial(ctx, network, address)
-		return &observedConn{conn, written}, err
+		conn, err := dialOrder(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		checked, ok := conn.(*dial.Conn)
+		if !ok {
+			t.Errorf("the connection is a %T", conn)
+			return conn, nil
+		}
+		return &observedConn{checked, written}, nil
 	}
 	ctx, cancel := context.WithCancel(WithGuard(t.Context(), &fakeGuard{deadline: time.Now().Add(time.Hour)}))
 	t.Cleanup(cancel)
@@ -101,7 +111,7 @@
 
 // observedConn closes written when the last byte of the order has been written.
 type observedConn struct {
-	net.Conn
+	*dial.Conn
 	written chan<- struct{}
 }
 
--- a/internal/weightload/loader.go
+++ b/internal/weightload/loader.go
@@ -26,7 +26,7 @@
 	planInterval = 100 * time.Millisecond
 	// orderTimeout is the timeout of one order. A new lease holder waits at least
 	// that long before its first order.
-	orderTimeout = 800 * time.Millisecond
+	orderTimeout = lease.OrderTimeout
 	// reportTimeout is the timeout of one read of an engine's state.
 	reportTimeout = 500 * time.Millisecond
 	// expectedLoadTime is how long a weight load takes while few engines load at
--- a/internal/weightload/settle_test.go
+++ b/internal/weightload/settle_test.go
@@ -137,6 +137,8 @@
 func (h heldLease) Epoch() uint64     { return uint64(h) }
 func (heldLease) Deadline() time.Time { return time.Now().Add(time.Minute) }
 
+func (heldLease) Confirm(context.Context) error { return nil }
+
 // newObservedLoader returns a loader of n engines on which loads are due.
 func newObservedLoader(n int, latency func(id string) time.Duration) (*Loader, *observedEngines) {
 	engines := &observedEngines{fleet: newFleet(n), latency: latency, probes: make(map[string]int)}
