Reads that confirm a lease end with the campaign that holds it

A read that was in flight when a duty returned went on after the lease was released, found the row without its holder, and reported "lease lost" (1203) for a planned stop. Its goroutine outlived the campaign by up to a call timeout. Now the reads end with the renewals, before the release; a later Confirm fails with *fault.LeaseLost; and a hold that had ended already is not reported again.

TestConfirmInFlightAtReleaseReportsNoLoss, before: "a released lease is reported as lost"; now it passes. The property test of the row's epoch, which follows, ended with "main bubble goroutine has exited but blocked goroutines remain" before.

--- a/internal/lease/confirm_test.go
+++ b/internal/lease/confirm_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"dogwoodpond/internal/event"
 	"dogwoodpond/internal/fault"
 	"dogwoodpond/internal/platformapi"
 	"dogwoodpond/internal/platformapi/faultinject"
@@ -127,7 +128,7 @@
 	})
 }
 
-// slowTables answers each read of a row after delay, with the row as it was at first.
+// slowTables answers each read after delay, with the row as it was when the read began.
 type slowTables struct {
 	platformapi.Tables
 	delay time.Duration
@@ -205,6 +206,50 @@
 	})
 }
 
+// Guards against a planned stop that looks like a lost lease: a read that is in flight when run
+// returns finds the row without its holder, after the release.
+func TestConfirmInFlightAtReleaseReportsNoLoss(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := faultinject.NewCluster(faultinject.NoFaults).Start(t.Context(), "vm-1")
+		m := newTestManager(p)
+		tables := &lateTables{Tables: p}
+		m.tables = tables
+		var guard Guard
+		err := m.Campaign(p.Context, "a", func(ctx context.Context, g Guard) (bool, error) {
+			guard = g
+			tables.delay.Store(int64(100 * time.Millisecond))
+			go func() { _ = g.Confirm(context.WithoutCancel(ctx)) }()
+			synctest.Wait()
+			return true, nil
+		})
+		if err != nil {
+			t.Error(err)
+		}
+		time.Sleep(time.Second)
+		for _, record := range m.events.Since(event.Stamp{}) {
+			if record.Number == event.LeaseLost {
+				t.Errorf("a released lease is reported as lost: %+v", record)
+			}
+		}
+		if err := guard.Confirm(t.Context()); !fault.Is[*fault.LeaseLost](err) {
+			t.Errorf("Confirm after the release: %v, want a lost lease", err)
+		}
+	})
+}
+
+// lateTables sends each read of a row after delay.
+type lateTables struct {
+	platformapi.Tables
+	delay atomic.Int64
+}
+
+func (l *lateTables) Get(ctx context.Context, key string) (platformapi.Row, error) {
+	if err := sleep(ctx, time.Duration(l.delay.Load())); err != nil {
+		return platformapi.Row{}, errors.WithStack(&fault.StoreUnavailable{Operation: "get"})
+	}
+	return l.Tables.Get(ctx, key)
+}
+
 // Renewals are in flight, late, lost or repeated while the lease is confirmed. A row with the own
 // holder and epoch must not end the hold, and a Confirm must not disturb the renewals.
 func TestConfirmDoesNotEndAHoldDuringRenewals(t *testing.T) {
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -221,18 +221,17 @@
 	return true
 }
 
-// CheckRecord records the row as it was read while the lease was held by the local clock. It
-// ends the hold, and fails with *fault.LeaseLost, if the row has another holder or epoch.
-// Unlike Reconcile it keeps the version: a renewal may be in flight, which writes the row
-// before or after this read.
-func (h *Hold) CheckRecord(record Record) error {
+// EndUnlessHolder records the row as it was read, and reports whether it ended the hold because
+// the row has another holder or epoch. Unlike Reconcile it keeps the version: a renewal may
+// be in flight, which writes the row before or after this read.
+func (h *Hold) EndUnlessHolder(record Record) (ended bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.ended || record.Holder != h.record.Holder || record.Epoch != h.record.Epoch {
-		h.ended = true
-		return errors.WithStack(&fault.LeaseLost{Lease: h.name, Epoch: h.record.Epoch})
+	if h.ended || record.Holder == h.record.Holder && record.Epoch == h.record.Epoch {
+		return false
 	}
-	return nil
+	h.ended = true
+	return true
 }
 
 // End ends the hold; every later check fails.
--- a/internal/lease/manager.go
+++ b/internal/lease/manager.go
@@ -226,8 +226,21 @@
 			stopRun(lossErr)
 		}
 	})
+	guard := &confirmer{
+		Hold: hold,
+		read: func(ctx context.Context) (Record, error) {
+			record, _, err := c.read(ctx)
+			return record, err
+		},
+		readCtx: renewCtx,
+		onLost: func(err error) {
+			emitLoss()
+			stopRun(err)
+		},
+	}
 	defer func() {
 		stopRenewing()
+		guard.stop()
 		renewals.Wait()
 		stopRun(nil)
 		if hold.Check() != nil {
@@ -236,17 +249,7 @@
 		}
 		c.release(ctx, hold)
 	}()
-	return run(runCtx, &confirmer{
-		Hold: hold,
-		read: func(ctx context.Context) (Record, error) {
-			record, _, err := c.read(ctx)
-			return record, err
-		},
-		onLost: func(err error) {
-			emitLoss()
-			stopRun(err)
-		},
-	})
+	return run(runCtx, guard)
 }
 
 // renewLoop renews the lease. It returns nil when ctx ends, and *fault.LeaseLost when
