--- a/spec/lease.pml
+++ b/spec/lease.pml
@@ -13,6 +13,9 @@
  *   release           campaign.release, Hold.ReleaseRecord
  *   compare-and-swap with a lost or late reply: platformapi.CommitConfirmed
  *
+ * Guard.Confirm, which reads the row again before an order, is not modelled; nor are the clocks
+ * that stop, for which it is there.
+ *
  * Time is counted in ticks. A pause is a tick that occurs while a node is
  * between two steps. So a node can be paused anywhere and for any time, except
  * between the check and the end of an order to the receiver that ignores
