An engine holds back its orders only if its load could have started

Now only the due loads for which there is a place count. The test fails before ("orders to 344 engines were reported as held back") and passes after, with answers after 10 ms and 150 ms.

--- a/internal/weightload/loader.go
+++ b/internal/weightload/loader.go
@@ -201,17 +201,21 @@
 	}
 }
 
-// startDueLoads starts at most limit of the due loads on settled engines.
+// startDueLoads starts at most limit of the due loads on settled engines. The first due ones
+// up to limit are held back if their engines are not settled.
 func (l *Loader) startDueLoads(ctx context.Context, guard lease.Guard, settler *settler, due []PlannedLoad, limit int, loads *sync.WaitGroup) {
-	for _, planned := range due {
-		if !settler.isSettled(planned.Engine) {
-			settler.noteHeldBack(planned)
-			continue
+	started := 0
+	for i, planned := range due {
+		if started >= limit {
+			return
 		}
-		if limit <= 0 {
+		if !settler.isSettled(planned.Engine) {
+			if i < limit {
+				settler.noteHeldBack(planned)
+			}
 			continue
 		}
-		limit--
+		started++
 		l.setBusy(planned.Engine, true)
 		loads.Go(func() {
 			defer l.setBusy(planned.Engine, false)
--- a/internal/weightload/settle_test.go
+++ b/internal/weightload/settle_test.go
@@ -278,3 +278,33 @@
 		}
 	})
 }
+
+// Guards against loads that wait in a large failure domain although its engines run, and
+// against reports of engines that have no place to load anyway.
+func TestRunningEnginesOfALargeDomainHoldNothingBack(t *testing.T) {
+	for _, latency := range []time.Duration{10 * time.Millisecond, 150 * time.Millisecond} {
+		synctest.Test(t, func(t *testing.T) {
+			const n = 572
+			l, engines := newObservedLoader(n, func(string) time.Duration { return latency })
+			l.Events = event.NewRecorder("a", 4*n, event.NewClock(time.Now), zap.NewNop())
+			acquiredAt := time.Now()
+			serveFor(t, l, 1, 12*time.Second)
+			first := 0
+			for _, order := range engines.orders {
+				if order.at.Sub(acquiredAt) == lease.OrderGracePeriod(orderTimeout)+latency {
+					first++
+				}
+			}
+			if latency < settleSlack && first != maxConcurrentLoads(n) {
+				t.Errorf("%d orders at the end of the grace period, want %d", first, maxConcurrentLoads(n))
+			}
+			if len(engines.orders) != n {
+				t.Errorf("latency %s: %d orders, want %d", latency, len(engines.orders), n)
+			}
+			t.Logf("latency %s: the last of %d orders came %s after the acquisition", latency, len(engines.orders), engines.orders[len(engines.orders)-1].at.Sub(acquiredAt))
+			if held := heldBackEvents(l); len(held) > 0 {
+				t.Errorf("latency %s: orders to %d engines were reported as held back", latency, len(held))
+			}
+		})
+	}
+}
