Only the first probe of an engine opens a new connection

Each of the eight probes of an engine in a term opened a connection, which upstreams charge for. The accept order matters once: the answer over a new connection shows that the engine has accepted every connection before it. The later probes only show that it runs, which any answer does, so they use the pool.

TestProbesOfALargeDomainAreBounded fails if the first probe is pooled, or a later one is not.

--- a/internal/weightload/loader.go
+++ b/internal/weightload/loader.go
@@ -362,6 +362,12 @@
 	return l.Engines.Probe(ctx, e)
 }
 
+// readReport reads the engine's report over any connection and discards it.
+func (l *Loader) readReport(ctx context.Context, e *target.Entry) error {
+	_, err := l.report(ctx, e)
+	return err
+}
+
 func (l *Loader) sendOrder(ctx context.Context, guard lease.Guard, planned PlannedLoad, sequence int64) (Reply, error) {
 	if err := guard.Check(); err != nil {
 		return Rejected, err
--- a/internal/weightload/settle.go
+++ b/internal/weightload/settle.go
@@ -124,15 +124,19 @@
 		delete(s.probing, e)
 	}()
 	var answers settling
+	// The answer over a new connection shows that the engine has accepted all earlier
+	// ones. After it, any answer shows that the engine runs.
+	read := s.loader.probe
 	for ctx.Err() == nil && !s.loader.Roster.Evacuated(s.loader.Domain) {
 		startedAt := time.Now()
-		if err := s.loader.probe(ctx, e); err != nil {
+		if err := read(ctx, e); err != nil {
 			if ctx.Err() == nil {
 				s.loader.markSuspect(e)
 				s.noteFailure(e, err)
 			}
 			return
 		}
+		read = s.loader.readReport
 		answers.noteAnswer(time.Now())
 		if answers.settled() {
 			s.mu.Lock()
--- a/internal/weightload/settle_test.go
+++ b/internal/weightload/settle_test.go
@@ -81,10 +81,10 @@
 
 	mu     sync.Mutex
 	orders []observedOrder
-	// probes is the number of probes of each engine, probing the number in flight and
-	// mostProbing the highest so far.
-	probes               map[string]int
-	probing, mostProbing int
+	// probes and reports count the calls to each engine, reading those in flight, and
+	// mostReading is the highest number of them so far.
+	probes, reports      map[string]int
+	reading, mostReading int
 }
 
 type observedOrder struct {
@@ -97,6 +97,7 @@
 func noLatency(string) time.Duration { return 0 }
 
 func (o *observedEngines) Report(ctx context.Context, e *target.Entry) (Report, error) {
+	defer o.countReading(o.reports, e)()
 	if !wait.For(ctx, o.latency(e.Info().ID)) {
 		return Report{}, ctx.Err()
 	}
@@ -104,16 +105,25 @@
 }
 
 func (o *observedEngines) Probe(ctx context.Context, e *target.Entry) error {
-	o.mu.Lock()
-	o.probes[e.Info().ID]++
-	o.probing++
-	o.mostProbing = max(o.mostProbing, o.probing)
-	o.mu.Unlock()
-	_, err := o.Report(ctx, e)
+	defer o.countReading(o.probes, e)()
+	if !wait.For(ctx, o.latency(e.Info().ID)) {
+		return ctx.Err()
+	}
+	return o.fleet.Probe(ctx, e)
+}
+
+// countReading counts a call to an engine. The returned function ends it.
+func (o *observedEngines) countReading(calls map[string]int, e *target.Entry) (end func()) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.probing--
-	return err
+	calls[e.Info().ID]++
+	o.reading++
+	o.mostReading = max(o.mostReading, o.reading)
+	return func() {
+		o.mu.Lock()
+		defer o.mu.Unlock()
+		o.reading--
+	}
 }
 
 func (o *observedEngines) Order(ctx context.Context, e *target.Entry, order Order) (Reply, error) {
@@ -141,7 +151,7 @@
 
 // newObservedLoader returns a loader of n engines on which loads are due.
 func newObservedLoader(n int, latency func(id string) time.Duration) (*Loader, *observedEngines) {
-	engines := &observedEngines{fleet: newFleet(n), latency: latency, probes: make(map[string]int)}
+	engines := &observedEngines{fleet: newFleet(n), latency: latency, probes: make(map[string]int), reports: make(map[string]int)}
 	engines.announceVersion("m", 5)
 	l := &Loader{
 		VM: "a", Domain: "x", Roster: engines.roster, Engines: engines, Demands: engines, Store: engines.store,
@@ -269,14 +279,14 @@
 		l, engines := newObservedLoader(n, func(string) time.Duration { return probeInterval / 2 })
 		engines.demands = nil
 		serveFor(t, l, 1, 30*time.Second)
-		total := 0
-		for _, probes := range engines.probes {
-			total += probes
-		}
 		perEngine := int(settleTime/probeInterval) + 2
-		if len(engines.probes) != n || total != n*perEngine || engines.mostProbing != maxBackgroundProbes {
-			t.Errorf("%d engines were probed, %d times, at most %d at once; want %d engines, %d times each, %d at once",
-				len(engines.probes), total, engines.mostProbing, n, perEngine, maxBackgroundProbes)
+		for id := range engines.engines {
+			if probes, all := engines.probes[id], engines.probes[id]+engines.reports[id]; probes != 1 || all != perEngine {
+				t.Errorf("%s got %d probes over new connections and %d reads in all, want 1 and %d", id, probes, all, perEngine)
+			}
+		}
+		if engines.mostReading != maxBackgroundProbes {
+			t.Errorf("%d engines were probed at once, want %d", engines.mostReading, maxBackgroundProbes)
 		}
 	})
 }
