Let a lease expire instead of releasing it while an action under it may take effect

A planned stop canceled the order for upstreams, or the usage report, that was in flight and released the lease. The platform may stand still: its kernel keeps the call, also after the sender has reset the connection, and the platform executes it when it goes on. The next holder waited 1.0 s only, so its call could be executed first: a lower epoch after a higher one.

Now - a stop does not cancel a call in flight (lease.CallContext): it ends by its answer, its timeout of 0.8 s, or the loss of the lease; no further call is begun after a stop; - a call without an answer of which a byte may have been written is noted at the hold (Guard.NoteUnanswered), and the lease is not released within a term and its margin (3.75 s at a term of 3 s) after that, but expires (event 1204). The same campaign waits as long before it takes the lease again.

TestOrderThatWaitsAtThePlatformIsNotOvertakenAfterAStop: before, epochs [1 2 1] or [1 2 1 2] for a platform that stands still for 1.5 s or 3 s; now sorted in all 30 phases of the three cases (3 of 3 with -race). TestReportThatWaitsAtBillingIsNotOvertakenAfterAStop: before, epochs 1, 2, 1; now sorted (-race). Without NoteUnanswered in scaling the long stall and the abandoned order fail ([1 2 1 2]), in usagewindow as well; with a call that the stop cancels, the next holder of a slow platform has not ordered 3 s after the stop; without the check for a stop between two orders, the orderer ends after 1.6 s, want at most 0.8 s. Tests of the new rule in internal/lease, with NoteUnanswered doing nothing: "the lease was taken 847.761735ms after the end of the duty, want 5.5s to 9.5s"; without the wait of the same campaign: "500ms".

--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -18,9 +18,10 @@
 	ConfigurationConfirmed Number = 1104
 	KeyWithdrawn           Number = 1105
 
-	LeaseAcquired Number = 1201
-	LeaseReleased Number = 1202
-	LeaseLost     Number = 1203
+	LeaseAcquired     Number = 1201
+	LeaseReleased     Number = 1202
+	LeaseLost         Number = 1203
+	LeaseLeftToExpire Number = 1204
 
 	RequestAccepted   Number = 1301
 	RequestDispatched Number = 1302
@@ -106,6 +107,7 @@
 	{LeaseAcquired, zap.InfoLevel, "lease acquired", "The VM acquired the lease with the given epoch. Detail says why it did not have to wait any longer."},
 	{LeaseReleased, zap.InfoLevel, "lease released", "The VM released the lease."},
 	{LeaseLost, zap.WarnLevel, "lease lost", "The VM did not renew the lease in time, or another VM acquired it."},
+	{LeaseLeftToExpire, zap.InfoLevel, "lease left to expire", "The VM stopped its duty but did not release the lease, because an action under it got no answer and may still take effect; the next holder waits for the end of the term."},
 	{RequestAccepted, zap.InfoLevel, "request accepted", "A caller's request was authenticated."},
 	{RequestDispatched, zap.InfoLevel, "request dispatched", "An attempt of the request was sent to the upstream."},
 	{AttemptFailed, zap.WarnLevel, "attempt failed", "An attempt failed; Detail gives the failure code."},
--- a/internal/fault/execution.go
+++ b/internal/fault/execution.go
@@ -44,3 +44,17 @@
 	}
 	return e
 }
+
+// MayTakeEffect reports whether the order or report of a call that failed with err may have
+// been executed, or may still be. It may if no answer says otherwise and a byte of the call
+// may have been written.
+func MayTakeEffect(err error) bool {
+	var unavailable *StoreUnavailable
+	switch {
+	case err == nil, Is[*LeaseLost](err), Is[*OrderFenced](err), Is[*PlatformRefused](err):
+		return false
+	case errors.As(err, &unavailable):
+		return unavailable.EffectUnknown
+	}
+	return ExecutionOf(err) != NotRun
+}
--- a/internal/fault/fault_test.go
+++ b/internal/fault/fault_test.go
@@ -19,3 +19,25 @@
 		t.Error("Is does not distinguish the types of failures")
 	}
 }
+
+// Guards against a lease that is released while an order under it may still be executed.
+func TestMayTakeEffect(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		err  error
+		want bool
+	}{
+		{"answered", nil, false},
+		{"not answered", &StoreUnavailable{EffectUnknown: true}, true},
+		{"not written", &StoreUnavailable{}, false},
+		{"refused", &PlatformRefused{Status: 409}, false},
+		{"fenced", &OrderFenced{}, false},
+		{"not sent without the lease", &LeaseLost{}, false},
+		{"no answer of an upstream", &UpstreamFailed{}, true},
+		{"upstream not reached", WithExecution(&UpstreamFailed{}, NotRun), false},
+	} {
+		if got := MayTakeEffect(errors.Wrap(c.err, "order")); got != c.want {
+			t.Errorf("%s: %v, want %v", c.name, got, c.want)
+		}
+	}
+}
--- a/internal/lease/guard.go
+++ b/internal/lease/guard.go
@@ -15,6 +15,11 @@
 	Epoch() uint64
 	// Deadline returns the end of the term; each renewal extends it.
 	Deadline() time.Time
+	// NoteUnanswered records that an action under the lease got no answer by now, so that
+	// its receiver may still execute it. The holder notes it for receivers that ignore
+	// fencing tokens and can't be asked whether they executed the action. For a while
+	// afterwards the lease is not released; see Hold.ReleasableAt.
+	NoteUnanswered(now time.Time)
 }
 
 // Check implements Guard.
@@ -35,6 +40,27 @@
 	return orderTimeout + orderTimeout/marginDivisor
 }
 
+// CallContext returns the context of a call under the lease that a planned stop does not
+// cancel: while the call is under way its outcome is unknown, and the lease is not
+// released. The context ends after timeout, or when the lease is lost.
+func CallContext(ctx context.Context, g Guard, timeout time.Duration) (context.Context, context.CancelFunc) {
+	call, cancelCall := context.WithCancelCause(context.WithoutCancel(ctx))
+	cancelIfLost := func() {
+		if err := g.Check(); err != nil {
+			cancelCall(err)
+		}
+	}
+	stopWatching := context.AfterFunc(ctx, cancelIfLost)
+	termEnd := time.AfterFunc(time.Until(g.Deadline()), cancelIfLost)
+	call, cancelTimeout := context.WithTimeout(call, timeout)
+	return call, func() {
+		stopWatching()
+		termEnd.Stop()
+		cancelTimeout()
+		cancelCall(nil)
+	}
+}
+
 // WaitOrderGracePeriod waits for the duration that OrderGracePeriod returns. It then fails with
 // *fault.LeaseLost if the lease was lost in the meantime. It fails with the cause of ctx
 // when ctx ends first.
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -145,6 +145,8 @@
 	version  uint64
 	deadline time.Time
 	ended    bool
+	// unansweredAt is when the last action without an answer was noted.
+	unansweredAt time.Time
 }
 
 // NewHold returns the hold of a lease that was acquired by committing record as
@@ -221,6 +223,28 @@
 	return true
 }
 
+// NoteUnanswered implements Guard.
+func (h *Hold) NoteUnanswered(now time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if now.After(h.unansweredAt) {
+		h.unansweredAt = now
+	}
+}
+
+// ReleasableAt returns when the lease may be released. Until a term and its margin have
+// passed since an action got no answer, the holder lets the lease expire instead: then the
+// next holder waits longer for a receiver that stands still. A receiver that stands still
+// for longer than that is not covered, nor is it after the death of a holder.
+func (h *Hold) ReleasableAt() time.Time {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.unansweredAt.IsZero() {
+		return time.Time{}
+	}
+	return h.unansweredAt.Add(h.timing.Term + h.timing.Margin)
+}
+
 // End ends the hold; every later check fails.
 func (h *Hold) End() {
 	h.mu.Lock()
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -155,3 +155,29 @@
 		}
 	}
 }
+
+// Guards against a release while an action under the lease may still take effect, and
+// against leases that are never released after one.
+func TestUnansweredActionDefersTheRelease(t *testing.T) {
+	start := time.Unix(1000, 0)
+	second := func(n int) time.Time { return start.Add(time.Duration(n) * time.Second) }
+	bound := testTiming.Term + testTiming.Margin
+	for _, c := range []struct {
+		name  string
+		notes []time.Time
+		want  time.Time
+	}{
+		{"all answered", nil, time.Time{}},
+		{"one unanswered", []time.Time{second(3)}, second(3).Add(bound)},
+		{"the last one counts", []time.Time{second(3), second(7)}, second(7).Add(bound)},
+		{"noted in reverse order", []time.Time{second(7), second(3)}, second(7).Add(bound)},
+	} {
+		hold := NewHold("a", testTiming, Record{Holder: "x", Epoch: 1}, 1, start)
+		for _, at := range c.notes {
+			hold.NoteUnanswered(at)
+		}
+		if got := hold.ReleasableAt(); !got.Equal(c.want) {
+			t.Errorf("%s: releasable at %v, want %v", c.name, got, c.want)
+		}
+	}
+}
--- a/internal/lease/manager.go
+++ b/internal/lease/manager.go
@@ -90,7 +90,8 @@
 
 // Campaign contends for the named lease. Each time it has acquired the lease it calls
 // run, with a context that ends when the lease is lost or ctx ends, and releases the
-// lease when run returns. Campaign returns nil once run has returned true and no error.
+// lease when run returns, or lets it expire if an action under it got no answer shortly
+// before; see Guard.NoteUnanswered. Campaign returns nil once run has returned true and no error.
 // Otherwise it continues until ctx ends, and returns the cause of ctx. After the end of
 // ctx the lease is still renewed until run has returned, so that a draining VM can
 // finish what it began.
@@ -113,7 +114,7 @@
 		if done && err == nil {
 			return nil
 		}
-		if err := sleep(ctx, m.timing.Term/retryDivisor); err != nil {
+		if err := sleep(ctx, max(m.timing.Term/retryDivisor, time.Until(c.acquirableAt))); err != nil {
 			return err
 		}
 	}
@@ -133,6 +134,9 @@
 	name      string
 	identity  string
 	contender *Contender
+	// acquirableAt is when this campaign may take the lease again after it let it expire.
+	// The contender takes a lease of its own VM at once.
+	acquirableAt time.Time
 }
 
 func (c *campaign) key() string { return keyPrefix + c.name }
@@ -234,6 +238,10 @@
 			emitLoss()
 			return
 		}
+		if releasableAt := hold.ReleasableAt(); time.Now().Before(releasableAt) {
+			c.letExpire(hold, releasableAt)
+			return
+		}
 		c.release(ctx, hold)
 	}()
 	return run(runCtx, hold)
@@ -292,6 +300,14 @@
 	}
 }
 
+// letExpire ends the hold without a release, so that the next holder waits for the end of
+// the term.
+func (c *campaign) letExpire(hold *Hold, releasableAt time.Time) {
+	hold.End()
+	c.acquirableAt = releasableAt
+	c.emit(event.LeaseLeftToExpire, hold.Epoch())
+}
+
 // read returns the record in the row; for an absent row, a record without a holder.
 func (c *campaign) read(ctx context.Context) (Record, uint64, error) {
 	var record Record
--- a/internal/lease/manager_test.go
+++ b/internal/lease/manager_test.go
@@ -330,3 +330,110 @@
 		}
 	})
 }
+
+// The holder stops while one of its actions may still take effect, or its duty fails then.
+// The next holder must wait as long as after the holder's death, and the same VM must not
+// take the lease sooner. A holder all of whose actions are settled releases at once.
+func TestNextHolderWaitsAfterAnUnansweredAction(t *testing.T) {
+	const fullWait = testTerm + testTerm/marginDivisor
+	for _, c := range []struct {
+		name       string
+		unanswered time.Duration // before the end of the duty; 0 for none
+		stop       bool
+		min, max   time.Duration
+	}{
+		{"answered, then a stop", 0, true, 0, testTerm / pollDivisor},
+		{"unanswered, then a stop", time.Second, true, fullWait - testTerm/renewDivisor, fullWait + testTerm/pollDivisor},
+		{"long unanswered, then a stop", 2 * testTerm, true, 0, testTerm / pollDivisor},
+		{"unanswered, then the duty fails", time.Second, false, fullWait - testTerm/renewDivisor, fullWait + testTerm/pollDivisor},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				cluster := faultinject.NewCluster(faultinject.NoFaults)
+				first, second := cluster.Start(context.Background(), "vm-1"), cluster.Start(context.Background(), "vm-2")
+				var group sync.WaitGroup
+				var ended, next time.Time
+				note := func(now time.Time) {
+					if next.IsZero() && !ended.IsZero() {
+						next = now
+					}
+				}
+				group.Go(func() {
+					_ = newTestManager(first, WithSoleProcess()).Campaign(first.Context, "a", func(ctx context.Context, g Guard) (bool, error) {
+						if !ended.IsZero() {
+							note(time.Now())
+							<-ctx.Done()
+							return true, nil
+						}
+						time.Sleep(testTerm)
+						if c.unanswered > 0 {
+							g.NoteUnanswered(time.Now())
+							time.Sleep(c.unanswered)
+						}
+						if c.stop {
+							first.Stop()
+						}
+						ended = time.Now()
+						return false, nil
+					})
+				})
+				time.Sleep(time.Millisecond)
+				group.Go(func() {
+					_ = newTestManager(second).Campaign(second.Context, "a", func(ctx context.Context, _ Guard) (bool, error) {
+						note(time.Now())
+						<-ctx.Done()
+						return true, nil
+					})
+				})
+				time.Sleep(10 * testTerm)
+				first.Stop()
+				second.Stop()
+				group.Wait()
+				if wait := next.Sub(ended); wait < c.min || wait > c.max {
+					t.Errorf("the lease was taken %v after the end of the duty, want %v to %v", wait, c.min, c.max)
+				}
+			})
+		})
+	}
+}
+
+// A call that a planned stop cancels leaves it unknown whether its receiver executed it;
+// one that outlasts the lease is under way without it.
+func TestCallContextOutlastsAStopButNotTheLease(t *testing.T) {
+	for _, c := range []struct {
+		name      string
+		stopAfter time.Duration
+		storeDown bool
+		timeout   time.Duration
+		want      time.Duration
+	}{
+		{"stop", time.Second, false, 3 * time.Second, 3 * time.Second},
+		{"lost lease", 0, true, 5 * testTerm, testTerm},
+		{"lost lease after a stop", time.Second, true, 5 * testTerm, testTerm},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				cluster := faultinject.NewCluster(faultinject.NoFaults)
+				p := cluster.Start(context.Background(), "vm-1")
+				var took time.Duration
+				_ = newTestManager(p).Campaign(p.Context, "a", func(ctx context.Context, g Guard) (bool, error) {
+					started := time.Now()
+					if c.storeDown {
+						cluster.TakeStoreDown(10 * testTerm)
+					}
+					if c.stopAfter > 0 {
+						time.AfterFunc(c.stopAfter, p.Stop)
+					}
+					call, cancel := CallContext(ctx, g, c.timeout)
+					defer cancel()
+					<-call.Done()
+					took = time.Since(started)
+					return true, nil
+				})
+				if took != c.want {
+					t.Errorf("the call ended after %v, want %v", took, c.want)
+				}
+			})
+		})
+	}
+}
--- a/internal/scaling/orderer.go
+++ b/internal/scaling/orderer.go
@@ -110,7 +110,7 @@
 }
 
 // sendDueOrders sends the orders that are due, one after another. It fails when the
-// lease is lost.
+// lease is lost or ctx ends.
 func (o *Orderer) sendDueOrders(ctx context.Context, guard lease.Guard) error {
 	for service, counts := range o.DesiredCounts.Upstreams(o.Domain) {
 		for kind, count := range counts {
@@ -122,6 +122,9 @@
 			if known && last.count == count && time.Now().Before(last.repeatAt) {
 				continue
 			}
+			if ctx.Err() != nil {
+				return context.Cause(ctx)
+			}
 			if err := guard.Check(); err != nil {
 				return err
 			}
@@ -131,14 +134,18 @@
 	return nil
 }
 
-// sendOrder sends one order and records when it is sent again.
+// sendOrder sends one order and records when it is sent again. The end of ctx does not
+// cancel an order: the platform could still execute it after those of the next holder.
 func (o *Orderer) sendOrder(ctx context.Context, guard lease.Guard, key orderKey, count int) {
-	orderCtx, cancel := context.WithTimeout(fence.WithGuard(ctx, guard), orderTimeout)
+	orderCtx, cancel := lease.CallContext(ctx, guard, orderTimeout)
 	defer cancel()
-	err := o.Platform.OrderUpstreams(orderCtx, Order{
+	err := o.Platform.OrderUpstreams(fence.WithGuard(orderCtx, guard), Order{
 		Service: key.service, Domain: o.Domain, Kind: key.kind, Count: count, Holder: o.VM, Epoch: guard.Epoch(),
 	})
 	subject := event.Subject{Lease: LeaseName(o.Domain), Epoch: guard.Epoch(), Count: int64(count), Detail: key.service + " " + key.kind.String()}
+	if fault.MayTakeEffect(err) {
+		guard.NoteUnanswered(time.Now())
+	}
 	if err != nil {
 		subject.Detail += ": " + string(fault.CodeOf(err)) + ": " + err.Error()
 		o.Events.Emit(event.OrderFailed, subject)
--- a/internal/scaling/scaling_test.go
+++ b/internal/scaling/scaling_test.go
@@ -104,15 +104,25 @@
 const leaseTerm = 3 * time.Second
 
 func startOrderer(t *testing.T, store *memory.Store, counts *fakeCounts, p Platform, vm string) context.CancelFunc {
+	stop, _ := startStoppableOrderer(t, store, counts, p, vm)
+	return stop
+}
+
+// startStoppableOrderer starts an orderer; ended is closed once it has ended after stop.
+func startStoppableOrderer(t *testing.T, store *memory.Store, counts *fakeCounts, p Platform, vm string) (stop context.CancelFunc, ended <-chan struct{}) {
 	events := event.NewRecorder(vm, 16, event.NewClock(time.Now), zap.NewNop())
 	o := &Orderer{
 		VM: vm, Domain: "x", DesiredCounts: counts, Platform: p, Events: events,
 		Leases: lease.NewManager(rowstore.NewTables(store, "lease"), vm, leaseTerm, events),
 	}
 	ctx, kill := context.WithCancel(t.Context())
-	go o.Run(ctx)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		o.Run(ctx)
+	}()
 	t.Cleanup(kill)
-	return kill
+	return kill, done
 }
 
 func TestOrdersFollowDesiredCounts(t *testing.T) {
@@ -246,16 +256,25 @@
 }
 
 // awaitOrder waits until an order waits.
-func (p *stallingPlatform) awaitOrder() {
-	for {
+func (p *stallingPlatform) awaitOrder(t *testing.T) {
+	t.Helper()
+	for range 2 * planInterval / time.Millisecond {
+		time.Sleep(time.Millisecond)
 		p.mu.Lock()
 		n := len(p.waiting)
 		p.mu.Unlock()
 		if n > 0 {
 			return
 		}
-		time.Sleep(time.Millisecond)
 	}
+	t.Fatal("no order waits at the platform")
+}
+
+// epochs returns the epochs of the executed orders.
+func (p *stallingPlatform) epochs() []uint64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.Clone(p.executed)
 }
 
 // Guards against a stop that lets the next holder order while an order of the stopped one
@@ -280,16 +299,17 @@
 					time.Sleep(time.Second + phase)
 					p.stall()
 					counts.replace(map[string]KindCounts{"lm": {5, 0}})
-					p.awaitOrder()
+					p.awaitOrder(t)
 					time.Sleep(c.stopAfter)
 					stop()
 					time.Sleep(c.stalledFor - c.stopAfter)
 					p.resume()
 					time.Sleep(10 * time.Second)
-					if !slices.IsSorted(p.executed) {
-						t.Errorf("phase %s: epochs %v", phase, p.executed)
+					epochs := p.epochs()
+					if !slices.IsSorted(epochs) {
+						t.Errorf("phase %s: epochs %v", phase, epochs)
 					}
-					if last := p.executed[len(p.executed)-1]; last != 2 {
+					if last := epochs[len(epochs)-1]; last != 2 {
 						t.Errorf("phase %s: the last order has epoch %d, want 2 of the new holder", phase, last)
 					}
 				})
@@ -297,3 +317,40 @@
 		})
 	}
 }
+
+// Guards against a stop that waits longer for the platform than for one order, and against
+// next holders that wait for the end of the term although the last order was answered.
+func TestStopWaitsForTheOrderInFlight(t *testing.T) {
+	for _, c := range []struct {
+		name                 string
+		stalledFor           time.Duration
+		maxStop, maxHandover time.Duration
+	}{
+		{"slow platform", orderTimeout / 2, orderTimeout / 2, leaseTerm},
+		{"platform that stands still", 5 * time.Second, orderTimeout, 3 * leaseTerm},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				store, counts, p := memory.New(), &fakeCounts{set: map[string]KindCounts{"lm": {4, 0}, "vision": {4, 0}}}, &stallingPlatform{}
+				stop, ended := startStoppableOrderer(t, store, counts, p, "a")
+				time.Sleep(5 * time.Second)
+				startOrderer(t, store, counts, p, "b")
+				time.Sleep(time.Second)
+				p.stall()
+				counts.replace(map[string]KindCounts{"lm": {5, 0}, "vision": {5, 0}})
+				p.awaitOrder(t)
+				time.AfterFunc(c.stalledFor, p.resume)
+				stop()
+				stoppedAt := time.Now()
+				<-ended
+				if took := time.Since(stoppedAt); took > c.maxStop {
+					t.Errorf("the orderer ended %s after the stop, want at most %s", took, c.maxStop)
+				}
+				time.Sleep(time.Until(stoppedAt.Add(c.maxHandover)))
+				if epochs := p.epochs(); epochs[len(epochs)-1] != 2 {
+					t.Errorf("no order of the next holder %s after the stop: epochs %v", c.maxHandover, epochs)
+				}
+			})
+		})
+	}
+}
--- a/internal/usagewindow/reporter.go
+++ b/internal/usagewindow/reporter.go
@@ -91,7 +91,7 @@
 	defer ticker.Stop()
 	warned := int64(-1) // the last window whose failed report emitted an event
 	for {
-		for r.isDue(next) {
+		for ctx.Err() == nil && r.isDue(next) {
 			err := r.close(ctx, guard, next)
 			if err != nil && !r.refused(err, next) {
 				if warned != next {
@@ -186,10 +186,15 @@
 	if err := guard.Check(); err != nil {
 		return err
 	}
-	callCtx, cancel := context.WithTimeout(fence.WithGuard(ctx, guard), reportTimeout)
+	// The end of ctx does not cancel a report: billing could still take it after those of the
+	// next holder.
+	callCtx, cancel := lease.CallContext(ctx, guard, reportTimeout)
 	defer cancel()
 	report := Report{Window: window, Counts: counts, Holder: r.VM, Epoch: guard.Epoch()}
-	if err := r.Billing.ReportUsage(callCtx, report); err != nil {
+	if err := r.Billing.ReportUsage(fence.WithGuard(callCtx, guard), report); err != nil {
+		if fault.MayTakeEffect(err) {
+			guard.NoteUnanswered(time.Now())
+		}
 		return err
 	}
 	r.Events.Emit(event.UsageReported, event.Subject{Count: window, Epoch: guard.Epoch()})
--- a/internal/usagewindow/usagewindow_test.go
+++ b/internal/usagewindow/usagewindow_test.go
@@ -489,16 +489,18 @@
 }
 
 // awaitReport waits until a report waits.
-func (b *stallingBilling) awaitReport() {
-	for {
+func (b *stallingBilling) awaitReport(t *testing.T) {
+	t.Helper()
+	for range 2 * windowLength / time.Millisecond {
+		time.Sleep(time.Millisecond)
 		b.mu.Lock()
 		n := len(b.waiting)
 		b.mu.Unlock()
 		if n > 0 {
 			return
 		}
-		time.Sleep(time.Millisecond)
 	}
+	t.Fatal("no report waits at billing")
 }
 
 // Guards against a stop that lets the next holder report while a report of the stopped one
@@ -523,12 +525,14 @@
 					startVM(t, store, b, "b")
 					a.waitForNextWindow()
 					b.stall()
-					b.awaitReport()
+					b.awaitReport(t)
 					time.Sleep(c.stopAfter)
 					a.kill()
 					time.Sleep(c.stalledFor - c.stopAfter)
 					b.resume()
 					time.Sleep(10 * time.Second)
+					b.mu.Lock()
+					defer b.mu.Unlock()
 					if !slices.IsSortedFunc(b.taken, func(x, y Report) int { return cmp.Compare(x.Epoch, y.Epoch) }) {
 						t.Errorf("phase %s: reports %+v", phase, b.taken)
 					}
