Test of the wait after an unanswered action: shared times behind a lock

go test -race ./internal/lease reported a race of the test's own variables: the first holder's time of end and the next holder's acquisition were not synchronized. 5 of 5 with -race since.

--- a/internal/lease/manager_test.go
+++ b/internal/lease/manager_test.go
@@ -352,16 +352,21 @@
 				cluster := faultinject.NewCluster(faultinject.NoFaults)
 				first, second := cluster.Start(context.Background(), "vm-1"), cluster.Start(context.Background(), "vm-2")
 				var group sync.WaitGroup
+				var mu sync.Mutex
 				var ended, next time.Time
-				note := func(now time.Time) {
+				// noteAcquired records the first acquisition after the end of the duty, and
+				// reports whether the duty has ended.
+				noteAcquired := func() bool {
+					mu.Lock()
+					defer mu.Unlock()
 					if next.IsZero() && !ended.IsZero() {
-						next = now
+						next = time.Now()
 					}
+					return !ended.IsZero()
 				}
 				group.Go(func() {
 					_ = newTestManager(first, WithSoleProcess()).Campaign(first.Context, "a", func(ctx context.Context, g Guard) (bool, error) {
-						if !ended.IsZero() {
-							note(time.Now())
+						if noteAcquired() {
 							<-ctx.Done()
 							return true, nil
 						}
@@ -373,6 +378,8 @@
 						if c.stop {
 							first.Stop()
 						}
+						mu.Lock()
+						defer mu.Unlock()
 						ended = time.Now()
 						return false, nil
 					})
@@ -380,7 +387,7 @@
 				time.Sleep(time.Millisecond)
 				group.Go(func() {
 					_ = newTestManager(second).Campaign(second.Context, "a", func(ctx context.Context, _ Guard) (bool, error) {
-						note(time.Now())
+						noteAcquired()
 						<-ctx.Done()
 						return true, nil
 					})
