Wait for orders to the platform too before a new holder of a failure domain orders

The lease of a failure domain covers orders to engines, whose timeout is the setting orderTimeoutMillis (100 to 60,000), and orders for upstreams, whose timeout is the platform client's 3 s. A new holder waited for the former only, so with a setting below 3,000 it could order while an order of the previous holder to the platform was still under way. The default, 10,000, was not affected. The longer of both counts now.

--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -114,7 +114,8 @@
 		Reporter:       reporter,
 		DomainInterval: domainInterval,
 		CloseInterval:  s.UsageWindow() / closeDivisor,
-		OrderTimeout:   s.OrderTimeout(),
-		ReportTimeout:  platformapi.CallTimeout,
+		// The lease of the failure domain covers orders to engines and to the platform.
+		OrderTimeout:  max(s.OrderTimeout(), platformapi.CallTimeout),
+		ReportTimeout: platformapi.CallTimeout,
 	})
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -53,7 +53,7 @@
 	// UsageFlushMillis is the shortest flush interval of usage totals. Default 1000.
 	UsageFlushMillis int `json:"usageFlushMillis" validate:"min=20,max=60000"`
 	// OrderTimeoutMillis is the timeout of one order to an engine. A VM that takes
-	// over a failure domain waits as long before its first order. Default 10000.
+	// over a failure domain waits at least as long before its first order. Default 10000.
 	OrderTimeoutMillis int `json:"orderTimeoutMillis" validate:"min=100,max=60000"`
 	// WeightLoadsPerSecond is the maximum number of weight loads that start in a
 	// failure domain per second. It limits the load on the weight store. Default 20.
