--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -35,8 +35,8 @@
 	maxWaitWindows = 2
 )
 
-func newEngines(s settings.Daemon) *engine.Client {
-	return engine.NewClient().WithOrderTimeout(s.OrderTimeout())
+func newEngines(s settings.Daemon, events *event.Recorder) *engine.Client {
+	return engine.NewClient(events).WithOrderTimeout(s.OrderTimeout())
 }
 
 func newWeightUpdater(s settings.Daemon, engines *engine.Client, events *event.Recorder) *weightupdate.Updater {
@@ -114,7 +114,8 @@
 		Reporter:       reporter,
 		DomainInterval: domainInterval,
 		CloseInterval:  s.UsageWindow() / closeDivisor,
-		OrderTimeout:   s.OrderTimeout(),
-		ReportTimeout:  platformapi.CallTimeout,
+		// The lease of the failure domain covers orders to engines and to the platform.
+		OrderTimeout:  max(s.OrderTimeout(), platformapi.CallTimeout),
+		ReportTimeout: platformapi.CallTimeout,
 	})
 }
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -4,12 +4,13 @@
 
 // Numbers of all events. Each subject has a range of one hundred.
 const (
-	ProcessStarted Number = 1001
-	DrainStarted   Number = 1002
-	ProcessStopped Number = 1003
-	PanicRecovered Number = 1004
-	ProcessPaused  Number = 1005
-	ClocksDiverged Number = 1006
+	ProcessStarted      Number = 1001
+	DrainStarted        Number = 1002
+	ProcessStopped      Number = 1003
+	PanicRecovered      Number = 1004
+	ProcessPaused       Number = 1005
+	ClocksDiverged      Number = 1006
+	SocketOptionRefused Number = 1007
 
 	EditAccepted           Number = 1101
 	RevisionApplied        Number = 1102
@@ -17,9 +18,10 @@
 	ConfigurationConfirmed Number = 1104
 	KeyWithdrawn           Number = 1105
 
-	LeaseAcquired Number = 1201
-	LeaseReleased Number = 1202
-	LeaseLost     Number = 1203
+	LeaseAcquired     Number = 1201
+	LeaseReleased     Number = 1202
+	LeaseLost         Number = 1203
+	LeaseLeftToExpire Number = 1204
 
 	RequestAccepted   Number = 1301
 	RequestDispatched Number = 1302
@@ -66,6 +68,7 @@
 	DomainEvacuated  Number = 1510
 	DomainRestored   Number = 1511
 	OrderUnanswered  Number = 1512
+	OrderHeldBack    Number = 1513
 
 	WindowSealed    Number = 1601
 	UsageReported   Number = 1602
@@ -96,6 +99,7 @@
 	{PanicRecovered, zap.ErrorLevel, "panic recovered", "A request handler panicked; only its request failed. Detail gives the component."},
 	{ProcessPaused, zap.WarnLevel, "process paused", "The process did not run for Count milliseconds: it was paused, or its VM had no processor time."},
 	{ClocksDiverged, zap.WarnLevel, "clocks diverged", "The wall clock advanced by Count milliseconds more than the monotonic clock: the VM was suspended, or its wall clock was set. Terms of leases run on the monotonic clock."},
+	{SocketOptionRefused, zap.WarnLevel, "socket option refused", "The kernel refused the socket option in Detail, an additional limit of connections for orders and reports. They work without it; the event is emitted once per client."},
 	{EditAccepted, zap.InfoLevel, "edit accepted", "An operator's edit was committed as the revision."},
 	{RevisionApplied, zap.InfoLevel, "revision applied", "The VM applied the revision of the configuration."},
 	{ConfigurationStale, zap.WarnLevel, "configuration stale", "The configuration revision has not been confirmed as current for a long time; the VM may be cut off."},
@@ -104,6 +108,7 @@
 	{LeaseAcquired, zap.InfoLevel, "lease acquired", "The VM acquired the lease with the given epoch. Detail says why it did not have to wait any longer."},
 	{LeaseReleased, zap.InfoLevel, "lease released", "The VM released the lease."},
 	{LeaseLost, zap.WarnLevel, "lease lost", "The VM did not renew the lease in time, or another VM acquired it."},
+	{LeaseLeftToExpire, zap.InfoLevel, "lease left to expire", "The VM stopped its duty but did not release the lease, because an action under it got no answer and may still take effect; the next holder waits for the end of the term."},
 	{RequestAccepted, zap.InfoLevel, "request accepted", "A caller's request was authenticated."},
 	{RequestDispatched, zap.InfoLevel, "request dispatched", "An attempt of the request was sent to the upstream."},
 	{AttemptFailed, zap.WarnLevel, "attempt failed", "An attempt failed; Detail gives the failure code."},
@@ -139,7 +144,7 @@
 	{UpstreamRestored, zap.InfoLevel, "upstream restored", "The upstream receives work again."},
 	{UpstreamLeaving, zap.InfoLevel, "upstream leaving", "The upstream is leaving and receives no new work."},
 	{OrderSent, zap.InfoLevel, "order sent", "An order was sent to the platform or an engine."},
-	{OrderFailed, zap.WarnLevel, "order failed", "An order was refused, or its outcome is unknown."},
+	{OrderFailed, zap.WarnLevel, "order failed", "An order was refused, its outcome is unknown, or it was not sent because the store did not confirm the lease."},
 	{WeightsPublished, zap.InfoLevel, "weights published", "The weight store has a new version; Count is the version."},
 	{WeightsLoaded, zap.InfoLevel, "weights loaded", "An engine has loaded the weight version in Count."},
 	{UpstreamListed, zap.InfoLevel, "upstream listed", "The platform's list contains a new upstream; Detail gives its service and address. For many at once, there is one event with their number as Count."},
@@ -147,6 +152,7 @@
 	{DomainEvacuated, zap.WarnLevel, "failure domain evacuated", "The failure domain in Detail is evacuated; its upstreams receive no more work. Count is the number of its listed upstreams."},
 	{DomainRestored, zap.InfoLevel, "failure domain restored", "The evacuation of the failure domain in Detail has ended; its Count upstreams receive work again as they warm up."},
 	{OrderUnanswered, zap.WarnLevel, "order unanswered", "An order to an engine got no answer and may still take effect. Detail gives the expected sequence number, the rest of the term when the order was started, and the time until it was abandoned."},
+	{OrderHeldBack, zap.WarnLevel, "order held back", "A load of the weight version in Count is due on an engine that this lease holder has not yet seen running for long enough, since an order of the previous holder may still wait there. Reported once per engine and term; Detail gives the model, when the first load was due, and the failure of the last probe."},
 	{WindowSealed, zap.InfoLevel, "window sealed", "The VM stored its final usage of the window that starts at Count."},
 	{UsageReported, zap.InfoLevel, "usage reported", "Billing accepted the account's report of the window that starts at Count; Detail says whether the report corrects an earlier window."},
 	{UsageIncomplete, zap.WarnLevel, "usage incomplete", "Usage of a window was not stored or not reported; Detail gives the reason. Without Detail, the account's report lacks usage of a dead VM."},
--- a/internal/lease/guard.go
+++ b/internal/lease/guard.go
@@ -15,11 +15,30 @@
 	Epoch() uint64
 	// Deadline returns the end of the term; each renewal extends it.
 	Deadline() time.Time
+	// Confirm reads the lease's row with a read that begins after the call. The term runs on
+	// the local monotonic clock, which stops while the machine is suspended, so Check may
+	// pass although another VM holds the lease. It fails with *fault.LeaseLost, and ends
+	// the hold, if the row has another holder; with *fault.StoreUnavailable if the store
+	// does not answer; and with the cause of ctx when ctx ends first. Concurrent calls
+	// share a read that was not sent yet. Callers confirm the lease directly before each
+	// order to receivers that ignore fencing tokens.
+	Confirm(ctx context.Context) error
+	// NoteUnanswered records that an action under the lease got no answer by now, so that
+	// its receiver may still execute it. The holder notes it for receivers that ignore
+	// fencing tokens and can't be asked whether they executed the action. For a while
+	// afterwards the lease is not released; see Hold.ReleasableAt.
+	NoteUnanswered(now time.Time)
 }
 
 // Check implements Guard.
 func (h *Hold) Check() error { return h.CheckAt(time.Now()) }
 
+// OrderTimeout is the timeout of the orders and reports that are sent under the leases of a
+// fleet. Three limits must agree on it, so they all use it: the timeout of the call, the
+// limit that the sender's kernel keeps while the process is paused (see package fence), and
+// the wait of a new holder. A slow receiver still answers within it.
+const OrderTimeout = 800 * time.Millisecond
+
 // OrderGracePeriod returns how long a new holder waits before its first order to receivers
 // that ignore fencing tokens. An earlier holder may have sent an order just before its
 // term ended; orderTimeout is the longest time after which that order can still take
@@ -29,6 +48,27 @@
 	return orderTimeout + orderTimeout/marginDivisor
 }
 
+// CallContext returns the context of a call under the lease that a planned stop does not
+// cancel: while the call is under way its outcome is unknown, and the lease is not
+// released. The context ends after timeout, or when the lease is lost.
+func CallContext(ctx context.Context, g Guard, timeout time.Duration) (context.Context, context.CancelFunc) {
+	call, cancelCall := context.WithCancelCause(context.WithoutCancel(ctx))
+	cancelIfLost := func() {
+		if err := g.Check(); err != nil {
+			cancelCall(err)
+		}
+	}
+	stopWatching := context.AfterFunc(ctx, cancelIfLost)
+	termEnd := time.AfterFunc(time.Until(g.Deadline()), cancelIfLost)
+	call, cancelTimeout := context.WithTimeout(call, timeout)
+	return call, func() {
+		stopWatching()
+		termEnd.Stop()
+		cancelTimeout()
+		cancelCall(nil)
+	}
+}
+
 // WaitOrderGracePeriod waits for the duration that OrderGracePeriod returns. It then fails with
 // *fault.LeaseLost if the lease was lost in the meantime. It fails with the cause of ctx
 // when ctx ends first.
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -145,6 +145,8 @@
 	version  uint64
 	deadline time.Time
 	ended    bool
+	// unansweredAt is when the last action without an answer was noted.
+	unansweredAt time.Time
 }
 
 // NewHold returns the hold of a lease that was acquired by committing record as
@@ -221,6 +223,41 @@
 	return true
 }
 
+// EndUnlessHolder records the row as it was read, and reports whether it ended the hold because
+// the row has another holder or epoch. Unlike Reconcile it keeps the version: a renewal may
+// be in flight, which writes the row before or after this read.
+func (h *Hold) EndUnlessHolder(record Record) (ended bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.ended || record.Holder == h.record.Holder && record.Epoch == h.record.Epoch {
+		return false
+	}
+	h.ended = true
+	return true
+}
+
+// NoteUnanswered implements Guard.
+func (h *Hold) NoteUnanswered(now time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if now.After(h.unansweredAt) {
+		h.unansweredAt = now
+	}
+}
+
+// ReleasableAt returns when the lease may be released. Until a term and its margin have
+// passed since an action got no answer, the holder lets the lease expire instead: then the
+// next holder waits longer for a receiver that stands still. A receiver that stands still
+// for longer than that is not covered, nor is it after the death of a holder.
+func (h *Hold) ReleasableAt() time.Time {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.unansweredAt.IsZero() {
+		return time.Time{}
+	}
+	return h.unansweredAt.Add(h.timing.Term + h.timing.Margin)
+}
+
 // End ends the hold; every later check fails.
 func (h *Hold) End() {
 	h.mu.Lock()
--- a/internal/scaling/orderer.go
+++ b/internal/scaling/orderer.go
@@ -15,8 +15,8 @@
 	// counts.
 	planInterval = 500 * time.Millisecond
 	// orderTimeout is the timeout of one order. A new lease holder waits at least that
-	// long before its first order. A slow platform still answers within it.
-	orderTimeout = 800 * time.Millisecond
+	// long before its first order.
+	orderTimeout = lease.OrderTimeout
 	// retryBackoff is the wait before an order is sent again after it got no answer or
 	// the platform could not execute it: reclaimed upstreams become available again
 	// some seconds later.
@@ -110,7 +110,8 @@
 }
 
 // sendDueOrders sends the orders that are due, one after another. It fails when the
-// lease is lost.
+// lease is lost or ctx ends. If the store doesn't confirm the lease, the rest is due again at
+// the next call.
 func (o *Orderer) sendDueOrders(ctx context.Context, guard lease.Guard) error {
 	for service, counts := range o.DesiredCounts.Upstreams(o.Domain) {
 		for kind, count := range counts {
@@ -122,8 +123,11 @@
 			if known && last.count == count && time.Now().Before(last.repeatAt) {
 				continue
 			}
-			if err := guard.Check(); err != nil {
-				return err
+			if ctx.Err() != nil {
+				return context.Cause(ctx)
+			}
+			if err := guard.Confirm(ctx); err != nil {
+				return o.noteUnconfirmed(err)
 			}
 			o.sendOrder(ctx, guard, key, count)
 		}
@@ -131,14 +135,28 @@
 	return nil
 }
 
-// sendOrder sends one order and records when it is sent again.
+// noteUnconfirmed emits an event for a lease that was not confirmed, and returns the error if
+// the lease is lost.
+func (o *Orderer) noteUnconfirmed(err error) error {
+	if fault.Is[*fault.LeaseLost](err) {
+		return err
+	}
+	o.Events.Emit(event.OrderFailed, event.Subject{Lease: LeaseName(o.Domain), Detail: "lease not confirmed: " + err.Error()})
+	return nil
+}
+
+// sendOrder sends one order and records when it is sent again. The end of ctx does not
+// cancel an order: the platform could still execute it after those of the next holder.
 func (o *Orderer) sendOrder(ctx context.Context, guard lease.Guard, key orderKey, count int) {
-	orderCtx, cancel := context.WithTimeout(fence.WithGuard(ctx, guard), orderTimeout)
+	orderCtx, cancel := lease.CallContext(ctx, guard, orderTimeout)
 	defer cancel()
-	err := o.Platform.OrderUpstreams(orderCtx, Order{
+	err := o.Platform.OrderUpstreams(fence.WithGuard(orderCtx, guard), Order{
 		Service: key.service, Domain: o.Domain, Kind: key.kind, Count: count, Holder: o.VM, Epoch: guard.Epoch(),
 	})
 	subject := event.Subject{Lease: LeaseName(o.Domain), Epoch: guard.Epoch(), Count: int64(count), Detail: key.service + " " + key.kind.String()}
+	if fault.MayTakeEffect(err) {
+		guard.NoteUnanswered(time.Now())
+	}
 	if err != nil {
 		subject.Detail += ": " + string(fault.CodeOf(err)) + ": " + err.Error()
 		o.Events.Emit(event.OrderFailed, subject)
--- a/internal/usagewindow/reporter.go
+++ b/internal/usagewindow/reporter.go
@@ -28,10 +28,9 @@
 	closeTimeout = 7 * time.Second
 	// closeCheckInterval is the interval between checks for windows to close.
 	closeCheckInterval = 400 * time.Millisecond
-	// reportTimeout is the timeout of one report. Billing answers within it also when it
-	// is slow. A new holder of the lease waits slightly longer before its first report,
-	// until no report of a previous holder can still take effect.
-	reportTimeout = 800 * time.Millisecond
+	// reportTimeout is the timeout of one report. A new holder of the lease waits slightly
+	// longer before its first report.
+	reportTimeout = lease.OrderTimeout
 	// leaseName is the lease whose holder reports.
 	leaseName = "usage"
 	// lastReportedName is the row with the number of the newest reported window.
@@ -92,7 +91,7 @@
 	defer ticker.Stop()
 	warned := int64(-1) // the last window whose failed report emitted an event
 	for {
-		for r.isDue(next) {
+		for ctx.Err() == nil && r.isDue(next) {
 			err := r.close(ctx, guard, next)
 			if err != nil && !r.refused(err, next) {
 				if warned != next {
@@ -184,13 +183,18 @@
 	if err != nil {
 		return err
 	}
-	if err := guard.Check(); err != nil {
+	if err := guard.Confirm(ctx); err != nil {
 		return err
 	}
-	callCtx, cancel := context.WithTimeout(fence.WithGuard(ctx, guard), reportTimeout)
+	// The end of ctx does not cancel a report: billing could still take it after those of the
+	// next holder.
+	callCtx, cancel := lease.CallContext(ctx, guard, reportTimeout)
 	defer cancel()
 	report := Report{Window: window, Counts: counts, Holder: r.VM, Epoch: guard.Epoch()}
-	if err := r.Billing.ReportUsage(callCtx, report); err != nil {
+	if err := r.Billing.ReportUsage(fence.WithGuard(callCtx, guard), report); err != nil {
+		if fault.MayTakeEffect(err) {
+			guard.NoteUnanswered(time.Now())
+		}
 		return err
 	}
 	r.Events.Emit(event.UsageReported, event.Subject{Count: window, Epoch: guard.Epoch()})
