--- a/spec/receiver.pml
+++ b/spec/receiver.pml
@@ -41,10 +41,12 @@
  * weaken: WEAKEN_NO_CONFIRM
  *
  * The protocol does not cover these cases; each violates the assertion when it is added: a
- * receiver that stops again and again after a moment, a machine of the old holder that is
- * suspended between the confirmation and the arrival of the order, an acquisition in that time
- * after a suspension, and a middlebox that holds the bytes of one connection.
+ * receiver that stops again and again after a moment, a process that is paused between its
+ * last check and the system call, a machine of the old holder that is suspended between the
+ * confirmation and the arrival of the order, an acquisition in that time after a suspension,
+ * and a middlebox that holds the bytes of one connection.
  * weaken: WEAKEN_SHORT_RUNS
+ * weaken: WEAKEN_PAUSED_BEFORE_WRITE
  * weaken: WEAKEN_SUSPENDED_WHILE_SENDING
  * weaken: WEAKEN_ACQUIRED_AFTER_CONFIRMATION
  * weaken: WEAKEN_HOLDING_MIDDLEBOX
@@ -223,7 +225,10 @@
 		}
 	:: /* Check the clock again and write the order on a new connection. */
 		atomic {
-			order == checked && left > 0 ->
+#ifndef WEAKEN_PAUSED_BEFORE_WRITE
+			left > 0 &&
+#endif
+			order == checked ->
 			order = written;
 			wire = 1;
 			limit = KERNEL;
