--- a/internal/usagewindow/usagewindow_test.go
+++ b/internal/usagewindow/usagewindow_test.go
@@ -63,6 +63,8 @@
 	meter *Meter
 	clock *FleetClock
 	kill  context.CancelFunc
+	// ended is closed once the reporter has ended after kill.
+	ended <-chan struct{}
 }
 
 func startVM(t *testing.T, store *memory.Store, b Billing, name string) vm {
@@ -81,9 +83,13 @@
 	}
 	ctx, kill := context.WithCancel(t.Context())
 	go meter.Run(ctx)
-	go reporter.Run(ctx)
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		reporter.Run(ctx)
+	}()
 	t.Cleanup(kill)
-	return vm{meter: meter, clock: clock, kill: kill}
+	return vm{meter: meter, clock: clock, kill: kill, ended: ended}
 }
 
 // waitForNextWindow waits until the next window begins and returns its number.
@@ -544,3 +550,29 @@
 		})
 	}
 }
+
+// Guards against a stop that waits for billing, which stands still, longer than for the
+// report in flight: several windows are due.
+func TestStopWaitsForTheReportInFlight(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store, b := memory.New(), &stallingBilling{}
+		window := syncFleetClock(t, store)
+		for n := range int64(4) {
+			store.Set(rowstore.Key{Table: totalsTable, Part: windowName(window + n), Name: "gone/1"}, `{"acc":3}`)
+		}
+		time.Sleep(4 * windowLength)
+		b.stall()
+		a := startVM(t, store, b, "a")
+		b.awaitReport(t)
+		time.AfterFunc(reportTimeout/2, b.resume)
+		a.kill()
+		stoppedAt := time.Now()
+		<-a.ended
+		if took := time.Since(stoppedAt); took > reportTimeout {
+			t.Errorf("the reporter ended %s after the stop, want at most %s", took, reportTimeout)
+		}
+		if len(b.taken) != 1 {
+			t.Errorf("reports %+v, want the one in flight", b.taken)
+		}
+	})
+}
