--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -223,6 +223,19 @@
 	return true
 }
 
+// EndUnlessHolder records the row as it was read, and reports whether it ended the hold because
+// the row has another holder or epoch. Unlike Reconcile it keeps the version: a renewal may
+// be in flight, which writes the row before or after this read.
+func (h *Hold) EndUnlessHolder(record Record) (ended bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.ended || record.Holder == h.record.Holder && record.Epoch == h.record.Epoch {
+		return false
+	}
+	h.ended = true
+	return true
+}
+
 // NoteUnanswered implements Guard.
 func (h *Hold) NoteUnanswered(now time.Time) {
 	h.mu.Lock()
--- a/internal/lease/manager.go
+++ b/internal/lease/manager.go
@@ -220,7 +220,7 @@
 	defer c.manager.held.Add(-1)
 	renewCtx, stopRenewing := context.WithCancel(context.WithoutCancel(ctx))
 	runCtx, stopRun := context.WithCancelCause(ctx)
-	// Both renewLoop and the check after run can find the loss; the event is emitted
+	// renewLoop, Confirm and the check after run can find the loss; the event is emitted
 	// once.
 	emitLoss := sync.OnceFunc(func() { c.emit(event.LeaseLost, hold.Epoch()) })
 	var renewals sync.WaitGroup
@@ -230,8 +230,21 @@
 			stopRun(lossErr)
 		}
 	})
+	guard := &confirmer{
+		Hold: hold,
+		read: func(ctx context.Context) (Record, error) {
+			record, _, err := c.read(ctx)
+			return record, err
+		},
+		readCtx: renewCtx,
+		onLost: func(err error) {
+			emitLoss()
+			stopRun(err)
+		},
+	}
 	defer func() {
 		stopRenewing()
+		guard.stop()
 		renewals.Wait()
 		stopRun(nil)
 		if hold.Check() != nil {
@@ -244,7 +257,7 @@
 		}
 		c.release(ctx, hold)
 	}()
-	return run(runCtx, hold)
+	return run(runCtx, guard)
 }
 
 // renewLoop renews the lease. It returns nil when ctx ends, and *fault.LeaseLost when
--- a/internal/scaling/orderer.go
+++ b/internal/scaling/orderer.go
@@ -110,7 +110,8 @@
 }
 
 // sendDueOrders sends the orders that are due, one after another. It fails when the
-// lease is lost or ctx ends.
+// lease is lost or ctx ends. If the store doesn't confirm the lease, the rest is due again
+// at the next call.
 func (o *Orderer) sendDueOrders(ctx context.Context, guard lease.Guard) error {
 	for service, counts := range o.DesiredCounts.Upstreams(o.Domain) {
 		for kind, count := range counts {
@@ -125,8 +126,8 @@
 			if ctx.Err() != nil {
 				return context.Cause(ctx)
 			}
-			if err := guard.Check(); err != nil {
-				return err
+			if err := guard.Confirm(ctx); err != nil {
+				return o.noteUnconfirmed(err)
 			}
 			o.sendOrder(ctx, guard, key, count)
 		}
@@ -134,6 +135,16 @@
 	return nil
 }
 
+// noteUnconfirmed emits an event for a lease that was not confirmed, and returns the error if
+// the lease is lost.
+func (o *Orderer) noteUnconfirmed(err error) error {
+	if fault.Is[*fault.LeaseLost](err) {
+		return err
+	}
+	o.Events.Emit(event.OrderFailed, event.Subject{Lease: LeaseName(o.Domain), Detail: "lease not confirmed: " + err.Error()})
+	return nil
+}
+
 // sendOrder sends one order and records when it is sent again. The end of ctx does not
 // cancel an order: the platform could still execute it after those of the next holder.
 func (o *Orderer) sendOrder(ctx context.Context, guard lease.Guard, key orderKey, count int) {
--- a/internal/usagewindow/reporter.go
+++ b/internal/usagewindow/reporter.go
@@ -183,7 +183,7 @@
 	if err != nil {
 		return err
 	}
-	if err := guard.Check(); err != nil {
+	if err := guard.Confirm(ctx); err != nil {
 		return err
 	}
 	// The end of ctx does not cancel a report: billing could still take it after those of the
