--- a/internal/weightload/settle_test.go
+++ b/internal/weightload/settle_test.go
@@ -143,9 +143,10 @@
 // heldLease is the guard of a lease that is held all along.
 type heldLease uint64
 
-func (heldLease) Check() error        { return nil }
-func (h heldLease) Epoch() uint64     { return uint64(h) }
-func (heldLease) Deadline() time.Time { return time.Now().Add(time.Minute) }
+func (heldLease) Check() error             { return nil }
+func (h heldLease) Epoch() uint64          { return uint64(h) }
+func (heldLease) Deadline() time.Time      { return time.Now().Add(time.Minute) }
+func (heldLease) NoteUnanswered(time.Time) {}
 
 func (heldLease) Confirm(context.Context) error { return nil }
 
