--- a/spec/receiver.pml
+++ b/spec/receiver.pml
@@ -10,7 +10,8 @@
  * once it is settled, and its order takes effect whenever the receiver runs.
  *
  * Go functions that the model represents:
- *   probe, count, settle   weightload: settler.settle, settling.noteAnswer, Engines.Probe
+ *   probe, count, settle   weightload: settler.settle, settling.noteAnswer, Engines.Probe,
+ *                          Loader.readReport
  *   wait after acquiring   weightload: Loader.serveTerm, lease.OrderGracePeriod
  *   confirm                lease: Guard.Confirm
  *   check and write        fence: WithGuard, the check directly before the system call
@@ -40,10 +41,12 @@
  * weaken: WEAKEN_NO_CONFIRM
  *
  * The protocol does not cover these cases; each violates the assertion when it is added: a
- * receiver that stops again and again after a moment, a machine of the old holder that is
- * suspended between the confirmation and the arrival of the order, an acquisition in that time
- * after a suspension, and a middlebox that holds the bytes of one connection.
+ * receiver that stops again and again after a moment, a process that is paused between its
+ * last check and the system call, a machine of the old holder that is suspended between the
+ * confirmation and the arrival of the order, an acquisition in that time after a suspension,
+ * and a middlebox that holds the bytes of one connection.
  * weaken: WEAKEN_SHORT_RUNS
+ * weaken: WEAKEN_PAUSED_BEFORE_WRITE
  * weaken: WEAKEN_SUSPENDED_WHILE_SENDING
  * weaken: WEAKEN_ACQUIRED_AFTER_CONFIRMATION
  * weaken: WEAKEN_HOLDING_MIDDLEBOX
@@ -191,12 +194,13 @@
 		atomic { awake && connection == accepted && arrived -> assert(!newOrder); disconnect() }
 	:: /* An order of the new holder takes effect. */
 		atomic { awake && settled -> newOrder = 1 }
-	:: /* Answer a probe. The connections that are older than its own are accepted before. */
+	:: /* Answer a probe. The first one of a settling comes on a new connection, and the
+	    * connections that are older are accepted before it. */
 		atomic {
 		awake && probe == sent ->
 #ifndef WEAKEN_OLD_CONNECTION
 		if
-		:: connection == waiting -> connection = accepted
+		:: !counting && connection == waiting -> connection = accepted
 		:: else
 		fi;
 #endif
@@ -221,7 +225,10 @@
 		}
 	:: /* Check the clock again and write the order on a new connection. */
 		atomic {
-			order == checked && left > 0 ->
+#ifndef WEAKEN_PAUSED_BEFORE_WRITE
+			left > 0 &&
+#endif
+			order == checked ->
 			order = written;
 			wire = 1;
 			limit = KERNEL;
