--- a/internal/weightload/settle_test.go
+++ b/internal/weightload/settle_test.go
@@ -150,8 +150,6 @@
 
 func (heldLease) Confirm(context.Context) error { return nil }
 
-func (heldLease) NoteUnanswered(time.Time) {}
-
 // newObservedLoader returns a loader of n engines on which loads are due.
 func newObservedLoader(n int, latency func(id string) time.Duration) (*Loader, *observedEngines) {
 	engines := &observedEngines{fleet: newFleet(n), latency: latency, probes: make(map[string]int), reports: make(map[string]int)}
