Failing test: a VM takes a lease that it lost again soon after an unanswered action

A VM that lost its lease, as the store was out of reach for a term, takes it again at once: its own record makes no contender wait. The wait after an unanswered action was applied only where the holder lets its lease expire. A platform that stands still could read the action, with its lower epoch, after one of the same VM's next epoch.

Seen: taken again 1.5 s after the unanswered action, want 7.5 s (term 6 s).

--- a/internal/lease/manager_test.go
+++ b/internal/lease/manager_test.go
@@ -444,3 +444,29 @@
 		})
 	}
 }
+
+// Guards against a VM that loses its lease after an unanswered action, takes it again as soon
+// as it reaches the store, and acts under the next epoch before the receiver reads the action.
+func TestVMWaitsForItsOwnLostLeaseAfterAnUnansweredAction(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cluster := faultinject.NewCluster(faultinject.NoFaults)
+		p := cluster.Start(context.Background(), "vm-1")
+		var unansweredAt, next time.Time
+		_ = newTestManager(p).Campaign(p.Context, "a", func(ctx context.Context, g Guard) (bool, error) {
+			if !unansweredAt.IsZero() {
+				next = time.Now()
+				return true, nil
+			}
+			cluster.TakeStoreDown(testTerm)
+			time.Sleep(testTerm - time.Second)
+			unansweredAt = time.Now()
+			g.NoteUnanswered(unansweredAt)
+			<-ctx.Done()
+			return false, context.Cause(ctx)
+		})
+		const fullWait = testTerm + testTerm/marginDivisor
+		if wait := next.Sub(unansweredAt); wait < fullWait || wait > fullWait+testTerm/pollDivisor {
+			t.Errorf("the lease was taken again %v after the unanswered action, want %v", wait, fullWait)
+		}
+	})
+}
