A VM waits after an unanswered action also for a lease that it lost

A platform that stands still could read an order for upstreams, or a usage report, after one of the same VM's next epoch: a VM that lost its lease, as the store was out of reach for a term, took it again at once and waited the order grace period only. The time before which a campaign doesn't take the lease again was set only where it lets the lease expire; it now holds however the term ended.

TestVMWaitsForItsOwnLostLeaseAfterAnUnansweredAction: before 1.5 s, now within 7.5 to 9.5 s (term 6 s); go test ./internal/lease passes.

The reason in the event of the acquisition named a lost reply in this case as well; it now names both ways, since the row does not tell them apart.

--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -94,7 +94,8 @@
 // also for a free lease: candidates pass 0, standby VMs (see maxCandidates) more.
 //
 // A record with the contender's own identity was written by a commit whose reply was
-// lost. No order was sent under that record, so there is no holder to wait for.
+// lost, or in an earlier term of the same campaign, which has ended. So there is no other
+// holder to wait for; the campaign waits for its own unanswered actions.
 func (c *Contender) RemainingWait(record Record, now time.Time, extra time.Duration) time.Duration {
 	if record.Holder == c.identity || c.isHeldByPredecessor(record) {
 		return 0
@@ -122,7 +123,7 @@
 	case record.Holder == "":
 		return "released"
 	case record.Holder == c.identity:
-		return "own commit whose reply was lost"
+		return "own earlier term, or own commit whose reply was lost"
 	case c.isHeldByPredecessor(record):
 		return "held by an earlier process of this VM"
 	}
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -144,11 +144,11 @@
 	c.Observe(1, now)
 	now = now.Add(13 * time.Second)
 	for want, record := range map[string]Record{
-		"no earlier holder":                        {},
-		"released":                                 {Epoch: 3},
-		"own commit whose reply was lost":          {Holder: "vm-a/2", Epoch: 3},
-		"held by an earlier process of this VM":    {Holder: "vm-a/1", Epoch: 3},
-		"expired: vm-b/1 did not renew it for 13s": {Holder: "vm-b/1", Epoch: 3},
+		"no earlier holder": {},
+		"released":          {Epoch: 3},
+		"own earlier term, or own commit whose reply was lost": {Holder: "vm-a/2", Epoch: 3},
+		"held by an earlier process of this VM":                {Holder: "vm-a/1", Epoch: 3},
+		"expired: vm-b/1 did not renew it for 13s":             {Holder: "vm-b/1", Epoch: 3},
 	} {
 		if got := c.AcquisitionReason(record, now); got != want {
 			t.Errorf("reason of %+v is %q, want %q", record, got, want)
--- a/internal/lease/manager.go
+++ b/internal/lease/manager.go
@@ -134,8 +134,8 @@
 	name      string
 	identity  string
 	contender *Contender
-	// acquirableAt is when this campaign may take the lease again after it let it expire.
-	// The contender takes a lease of its own VM at once.
+	// acquirableAt is when this campaign may take the lease again after it lost it or let it
+	// expire. The contender takes a lease of its own VM at once.
 	acquirableAt time.Time
 }
 
@@ -247,12 +247,13 @@
 		guard.stop()
 		renewals.Wait()
 		stopRun(nil)
+		c.acquirableAt = hold.ReleasableAt()
 		if hold.Check() != nil {
 			emitLoss()
 			return
 		}
-		if releasableAt := hold.ReleasableAt(); time.Now().Before(releasableAt) {
-			c.letExpire(hold, releasableAt)
+		if time.Now().Before(c.acquirableAt) {
+			c.letExpire(hold)
 			return
 		}
 		c.release(ctx, hold)
@@ -315,9 +316,8 @@
 
 // letExpire ends the hold without a release, so that the next holder waits for the end of
 // the term.
-func (c *campaign) letExpire(hold *Hold, releasableAt time.Time) {
+func (c *campaign) letExpire(hold *Hold) {
 	hold.End()
-	c.acquirableAt = releasableAt
 	c.emit(event.LeaseLeftToExpire, hold.Epoch())
 }
 
