Failing test: an engine that is listed at another address gets an order at once

The settler keeps what it saw per entry of the roster, and an entry keeps its identity when the same incarnation is listed at another address. The answers came from the earlier address, and show nothing about connections that wait at the new one: the earlier holder may have sent an order there.

Seen: the order came 0 s after the change of the address, want at least 500 ms.

--- a/internal/weightload/settle_test.go
+++ b/internal/weightload/settle_test.go
@@ -321,3 +321,28 @@
 		})
 	}
 }
+
+// Guards against an engine that is listed at another address and counts as settled by the
+// answers from the earlier one.
+func TestEngineAtANewAddressSettlesAnew(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l, engines := newObservedLoader(1, noLatency)
+		engines.demands = nil
+		var movedAt time.Time
+		time.AfterFunc(3*time.Second, func() {
+			moved := *engines.roster.Upstreams("lm")[0].Info()
+			moved.Address = "elsewhere"
+			engines.roster.Replace([]target.Instance{moved})
+			movedAt = time.Now()
+			engines.announceVersion("m", 5)
+		})
+		serveFor(t, l, 1, 6*time.Second)
+		orders := engines.ordersOf("e00")
+		if len(orders) == 0 {
+			t.Fatal("no order to the engine at its new address")
+		}
+		if wait := orders[0].at.Sub(movedAt); wait < settleTime {
+			t.Errorf("the engine got an order %s after it was listed at another address, want at least %s", wait, settleTime)
+		}
+	})
+}
