An engine that is listed at another address has to settle anew

An engine listed at another address got its first order there at once, on the word of answers from the earlier address. They don't show that connections that wait at the new one were accepted, so an order of the previous holder could be read after it. The settler now keeps the address at which an engine settled, starts over when it changes while it probes, and a load in progress ends before its next order.

TestEngineAtANewAddressSettlesAnew: before, the order came 0 s after the change; now 500 ms or more. go test ./internal/weightload passes.

--- a/internal/weightload/loader.go
+++ b/internal/weightload/loader.go
@@ -219,7 +219,7 @@
 		l.setBusy(planned.Engine, true)
 		loads.Go(func() {
 			defer l.setBusy(planned.Engine, false)
-			l.load(ctx, guard, planned)
+			l.load(ctx, guard, settler, planned)
 		})
 	}
 }
@@ -279,8 +279,9 @@
 // with the sequence number just read, and polls until the engine has the version. An
 // order without a reply may be executed seconds later. It is sent again with the
 // same sequence number: the first copy that the engine accepts raises the number,
-// and the engine refuses the other copies.
-func (l *Loader) load(ctx context.Context, guard lease.Guard, planned PlannedLoad) {
+// and the engine refuses the other copies. It ends when the engine's address changes, since the
+// engine then has to settle anew.
+func (l *Loader) load(ctx context.Context, guard lease.Guard, settler *settler, planned PlannedLoad) {
 	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
 	defer cancel()
 	subject := event.Subject{Upstream: planned.Engine.Info().ID, Epoch: guard.Epoch(), Count: planned.Version, Detail: planned.Model}
@@ -301,7 +302,7 @@
 			wait.For(ctx, loadPollInterval)
 			continue
 		}
-		if !l.confirm(ctx, guard, subject) {
+		if !l.confirm(ctx, guard, subject) || !settler.isSettled(planned.Engine) {
 			return
 		}
 		startedAt, termEnd := time.Now(), guard.Deadline()
--- a/internal/weightload/settle.go
+++ b/internal/weightload/settle.go
@@ -55,8 +55,9 @@
 	loader *Loader
 	epoch  uint64
 
-	mu      sync.Mutex
-	settled map[*target.Entry]bool
+	mu sync.Mutex
+	// settled holds the address at which an engine settled.
+	settled map[*target.Entry]string
 	probing map[*target.Entry]bool
 	// heldBack holds the engines on which a load was due before they were settled.
 	heldBack map[*target.Entry]*heldBack
@@ -74,14 +75,20 @@
 func newSettler(l *Loader, epoch uint64) *settler {
 	return &settler{
 		loader: l, epoch: epoch,
-		settled: make(map[*target.Entry]bool), probing: make(map[*target.Entry]bool), heldBack: make(map[*target.Entry]*heldBack),
+		settled: make(map[*target.Entry]string), probing: make(map[*target.Entry]bool), heldBack: make(map[*target.Entry]*heldBack),
 	}
 }
 
 func (s *settler) isSettled(e *target.Entry) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.settled[e]
+	return s.isSettledLocked(e)
+}
+
+// isSettledLocked reports whether the engine settled at its present address. s.mu must be held.
+func (s *settler) isSettledLocked(e *target.Entry) bool {
+	address, ok := s.settled[e]
+	return ok && address == e.Info().Address
 }
 
 // startDue starts to probe the engines of due loads. At most limit engines are probed at
@@ -109,14 +116,14 @@
 // start starts to probe an engine, unless it is settled or limit engines are being probed.
 // s.mu must be held.
 func (s *settler) start(ctx context.Context, e *target.Entry, limit int, probes *sync.WaitGroup) {
-	if s.settled[e] || s.probing[e] || len(s.probing) >= limit {
+	if s.isSettledLocked(e) || s.probing[e] || len(s.probing) >= limit {
 		return
 	}
 	s.probing[e] = true
 	probes.Go(func() { s.settle(ctx, e) })
 }
 
-// settle probes the engine until it is settled, a probe fails or ctx ends.
+// settle probes the engine until it is settled, a probe fails, its address changes or ctx ends.
 func (s *settler) settle(ctx context.Context, e *target.Entry) {
 	defer func() {
 		s.mu.Lock()
@@ -124,6 +131,7 @@
 		delete(s.probing, e)
 	}()
 	var answers settling
+	address := e.Info().Address
 	// The answer over a new connection shows that the engine has accepted all earlier
 	// ones. After it, any answer shows that the engine runs.
 	read := s.loader.probe
@@ -137,11 +145,14 @@
 			return
 		}
 		read = s.loader.readReport
+		if e.Info().Address != address {
+			return
+		}
 		answers.noteAnswer(time.Now())
 		if answers.settled() {
 			s.mu.Lock()
 			defer s.mu.Unlock()
-			s.settled[e] = true
+			s.settled[e] = address
 			delete(s.heldBack, e)
 			return
 		}
