Report an order to an engine as unanswered only if a byte of it may have been written

The event "order unanswered" (1512), which says that an order may still take effect, was also emitted for orders that never left: the engine refused the connection, or the lease was lost before the write. The error of an order to an engine dropped whether a byte was written. The error now keeps that, and an order that was not sent is reported as failed (1505).

--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -144,7 +144,7 @@
 	{UpstreamRestored, zap.InfoLevel, "upstream restored", "The upstream receives work again."},
 	{UpstreamLeaving, zap.InfoLevel, "upstream leaving", "The upstream is leaving and receives no new work."},
 	{OrderSent, zap.InfoLevel, "order sent", "An order was sent to the platform or an engine."},
-	{OrderFailed, zap.WarnLevel, "order failed", "An order was refused, its outcome is unknown, or it was not sent because the store did not confirm the lease."},
+	{OrderFailed, zap.WarnLevel, "order failed", "An order was refused, its outcome is unknown, or it was not sent: the store did not confirm the lease, the lease was lost, or the receiver could not be reached."},
 	{WeightsPublished, zap.InfoLevel, "weights published", "The weight store has a new version; Count is the version."},
 	{WeightsLoaded, zap.InfoLevel, "weights loaded", "An engine has loaded the weight version in Count."},
 	{UpstreamListed, zap.InfoLevel, "upstream listed", "The platform's list contains a new upstream; Detail gives its service and address. For many at once, there is one event with their number as Count."},
--- a/internal/weightload/loader.go
+++ b/internal/weightload/loader.go
@@ -310,9 +310,12 @@
 		if err != nil && fault.Is[*fault.LeaseLost](err) {
 			return
 		}
-		if err != nil && !fault.Is[*fault.OrderFenced](err) {
+		switch {
+		case fault.MayTakeEffect(err):
 			l.Events.Emit(event.OrderUnanswered, withDetail(subject, fmt.Sprintf("%s: expected %d, term left %s, abandoned after %s: %v",
 				planned.Model, report.Sequence, termEnd.Sub(startedAt).Round(time.Millisecond), time.Since(startedAt).Round(time.Millisecond), err)))
+		case err != nil && !fault.Is[*fault.OrderFenced](err):
+			l.Events.Emit(event.OrderFailed, withDetail(subject, planned.Model+": not sent: "+err.Error()))
 		}
 		if err == nil && reply == Rejected {
 			l.markSuspect(planned.Engine)
