--- a/internal/weightload/settle_test.go
+++ b/internal/weightload/settle_test.go
@@ -143,14 +143,13 @@
 // heldLease is the guard of a lease that is held all along.
 type heldLease uint64
 
-func (heldLease) Check() error        { return nil }
-func (h heldLease) Epoch() uint64     { return uint64(h) }
-func (heldLease) Deadline() time.Time { return time.Now().Add(time.Minute) }
+func (heldLease) Check() error             { return nil }
+func (h heldLease) Epoch() uint64          { return uint64(h) }
+func (heldLease) Deadline() time.Time      { return time.Now().Add(time.Minute) }
+func (heldLease) NoteUnanswered(time.Time) {}
 
 func (heldLease) Confirm(context.Context) error { return nil }
 
-func (heldLease) NoteUnanswered(time.Time) {}
-
 // newObservedLoader returns a loader of n engines on which loads are due.
 func newObservedLoader(n int, latency func(id string) time.Duration) (*Loader, *observedEngines) {
 	engines := &observedEngines{fleet: newFleet(n), latency: latency, probes: make(map[string]int), reports: make(map[string]int)}
@@ -322,3 +321,28 @@
 		})
 	}
 }
+
+// Guards against an engine that is listed at another address and counts as settled by the
+// answers from the earlier one.
+func TestEngineAtANewAddressSettlesAnew(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l, engines := newObservedLoader(1, noLatency)
+		engines.demands = nil
+		var movedAt time.Time
+		time.AfterFunc(3*time.Second, func() {
+			moved := *engines.roster.Upstreams("lm")[0].Info()
+			moved.Address = "elsewhere"
+			engines.roster.Replace([]target.Instance{moved})
+			movedAt = time.Now()
+			engines.announceVersion("m", 5)
+		})
+		serveFor(t, l, 1, 6*time.Second)
+		orders := engines.ordersOf("e00")
+		if len(orders) == 0 {
+			t.Fatal("no order to the engine at its new address")
+		}
+		if wait := orders[0].at.Sub(movedAt); wait < settleTime {
+			t.Errorf("the engine got an order %s after it was listed at another address, want at least %s", wait, settleTime)
+		}
+	})
+}
