Failing test: a due load waits for the probes of slow engines on which none is due

Engines with a due load are to be probed first, and all others so that later loads find them settled. Both share the places of probes, and a probe keeps its place until its engine has settled. 16 engines that take 450 ms for an answer held all places for 2.7 s, and a load that became due on a fast engine waited.

Seen: ordered 2.75 s and 2.2 s after it was due, want at most 0.8 s (40 engines, 39 slow).

--- a/internal/weightload/settle_test.go
+++ b/internal/weightload/settle_test.go
@@ -346,3 +346,39 @@
 		}
 	})
 }
+
+// Guards against a load that waits for the probes of slow engines on which no load is due.
+func TestDueLoadDoesNotWaitForProbesOfOtherEngines(t *testing.T) {
+	const last = "e39"
+	for _, dueAfter := range []time.Duration{950 * time.Millisecond, 1500 * time.Millisecond} {
+		synctest.Test(t, func(t *testing.T) {
+			l, engines := newObservedLoader(40, func(id string) time.Duration {
+				if id == last {
+					return 0
+				}
+				return 450 * time.Millisecond
+			})
+			engines.demands = nil
+			for _, e := range engines.roster.Upstreams("lm") {
+				if id := e.Info().ID; id != last {
+					e.NoteVersion("m", 5)
+					engines.engines[id].versions["m"] = 5
+				}
+			}
+			acquiredAt := time.Now()
+			time.AfterFunc(dueAfter, func() {
+				engines.fleet.mu.Lock()
+				defer engines.fleet.mu.Unlock()
+				engines.demands = []Demand{{Model: "m", AnnouncedVersion: 5, ExpectedTokens: 1}}
+			})
+			serveFor(t, l, 1, 9*time.Second)
+			if len(engines.orders) != 1 || engines.orders[0].id != last {
+				t.Fatalf("orders %v, want one to %s", engines.orders, last)
+			}
+			const want = settleTime + settleSlack + 2*planInterval
+			if wait := engines.orders[0].at.Sub(acquiredAt) - dueAfter; wait > want {
+				t.Errorf("a load that was due %s after the acquisition was ordered %s later, want at most %s", dueAfter, wait, want)
+			}
+		})
+	}
+}
