Probes of engines without a due load take no place of those with one

A load that became due on a fast engine waited up to 2.75 s behind probes of 16 slow engines on which no load was due, and 0.65 s behind engines that answer at once: both kinds shared the places of probes, and a probe keeps its place until its engine has settled.

--- a/internal/weightload/settle.go
+++ b/internal/weightload/settle.go
@@ -59,6 +59,9 @@
 	// settled holds the address at which an engine settled.
 	settled map[*target.Entry]string
 	probing map[*target.Entry]bool
+	// dueProbed and othersProbed are how many engines are being probed since a load was due
+	// there, and without one. Others must not delay a due load.
+	dueProbed, othersProbed int
 	// heldBack holds the engines on which a load was due before they were settled.
 	heldBack map[*target.Entry]*heldBack
 }
@@ -91,13 +94,12 @@
 	return ok && address == e.Info().Address
 }
 
-// startDue starts to probe the engines of due loads. At most limit engines are probed at
-// once.
+// startDue starts to probe the engines of due loads, at most limit at once.
 func (s *settler) startDue(ctx context.Context, due []PlannedLoad, limit int, probes *sync.WaitGroup) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, planned := range due {
-		s.start(ctx, planned.Engine, limit, probes)
+		s.start(ctx, planned.Engine, &s.dueProbed, limit, probes)
 	}
 }
 
@@ -108,28 +110,30 @@
 	defer s.mu.Unlock()
 	for _, e := range engines {
 		if !busy[e] {
-			s.start(ctx, e, maxBackgroundProbes, probes)
+			s.start(ctx, e, &s.othersProbed, maxBackgroundProbes, probes)
 		}
 	}
 }
 
-// start starts to probe an engine, unless it is settled or limit engines are being probed.
-// s.mu must be held.
-func (s *settler) start(ctx context.Context, e *target.Entry, limit int, probes *sync.WaitGroup) {
-	if s.isSettledLocked(e) || s.probing[e] || len(s.probing) >= limit {
+// start starts to probe an engine, unless it is settled or the count of engines being probed
+// has reached limit. s.mu must be held.
+func (s *settler) start(ctx context.Context, e *target.Entry, count *int, limit int, probes *sync.WaitGroup) {
+	if s.isSettledLocked(e) || s.probing[e] || *count >= limit {
 		return
 	}
 	s.probing[e] = true
-	probes.Go(func() { s.settle(ctx, e) })
+	*count++
+	probes.Go(func() {
+		s.settle(ctx, e)
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		delete(s.probing, e)
+		*count--
+	})
 }
 
 // settle probes the engine until it is settled, a probe fails, its address changes or ctx ends.
 func (s *settler) settle(ctx context.Context, e *target.Entry) {
-	defer func() {
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		delete(s.probing, e)
-	}()
 	var answers settling
 	address := e.Info().Address
 	// The answer over a new connection shows that the engine has accepted all earlier
