Failing test: no weights load while the store refuses reads only

A holder confirms its lease by a read before each order, but keeps it by writes: a renewal needs no read. The store limits reads and writes separately, and may be unavailable in part. While it refuses reads, the holder orders nothing, and no other VM can take over.

A renewal that is sent after the call and committed shows as much as a read.

--- a/internal/weightload/confirm_test.go
+++ b/internal/weightload/confirm_test.go
@@ -7,6 +7,9 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
+	"dogwoodpond/internal/fault"
 	"dogwoodpond/internal/rowstore"
 	"dogwoodpond/internal/rowstore/memory"
 )
@@ -56,3 +59,34 @@
 		})
 	}
 }
+
+// readRefusingStore refuses reads while refusing is true, as a store does whose rate of reads
+// is exhausted. It accepts writes.
+type readRefusingStore struct {
+	*memory.Store
+	refusing atomic.Bool
+}
+
+func (s *readRefusingStore) Read(ctx context.Context, table, part, from, to string) (rowstore.Page, error) {
+	if s.refusing.Load() {
+		return rowstore.Page{}, errors.WithStack(&fault.StoreUnavailable{Operation: "read"})
+	}
+	return s.Store.Read(ctx, table, part, from, to)
+}
+
+// Guards against a holder that keeps its lease by renewals, but orders nothing for as long as
+// the store refuses reads.
+func TestLoadsGoOnWhileTheStoreRefusesReadsOnly(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(4)
+		store := &readRefusingStore{Store: f.store}
+		f.startProcess(t, "a", store)
+		time.Sleep(processTerm)
+		store.refusing.Store(true)
+		f.announceVersion("m", 2)
+		time.Sleep(2 * processTerm)
+		if n := f.takeOrders("a"); n == 0 {
+			t.Errorf("no order in %s, in which the lease was renewed", 2*processTerm)
+		}
+	})
+}
