Failing tests: orders of the own interface are not confirmed each

The controller confirms its lease once in each pass. The orders that follow check the local clock only: a load of weights is repeated up to twice, each after an order timeout of up to 10 s and a backoff, and a round of the provisioner makes calls to the platform in between. A holder whose clock stopped meanwhile, as on a suspended machine, orders beside the next one.

--- a/internal/provision/provision_test.go
+++ b/internal/provision/provision_test.go
@@ -165,6 +165,38 @@
 func (h fakeGuard) Epoch() uint64     { return uint64(h) }
 func (fakeGuard) Deadline() time.Time { return time.Now().Add(time.Hour) }
 
+func (fakeGuard) Confirm(context.Context) error { return nil }
+func (fakeGuard) NoteUnanswered(time.Time)      {}
+
+// takenGuard is the guard of a lease whose row has another holder, which only Confirm notices.
+type takenGuard struct{ fakeGuard }
+
+func (takenGuard) Confirm(context.Context) error {
+	return errors.WithStack(&fault.LeaseLost{Lease: "l", Epoch: 1})
+}
+
+// Guards against orders of a holder whose clock stopped, as on a suspended machine.
+func TestNoOrderWithoutAConfirmedLease(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFakePlatform(rand.New(rand.NewPCG(1, 1)), 0, "a")
+		p := newProvisioner("a", memtables.NewTables(), f)
+		offers, _ := f.Offers(t.Context())
+		round := Round{
+			Offers:    offers,
+			Demands:   []Demand{{Account: account, Model: model, Queued: 10, Running: 10}},
+			Contracts: map[contract.Account]contract.Contract{account: testContract()},
+		}
+		var err error
+		for began := time.Now(); err == nil && time.Since(began) < time.Minute; time.Sleep(time.Second) {
+			err = p.Run(t.Context(), takenGuard{}, round)
+		}
+		f.refresh()
+		if !fault.Is[*fault.LeaseLost](err) || len(f.running) > 0 {
+			t.Errorf("%d upstreams were ordered after another VM had taken the lease, error %v", len(f.running), err)
+		}
+	})
+}
+
 func newProvisioner(domain string, tables platformapi.Tables, f *fakePlatform) *Provisioner {
 	started := time.Now()
 	events := event.NewRecorder("vm", 64, event.NewClock(time.Now), zap.NewNop())
--- a/internal/weightupdate/weightupdate_test.go
+++ b/internal/weightupdate/weightupdate_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -96,7 +97,12 @@
 	return true
 }
 
-type fakeGuard struct{ lost bool }
+// fakeGuard is the guard of a lease. taken is true once the row has another holder, which only
+// Confirm notices.
+type fakeGuard struct {
+	lost  bool
+	taken atomic.Bool
+}
 
 func (g *fakeGuard) Check() error {
 	if g.lost {
@@ -108,6 +114,15 @@
 func (*fakeGuard) Epoch() uint64       { return 7 }
 func (*fakeGuard) Deadline() time.Time { return time.Now().Add(time.Hour) }
 
+func (g *fakeGuard) Confirm(context.Context) error {
+	if g.taken.Load() {
+		return errors.WithStack(&fault.LeaseLost{Lease: "l", Epoch: 1})
+	}
+	return g.Check()
+}
+
+func (*fakeGuard) NoteUnanswered(time.Time) {}
+
 func newTestUpdater(p *fakePool) *Updater {
 	events := event.NewRecorder("vm", 64, event.NewClock(time.Now), zap.NewNop())
 	return NewUpdater(p, events, 100)
@@ -220,3 +235,23 @@
 		}
 	})
 }
+
+// Guards against orders that a holder whose clock stopped repeats, as on a suspended machine.
+func TestOrderIsNotRepeatedWithoutAConfirmedLease(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newFakePool(1)
+		guard := &fakeGuard{}
+		sent := 0
+		p.fail = func(address string, _ engine.Order) error {
+			sent++
+			guard.taken.Store(true)
+			return errors.WithStack(&fault.UpstreamFailed{Upstream: address, Reason: "no answer"})
+		}
+		u := newTestUpdater(p)
+		u.Tick(t.Context(), guard, p.engines(), map[string]int64{"berry-1": 2})
+		u.Wait()
+		if sent != 1 {
+			t.Errorf("%d orders were sent, want only the one from before another VM took the lease", sent)
+		}
+	})
+}
