Confirm the lease before each order of the own interface

A holder whose clock stopped after the controller's confirmation in a pass went on to order: it repeated a load of weights up to twice, each after an order timeout and a backoff, and ordered upstreams after the calls of a round. Engines and upstreams then got orders of two holders. Weight updates, moves between pools and the provisioner now confirm the lease at the store directly before each order, as package lease asks for.

--- a/internal/enginepool/enginepool_test.go
+++ b/internal/enginepool/enginepool_test.go
@@ -82,6 +82,9 @@
 func (fakeGuard) Epoch() uint64       { return 3 }
 func (fakeGuard) Deadline() time.Time { return time.Now().Add(time.Hour) }
 
+func (fakeGuard) Confirm(context.Context) error { return nil }
+func (fakeGuard) NoteUnanswered(time.Time)      {}
+
 // failingOrders fails every order as unanswered and records its ID.
 type failingOrders struct{ ids []string }
 
--- a/internal/enginepool/mover.go
+++ b/internal/enginepool/mover.go
@@ -8,6 +8,7 @@
 	"dogwoodpond/internal/event"
 	"dogwoodpond/internal/fault"
 	"dogwoodpond/internal/fence"
+	"dogwoodpond/internal/lease"
 )
 
 // OrderSender sends orders to engines.
@@ -34,12 +35,12 @@
 // Tick plans at most one move and sends its order to the engine. queued is the number of
 // queued requests by pool. An order without an answer is not repeated: the engine's next
 // report shows which pool it serves, and the next plan is based on that report.
-func (m *Mover) Tick(ctx context.Context, guard fence.Guard, engines []Engine, queued map[Pool]int) error {
+func (m *Mover) Tick(ctx context.Context, guard lease.Guard, engines []Engine, queued map[Pool]int) error {
 	move, ok := m.planner.NextMove(engines, queued)
 	if !ok {
 		return nil
 	}
-	if err := guard.Check(); err != nil {
+	if err := guard.Confirm(ctx); err != nil {
 		return err
 	}
 	m.orderCount++
--- a/internal/provision/provisioner.go
+++ b/internal/provision/provisioner.go
@@ -14,6 +14,7 @@
 	"dogwoodpond/internal/event"
 	"dogwoodpond/internal/fault"
 	"dogwoodpond/internal/fence"
+	"dogwoodpond/internal/lease"
 	"dogwoodpond/internal/platformapi"
 )
 
@@ -63,7 +64,7 @@
 // been seen, and sends new ones. After any failure the next round continues from the ledgers.
 // Failures are *fault.StoreUnavailable, *fault.LeaseLost, *fault.OrderFenced and, if another
 // process changed a ledger meanwhile, *fault.PreconditionFailed.
-func (p *Provisioner) Run(ctx context.Context, guard fence.Guard, round Round) error {
+func (p *Provisioner) Run(ctx context.Context, guard lease.Guard, round Round) error {
 	accounts, err := p.readLedgers(ctx)
 	if err != nil {
 		return err
@@ -135,7 +136,7 @@
 
 // handleDemand reconciles the ledger, sends pending orders again, and then plans an action
 // for the demand and sends its order.
-func (p *Provisioner) handleDemand(ctx context.Context, guard fence.Guard, round Round, d Demand, stored storedLedger) (storedLedger, error) {
+func (p *Provisioner) handleDemand(ctx context.Context, guard lease.Guard, round Round, d Demand, stored storedLedger) (storedLedger, error) {
 	stored, err := p.reconcile(ctx, stored, round.Listed)
 	if err != nil {
 		return stored, err
@@ -212,7 +213,7 @@
 
 // resendOrders sends again the orders whose effect has not been seen, and stops upstreams
 // without a reservation. Orders keep their IDs, so the platform does not execute one twice.
-func (p *Provisioner) resendOrders(ctx context.Context, guard fence.Guard, stored storedLedger, listed []platformapi.Upstream) (storedLedger, error) {
+func (p *Provisioner) resendOrders(ctx context.Context, guard lease.Guard, stored storedLedger, listed []platformapi.Upstream) (storedLedger, error) {
 	for _, u := range stored.ledger.Orphans(p.domain, listed) {
 		if err := p.send(ctx, guard, stopOrder(p.domain, u.OrderID, u.ID)); endsRound(err) {
 			return stored, err
@@ -244,7 +245,7 @@
 }
 
 // start reserves the price in the ledger and then sends the start order.
-func (p *Provisioner) start(ctx context.Context, guard fence.Guard, stored storedLedger, c contract.Contract, r Reservation) (storedLedger, error) {
+func (p *Provisioner) start(ctx context.Context, guard lease.Guard, stored storedLedger, c contract.Contract, r Reservation) (storedLedger, error) {
 	r.StartOrderID = uuid.NewString()
 	next, err := stored.ledger.Reserve(r, c.Spending)
 	if err != nil {
@@ -258,7 +259,7 @@
 }
 
 // sendStart sends a start order. If it is refused, the ledger records that.
-func (p *Provisioner) sendStart(ctx context.Context, guard fence.Guard, stored storedLedger, r Reservation) (storedLedger, error) {
+func (p *Provisioner) sendStart(ctx context.Context, guard lease.Guard, stored storedLedger, r Reservation) (storedLedger, error) {
 	err := p.send(ctx, guard, platformapi.Order{
 		ID:            r.StartOrderID,
 		FailureDomain: r.FailureDomain,
@@ -280,7 +281,7 @@
 }
 
 // stop records in the ledger that the upstream is stopping and then sends the stop order.
-func (p *Provisioner) stop(ctx context.Context, guard fence.Guard, stored storedLedger, r Reservation) (storedLedger, error) {
+func (p *Provisioner) stop(ctx context.Context, guard lease.Guard, stored storedLedger, r Reservation) (storedLedger, error) {
 	r.State = Stopping
 	stored, err := p.writeLedger(ctx, stored, stored.ledger.withReservation(r.StartOrderID, &r))
 	if err != nil {
@@ -299,9 +300,9 @@
 	}
 }
 
-// send checks the lease, sends an order and emits its events.
-func (p *Provisioner) send(ctx context.Context, guard fence.Guard, order platformapi.Order) error {
-	if err := guard.Check(); err != nil {
+// send confirms the lease, sends an order and emits its events.
+func (p *Provisioner) send(ctx context.Context, guard lease.Guard, order platformapi.Order) error {
+	if err := guard.Confirm(ctx); err != nil {
 		return err
 	}
 	order.Epoch = guard.Epoch()
--- a/internal/weightupdate/updater.go
+++ b/internal/weightupdate/updater.go
@@ -13,6 +13,7 @@
 	"dogwoodpond/internal/event"
 	"dogwoodpond/internal/fault"
 	"dogwoodpond/internal/fence"
+	"dogwoodpond/internal/lease"
 	"dogwoodpond/internal/wait"
 )
 
@@ -51,7 +52,7 @@
 // Tick starts the weight loads that are due, given the current state of the engines.
 // engines must not contain an engine without a report, since an order depends on its
 // version and incarnation. Tick does not wait for the loads to end; Wait does.
-func (u *Updater) Tick(ctx context.Context, guard fence.Guard, engines []Engine, latest map[string]int64) {
+func (u *Updater) Tick(ctx context.Context, guard lease.Guard, engines []Engine, latest map[string]int64) {
 	for _, planned := range NextLoads(u.markLoading(engines), latest) {
 		if !u.limiter.Allow() {
 			return
@@ -93,7 +94,7 @@
 // load orders one engine to load a version. When the answer leaves the outcome unknown,
 // load reads the engine's report before it repeats the order with the same ID. If the
 // engine still serves the old version at the end, a later Tick starts another load.
-func (u *Updater) load(ctx context.Context, guard fence.Guard, planned PlannedLoad) {
+func (u *Updater) load(ctx context.Context, guard lease.Guard, planned PlannedLoad) {
 	e := planned.Engine
 	order := engine.Order{
 		ID:      fmt.Sprintf("weights/%s/%s/%d", e.ID, e.Incarnation, planned.Version),
@@ -103,7 +104,7 @@
 	}
 	subject := event.Subject{Upstream: e.ID, Epoch: order.Epoch, Count: planned.Version}
 	for range maxOrderAttempts {
-		if guard.Check() != nil {
+		if guard.Confirm(ctx) != nil {
 			return
 		}
 		u.events.Emit(event.OrderSent, subject)
