--- a/internal/weightload/loader.go
+++ b/internal/weightload/loader.go
@@ -196,7 +196,7 @@
 		if ordersAllowed {
 			l.startDueLoads(ctx, guard, settler, due, limit-l.countLoading(), tasks)
 		}
-		settler.startDue(ctx, due, max(limit, maxBackgroundProbes), tasks)
+		settler.startDue(ctx, due, max(limit, minDueProbes), tasks)
 		settler.startOthers(ctx, engines, busy, tasks)
 	}
 }
--- a/internal/weightload/settle.go
+++ b/internal/weightload/settle.go
@@ -13,8 +13,8 @@
 
 const (
 	// settleTime is how long a new lease holder must see an engine running before its
-	// first order there. An engine that answers new connections has read by then what
-	// waited on its other connections.
+	// first order there. An engine that answers new connections is assumed to have read by
+	// then what waited on its other connections.
 	settleTime = 500 * time.Millisecond
 	// settleSlack is the time for the answers to the probes of an engine that runs all
 	// along, so that it is settled at the end of the order grace period.
@@ -23,8 +23,10 @@
 	// much of the time between two answers counts as running, at most.
 	probeInterval = 80 * time.Millisecond
 	maxCountedGap = 100 * time.Millisecond
-	// maxBackgroundProbes is how many engines without a due load are probed at once.
-	maxBackgroundProbes = 16
+	// maxOtherProbes is how many engines without a due load are probed at once.
+	maxOtherProbes = 16
+	// minDueProbes is how many engines with a due load may be probed at once, at least.
+	minDueProbes = 16
 	// heldBackReportAfter is how long loads on an engine are held back before an event
 	// reports it.
 	heldBackReportAfter = time.Second
@@ -110,7 +112,7 @@
 	defer s.mu.Unlock()
 	for _, e := range engines {
 		if !busy[e] {
-			s.start(ctx, e, &s.othersProbed, maxBackgroundProbes, probes)
+			s.start(ctx, e, &s.othersProbed, maxOtherProbes, probes)
 		}
 	}
 }
--- a/internal/weightload/settle_test.go
+++ b/internal/weightload/settle_test.go
@@ -286,8 +286,8 @@
 				t.Errorf("%s got %d probes over new connections and %d reads in all, want 1 and %d", id, probes, all, perEngine)
 			}
 		}
-		if engines.mostReading != maxBackgroundProbes {
-			t.Errorf("%d engines were probed at once, want %d", engines.mostReading, maxBackgroundProbes)
+		if engines.mostReading != maxOtherProbes {
+			t.Errorf("%d engines were probed at once, want %d", engines.mostReading, maxOtherProbes)
 		}
 	})
 }
