A lease is confirmed by a renewal instead of a read

The confirmation before each order read the lease's row, and the holder kept its lease by writes.

While the store refused reads only, the holder ordered nothing, and no other VM could take over: TestLoadsGoOnWhileTheStoreRefusesReadsOnly, no order in 24 s.

A holder whose clock had stopped for about a term could confirm its lease directly before the next VM acquired it, and order in what was left of its term by its own clock. TestConfirmRestartsTheWaitOfTheNextHolder, before: the lease was taken 1.5 s after it was confirmed, want at least a term of 6 s.

Confirm now asks the loop of renewals for one that begins after the call, and waits for its commit. Calls share a renewal that has not begun. The tests of the reads now check the same of renewals: one renewal in flight is not shared by later calls, a caller that gives up ends nothing, a refused renewal is no refusal of the order, late, lost and repeated renewals don't end the hold.

--- a/internal/lease/confirm_test.go
+++ b/internal/lease/confirm_test.go
@@ -79,14 +79,14 @@
 		cluster := faultinject.NewCluster(faultinject.NoFaults)
 		p := cluster.Start(t.Context(), "vm-1")
 		_ = newTestManager(p).Campaign(p.Context, "a", func(ctx context.Context, g Guard) (bool, error) {
-			cluster.TakeStoreDown(2 * time.Second)
+			cluster.TakeStoreDown(testTerm * 2 / 3)
 			if err := g.Confirm(ctx); !fault.Is[*fault.StoreUnavailable](err) {
 				t.Errorf("Confirm without an answer: %v, want an unavailable store", err)
 			}
 			if g.Check() != nil || ctx.Err() != nil {
 				t.Error("the hold ended without an answer of the store")
 			}
-			time.Sleep(2 * time.Second)
+			time.Sleep(testTerm / 3)
 			if err := g.Confirm(ctx); err != nil {
 				t.Errorf("Confirm after the outage: %v", err)
 			}
@@ -95,7 +95,7 @@
 	})
 }
 
-// refusingTables refuses reads while refusing is true.
+// refusingTables refuses reads and writes while refusing is true.
 type refusingTables struct {
 	platformapi.Tables
 	refusing atomic.Bool
@@ -108,8 +108,15 @@
 	return r.Tables.Get(ctx, key)
 }
 
+func (r *refusingTables) Commit(ctx context.Context, txn platformapi.Txn) error {
+	if r.refusing.Load() {
+		return errors.WithStack(&fault.PlatformRefused{Operation: "commit", Status: 400})
+	}
+	return r.Tables.Commit(ctx, txn)
+}
+
 // Guards against a usage window that is given up as refused by billing, because the store
-// refused the read of the lease before the report.
+// refused the renewal of the lease before the report.
 func TestRefusedConfirmIsNotARefusalOfTheOrder(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		p := faultinject.NewCluster(faultinject.NoFaults).Start(t.Context(), "vm-1")
@@ -120,7 +127,7 @@
 			tables.refusing.Store(true)
 			err := g.Confirm(ctx)
 			if !fault.Is[*fault.StoreUnavailable](err) || fault.Is[*fault.PlatformRefused](err) || g.Check() != nil {
-				t.Errorf("Confirm with a refused read: %v, want an unavailable store and a held lease", err)
+				t.Errorf("Confirm with a refused renewal: %v, want an unavailable store and a held lease", err)
 			}
 			tables.refusing.Store(false)
 			return true, nil
@@ -128,23 +135,23 @@
 	})
 }
 
-// slowTables answers each read after delay, with the row as it was when the read began.
+// slowTables answers each commit after delay.
 type slowTables struct {
 	platformapi.Tables
-	delay time.Duration
-	reads atomic.Int64
+	delay   time.Duration
+	commits atomic.Int64
 }
 
-func (s *slowTables) Get(ctx context.Context, key string) (platformapi.Row, error) {
-	s.reads.Add(1)
-	row, err := s.Tables.Get(ctx, key)
+func (s *slowTables) Commit(ctx context.Context, txn platformapi.Txn) error {
+	s.commits.Add(1)
+	err := s.Tables.Commit(ctx, txn)
 	time.Sleep(s.delay)
-	return row, err
+	return err
 }
 
-// Many calls begin while a read is in flight. They must share one read; and they must not take the
-// result of the one in flight, which began before the row changed.
-func TestConcurrentConfirmsShareALaterRead(t *testing.T) {
+// Many calls begin while a renewal is in flight. They must share one renewal; and they must not take
+// the result of the one in flight, which was committed before the row changed.
+func TestConcurrentConfirmsShareALaterRenewal(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		cluster := faultinject.NewCluster(faultinject.NoFaults)
 		p := cluster.Start(t.Context(), "vm-1")
@@ -152,7 +159,7 @@
 		m := newTestManager(p)
 		m.tables = tables
 		_ = m.Campaign(p.Context, "a", func(ctx context.Context, g Guard) (bool, error) {
-			before := tables.reads.Load()
+			before := tables.commits.Load()
 			var first error
 			var calls sync.WaitGroup
 			calls.Go(func() { first = g.Confirm(ctx) })
@@ -170,15 +177,15 @@
 			if first != nil || lost.Load() != 20 {
 				t.Errorf("the first call failed with %v, %d of 20 later ones found the loss", first, lost.Load())
 			}
-			if n := tables.reads.Load() - before; n != 2 {
-				t.Errorf("21 calls made %d reads, want 2", n)
+			if n := tables.commits.Load() - before; n != 2 {
+				t.Errorf("21 calls made %d renewals, want 2", n)
 			}
 			return true, nil
 		})
 	})
 }
 
-// A caller that gives up must not end the read for the others.
+// A caller that gives up must not end the renewal for the others.
 func TestCanceledConfirmDoesNotFailTheOthers(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		cluster := faultinject.NewCluster(faultinject.NoFaults)
@@ -206,8 +213,8 @@
 	})
 }
 
-// Guards against a planned stop that looks like a lost lease: a read that is in flight when run
-// returns finds the row without its holder, after the release.
+// Guards against a planned stop that looks like a lost lease: a renewal is in flight when run
+// returns.
 func TestConfirmInFlightAtReleaseReportsNoLoss(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		p := faultinject.NewCluster(faultinject.NoFaults).Start(t.Context(), "vm-1")
@@ -237,21 +244,21 @@
 	})
 }
 
-// lateTables sends each read of a row after delay.
+// lateTables sends each commit after delay.
 type lateTables struct {
 	platformapi.Tables
 	delay atomic.Int64
 }
 
-func (l *lateTables) Get(ctx context.Context, key string) (platformapi.Row, error) {
+func (l *lateTables) Commit(ctx context.Context, txn platformapi.Txn) error {
 	if err := sleep(ctx, time.Duration(l.delay.Load())); err != nil {
-		return platformapi.Row{}, errors.WithStack(&fault.StoreUnavailable{Operation: "get"})
+		return errors.WithStack(&fault.StoreUnavailable{Operation: "commit"})
 	}
-	return l.Tables.Get(ctx, key)
+	return l.Tables.Commit(ctx, txn)
 }
 
-// Renewals are in flight, late, lost or repeated while the lease is confirmed. A row with the own
-// holder and epoch must not end the hold, and a Confirm must not disturb the renewals.
+// Renewals are late, lost or repeated while the lease is confirmed. A row with the own holder and
+// epoch must not end the hold.
 func TestConfirmDoesNotEndAHoldDuringRenewals(t *testing.T) {
 	for seed := range uint64(200) {
 		synctest.Test(t, func(t *testing.T) {
@@ -292,3 +299,38 @@
 		})
 	}
 }
+
+// Guards against a holder that confirms its lease directly before the next holder acquires it, and
+// then acts in a term that has ended by the next holder's clock.
+func TestConfirmRestartsTheWaitOfTheNextHolder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cluster := faultinject.NewCluster(faultinject.NoFaults)
+		holder, next := cluster.Start(t.Context(), "vm-1"), cluster.Start(t.Context(), "vm-2")
+		slowClock := NewManager(holder, "vm-1", time.Hour, newTestManager(holder).events)
+		var confirmedAt, acquiredAt time.Time
+		var group sync.WaitGroup
+		group.Go(func() {
+			_ = slowClock.Campaign(holder.Context, "a", func(ctx context.Context, g Guard) (bool, error) {
+				time.Sleep(testTerm)
+				if err := g.Confirm(ctx); err != nil {
+					t.Errorf("Confirm of a held lease: %v", err)
+				}
+				confirmedAt = time.Now()
+				<-ctx.Done()
+				return true, nil
+			})
+		})
+		group.Go(func() {
+			time.Sleep(time.Millisecond)
+			_ = newTestManager(next).Campaign(next.Context, "a", func(context.Context, Guard) (bool, error) {
+				acquiredAt = time.Now()
+				holder.Stop()
+				return true, nil
+			})
+		})
+		group.Wait()
+		if wait := acquiredAt.Sub(confirmedAt); wait < testTerm {
+			t.Errorf("the lease was taken %s after it was confirmed, want at least a term, %s", wait, testTerm)
+		}
+	})
+}
--- a/internal/lease/guard.go
+++ b/internal/lease/guard.go
@@ -15,13 +15,13 @@
 	Epoch() uint64
 	// Deadline returns the end of the term; each renewal extends it.
 	Deadline() time.Time
-	// Confirm reads the lease's row with a read that begins after the call. The term runs on
-	// the local monotonic clock, which stops while the machine is suspended, so Check may
-	// pass although another VM holds the lease. It fails with *fault.LeaseLost, and ends
-	// the hold, if the row has another holder; with *fault.StoreUnavailable if the store
-	// does not answer; and with the cause of ctx when ctx ends first. Concurrent calls
-	// share a read that was not sent yet. Callers confirm the lease directly before each
-	// order to receivers that ignore fencing tokens.
+	// Confirm renews the lease: it returns nil once a renewal is committed that began after the
+	// call. The term runs on the local monotonic clock, which stops while the machine is
+	// suspended, so Check may pass although another VM holds the lease. It fails with
+	// *fault.LeaseLost if the lease is lost, with *fault.StoreUnavailable if no renewal is
+	// committed in half a term, and with the cause of ctx when ctx ends first. Concurrent
+	// calls share a renewal that has not begun. Callers confirm the lease directly before
+	// each order to receivers that ignore fencing tokens.
 	Confirm(ctx context.Context) error
 	// NoteUnanswered records that an action under the lease got no answer by now, so that
 	// its receiver may still execute it. The holder notes it for receivers that ignore
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -148,6 +148,11 @@
 	ended    bool
 	// unansweredAt is when the last action without an answer was noted.
 	unansweredAt time.Time
+	// begun is the number of renewals that have begun, and committed that of the latest
+	// committed one. They follow one another.
+	begun, committed uint64
+	// changed is closed when a renewal is committed or the hold ends.
+	changed chan struct{}
 }
 
 // NewHold returns the hold of a lease that was acquired by committing record as
@@ -160,6 +165,7 @@
 		record:   record,
 		version:  version,
 		deadline: sentAt.Add(timing.Term),
+		changed:  make(chan struct{}),
 	}
 }
 
@@ -187,16 +193,38 @@
 	return nil
 }
 
-// RenewalRecord returns the record of the next renewal and the version of the row that it
+// RenewalRecord begins a renewal: it returns its record and the version of the row that it
 // replaces.
 func (h *Hold) RenewalRecord() (next Record, version uint64) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	next = h.record
 	next.Renewals++
+	h.begun++
 	return next, h.version
 }
 
+// begunRenewals returns the number of renewals that have begun.
+func (h *Hold) begunRenewals() uint64 {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.begun
+}
+
+// committedAfter reports whether a renewal was committed that began after the first begun
+// ones. changed is closed at the next commit or the end of the hold.
+func (h *Hold) committedAfter(begun uint64) (committed bool, changed <-chan struct{}) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.committed > begun, h.changed
+}
+
+// notify reports a change to those that wait for one. h.mu must be held.
+func (h *Hold) notify() {
+	close(h.changed)
+	h.changed = make(chan struct{})
+}
+
 // NoteRenewal records a committed renewal that was sent at sentAt.
 func (h *Hold) NoteRenewal(record Record, version uint64, sentAt time.Time) {
 	h.mu.Lock()
@@ -206,6 +234,8 @@
 	if deadline := sentAt.Add(h.timing.Term); deadline.After(h.deadline) {
 		h.deadline = deadline
 	}
+	h.committed = h.begun
+	h.notify()
 }
 
 // Reconcile records the row as it was read after a renewal failed, and reports whether this
@@ -217,6 +247,7 @@
 	defer h.mu.Unlock()
 	if h.ended || record.Holder != h.record.Holder || record.Epoch != h.record.Epoch {
 		h.ended = true
+		h.notify()
 		return false
 	}
 	h.record = record
@@ -224,19 +255,6 @@
 	return true
 }
 
-// EndUnlessHolder records the row as it was read, and reports whether it ended the hold because
-// the row has another holder or epoch. Unlike Reconcile it keeps the version: a renewal may
-// be in flight, which writes the row before or after this read.
-func (h *Hold) EndUnlessHolder(record Record) (ended bool) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if h.ended || record.Holder == h.record.Holder && record.Epoch == h.record.Epoch {
-		return false
-	}
-	h.ended = true
-	return true
-}
-
 // NoteUnanswered implements Guard.
 func (h *Hold) NoteUnanswered(now time.Time) {
 	h.mu.Lock()
@@ -264,6 +282,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.ended = true
+	h.notify()
 }
 
 // ReleaseRecord returns the record that frees the lease and the version of the row that it
--- a/internal/lease/manager.go
+++ b/internal/lease/manager.go
@@ -220,31 +220,19 @@
 	defer c.manager.held.Add(-1)
 	renewCtx, stopRenewing := context.WithCancel(context.WithoutCancel(ctx))
 	runCtx, stopRun := context.WithCancelCause(ctx)
-	// renewLoop, Confirm and the check after run can find the loss; the event is emitted
+	// Both renewLoop and the check after run can find the loss; the event is emitted
 	// once.
 	emitLoss := sync.OnceFunc(func() { c.emit(event.LeaseLost, hold.Epoch()) })
+	guard := &confirmer{Hold: hold, requests: make(chan struct{}, 1), stopped: renewCtx.Done()}
 	var renewals sync.WaitGroup
 	renewals.Go(func() {
-		if lossErr := c.renewLoop(renewCtx, hold); lossErr != nil {
+		if lossErr := c.renewLoop(renewCtx, hold, guard.requests); lossErr != nil {
 			emitLoss()
 			stopRun(lossErr)
 		}
 	})
-	guard := &confirmer{
-		Hold: hold,
-		read: func(ctx context.Context) (Record, error) {
-			record, _, err := c.read(ctx)
-			return record, err
-		},
-		readCtx: renewCtx,
-		onLost: func(err error) {
-			emitLoss()
-			stopRun(err)
-		},
-	}
 	defer func() {
 		stopRenewing()
-		guard.stop()
 		renewals.Wait()
 		stopRun(nil)
 		c.acquirableAt = hold.ReleasableAt()
@@ -261,13 +249,16 @@
 	return run(runCtx, guard)
 }
 
-// renewLoop renews the lease. It returns nil when ctx ends, and *fault.LeaseLost when
+// renewLoop renews the lease at an interval and at each request. It returns nil when ctx ends, and *fault.LeaseLost when
 // the lease is lost.
-func (c *campaign) renewLoop(ctx context.Context, hold *Hold) error {
+func (c *campaign) renewLoop(ctx context.Context, hold *Hold, requests <-chan struct{}) error {
 	delay := c.manager.timing.Term / renewDivisor
 	for {
-		if sleep(ctx, min(delay, time.Until(hold.Deadline()))) != nil {
+		select {
+		case <-ctx.Done():
 			return nil
+		case <-requests:
+		case <-time.After(min(delay, time.Until(hold.Deadline()))):
 		}
 		delay = c.manager.timing.Term / renewDivisor
 		if !c.renew(ctx, hold) {
--- a/internal/weightload/confirm_test.go
+++ b/internal/weightload/confirm_test.go
@@ -14,47 +14,53 @@
 	"dogwoodpond/internal/rowstore/memory"
 )
 
-// leaseReadStore counts the reads of leases, and answers reads after a round trip.
-type leaseReadStore struct {
+// leaseWriteStore counts the writes of leases, and answers writes after a round trip.
+type leaseWriteStore struct {
 	*memory.Store
-	reads atomic.Int64
+	writes atomic.Int64
 }
 
-func (s *leaseReadStore) Read(ctx context.Context, table, part, from, to string) (rowstore.Page, error) {
-	if table == "lease" {
-		s.reads.Add(1)
+func (s *leaseWriteStore) Commit(ctx context.Context, txn rowstore.Txn) (int64, error) {
+	for _, put := range txn.Puts {
+		if put.Key.Table == "lease" {
+			s.writes.Add(1)
+		}
 	}
 	time.Sleep(2 * time.Millisecond)
-	return s.Store.Read(ctx, table, part, from, to)
+	return s.Store.Commit(ctx, txn)
 }
 
 // Guards against a cost of the store that grows faster than the orders: each order confirms the
-// lease with one read at most, and orders of the same moment need two together.
-func TestOrdersShareReadsOfTheLease(t *testing.T) {
+// lease with one more renewal at most, and orders of the same moment need two together.
+func TestOrdersShareRenewalsOfTheLease(t *testing.T) {
+	const versions, versionInterval = 20, 4 * time.Second
 	for _, c := range []struct {
-		engines        int
-		maxReadsPerTen int64
+		engines         int
+		maxWritesPerTen int64
 	}{{1, 10}, {4, 10}, {15, 8}, {45, 4}} {
 		synctest.Test(t, func(t *testing.T) {
 			f := newFleet(c.engines)
-			store := &leaseReadStore{Store: f.store}
+			store := &leaseWriteStore{Store: f.store}
+			// Runs after the process was stopped, for the end of its release.
+			t.Cleanup(func() { time.Sleep(time.Second) })
 			f.startProcess(t, "a", store)
-			time.Sleep(30 * time.Second)
-			idle := store.reads.Load()
-			for v := int64(2); v < 22; v++ {
+			time.Sleep(versions * versionInterval)
+			idle := store.writes.Load()
+			for v := int64(2); v < 2+versions; v++ {
 				f.announceVersion("m", v)
-				time.Sleep(4 * time.Second)
+				time.Sleep(versionInterval)
 			}
-			reads := store.reads.Load() - idle
+			// As much time passed without orders as with them.
+			writes := store.writes.Load() - 2*idle
 			orders := int64(0)
 			for _, e := range f.engines {
 				e.mu.Lock()
 				orders += int64(len(e.epochs))
 				e.mu.Unlock()
 			}
-			t.Logf("%d engines: %d orders, %d reads of the lease; %d reads before the first order", c.engines, orders, reads, idle)
-			if orders < 20 || reads == 0 || reads*10 > orders*c.maxReadsPerTen {
-				t.Errorf("%d engines: %d reads for %d orders, want at most %d for ten", c.engines, reads, orders, c.maxReadsPerTen)
+			t.Logf("%d engines: %d orders, %d more writes of the lease than the %d without orders", c.engines, orders, writes, idle)
+			if orders < 20 || writes*10 > orders*c.maxWritesPerTen {
+				t.Errorf("%d engines: %d writes for %d orders, want at most %d for ten", c.engines, writes, orders, c.maxWritesPerTen)
 			}
 		})
 	}
