--- a/spec/lease.pml
+++ b/spec/lease.pml
@@ -13,8 +13,8 @@
  *   release           campaign.release, Hold.ReleaseRecord
  *   compare-and-swap with a lost or late reply: platformapi.CommitConfirmed
  *
- * Guard.Confirm, which reads the row again before an order, is not modelled; nor are the clocks
- * that stop, for which it is there.
+ * Clocks that stop, and Guard.Confirm, the renewal before each order that is there for them,
+ * are modelled in receiver.pml.
  *
  * Time is counted in ticks. A pause is a tick that occurs while a node is
  * between two steps. So a node can be paused anywhere and for any time, except
--- a/spec/receiver.pml
+++ b/spec/receiver.pml
@@ -39,16 +39,16 @@
  * weaken: WEAKEN_NO_KERNEL_LIMIT
  * weaken: WEAKEN_RELEASE_WHILE_SENDING
  * weaken: WEAKEN_NO_CONFIRM
+ * weaken: WEAKEN_CONFIRM_WITHOUT_RENEWAL
  *
  * The protocol does not cover these cases; each violates the assertion when it is added: a
  * receiver that stops again and again after a moment, a process that is paused between its
  * last check and the system call, a machine of the old holder that is suspended between the
- * confirmation and the arrival of the order, an acquisition in that time after a suspension,
- * and a middlebox that holds the bytes of one connection.
+ * confirmation and the arrival of the order, and a middlebox that holds the bytes of one
+ * connection.
  * weaken: WEAKEN_SHORT_RUNS
  * weaken: WEAKEN_PAUSED_BEFORE_WRITE
  * weaken: WEAKEN_SUSPENDED_WHILE_SENDING
- * weaken: WEAKEN_ACQUIRED_AFTER_CONFIRMATION
  * weaken: WEAKEN_HOLDING_MIDDLEBOX
  */
 
@@ -78,10 +78,8 @@
 mtype holder = old;
 byte silence = TERM + MARGIN;
 
-/* The old holder: the ticks until the end of its term on its own clock, and whether that
- * clock has stopped since the last renewal. */
+/* The old holder: the ticks until the end of its term on its own clock. */
 byte left = TERM;
-bit lagging;
 
 /* The order of the old holder. */
 mtype = { idle, checked, written, over };
@@ -151,10 +149,11 @@
 		if
 		:: oldMachineTick()
 		:: /* The machine is suspended. */
-#ifndef WEAKEN_SUSPENDED_WHILE_SENDING
-			order != checked && !wire ->
+#ifdef WEAKEN_SUSPENDED_WHILE_SENDING
+			true
+#else
+			order != checked && !wire
 #endif
-			lagging = (holder == old)
 		fi;
 		if
 		:: holder == old && silence > 0 -> silence--
@@ -212,8 +211,8 @@
 proctype Old() {
 end:	do
 	:: /* Renew. */
-		atomic { holder == old -> left = TERM; silence = TERM + MARGIN; lagging = 0 }
-	:: /* Check the clock, and confirm the lease at the store. */
+		atomic { holder == old -> left = TERM; silence = TERM + MARGIN }
+	:: /* Check the clock, and confirm the lease by a renewal. */
 		atomic {
 			order == idle && left > 0 &&
 #ifdef WEAKEN_NO_CONFIRM
@@ -221,7 +220,11 @@
 #else
 			holder == old
 #endif
-			-> order = checked
+			-> order = checked;
+#if !defined(WEAKEN_NO_CONFIRM) && !defined(WEAKEN_CONFIRM_WITHOUT_RENEWAL)
+			left = TERM;
+			silence = TERM + MARGIN
+#endif
 		}
 	:: /* Check the clock again and write the order on a new connection. */
 		atomic {
@@ -271,13 +274,9 @@
 
 proctype New() {
 end:	atomic {
-#ifndef WEAKEN_ACQUIRED_AFTER_CONFIRMATION
-		!(lagging && (order == checked || wire)) &&
-#endif
 		(holder == free || silence == 0) ->
 		holder = new;
 		silence = 0;
-		lagging = 0;
 		wait = PROBE_AFTER
 	}
 endprobing:
