--- a/internal/lease/manager.go
+++ b/internal/lease/manager.go
@@ -91,8 +91,8 @@
 // Campaign contends for the named lease. Each time it has acquired the lease it calls
 // run, with a context that ends when the lease is lost or ctx ends, and releases the
 // lease when run returns, or lets it expire if an action under it got no answer shortly
-// before; see Guard.NoteUnanswered. Campaign returns nil once run has returned true and no error.
-// Otherwise it continues until ctx ends, and returns the cause of ctx. After the end of
+// before; see Guard.NoteUnanswered. Campaign returns nil once run has returned true and no
+// error. Otherwise it continues until ctx ends, and returns the cause of ctx. After the end of
 // ctx the lease is still renewed until run has returned, so that a draining VM can
 // finish what it began.
 func (m *Manager) Campaign(ctx context.Context, name string, run func(ctx context.Context, g Guard) (done bool, err error)) error {
@@ -249,8 +249,8 @@
 	return run(runCtx, guard)
 }
 
-// renewLoop renews the lease at an interval and at each request. It returns nil when ctx ends, and *fault.LeaseLost when
-// the lease is lost.
+// renewLoop renews the lease at an interval and at each request. It returns nil when ctx
+// ends, and *fault.LeaseLost when the lease is lost.
 func (c *campaign) renewLoop(ctx context.Context, hold *Hold, requests <-chan struct{}) error {
 	delay := c.manager.timing.Term / renewDivisor
 	for {
