--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -10,4 +10,4 @@
 export DOGWOODPOND_SOAK_LOGS=$PWD/out/soak
 mkdir -p "$DOGWOODPOND_SOAK_LOGS"
 echo "seeds $DOGWOODPOND_SOAK_SEEDS, $DOGWOODPOND_SOAK_SECONDS s each"
-go test -count=1 -timeout=60m -parallel=4 -run "${3:-TestSoak|TestStepsSubmittedDuringOutages}" -v ./platform/soak
+go test -count=1 -timeout=60m -parallel=4 -run "${3:-TestSoak|TestStepsSubmittedDuringOutages|TestStallsAmongOtherFaults}" -v ./platform/soak
