--- a/internal/fence/fence.go
+++ b/internal/fence/fence.go
@@ -81,8 +81,8 @@
 // resets it when the call ends, at the latest after callTimeout. The kernel drops a request
 // that was not acknowledged about callTimeout after the write even while the process is
 // paused and can't reset the connection; if the kernel refuses that limit, the client emits
-// one event and works without it. callTimeout must be at most the order timeout on which the order grace
-// period of the lease relies.
+// one event and works without it. callTimeout must be at most the order timeout on which the
+// order grace period of the lease relies.
 func NewClient(dialTimeout, callTimeout time.Duration, events *event.Recorder) *http.Client {
 	var once sync.Once
 	refused := func(err error) {
