Don't report a resumable stream as not run after an attempt that may have run

What callers saw: 503, which guarantees that a request has not run and will not, for a resumable stream that one upstream may have read, for example because it stood still and its connection was reset before the answer, and that the next upstreams refused. Nobody has reported it; streams that may run once are not resent after such an attempt and were answered correctly.

Cause: the error of a stream carried the execution of its last attempt, not that of all attempts.

Evidence: go test -run Stream ./internal/forward, before the fix:

--- FAIL: TestRefusalOfAStreamAfterPossibleRunDoesNotReportNotRun (0.00s) forward_test.go:448: the error says that the stream has not run: upstream c failed: refused

After it, the package passes in 3 of 3 runs.

Why the fix works: both ends of a failed stream now return the combined execution, which no later attempt lowers.

--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -432,3 +432,20 @@
 		}
 	})
 }
+
+// Guards against an error that wrongly says that a resumable stream has not run: one upstream may
+// have run it, and the next ones refuse it.
+func TestRefusalOfAStreamAfterPossibleRunDoesNotReportNotRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		u := &fakeUpstreams{byID: map[string]fakeAnswer{"a": {execution: fault.Unknown}}, fallback: fakeAnswer{status: 503, notRun: true}}
+		c := newCall(route.Stream, 3)
+		c.Route.Resumable = true
+		_, started, err := stream(t, u, c)
+		if err == nil || started || u.sentCount() != 3 {
+			t.Fatalf("started %v, %v after %d attempts", started, err, u.sentCount())
+		}
+		if fault.ExecutionOf(err) == fault.NotRun {
+			t.Errorf("the error says that the stream has not run: %v", err)
+		}
+	})
+}
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -176,7 +176,7 @@
 	if errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
 		return fault.WithExecution(errors.WithStack(&fault.DeadlineExceeded{}), s.execution.Or(fault.ExecutionOf(err)))
 	}
-	return err
+	return fault.WithExecution(err, s.execution)
 }
 
 // exhaustedError returns the error for the caller if there is no other upstream to try.
@@ -184,5 +184,5 @@
 	if s.execution == fault.NotRun {
 		return fault.WithExecution(errors.WithStack(&fault.NoUpstream{Pool: s.service, Wait: busyRetryAfter}), fault.NotRun)
 	}
-	return s.lastErr
+	return fault.WithExecution(s.lastErr, s.execution)
 }
