Own interface: reset the connection of a canceled request

What callers saw: nothing that is reported. A request to an engine or a call to a service whose caller had left, or whose deadline had passed, could still be delivered by this machine's kernel seconds after a network failure had ended.

Cause: the clients of the own interface closed the connection of a canceled request in order, so the kernel kept what was not acknowledged. Requests of the platform's interface, and orders, reset theirs.

Evidence: go test -run Canceled ./internal/engine ./internal/service, before the fix:

--- FAIL: TestCanceledRequestIsNotDeliveredLater (0.00s) client_test.go:33: the connection ended with <nil>, want a reset --- FAIL: TestCanceledCallIsNotDeliveredLater (0.00s) client_test.go:30: the connection ended with <nil>, want a reset

The late delivery itself was not played; that a kernel retransmits after an orderly close is the finding that dial.ResetOnClose rests on. A reset takes nothing back that has reached the upstream's kernel. The refusals were right: both clients report an unknown execution.

--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -5,7 +5,6 @@
 	"context"
 	"encoding/json"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptrace"
 	"strconv"
@@ -15,6 +14,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/tmaxmax/go-sse"
 
+	"dogwoodpond/internal/dial"
 	"dogwoodpond/internal/event"
 	"dogwoodpond/internal/fault"
 	"dogwoodpond/internal/fence"
@@ -66,7 +66,7 @@
 func NewClientWithTimeouts(timeouts StreamTimeouts, events *event.Recorder) *Client {
 	return &Client{
 		http: &http.Client{Transport: &http.Transport{
-			DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
+			DialContext:         dial.ResetOnClose(dialTimeout),
 			MaxIdleConnsPerHost: 256,
 			IdleConnTimeout:     time.Minute,
 			DisableCompression:  true,
--- a/internal/engine/client_test.go
+++ b/internal/engine/client_test.go
@@ -1,12 +1,39 @@
 package engine
 
 import (
+	"context"
 	"strings"
+	"syscall"
 	"testing"
+	"time"
 
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+
+	"dogwoodpond/internal/dial/dialtest"
+	"dogwoodpond/internal/event"
 	"dogwoodpond/internal/fault"
 )
 
+// Guards against a canceled request that this machine still delivers after a network failure.
+func TestCanceledRequestIsNotDeliveredLater(t *testing.T) {
+	peer := dialtest.NewUnresponsivePeer(t)
+	ctx, cancel := context.WithCancel(t.Context())
+	failure := make(chan error, 1)
+	client := NewClient(event.NewRecorder("vm", 64, event.NewClock(time.Now), zap.NewNop()))
+	go func() {
+		failure <- client.Stream(ctx, peer.Address, CompletionRequest{RequestID: "r1", Model: "berry-1", Prompt: "p", MaxTokens: 4}, nil)
+	}()
+	<-peer.Received
+	cancel()
+	if err := <-failure; fault.ExecutionOf(err) != fault.Unknown {
+		t.Errorf("the execution of the canceled request is %s", fault.ExecutionOf(err))
+	}
+	if err := <-peer.Ended; !errors.Is(err, syscall.ECONNRESET) {
+		t.Errorf("the connection ended with %v, want a reset", err)
+	}
+}
+
 // FuzzReadStream reads what an engine may send, and what another process may send
 // if addresses are mixed up. readStream must not accept a stream without its
 // terminal event as complete, nor deliver a chunk of another request.
--- a/internal/service/client.go
+++ b/internal/service/client.go
@@ -7,7 +7,6 @@
 	"bytes"
 	"context"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
@@ -17,6 +16,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"dogwoodpond/internal/dial"
 	"dogwoodpond/internal/fault"
 )
 
@@ -43,6 +43,9 @@
 	Body        []byte `json:"body"`
 }
 
+// dialTimeout bounds the dial to a service.
+const dialTimeout = time.Second
+
 // maxAnswerBytes is the maximum size of an answer; a larger one counts as truncated.
 const maxAnswerBytes = 16 << 20
 
@@ -65,7 +68,7 @@
 func NewClient() *Client {
 	return &Client{http: &http.Client{
 		Transport: &http.Transport{
-			DialContext:         (&net.Dialer{Timeout: time.Second}).DialContext,
+			DialContext:         dial.ResetOnClose(dialTimeout),
 			MaxIdleConnsPerHost: 64,
 			IdleConnTimeout:     time.Minute,
 			DisableCompression:  true,
