Weight loads: probes begin after the last order of an expired term, for any term

With leases of less than 1.6 s an engine that ran all along, but whose network lost the first copies of an order, could read that order after the one of the next holder.

Cause: the probes began 0.4 s after the acquisition. That is sound only if the margin of the term, a quarter of it, and 0.4 s exceed the 0.8 s for which the previous holder's kernel resends an order. The term comes from the platform's settings, and nothing enforced the bound.

Fix: the wait is derived from the margin, so that the probes begin no sooner than the grace period (1.0 s) after the end of the expired term. With terms of 2.4 s and more nothing changes; TestRunningEngineGetsItsOrderAtTheEndOfTheGracePeriod holds that at 3 s.

--- a/internal/lease/manager.go
+++ b/internal/lease/manager.go
@@ -49,6 +49,9 @@
 // Held returns the number of leases that the VM holds.
 func (m *Manager) Held() int { return int(m.held.Load()) }
 
+// Timing returns the durations of the leases.
+func (m *Manager) Timing() Timing { return m.timing }
+
 // Option configures a Manager.
 type Option func(*Manager)
 
--- a/internal/weightload/loader.go
+++ b/internal/weightload/loader.go
@@ -143,11 +143,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	settler := newSettler(l, guard.Epoch())
-	// An order that the previous holder's kernel still resends after an expired term ends by
-	// the order timeout, which the lease's margin and this wait exceed.
-	const settleWindow = settleTime + settleSlack
-	grace := lease.OrderGracePeriod(orderTimeout)
-	if !wait.For(ctx, grace-settleWindow) {
+	if !wait.For(ctx, probeDelay(l.Leases.Timing())) {
 		return context.Cause(ctx)
 	}
 	if err := repeat(ctx, settleWindow, func() { l.startTasks(ctx, guard, settler, false, &tasks) }); err != nil {
@@ -159,6 +155,13 @@
 	return repeat(ctx, 0, func() { l.startTasks(ctx, guard, settler, true, &tasks) })
 }
 
+// probeDelay returns how long a new holder waits before its first probe. After an expired term
+// the previous holder's kernel may resend an order for the grace period, counted from the end
+// of that term. The margin of the term has passed by the acquisition.
+func probeDelay(timing lease.Timing) time.Duration {
+	return lease.OrderGracePeriod(orderTimeout) - min(settleWindow, timing.Margin)
+}
+
 // repeat calls pass at once and then at each planInterval, for d or without an end if d is
 // 0. It fails with the cause of ctx when ctx ends first.
 func repeat(ctx context.Context, d time.Duration, pass func()) error {
--- a/internal/weightload/settle.go
+++ b/internal/weightload/settle.go
@@ -19,6 +19,8 @@
 	// settleSlack is the time for the answers to the probes of an engine that runs all
 	// along, so that it is settled at the end of the order grace period.
 	settleSlack = 100 * time.Millisecond
+	// settleWindow is the time from the first probes to the first orders of a term.
+	settleWindow = settleTime + settleSlack
 	// probeInterval is the interval between two probes of an engine. maxCountedGap is how
 	// much of the time between two answers counts as running, at most.
 	probeInterval = 80 * time.Millisecond
--- a/internal/weightload/settle_test.go
+++ b/internal/weightload/settle_test.go
@@ -15,6 +15,7 @@
 
 	"dogwoodpond/internal/event"
 	"dogwoodpond/internal/lease"
+	"dogwoodpond/internal/rowstore"
 	"dogwoodpond/internal/target"
 	"dogwoodpond/internal/wait"
 )
@@ -85,6 +86,8 @@
 	// mostReading is the highest number of them so far.
 	probes, reports      map[string]int
 	reading, mostReading int
+	// probed receives the time of the first probe, if it is not nil.
+	probed chan time.Time
 }
 
 type observedOrder struct {
@@ -106,6 +109,10 @@
 
 func (o *observedEngines) Probe(ctx context.Context, e *target.Entry) error {
 	defer o.countReading(o.probes, e)()
+	select {
+	case o.probed <- time.Now():
+	default:
+	}
 	if !wait.For(ctx, o.latency(e.Info().ID)) {
 		return ctx.Err()
 	}
@@ -154,9 +161,11 @@
 func newObservedLoader(n int, latency func(id string) time.Duration) (*Loader, *observedEngines) {
 	engines := &observedEngines{fleet: newFleet(n), latency: latency, probes: make(map[string]int), reports: make(map[string]int)}
 	engines.announceVersion("m", 5)
+	events := event.NewRecorder("a", 256, event.NewClock(time.Now), zap.NewNop())
 	l := &Loader{
 		VM: "a", Domain: "x", Roster: engines.roster, Engines: engines, Demands: engines, Store: engines.store,
-		Events: event.NewRecorder("a", 256, event.NewClock(time.Now), zap.NewNop()),
+		Events: events,
+		Leases: lease.NewManager(rowstore.NewTables(engines.store, "lease"), "a", 3*time.Second, events),
 		busy:   make(map[*target.Entry]bool), suspectUntil: make(map[*target.Entry]time.Time),
 	}
 	return l, engines
