A planned stop lets a renewal in flight end before it releases the lease

Callers saw: after a planned stop the duty stood still for a term and its margin, as after a kill, if the stop came while a renewal was in flight.

Cause: the stop canceled the renewal. If the store had executed it already, the row had a newer version than the one that the release expected, so the release was refused.

Evidence: TestStopDuringARenewalReleasesTheLease failed before:

It passes now, with the rest of the package.

Why the fix works: the renewal goes on, bounded as before by the end of the term, and its outcome gives the release the version of the row. No renewal begins after the stop.

--- a/internal/lease/confirm_test.go
+++ b/internal/lease/confirm_test.go
@@ -334,3 +334,42 @@
 		}
 	})
 }
+
+// lateReplyTables replies to each commit after delay. A commit whose context ends before that takes
+// effect, and its outcome stays unknown.
+type lateReplyTables struct {
+	platformapi.Tables
+	delay atomic.Int64
+}
+
+func (l *lateReplyTables) Commit(ctx context.Context, txn platformapi.Txn) error {
+	err := l.Tables.Commit(ctx, txn)
+	if sleep(ctx, time.Duration(l.delay.Load())) != nil {
+		return errors.WithStack(&fault.StoreUnavailable{Operation: "commit", EffectUnknown: true})
+	}
+	return err
+}
+
+// Guards against a planned stop that leaves the lease held for a term: a renewal is in flight when
+// run returns, and the release expects the row before it.
+func TestStopDuringARenewalReleasesTheLease(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cluster := faultinject.NewCluster(faultinject.NoFaults)
+		p := cluster.Start(t.Context(), "vm-1")
+		m := newTestManager(p)
+		tables := &lateReplyTables{Tables: p}
+		m.tables = tables
+		_ = m.Campaign(p.Context, "a", func(ctx context.Context, g Guard) (bool, error) {
+			tables.delay.Store(int64(100 * time.Millisecond))
+			go func() { _ = g.Confirm(context.WithoutCancel(ctx)) }()
+			time.Sleep(50 * time.Millisecond)
+			p.Stop()
+			return true, nil
+		})
+		row, err := cluster.Rows.Get(t.Context(), keyPrefix+"a")
+		var record Record
+		if err != nil || row.Decode(&record) != nil || record.Holder != "" {
+			t.Errorf("after the stop the row is %s, error %v, want a released lease", row.Value, err)
+		}
+	})
+}
--- a/internal/lease/manager.go
+++ b/internal/lease/manager.go
@@ -260,8 +260,13 @@
 		case <-requests:
 		case <-time.After(min(delay, time.Until(hold.Deadline()))):
 		}
+		if ctx.Err() != nil {
+			return nil
+		}
 		delay = c.manager.timing.Term / renewDivisor
-		if !c.renew(ctx, hold) {
+		// The end of ctx does not cancel a renewal: the release needs the version of the row
+		// that it wrote.
+		if !c.renew(context.WithoutCancel(ctx), hold) {
 			delay = c.manager.timing.Term / retryDivisor
 		}
 		if ctx.Err() != nil {
