A lease's row tells the next holder of an action that may still take effect

Cause: the platform can't be asked whether an earlier action still waits there, so waiting is the only bound, and a new holder could not know when it had to wait for longer. It waited for a term and its margin after a death, and a new process of a VM took its VM's leases at once.

Now the renewal that precedes such an action, which the holder commits anyway, marks the row, and the mark is cleared by a renewal at once after an answer. After an action without an answer it stays for PendingActionWait, two terms with their margins (7.5 s at a term of 3 s). A contender that sees the mark waits for that time instead of one term, also for the lease of an earlier process of its own VM; so does a campaign for its own lost lease, and until then a lease is left to expire instead of being released. Rows without the mark, also those of older builds, are taken as before. lease.Act is the one way to act so: it replaces Confirm, CallContext and NoteUnanswered in scaling and usagewindow, and its *fault.LeaseUnconfirmed tells a lease that was not confirmed from a failure of the action.

Why it works: the mark is committed before the first byte is sent, and the next holder counts from a version of the row that was committed no earlier than that renewal. It is cleared only by a renewal that begins after the answer, and a late copy of such a renewal is refused once a later one has marked the row. TestNoActionOvertakesAPendingOne plays this with faults of the store, kills and stops; it fails if the lease is released, or taken again by its own campaign, too early. A receiver that stands still for longer than the wait is not covered.

Bounds of tests that follow the longer wait: TestNextHolderWaitsAfterAnUnansweredAction, TestVMWaitsForItsOwnLostLeaseAfterAnUnansweredAction and TestUnansweredActionDefersTheRelease expect PendingActionWait instead of a term and its margin. TestStopWaitsForTheOrderInFlight allowed 3 terms (9 s) for the handover after an unanswered order; it allows now the sum of the order's timeout, the wait, one poll and the grace period (10.3 s).

--- a/internal/fault/execution.go
+++ b/internal/fault/execution.go
@@ -51,7 +51,7 @@
 func MayTakeEffect(err error) bool {
 	var unavailable *StoreUnavailable
 	switch {
-	case err == nil, Is[*LeaseLost](err), Is[*OrderFenced](err), Is[*PlatformRefused](err):
+	case err == nil, Is[*LeaseUnconfirmed](err), Is[*LeaseLost](err), Is[*OrderFenced](err), Is[*PlatformRefused](err):
 		return false
 	case errors.As(err, &unavailable):
 		return unavailable.EffectUnknown
--- a/internal/fault/types.go
+++ b/internal/fault/types.go
@@ -504,6 +504,19 @@
 // Code implements Failure.
 func (*LeaseLost) Code() Code { return CodeLeaseLost }
 
+// LeaseUnconfirmed wraps the failure of an action that did not begin because its lease was not
+// confirmed. It has no code of its own: its code is that of Cause, which is *LeaseLost,
+// *StoreUnavailable or the cause of a context.
+type LeaseUnconfirmed struct {
+	Cause error
+}
+
+// Error implements error.
+func (e *LeaseUnconfirmed) Error() string { return "lease not confirmed: " + e.Cause.Error() }
+
+// Unwrap returns the cause.
+func (e *LeaseUnconfirmed) Unwrap() error { return e.Cause }
+
 // OrderFenced reports an order that its receiver refused because it has accepted a newer fencing
 // token.
 type OrderFenced struct {
--- /dev/null
+++ b/internal/lease/action.go
@@ -0,0 +1,63 @@
+package lease
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"dogwoodpond/internal/fault"
+)
+
+// Act runs an action under the lease: one call to a receiver that ignores fencing tokens and
+// can't be asked whether it executed the call. Before the action it confirms the lease, and the
+// lease's row tells that an action is pending. If the holder dies meanwhile, or if the action
+// gets no answer, the next holder waits for Timing.PendingActionWait: the receiver may stand
+// still and execute the action later.
+//
+// The context of the action ends after timeout, or when the lease is lost. A planned stop does
+// not cancel the action, since its outcome would be unknown.
+//
+// Act fails with *fault.LeaseUnconfirmed if the lease was not confirmed or ctx ended first, so
+// that the action did not begin; otherwise with the error of the action.
+// fault.MayTakeEffect tells from that error whether the receiver may still execute it.
+func Act(ctx context.Context, g Guard, timeout time.Duration, action func(ctx context.Context) error) error {
+	end, err := g.BeginAction(ctx)
+	if err != nil {
+		return errors.WithStack(&fault.LeaseUnconfirmed{Cause: err})
+	}
+	callCtx, cancel := callContext(ctx, g, timeout)
+	defer cancel()
+	err = action(callCtx)
+	end(mayTakeEffect(err))
+	return err
+}
+
+// mayTakeEffect reports whether an action that failed with err may still take effect. An action
+// that was canceled because the lease was lost may have been sent.
+func mayTakeEffect(err error) bool {
+	if fault.Is[*fault.LeaseLost](err) {
+		return fault.ExecutionOf(err) != fault.NotRun
+	}
+	return fault.MayTakeEffect(err)
+}
+
+// callContext returns the context of a call under the lease that a planned stop does not
+// cancel. It ends after timeout, or when the lease is lost.
+func callContext(ctx context.Context, g Guard, timeout time.Duration) (context.Context, context.CancelFunc) {
+	call, cancelCall := context.WithCancelCause(context.WithoutCancel(ctx))
+	cancelIfLost := func() {
+		if err := g.Check(); err != nil {
+			cancelCall(err)
+		}
+	}
+	stopWatching := context.AfterFunc(ctx, cancelIfLost)
+	termEnd := time.AfterFunc(time.Until(g.Deadline()), cancelIfLost)
+	call, cancelTimeout := context.WithTimeout(call, timeout)
+	return call, func() {
+		stopWatching()
+		termEnd.Stop()
+		cancelTimeout()
+		cancelCall(nil)
+	}
+}
--- a/internal/lease/confirm.go
+++ b/internal/lease/confirm.go
@@ -26,10 +26,7 @@
 // Confirm implements Guard.
 func (c *confirmer) Confirm(ctx context.Context) error {
 	begun := c.begunRenewals()
-	select {
-	case c.requests <- struct{}{}:
-	default:
-	}
+	c.requestRenewal()
 	timeout := time.NewTimer(c.timing.Term / confirmTimeoutDivisor)
 	defer timeout.Stop()
 	for {
@@ -48,3 +45,26 @@
 		}
 	}
 }
+
+// requestRenewal asks for a renewal at once.
+func (c *confirmer) requestRenewal() {
+	select {
+	case c.requests <- struct{}{}:
+	default:
+	}
+}
+
+// BeginAction implements Guard. The renewal of Confirm begins after the action is counted, so
+// its record tells that the action is pending.
+func (c *confirmer) BeginAction(ctx context.Context) (end func(mayTakeEffect bool), err error) {
+	c.beginAction()
+	if err := c.Confirm(ctx); err != nil {
+		c.endAction(time.Now(), false)
+		return nil, err
+	}
+	return func(mayTakeEffect bool) {
+		if c.endAction(time.Now(), mayTakeEffect) {
+			c.requestRenewal()
+		}
+	}, nil
+}
--- a/internal/lease/guard.go
+++ b/internal/lease/guard.go
@@ -21,13 +21,13 @@
 	// *fault.LeaseLost if the lease is lost, with *fault.StoreUnavailable if no renewal is
 	// committed in half a term, and with the cause of ctx when ctx ends first. Concurrent
 	// calls share a renewal that has not begun. Callers confirm the lease directly before
-	// each order to receivers that ignore fencing tokens.
+	// each order to receivers that ignore fencing tokens; if the receiver can't be asked whether
+	// it executed an order, they use Act.
 	Confirm(ctx context.Context) error
-	// NoteUnanswered records that an action under the lease got no answer by now, so that
-	// its receiver may still execute it. The holder notes it for receivers that ignore
-	// fencing tokens and can't be asked whether they executed the action. For a while
-	// afterwards the lease is not released; see Hold.ReleasableAt.
-	NoteUnanswered(now time.Time)
+	// BeginAction confirms the lease like Confirm, with a renewal that tells the next holder
+	// that an action is pending. The caller calls end when the action has ended; mayTakeEffect
+	// is true if it got no answer, so that its receiver may still execute it. Callers use Act.
+	BeginAction(ctx context.Context) (end func(mayTakeEffect bool), err error)
 }
 
 // Check implements Guard.
@@ -48,27 +48,6 @@
 	return orderTimeout + orderTimeout/marginDivisor
 }
 
-// CallContext returns the context of a call under the lease that a planned stop does not
-// cancel: while the call is under way its outcome is unknown, and the lease is not
-// released. The context ends after timeout, or when the lease is lost.
-func CallContext(ctx context.Context, g Guard, timeout time.Duration) (context.Context, context.CancelFunc) {
-	call, cancelCall := context.WithCancelCause(context.WithoutCancel(ctx))
-	cancelIfLost := func() {
-		if err := g.Check(); err != nil {
-			cancelCall(err)
-		}
-	}
-	stopWatching := context.AfterFunc(ctx, cancelIfLost)
-	termEnd := time.AfterFunc(time.Until(g.Deadline()), cancelIfLost)
-	call, cancelTimeout := context.WithTimeout(call, timeout)
-	return call, func() {
-		stopWatching()
-		termEnd.Stop()
-		cancelTimeout()
-		cancelCall(nil)
-	}
-}
-
 // WaitOrderGracePeriod waits for the duration that OrderGracePeriod returns. It then fails with
 // *fault.LeaseLost if the lease was lost in the meantime. It fails with the cause of ctx
 // when ctx ends first.
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -29,6 +29,10 @@
 	Epoch uint64 `json:"epoch"`
 	// Renewals counts the renewals within the epoch.
 	Renewals uint64 `json:"renewals"`
+	// ActionPending is true while an action under the lease may still take effect: it is under
+	// way, or got no answer recently. The next holder then waits longer; see
+	// Timing.PendingActionWait.
+	ActionPending bool `json:"action_pending,omitempty"`
 }
 
 // Timing holds the durations that holder and contenders agree on. All VMs of a
@@ -41,6 +45,11 @@
 	Margin time.Duration
 }
 
+// PendingActionWait returns how long an action without an answer is taken to be pending at its
+// receiver, which may stand still and read the action when it goes on. Receivers that stand
+// still for longer than that and the OrderGracePeriod are not covered.
+func (t Timing) PendingActionWait() time.Duration { return 2 * (t.Term + t.Margin) }
+
 // marginDivisor is the divisor of a term or timeout that gives its margin. The
 // monotonic clocks of healthy machines differ by far less than that margin.
 const marginDivisor = 4
@@ -97,19 +106,24 @@
 // lost, or in an earlier term of the same campaign, which has ended. So there is no other
 // holder to wait for; the campaign waits for its own unanswered actions.
 func (c *Contender) RemainingWait(record Record, now time.Time, extra time.Duration) time.Duration {
-	if record.Holder == c.identity || c.isHeldByPredecessor(record) {
-		return 0
-	}
 	required := extra
-	if record.Holder != "" {
+	switch {
+	case record.Holder == c.identity:
+		return 0
+	case record.ActionPending:
+		required += c.timing.PendingActionWait()
+	case c.isHeldByPredecessor(record):
+		return 0
+	case record.Holder != "":
 		required += c.timing.Term + c.timing.Margin
 	}
 	return required - c.UnchangedFor(now)
 }
 
 // isHeldByPredecessor reports whether the holder is an earlier process of this VM. That
-// process can't act any more, so there is no need to wait for the end of its term. With
-// that wait, no VM would hold the lease for a full term after a power loss of all VMs.
+// process can't act any more, so there is no need to wait for the end of its term, unless
+// one of its actions is pending. With that wait, no VM would hold the lease for a full term
+// after a power loss of all VMs.
 func (c *Contender) isHeldByPredecessor(record Record) bool {
 	return c.predecessorPrefix != "" && strings.HasPrefix(record.Holder, c.predecessorPrefix)
 }
@@ -117,6 +131,13 @@
 // AcquisitionReason returns why the contender may take the lease over record at now, for
 // the log.
 func (c *Contender) AcquisitionReason(record Record, now time.Time) string {
+	if record.ActionPending {
+		return c.reasonWithoutPendingAction(record, now) + ", with an action pending"
+	}
+	return c.reasonWithoutPendingAction(record, now)
+}
+
+func (c *Contender) reasonWithoutPendingAction(record Record, now time.Time) string {
 	switch {
 	case record.Epoch == 0:
 		return "no earlier holder"
@@ -146,7 +167,9 @@
 	version  uint64
 	deadline time.Time
 	ended    bool
-	// unansweredAt is when the last action without an answer was noted.
+	// underWay is the number of actions that have begun and not ended.
+	underWay int
+	// unansweredAt is when the last action ended that got no answer.
 	unansweredAt time.Time
 	// begun is the number of renewals that have begun, and committed that of the latest
 	// committed one. They follow one another.
@@ -193,13 +216,14 @@
 	return nil
 }
 
-// RenewalRecord begins a renewal: it returns its record and the version of the row that it
-// replaces.
-func (h *Hold) RenewalRecord() (next Record, version uint64) {
+// RenewalRecord begins a renewal at now: it returns its record and the version of the row that
+// it replaces.
+func (h *Hold) RenewalRecord(now time.Time) (next Record, version uint64) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	next = h.record
 	next.Renewals++
+	next.ActionPending = now.Before(h.pendingUntil(now))
 	h.begun++
 	return next, h.version
 }
@@ -255,26 +279,45 @@
 	return true
 }
 
-// NoteUnanswered implements Guard.
-func (h *Hold) NoteUnanswered(now time.Time) {
+// beginAction records that an action is about to begin: renewals that begin from now on tell
+// that it is pending.
+func (h *Hold) beginAction() {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if now.After(h.unansweredAt) {
-		h.unansweredAt = now
-	}
+	h.underWay++
 }
 
-// ReleasableAt returns when the lease may be released. Until a term and its margin have
-// passed since an action got no answer, the holder lets the lease expire instead: then the
-// next holder waits longer for a receiver that stands still. A receiver that stands still
-// for longer than that is not covered, nor is it after the death of a holder.
-func (h *Hold) ReleasableAt() time.Time {
+// endAction records that an action ended at now, and whether it may still take effect because
+// it got no answer. It reports whether no action is pending any more.
+func (h *Hold) endAction(now time.Time, mayTakeEffect bool) (settled bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.unansweredAt.IsZero() {
+	h.underWay--
+	if mayTakeEffect && now.After(h.unansweredAt) {
+		h.unansweredAt = now
+	}
+	return !now.Before(h.pendingUntil(now))
+}
+
+// pendingUntil returns the time from which no action counts as pending, as known at now. h.mu
+// must be held.
+func (h *Hold) pendingUntil(now time.Time) time.Time {
+	switch {
+	case h.underWay > 0:
+		return now.Add(h.timing.PendingActionWait())
+	case h.unansweredAt.IsZero():
 		return time.Time{}
 	}
-	return h.unansweredAt.Add(h.timing.Term + h.timing.Margin)
+	return h.unansweredAt.Add(h.timing.PendingActionWait())
+}
+
+// ReleasableAt returns when the lease may be released, as known at now. While an action is
+// pending, the holder lets the lease expire instead: then the next holder waits longer for a
+// receiver that stands still.
+func (h *Hold) ReleasableAt(now time.Time) time.Time {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.pendingUntil(now)
 }
 
 // End ends the hold; every later check fails.
--- a/internal/lease/manager.go
+++ b/internal/lease/manager.go
@@ -91,7 +91,7 @@
 // Campaign contends for the named lease. Each time it has acquired the lease it calls
 // run, with a context that ends when the lease is lost or ctx ends, and releases the
 // lease when run returns, or lets it expire if an action under it got no answer shortly
-// before; see Guard.NoteUnanswered. Campaign returns nil once run has returned true and no
+// before; see Act. Campaign returns nil once run has returned true and no
 // error. Otherwise it continues until ctx ends, and returns the cause of ctx. After the end of
 // ctx the lease is still renewed until run has returned, so that a draining VM can
 // finish what it began.
@@ -235,7 +235,7 @@
 		stopRenewing()
 		renewals.Wait()
 		stopRun(nil)
-		c.acquirableAt = hold.ReleasableAt()
+		c.acquirableAt = hold.ReleasableAt(time.Now())
 		if hold.Check() != nil {
 			emitLoss()
 			return
@@ -286,8 +286,8 @@
 	// detection of the loss.
 	ctx, cancel := context.WithDeadline(ctx, hold.Deadline())
 	defer cancel()
-	next, version := hold.RenewalRecord()
 	sentAt := time.Now()
+	next, version := hold.RenewalRecord(sentAt)
 	err := c.write(ctx, next, version)
 	if err == nil {
 		hold.NoteRenewal(next, version+1, sentAt)
@@ -310,8 +310,8 @@
 	}
 }
 
-// letExpire ends the hold without a release, so that the next holder waits for the end of
-// the term.
+// letExpire ends the hold without a release. The row tells that an action is pending, so that the
+// next holder waits until it is taken to be settled.
 func (c *campaign) letExpire(hold *Hold) {
 	hold.End()
 	c.emit(event.LeaseLeftToExpire, hold.Epoch())
--- a/internal/scaling/orderer.go
+++ b/internal/scaling/orderer.go
@@ -126,10 +126,9 @@
 			if ctx.Err() != nil {
 				return context.Cause(ctx)
 			}
-			if err := guard.Confirm(ctx); err != nil {
+			if err := o.sendOrder(ctx, guard, key, count); fault.Is[*fault.LeaseUnconfirmed](err) {
 				return o.noteUnconfirmed(err)
 			}
-			o.sendOrder(ctx, guard, key, count)
 		}
 	}
 	return nil
@@ -141,30 +140,31 @@
 	if fault.Is[*fault.LeaseLost](err) {
 		return err
 	}
-	o.Events.Emit(event.OrderFailed, event.Subject{Lease: LeaseName(o.Domain), Detail: "lease not confirmed: " + err.Error()})
+	o.Events.Emit(event.OrderFailed, event.Subject{Lease: LeaseName(o.Domain), Detail: err.Error()})
 	return nil
 }
 
-// sendOrder sends one order and records when it is sent again. The end of ctx does not
-// cancel an order: the platform could still execute it after those of the next holder.
-func (o *Orderer) sendOrder(ctx context.Context, guard lease.Guard, key orderKey, count int) {
-	orderCtx, cancel := lease.CallContext(ctx, guard, orderTimeout)
-	defer cancel()
-	err := o.Platform.OrderUpstreams(fence.WithGuard(orderCtx, guard), Order{
-		Service: key.service, Domain: o.Domain, Kind: key.kind, Count: count, Holder: o.VM, Epoch: guard.Epoch(),
+// sendOrder sends one order and records when it is sent again. It fails with
+// *fault.LeaseUnconfirmed if the order was not sent, and is due at once.
+func (o *Orderer) sendOrder(ctx context.Context, guard lease.Guard, key orderKey, count int) error {
+	err := lease.Act(ctx, guard, orderTimeout, func(ctx context.Context) error {
+		return o.Platform.OrderUpstreams(fence.WithGuard(ctx, guard), Order{
+			Service: key.service, Domain: o.Domain, Kind: key.kind, Count: count, Holder: o.VM, Epoch: guard.Epoch(),
+		})
 	})
-	subject := event.Subject{Lease: LeaseName(o.Domain), Epoch: guard.Epoch(), Count: int64(count), Detail: key.service + " " + key.kind.String()}
-	if fault.MayTakeEffect(err) {
-		guard.NoteUnanswered(time.Now())
+	if fault.Is[*fault.LeaseUnconfirmed](err) {
+		return err
 	}
+	subject := event.Subject{Lease: LeaseName(o.Domain), Epoch: guard.Epoch(), Count: int64(count), Detail: key.service + " " + key.kind.String()}
 	if err != nil {
 		subject.Detail += ": " + string(fault.CodeOf(err)) + ": " + err.Error()
 		o.Events.Emit(event.OrderFailed, subject)
 		o.lastOrder[key] = sentOrder{count: count, repeatAt: time.Now().Add(retryBackoff)}
-		return
+		return err
 	}
 	if last, known := o.lastOrder[key]; !known || last.count != count {
 		o.Events.Emit(event.OrderSent, subject)
 	}
 	o.lastOrder[key] = sentOrder{count: count, repeatAt: time.Now().Add(repeatInterval)}
+	return nil
 }
--- a/internal/usagewindow/reporter.go
+++ b/internal/usagewindow/reporter.go
@@ -183,18 +183,11 @@
 	if err != nil {
 		return err
 	}
-	if err := guard.Confirm(ctx); err != nil {
-		return err
-	}
-	// The end of ctx does not cancel a report: billing could still take it after those of the
-	// next holder.
-	callCtx, cancel := lease.CallContext(ctx, guard, reportTimeout)
-	defer cancel()
 	report := Report{Window: window, Counts: counts, Holder: r.VM, Epoch: guard.Epoch()}
-	if err := r.Billing.ReportUsage(fence.WithGuard(callCtx, guard), report); err != nil {
-		if fault.MayTakeEffect(err) {
-			guard.NoteUnanswered(time.Now())
-		}
+	err = lease.Act(ctx, guard, reportTimeout, func(ctx context.Context) error {
+		return r.Billing.ReportUsage(fence.WithGuard(ctx, guard), report)
+	})
+	if err != nil {
 		return err
 	}
 	r.Events.Emit(event.UsageReported, event.Subject{Count: window, Epoch: guard.Epoch()})
