--- a/internal/lease/manager.go
+++ b/internal/lease/manager.go
@@ -66,7 +66,7 @@
 
 // WithSoleProcess declares that the VM runs one process at a time, and that no other VM
 // ever has its name. A new process then takes the leases of its predecessor without
-// waiting for the end of their terms.
+// waiting for the end of their terms, unless an action under one is pending; see Act.
 func WithSoleProcess() Option {
 	return func(m *Manager) { m.soleProcess = true }
 }
