Rollout: the test of billed samples waits until the owners are idle

The trainer reads the last sample from the store as soon as its commit takes effect, which may be before the owner's goroutine has the reply. The test read the recorded usage at that moment, and without its lock.

The test now reads the usage once all goroutines of the bubble are blocked, and requires the same exact counts.

--- a/internal/rollout/harness_test.go
+++ b/internal/rollout/harness_test.go
@@ -255,6 +255,15 @@
 	c.used.Tokens += counts.Tokens
 }
 
+// billed returns the usage that the VMs recorded, once the bubble is idle: the
+// trainer can receive a sample before its owner has the reply of the commit.
+func (c *cluster) billed() usage.Counts {
+	synctest.Wait()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.used
+}
+
 // written returns how many rows the VMs wrote.
 func (c *cluster) written() int {
 	c.mu.Lock()
--- a/internal/rollout/rollout_test.go
+++ b/internal/rollout/rollout_test.go
@@ -170,8 +170,8 @@
 		tr := newTrainer(c, "s", d)
 		tr.open(d)
 		tr.finish()
-		if want := (usage.Counts{Requests: 20, Tokens: 20 * testTokens}); c.used != want {
-			t.Fatalf("usage is %+v, want %+v", c.used, want)
+		if want := (usage.Counts{Requests: 20, Tokens: 20 * testTokens}); c.billed() != want {
+			t.Fatalf("usage is %+v, want %+v", c.billed(), want)
 		}
 	})
 }
