Rollout: samples are billed when their owner stops during the commit

What accounts saw: committed and delivered samples that were not billed.

Cause: the owner recorded the usage of a commit when its goroutine received the result. The result was sent through a select with the end of the owner's context, so it was dropped when the owner ended while the reply was on its way: at a planned stop of the VM, at the loss of the lease, and, without any fault, when the VM's own search found no open step because the last commit had just closed it, and canceled the campaign. The end of the context also canceled the commit itself, whose outcome was then unknown.

The commit's goroutine now records the usage itself, before it reports the result, and the owner waits for it. A commit under way is canceled only when its call has timed out after the stop.

--- a/internal/rollout/committing.go
+++ b/internal/rollout/committing.go
@@ -31,8 +31,6 @@
 	batch    []generatedSample
 	rejected []rejection
 	progress sample.Progress
-	// numbered are the samples that the commit wrote.
-	numbered []sample.Sample
 	err      error
 }
 
@@ -64,7 +62,8 @@
 
 // commit validates a batch and commits the accepted samples. It retries while
 // other writers change the progress concurrently, and validates the batch again
-// for each try.
+// for each try. It records the usage itself, because nobody receives its result
+// when the owner stops.
 func (o *owner) commit(ctx context.Context, batch []generatedSample) commitResult {
 	c := commitResult{batch: batch}
 	for {
@@ -74,7 +73,11 @@
 		if c.err != nil {
 			return c
 		}
-		c.progress, c.numbered, c.err = o.store.commit(ctx, o.ref, o.guard, accepted)
+		var numbered []sample.Sample
+		c.progress, numbered, c.err = o.store.commit(ctx, o.ref, o.guard, accepted)
+		if len(numbered) > 0 {
+			o.recordUsage(numbered)
+		}
 		if !fault.Is[*fault.PreconditionFailed](c.err) {
 			return c
 		}
@@ -117,9 +120,6 @@
 	for _, r := range c.rejected {
 		o.reject(r, now)
 	}
-	if len(c.numbered) > 0 {
-		o.recordUsage(c.numbered)
-	}
 	o.plan.reconcile(c.progress)
 	if v, err := o.policy.fromKnownVersions(o.ref.account, o.definition.Model); err == nil {
 		o.minVersion = v.oldestAcceptable()
--- a/internal/rollout/harness_test.go
+++ b/internal/rollout/harness_test.go
@@ -24,6 +24,7 @@
 	"dogwoodpond/internal/platformapi/memtables"
 	"dogwoodpond/internal/sample"
 	"dogwoodpond/internal/usage"
+	"dogwoodpond/internal/wait"
 )
 
 const (
@@ -79,7 +80,11 @@
 // Commit implements platformapi.Tables and counts the written rows.
 func (v *testVM) Commit(ctx context.Context, txn platformapi.Txn) error {
 	v.cluster.countWrites(len(txn.Writes))
-	return v.Process.Commit(ctx, txn)
+	err := v.Process.Commit(ctx, txn)
+	if delay := v.cluster.replyDelay; delay != nil && !wait.For(ctx, delay(txn)) {
+		return errors.WithStack(&fault.StoreUnavailable{Operation: "commit", EffectUnknown: true})
+	}
+	return err
 }
 
 // Workers implements Workers.
@@ -227,6 +232,9 @@
 	vms       []*testVM
 	// withoutHedging is passed to the managers.
 	withoutHedging bool
+	// replyDelay returns how long the reply to a commit is on its way; nil means no
+	// time.
+	replyDelay func(platformapi.Txn) time.Duration
 
 	mu       sync.Mutex
 	injected map[string]faultsByCall
--- a/internal/rollout/store.go
+++ b/internal/rollout/store.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/url"
 	"strings"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -157,12 +158,34 @@
 	if err := guard.Check(); err != nil {
 		return progress, nil, err
 	}
-	if err := platformapi.CommitConfirmed(ctx, s.tables, txn); err != nil {
+	if err := s.send(ctx, txn); err != nil {
 		return progress, nil, err
 	}
 	return next, numbered, nil
 }
 
+// commitGracePeriod is how long a commit under way may continue after its owner was
+// stopped: the time in which its call is answered or times out.
+const commitGracePeriod = platformapi.CallTimeout
+
+// send runs a transaction. A commit under way is canceled only commitGracePeriod
+// after ctx ends, because its outcome would be unknown.
+func (s store) send(ctx context.Context, txn platformapi.Txn) error {
+	ctx, cancel := withGracePeriod(ctx, commitGracePeriod)
+	defer cancel()
+	return platformapi.CommitConfirmed(ctx, s.tables, txn)
+}
+
+// withGracePeriod returns a context that ends the grace period after ctx.
+func withGracePeriod(ctx context.Context, grace time.Duration) (context.Context, context.CancelFunc) {
+	extended, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	stop := context.AfterFunc(ctx, func() { time.AfterFunc(grace, cancel) })
+	return extended, func() {
+		stop()
+		cancel()
+	}
+}
+
 // batch is a row of committed samples.
 type batch struct {
 	row     platformapi.Row
