Rollout: samples of an unconfirmed commit are billed

What accounts saw: samples that the trainer received and that were not billed, after the store had not answered a commit.

Cause: when a commit's reply was lost and the store did not confirm the commit either, the owner put the batch back. The next commit found the slots filled, skipped them, and nobody recorded their usage. If the owner lost its lease or was stopped meanwhile, the same.

The fault matrix now checks the usage in each episode.

The VM that sent a commit bills it, since no other VM can know whether its meter has counted the batch. An owner settles its last commit before the next one: it took effect if the progress of the owner's epoch has its numbers; it is sent again if the progress has not changed. Under a later epoch the nonce of the batch's row tells.

--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -155,7 +155,7 @@
 	{OrderHeldBack, zap.WarnLevel, "order held back", "A load of the weight version in Count is due on an engine that this lease holder has not yet seen running for long enough, since an order of the previous holder may still wait there. Reported once per engine and term; Detail gives the model, when the first load was due, and the failure of the last probe."},
 	{WindowSealed, zap.InfoLevel, "window sealed", "The VM stored its final usage of the window that starts at Count."},
 	{UsageReported, zap.InfoLevel, "usage reported", "Billing accepted the account's report of the window that starts at Count; Detail says whether the report corrects an earlier window."},
-	{UsageIncomplete, zap.WarnLevel, "usage incomplete", "Usage of a window was not stored or not reported; Detail gives the reason. Without Detail, the account's report lacks usage of a dead VM."},
+	{UsageIncomplete, zap.WarnLevel, "usage incomplete", "Usage was not stored, not reported or not billed; Detail gives the reason. Without Detail, the account's report lacks usage of a dead VM."},
 	{PeerUnresponsive, zap.WarnLevel, "peer unresponsive", "A peer has not answered for a while."},
 	{PeerResponsive, zap.InfoLevel, "peer responsive", "An unresponsive peer answers again."},
 	{HeartbeatFailed, zap.WarnLevel, "heartbeat failed", "The VM failed to write its status row; Detail gives the error."},
--- a/internal/rollout/committing.go
+++ b/internal/rollout/committing.go
@@ -67,23 +67,34 @@
 func (o *owner) commit(ctx context.Context, batch []generatedSample) commitResult {
 	c := commitResult{batch: batch}
 	for {
-		c.rejected = nil
-		var accepted []sample.Sample
-		accepted, c.rejected, c.err = o.validateBatch(ctx, batch)
-		if c.err != nil {
-			return c
-		}
-		var numbered []sample.Sample
-		c.progress, numbered, c.err = o.store.commit(ctx, o.ref, o.guard, accepted)
-		if len(numbered) > 0 {
-			o.recordUsage(numbered)
-		}
+		c.err = o.tryCommit(ctx, &c)
 		if !fault.Is[*fault.PreconditionFailed](c.err) {
 			return c
 		}
 	}
 }
 
+func (o *owner) tryCommit(ctx context.Context, c *commitResult) error {
+	if err := o.settleUnconfirmed(ctx); err != nil {
+		return err
+	}
+	accepted, rejected, err := o.validateBatch(ctx, c.batch)
+	if err != nil {
+		return err
+	}
+	c.rejected = rejected
+	progress, written, err := o.store.commit(ctx, o.ref, o.guard, accepted)
+	if err != nil {
+		o.unconfirmed = written
+		return err
+	}
+	if written != nil {
+		o.recordUsage(*written)
+	}
+	c.progress = progress
+	return nil
+}
+
 func (o *owner) validateBatch(ctx context.Context, batch []generatedSample) (accepted []sample.Sample, rejected []rejection, err error) {
 	if len(batch) == 0 {
 		return nil, nil, nil
@@ -108,7 +119,7 @@
 
 // handleCommitResult processes the result of a commit. After a failure the batch
 // is put back for the next commit. If the failed commit took effect after all,
-// the next one reads it from the progress and skips the samples of filled slots.
+// the next one settles it, and skips the samples of filled slots.
 func (o *owner) handleCommitResult(c commitResult, before sample.Progress, now time.Time) sample.Progress {
 	o.committing = false
 	o.nextCommitAt = now.Add(commitInterval)
@@ -130,14 +141,14 @@
 // recordUsage counts committed samples for metrics and billing. Only the tokens
 // of committed samples are billed. The tokens of hedges, failed attempts and
 // rejected samples are not charged to the account.
-func (o *owner) recordUsage(samples []sample.Sample) {
-	account := string(o.ref.account)
+func (m *Manager) recordUsage(w batchWrite) {
+	account := string(w.ref.account)
 	tokens := int64(0)
-	for _, s := range samples {
+	for _, s := range w.samples {
 		tokens += int64(s.Tokens)
 	}
-	o.usage.Add(o.ref.account, usage.Counts{Requests: int64(len(samples)), Tokens: tokens})
-	o.metrics.committed.WithLabelValues(account).Add(float64(len(samples)))
-	o.metrics.commits.WithLabelValues(account).Inc()
-	o.events.Emit(event.SamplesCommitted, event.Subject{Account: account, Step: o.ref.step, Count: int64(len(samples))})
+	m.usage.Add(w.ref.account, usage.Counts{Requests: int64(len(w.samples)), Tokens: tokens})
+	m.metrics.committed.WithLabelValues(account).Add(float64(len(w.samples)))
+	m.metrics.commits.WithLabelValues(account).Inc()
+	m.events.Emit(event.SamplesCommitted, event.Subject{Account: account, Step: w.ref.step, Count: int64(len(w.samples))})
 }
--- a/internal/rollout/manager.go
+++ b/internal/rollout/manager.go
@@ -82,6 +82,10 @@
 	closed        bool
 	campaigns     map[stepRef]campaign
 	campaignGroup sync.WaitGroup
+	// unconfirmed are the writes with an unknown outcome whose owners have stopped.
+	unconfirmed []batchWrite
+	// settling holds a token while these writes are being settled.
+	settling chan struct{}
 }
 
 // campaign is a campaign of this VM to own a step.
@@ -108,17 +112,21 @@
 		ctx:            ctx,
 		cancel:         cancel,
 		campaigns:      make(map[stepRef]campaign),
+		settling:       make(chan struct{}, 1),
 	}
 }
 
 // Close cancels the campaigns, which releases their leases, and waits for them
-// to end.
+// to end. Usage of samples whose commit is still unconfirmed after settleTimeout is
+// not billed.
 func (m *Manager) Close() {
+	deadline := time.Now().Add(settleTimeout)
 	m.mu.Lock()
 	m.closed = true
 	m.mu.Unlock()
 	m.cancel()
 	m.campaignGroup.Wait()
+	m.settleBeforeClose(deadline)
 }
 
 // Open opens a step. If the step is open already, it returns the step's status
@@ -166,6 +174,7 @@
 	for {
 		// A failed search leaves the campaigns as they are.
 		_ = m.syncCampaigns(ctx)
+		m.settleAbandoned(m.ctx)
 		select {
 		case <-ctx.Done():
 			return
--- a/internal/rollout/matrix_test.go
+++ b/internal/rollout/matrix_test.go
@@ -32,6 +32,7 @@
 		// end.
 		time.Sleep(2 * longPause)
 		checkStore(c, d)
+		checkUsage(c, a.Killed() || b.Killed())
 		if len(faultsA)+len(faultsB) == 0 && tr.tombstones == 0 {
 			t.Fatal("no sample became stale, so the run does not cover withdrawal")
 		}
@@ -72,6 +73,21 @@
 	}
 }
 
+// checkUsage checks that every numbered sample is billed once. Those that only a
+// killed VM counted may be missing.
+func checkUsage(c *cluster, killed bool) {
+	c.t.Helper()
+	s := store{tables: c.tables}
+	progress, _, err := s.progress(c.t.Context(), stepRef{account: testAccount, step: "s"})
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	got := c.billed()
+	if got.Tokens != got.Requests*testTokens || got.Requests > progress.Committed || !killed && got.Requests != progress.Committed {
+		c.t.Fatalf("usage is %+v for %d numbers, a VM was killed: %t", got, progress.Committed, killed)
+	}
+}
+
 const (
 	// shortPause is long enough for another VM to take over the step and work
 	// on it.
--- a/internal/rollout/owner.go
+++ b/internal/rollout/owner.go
@@ -64,6 +64,9 @@
 	ready []generatedSample
 	// committing is true while a commit is in progress.
 	committing bool
+	// unconfirmed is the write whose outcome is unknown, or nil. Only commits
+	// access it while the owner runs.
+	unconfirmed *batchWrite
 	// nextCommitAt is the earliest time of the next commit.
 	nextCommitAt time.Time
 	// nextWorkersRefreshAt is when to read the list of workers again.
@@ -107,8 +110,13 @@
 		scoringSemaphore: make(chan struct{}, scoringConcurrency),
 	}
 	o.plan.reconcile(progress)
-	defer o.background.Wait()
-	defer cancel()
+	defer func() {
+		cancel()
+		o.background.Wait()
+		if o.unconfirmed != nil {
+			o.addUnconfirmed(*o.unconfirmed)
+		}
+	}()
 	return o.loop(ctx, progress)
 }
 
--- a/internal/rollout/store.go
+++ b/internal/rollout/store.go
@@ -130,12 +130,14 @@
 	}
 }
 
-// commit numbers and writes samples in one transaction, and returns the samples
-// that it wrote. It checks guard directly before the write. The transaction
-// requires the row version of the progress that was read: when another writer
-// changes the progress in between, commit fails with *fault.PreconditionFailed
-// and writes nothing.
-func (s store) commit(ctx context.Context, r stepRef, guard Guard, samples []sample.Sample) (sample.Progress, []sample.Sample, error) {
+// commit numbers and writes samples in one transaction, and returns its write. It
+// checks guard directly before the write. The transaction requires the row version
+// of the progress that was read: when another writer changes the progress in
+// between, commit fails with *fault.PreconditionFailed and writes nothing.
+//
+// The write is nil if there is nothing to write or it certainly has no effect. A
+// write that is returned with an error has an unknown outcome.
+func (s store) commit(ctx context.Context, r stepRef, guard Guard, samples []sample.Sample) (sample.Progress, *batchWrite, error) {
 	progress, row, err := s.progress(ctx, r)
 	if err != nil {
 		return progress, nil, err
@@ -158,10 +160,16 @@
 	if err := guard.Check(); err != nil {
 		return progress, nil, err
 	}
-	if err := s.send(ctx, txn); err != nil {
+	w := batchWrite{ref: r, epoch: guard.Epoch(), txn: txn, progressVersion: row.Version, samples: numbered}
+	err = s.send(ctx, txn)
+	switch {
+	case err == nil:
+		return next, &w, nil
+	case isOutcomeUnknown(err):
+		return progress, &w, err
+	default:
 		return progress, nil, err
 	}
-	return next, numbered, nil
 }
 
 // commitGracePeriod is how long a commit under way may continue after its owner was
