Usage: a store without room doesn't make a window refused

What accounts saw: nothing; billing lacked the usage of whole windows. While the store answered 507 to the final counts of a window, each due window was given up as "refused for good", and was not reported when the store had room again.

Cause: the reporter took any refusal in the chain of an error for billing's, also that of the store in the steps before the report.

Evidence, before:

go test -race -run Storage ./internal/usagewindow --- FAIL: TestWindowIsReportedOnceTheStorageHasRoom reports are [], want one with 1 request the window is told to be refused by billing

The errors of the steps before the report are now marked as the store's, and only billing's refusal of the report itself gives a window up.

--- a/internal/usagewindow/reporter.go
+++ b/internal/usagewindow/reporter.go
@@ -110,11 +110,19 @@
 	}
 }
 
+// storeError is the failure of a call to the store for a report. A refusal in its chain
+// is the store's, which may have room again later.
+type storeError struct{ error }
+
+// Unwrap returns the error of the call.
+func (e *storeError) Unwrap() error { return e.error }
+
 // refused reports whether billing refused a window permanently, and emits an event if
 // it did. Later windows must not wait for such a window.
 func (r *Reporter) refused(err error, window int64) bool {
+	var store *storeError
 	var refused *fault.PlatformRefused
-	if !errors.As(err, &refused) {
+	if errors.As(err, &store) || !errors.As(err, &refused) {
 		return false
 	}
 	r.Events.Emit(event.UsageIncomplete, event.Subject{Count: window, Detail: "refused for good: " + err.Error()})
@@ -181,7 +189,7 @@
 func (r *Reporter) close(ctx context.Context, guard lease.Guard, window int64) error {
 	counts, err := r.finalCounts(ctx, window)
 	if err != nil {
-		return err
+		return &storeError{err}
 	}
 	if err := guard.Confirm(ctx); err != nil {
 		return err
--- a/internal/usagewindow/usagewindow_test.go
+++ b/internal/usagewindow/usagewindow_test.go
@@ -6,6 +6,7 @@
 	"maps"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -60,9 +61,10 @@
 
 // vm is one VM, which runs a meter and a reporter until kill is called.
 type vm struct {
-	meter *Meter
-	clock *FleetClock
-	kill  context.CancelFunc
+	meter  *Meter
+	clock  *FleetClock
+	events *event.Recorder
+	kill   context.CancelFunc
 	// ended is closed once the reporter has ended after kill.
 	ended <-chan struct{}
 }
@@ -89,7 +91,7 @@
 		reporter.Run(ctx)
 	}()
 	t.Cleanup(kill)
-	return vm{meter: meter, clock: clock, kill: kill, ended: ended}
+	return vm{meter: meter, clock: clock, events: events, kill: kill, ended: ended}
 }
 
 // waitForNextWindow waits until the next window begins and returns its number.
@@ -282,6 +284,46 @@
 	})
 }
 
+// fillStorage refuses the writes of rows of the report table whose names have the prefix.
+func fillStorage(store *memory.Store, prefix string) {
+	store.SetFault(func(txn rowstore.Txn) memory.Fault {
+		if len(txn.Puts) > 0 && txn.Puts[0].Key.Table == reportTable && strings.HasPrefix(txn.Puts[0].Key.Name, prefix) {
+			return memory.StorageFull
+		}
+		return memory.NoFault
+	})
+}
+
+func (v vm) hasEvent(number event.Number, detail string) bool {
+	return slices.ContainsFunc(v.events.Since(event.Stamp{}), func(r event.Record) bool {
+		return r.Number == number && strings.Contains(r.Detail, detail)
+	})
+}
+
+// Guards against a window that is given up as refused by billing because the storage is full
+// when its final counts are stored.
+func TestWindowIsReportedOnceTheStorageHasRoom(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store, b := memory.New(), &fakeBilling{}
+		a := startVM(t, store, b, "a")
+		window := a.waitForNextWindow()
+		a.meter.CountRun("acc", time.Now())
+		fillStorage(store, "w")
+		time.Sleep(3 * windowLength)
+		if n := len(b.reportsOf(window)); n != 0 {
+			t.Errorf("%d reports while the storage is full, want none", n)
+		}
+		store.SetFault(nil)
+		time.Sleep(2 * windowLength)
+		if reports := b.reportsOf(window); len(reports) != 1 || reports[0].Counts["acc"] != 1 {
+			t.Errorf("reports are %+v, want one with 1 request", reports)
+		}
+		if a.hasEvent(event.UsageIncomplete, "refused for good") {
+			t.Error("the window is told to be refused by billing")
+		}
+	})
+}
+
 // Guards against a missing report when the store has an outage at the end of the window.
 // The report may be late.
 func TestWindowIsReportedAfterStoreOutage(t *testing.T) {
