Orders to the platform and usage reports that were never written have no effect

The platform's client counted every order or report without an answer as one that may still take effect, also if no connection was established. A holder that has to wait for such calls before it releases its lease would wait for a platform that can't be reached.

TestOrderThatWasNotSentMayNotTakeEffect: before, "no connection: ... may take effect: true, want false" for orders and reports; passes now (3 of 3 with -race). Commits are left as they are: CommitConfirmed sends them again by itself.

--- a/internal/platformapi/http.go
+++ b/internal/platformapi/http.go
@@ -7,8 +7,10 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"net/url"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -161,7 +163,7 @@
 
 // Order implements Upstreams.
 func (c *Client) Order(ctx context.Context, order Order) error {
-	status, refusal, err := c.send(ctx, c.fencedHTTP, PathOrders, order)
+	status, refusal, err := c.sendFenced(ctx, PathOrders, order)
 	if err != nil {
 		return err
 	}
@@ -170,7 +172,7 @@
 
 // Report implements Billing.
 func (c *Client) Report(ctx context.Context, report UsageReport) error {
-	status, refusal, err := c.send(ctx, c.fencedHTTP, PathReports, report)
+	status, refusal, err := c.sendFenced(ctx, PathReports, report)
 	if err != nil {
 		return err
 	}
@@ -242,6 +244,20 @@
 	return status, refusal, nil
 }
 
+// sendFenced sends an order or report. Without a connection no byte of it was written, so it
+// has no effect.
+func (c *Client) sendFenced(ctx context.Context, path string, request any) (int, Refusal, error) {
+	var connected atomic.Bool
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
+	})
+	status, refusal, err := c.send(ctx, c.fencedHTTP, path, request)
+	if fault.Is[*fault.StoreUnavailable](err) && !connected.Load() {
+		return 0, Refusal{}, errors.WithStack(&fault.StoreUnavailable{Operation: path})
+	}
+	return status, refusal, err
+}
+
 // call makes one HTTP call over the pooled connections.
 func (c *Client) call(ctx context.Context, method, path string, body []byte) (int, []byte, error) {
 	return c.callWith(ctx, c.http, method, path, body)
