A weight load that may still take effect holds up the next holder

Engines that ignore fencing tokens could load weights by an order of a stopped holder after an order of the next one. A planned stop canceled the order in flight and released the lease of the failure domain at once; an engine that stands still keeps the order, and the next holder waits 12.5 s only.

Each order is now an action under the lease (lease.Act): a stop does not cancel it, it ends by its answer, its timeout (orderTimeoutMillis) or the loss of the lease; the row tells that it is pending, and after an order without an answer the lease expires. After an answered order nothing is waited for.

An engine that stands still for longer than the wait is not covered: engines of the own interface are not probed as those of internal/weightload are.

--- a/internal/control/stall_test.go
+++ b/internal/control/stall_test.go
@@ -253,7 +253,7 @@
 		LoadReader:    engines{s},
 		View:          view,
 		Demands:       s,
-		WeightUpdater: weightupdate.NewUpdater(engines{s}, events, 100),
+		WeightUpdater: weightupdate.NewUpdater(engines{s}, events, 100, orderTimeout),
 		Mover:         enginepool.NewMover(engines{s}, events),
 		Provisioner:   provision.NewProvisioner(domain, s.tables, s, events, elapsed),
 		Reporter: usage.NewReporter(s.tables, s, events, usage.ReporterConfig{
--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -40,7 +40,7 @@
 }
 
 func newWeightUpdater(s settings.Daemon, engines *engine.Client, events *event.Recorder) *weightupdate.Updater {
-	return weightupdate.NewUpdater(engines, events, s.WeightLoadsPerSecond)
+	return weightupdate.NewUpdater(engines, events, s.WeightLoadsPerSecond, s.OrderTimeout())
 }
 
 func newMover(engines *engine.Client, events *event.Recorder) *enginepool.Mover {
--- a/internal/weightupdate/updater.go
+++ b/internal/weightupdate/updater.go
@@ -32,6 +32,8 @@
 	// limiter limits the weight loads per second, since each of them reads from the
 	// weight store.
 	limiter *rate.Limiter
+	// orderTimeout is the timeout of one order.
+	orderTimeout time.Duration
 
 	mu      sync.Mutex
 	loading map[string]bool
@@ -39,13 +41,14 @@
 }
 
 // NewUpdater returns an updater that starts at most loadsPerSecond weight loads a second.
-func NewUpdater(engines Engines, events *event.Recorder, loadsPerSecond float64) *Updater {
+func NewUpdater(engines Engines, events *event.Recorder, loadsPerSecond float64, orderTimeout time.Duration) *Updater {
 	burst := max(1, int(loadsPerSecond))
 	return &Updater{
-		engines: engines,
-		events:  events,
-		limiter: rate.NewLimiter(rate.Limit(loadsPerSecond), burst),
-		loading: make(map[string]bool),
+		engines:      engines,
+		events:       events,
+		limiter:      rate.NewLimiter(rate.Limit(loadsPerSecond), burst),
+		orderTimeout: orderTimeout,
+		loading:      make(map[string]bool),
 	}
 }
 
@@ -104,11 +107,13 @@
 	}
 	subject := event.Subject{Upstream: e.ID, Epoch: order.Epoch, Count: planned.Version}
 	for range maxOrderAttempts {
-		if guard.Confirm(ctx) != nil {
+		err := lease.Act(ctx, guard, u.orderTimeout, func(ctx context.Context) error {
+			u.events.Emit(event.OrderSent, subject)
+			return u.engines.Order(fence.WithGuard(ctx, guard), e.Address, order)
+		})
+		if fault.Is[*fault.LeaseUnconfirmed](err) {
 			return
 		}
-		u.events.Emit(event.OrderSent, subject)
-		err := u.engines.Order(fence.WithGuard(ctx, guard), e.Address, order)
 		if err == nil || u.serves(ctx, planned) {
 			u.events.Emit(event.WeightsLoaded, subject)
 			return
--- a/internal/weightupdate/weightupdate_test.go
+++ b/internal/weightupdate/weightupdate_test.go
@@ -127,7 +127,7 @@
 
 func newTestUpdater(p *fakePool) *Updater {
 	events := event.NewRecorder("vm", 64, event.NewClock(time.Now), zap.NewNop())
-	return NewUpdater(p, events, 100)
+	return NewUpdater(p, events, 100, 10*time.Second)
 }
 
 // updateAll calls Tick until every engine serves version 2 and returns how long that took.
