An engine's move that may still take effect holds up the next holder

An engine that stands still and ignores fencing tokens could change its pool by an order of a stopped holder after an order of the next one, as with weight loads: a planned stop canceled the order and released the lease at once. The mover now sends its orders by lease.Act, under the same lease.

--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -54,7 +54,7 @@
 // Guards against orders of a holder whose clock stopped, as on a suspended machine.
 func TestTickWithoutConfirmedLeaseSendsNoOrders(t *testing.T) {
 	p, d := &emptyPlatform{}, &countedDemands{}
-	c := New(Config{FailureDomain: "a", Platform: p, Demands: d, Mover: enginepool.NewMover(nil, nil)})
+	c := New(Config{FailureDomain: "a", Platform: p, Demands: d, Mover: enginepool.NewMover(nil, nil, orderTimeout)})
 	c.tick(t.Context(), lostGuard{})
 	if p.asked || d.asked {
 		t.Error("orders were planned without the lease")
--- a/internal/control/stall_test.go
+++ b/internal/control/stall_test.go
@@ -254,7 +254,7 @@
 		View:          view,
 		Demands:       s,
 		WeightUpdater: weightupdate.NewUpdater(engines{s}, events, 100, orderTimeout),
-		Mover:         enginepool.NewMover(engines{s}, events),
+		Mover:         enginepool.NewMover(engines{s}, events, orderTimeout),
 		Provisioner:   provision.NewProvisioner(domain, s.tables, s, events, elapsed),
 		Reporter: usage.NewReporter(s.tables, s, events, usage.ReporterConfig{
 			WindowLength: windowLength, Now: time.Now, Elapsed: elapsed,
--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -43,8 +43,8 @@
 	return weightupdate.NewUpdater(engines, events, s.WeightLoadsPerSecond, s.OrderTimeout())
 }
 
-func newMover(engines *engine.Client, events *event.Recorder) *enginepool.Mover {
-	return enginepool.NewMover(engines, events)
+func newMover(s settings.Daemon, engines *engine.Client, events *event.Recorder) *enginepool.Mover {
+	return enginepool.NewMover(engines, events, s.OrderTimeout())
 }
 
 // newElapsed returns a monotonic clock that starts at 0.
--- a/internal/daemon/wire_gen.go
+++ b/internal/daemon/wire_gen.go
@@ -52,7 +52,7 @@
 	fleet := peer.NewFleet(gossip, peerClient, view, recorder)
 	operatorServer := newOperator(s, client, view, editor, fleet, directory, recorder, daemonHooks)
 	updater := newWeightUpdater(s, engineClient, recorder)
-	mover := newMover(engineClient, recorder)
+	mover := newMover(s, engineClient, recorder)
 	provisioner := newProvisioner(s, client, recorder)
 	reporter := newReporter(s, client, recorder, gossip, view)
 	controller := newController(s, manager, client, engineClient, view, directory, updater, mover, provisioner, reporter, daemonHooks)
--- a/internal/enginepool/enginepool_test.go
+++ b/internal/enginepool/enginepool_test.go
@@ -100,7 +100,7 @@
 func TestEachMoveHasItsOwnOrderID(t *testing.T) {
 	orders := &failingOrders{}
 	events := event.NewRecorder("vm", 64, event.NewClock(time.Now), zap.NewNop())
-	m := NewMover(orders, events)
+	m := NewMover(orders, events, 10*time.Second)
 	engines := append(enginesOf(replies, 2, 8), enginesOf(rotas, 3, 1)...)
 	for range 3 * minQueuedTicks {
 		_ = m.Tick(t.Context(), fakeGuard{}, engines, map[Pool]int{replies: 5})
--- a/internal/enginepool/mover.go
+++ b/internal/enginepool/mover.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"time"
 
 	"dogwoodpond/internal/engine"
 	"dogwoodpond/internal/event"
@@ -21,15 +22,17 @@
 // Mover moves engines between pools for the holder of a failure domain's lease. It is not
 // safe for concurrent use.
 type Mover struct {
-	planner    *Planner
-	orders     OrderSender
-	events     *event.Recorder
-	orderCount int
+	planner *Planner
+	orders  OrderSender
+	events  *event.Recorder
+	// orderTimeout is the timeout of one order.
+	orderTimeout time.Duration
+	orderCount   int
 }
 
 // NewMover returns a mover that sends its orders through the given sender.
-func NewMover(orders OrderSender, events *event.Recorder) *Mover {
-	return &Mover{planner: NewPlanner(), orders: orders, events: events}
+func NewMover(orders OrderSender, events *event.Recorder, orderTimeout time.Duration) *Mover {
+	return &Mover{planner: NewPlanner(), orders: orders, events: events, orderTimeout: orderTimeout}
 }
 
 // Tick plans at most one move and sends its order to the engine. queued is the number of
@@ -40,9 +43,6 @@
 	if !ok {
 		return nil
 	}
-	if err := guard.Confirm(ctx); err != nil {
-		return err
-	}
 	m.orderCount++
 	order := engine.Order{
 		ID:      fmt.Sprintf("pool/%s/%d/%d", move.Engine.ID, guard.Epoch(), m.orderCount),
@@ -52,9 +52,11 @@
 		Adapter: move.To.Adapter,
 	}
 	subject := event.Subject{Upstream: move.Engine.ID, Epoch: order.Epoch, Detail: move.To.Model + "+" + move.To.Adapter}
-	m.events.Emit(event.OrderSent, subject)
-	err := m.orders.Order(fence.WithGuard(ctx, guard), move.Engine.Address, order)
-	if err != nil {
+	err := lease.Act(ctx, guard, m.orderTimeout, func(ctx context.Context) error {
+		m.events.Emit(event.OrderSent, subject)
+		return m.orders.Order(fence.WithGuard(ctx, guard), move.Engine.Address, order)
+	})
+	if err != nil && !fault.Is[*fault.LeaseUnconfirmed](err) {
 		subject.Detail = string(fault.CodeOf(err))
 		m.events.Emit(event.OrderFailed, subject)
 	}
