An order for upstreams that may still take effect holds up the next holder

A platform that stands still and ignores fencing tokens could execute an order to start or stop an upstream of a stopped holder after one of the next holder: a planned stop canceled the order and released the lease at once. The IDs of orders kept that from starting an upstream twice, not from a lower fence after a higher one. The provisioner now sends its orders by lease.Act.

--- a/internal/provision/provisioner.go
+++ b/internal/provision/provisioner.go
@@ -302,14 +302,13 @@
 
 // send confirms the lease, sends an order and emits its events.
 func (p *Provisioner) send(ctx context.Context, guard lease.Guard, order platformapi.Order) error {
-	if err := guard.Confirm(ctx); err != nil {
-		return err
-	}
 	order.Epoch = guard.Epoch()
 	subject := event.Subject{Upstream: order.Upstream, Account: order.Account, Epoch: order.Epoch, Detail: string(order.Kind)}
-	p.events.Emit(event.OrderSent, subject)
-	err := p.orders.Order(fence.WithGuard(ctx, guard), order)
-	if err != nil {
+	err := lease.Act(ctx, guard, platformapi.CallTimeout, func(ctx context.Context) error {
+		p.events.Emit(event.OrderSent, subject)
+		return p.orders.Order(fence.WithGuard(ctx, guard), order)
+	})
+	if err != nil && !fault.Is[*fault.LeaseUnconfirmed](err) {
 		subject.Detail = string(fault.CodeOf(err))
 		p.events.Emit(event.OrderFailed, subject)
 	}
