A usage report that may still be taken holds up the next holder

Billing that stands still and ignores fencing tokens could take a report of a stopped holder after one of the next holder: a planned stop canceled the report and released the lease, and the next holder waited 3.75 s only. Both reports have the same counts. The reporter now sends its reports by lease.Act.

TestWindowReportThatWaitsAtBillingIsNotOvertakenAfterAStop: before, epochs [2 1 2] for a report in flight and for an abandoned one; now sorted in all 10 phases of both (-race).

--- a/internal/usage/reporter.go
+++ b/internal/usage/reporter.go
@@ -311,22 +311,21 @@
 	})
 }
 
-// sendReport checks the lease directly before it sends the report, since the process may
+// sendReport confirms the lease directly before it sends the report, since the process may
 // have been paused since the last check.
 func (r *Reporter) sendReport(ctx context.Context, guard lease.Guard, report Report) error {
-	if err := guard.Confirm(ctx); err != nil {
-		return err
-	}
 	start := int64(report.Window) * int64(r.config.WindowLength/time.Second)
-	err := r.billing.Report(fence.WithGuard(ctx, guard), platformapi.UsageReport{
-		Window:             start,
-		Account:            string(report.Account),
-		Requests:           report.Counts.Requests,
-		Tokens:             report.Counts.Tokens,
-		CorrectionRequests: report.Corrections.Requests,
-		CorrectionTokens:   report.Corrections.Tokens,
-		Incomplete:         report.Incomplete,
-		Epoch:              guard.Epoch(),
+	err := lease.Act(ctx, guard, platformapi.CallTimeout, func(ctx context.Context) error {
+		return r.billing.Report(fence.WithGuard(ctx, guard), platformapi.UsageReport{
+			Window:             start,
+			Account:            string(report.Account),
+			Requests:           report.Counts.Requests,
+			Tokens:             report.Counts.Tokens,
+			CorrectionRequests: report.Corrections.Requests,
+			CorrectionTokens:   report.Corrections.Tokens,
+			Incomplete:         report.Incomplete,
+			Epoch:              guard.Epoch(),
+		})
 	})
 	if err != nil {
 		return err
