Seal usage before the wait for an order in flight at a planned stop

A planned stop now awaits an order in flight instead of canceling it, at most for orderTimeoutMillis (10 s by default, up to 60 s), and that after the drain. The usage of the VM was sealed only after that wait: if the service manager kills the process meanwhile, a report lacks usage and says so. The controller is now awaited after the seal.

The wait is not part of drainSeconds, which may be less than one order; the pages say so. A process that is killed in it leaves the mark of the pending order in the lease's row.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -73,7 +73,7 @@
 func (d *Daemon) Run(stop context.Context) error {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	var loops sync.WaitGroup
+	var loops, duties sync.WaitGroup
 	open, err := d.listen(ctx, &loops)
 	if err != nil {
 		return err
@@ -82,7 +82,7 @@
 	loops.Go(func() { d.gossip.Run(ctx) })
 	loops.Go(func() { d.pollLists(ctx) })
 	loops.Go(func() { d.meter.Run(ctx, d.flushInterval) })
-	loops.Go(func() { d.controller.Run(ctx) })
+	duties.Go(func() { d.controller.Run(ctx) })
 	loops.Go(func() { d.scheduler.Run(ctx) })
 	loops.Go(func() { d.poller.Run(ctx) })
 	loops.Go(func() { d.history.Run(ctx, stepSearchInterval(d.gossip)) })
@@ -93,7 +93,10 @@
 	err = d.drain(open)
 	cancel()
 	loops.Wait()
+	// An order in flight may take its whole timeout. Usage is sealed before, in case the process is
+	// killed meanwhile.
 	d.sealUsage()
+	duties.Wait()
 	_ = d.client.Close()
 	d.events.Emit(event.ProcessStopped, event.Subject{})
 	_ = d.log.Sync()
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -58,7 +58,8 @@
 	// WeightLoadsPerSecond is the maximum number of weight loads that start in a
 	// failure domain per second. It limits the load on the weight store. Default 20.
 	WeightLoadsPerSecond float64 `json:"weightLoadsPerSecond" validate:"gt=0,max=10000"`
-	// DrainSeconds is the timeout of a graceful shutdown. Default 600.
+	// DrainSeconds is the timeout of a graceful shutdown. An order or usage report that is in
+	// flight then may take the rest of its own timeout. Default 600.
 	DrainSeconds int `json:"drainSeconds" validate:"min=1,max=7200"`
 	// EventCapacity is the number of latest events that the ring buffer holds for
 	// the timeline. Default 4096.
