A round of orders confirms the lease for what it does only

Each round of a failure domain (one a second) committed a renewal of the lease, also if nothing was due, and each order then another one. Every order is preceded by a renewal of its own since; the one of the round protected only the ledgers, and those for as long as the round had not sent an order, which takes up to 10 s. Now the write of a ledger confirms the lease itself, and an idle round commits nothing. A lease that is not confirmed ends the round of provisioning; each further order would wait half a term for the store.

TestEachOrderConfirmsTheLeaseOnce, 8 rounds: before, "0 orders, want 0; the lease was confirmed 8 times" and "2 orders, want 2; the lease was confirmed 10 times"; now 0 and 2.

TestTickWithoutConfirmedLeaseSendsNoOrders is replaced by TestRoundsWithoutConfirmedLeaseHaveNoEffect. It had no order due, and demanded that nothing is planned, which is more than the rule: a plan without an effect is harmless. The new test has a weight load, a move and a start due, and demands that no order is sent and no ledger written; with the lease all three are. Without the confirmation of the ledgers it fails ("ledger written: true").

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -117,17 +117,14 @@
 	return false, guard.Check()
 }
 
-// tick observes the failure domain once and sends the orders that are due. After a
-// failure the next tick retries, based on what it then observes.
+// tick observes the failure domain once and sends the orders that are due, each under a
+// confirmed lease. After a failure the next tick retries, based on what it then observes.
 func (c *Controller) tick(ctx context.Context, guard lease.Guard) {
 	upstreams, err := c.Platform.Upstreams(ctx)
 	if err != nil {
 		return
 	}
 	observed := c.observe(ctx, upstreams)
-	if guard.Confirm(ctx) != nil {
-		return
-	}
 	if versions, err := c.Platform.Latest(ctx); err == nil {
 		c.WeightUpdater.Tick(ctx, guard, weightEngines(observed), latestVersions(versions))
 	}
--- a/internal/provision/provisioner.go
+++ b/internal/provision/provisioner.go
@@ -62,7 +62,7 @@
 
 // Run runs one round for the failure domain: it sends again the orders whose effect has not
 // been seen, and sends new ones. After any failure the next round continues from the ledgers.
-// Failures are *fault.StoreUnavailable, *fault.LeaseLost, *fault.OrderFenced and, if another
+// Failures are *fault.StoreUnavailable, *fault.LeaseUnconfirmed, *fault.OrderFenced and, if another
 // process changed a ledger meanwhile, *fault.PreconditionFailed.
 func (p *Provisioner) Run(ctx context.Context, guard lease.Guard, round Round) error {
 	accounts, err := p.readLedgers(ctx)
@@ -137,7 +137,7 @@
 // handleDemand reconciles the ledger, sends pending orders again, and then plans an action
 // for the demand and sends its order.
 func (p *Provisioner) handleDemand(ctx context.Context, guard lease.Guard, round Round, d Demand, stored storedLedger) (storedLedger, error) {
-	stored, err := p.reconcile(ctx, stored, round.Listed)
+	stored, err := p.reconcile(ctx, guard, stored, round.Listed)
 	if err != nil {
 		return stored, err
 	}
@@ -157,8 +157,12 @@
 	}
 }
 
-// writeLedger replaces a ledger if its row has not changed since it was read.
-func (p *Provisioner) writeLedger(ctx context.Context, stored storedLedger, ledger Ledger) (storedLedger, error) {
+// writeLedger confirms the lease and replaces a ledger if its row has not changed since it was
+// read. A ledger is a decision that later holders act on, like an order.
+func (p *Provisioner) writeLedger(ctx context.Context, guard lease.Guard, stored storedLedger, ledger Ledger) (storedLedger, error) {
+	if err := guard.Confirm(ctx); err != nil {
+		return stored, errors.WithStack(&fault.LeaseUnconfirmed{Cause: err})
+	}
 	value, err := json.Marshal(ledger)
 	if err != nil {
 		return stored, errors.WithStack(&fault.Internal{Where: "ledger"})
@@ -182,7 +186,7 @@
 const releaseDelay = 30 * time.Second
 
 // reconcile updates a ledger from the platform's list and releases the expired reservations.
-func (p *Provisioner) reconcile(ctx context.Context, stored storedLedger, listed []platformapi.Upstream) (storedLedger, error) {
+func (p *Provisioner) reconcile(ctx context.Context, guard lease.Guard, stored storedLedger, listed []platformapi.Upstream) (storedLedger, error) {
 	next := stored.ledger.Reconcile(p.domain, listed)
 	for _, r := range next.Reservations {
 		if r.FailureDomain == p.domain && p.isExpired(r, findUpstream(r, listed) >= 0) {
@@ -192,7 +196,7 @@
 	if slices.Equal(stored.ledger.Reservations, next.Reservations) {
 		return stored, nil
 	}
-	return p.writeLedger(ctx, stored, next)
+	return p.writeLedger(ctx, guard, stored, next)
 }
 
 // isExpired reports whether a reservation has been without an upstream for releaseDelay. A
@@ -237,9 +241,12 @@
 	return stored, nil
 }
 
-// endsRound reports whether an error ends the round: the lease is lost, or a ledger has
-// changed since it was read. Orders that were refused or not answered don't end it.
+// endsRound reports whether an error ends the round: the lease is lost or not confirmed, or a
+// ledger has changed since it was read. Orders that were refused or not answered don't end it.
 func endsRound(err error) bool {
+	if fault.Is[*fault.LeaseUnconfirmed](err) {
+		return true
+	}
 	tolerated := fault.Is[*fault.StoreUnavailable](err) || fault.Is[*fault.PlatformRefused](err)
 	return err != nil && !tolerated
 }
@@ -251,7 +258,7 @@
 	if err != nil {
 		return stored, err
 	}
-	stored, err = p.writeLedger(ctx, stored, next)
+	stored, err = p.writeLedger(ctx, guard, stored, next)
 	if err != nil {
 		return stored, err
 	}
@@ -277,13 +284,13 @@
 		return stored, err
 	}
 	r.State = Refused
-	return p.writeLedger(ctx, stored, stored.ledger.withReservation(r.StartOrderID, &r))
+	return p.writeLedger(ctx, guard, stored, stored.ledger.withReservation(r.StartOrderID, &r))
 }
 
 // stop records in the ledger that the upstream is stopping and then sends the stop order.
 func (p *Provisioner) stop(ctx context.Context, guard lease.Guard, stored storedLedger, r Reservation) (storedLedger, error) {
 	r.State = Stopping
-	stored, err := p.writeLedger(ctx, stored, stored.ledger.withReservation(r.StartOrderID, &r))
+	stored, err := p.writeLedger(ctx, guard, stored, stored.ledger.withReservation(r.StartOrderID, &r))
 	if err != nil {
 		return stored, err
 	}
