An engine whose weights were reverted is loaded again

An engine kept old weights until the next version was published, if an order of an earlier holder took effect after the newer one: the holder repeated its order each second, with the ID that names engine, incarnation and version, and the engine ignores an ID that it has executed. The event "weights loaded" followed each time. The waits of a new holder bound how often this happens; a receiver that stands still for longer is not covered by them.

The ID now also has the holder's epoch and the number of times that the engine reported an older version than before. A repeat after a lost reply still has the same ID, and a late report of the engine doesn't change it (TestLostReplyDoesNotLoadTwice, unchanged). An order that is under way under an earlier holder and one of the next have different IDs now; the next holder waits for the former, so both load only if it takes longer than that wait.

TestEngineWithOlderWeightsIsLoadedAgain: before, "the engine has the new weights after 1m0s, want at most 4s" in 4 of 4 cases, where the test gives up; passes now (3 of 3 with -race). The fake engine of the tests now ignores repeated IDs, as engines do.

--- a/internal/weightupdate/updater.go
+++ b/internal/weightupdate/updater.go
@@ -37,7 +37,19 @@
 
 	mu      sync.Mutex
 	loading map[string]bool
-	running sync.WaitGroup
+	// reported holds what the engines reported, by ID.
+	reported map[string]reported
+	running  sync.WaitGroup
+}
+
+// reported is what an incarnation of an engine has reported.
+type reported struct {
+	incarnation string
+	// version is the weight version of the last report.
+	version int64
+	// reverts is the number of reports with an older version than the one before. An order of
+	// an earlier holder that takes effect late reverts an engine.
+	reverts int
 }
 
 // NewUpdater returns an updater that starts at most loadsPerSecond weight loads a second.
@@ -49,6 +61,7 @@
 		limiter:      rate.NewLimiter(rate.Limit(loadsPerSecond), burst),
 		orderTimeout: orderTimeout,
 		loading:      make(map[string]bool),
+		reported:     make(map[string]reported),
 	}
 }
 
@@ -56,6 +69,7 @@
 // engines must not contain an engine without a report, since an order depends on its
 // version and incarnation. Tick does not wait for the loads to end; Wait does.
 func (u *Updater) Tick(ctx context.Context, guard lease.Guard, engines []Engine, latest map[string]int64) {
+	u.noteReports(engines)
 	for _, planned := range NextLoads(u.markLoading(engines), latest) {
 		if !u.limiter.Allow() {
 			return
@@ -71,6 +85,31 @@
 // Wait waits for the weight loads that Tick started.
 func (u *Updater) Wait() { u.running.Wait() }
 
+func (u *Updater) noteReports(engines []Engine) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	for _, e := range engines {
+		last := u.reported[e.ID]
+		if last.incarnation != e.Incarnation {
+			last = reported{incarnation: e.Incarnation}
+		}
+		if e.Version < last.version {
+			last.reverts++
+		}
+		last.version = e.Version
+		u.reported[e.ID] = last
+	}
+}
+
+// orderID returns the ID of an order. An engine ignores a repeated ID, also if its weights were
+// reverted since, so the ID is another one after a revert and under the next holder.
+func (u *Updater) orderID(epoch uint64, planned PlannedLoad) string {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	e := planned.Engine
+	return fmt.Sprintf("weights/%s/%s/%d/%d/%d", e.ID, e.Incarnation, planned.Version, epoch, u.reported[e.ID].reverts)
+}
+
 // markLoading returns a copy of engines in which Loading is set for those with an order
 // in progress.
 func (u *Updater) markLoading(engines []Engine) []Engine {
@@ -100,7 +139,7 @@
 func (u *Updater) load(ctx context.Context, guard lease.Guard, planned PlannedLoad) {
 	e := planned.Engine
 	order := engine.Order{
-		ID:      fmt.Sprintf("weights/%s/%s/%d", e.ID, e.Incarnation, planned.Version),
+		ID:      u.orderID(guard.Epoch(), planned),
 		Epoch:   guard.Epoch(),
 		Kind:    engine.OrderLoadWeights,
 		Version: planned.Version,
--- a/internal/weightupdate/weightupdate_test.go
+++ b/internal/weightupdate/weightupdate_test.go
@@ -27,8 +27,10 @@
 	loading  int
 	// maxLoading is the highest number of concurrent loads.
 	maxLoading int
-	orders     map[string]int
-	fail       func(address string, order engine.Order) error
+	// orders has the number of executions of each order. An engine executes an order with
+	// the same ID once.
+	orders map[string]int
+	fail   func(address string, order engine.Order) error
 }
 
 func newFakePool(n int) *fakePool {
@@ -69,6 +71,9 @@
 			return err
 		}
 	}
+	if p.executed(order.ID) {
+		return nil
+	}
 	p.addLoading(1)
 	time.Sleep(loadTime)
 	p.addLoading(-1)
@@ -79,6 +84,20 @@
 	return nil
 }
 
+func (p *fakePool) executed(id string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.orders[id] > 0
+}
+
+// revert gives an engine older weights, as an order of an earlier holder does that takes effect
+// late.
+func (p *fakePool) revert(id string, version int64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.versions[id] = version
+}
+
 func (p *fakePool) addLoading(by int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -100,6 +119,7 @@
 // fakeGuard is the guard of a lease. taken is true once the row has another holder, which only
 // Confirm notices.
 type fakeGuard struct {
+	epoch uint64
 	lost  bool
 	taken atomic.Bool
 }
@@ -111,7 +131,7 @@
 	return nil
 }
 
-func (*fakeGuard) Epoch() uint64       { return 7 }
+func (g *fakeGuard) Epoch() uint64     { return g.epoch }
 func (*fakeGuard) Deadline() time.Time { return time.Now().Add(time.Hour) }
 
 func (g *fakeGuard) Confirm(context.Context) error {
@@ -257,3 +277,28 @@
 		}
 	})
 }
+
+// Guards against an engine that keeps older weights until the next version: an order of an
+// earlier holder took effect late, and the engine ignores a repeated order with the same ID.
+func TestEngineWithOlderWeightsIsLoadedAgain(t *testing.T) {
+	for name, nextHolder := range map[string]bool{"same holder": false, "next holder": true} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				p := newFakePool(1)
+				u, guard := newTestUpdater(p), &fakeGuard{epoch: 1}
+				updateAll(t, u, p, guard)
+				u.Tick(t.Context(), guard, p.engines(), map[string]int64{"berry-1": 2})
+				for range 2 {
+					p.revert("engine-00", 1)
+					if nextHolder {
+						u, guard = newTestUpdater(p), &fakeGuard{epoch: guard.epoch + 1}
+					}
+					if took := updateAll(t, u, p, guard); took > 2*loadTime {
+						t.Errorf("the engine has the new weights after %v, want at most %v", took, 2*loadTime)
+					}
+					u.Tick(t.Context(), guard, p.engines(), map[string]int64{"berry-1": 2})
+				}
+			})
+		})
+	}
+}
