Own interface: don't follow redirects of engines

What callers saw: a prompt could reach a server that is no upstream, whose answer was then checked as the engine's. Nobody has reported it.

Cause: the client of engines followed a redirect, with the body of the request.

Evidence: go test -run Redirect ./internal/engine, before the fix:

--- FAIL: TestRequestsFollowNoRedirect (0.00s) client_test.go:93: Stream = the answer of upstream 127.0.0.1:41343 was truncated, 1 requests followed the redirect client_test.go:96: LoadReport = upstream 127.0.0.1:41343 failed: load report is not JSON, 2 requests followed the redirect

The redirect is returned as the engine's answer, which is not 200, and the request is retried at another upstream as after any such answer.

--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -70,7 +70,7 @@
 			MaxIdleConnsPerHost: 256,
 			IdleConnTimeout:     time.Minute,
 			DisableCompression:  true,
-		}},
+		}, CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }},
 		timeouts: timeouts,
 		events:   events,
 		orders:   fence.NewClient(dialTimeout, DefaultOrderTimeout, events),
--- a/internal/engine/client_test.go
+++ b/internal/engine/client_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"net/http"
+	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -15,12 +18,16 @@
 	"dogwoodpond/internal/fault"
 )
 
+func newTestClient() *Client {
+	return NewClient(event.NewRecorder("vm", 64, event.NewClock(time.Now), zap.NewNop()))
+}
+
 // Guards against a canceled request that this machine still delivers after a network failure.
 func TestCanceledRequestIsNotDeliveredLater(t *testing.T) {
 	peer := dialtest.NewUnresponsivePeer(t)
 	ctx, cancel := context.WithCancel(t.Context())
 	failure := make(chan error, 1)
-	client := NewClient(event.NewRecorder("vm", 64, event.NewClock(time.Now), zap.NewNop()))
+	client := newTestClient()
 	go func() {
 		failure <- client.Stream(ctx, peer.Address, CompletionRequest{RequestID: "r1", Model: "berry-1", Prompt: "p", MaxTokens: 4}, nil)
 	}()
@@ -62,3 +69,30 @@
 		}
 	})
 }
+
+// redirectingEngine returns the address of an engine that redirects all requests to another server, and the
+// count of the requests that this server received.
+func redirectingEngine(t *testing.T) (address string, redirected *atomic.Int64) {
+	t.Helper()
+	redirected = new(atomic.Int64)
+	other := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { redirected.Add(1) }))
+	t.Cleanup(other.Close)
+	engine := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		http.Redirect(w, r, other.URL+r.URL.Path, http.StatusTemporaryRedirect)
+	}))
+	t.Cleanup(engine.Close)
+	return strings.TrimPrefix(engine.URL, "http://"), redirected
+}
+
+// Guards against a prompt that an engine's redirect sends to a server that is no upstream.
+func TestRequestsFollowNoRedirect(t *testing.T) {
+	address, redirected := redirectingEngine(t)
+	client := newTestClient()
+	err := client.Stream(t.Context(), address, CompletionRequest{RequestID: "r1", Model: "berry-1", Prompt: "p", MaxTokens: 4}, nil)
+	if !fault.Is[*fault.UpstreamFailed](err) || redirected.Load() != 0 {
+		t.Errorf("Stream = %v, %d requests followed the redirect", err, redirected.Load())
+	}
+	if _, err := client.LoadReport(t.Context(), address); err == nil || redirected.Load() != 0 {
+		t.Errorf("LoadReport = %v, %d requests followed the redirect", err, redirected.Load())
+	}
+}
