Orders: don't follow redirects

What callers saw: an order to an engine, an order for upstreams or a usage report could reach another receiver than the one it was meant for, and counted as confirmed if that one answered 200. Nobody has reported it.

Cause: the client of orders followed a redirect, with the body of the order. The receiver of an order is chosen and settled by its address; what a redirect names is neither.

Evidence: go test -run Redirect ./internal/engine, before the fix:

--- FAIL: TestOrdersFollowNoRedirect (0.00s) client_test.go:105: Order = <nil>, 1 orders followed the redirect

A redirect is now an answer that doesn't confirm the order.

--- a/internal/engine/client_test.go
+++ b/internal/engine/client_test.go
@@ -96,3 +96,12 @@
 		t.Errorf("LoadReport = %v, %d requests followed the redirect", err, redirected.Load())
 	}
 }
+
+// Guards against an order that an engine's redirect sends to a receiver that was not settled.
+func TestOrdersFollowNoRedirect(t *testing.T) {
+	address, redirected := redirectingEngine(t)
+	err := newTestClient().Order(t.Context(), address, Order{ID: "o1"})
+	if !fault.Is[*fault.UpstreamFailed](err) || redirected.Load() != 0 {
+		t.Errorf("Order = %v, %d orders followed the redirect", err, redirected.Load())
+	}
+}
--- a/internal/fence/fence.go
+++ b/internal/fence/fence.go
@@ -77,7 +77,7 @@
 	return max(callTimeout-retransmissionDelay, callTimeout/2)
 }
 
-// NewClient returns an HTTP client that uses each connection for one request only, and
+// NewClient returns an HTTP client that uses each connection for one request only, follows no redirect, and
 // resets it when the call ends, at the latest after callTimeout. The kernel drops a request
 // that was not acknowledged about callTimeout after the write even while the process is
 // paused and can't reset the connection; if the kernel refuses that limit, the client emits
@@ -94,5 +94,6 @@
 			DialContext:       dial.ResetOnClose(dialTimeout, dial.WithUnackedTimeout(unackedTimeout(callTimeout), refused)),
 			DisableKeepAlives: true,
 		},
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 }
