A lease's row names the engines at which an order may still take effect

Callers saw, in a test: an order that something holds between its sender and the engine, while other connections pass, was read after one of the next holder. An engine of several processes, of which one stands still, does the same.

Cause: the settling of an engine tells whether it reads what waits on its connections, and nothing of an order that waits elsewhere. The next holder didn't know that an order to this engine got no answer.

Now the renewal that precedes each order names the engine in the lease's row, and the name stays for PendingActionWait after an order without an answer. The next holder takes the lease as before, and holds back its orders to the named engines until the row has been unchanged for that time. It names them on, for the holder after it.

Why it works: the name is committed before the first byte is sent, and is taken out only by a renewal that begins after the answer. An order that is held for longer than the wait is not covered.

BeginAction takes the receiver; an empty one keeps the wait for the lease as a whole. newSettler takes the guard, and the tests' isSettled became allowsOrders, which asks the same and for pending orders.

--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -23,7 +23,9 @@
 	return errors.WithStack(&fault.LeaseLost{Lease: "domain/a", Epoch: 1})
 }
 
-func (g lostGuard) BeginAction(ctx context.Context) (func(bool), error) { return nil, g.Confirm(ctx) }
+func (g lostGuard) BeginAction(ctx context.Context, _ string) (func(bool), error) {
+	return nil, g.Confirm(ctx)
+}
 
 // emptyPlatform lists no upstreams and records whether it was asked for more.
 type emptyPlatform struct {
--- a/internal/enginepool/enginepool_test.go
+++ b/internal/enginepool/enginepool_test.go
@@ -84,7 +84,11 @@
 
 func (fakeGuard) Confirm(context.Context) error { return nil }
 
-func (fakeGuard) BeginAction(context.Context) (func(bool), error) { return func(bool) {}, nil }
+func (fakeGuard) BeginAction(context.Context, string) (func(bool), error) {
+	return func(bool) {}, nil
+}
+
+func (fakeGuard) PendingUntil(string) time.Time { return time.Time{} }
 
 // failingOrders fails every order as unanswered and records its ID.
 type failingOrders struct{ ids []string }
--- a/internal/lease/action.go
+++ b/internal/lease/action.go
@@ -22,7 +22,14 @@
 // that the action did not begin; otherwise with the error of the action.
 // fault.MayTakeEffect tells from that error whether the receiver may still execute it.
 func Act(ctx context.Context, g Guard, timeout time.Duration, action func(ctx context.Context) error) error {
-	end, err := g.BeginAction(ctx)
+	return ActAt(ctx, g, anyReceiver, timeout, action)
+}
+
+// ActAt is Act for a lease with many receivers: the next holder may take the lease, and waits
+// with its actions at the named receiver only. The caller must not call it before
+// Guard.PendingUntil has passed for that receiver.
+func ActAt(ctx context.Context, g Guard, receiver string, timeout time.Duration, action func(ctx context.Context) error) error {
+	end, err := g.BeginAction(ctx, receiver)
 	if err != nil {
 		return errors.WithStack(&fault.LeaseUnconfirmed{Cause: err})
 	}
--- a/internal/lease/confirm.go
+++ b/internal/lease/confirm.go
@@ -56,14 +56,15 @@
 
 // BeginAction implements Guard. The renewal of Confirm begins after the action is counted, so
 // its record tells that the action is pending.
-func (c *confirmer) BeginAction(ctx context.Context) (end func(mayTakeEffect bool), err error) {
-	c.beginAction()
+func (c *confirmer) BeginAction(ctx context.Context, receiver string) (end func(mayTakeEffect bool), err error) {
+	c.beginAction(receiver)
 	if err := c.Confirm(ctx); err != nil {
-		c.endAction(time.Now(), false)
+		c.endAction(receiver, time.Now(), false)
 		return nil, err
 	}
 	return func(mayTakeEffect bool) {
-		if c.endAction(time.Now(), mayTakeEffect) {
+		// The row of a lease with many receivers changes with the next renewal.
+		if c.endAction(receiver, time.Now(), mayTakeEffect) && receiver == anyReceiver {
 			c.requestRenewal()
 		}
 	}, nil
--- a/internal/lease/guard.go
+++ b/internal/lease/guard.go
@@ -27,7 +27,12 @@
 	// BeginAction confirms the lease like Confirm, with a renewal that tells the next holder
 	// that an action is pending. The caller calls end when the action has ended; mayTakeEffect
 	// is true if it got no answer, so that its receiver may still execute it. Callers use Act.
-	BeginAction(ctx context.Context) (end func(mayTakeEffect bool), err error)
+	// A receiver that is not empty says that the next holder has to wait with its actions at
+	// that receiver only; see PendingUntil. Otherwise it waits before it takes the lease.
+	BeginAction(ctx context.Context, receiver string) (end func(mayTakeEffect bool), err error)
+	// PendingUntil returns until when the holder must not act at the receiver, because an
+	// action of an earlier holder may still take effect there; zero if none is known.
+	PendingUntil(receiver string) time.Time
 }
 
 // Check implements Guard.
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -11,6 +11,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -33,6 +34,10 @@
 	// way, or got no answer recently. The next holder then waits longer; see
 	// Timing.PendingActionWait.
 	ActionPending bool `json:"action_pending,omitempty"`
+	// PendingReceivers are the receivers at which an action of this or an earlier holder may
+	// still take effect. The next holder may take the lease, and waits with its own actions there; see
+	// Guard.PendingUntil.
+	PendingReceivers []string `json:"pending_receivers,omitempty"`
 }
 
 // Timing holds the durations that holder and contenders agree on. All VMs of a
@@ -90,6 +95,10 @@
 	c.unchangedSince = now
 }
 
+// UnchangedSince returns since when the row has stayed at the same version, as far as it was
+// observed.
+func (c *Contender) UnchangedSince() time.Time { return c.unchangedSince }
+
 // UnchangedFor returns how long the row has stayed at the same version.
 func (c *Contender) UnchangedFor(now time.Time) time.Duration {
 	if !c.observed {
@@ -154,7 +163,7 @@
 // AcquireRecord returns the record that makes the contender the holder. The epoch rises even
 // over the contender's own record, so that no epoch is used twice.
 func (c *Contender) AcquireRecord(record Record) Record {
-	return Record{Holder: c.identity, Epoch: record.Epoch + 1}
+	return Record{Holder: c.identity, Epoch: record.Epoch + 1, PendingReceivers: record.PendingReceivers}
 }
 
 // Hold is a held lease as its holder knows it. It is safe for concurrent use.
@@ -167,10 +176,9 @@
 	version  uint64
 	deadline time.Time
 	ended    bool
-	// underWay is the number of actions that have begun and not ended.
-	underWay int
-	// unansweredAt is when the last action ended that got no answer.
-	unansweredAt time.Time
+	pending  pendingActions
+	// earlier holds the receivers at which actions of earlier holders are pending.
+	earlier pendingActions
 	// begun is the number of renewals that have begun, and committed that of the latest
 	// committed one. They follow one another.
 	begun, committed uint64
@@ -188,10 +196,23 @@
 		record:   record,
 		version:  version,
 		deadline: sentAt.Add(timing.Term),
+		pending:  newPendingActions(timing.PendingActionWait()),
+		earlier:  newPendingActions(timing.PendingActionWait()),
 		changed:  make(chan struct{}),
 	}
 }
 
+// inheritPending records the receivers at which actions of earlier holders are pending. They
+// began before since.
+func (h *Hold) inheritPending(receivers []string, since time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, receiver := range receivers {
+		h.earlier.begin(receiver)
+		h.earlier.end(receiver, since, true)
+	}
+}
+
 // Epoch returns the fencing token.
 func (h *Hold) Epoch() uint64 {
 	h.mu.Lock()
@@ -223,7 +244,8 @@
 	defer h.mu.Unlock()
 	next = h.record
 	next.Renewals++
-	next.ActionPending = now.Before(h.pendingUntil(now))
+	next.ActionPending = h.pending.isPending(anyReceiver, now)
+	next.PendingReceivers = h.pendingReceivers(now)
 	h.begun++
 	return next, h.version
 }
@@ -281,43 +303,42 @@
 
 // beginAction records that an action is about to begin: renewals that begin from now on tell
 // that it is pending.
-func (h *Hold) beginAction() {
+func (h *Hold) beginAction(receiver string) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.underWay++
+	h.pending.begin(receiver)
 }
 
 // endAction records that an action ended at now, and whether it may still take effect because
-// it got no answer. It reports whether no action is pending any more.
-func (h *Hold) endAction(now time.Time, mayTakeEffect bool) (settled bool) {
+// it got no answer. It reports whether no action of this holder is pending at the receiver any more.
+func (h *Hold) endAction(receiver string, now time.Time, mayTakeEffect bool) (settled bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.underWay--
-	if mayTakeEffect && now.After(h.unansweredAt) {
-		h.unansweredAt = now
-	}
-	return !now.Before(h.pendingUntil(now))
+	return h.pending.end(receiver, now, mayTakeEffect)
 }
 
-// pendingUntil returns the time from which no action counts as pending, as known at now. h.mu
-// must be held.
-func (h *Hold) pendingUntil(now time.Time) time.Time {
-	switch {
-	case h.underWay > 0:
-		return now.Add(h.timing.PendingActionWait())
-	case h.unansweredAt.IsZero():
-		return time.Time{}
-	}
-	return h.unansweredAt.Add(h.timing.PendingActionWait())
+// pendingReceivers returns the receivers at which an action of this or an earlier holder is
+// pending at now. h.mu must be held.
+func (h *Hold) pendingReceivers(now time.Time) []string {
+	receivers := append(h.pending.receivers(now), h.earlier.receivers(now)...)
+	slices.Sort(receivers)
+	return slices.Compact(receivers)
+}
+
+// PendingUntil implements Guard.
+func (h *Hold) PendingUntil(receiver string) time.Time {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.earlier.pendingUntil(receiver, time.Time{})
 }
 
 // ReleasableAt returns when the lease may be released, as known at now. While an action is
-// pending, the holder lets the lease expire instead: then the next holder waits longer for a
-// receiver that stands still.
+// pending that is not tracked by receiver, the holder lets the lease expire instead: then the next
+// holder waits longer for a receiver that stands still.
 func (h *Hold) ReleasableAt(now time.Time) time.Time {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.pendingUntil(now)
+	return h.pending.pendingUntil(anyReceiver, now)
 }
 
 // End ends the hold; every later check fails.
@@ -329,9 +350,9 @@
 }
 
 // ReleaseRecord returns the record that frees the lease and the version of the row that it
-// replaces. The epoch stays, so that the next holder's epoch is larger.
-func (h *Hold) ReleaseRecord() (next Record, version uint64) {
+// replaces, at now. The epoch stays, so that the next holder's epoch is larger.
+func (h *Hold) ReleaseRecord(now time.Time) (next Record, version uint64) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return Record{Epoch: h.record.Epoch}, h.version
+	return Record{Epoch: h.record.Epoch, PendingReceivers: h.pendingReceivers(now)}, h.version
 }
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -64,7 +64,7 @@
 // would take an order of the old holder for one of the new holder.
 func TestEpochRisesAfterARelease(t *testing.T) {
 	hold := NewHold("a", testTiming, Record{Holder: "x", Epoch: 7}, 9, time.Now())
-	free, version := hold.ReleaseRecord()
+	free, version := hold.ReleaseRecord(time.Now())
 	if free.Holder != "" || free.Epoch != 7 || version != 9 {
 		t.Fatalf("ReleaseRecord = %+v at %d", free, version)
 	}
@@ -177,10 +177,10 @@
 	} {
 		hold := NewHold("a", testTiming, Record{Holder: "x", Epoch: 1}, 1, start)
 		for _, at := range c.unanswered {
-			hold.beginAction()
-			hold.endAction(at, true)
-			hold.beginAction()
-			hold.endAction(second(9), false)
+			hold.beginAction(anyReceiver)
+			hold.endAction(anyReceiver, at, true)
+			hold.beginAction(anyReceiver)
+			hold.endAction(anyReceiver, second(9), false)
 		}
 		if got := hold.ReleasableAt(second(10)); !got.Equal(c.want) {
 			t.Errorf("%s: releasable at %v, want %v", c.name, got, c.want)
@@ -204,12 +204,12 @@
 func TestActionsUnderWayAreCounted(t *testing.T) {
 	now := time.Unix(1000, 0)
 	hold := NewHold("a", testTiming, Record{Holder: "x", Epoch: 1}, 1, now)
-	hold.beginAction()
-	hold.beginAction()
-	if hold.endAction(now, false) || !pendingInRenewal(hold, now) || !hold.ReleasableAt(now).After(now) {
+	hold.beginAction(anyReceiver)
+	hold.beginAction(anyReceiver)
+	if hold.endAction(anyReceiver, now, false) || !pendingInRenewal(hold, now) || !hold.ReleasableAt(now).After(now) {
 		t.Error("one of two actions has ended, and none counts as pending")
 	}
-	if !hold.endAction(now, false) || pendingInRenewal(hold, now) || hold.ReleasableAt(now).After(now) {
+	if !hold.endAction(anyReceiver, now, false) || pendingInRenewal(hold, now) || hold.ReleasableAt(now).After(now) {
 		t.Error("both actions have ended, and one counts as pending")
 	}
 }
--- a/internal/lease/manager.go
+++ b/internal/lease/manager.go
@@ -187,7 +187,9 @@
 		return nil, c.retryBackoff()
 	}
 	c.manager.events.Emit(event.LeaseAcquired, event.Subject{Lease: c.name, Epoch: next.Epoch, Detail: c.contender.AcquisitionReason(record, now)})
-	return NewHold(c.name, c.manager.timing, next, version+1, sentAt), 0
+	hold := NewHold(c.name, c.manager.timing, next, version+1, sentAt)
+	hold.inheritPending(record.PendingReceivers, c.contender.UnchangedSince())
+	return hold, 0
 }
 
 func (c *campaign) isCandidate() bool { return c.manager.IsCandidate(c.name) }
@@ -307,7 +309,7 @@
 // term. If the release fails, the next holder waits for it.
 func (c *campaign) release(ctx context.Context, hold *Hold) {
 	hold.End()
-	next, version := hold.ReleaseRecord()
+	next, version := hold.ReleaseRecord(time.Now())
 	if err := c.write(context.WithoutCancel(ctx), next, version); err == nil {
 		c.emit(event.LeaseReleased, next.Epoch)
 	}
--- a/internal/lease/manager_test.go
+++ b/internal/lease/manager_test.go
@@ -334,7 +334,7 @@
 // abandonAction begins an action and ends it at once without an answer.
 func abandonAction(ctx context.Context, t *testing.T, g Guard) {
 	t.Helper()
-	end, err := g.BeginAction(ctx)
+	end, err := g.BeginAction(ctx, anyReceiver)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -467,7 +467,7 @@
 				next = time.Now()
 				return true, nil
 			}
-			end, err := g.BeginAction(ctx)
+			end, err := g.BeginAction(ctx, anyReceiver)
 			if err != nil {
 				t.Fatal(err)
 			}
--- a/internal/lease/statemachine_test.go
+++ b/internal/lease/statemachine_test.go
@@ -108,7 +108,7 @@
 }
 
 func (m *machine) release(n *node) {
-	next, version := n.hold.ReleaseRecord()
+	next, version := n.hold.ReleaseRecord(m.now)
 	n.hold.End()
 	n.hold = nil
 	m.compareAndSwap(version, next)
--- a/internal/provision/provision_test.go
+++ b/internal/provision/provision_test.go
@@ -167,7 +167,11 @@
 
 func (fakeGuard) Confirm(context.Context) error { return nil }
 
-func (fakeGuard) BeginAction(context.Context) (func(bool), error) { return func(bool) {}, nil }
+func (fakeGuard) BeginAction(context.Context, string) (func(bool), error) {
+	return func(bool) {}, nil
+}
+
+func (fakeGuard) PendingUntil(string) time.Time { return time.Time{} }
 
 // takenGuard is the guard of a lease whose row has another holder, which only Confirm notices.
 type takenGuard struct{ fakeGuard }
@@ -176,7 +180,9 @@
 	return errors.WithStack(&fault.LeaseLost{Lease: "l", Epoch: 1})
 }
 
-func (g takenGuard) BeginAction(ctx context.Context) (func(bool), error) { return nil, g.Confirm(ctx) }
+func (g takenGuard) BeginAction(ctx context.Context, _ string) (func(bool), error) {
+	return nil, g.Confirm(ctx)
+}
 
 // Guards against orders of a holder whose clock stopped, as on a suspended machine.
 func TestNoOrderWithoutAConfirmedLease(t *testing.T) {
--- a/internal/usage/usage_test.go
+++ b/internal/usage/usage_test.go
@@ -123,7 +123,11 @@
 
 func (fakeGuard) Confirm(context.Context) error { return nil }
 
-func (fakeGuard) BeginAction(context.Context) (func(bool), error) { return func(bool) {}, nil }
+func (fakeGuard) BeginAction(context.Context, string) (func(bool), error) {
+	return func(bool) {}, nil
+}
+
+func (fakeGuard) PendingUntil(string) time.Time { return time.Time{} }
 
 func newEvents() *event.Recorder {
 	return event.NewRecorder("vm", 64, event.NewClock(time.Now), zap.NewNop())
--- a/internal/weightload/loader.go
+++ b/internal/weightload/loader.go
@@ -8,6 +8,8 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"dogwoodpond/internal/budget"
 	"dogwoodpond/internal/event"
 	"dogwoodpond/internal/fault"
@@ -142,7 +144,7 @@
 	defer tasks.Wait()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	settler := newSettler(l, guard.Epoch())
+	settler := newSettler(l, guard)
 	if !wait.For(ctx, probeDelay(l.Leases.Timing())) {
 		return context.Cause(ctx)
 	}
@@ -204,15 +206,15 @@
 	}
 }
 
-// startDueLoads starts at most limit of the due loads on settled engines. The first due ones
-// up to limit are held back if their engines are not settled.
+// startDueLoads starts at most limit of the due loads on engines that may get orders. The first
+// due ones up to limit are held back if their engines may not.
 func (l *Loader) startDueLoads(ctx context.Context, guard lease.Guard, settler *settler, due []PlannedLoad, limit int, loads *sync.WaitGroup) {
 	started := 0
 	for i, planned := range due {
 		if started >= limit {
 			return
 		}
-		if !settler.isSettled(planned.Engine) {
+		if !settler.allowsOrders(planned.Engine) {
 			if i < limit {
 				settler.noteHeldBack(planned)
 			}
@@ -311,18 +313,18 @@
 			wait.For(ctx, loadPollInterval)
 			continue
 		}
-		if !l.confirm(ctx, guard, subject) || !settler.isSettled(planned.Engine) {
+		reply, sent, err := l.sendOrder(ctx, guard, settler, planned, report.Sequence)
+		if fault.Is[*fault.LeaseUnconfirmed](err) {
+			l.noteUnconfirmed(ctx, err, subject)
 			return
 		}
-		startedAt, termEnd := time.Now(), guard.Deadline()
-		reply, err := l.sendOrder(ctx, guard, planned, report.Sequence)
-		if err != nil && fault.Is[*fault.LeaseLost](err) {
+		if err != nil && (fault.Is[*fault.LeaseLost](err) || errors.Is(err, errNoOrders)) {
 			return
 		}
 		switch {
 		case fault.MayTakeEffect(err):
 			l.Events.Emit(event.OrderUnanswered, withDetail(subject, fmt.Sprintf("%s: expected %d, term left %s, abandoned after %s: %v",
-				planned.Model, report.Sequence, termEnd.Sub(startedAt).Round(time.Millisecond), time.Since(startedAt).Round(time.Millisecond), err)))
+				planned.Model, report.Sequence, sent.termLeft.Round(time.Millisecond), time.Since(sent.at).Round(time.Millisecond), err)))
 		case err != nil && !fault.Is[*fault.OrderFenced](err):
 			l.Events.Emit(event.OrderFailed, withDetail(subject, planned.Model+": not sent: "+err.Error()))
 		}
@@ -343,19 +345,14 @@
 	l.Events.Emit(event.OrderFailed, withDetail(subject, planned.Model+": not done in time"))
 }
 
-// confirm confirms the lease, and reports whether it is held. If the store doesn't answer, the
-// load is due again at the next search.
-func (l *Loader) confirm(ctx context.Context, guard lease.Guard, subject event.Subject) bool {
-	err := guard.Confirm(ctx)
-	if err == nil {
-		return true
-	}
+// noteUnconfirmed emits an event for a lease that was not confirmed, unless it is lost. The load
+// is due again at the next search.
+func (l *Loader) noteUnconfirmed(ctx context.Context, err error, subject event.Subject) {
 	if fault.Is[*fault.LeaseLost](err) {
-		return false
+		return
 	}
-	l.Events.Emit(event.OrderFailed, withDetail(subject, subject.Detail+": lease not confirmed: "+err.Error()))
+	l.Events.Emit(event.OrderFailed, withDetail(subject, subject.Detail+": "+err.Error()))
 	wait.For(ctx, loadPollInterval)
-	return false
 }
 
 func withDetail(s event.Subject, detail string) event.Subject {
@@ -381,20 +378,40 @@
 	return err
 }
 
-func (l *Loader) sendOrder(ctx context.Context, guard lease.Guard, planned PlannedLoad, sequence int64) (Reply, error) {
-	if err := guard.Check(); err != nil {
-		return Rejected, err
-	}
-	ctx, cancel := context.WithTimeout(fence.WithGuard(ctx, guard), orderTimeout)
-	defer cancel()
-	return l.Engines.Order(ctx, planned.Engine, Order{
-		Model:       planned.Model,
-		Version:     planned.Version,
-		KeepRunning: l.Demands.AllowsMixedVersions(planned.Model),
-		Holder:      l.VM,
-		Epoch:       guard.Epoch(),
-		Expected:    sequence,
+// sending is when an order was sent, and how much of the term was left then.
+type sending struct {
+	at       time.Time
+	termLeft time.Duration
+}
+
+// errNoOrders means that the engine must not get orders yet.
+var errNoOrders = errors.New("no orders to this engine yet")
+
+// sendOrder sends one order. It fails with *fault.LeaseUnconfirmed if the lease was not
+// confirmed, and with errNoOrders if the settler doesn't allow orders any more; the order was
+// not sent then.
+func (l *Loader) sendOrder(ctx context.Context, guard lease.Guard, settler *settler, planned PlannedLoad, sequence int64) (reply Reply, sent sending, err error) {
+	e := planned.Engine
+	err = lease.ActAt(ctx, guard, e.Info().ID, orderTimeout, func(ctx context.Context) error {
+		if err := guard.Check(); err != nil {
+			return err
+		}
+		if !settler.allowsOrders(e) {
+			return fault.WithExecution(errNoOrders, fault.NotRun)
+		}
+		sent = sending{at: time.Now(), termLeft: time.Until(guard.Deadline())}
+		var err error
+		reply, err = l.Engines.Order(fence.WithGuard(ctx, guard), e, Order{
+			Model:       planned.Model,
+			Version:     planned.Version,
+			KeepRunning: l.Demands.AllowsMixedVersions(planned.Model),
+			Holder:      l.VM,
+			Epoch:       guard.Epoch(),
+			Expected:    sequence,
+		})
+		return err
 	})
+	return reply, sent, err
 }
 
 func (l *Loader) noteVersions(e *target.Entry, report Report) {
--- a/internal/weightload/receiver_test.go
+++ b/internal/weightload/receiver_test.go
@@ -119,11 +119,11 @@
 		time.Sleep(firstProbeAt)
 		ctx, cancel := context.WithTimeout(t.Context(), 15*time.Second)
 		defer cancel()
-		settler := newSettler(l, 2)
-		for settler.settle(ctx, entry); ctx.Err() == nil && !settler.isSettled(entry); settler.settle(ctx, entry) {
+		settler := newSettler(l, heldLease(2))
+		for settler.settle(ctx, entry); ctx.Err() == nil && !settler.allowsOrders(entry); settler.settle(ctx, entry) {
 			wait.For(ctx, suspectBackoff)
 		}
-		if settler.isSettled(entry) {
+		if settler.allowsOrders(entry) {
 			settled = engine.elapsed()
 		}
 		if engine.accepted == 0 {
--- a/internal/weightload/settle.go
+++ b/internal/weightload/settle.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"dogwoodpond/internal/event"
+	"dogwoodpond/internal/lease"
 	"dogwoodpond/internal/target"
 	"dogwoodpond/internal/wait"
 )
@@ -57,7 +58,7 @@
 // them may get orders in this term. It is safe for concurrent use.
 type settler struct {
 	loader *Loader
-	epoch  uint64
+	guard  lease.Guard
 
 	mu sync.Mutex
 	// settled holds the address at which an engine settled.
@@ -79,17 +80,25 @@
 	failure error
 }
 
-func newSettler(l *Loader, epoch uint64) *settler {
+func newSettler(l *Loader, guard lease.Guard) *settler {
 	return &settler{
-		loader: l, epoch: epoch,
+		loader: l, guard: guard,
 		settled: make(map[*target.Entry]string), probing: make(map[*target.Entry]bool), heldBack: make(map[*target.Entry]*heldBack),
 	}
 }
 
-func (s *settler) isSettled(e *target.Entry) bool {
+// allowsOrders reports whether the engine may get orders: it is settled, and no order of an
+// earlier holder is pending there. What waits at an engine that stood still is read by the time
+// it is settled; the other case are orders that are held elsewhere.
+func (s *settler) allowsOrders(e *target.Entry) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.isSettledLocked(e)
+	return s.isSettledLocked(e) && !s.hasPendingOrder(e)
+}
+
+// hasPendingOrder reports whether an order of an earlier holder may still arrive at the engine.
+func (s *settler) hasPendingOrder(e *target.Entry) bool {
+	return time.Now().Before(s.guard.PendingUntil(e.Info().ID))
 }
 
 // isSettledLocked reports whether the engine settled at its present address. s.mu must be held.
@@ -192,10 +201,13 @@
 	}
 	held.reported = true
 	detail := fmt.Sprintf("%s: first load due %s ago", planned.Model, age.Round(time.Millisecond))
+	if s.hasPendingOrder(planned.Engine) {
+		detail += ": order of an earlier holder pending"
+	}
 	if held.failure != nil {
 		detail += ": " + held.failure.Error()
 	}
 	s.loader.Events.Emit(event.OrderHeldBack, event.Subject{
-		Upstream: planned.Engine.Info().ID, Epoch: s.epoch, Count: planned.Version, Detail: detail,
+		Upstream: planned.Engine.Info().ID, Epoch: s.guard.Epoch(), Count: planned.Version, Detail: detail,
 	})
 }
--- a/internal/weightload/settle_test.go
+++ b/internal/weightload/settle_test.go
@@ -156,7 +156,11 @@
 
 func (heldLease) Confirm(context.Context) error { return nil }
 
-func (heldLease) BeginAction(context.Context) (func(bool), error) { return func(bool) {}, nil }
+func (heldLease) BeginAction(context.Context, string) (func(bool), error) {
+	return func(bool) {}, nil
+}
+
+func (heldLease) PendingUntil(string) time.Time { return time.Time{} }
 
 // newObservedLoader returns a loader of n engines on which loads are due.
 func newObservedLoader(n int, latency func(id string) time.Duration) (*Loader, *observedEngines) {
@@ -174,9 +178,13 @@
 
 // serveFor runs a lease term of the loader for d.
 func serveFor(t *testing.T, l *Loader, epoch uint64, d time.Duration) {
+	serveWith(t, l, heldLease(epoch), d)
+}
+
+func serveWith(t *testing.T, l *Loader, guard lease.Guard, d time.Duration) {
 	ctx, cancel := context.WithTimeout(t.Context(), d)
 	defer cancel()
-	_ = l.serveTerm(ctx, heldLease(epoch))
+	_ = l.serveTerm(ctx, guard)
 }
 
 // heldBackEvents returns the engines whose orders were reported as held back.
@@ -241,6 +249,45 @@
 	})
 }
 
+// guardOfSuccessor is the guard of a holder whose predecessor left an unanswered order at e00.
+type guardOfSuccessor struct {
+	heldLease
+	pendingUntil time.Time
+}
+
+func (g guardOfSuccessor) PendingUntil(receiver string) time.Time {
+	if receiver != "e00" {
+		return time.Time{}
+	}
+	return g.pendingUntil
+}
+
+// Guards against an order to an engine at which one of an earlier holder may still arrive, and
+// against a wait of the other engines for it.
+func TestEngineWithAPendingOrderGetsNoOrder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const pendingFor = 7 * time.Second
+		l, engines := newObservedLoader(4, noLatency)
+		acquiredAt := time.Now()
+		serveWith(t, l, guardOfSuccessor{1, acquiredAt.Add(pendingFor)}, 20*time.Second)
+		first := make(map[string]time.Duration)
+		for _, order := range engines.orders {
+			if _, ok := first[order.id]; !ok {
+				first[order.id] = order.at.Sub(acquiredAt)
+			}
+		}
+		if first["e00"] < pendingFor || first["e00"] > pendingFor+planInterval {
+			t.Errorf("the first order to the engine came %s after the acquisition, want %s", first["e00"], pendingFor)
+		}
+		if first["e01"] != lease.OrderGracePeriod(orderTimeout) {
+			t.Errorf("the first order to another engine came %s after the acquisition", first["e01"])
+		}
+		if held := heldBackEvents(l); !slices.Equal(held, []string{"e00"}) {
+			t.Errorf("orders were reported as held back for %v, want once for e00", held)
+		}
+	})
+}
+
 // Guards against an engine that keeps old weights since it answers slowly.
 func TestSlowEngineGetsItsWeights(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/weightupdate/weightupdate_test.go
+++ b/internal/weightupdate/weightupdate_test.go
@@ -121,10 +121,12 @@
 	return g.Check()
 }
 
-func (g *fakeGuard) BeginAction(ctx context.Context) (func(bool), error) {
+func (g *fakeGuard) BeginAction(ctx context.Context, _ string) (func(bool), error) {
 	return func(bool) {}, g.Confirm(ctx)
 }
 
+func (*fakeGuard) PendingUntil(string) time.Time { return time.Time{} }
+
 func newTestUpdater(p *fakePool) *Updater {
 	events := event.NewRecorder("vm", 64, event.NewClock(time.Now), zap.NewNop())
 	return NewUpdater(p, events, 100)
