--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -32,7 +32,9 @@
 	return nil
 }
 
-func (g *countingGuard) BeginAction(ctx context.Context) (func(bool), error) {
+func (*countingGuard) PendingUntil(string) time.Time { return time.Time{} }
+
+func (g *countingGuard) BeginAction(ctx context.Context, _ string) (func(bool), error) {
 	return func(bool) {}, g.Confirm(ctx)
 }
 
