Usage: an accepted report is not told to be refused when its number isn't stored

Cause: the number of the newest reported window is stored after the report, and a refusal of that write was taken for billing's refusal of the report.

Evidence, before:

go test -race -run Storage ./internal/usagewindow --- FAIL: TestAcceptedReportIsNotRepeatedWhileTheStorageIsFull an accepted report is told to be incomplete

It doesn't repeat the report: billing has it, and a new holder that repeats it sends the stored counts.

--- a/internal/usagewindow/reporter.go
+++ b/internal/usagewindow/reporter.go
@@ -209,9 +209,16 @@
 	return r.storeLastReported(ctx, window)
 }
 
+// storeLastReported stores the number of a reported window. A refusal is not an error: the
+// report would be sent again for nothing. Until the number of a later window is stored, a
+// new holder repeats the reports since.
 func (r *Reporter) storeLastReported(ctx context.Context, window int64) error {
 	key := rowstore.Key{Table: reportTable, Name: lastReportedName}
 	_, err := r.Store.Commit(ctx, rowstore.Txn{Puts: []rowstore.Put{{Key: key, Value: []byte(strconv.FormatInt(window, 10))}}})
+	if fault.Is[*fault.PlatformRefused](err) {
+		r.Events.Emit(event.DependencyLost, event.Subject{Count: window, Detail: "number of a reported window: " + err.Error()})
+		return nil
+	}
 	return err
 }
 
--- a/internal/usagewindow/usagewindow_test.go
+++ b/internal/usagewindow/usagewindow_test.go
@@ -324,6 +324,26 @@
 	})
 }
 
+// Guards against accepted reports that are told to be refused, or that are sent again and again,
+// because the storage is full when their number is stored.
+func TestAcceptedReportIsNotRepeatedWhileTheStorageIsFull(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store, b := memory.New(), &fakeBilling{}
+		a := startVM(t, store, b, "a")
+		window := a.waitForNextWindow()
+		fillStorage(store, lastReportedName)
+		time.Sleep(5 * windowLength)
+		for n := range int64(3) {
+			if got := len(b.reportsOf(window + n)); got != 1 {
+				t.Errorf("%d reports of window %d after the first, want one", got, n)
+			}
+		}
+		if a.hasEvent(event.UsageIncomplete, "") {
+			t.Error("an accepted report is told to be incomplete")
+		}
+	})
+}
+
 // Guards against a missing report when the store has an outage at the end of the window.
 // The report may be late.
 func TestWindowIsReportedAfterStoreOutage(t *testing.T) {
