No action begins under a lease after a planned stop

Act confirms the lease by a renewal and then began the action also if its context had ended in the meantime: the wait for the renewal chooses at random between the commit and the end of the context. A stopping VM then sent one more order, and waited for that one, too.

TestNoActionBeginsAfterAStop: before, "acted: true, error <nil>"; passes now. TestStartThatWaitsAtThePlatformIsNotOvertakenAfterAStop (-race, 40 runs of 20 cases): before, in 16 cases "the stop took 5.899s" to "5.99s", "want at most 3s"; now none.

--- a/internal/lease/action.go
+++ b/internal/lease/action.go
@@ -26,6 +26,10 @@
 	if err != nil {
 		return errors.WithStack(&fault.LeaseUnconfirmed{Cause: err})
 	}
+	if ctx.Err() != nil {
+		end(false)
+		return errors.WithStack(&fault.LeaseUnconfirmed{Cause: context.Cause(ctx)})
+	}
 	callCtx, cancel := callContext(ctx, g, timeout)
 	defer cancel()
 	err = action(callCtx)
