--- a/internal/lease/action.go
+++ b/internal/lease/action.go
@@ -33,6 +33,10 @@
 	if err != nil {
 		return errors.WithStack(&fault.LeaseUnconfirmed{Cause: err})
 	}
+	if ctx.Err() != nil {
+		end(false)
+		return errors.WithStack(&fault.LeaseUnconfirmed{Cause: context.Cause(ctx)})
+	}
 	callCtx, cancel := callContext(ctx, g, timeout)
 	defer cancel()
 	err = action(callCtx)
