--- a/internal/lease/action_stop_test.go
+++ b/internal/lease/action_stop_test.go
@@ -17,7 +17,7 @@
 
 func (*stoppingGuard) Deadline() time.Time { return time.Now().Add(time.Hour) }
 
-func (g *stoppingGuard) BeginAction(context.Context) (func(bool), error) {
+func (g *stoppingGuard) BeginAction(context.Context, string) (func(bool), error) {
 	g.stop()
 	return func(mayTakeEffect bool) { g.ended = append(g.ended, mayTakeEffect) }, nil
 }
--- a/internal/weightload/loader.go
+++ b/internal/weightload/loader.go
@@ -345,10 +345,10 @@
 	l.Events.Emit(event.OrderFailed, withDetail(subject, planned.Model+": not done in time"))
 }
 
-// noteUnconfirmed emits an event for a lease that was not confirmed, unless it is lost. The load
-// is due again at the next search.
+// noteUnconfirmed emits an event for a lease that was not confirmed, unless it is lost or ctx has
+// ended. The load is due again at the next search.
 func (l *Loader) noteUnconfirmed(ctx context.Context, err error, subject event.Subject) {
-	if fault.Is[*fault.LeaseLost](err) {
+	if ctx.Err() != nil || fault.Is[*fault.LeaseLost](err) {
 		return
 	}
 	l.Events.Emit(event.OrderFailed, withDetail(subject, subject.Detail+": "+err.Error()))
