A call after a planned stop ends when a renewed lease is lost

The context of a call under a lease checked the lease at the end of the term that was known as the call began, and at a stop, not again after renewals had put the end of the term off. A call that outlasts a term (orderTimeoutMillis may be 60 s at a term of 10 s) then went on after the loss of the lease, and held the stop up. The end of each term is now awaited.

TestCallAfterAStopEndsWithARenewedTerm: before, "the call ended after 30s, want 6s to 15s"; passes now, as do internal/lease, internal/scaling and internal/control with -race.

--- a/internal/lease/action.go
+++ b/internal/lease/action.go
@@ -7,6 +7,7 @@
 	"github.com/cockroachdb/errors"
 
 	"dogwoodpond/internal/fault"
+	"dogwoodpond/internal/wait"
 )
 
 // Act runs an action under the lease: one call to a receiver that ignores fencing tokens and
@@ -56,11 +57,15 @@
 		}
 	}
 	stopWatching := context.AfterFunc(ctx, cancelIfLost)
-	termEnd := time.AfterFunc(time.Until(g.Deadline()), cancelIfLost)
 	call, cancelTimeout := context.WithTimeout(call, timeout)
+	go func() {
+		// Each renewal puts off the end of the term.
+		for wait.For(call, time.Until(g.Deadline())) {
+			cancelIfLost()
+		}
+	}()
 	return call, func() {
 		stopWatching()
-		termEnd.Stop()
 		cancelTimeout()
 		cancelCall(nil)
 	}
--- a/internal/lease/action_stop_test.go
+++ b/internal/lease/action_stop_test.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"dogwoodpond/internal/fault"
+	"dogwoodpond/internal/platformapi/faultinject"
 )
 
 // stoppingGuard is the guard of a holder that is stopped while its lease is confirmed.
@@ -38,3 +40,27 @@
 		t.Errorf("the action ended as %v, want once without an effect", g.ended)
 	}
 }
+
+// Guards against a call that goes on without the lease: after a stop nothing but the end of the
+// term ends it, and renewals have put that off.
+func TestCallAfterAStopEndsWithARenewedTerm(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cluster := faultinject.NewCluster(faultinject.NoFaults)
+		p := cluster.Start(context.Background(), "vm-1")
+		const downAfter = testTerm + testTerm/2
+		var took time.Duration
+		_ = newTestManager(p).Campaign(p.Context, "a", func(ctx context.Context, g Guard) (bool, error) {
+			started := time.Now()
+			time.AfterFunc(time.Second, p.Stop)
+			time.AfterFunc(downAfter, func() { cluster.TakeStoreDown(10 * testTerm) })
+			call, cancel := callContext(ctx, g, 5*testTerm)
+			defer cancel()
+			<-call.Done()
+			took = time.Since(started)
+			return true, nil
+		})
+		if took < testTerm || took > downAfter+testTerm {
+			t.Errorf("the call ended after %v, want %v to %v", took, testTerm, downAfter+testTerm)
+		}
+	})
+}
