Test: orders of a killed holder of the own interface are not overtaken

The mark of a pending action in the lease's row also covers a holder that dies with an order or report under way, or shortly after one without an answer: all four duties, a receiver that stands still for 30 s (22 s for reports), 10 phases each.

--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -51,13 +51,13 @@
 // the platform received, and whether a ledger was written.
 func tickOften(t *testing.T, s *site, guard *countingGuard) (toEngine, toPlatform int, ledgerWritten bool) {
 	t.Helper()
-	controller := s.newController("vm-1")
+	controller := s.newController(s.cluster.Start(t.Context(), "vm-1"))
 	for range 8 {
 		controller.tick(t.Context(), guard)
 		controller.WeightUpdater.Wait()
 		time.Sleep(controller.DomainInterval)
 	}
-	rows, err := s.tables.Scan(t.Context(), provision.LedgerPrefix, provision.LedgerPrefix, 1)
+	rows, err := s.cluster.Rows.Scan(t.Context(), provision.LedgerPrefix, provision.LedgerPrefix, 1)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/control/stall_test.go
+++ b/internal/control/stall_test.go
@@ -19,7 +19,7 @@
 	"dogwoodpond/internal/fault"
 	"dogwoodpond/internal/lease"
 	"dogwoodpond/internal/platformapi"
-	"dogwoodpond/internal/platformapi/memtables"
+	"dogwoodpond/internal/platformapi/faultinject"
 	"dogwoodpond/internal/provision"
 	"dogwoodpond/internal/usage"
 	"dogwoodpond/internal/weightupdate"
@@ -134,7 +134,7 @@
 // site is a failure domain with a platform and one engine that can be ordered. Orders to the
 // platform and reports to billing go to platform, those to the engine to engine.
 type site struct {
-	tables           *memtables.Tables
+	cluster          *faultinject.Cluster
 	platform, engine stallingReceiver
 
 	mu      sync.Mutex
@@ -150,9 +150,9 @@
 
 func newSite() *site {
 	return &site{
-		tables: memtables.NewTables(),
-		load:   engine.Load{Incarnation: "1", Model: model, Adapter: "rotas", WeightVersion: 1},
-		latest: 1,
+		cluster: faultinject.NewCluster(faultinject.NoFaults),
+		load:    engine.Load{Incarnation: "1", Model: model, Adapter: "rotas", WeightVersion: 1},
+		latest:  1,
 	}
 }
 
@@ -237,9 +237,9 @@
 	return nil
 }
 
-// newController returns the controller of a VM.
-func (s *site) newController(vm string) *Controller {
-	events := event.NewRecorder(vm, 16, event.NewClock(time.Now), zap.NewNop())
+// newController returns the controller of a VM's process.
+func (s *site) newController(p *faultinject.Process) *Controller {
+	events := event.NewRecorder(p.Name, 16, event.NewClock(time.Now), zap.NewNop())
 	started := time.Now()
 	elapsed := func() time.Duration { return time.Since(started) }
 	view := contract.NewView()
@@ -248,15 +248,15 @@
 	view.Advance(&contract.Snapshot{Revision: 1, Contracts: map[contract.Account]contract.Contract{account: c}})
 	return New(Config{
 		FailureDomain: domain,
-		Leases:        lease.NewManager(s.tables, vm, leaseTerm, events),
+		Leases:        lease.NewManager(p, p.Name, leaseTerm, events),
 		Platform:      s,
 		LoadReader:    engines{s},
 		View:          view,
 		Demands:       s,
 		WeightUpdater: weightupdate.NewUpdater(engines{s}, events, 100, orderTimeout),
 		Mover:         enginepool.NewMover(engines{s}, events, orderTimeout),
-		Provisioner:   provision.NewProvisioner(domain, s.tables, s, events, elapsed),
-		Reporter: usage.NewReporter(s.tables, s, events, usage.ReporterConfig{
+		Provisioner:   provision.NewProvisioner(domain, p, s, events, elapsed),
+		Reporter: usage.NewReporter(p, s, events, usage.ReporterConfig{
 			WindowLength: windowLength, Now: time.Now, Elapsed: elapsed,
 			GracePeriod: time.Second, DeadAfter: 5 * time.Second, ListedDeadAfter: 20 * time.Second,
 			Accounts: func() []contract.Account { return []contract.Account{account} },
@@ -269,17 +269,18 @@
 	})
 }
 
-// startVM starts the controller of a VM; ended is closed once it has ended after stop.
-func (s *site) startVM(t *testing.T, vm string) (stop context.CancelFunc, ended <-chan struct{}) {
-	controller := s.newController(vm)
-	ctx, cancel := context.WithCancel(t.Context())
+// startVM starts the controller of a VM; ended is closed once it has ended after the stop of
+// the process.
+func (s *site) startVM(t *testing.T, vm string) (p *faultinject.Process, ended <-chan struct{}) {
+	p = s.cluster.Start(t.Context(), vm)
+	controller := s.newController(p)
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		controller.Run(ctx)
+		controller.Run(p.Context)
 	}()
-	t.Cleanup(cancel)
-	return cancel, done
+	t.Cleanup(p.Stop)
+	return p, done
 }
 
 // duty is a duty of the controller, with the receiver of its orders.
@@ -294,6 +295,10 @@
 	stalledFor time.Duration
 }
 
+// killStall is how much longer the receiver stands still after a kill: longer than a holder
+// waits for a term and the orders of one that had none pending.
+const killStall = 10 * time.Second
+
 func toPlatform(s *site) *stallingReceiver { return &s.platform }
 func toEngine(s *site) *stallingReceiver   { return &s.engine }
 
@@ -313,7 +318,7 @@
 	}, 20 * time.Second}
 	usageReports = duty{ReportsLease, toPlatform, platformapi.CallTimeout, func(t *testing.T, s *site) {
 		events := event.NewRecorder("vm-3", 16, event.NewClock(time.Now), zap.NewNop())
-		meter := usage.NewMeter(usage.MeterConfig{Tables: s.tables, Events: events, VM: "vm-3", Incarnation: "1", Now: time.Now, WindowLength: windowLength})
+		meter := usage.NewMeter(usage.MeterConfig{Tables: s.cluster.Rows, Events: events, VM: "vm-3", Incarnation: "1", Now: time.Now, WindowLength: windowLength})
 		go meter.Run(t.Context(), func() time.Duration { return time.Second })
 	}, 12 * time.Second}
 )
@@ -329,16 +334,31 @@
 		t.Run(name, func(t *testing.T) {
 			// The phases shift the stop against the polls of the next holder.
 			for phase := time.Duration(0); phase < leaseTerm; phase += time.Second {
-				synctest.Test(t, func(t *testing.T) { checkStopAt(t, d, stopAfter, phase) })
+				synctest.Test(t, func(t *testing.T) { checkEndAt(t, d, false, stopAfter, phase) })
+			}
+		})
+	}
+}
+
+// checkKill is like checkStop with a holder that is killed.
+func checkKill(t *testing.T, d duty) {
+	for name, killAfter := range map[string]time.Duration{
+		"order in flight": 10 * time.Millisecond,
+		"abandoned order": d.timeout + 100*time.Millisecond,
+	} {
+		t.Run(name, func(t *testing.T) {
+			for phase := time.Duration(0); phase < leaseTerm; phase += time.Second {
+				synctest.Test(t, func(t *testing.T) { checkEndAt(t, d, true, killAfter, phase) })
 			}
 		})
 	}
 }
 
-func checkStopAt(t *testing.T, d duty, stopAfter, phase time.Duration) {
+// checkEndAt stops or kills a holder some time after its order arrived at the receiver.
+func checkEndAt(t *testing.T, d duty, kill bool, endAfter, phase time.Duration) {
 	s := newSite()
 	receiver := d.receiver(s)
-	stop, ended := s.startVM(t, "vm-1")
+	first, ended := s.startVM(t, "vm-1")
 	time.Sleep(20 * time.Second)
 	s.startVM(t, "vm-2")
 	time.Sleep(time.Second + phase)
@@ -349,13 +369,18 @@
 			t.Fatal("no order was sent")
 		}
 	}
-	time.Sleep(stopAfter)
-	time.AfterFunc(d.stalledFor, receiver.resume)
-	stop()
-	stoppedAt := time.Now()
-	<-ended
-	if took := time.Since(stoppedAt); took > d.timeout {
-		t.Errorf("phase %s: the stop took %s, want at most %s", phase, took, d.timeout)
+	time.Sleep(endAfter)
+	if kill {
+		time.AfterFunc(d.stalledFor+killStall, receiver.resume)
+		first.Kill()
+	} else {
+		time.AfterFunc(d.stalledFor, receiver.resume)
+		first.Stop()
+		stoppedAt := time.Now()
+		<-ended
+		if took := time.Since(stoppedAt); took > d.timeout {
+			t.Errorf("phase %s: the stop took %s, want at most %s", phase, took, d.timeout)
+		}
 	}
 	time.Sleep(2 * time.Minute)
 	epochs := receiver.executed()
@@ -363,7 +388,7 @@
 		t.Errorf("phase %s: epochs %v", phase, slices.Compact(epochs))
 	}
 	if !slices.Contains(epochs, 1) {
-		t.Errorf("phase %s: epochs %v, want an order of the stopped holder", phase, slices.Compact(epochs))
+		t.Errorf("phase %s: epochs %v, want an order of the first holder", phase, slices.Compact(epochs))
 	}
 	s.checkHolder(t, d.lease, "vm-2", 2)
 }
@@ -371,7 +396,7 @@
 // checkHolder checks that a VM holds a lease under an epoch.
 func (s *site) checkHolder(t *testing.T, name, vm string, epoch uint64) {
 	t.Helper()
-	row, err := s.tables.Get(t.Context(), "lease/"+name)
+	row, err := s.cluster.Rows.Get(t.Context(), "lease/"+name)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -403,3 +428,12 @@
 func TestWindowReportThatWaitsAtBillingIsNotOvertakenAfterAStop(t *testing.T) {
 	checkStop(t, usageReports)
 }
+
+// Guards against an order or report of a killed holder that takes effect after one of the next.
+func TestOrderOfAKilledHolderIsNotOvertaken(t *testing.T) {
+	for name, d := range map[string]duty{
+		"weight load": weightUpdates, "move": engineMoves, "start": provisioning, "usage report": usageReports,
+	} {
+		t.Run(name, func(t *testing.T) { checkKill(t, d) })
+	}
+}
