--- a/internal/enginepool/enginepool_test.go
+++ b/internal/enginepool/enginepool_test.go
@@ -83,7 +83,12 @@
 func (fakeGuard) Deadline() time.Time { return time.Now().Add(time.Hour) }
 
 func (fakeGuard) Confirm(context.Context) error { return nil }
-func (fakeGuard) NoteUnanswered(time.Time)      {}
+
+func (fakeGuard) BeginAction(context.Context, string) (func(bool), error) {
+	return func(bool) {}, nil
+}
+
+func (fakeGuard) PendingUntil(string) time.Time { return time.Time{} }
 
 // failingOrders fails every order as unanswered and records its ID.
 type failingOrders struct{ ids []string }
@@ -99,7 +104,7 @@
 func TestEachMoveHasItsOwnOrderID(t *testing.T) {
 	orders := &failingOrders{}
 	events := event.NewRecorder("vm", 64, event.NewClock(time.Now), zap.NewNop())
-	m := NewMover(orders, events)
+	m := NewMover(orders, events, 10*time.Second)
 	engines := append(enginesOf(replies, 2, 8), enginesOf(rotas, 3, 1)...)
 	for range 3 * minQueuedTicks {
 		_ = m.Tick(t.Context(), fakeGuard{}, engines, map[Pool]int{replies: 5})
--- a/internal/lease/confirm.go
+++ b/internal/lease/confirm.go
@@ -26,10 +26,7 @@
 // Confirm implements Guard.
 func (c *confirmer) Confirm(ctx context.Context) error {
 	begun := c.begunRenewals()
-	select {
-	case c.requests <- struct{}{}:
-	default:
-	}
+	c.requestRenewal()
 	timeout := time.NewTimer(c.timing.Term / confirmTimeoutDivisor)
 	defer timeout.Stop()
 	for {
@@ -48,3 +45,27 @@
 		}
 	}
 }
+
+// requestRenewal asks for a renewal at once.
+func (c *confirmer) requestRenewal() {
+	select {
+	case c.requests <- struct{}{}:
+	default:
+	}
+}
+
+// BeginAction implements Guard. The renewal of Confirm begins after the action is counted, so
+// its record tells that the action is pending.
+func (c *confirmer) BeginAction(ctx context.Context, receiver string) (end func(mayTakeEffect bool), err error) {
+	c.beginAction(receiver)
+	if err := c.Confirm(ctx); err != nil {
+		c.endAction(receiver, time.Now(), false)
+		return nil, err
+	}
+	return func(mayTakeEffect bool) {
+		// The row of a lease with many receivers changes with the next renewal.
+		if c.endAction(receiver, time.Now(), mayTakeEffect) && receiver == anyReceiver {
+			c.requestRenewal()
+		}
+	}, nil
+}
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -11,6 +11,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -29,6 +30,14 @@
 	Epoch uint64 `json:"epoch"`
 	// Renewals counts the renewals within the epoch.
 	Renewals uint64 `json:"renewals"`
+	// ActionPending is true while an action under the lease may still take effect: it is under
+	// way, or got no answer recently. The next holder then waits longer; see
+	// Timing.PendingActionWait.
+	ActionPending bool `json:"action_pending,omitempty"`
+	// PendingReceivers are the receivers at which an action of this or an earlier holder may
+	// still take effect. The next holder may take the lease, and waits with its own actions there; see
+	// Guard.PendingUntil.
+	PendingReceivers []string `json:"pending_receivers,omitempty"`
 }
 
 // Timing holds the durations that holder and contenders agree on. All VMs of a
@@ -41,6 +50,11 @@
 	Margin time.Duration
 }
 
+// PendingActionWait returns how long an action without an answer is taken to be pending at its
+// receiver, which may stand still and read the action when it goes on. Receivers that stand
+// still for longer than that and the OrderGracePeriod are not covered.
+func (t Timing) PendingActionWait() time.Duration { return 2 * (t.Term + t.Margin) }
+
 // marginDivisor is the divisor of a term or timeout that gives its margin. The
 // monotonic clocks of healthy machines differ by far less than that margin.
 const marginDivisor = 4
@@ -81,6 +95,10 @@
 	c.unchangedSince = now
 }
 
+// UnchangedSince returns since when the row has stayed at the same version, as far as it was
+// observed.
+func (c *Contender) UnchangedSince() time.Time { return c.unchangedSince }
+
 // UnchangedFor returns how long the row has stayed at the same version.
 func (c *Contender) UnchangedFor(now time.Time) time.Duration {
 	if !c.observed {
@@ -97,19 +115,24 @@
 // lost, or in an earlier term of the same campaign, which has ended. So there is no other
 // holder to wait for; the campaign waits for its own unanswered actions.
 func (c *Contender) RemainingWait(record Record, now time.Time, extra time.Duration) time.Duration {
-	if record.Holder == c.identity || c.isHeldByPredecessor(record) {
-		return 0
-	}
 	required := extra
-	if record.Holder != "" {
+	switch {
+	case record.Holder == c.identity:
+		return 0
+	case record.ActionPending:
+		required += c.timing.PendingActionWait()
+	case c.isHeldByPredecessor(record):
+		return 0
+	case record.Holder != "":
 		required += c.timing.Term + c.timing.Margin
 	}
 	return required - c.UnchangedFor(now)
 }
 
 // isHeldByPredecessor reports whether the holder is an earlier process of this VM. That
-// process can't act any more, so there is no need to wait for the end of its term. With
-// that wait, no VM would hold the lease for a full term after a power loss of all VMs.
+// process can't act any more, so there is no need to wait for the end of its term, unless
+// one of its actions is pending. With that wait, no VM would hold the lease for a full term
+// after a power loss of all VMs.
 func (c *Contender) isHeldByPredecessor(record Record) bool {
 	return c.predecessorPrefix != "" && strings.HasPrefix(record.Holder, c.predecessorPrefix)
 }
@@ -117,6 +140,13 @@
 // AcquisitionReason returns why the contender may take the lease over record at now, for
 // the log.
 func (c *Contender) AcquisitionReason(record Record, now time.Time) string {
+	if record.ActionPending {
+		return c.reasonWithoutPendingAction(record, now) + ", with an action pending"
+	}
+	return c.reasonWithoutPendingAction(record, now)
+}
+
+func (c *Contender) reasonWithoutPendingAction(record Record, now time.Time) string {
 	switch {
 	case record.Epoch == 0:
 		return "no earlier holder"
@@ -133,7 +163,7 @@
 // AcquireRecord returns the record that makes the contender the holder. The epoch rises even
 // over the contender's own record, so that no epoch is used twice.
 func (c *Contender) AcquireRecord(record Record) Record {
-	return Record{Holder: c.identity, Epoch: record.Epoch + 1}
+	return Record{Holder: c.identity, Epoch: record.Epoch + 1, PendingReceivers: record.PendingReceivers}
 }
 
 // Hold is a held lease as its holder knows it. It is safe for concurrent use.
@@ -146,8 +176,9 @@
 	version  uint64
 	deadline time.Time
 	ended    bool
-	// unansweredAt is when the last action without an answer was noted.
-	unansweredAt time.Time
+	pending  pendingActions
+	// earlier holds the receivers at which actions of earlier holders are pending.
+	earlier pendingActions
 	// begun is the number of renewals that have begun, and committed that of the latest
 	// committed one. They follow one another.
 	begun, committed uint64
@@ -165,10 +196,23 @@
 		record:   record,
 		version:  version,
 		deadline: sentAt.Add(timing.Term),
+		pending:  newPendingActions(timing.PendingActionWait()),
+		earlier:  newPendingActions(timing.PendingActionWait()),
 		changed:  make(chan struct{}),
 	}
 }
 
+// inheritPending records the receivers at which actions of earlier holders are pending. They
+// began before since.
+func (h *Hold) inheritPending(receivers []string, since time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, receiver := range receivers {
+		h.earlier.begin(receiver)
+		h.earlier.end(receiver, since, true)
+	}
+}
+
 // Epoch returns the fencing token.
 func (h *Hold) Epoch() uint64 {
 	h.mu.Lock()
@@ -193,13 +237,15 @@
 	return nil
 }
 
-// RenewalRecord begins a renewal: it returns its record and the version of the row that it
-// replaces.
-func (h *Hold) RenewalRecord() (next Record, version uint64) {
+// RenewalRecord begins a renewal at now: it returns its record and the version of the row that
+// it replaces.
+func (h *Hold) RenewalRecord(now time.Time) (next Record, version uint64) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	next = h.record
 	next.Renewals++
+	next.ActionPending = h.pending.isPending(anyReceiver, now)
+	next.PendingReceivers = h.pendingReceivers(now)
 	h.begun++
 	return next, h.version
 }
@@ -255,26 +301,44 @@
 	return true
 }
 
-// NoteUnanswered implements Guard.
-func (h *Hold) NoteUnanswered(now time.Time) {
+// beginAction records that an action is about to begin: renewals that begin from now on tell
+// that it is pending.
+func (h *Hold) beginAction(receiver string) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if now.After(h.unansweredAt) {
-		h.unansweredAt = now
-	}
+	h.pending.begin(receiver)
 }
 
-// ReleasableAt returns when the lease may be released. Until a term and its margin have
-// passed since an action got no answer, the holder lets the lease expire instead: then the
-// next holder waits longer for a receiver that stands still. A receiver that stands still
-// for longer than that is not covered, nor is it after the death of a holder.
-func (h *Hold) ReleasableAt() time.Time {
+// endAction records that an action ended at now, and whether it may still take effect because
+// it got no answer. It reports whether no action of this holder is pending at the receiver any more.
+func (h *Hold) endAction(receiver string, now time.Time, mayTakeEffect bool) (settled bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.unansweredAt.IsZero() {
-		return time.Time{}
-	}
-	return h.unansweredAt.Add(h.timing.Term + h.timing.Margin)
+	return h.pending.end(receiver, now, mayTakeEffect)
+}
+
+// pendingReceivers returns the receivers at which an action of this or an earlier holder is
+// pending at now. h.mu must be held.
+func (h *Hold) pendingReceivers(now time.Time) []string {
+	receivers := append(h.pending.receivers(now), h.earlier.receivers(now)...)
+	slices.Sort(receivers)
+	return slices.Compact(receivers)
+}
+
+// PendingUntil implements Guard.
+func (h *Hold) PendingUntil(receiver string) time.Time {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.earlier.pendingUntil(receiver, time.Time{})
+}
+
+// ReleasableAt returns when the lease may be released, as known at now. While an action is
+// pending that is not tracked by receiver, the holder lets the lease expire instead: then the next
+// holder waits longer for a receiver that stands still.
+func (h *Hold) ReleasableAt(now time.Time) time.Time {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.pending.pendingUntil(anyReceiver, now)
 }
 
 // End ends the hold; every later check fails.
@@ -286,9 +350,9 @@
 }
 
 // ReleaseRecord returns the record that frees the lease and the version of the row that it
-// replaces. The epoch stays, so that the next holder's epoch is larger.
-func (h *Hold) ReleaseRecord() (next Record, version uint64) {
+// replaces, at now. The epoch stays, so that the next holder's epoch is larger.
+func (h *Hold) ReleaseRecord(now time.Time) (next Record, version uint64) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return Record{Epoch: h.record.Epoch}, h.version
+	return Record{Epoch: h.record.Epoch, PendingReceivers: h.pendingReceivers(now)}, h.version
 }
--- a/internal/lease/manager.go
+++ b/internal/lease/manager.go
@@ -69,7 +69,7 @@
 
 // WithSoleProcess declares that the VM runs one process at a time, and that no other VM
 // ever has its name. A new process then takes the leases of its predecessor without
-// waiting for the end of their terms.
+// waiting for the end of their terms, unless an action under one is pending; see Act.
 func WithSoleProcess() Option {
 	return func(m *Manager) { m.soleProcess = true }
 }
@@ -94,7 +94,7 @@
 // Campaign contends for the named lease. Each time it has acquired the lease it calls
 // run, with a context that ends when the lease is lost or ctx ends, and releases the
 // lease when run returns, or lets it expire if an action under it got no answer shortly
-// before; see Guard.NoteUnanswered. Campaign returns nil once run has returned true and no
+// before; see Act. Campaign returns nil once run has returned true and no
 // error. Otherwise it continues until ctx ends, and returns the cause of ctx. After the end of
 // ctx the lease is still renewed until run has returned, so that a draining VM can
 // finish what it began.
@@ -187,7 +187,9 @@
 		return nil, c.retryBackoff()
 	}
 	c.manager.events.Emit(event.LeaseAcquired, event.Subject{Lease: c.name, Epoch: next.Epoch, Detail: c.contender.AcquisitionReason(record, now)})
-	return NewHold(c.name, c.manager.timing, next, version+1, sentAt), 0
+	hold := NewHold(c.name, c.manager.timing, next, version+1, sentAt)
+	hold.inheritPending(record.PendingReceivers, c.contender.UnchangedSince())
+	return hold, 0
 }
 
 func (c *campaign) isCandidate() bool { return c.manager.IsCandidate(c.name) }
@@ -238,7 +240,7 @@
 		stopRenewing()
 		renewals.Wait()
 		stopRun(nil)
-		c.acquirableAt = hold.ReleasableAt()
+		c.acquirableAt = hold.ReleasableAt(time.Now())
 		if hold.Check() != nil {
 			emitLoss()
 			return
@@ -263,8 +265,13 @@
 		case <-requests:
 		case <-time.After(min(delay, time.Until(hold.Deadline()))):
 		}
+		if ctx.Err() != nil {
+			return nil
+		}
 		delay = c.manager.timing.Term / renewDivisor
-		if !c.renew(ctx, hold) {
+		// The end of ctx does not cancel a renewal: the release needs the version of the row
+		// that it wrote.
+		if !c.renew(context.WithoutCancel(ctx), hold) {
 			delay = c.manager.timing.Term / retryDivisor
 		}
 		if ctx.Err() != nil {
@@ -284,8 +291,8 @@
 	// detection of the loss.
 	ctx, cancel := context.WithDeadline(ctx, hold.Deadline())
 	defer cancel()
-	next, version := hold.RenewalRecord()
 	sentAt := time.Now()
+	next, version := hold.RenewalRecord(sentAt)
 	err := c.write(ctx, next, version)
 	if err == nil {
 		hold.NoteRenewal(next, version+1, sentAt)
@@ -302,14 +309,14 @@
 // term. If the release fails, the next holder waits for it.
 func (c *campaign) release(ctx context.Context, hold *Hold) {
 	hold.End()
-	next, version := hold.ReleaseRecord()
+	next, version := hold.ReleaseRecord(time.Now())
 	if err := c.write(context.WithoutCancel(ctx), next, version); err == nil {
 		c.emit(event.LeaseReleased, next.Epoch)
 	}
 }
 
-// letExpire ends the hold without a release, so that the next holder waits for the end of
-// the term.
+// letExpire ends the hold without a release. The row tells that an action is pending, so that the
+// next holder waits until it is taken to be settled.
 func (c *campaign) letExpire(hold *Hold) {
 	hold.End()
 	c.emit(event.LeaseLeftToExpire, hold.Epoch())
--- a/internal/usage/usage_test.go
+++ b/internal/usage/usage_test.go
@@ -122,7 +122,12 @@
 func (fakeGuard) Deadline() time.Time { return time.Now().Add(time.Hour) }
 
 func (fakeGuard) Confirm(context.Context) error { return nil }
-func (fakeGuard) NoteUnanswered(time.Time)      {}
+
+func (fakeGuard) BeginAction(context.Context, string) (func(bool), error) {
+	return func(bool) {}, nil
+}
+
+func (fakeGuard) PendingUntil(string) time.Time { return time.Time{} }
 
 func newEvents() *event.Recorder {
 	return event.NewRecorder("vm", 64, event.NewClock(time.Now), zap.NewNop())
--- a/internal/usagewindow/reporter.go
+++ b/internal/usagewindow/reporter.go
@@ -110,11 +110,19 @@
 	}
 }
 
+// storeError is the failure of a call to the store for a report. A refusal in its chain
+// is the store's, which may have room again later.
+type storeError struct{ error }
+
+// Unwrap returns the error of the call.
+func (e *storeError) Unwrap() error { return e.error }
+
 // refused reports whether billing refused a window permanently, and emits an event if
 // it did. Later windows must not wait for such a window.
 func (r *Reporter) refused(err error, window int64) bool {
+	var store *storeError
 	var refused *fault.PlatformRefused
-	if !errors.As(err, &refused) {
+	if errors.As(err, &store) || !errors.As(err, &refused) {
 		return false
 	}
 	r.Events.Emit(event.UsageIncomplete, event.Subject{Count: window, Detail: "refused for good: " + err.Error()})
@@ -181,29 +189,29 @@
 func (r *Reporter) close(ctx context.Context, guard lease.Guard, window int64) error {
 	counts, err := r.finalCounts(ctx, window)
 	if err != nil {
-		return err
-	}
-	if err := guard.Confirm(ctx); err != nil {
-		return err
+		return &storeError{err}
 	}
-	// The end of ctx does not cancel a report: billing could still take it after those of the
-	// next holder.
-	callCtx, cancel := lease.CallContext(ctx, guard, reportTimeout)
-	defer cancel()
 	report := Report{Window: window, Counts: counts, Holder: r.VM, Epoch: guard.Epoch()}
-	if err := r.Billing.ReportUsage(fence.WithGuard(callCtx, guard), report); err != nil {
-		if fault.MayTakeEffect(err) {
-			guard.NoteUnanswered(time.Now())
-		}
+	err = lease.Act(ctx, guard, reportTimeout, func(ctx context.Context) error {
+		return r.Billing.ReportUsage(fence.WithGuard(ctx, guard), report)
+	})
+	if err != nil {
 		return err
 	}
 	r.Events.Emit(event.UsageReported, event.Subject{Count: window, Epoch: guard.Epoch()})
 	return r.storeLastReported(ctx, window)
 }
 
+// storeLastReported stores the number of a reported window. A refusal is not an error: the
+// report would be sent again for nothing. Until the number of a later window is stored, a
+// new holder repeats the reports since.
 func (r *Reporter) storeLastReported(ctx context.Context, window int64) error {
 	key := rowstore.Key{Table: reportTable, Name: lastReportedName}
 	_, err := r.Store.Commit(ctx, rowstore.Txn{Puts: []rowstore.Put{{Key: key, Value: []byte(strconv.FormatInt(window, 10))}}})
+	if fault.Is[*fault.PlatformRefused](err) {
+		r.Events.Emit(event.DependencyLost, event.Subject{Count: window, Detail: "number of a reported window: " + err.Error()})
+		return nil
+	}
 	return err
 }
 
--- a/internal/usagewindow/usagewindow_test.go
+++ b/internal/usagewindow/usagewindow_test.go
@@ -6,7 +6,9 @@
 	"maps"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -22,7 +24,10 @@
 	"dogwoodpond/internal/rowstore/memory"
 )
 
-const windowLength = 5 * time.Second
+const (
+	windowLength = 5 * time.Second
+	leaseTerm    = 3 * time.Second
+)
 
 // fakeBilling records the reports that it receives. The answers to reports of the windows
 // in lost are lost. Reports of the windows in refused are refused permanently.
@@ -58,16 +63,23 @@
 	return out
 }
 
+// clockedStore is a store with a clock.
+type clockedStore interface {
+	rowstore.Store
+	rowstore.Clock
+}
+
 // vm is one VM, which runs a meter and a reporter until kill is called.
 type vm struct {
-	meter *Meter
-	clock *FleetClock
-	kill  context.CancelFunc
+	meter  *Meter
+	clock  *FleetClock
+	events *event.Recorder
+	kill   context.CancelFunc
 	// ended is closed once the reporter has ended after kill.
 	ended <-chan struct{}
 }
 
-func startVM(t *testing.T, store *memory.Store, b Billing, name string) vm {
+func startVM(t *testing.T, store clockedStore, b Billing, name string, options ...lease.Option) vm {
 	events := event.NewRecorder(name, 64, event.NewClock(time.Now), zap.NewNop())
 	clock := NewFleetClock(store)
 	if err := clock.SyncOffset(t.Context(), store); err != nil {
@@ -77,7 +89,7 @@
 	reporter := &Reporter{
 		CallBudget: budget.New(budget.Rates{}),
 		VM:         name, WindowLength: windowLength, Clock: clock, Store: store, Billing: b, Events: events,
-		Leases:      lease.NewManager(rowstore.NewTables(store, "lease"), name, 3*time.Second, events),
+		Leases:      lease.NewManager(rowstore.NewTables(store, "lease"), name, leaseTerm, events, options...),
 		Accounts:    func() []string { return []string{"acc", "idle"} },
 		NoneAwaited: func() bool { return true },
 	}
@@ -89,7 +101,7 @@
 		reporter.Run(ctx)
 	}()
 	t.Cleanup(kill)
-	return vm{meter: meter, clock: clock, kill: kill, ended: ended}
+	return vm{meter: meter, clock: clock, events: events, kill: kill, ended: ended}
 }
 
 // waitForNextWindow waits until the next window begins and returns its number.
@@ -282,6 +294,66 @@
 	})
 }
 
+// fillStorage refuses the writes of rows of the report table whose names have the prefix.
+func fillStorage(store *memory.Store, prefix string) {
+	store.SetFault(func(txn rowstore.Txn) memory.Fault {
+		if len(txn.Puts) > 0 && txn.Puts[0].Key.Table == reportTable && strings.HasPrefix(txn.Puts[0].Key.Name, prefix) {
+			return memory.StorageFull
+		}
+		return memory.NoFault
+	})
+}
+
+func (v vm) hasEvent(number event.Number, detail string) bool {
+	return slices.ContainsFunc(v.events.Since(event.Stamp{}), func(r event.Record) bool {
+		return r.Number == number && strings.Contains(r.Detail, detail)
+	})
+}
+
+// Guards against a window that is given up as refused by billing because the storage is full
+// when its final counts are stored.
+func TestWindowIsReportedOnceTheStorageHasRoom(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store, b := memory.New(), &fakeBilling{}
+		a := startVM(t, store, b, "a")
+		window := a.waitForNextWindow()
+		a.meter.CountRun("acc", time.Now())
+		fillStorage(store, "w")
+		time.Sleep(3 * windowLength)
+		if n := len(b.reportsOf(window)); n != 0 {
+			t.Errorf("%d reports while the storage is full, want none", n)
+		}
+		store.SetFault(nil)
+		time.Sleep(2 * windowLength)
+		if reports := b.reportsOf(window); len(reports) != 1 || reports[0].Counts["acc"] != 1 {
+			t.Errorf("reports are %+v, want one with 1 request", reports)
+		}
+		if a.hasEvent(event.UsageIncomplete, "refused for good") {
+			t.Error("the window is told to be refused by billing")
+		}
+	})
+}
+
+// Guards against accepted reports that are told to be refused, or that are sent again and again,
+// because the storage is full when their number is stored.
+func TestAcceptedReportIsNotRepeatedWhileTheStorageIsFull(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store, b := memory.New(), &fakeBilling{}
+		a := startVM(t, store, b, "a")
+		window := a.waitForNextWindow()
+		fillStorage(store, lastReportedName)
+		time.Sleep(5 * windowLength)
+		for n := range int64(3) {
+			if got := len(b.reportsOf(window + n)); got != 1 {
+				t.Errorf("%d reports of window %d after the first, want one", got, n)
+			}
+		}
+		if a.hasEvent(event.UsageIncomplete, "") {
+			t.Error("an accepted report is told to be incomplete")
+		}
+	})
+}
+
 // Guards against a missing report when the store has an outage at the end of the window.
 // The report may be late.
 func TestWindowIsReportedAfterStoreOutage(t *testing.T) {
@@ -518,7 +590,9 @@
 	}{
 		{"report in flight", 1500 * time.Millisecond, 10 * time.Millisecond},
 		{"report in flight at a long stall", 3 * time.Second, 10 * time.Millisecond},
+		{"report in flight at a stall of two terms", 7 * time.Second, 10 * time.Millisecond},
 		{"abandoned report", 3 * time.Second, reportTimeout + 100*time.Millisecond},
+		{"abandoned report at a stall of two terms", 7 * time.Second, reportTimeout + 100*time.Millisecond},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			// The phases shift the stop against the polls of the next holder.
@@ -551,6 +625,81 @@
 	}
 }
 
+// killableStore is the store as seen by a process. After the process was killed its calls fail
+// without an effect.
+type killableStore struct {
+	*memory.Store
+	killed atomic.Bool
+}
+
+var errKilled = errors.WithStack(&fault.StoreUnavailable{Operation: "call of a killed process"})
+
+func (s *killableStore) Commit(ctx context.Context, txn rowstore.Txn) (int64, error) {
+	if s.killed.Load() {
+		return 0, errKilled
+	}
+	return s.Store.Commit(ctx, txn)
+}
+
+func (s *killableStore) Read(ctx context.Context, table, part, from, to string) (rowstore.Page, error) {
+	if s.killed.Load() {
+		return rowstore.Page{}, errKilled
+	}
+	return s.Store.Read(ctx, table, part, from, to)
+}
+
+// Guards against a next holder, or a next process of the same VM, that reports while a report of a
+// killed one waits at billing, which stands still, and against reports that are late if none waits.
+func TestReportThatWaitsAtBillingIsNotOvertakenAfterAKill(t *testing.T) {
+	for _, c := range []struct {
+		name, next string
+		stalledFor time.Duration // 0 if the report was answered
+	}{
+		{"other VM", "b", 7 * time.Second},
+		{"next process", "a", 7 * time.Second},
+		{"other VM, report answered", "b", 0},
+		{"next process, report answered", "a", 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			// The phases shift the polls of the next holder against the kill.
+			for phase := time.Duration(0); phase < windowLength; phase += 200 * time.Millisecond {
+				synctest.Test(t, func(t *testing.T) {
+					store, b := memory.New(), &stallingBilling{}
+					first := &killableStore{Store: store}
+					a := startVM(t, first, b, "a", lease.WithSoleProcess())
+					a.waitForNextWindow()
+					time.Sleep(phase)
+					if c.next == "b" {
+						startVM(t, store, b, "b", lease.WithSoleProcess())
+					}
+					window := a.waitForNextWindow()
+					if c.stalledFor > 0 {
+						b.stall()
+						b.awaitReport(t)
+						time.AfterFunc(c.stalledFor, b.resume)
+					} else {
+						time.Sleep(closeTimeout)
+					}
+					first.killed.Store(true)
+					a.kill()
+					if c.next == "a" {
+						startVM(t, store, b, "a", lease.WithSoleProcess())
+					}
+					time.Sleep(2*windowLength + closeTimeout)
+					b.mu.Lock()
+					defer b.mu.Unlock()
+					if !slices.IsSortedFunc(b.taken, func(x, y Report) int { return cmp.Compare(x.Epoch, y.Epoch) }) {
+						t.Errorf("phase %s: reports %+v", phase, b.taken)
+					}
+					if last := b.taken[len(b.taken)-1]; last.Epoch != 2 || last.Window < window+1 {
+						t.Errorf("phase %s: the last report is %+v, want one of window %d or later and epoch 2", phase, last, window+1)
+					}
+				})
+			}
+		})
+	}
+}
+
 // Guards against a stop that waits for billing, which stands still, longer than for the
 // report in flight: several windows are due.
 func TestStopWaitsForTheReportInFlight(t *testing.T) {
