Changes of holder don't prolong the wait for a pending order

Callers saw, in a test: an engine that left one order unanswered got none for as long as the lease changed hands more often than every 7.5 s, for example while VMs lose it again and again at a store that is in trouble.

Cause: the row named the engines at which an order may still take effect, but not for how much longer. Each holder counted the whole wait from the row of the one before it, and wrote the name on.

Evidence, before (term 6 s, so a wait of 15 s; six holders for 3 s each):

--- FAIL: TestChangesOfHolderDoNotProlongAPendingAction (0.00s) pending_receivers_test.go:131: for holder 2 the receiver is pending until 18s after the action, want about 15s pending_receivers_test.go:131: for holder 6 the receiver is pending until 30s after the action, want about 15s

Why it works: the row gives the milliseconds that are left as the renewal or release begins, before it is sent, and the next holder counts them from when it first saw that row, which is later. A renewal before a new order gives the whole wait again. So an order is still waited for until PendingActionWait after it was given up.

--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -11,7 +11,6 @@
 
 import (
 	"fmt"
-	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -35,9 +34,10 @@
 	// Timing.PendingActionWait.
 	ActionPending bool `json:"action_pending,omitempty"`
 	// PendingReceivers are the receivers at which an action of this or an earlier holder may
-	// still take effect. The next holder may take the lease, and waits with its own actions there; see
+	// still take effect, each with the milliseconds for which it may, counted from the write of the row.
+	// The next holder may take the lease, and waits with its own actions there; see
 	// Guard.PendingUntil.
-	PendingReceivers []string `json:"pending_receivers,omitempty"`
+	PendingReceivers map[string]int64 `json:"pending_receivers,omitempty"`
 }
 
 // Timing holds the durations that holder and contenders agree on. All VMs of a
@@ -202,14 +202,12 @@
 	}
 }
 
-// inheritPending records the receivers at which actions of earlier holders are pending. They
-// began before since.
-func (h *Hold) inheritPending(receivers []string, since time.Time) {
+// inheritPending records the pending receivers of a row that was written before since.
+func (h *Hold) inheritPending(receivers map[string]int64, since time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	for _, receiver := range receivers {
-		h.earlier.begin(receiver)
-		h.earlier.end(receiver, since, true)
+	for receiver, millis := range receivers {
+		h.earlier.extend(receiver, since.Add(time.Duration(millis)*time.Millisecond))
 	}
 }
 
@@ -318,11 +316,20 @@
 }
 
 // pendingReceivers returns the receivers at which an action of this or an earlier holder is
-// pending at now. h.mu must be held.
-func (h *Hold) pendingReceivers(now time.Time) []string {
-	receivers := append(h.pending.receivers(now), h.earlier.receivers(now)...)
-	slices.Sort(receivers)
-	return slices.Compact(receivers)
+// pending at now, each with the milliseconds left. h.mu must be held.
+func (h *Hold) pendingReceivers(now time.Time) map[string]int64 {
+	left := make(map[string]int64)
+	for _, actions := range []pendingActions{h.pending, h.earlier} {
+		for _, receiver := range actions.receivers(now) {
+			left[receiver] = max(left[receiver], ceilMillis(actions.pendingUntil(receiver, now).Sub(now)))
+		}
+	}
+	return left
+}
+
+// ceilMillis returns d in milliseconds, rounded up.
+func ceilMillis(d time.Duration) int64 {
+	return int64((d + time.Millisecond - 1) / time.Millisecond)
 }
 
 // PendingUntil implements Guard.
--- a/internal/lease/pending.go
+++ b/internal/lease/pending.go
@@ -42,10 +42,9 @@
 // end records that an action ended at now, and whether it may still take effect because it got
 // no answer. It reports whether no action is pending at the receiver any more.
 func (p *pendingActions) end(receiver string, now time.Time, mayTakeEffect bool) (settled bool) {
-	r := p.of(receiver)
-	r.underWay--
-	if until := now.Add(p.wait); mayTakeEffect && until.After(r.until) {
-		r.until = until
+	p.of(receiver).underWay--
+	if mayTakeEffect {
+		p.extend(receiver, now.Add(p.wait))
 	}
 	if p.isPending(receiver, now) {
 		return false
@@ -54,6 +53,13 @@
 	return true
 }
 
+// extend records that an action is pending at the receiver until the given time at least.
+func (p *pendingActions) extend(receiver string, until time.Time) {
+	if r := p.of(receiver); until.After(r.until) {
+		r.until = until
+	}
+}
+
 // pendingUntil returns the time from which no action counts as pending at the receiver, as known
 // at now.
 func (p *pendingActions) pendingUntil(receiver string, now time.Time) time.Time {
--- a/internal/lease/pending_receivers_test.go
+++ b/internal/lease/pending_receivers_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
 	"sync"
 	"testing"
@@ -107,3 +108,30 @@
 		t.Errorf("pending receivers %v after the wait", got)
 	}
 }
+
+// Guards against a receiver that is held back for as long as the lease changes hands, because each
+// holder counts the wait for an unanswered action anew.
+func TestChangesOfHolderDoNotProlongAPendingAction(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cluster := faultinject.NewCluster(faultinject.NoFaults)
+		wait := NewTiming(testTerm).PendingActionWait()
+		var unansweredAt time.Time
+		holdOnce(cluster.Start(t.Context(), "vm-0"), func(ctx context.Context, g Guard) {
+			_ = ActAt(ctx, g, "e1", time.Second, func(context.Context) error { return errUnanswered })
+			unansweredAt = time.Now()
+		})
+		const holders = 6
+		for n := range holders {
+			holdOnce(cluster.Start(t.Context(), fmt.Sprintf("vm-%d", n+1)), func(_ context.Context, g Guard) {
+				until := g.PendingUntil("e1")
+				if until.IsZero() && time.Since(unansweredAt) >= wait {
+					return
+				}
+				if until = until.Add(-wait); until.Before(unansweredAt) || until.Sub(unansweredAt) > testTerm/pollDivisor {
+					t.Errorf("for holder %d the receiver is pending until %s after the action, want about %s", n+1, until.Add(wait).Sub(unansweredAt), wait)
+				}
+				time.Sleep(wait / (holders - 1))
+			})
+		}
+	})
+}
