Own interface: an engine without an answer holds up no order to others

Callers saw, in a test: after a planned stop of the holder of a failure domain within 25 s of one weight load or move without an answer, the next holder sent its first order for upstreams 40 s after the stop instead of 16 s (default settings). No weights were loaded and no engine was moved meanwhile.

Cause: orders to engines set the mark for the whole lease, which the next holder sees before it may take it.

Evidence, before:

--- FAIL: TestOrderThatWaitsAtAnEngineHoldsUpNoOtherOrders (0.02s) stall_test.go:433: phase 0s: the platform executed orders of the epochs [], want one of the next holder within 19.833333333s

Why it works: both duties act through lease.ActAt. An engine at which an order of an earlier holder is pending counts as loading, so it gets no load and takes a place of the loads in progress, and it is not moved. Orders for upstreams and usage reports keep the mark: their receiver is one.

--- a/internal/control/stall_test.go
+++ b/internal/control/stall_test.go
@@ -403,3 +403,37 @@
 func TestWindowReportThatWaitsAtBillingIsNotOvertakenAfterAStop(t *testing.T) {
 	checkStop(t, usageReports)
 }
+
+// Guards against an engine without an answer that holds up the next holder's orders to all others.
+func TestOrderThatWaitsAtAnEngineHoldsUpNoOtherOrders(t *testing.T) {
+	// A round waits for the report of the engine that stands still, and the order may be due
+	// in the second one only.
+	const twoRounds = 2 * (loadTimeout + time.Second)
+	maxWait := leaseTerm/3 + lease.OrderGracePeriod(orderTimeout) + twoRounds
+	for name, d := range map[string]duty{"weight load": weightUpdates, "move": engineMoves} {
+		t.Run(name, func(t *testing.T) {
+			for phase := time.Duration(0); phase < leaseTerm; phase += time.Second {
+				synctest.Test(t, func(t *testing.T) {
+					s := newSite()
+					stop, ended := s.startVM(t, "vm-1")
+					time.Sleep(20 * time.Second)
+					s.startVM(t, "vm-2")
+					time.Sleep(time.Second + phase)
+					s.engine.arm()
+					d.trigger(t, s)
+					for !s.engine.isStalled() {
+						time.Sleep(time.Millisecond)
+					}
+					time.Sleep(orderTimeout + 100*time.Millisecond)
+					stop()
+					<-ended
+					provisioning.trigger(t, s)
+					time.Sleep(maxWait)
+					if epochs := s.platform.executed(); !slices.Contains(epochs, 2) {
+						t.Errorf("phase %s: the platform executed orders of the epochs %v, want one of the next holder within %s", phase, epochs, maxWait)
+					}
+				})
+			}
+		})
+	}
+}
--- a/internal/enginepool/mover.go
+++ b/internal/enginepool/mover.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"time"
 
 	"dogwoodpond/internal/engine"
@@ -39,7 +40,7 @@
 // queued requests by pool. An order without an answer is not repeated: the engine's next
 // report shows which pool it serves, and the next plan is based on that report.
 func (m *Mover) Tick(ctx context.Context, guard lease.Guard, engines []Engine, queued map[Pool]int) error {
-	move, ok := m.planner.NextMove(engines, queued)
+	move, ok := m.planner.NextMove(withoutPending(guard, engines), queued)
 	if !ok {
 		return nil
 	}
@@ -52,7 +53,7 @@
 		Adapter: move.To.Adapter,
 	}
 	subject := event.Subject{Upstream: move.Engine.ID, Epoch: order.Epoch, Detail: move.To.Model + "+" + move.To.Adapter}
-	err := lease.Act(ctx, guard, m.orderTimeout, func(ctx context.Context) error {
+	err := lease.ActAt(ctx, guard, move.Engine.ID, m.orderTimeout, func(ctx context.Context) error {
 		m.events.Emit(event.OrderSent, subject)
 		return m.orders.Order(fence.WithGuard(ctx, guard), move.Engine.Address, order)
 	})
@@ -62,3 +63,15 @@
 	}
 	return err
 }
+
+// withoutPending returns a copy of engines in which those at which an order of an earlier
+// holder may still take effect are not adaptable.
+func withoutPending(guard lease.Guard, engines []Engine) []Engine {
+	movable := slices.Clone(engines)
+	for i := range movable {
+		if time.Now().Before(guard.PendingUntil(movable[i].ID)) {
+			movable[i].Adaptable = false
+		}
+	}
+	return movable
+}
--- a/internal/weightupdate/updater.go
+++ b/internal/weightupdate/updater.go
@@ -70,7 +70,7 @@
 // version and incarnation. Tick does not wait for the loads to end; Wait does.
 func (u *Updater) Tick(ctx context.Context, guard lease.Guard, engines []Engine, latest map[string]int64) {
 	u.noteReports(engines)
-	for _, planned := range NextLoads(u.markLoading(engines), latest) {
+	for _, planned := range NextLoads(u.markLoading(guard, engines), latest) {
 		if !u.limiter.Allow() {
 			return
 		}
@@ -111,13 +111,13 @@
 }
 
 // markLoading returns a copy of engines in which Loading is set for those with an order
-// in progress.
-func (u *Updater) markLoading(engines []Engine) []Engine {
+// in progress, also one of an earlier holder that may still take effect.
+func (u *Updater) markLoading(guard lease.Guard, engines []Engine) []Engine {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	marked := slices.Clone(engines)
 	for i := range marked {
-		marked[i].Loading = u.loading[marked[i].ID]
+		marked[i].Loading = u.loading[marked[i].ID] || time.Now().Before(guard.PendingUntil(marked[i].ID))
 	}
 	return marked
 }
@@ -146,7 +146,7 @@
 	}
 	subject := event.Subject{Upstream: e.ID, Epoch: order.Epoch, Count: planned.Version}
 	for range maxOrderAttempts {
-		err := lease.Act(ctx, guard, u.orderTimeout, func(ctx context.Context) error {
+		err := lease.ActAt(ctx, guard, e.ID, u.orderTimeout, func(ctx context.Context) error {
 			u.events.Emit(event.OrderSent, subject)
 			return u.engines.Order(fence.WithGuard(ctx, guard), e.Address, order)
 		})
