--- a/internal/control/stall_test.go
+++ b/internal/control/stall_test.go
@@ -449,7 +449,7 @@
 			for phase := time.Duration(0); phase < leaseTerm; phase += time.Second {
 				synctest.Test(t, func(t *testing.T) {
 					s := newSite()
-					stop, ended := s.startVM(t, "vm-1")
+					first, ended := s.startVM(t, "vm-1")
 					time.Sleep(20 * time.Second)
 					s.startVM(t, "vm-2")
 					time.Sleep(time.Second + phase)
@@ -459,7 +459,7 @@
 						time.Sleep(time.Millisecond)
 					}
 					time.Sleep(orderTimeout + 100*time.Millisecond)
-					stop()
+					first.Stop()
 					<-ended
 					provisioning.trigger(t, s)
 					time.Sleep(maxWait)
