Weight loads: report a timeout also during a confirmation, and no stop as a failure

Cause: the end of the load's context stood for both its timeout and the end of the term.

Evidence, before:

--- FAIL: TestLoadThatTimesOutDuringAConfirmationIsReported (0.00s) confirm_test.go:119: 0 loads are reported as not done in time, want 1 confirm_test.go:122: the engine is due again without a backoff --- FAIL: TestLoadEndedByAStopIsNotReportedAsFailed/loading (0.00s) confirm_test.go:146: 1 loads are reported as not done in time, want none

The case "confirming" of the second test passed on and failed with a repair of the first alone. Both tests pass now, and so does internal/weightload with -race.

Why it works: the load asks the context of the term whether the term has ended. A report that a stop interrupts is still reported as failed.

--- a/internal/weightload/confirm_test.go
+++ b/internal/weightload/confirm_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -9,7 +10,9 @@
 
 	"github.com/cockroachdb/errors"
 
+	"dogwoodpond/internal/event"
 	"dogwoodpond/internal/fault"
+	"dogwoodpond/internal/lease"
 	"dogwoodpond/internal/rowstore"
 	"dogwoodpond/internal/rowstore/memory"
 )
@@ -96,3 +99,56 @@
 		}
 	})
 }
+
+// unconfirmedLease is held, but no action begins under it.
+type unconfirmedLease struct{ heldLease }
+
+func (unconfirmedLease) BeginAction(ctx context.Context, _ string) (func(bool), error) {
+	<-ctx.Done()
+	return nil, errors.WithStack(context.Cause(ctx))
+}
+
+// Guards against a load that ends unreported, and begins anew without a backoff, when its timeout
+// passes while it waits for the confirmation of the lease.
+func TestLoadThatTimesOutDuringAConfirmationIsReported(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l, _ := newObservedLoader(1, noLatency)
+		startsAt := lease.OrderGracePeriod(orderTimeout)
+		serveWith(t, l, unconfirmedLease{1}, startsAt+loadTimeout+suspectBackoff/2)
+		if n := countNotDone(l); n != 1 {
+			t.Errorf("%d loads are reported as not done in time, want 1", n)
+		}
+		if !l.isSuspect(l.Roster.Upstreams("lm")[0]) {
+			t.Error("the engine is due again without a backoff")
+		}
+	})
+}
+
+func countNotDone(l *Loader) int {
+	n := 0
+	for _, r := range l.Events.Since(event.Stamp{}) {
+		if r.Number == event.OrderFailed && strings.Contains(r.Detail, "not done in time") {
+			n++
+		}
+	}
+	return n
+}
+
+// Guards against a failed load in the log, and a backoff, for a load that only a stop or the loss of the lease
+// ended.
+func TestLoadEndedByAStopIsNotReportedAsFailed(t *testing.T) {
+	for name, guard := range map[string]lease.Guard{"confirming": unconfirmedLease{1}, "loading": heldLease(1)} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				l, _ := newObservedLoader(1, noLatency)
+				serveWith(t, l, guard, lease.OrderGracePeriod(orderTimeout)+expectedLoadTime/2)
+				if n := countNotDone(l); n != 0 {
+					t.Errorf("%d loads are reported as not done in time, want none", n)
+				}
+				if l.isSuspect(l.Roster.Upstreams("lm")[0]) {
+					t.Error("the engine is not due again at once")
+				}
+			})
+		})
+	}
+}
--- a/internal/weightload/loader.go
+++ b/internal/weightload/loader.go
@@ -291,9 +291,9 @@
 // order without a reply may be executed seconds later. It is sent again with the
 // same sequence number: the first copy that the engine accepts raises the number,
 // and the engine refuses the other copies. It ends when the engine's address changes, since the
-// engine then has to settle anew.
-func (l *Loader) load(ctx context.Context, guard lease.Guard, settler *settler, planned PlannedLoad) {
-	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
+// engine then has to settle anew. When term ends, it ends without a failure.
+func (l *Loader) load(term context.Context, guard lease.Guard, settler *settler, planned PlannedLoad) {
+	ctx, cancel := context.WithTimeout(term, loadTimeout)
 	defer cancel()
 	subject := event.Subject{Upstream: planned.Engine.Info().ID, Epoch: guard.Epoch(), Count: planned.Version, Detail: planned.Model}
 	for ctx.Err() == nil && !l.Roster.Evacuated(l.Domain) {
@@ -314,6 +314,9 @@
 			continue
 		}
 		reply, sent, err := l.sendOrder(ctx, guard, settler, planned, report.Sequence)
+		if ctx.Err() != nil && fault.Is[*fault.LeaseUnconfirmed](err) {
+			break
+		}
 		if fault.Is[*fault.LeaseUnconfirmed](err) {
 			l.noteUnconfirmed(ctx, err, subject)
 			return
@@ -341,14 +344,17 @@
 		}
 		wait.For(ctx, loadPollInterval)
 	}
+	if term.Err() != nil {
+		return
+	}
 	l.markSuspect(planned.Engine)
 	l.Events.Emit(event.OrderFailed, withDetail(subject, planned.Model+": not done in time"))
 }
 
-// noteUnconfirmed emits an event for a lease that was not confirmed, unless it is lost or ctx has
-// ended. The load is due again at the next search.
+// noteUnconfirmed emits an event for a lease that was not confirmed, unless it is lost. The load
+// is due again at the next search.
 func (l *Loader) noteUnconfirmed(ctx context.Context, err error, subject event.Subject) {
-	if ctx.Err() != nil || fault.Is[*fault.LeaseLost](err) {
+	if fault.Is[*fault.LeaseLost](err) {
 		return
 	}
 	l.Events.Emit(event.OrderFailed, withDetail(subject, subject.Detail+": "+err.Error()))
