The order grace period follows the wait for a pending order at one receiver, too

A holder that takes a lease for whose receiver an action is pending waits for two terms with their margins, and then for the order grace period. For the engines that a lease's row names, only the former passed at the users' platform (7.5 s instead of 8.5 s from the row's last change): an order that was sent at the end of its term is covered for less. lease.MayActAt is the one rule for both interfaces.

TestEngineWithAPendingOrderGetsNoOrder expects the first order after both; before: "the first order to the engine came 7s after the acquisition, want 8s".

--- a/internal/control/observe.go
+++ b/internal/control/observe.go
@@ -4,7 +4,6 @@
 	"context"
 	"slices"
 	"sync"
-	"time"
 
 	"dogwoodpond/internal/engine"
 	"dogwoodpond/internal/enginepool"
@@ -54,8 +53,7 @@
 // effect.
 func (c *Controller) withoutPending(guard lease.Guard, observed []observation) []observation {
 	return slices.DeleteFunc(observed, func(o observation) bool {
-		until := guard.PendingUntil(o.upstream.ID)
-		return !until.IsZero() && time.Now().Before(until.Add(lease.OrderGracePeriod(c.OrderTimeout)))
+		return !lease.MayActAt(guard, o.upstream.ID, c.OrderTimeout)
 	})
 }
 
--- a/internal/lease/action.go
+++ b/internal/lease/action.go
@@ -27,8 +27,7 @@
 }
 
 // ActAt is Act for a lease with many receivers: the next holder may take the lease, and waits
-// with its actions at the named receiver only. The caller must not call it before
-// Guard.PendingUntil has passed for that receiver.
+// with its actions at the named receiver only. The caller calls it only if MayActAt allows it.
 func ActAt(ctx context.Context, g Guard, receiver string, timeout time.Duration, action func(ctx context.Context) error) error {
 	end, err := g.BeginAction(ctx, receiver)
 	if err != nil {
@@ -45,6 +44,13 @@
 	return err
 }
 
+// MayActAt reports whether the holder may act at a receiver: no action of an earlier holder is
+// pending there, and the order grace period has passed since then, as it passes after the
+// acquisition of a lease.
+func MayActAt(g Guard, receiver string, orderTimeout time.Duration) bool {
+	return !time.Now().Before(g.PendingUntil(receiver).Add(OrderGracePeriod(orderTimeout)))
+}
+
 // mayTakeEffect reports whether an action that failed with err may still take effect. An action
 // that was canceled because the lease was lost may have been sent.
 func mayTakeEffect(err error) bool {
--- a/internal/lease/guard.go
+++ b/internal/lease/guard.go
@@ -30,9 +30,8 @@
 	// A receiver that is not empty says that the next holder has to wait with its actions at
 	// that receiver only; see PendingUntil. Otherwise it waits before it takes the lease.
 	BeginAction(ctx context.Context, receiver string) (end func(mayTakeEffect bool), err error)
-	// PendingUntil returns until when the holder must not act at the receiver, because an
-	// action of an earlier holder may still take effect there; zero if none is known. A time
-	// that has passed stays known, so that callers can add to it.
+	// PendingUntil returns until when an action of an earlier holder counts as pending at the
+	// receiver; zero if none is known. A time that has passed stays known. Callers use MayActAt.
 	PendingUntil(receiver string) time.Time
 }
 
--- a/internal/weightload/settle.go
+++ b/internal/weightload/settle.go
@@ -98,7 +98,7 @@
 
 // hasPendingOrder reports whether an order of an earlier holder may still arrive at the engine.
 func (s *settler) hasPendingOrder(e *target.Entry) bool {
-	return time.Now().Before(s.guard.PendingUntil(e.Info().ID))
+	return !lease.MayActAt(s.guard, e.Info().ID, orderTimeout)
 }
 
 // isSettledLocked reports whether the engine settled at its present address. s.mu must be held.
--- a/internal/weightload/settle_test.go
+++ b/internal/weightload/settle_test.go
@@ -276,8 +276,8 @@
 				first[order.id] = order.at.Sub(acquiredAt)
 			}
 		}
-		if first["e00"] < pendingFor || first["e00"] > pendingFor+planInterval {
-			t.Errorf("the first order to the engine came %s after the acquisition, want %s", first["e00"], pendingFor)
+		if wait := pendingFor + lease.OrderGracePeriod(orderTimeout); first["e00"] < wait || first["e00"] > wait+planInterval {
+			t.Errorf("the first order to the engine came %s after the acquisition, want %s", first["e00"], wait)
 		}
 		if first["e01"] != lease.OrderGracePeriod(orderTimeout) {
 			t.Errorf("the first order to another engine came %s after the acquisition", first["e01"])
