--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -10,20 +10,18 @@
 	"github.com/cockroachdb/errors"
 
 	"dogwoodpond/internal/fault"
+	"dogwoodpond/internal/lease/leasetest"
 	"dogwoodpond/internal/provision"
 )
 
 // countingGuard counts the confirmations of a lease. lost makes it the guard of a holder whose
 // clock stopped: the term lasts on by its clock, and the row has another holder.
 type countingGuard struct {
+	leasetest.Held
 	lost          bool
 	confirmations atomic.Int64
 }
 
-func (*countingGuard) Check() error        { return nil }
-func (*countingGuard) Epoch() uint64       { return 1 }
-func (*countingGuard) Deadline() time.Time { return time.Now().Add(time.Hour) }
-
 func (g *countingGuard) Confirm(context.Context) error {
 	g.confirmations.Add(1)
 	if g.lost {
@@ -32,8 +30,6 @@
 	return nil
 }
 
-func (*countingGuard) PendingUntil(string) time.Time { return time.Time{} }
-
 func (g *countingGuard) BeginAction(ctx context.Context, _ string) (func(bool), error) {
 	return func(bool) {}, g.Confirm(ctx)
 }
@@ -68,11 +64,11 @@
 // ledgers that it writes, which the holder would act on.
 func TestRoundsWithoutConfirmedLeaseHaveNoEffect(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		toEngine, toPlatform, ledgerWritten := tickOften(t, newSiteWithDueOrders(), &countingGuard{lost: true})
+		toEngine, toPlatform, ledgerWritten := tickOften(t, newSiteWithDueOrders(), &countingGuard{Held: 1, lost: true})
 		if toEngine > 0 || toPlatform > 0 || ledgerWritten {
 			t.Errorf("without the lease: %d orders to the engine, %d to the platform, ledger written: %v", toEngine, toPlatform, ledgerWritten)
 		}
-		toEngine, toPlatform, ledgerWritten = tickOften(t, newSiteWithDueOrders(), &countingGuard{})
+		toEngine, toPlatform, ledgerWritten = tickOften(t, newSiteWithDueOrders(), &countingGuard{Held: 1})
 		if toEngine < 2 || toPlatform < 1 || !ledgerWritten {
 			t.Errorf("with the lease: %d orders to the engine, %d to the platform, ledger written: %v; want a load, a move and a start", toEngine, toPlatform, ledgerWritten)
 		}
@@ -94,7 +90,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				s, guard := newSite(), &countingGuard{}
+				s, guard := newSite(), &countingGuard{Held: 1}
 				s.set(c.change)
 				orders, _, _ := tickOften(t, s, guard)
 				if n := guard.confirmations.Load(); orders != c.orders || n != int64(orders) {
--- a/internal/enginepool/enginepool_test.go
+++ b/internal/enginepool/enginepool_test.go
@@ -12,6 +12,7 @@
 	"dogwoodpond/internal/engine"
 	"dogwoodpond/internal/event"
 	"dogwoodpond/internal/fault"
+	"dogwoodpond/internal/lease/leasetest"
 )
 
 var (
@@ -75,21 +76,6 @@
 	}
 }
 
-// fakeGuard is the guard of a lease that is always held.
-type fakeGuard struct{}
-
-func (fakeGuard) Check() error        { return nil }
-func (fakeGuard) Epoch() uint64       { return 3 }
-func (fakeGuard) Deadline() time.Time { return time.Now().Add(time.Hour) }
-
-func (fakeGuard) Confirm(context.Context) error { return nil }
-
-func (fakeGuard) BeginAction(context.Context, string) (func(bool), error) {
-	return func(bool) {}, nil
-}
-
-func (fakeGuard) PendingUntil(string) time.Time { return time.Time{} }
-
 // failingOrders fails every order as unanswered and records its ID.
 type failingOrders struct{ ids []string }
 
@@ -107,7 +93,7 @@
 	m := NewMover(orders, events, 10*time.Second)
 	engines := append(enginesOf(replies, 2, 8), enginesOf(rotas, 3, 1)...)
 	for range 3 * minQueuedTicks {
-		_ = m.Tick(t.Context(), fakeGuard{}, engines, map[Pool]int{replies: 5})
+		_ = m.Tick(t.Context(), leasetest.Held(3), engines, map[Pool]int{replies: 5})
 	}
 	seen := make(map[string]bool)
 	for _, id := range orders.ids {
--- a/internal/provision/provision_test.go
+++ b/internal/provision/provision_test.go
@@ -14,6 +14,7 @@
 	"dogwoodpond/internal/contract"
 	"dogwoodpond/internal/event"
 	"dogwoodpond/internal/fault"
+	"dogwoodpond/internal/lease/leasetest"
 	"dogwoodpond/internal/platformapi"
 	"dogwoodpond/internal/platformapi/memtables"
 )
@@ -158,23 +159,8 @@
 	return offers, nil
 }
 
-// fakeGuard is the guard of a lease that its holder considers held; its value is the epoch.
-type fakeGuard uint64
-
-func (fakeGuard) Check() error        { return nil }
-func (h fakeGuard) Epoch() uint64     { return uint64(h) }
-func (fakeGuard) Deadline() time.Time { return time.Now().Add(time.Hour) }
-
-func (fakeGuard) Confirm(context.Context) error { return nil }
-
-func (fakeGuard) BeginAction(context.Context, string) (func(bool), error) {
-	return func(bool) {}, nil
-}
-
-func (fakeGuard) PendingUntil(string) time.Time { return time.Time{} }
-
 // takenGuard is the guard of a lease whose row has another holder, which only Confirm notices.
-type takenGuard struct{ fakeGuard }
+type takenGuard struct{ leasetest.Held }
 
 func (takenGuard) Confirm(context.Context) error {
 	return errors.WithStack(&fault.LeaseLost{Lease: "l", Epoch: 1})
@@ -240,7 +226,7 @@
 	t.Helper()
 	offers, _ := f.Offers(t.Context())
 	d := Demand{Account: account, Model: model, Queued: queued, Running: running}
-	return p.Run(t.Context(), fakeGuard(epoch), Round{
+	return p.Run(t.Context(), leasetest.Held(epoch), Round{
 		Listed:    f.listed,
 		Offers:    offers,
 		Demands:   []Demand{d},
--- a/internal/usage/matrix_test.go
+++ b/internal/usage/matrix_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"dogwoodpond/internal/contract"
+	"dogwoodpond/internal/lease/leasetest"
 	"dogwoodpond/internal/platformapi"
 	"dogwoodpond/internal/platformapi/faultinject"
 )
@@ -99,7 +100,7 @@
 		reporter := newReporter(process, processBilling{process: process, billing: s.billing}, s.listed)
 		running.Go(func() {
 			time.Sleep(reporterStarts[i])
-			reporter.Run(process.Context, fakeGuard(i+1), 2*time.Second)
+			reporter.Run(process.Context, leasetest.Held(i+1), 2*time.Second)
 		})
 	}
 	time.Sleep(servedWindows*windowLength + reportTime)
--- a/internal/usage/usage_test.go
+++ b/internal/usage/usage_test.go
@@ -13,6 +13,7 @@
 	"dogwoodpond/internal/contract"
 	"dogwoodpond/internal/event"
 	"dogwoodpond/internal/fault"
+	"dogwoodpond/internal/lease/leasetest"
 	"dogwoodpond/internal/platformapi"
 	"dogwoodpond/internal/platformapi/memtables"
 )
@@ -114,21 +115,6 @@
 	return counts, incomplete
 }
 
-// fakeGuard is the guard of a lease that is always held; its value is the epoch.
-type fakeGuard uint64
-
-func (fakeGuard) Check() error        { return nil }
-func (h fakeGuard) Epoch() uint64     { return uint64(h) }
-func (fakeGuard) Deadline() time.Time { return time.Now().Add(time.Hour) }
-
-func (fakeGuard) Confirm(context.Context) error { return nil }
-
-func (fakeGuard) BeginAction(context.Context, string) (func(bool), error) {
-	return func(bool) {}, nil
-}
-
-func (fakeGuard) PendingUntil(string) time.Time { return time.Time{} }
-
 func newEvents() *event.Recorder {
 	return event.NewRecorder("vm", 64, event.NewClock(time.Now), zap.NewNop())
 }
@@ -166,7 +152,7 @@
 func drive(t *testing.T, r *Reporter) {
 	t.Helper()
 	for {
-		more, err := r.Advance(t.Context(), fakeGuard(1))
+		more, err := r.Advance(t.Context(), leasetest.Held(1))
 		if err != nil {
 			t.Fatalf("Advance: %v", err)
 		}
@@ -284,7 +270,7 @@
 		drive(t, reporter)
 		time.Sleep(6 * time.Second)
 		between.beforeCommit = func() { flush(t, paused) }
-		_, _ = reporter.Advance(t.Context(), fakeGuard(1))
+		_, _ = reporter.Advance(t.Context(), leasetest.Held(1))
 		drive(t, reporter)
 		if got, _ := b.sum(berry); got != (Counts{Requests: 1, Tokens: 10}) {
 			t.Errorf("reported %+v, want the request in the sealed row", got)
@@ -426,7 +412,7 @@
 		case 1:
 			_ = m.Flush(t.Context())
 		case 2:
-			_, _ = reporters[random.IntN(len(reporters))].Advance(t.Context(), fakeGuard(1))
+			_, _ = reporters[random.IntN(len(reporters))].Advance(t.Context(), leasetest.Held(1))
 		default:
 			time.Sleep(time.Duration(random.IntN(3000)) * time.Millisecond)
 		}
@@ -444,7 +430,7 @@
 		time.Sleep(windowLength)
 		for _, r := range reporters {
 			for range 8 {
-				_, _ = r.Advance(t.Context(), fakeGuard(1))
+				_, _ = r.Advance(t.Context(), leasetest.Held(1))
 			}
 		}
 	}
--- a/internal/weightload/confirm_test.go
+++ b/internal/weightload/confirm_test.go
@@ -13,6 +13,7 @@
 	"dogwoodpond/internal/event"
 	"dogwoodpond/internal/fault"
 	"dogwoodpond/internal/lease"
+	"dogwoodpond/internal/lease/leasetest"
 	"dogwoodpond/internal/rowstore"
 	"dogwoodpond/internal/rowstore/memory"
 )
@@ -101,7 +102,7 @@
 }
 
 // unconfirmedLease is held, but no action begins under it.
-type unconfirmedLease struct{ heldLease }
+type unconfirmedLease struct{ leasetest.Held }
 
 func (unconfirmedLease) BeginAction(ctx context.Context, _ string) (func(bool), error) {
 	<-ctx.Done()
@@ -137,7 +138,7 @@
 // Guards against a failed load in the log, and a backoff, for a load that only a stop or the loss of the lease
 // ended.
 func TestLoadEndedByAStopIsNotReportedAsFailed(t *testing.T) {
-	for name, guard := range map[string]lease.Guard{"confirming": unconfirmedLease{1}, "loading": heldLease(1)} {
+	for name, guard := range map[string]lease.Guard{"confirming": unconfirmedLease{1}, "loading": leasetest.Held(1)} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				l, _ := newObservedLoader(1, noLatency)
--- a/internal/weightload/receiver_test.go
+++ b/internal/weightload/receiver_test.go
@@ -10,6 +10,7 @@
 	"github.com/leanovate/gopter/gen"
 	"github.com/leanovate/gopter/prop"
 
+	"dogwoodpond/internal/lease/leasetest"
 	"dogwoodpond/internal/target"
 	"dogwoodpond/internal/wait"
 )
@@ -119,7 +120,7 @@
 		time.Sleep(firstProbeAt)
 		ctx, cancel := context.WithTimeout(t.Context(), 15*time.Second)
 		defer cancel()
-		settler := newSettler(l, heldLease(2))
+		settler := newSettler(l, leasetest.Held(2))
 		for settler.settle(ctx, entry); ctx.Err() == nil && !settler.allowsOrders(entry); settler.settle(ctx, entry) {
 			wait.For(ctx, suspectBackoff)
 		}
--- a/internal/weightload/settle_test.go
+++ b/internal/weightload/settle_test.go
@@ -15,6 +15,7 @@
 
 	"dogwoodpond/internal/event"
 	"dogwoodpond/internal/lease"
+	"dogwoodpond/internal/lease/leasetest"
 	"dogwoodpond/internal/rowstore"
 	"dogwoodpond/internal/target"
 	"dogwoodpond/internal/wait"
@@ -147,21 +148,6 @@
 	return slices.DeleteFunc(slices.Clone(o.orders), func(order observedOrder) bool { return order.id != id })
 }
 
-// heldLease is the guard of a lease that is held all along.
-type heldLease uint64
-
-func (heldLease) Check() error        { return nil }
-func (h heldLease) Epoch() uint64     { return uint64(h) }
-func (heldLease) Deadline() time.Time { return time.Now().Add(time.Minute) }
-
-func (heldLease) Confirm(context.Context) error { return nil }
-
-func (heldLease) BeginAction(context.Context, string) (func(bool), error) {
-	return func(bool) {}, nil
-}
-
-func (heldLease) PendingUntil(string) time.Time { return time.Time{} }
-
 // newObservedLoader returns a loader of n engines on which loads are due.
 func newObservedLoader(n int, latency func(id string) time.Duration) (*Loader, *observedEngines) {
 	engines := &observedEngines{fleet: newFleet(n), latency: latency, probes: make(map[string]int), reports: make(map[string]int)}
@@ -178,7 +164,7 @@
 
 // serveFor runs a lease term of the loader for d.
 func serveFor(t *testing.T, l *Loader, epoch uint64, d time.Duration) {
-	serveWith(t, l, heldLease(epoch), d)
+	serveWith(t, l, leasetest.Held(epoch), d)
 }
 
 func serveWith(t *testing.T, l *Loader, guard lease.Guard, d time.Duration) {
@@ -251,7 +237,7 @@
 
 // guardOfSuccessor is the guard of a holder whose predecessor left an unanswered order at e00.
 type guardOfSuccessor struct {
-	heldLease
+	leasetest.Held
 	pendingUntil time.Time
 }
 
