Own interface: an engine that holds an order of a killed holder gets the whole wait

Callers saw, in a test: an engine that stood still for 30 s executed a weight load, or a move, of a killed holder after one of the next holder.

Cause: let the next holder take the lease at once and wait at that engine only. Before, it waited for PendingActionWait before it took the lease, and then for the order grace period; at the engine it waited for the former only.

--- FAIL: TestOrderOfAKilledHolderIsNotOvertaken (4.04s) --- FAIL: TestOrderOfAKilledHolderIsNotOvertaken/weight_load/order_in_flight (0.05s) stall_test.go:388: phase 0s: epochs [2 1]

Why it works: the wait at an engine ends the grace period after PendingUntil, as it did for the lease. A hold keeps the times of its predecessors' actions for its term, also once they have passed.

--- a/internal/enginepool/mover.go
+++ b/internal/enginepool/mover.go
@@ -40,7 +40,7 @@
 // queued requests by pool. An order without an answer is not repeated: the engine's next
 // report shows which pool it serves, and the next plan is based on that report.
 func (m *Mover) Tick(ctx context.Context, guard lease.Guard, engines []Engine, queued map[Pool]int) error {
-	move, ok := m.planner.NextMove(withoutPending(guard, engines), queued)
+	move, ok := m.planner.NextMove(m.withoutPending(guard, engines), queued)
 	if !ok {
 		return nil
 	}
@@ -66,10 +66,10 @@
 
 // withoutPending returns a copy of engines in which those at which an order of an earlier
 // holder may still take effect are not adaptable.
-func withoutPending(guard lease.Guard, engines []Engine) []Engine {
+func (m *Mover) withoutPending(guard lease.Guard, engines []Engine) []Engine {
 	movable := slices.Clone(engines)
 	for i := range movable {
-		if time.Now().Before(guard.PendingUntil(movable[i].ID)) {
+		if lease.MayReadEarlierOrder(guard, movable[i].ID, m.orderTimeout) {
 			movable[i].Adaptable = false
 		}
 	}
--- a/internal/lease/guard.go
+++ b/internal/lease/guard.go
@@ -66,3 +66,11 @@
 		return g.Check()
 	}
 }
+
+// MayReadEarlierOrder reports whether the receiver may still read an order of an earlier holder
+// that got no answer. The grace period after PendingUntil is the one that a new holder waits after it
+// has waited for a pending action as a whole.
+func MayReadEarlierOrder(g Guard, receiver string, orderTimeout time.Duration) bool {
+	until := g.PendingUntil(receiver)
+	return !until.IsZero() && time.Now().Before(until.Add(OrderGracePeriod(orderTimeout)))
+}
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -177,8 +177,8 @@
 	deadline time.Time
 	ended    bool
 	pending  pendingActions
-	// earlier holds the receivers at which actions of earlier holders are pending.
-	earlier pendingActions
+	// earlier holds until when actions of earlier holders are pending, by receiver.
+	earlier map[string]time.Time
 	// begun is the number of renewals that have begun, and committed that of the latest
 	// committed one. They follow one another.
 	begun, committed uint64
@@ -197,7 +197,7 @@
 		version:  version,
 		deadline: sentAt.Add(timing.Term),
 		pending:  newPendingActions(timing.PendingActionWait()),
-		earlier:  newPendingActions(timing.PendingActionWait()),
+		earlier:  make(map[string]time.Time),
 		changed:  make(chan struct{}),
 	}
 }
@@ -207,7 +207,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	for receiver, millis := range receivers {
-		h.earlier.extend(receiver, since.Add(time.Duration(millis)*time.Millisecond))
+		h.earlier[receiver] = since.Add(time.Duration(millis) * time.Millisecond)
 	}
 }
 
@@ -319,9 +319,12 @@
 // pending at now, each with the milliseconds left. h.mu must be held.
 func (h *Hold) pendingReceivers(now time.Time) map[string]int64 {
 	left := make(map[string]int64)
-	for _, actions := range []pendingActions{h.pending, h.earlier} {
-		for _, receiver := range actions.receivers(now) {
-			left[receiver] = max(left[receiver], ceilMillis(actions.pendingUntil(receiver, now).Sub(now)))
+	for _, receiver := range h.pending.receivers(now) {
+		left[receiver] = ceilMillis(h.pending.pendingUntil(receiver, now).Sub(now))
+	}
+	for receiver, until := range h.earlier {
+		if now.Before(until) {
+			left[receiver] = max(left[receiver], ceilMillis(until.Sub(now)))
 		}
 	}
 	return left
@@ -336,7 +339,7 @@
 func (h *Hold) PendingUntil(receiver string) time.Time {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.earlier.pendingUntil(receiver, time.Time{})
+	return h.earlier[receiver]
 }
 
 // ReleasableAt returns when the lease may be released, as known at now. While an action is
--- a/internal/lease/pending.go
+++ b/internal/lease/pending.go
@@ -42,9 +42,10 @@
 // end records that an action ended at now, and whether it may still take effect because it got
 // no answer. It reports whether no action is pending at the receiver any more.
 func (p *pendingActions) end(receiver string, now time.Time, mayTakeEffect bool) (settled bool) {
-	p.of(receiver).underWay--
-	if mayTakeEffect {
-		p.extend(receiver, now.Add(p.wait))
+	r := p.of(receiver)
+	r.underWay--
+	if until := now.Add(p.wait); mayTakeEffect && until.After(r.until) {
+		r.until = until
 	}
 	if p.isPending(receiver, now) {
 		return false
@@ -53,13 +54,6 @@
 	return true
 }
 
-// extend records that an action is pending at the receiver until the given time at least.
-func (p *pendingActions) extend(receiver string, until time.Time) {
-	if r := p.of(receiver); until.After(r.until) {
-		r.until = until
-	}
-}
-
 // pendingUntil returns the time from which no action counts as pending at the receiver, as known
 // at now.
 func (p *pendingActions) pendingUntil(receiver string, now time.Time) time.Time {
--- a/internal/weightupdate/updater.go
+++ b/internal/weightupdate/updater.go
@@ -117,7 +117,7 @@
 	defer u.mu.Unlock()
 	marked := slices.Clone(engines)
 	for i := range marked {
-		marked[i].Loading = u.loading[marked[i].ID] || time.Now().Before(guard.PendingUntil(marked[i].ID))
+		marked[i].Loading = u.loading[marked[i].ID] || lease.MayReadEarlierOrder(guard, marked[i].ID, u.orderTimeout)
 	}
 	return marked
 }
