--- a/internal/lease/guard.go
+++ b/internal/lease/guard.go
@@ -30,8 +30,8 @@
 	// A receiver that is not empty says that the next holder has to wait with its actions at
 	// that receiver only; see PendingUntil. Otherwise it waits before it takes the lease.
 	BeginAction(ctx context.Context, receiver string) (end func(mayTakeEffect bool), err error)
-	// PendingUntil returns until when the holder must not act at the receiver, because an
-	// action of an earlier holder may still take effect there; zero if none is known.
+	// PendingUntil returns until when an action of an earlier holder counts as pending at the
+	// receiver; zero if none is known. A time that has passed stays known. Callers use MayActAt.
 	PendingUntil(receiver string) time.Time
 }
 
@@ -66,11 +66,3 @@
 		return g.Check()
 	}
 }
-
-// MayReadEarlierOrder reports whether the receiver may still read an order of an earlier holder
-// that got no answer. The grace period after PendingUntil is the one that a new holder waits after it
-// has waited for a pending action as a whole.
-func MayReadEarlierOrder(g Guard, receiver string, orderTimeout time.Duration) bool {
-	until := g.PendingUntil(receiver)
-	return !until.IsZero() && time.Now().Before(until.Add(OrderGracePeriod(orderTimeout)))
-}
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -177,8 +177,8 @@
 	deadline time.Time
 	ended    bool
 	pending  pendingActions
-	// earlier holds until when actions of earlier holders are pending, by receiver.
-	earlier map[string]time.Time
+	// earlier holds the receivers at which actions of earlier holders are pending.
+	earlier pendingActions
 	// begun is the number of renewals that have begun, and committed that of the latest
 	// committed one. They follow one another.
 	begun, committed uint64
@@ -197,7 +197,7 @@
 		version:  version,
 		deadline: sentAt.Add(timing.Term),
 		pending:  newPendingActions(timing.PendingActionWait()),
-		earlier:  make(map[string]time.Time),
+		earlier:  newPendingActions(timing.PendingActionWait()),
 		changed:  make(chan struct{}),
 	}
 }
@@ -207,7 +207,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	for receiver, millis := range receivers {
-		h.earlier[receiver] = since.Add(time.Duration(millis) * time.Millisecond)
+		h.earlier.extend(receiver, since.Add(time.Duration(millis)*time.Millisecond))
 	}
 }
 
@@ -318,13 +318,11 @@
 // pendingReceivers returns the receivers at which an action of this or an earlier holder is
 // pending at now, each with the milliseconds left. h.mu must be held.
 func (h *Hold) pendingReceivers(now time.Time) map[string]int64 {
+	h.pending.forget(now)
 	left := make(map[string]int64)
-	for _, receiver := range h.pending.receivers(now) {
-		left[receiver] = ceilMillis(h.pending.pendingUntil(receiver, now).Sub(now))
-	}
-	for receiver, until := range h.earlier {
-		if now.Before(until) {
-			left[receiver] = max(left[receiver], ceilMillis(until.Sub(now)))
+	for _, actions := range []pendingActions{h.pending, h.earlier} {
+		for _, receiver := range actions.receivers(now) {
+			left[receiver] = max(left[receiver], ceilMillis(actions.pendingUntil(receiver, now).Sub(now)))
 		}
 	}
 	return left
@@ -339,7 +337,7 @@
 func (h *Hold) PendingUntil(receiver string) time.Time {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.earlier[receiver]
+	return h.earlier.pendingUntil(receiver, time.Time{})
 }
 
 // ReleasableAt returns when the lease may be released, as known at now. While an action is
