Own interface: an engine with a pending order counts as loading and can't be moved

What callers would see: a new holder loads up to another quarter of a pool beside the engines that may be loading by an order of the earlier holder.

Cause: engines at which an order of an earlier holder may still take effect were left out of the plan, so they took no place of the loads in progress. The two duties now ask lease.MayActAt themselves: such an engine counts as loading, and as not adaptable.

TestEngineWithAPendingOrderCountsAsLoading, before: "4 engines loaded at once, want 2 beside the pending ones"; it passes now, as do the tests of stopped and killed holders in internal/control.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -124,7 +124,7 @@
 	if err != nil {
 		return
 	}
-	observed := c.withoutPending(guard, c.observe(ctx, upstreams))
+	observed := c.observe(ctx, upstreams)
 	if versions, err := c.Platform.Latest(ctx); err == nil {
 		c.WeightUpdater.Tick(ctx, guard, weightEngines(observed), latestVersions(versions))
 	}
--- a/internal/control/observe.go
+++ b/internal/control/observe.go
@@ -2,12 +2,10 @@
 
 import (
 	"context"
-	"slices"
 	"sync"
 
 	"dogwoodpond/internal/engine"
 	"dogwoodpond/internal/enginepool"
-	"dogwoodpond/internal/lease"
 	"dogwoodpond/internal/platformapi"
 	"dogwoodpond/internal/provision"
 	"dogwoodpond/internal/weightupdate"
@@ -49,14 +47,6 @@
 	return observed
 }
 
-// withoutPending returns the engines at which no order of an earlier holder may still take
-// effect.
-func (c *Controller) withoutPending(guard lease.Guard, observed []observation) []observation {
-	return slices.DeleteFunc(observed, func(o observation) bool {
-		return !lease.MayActAt(guard, o.upstream.ID, c.OrderTimeout)
-	})
-}
-
 func weightEngines(observed []observation) []weightupdate.Engine {
 	engines := make([]weightupdate.Engine, 0, len(observed))
 	for _, o := range observed {
--- a/internal/enginepool/mover.go
+++ b/internal/enginepool/mover.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"time"
 
 	"dogwoodpond/internal/engine"
@@ -36,11 +37,10 @@
 }
 
 // Tick plans at most one move and sends its order to the engine. queued is the number of
-// queued requests by pool. engines must not contain one at which an order of an earlier holder
-// is pending. An order without an answer is not repeated: the engine's next
+// queued requests by pool. An order without an answer is not repeated: the engine's next
 // report shows which pool it serves, and the next plan is based on that report.
 func (m *Mover) Tick(ctx context.Context, guard lease.Guard, engines []Engine, queued map[Pool]int) error {
-	move, ok := m.planner.NextMove(engines, queued)
+	move, ok := m.planner.NextMove(m.fixPending(guard, engines), queued)
 	if !ok {
 		return nil
 	}
@@ -63,3 +63,13 @@
 	}
 	return err
 }
+
+// fixPending returns a copy of engines in which those at which an order of an earlier holder may
+// still take effect can't be moved.
+func (m *Mover) fixPending(guard lease.Guard, engines []Engine) []Engine {
+	movable := slices.Clone(engines)
+	for i := range movable {
+		movable[i].Adaptable = movable[i].Adaptable && lease.MayActAt(guard, movable[i].ID, m.orderTimeout)
+	}
+	return movable
+}
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -52,7 +52,8 @@
 
 // PendingActionWait returns how long an action without an answer is taken to be pending at its
 // receiver, which may stand still and read the action when it goes on. Receivers that stand
-// still for longer than that and the OrderGracePeriod are not covered.
+// still for longer than that and the OrderGracePeriod are not covered; if the sender was paused
+// between the renewal and the action, that is up to one term less.
 func (t Timing) PendingActionWait() time.Duration { return 2 * (t.Term + t.Margin) }
 
 // marginDivisor is the divisor of a term or timeout that gives its margin. The
--- a/internal/weightupdate/updater.go
+++ b/internal/weightupdate/updater.go
@@ -67,10 +67,10 @@
 
 // Tick starts the weight loads that are due, given the current state of the engines.
 // engines must not contain an engine without a report, since an order depends on its
-// version and incarnation, or one at which an order of an earlier holder is pending. Tick does not wait for the loads to end; Wait does.
+// version and incarnation. Tick does not wait for the loads to end; Wait does.
 func (u *Updater) Tick(ctx context.Context, guard lease.Guard, engines []Engine, latest map[string]int64) {
 	u.noteReports(engines)
-	for _, planned := range NextLoads(u.markLoading(engines), latest) {
+	for _, planned := range NextLoads(u.markLoading(guard, engines), latest) {
 		if !u.limiter.Allow() {
 			return
 		}
@@ -111,13 +111,13 @@
 }
 
 // markLoading returns a copy of engines in which Loading is set for those with an order
-// in progress.
-func (u *Updater) markLoading(engines []Engine) []Engine {
+// in progress, also one of an earlier holder that may still take effect.
+func (u *Updater) markLoading(guard lease.Guard, engines []Engine) []Engine {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	marked := slices.Clone(engines)
 	for i := range marked {
-		marked[i].Loading = u.loading[marked[i].ID]
+		marked[i].Loading = u.loading[marked[i].ID] || !lease.MayActAt(guard, marked[i].ID, u.orderTimeout)
 	}
 	return marked
 }
--- a/internal/weightupdate/weightupdate_test.go
+++ b/internal/weightupdate/weightupdate_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -15,6 +16,7 @@
 	"dogwoodpond/internal/engine"
 	"dogwoodpond/internal/event"
 	"dogwoodpond/internal/fault"
+	"dogwoodpond/internal/lease/leasetest"
 )
 
 const loadTime = 2 * time.Second
@@ -147,6 +149,36 @@
 
 func (*fakeGuard) PendingUntil(string) time.Time { return time.Time{} }
 
+// guardOfSuccessor is the guard of a holder whose predecessor left orders without an answer.
+type guardOfSuccessor struct {
+	leasetest.Held
+	pendingAt    []string
+	pendingUntil time.Time
+}
+
+func (g guardOfSuccessor) PendingUntil(receiver string) time.Time {
+	if !slices.Contains(g.pendingAt, receiver) {
+		return time.Time{}
+	}
+	return g.pendingUntil
+}
+
+// Guards against an order to an engine at which one of an earlier holder may still take effect, and
+// against more loads at once than the pool allows, counted with those that may be in progress there.
+func TestEngineWithAPendingOrderCountsAsLoading(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newFakePool(16)
+		p.busy = 8
+		u := newTestUpdater(p)
+		guard := guardOfSuccessor{Held: 2, pendingAt: []string{"engine-00", "engine-01"}, pendingUntil: time.Now().Add(time.Hour)}
+		u.Tick(t.Context(), guard, p.engines(), map[string]int64{"berry-1": 2})
+		u.Wait()
+		if p.maxLoading != 2 || p.versions["engine-00"] != 1 || p.versions["engine-01"] != 1 {
+			t.Errorf("%d engines loaded at once, want 2 beside the pending ones; versions %v", p.maxLoading, p.versions)
+		}
+	})
+}
+
 func newTestUpdater(p *fakePool) *Updater {
 	events := event.NewRecorder("vm", 64, event.NewClock(time.Now), zap.NewNop())
 	return NewUpdater(p, events, 100, 10*time.Second)
