--- a/internal/enginepool/mover.go
+++ b/internal/enginepool/mover.go
@@ -40,7 +40,7 @@
 // queued requests by pool. An order without an answer is not repeated: the engine's next
 // report shows which pool it serves, and the next plan is based on that report.
 func (m *Mover) Tick(ctx context.Context, guard lease.Guard, engines []Engine, queued map[Pool]int) error {
-	move, ok := m.planner.NextMove(m.fixPending(guard, engines), queued)
+	move, ok := m.planner.NextMove(m.excludePending(guard, engines), queued)
 	if !ok {
 		return nil
 	}
@@ -64,9 +64,9 @@
 	return err
 }
 
-// fixPending returns a copy of engines in which those at which an order of an earlier holder may
-// still take effect can't be moved.
-func (m *Mover) fixPending(guard lease.Guard, engines []Engine) []Engine {
+// excludePending returns a copy of engines in which those at which an order of an earlier holder
+// may still take effect count as not adaptable, so that they are not moved.
+func (m *Mover) excludePending(guard lease.Guard, engines []Engine) []Engine {
 	movable := slices.Clone(engines)
 	for i := range movable {
 		movable[i].Adaptable = movable[i].Adaptable && lease.MayActAt(guard, movable[i].ID, m.orderTimeout)
--- a/internal/weightload/settle.go
+++ b/internal/weightload/settle.go
@@ -88,8 +88,8 @@
 }
 
 // allowsOrders reports whether the engine may get orders: it is settled, and no order of an
-// earlier holder is pending there. What waits at an engine that stood still is read by the time
-// it is settled; the other case are orders that are held elsewhere.
+// earlier holder is pending there. The first covers orders that wait at an engine that stood
+// still, the second also those that are held on their way.
 func (s *settler) allowsOrders(e *target.Entry) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
