Events: why an attempt at an item got no answer, and the upstream's incarnation

"broke off" stood for a refused connection, a request without an answer, a stream that ended early and an answer that can't be used; "moved" for a slow engine and a silent one. Attempts and the list of upstreams name the incarnation.

--- a/internal/ctl/timeline.go
+++ b/internal/ctl/timeline.go
@@ -216,6 +216,7 @@
 	number("epoch", int64(s.Epoch))
 	number("attempt", int64(s.Attempt))
 	number("count", s.Count)
+	number("incarnation", s.Incarnation)
 	number("position", s.Position)
 	text("detail", s.Detail)
 	return strings.Join(parts, " ")
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -111,7 +111,7 @@
 	{LeaseLeftToExpire, zap.InfoLevel, "lease left to expire", "The VM stopped its duty but did not release the lease, because an action under it got no answer and may still take effect; the next holder waits for two terms and their margins."},
 	{RequestAccepted, zap.InfoLevel, "request accepted", "A caller's request was authenticated."},
 	{RequestDispatched, zap.InfoLevel, "request dispatched", "An attempt of the request was sent to the upstream."},
-	{AttemptFailed, zap.WarnLevel, "attempt failed", "An attempt failed; Detail gives the failure code."},
+	{AttemptFailed, zap.WarnLevel, "attempt failed", "An attempt failed; Detail gives the failure code. Of an item: \"no connection\" (the item was not sent), \"no answer\", \"broke off\" (the answer ended before the text), \"stalled\" (no event in time), \"invalid answer\" (the upstream answered what can't be used), or why it was refused, moved or failed. Incarnation is that of the upstream."},
 	{RequestAnswered, zap.InfoLevel, "request answered", "The caller received the complete answer."},
 	{RequestRefused, zap.InfoLevel, "request refused", "The request was refused; Detail gives the failure code and the execution."},
 	{StreamResumed, zap.InfoLevel, "stream resumed", "A stream is continued at another upstream after Count tokens."},
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -39,9 +39,11 @@
 	Slot     string `json:"slot,omitempty"`
 	Lease    string `json:"lease,omitempty"`
 	Upstream string `json:"upstream,omitempty"`
-	Peer     string `json:"peer,omitempty"`
-	Revision uint64 `json:"revision,omitempty"`
-	Epoch    uint64 `json:"epoch,omitempty"`
+	// Incarnation is the start of the upstream's incarnation, in Unix milliseconds.
+	Incarnation int64  `json:"incarnation,omitempty"`
+	Peer        string `json:"peer,omitempty"`
+	Revision    uint64 `json:"revision,omitempty"`
+	Epoch       uint64 `json:"epoch,omitempty"`
 	// Attempt is the number of the attempt at a request or slot, counted from 1.
 	Attempt int `json:"attempt,omitempty"`
 	// Count is a number; the catalogue defines its meaning for each event.
@@ -155,6 +157,9 @@
 	addText("upstream", s.Upstream)
 	addText("peer", s.Peer)
 	addText("detail", s.Detail)
+	if s.Incarnation != 0 {
+		enc.AddInt64("incarnation", s.Incarnation)
+	}
 	if s.Revision != 0 {
 		enc.AddUint64("revision", s.Revision)
 	}
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -357,7 +357,7 @@
 		backoff = a.entry.NoteFailure(time.Now())
 	}
 	r.Events.Emit(event.AttemptFailed, event.Subject{
-		Request: r.call.ID, Account: r.call.Account, Upstream: a.entry.Info().ID, Attempt: len(r.tried),
+		Request: r.call.ID, Account: r.call.Account, Upstream: a.entry.Info().ID, Incarnation: a.entry.Info().Started, Attempt: len(r.tried),
 		Detail: detail + " " + string(a.execution) + ": " + a.err.Error(), Count: backoff.Milliseconds(),
 	})
 }
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -149,8 +149,8 @@
 	execution := fault.ExecutionOf(err)
 	s.lastErr = err
 	s.execution = s.execution.Or(execution)
-	upstream := s.tried[len(s.tried)-1].Info().ID
-	s.Events.Emit(event.AttemptFailed, event.Subject{Request: s.call.ID, Account: s.call.Account, Upstream: upstream, Attempt: len(s.tried), Detail: string(fault.CodeOf(err)) + " " + string(execution)})
+	upstream := s.tried[len(s.tried)-1].Info()
+	s.Events.Emit(event.AttemptFailed, event.Subject{Request: s.call.ID, Account: s.call.Account, Upstream: upstream.ID, Incarnation: upstream.Started, Attempt: len(s.tried), Detail: string(fault.CodeOf(err)) + " " + string(execution)})
 	if ctx.Err() != nil || fault.Is[*fault.CallerGone](err) && ctx.Err() != nil {
 		return false
 	}
--- a/internal/step/item.go
+++ b/internal/step/item.go
@@ -36,8 +36,16 @@
 const (
 	// attemptComplete: the engine sent the text up to its end.
 	attemptComplete attemptOutcome = iota
-	// attemptInterrupted: the attempt got no complete, valid answer.
+	// attemptInterrupted: the answer ended before the text was complete.
 	attemptInterrupted
+	// attemptUnreachable: there was no connection to the engine, and the item was not sent.
+	attemptUnreachable
+	// attemptUnanswered: the item was sent, and no answer to it arrived.
+	attemptUnanswered
+	// attemptInvalid: the engine answered, but nothing that can be used.
+	attemptInvalid
+	// attemptStalled: this VM canceled the attempt because no event arrived in time.
+	attemptStalled
 	// attemptRefused: the item was not run.
 	attemptRefused
 	// attemptFailed: the engine reported that the item failed.
@@ -50,8 +58,13 @@
 	attemptStale
 )
 
-// errMoved is the cancellation cause of an attempt whose item moves to another engine.
-var errMoved = errors.New("item moved to another engine")
+// Cancellation causes of an attempt whose item moves to another engine.
+var (
+	// errMoved: the engine is slow.
+	errMoved = errors.New("item moved to another engine")
+	// errStalled: the engine sent nothing for some time.
+	errStalled = errors.New("item moved away from an unresponsive engine")
+)
 
 // runAttempt makes one attempt at an item at an engine and handles its outcome.
 func (r *run) runAttempt(i int, n need, entry *target.Entry) {
@@ -63,8 +76,11 @@
 	if r.isObsolete(i) {
 		return
 	}
-	if errors.Is(context.Cause(ctx), errMoved) {
+	switch cause := context.Cause(ctx); {
+	case errors.Is(cause, errMoved):
 		outcome = attemptMoved
+	case errors.Is(cause, errStalled):
+		outcome = attemptStalled
 	}
 	r.handleOutcome(i, n, entry, outcome)
 }
@@ -76,7 +92,7 @@
 	text := r.text(i)
 	if outcome != attemptComplete {
 		r.m.Events.Emit(event.AttemptFailed, event.Subject{
-			Step: r.rec.ID, Slot: r.items[i].ID, Account: r.rec.Account, Upstream: entry.Info().ID,
+			Step: r.rec.ID, Slot: r.items[i].ID, Account: r.rec.Account, Upstream: entry.Info().ID, Incarnation: entry.Info().Started,
 			Detail: outcome.String() + " after event " + strconv.FormatInt(text.lastEvent, 10),
 		})
 	}
@@ -96,14 +112,14 @@
 		r.requeue(i, retryBackoff)
 	case attemptImpossible:
 		r.abandon(i, "the engine says that it can't be done")
-	case attemptMoved:
+	case attemptMoved, attemptStalled:
 		r.countMove(i)
 		r.requeue(i, 0)
 	case attemptStale:
 		r.setText(i, partialText{})
 		entry.NoteModelUnavailable(n.model, now.Add(refusedBackoff))
 		r.requeue(i, 0)
-	case attemptInterrupted:
+	case attemptInterrupted, attemptUnreachable, attemptUnanswered, attemptInvalid:
 		entry.NoteUnanswered()
 		entry.NoteFailure(now)
 		r.requeue(i, r.interruptedBackoff(i, text))
@@ -127,7 +143,7 @@
 
 // String returns the name of the outcome in events and metrics.
 func (o attemptOutcome) String() string {
-	return [...]string{"whole", "broke off", "refused unrun", "failed", "impossible", "moved", "too old weights"}[o]
+	return [...]string{"whole", "broke off", "no connection", "no answer", "invalid answer", "stalled", "refused unrun", "failed", "impossible", "moved", "too old weights"}[o]
 }
 
 // handleComplete handles an item whose text is complete. A text whose weight versions the step
@@ -200,10 +216,13 @@
 	}()
 	response, err := a.run.m.Transport.Call(ctx, a.entry, a.request())
 	if err != nil {
-		if fault.ExecutionOf(err) == fault.NotRun && !fault.Is[*fault.UpstreamFailed](err) {
-			return attemptRefused
+		switch {
+		case fault.ExecutionOf(err) != fault.NotRun:
+			return attemptUnanswered
+		case fault.Is[*fault.UpstreamFailed](err):
+			return attemptUnreachable
 		}
-		return attemptInterrupted
+		return attemptRefused
 	}
 	defer func() { _ = response.Body.Close() }()
 	if outcome, ends := checkResponse(response); ends {
@@ -229,7 +248,7 @@
 	case response.Status == http.StatusInternalServerError:
 		return attemptFailed, true
 	case response.Status != http.StatusOK:
-		return attemptInterrupted, true
+		return attemptInvalid, true
 	}
 	return attemptComplete, false
 }
@@ -276,7 +295,7 @@
 		if changed, ok := e.Field(response.VersionField); ok {
 			version, err = strconv.ParseInt(changed, 10, 64)
 			if err != nil {
-				return attemptInterrupted
+				return attemptInvalid
 			}
 			a.entry.NoteVersion(a.need.model, version)
 		}
@@ -284,7 +303,7 @@
 			continue
 		}
 		if text.hasEvents && e.ID != text.lastEvent+1 {
-			return attemptInterrupted
+			return attemptInvalid
 		}
 		text.add(e, version)
 		a.run.setText(a.index, text)
--- a/internal/step/move.go
+++ b/internal/step/move.go
@@ -92,5 +92,5 @@
 	}
 	a.entry.NoteUnanswered()
 	a.entry.NoteFailure(now)
-	a.cancel(errMoved)
+	a.cancel(errStalled)
 }
--- a/internal/target/roster.go
+++ b/internal/target/roster.go
@@ -156,7 +156,7 @@
 	}
 	for _, e := range entries {
 		info := e.Info()
-		r.events.Emit(number, event.Subject{Upstream: info.ID, Detail: info.Service + " at " + info.Address})
+		r.events.Emit(number, event.Subject{Upstream: info.ID, Incarnation: info.Started, Detail: info.Service + " at " + info.Address})
 	}
 }
 
