--- /dev/null
+++ b/internal/step/query_of_death_test.go
@@ -0,0 +1,381 @@
+package step
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"dogwoodpond/internal/fault"
+	"dogwoodpond/internal/target"
+)
+
+// maxEndsPerItem is the number of upstreams under which an item may have ended and still be sent.
+const maxEndsPerItem = 3
+
+// fatality is how an item ends the engine that runs it.
+type fatality int
+
+const (
+	// endsBeforeAnswer ends the engine before the header of its answer.
+	endsBeforeAnswer fatality = iota
+	// endsMidStream ends the engine in the middle of the text.
+	endsMidStream
+	// silencesEngine makes the engine stop answering without closing its connections.
+	silencesEngine
+)
+
+func (f fatality) String() string {
+	return [...]string{"before the answer", "in the stream", "silently"}[f]
+}
+
+// mortalEngine is the current incarnation of an engine.
+type mortalEngine struct {
+	info target.Instance
+	// running holds the items that run.
+	running map[string]bool
+	// ended is closed when the incarnation ends.
+	ended chan struct{}
+	down  bool
+	// silent is true when the incarnation ended without closing its connections.
+	silent bool
+}
+
+// engineEnd is the end of an incarnation.
+type engineEnd struct {
+	engine string
+	// culprit is the item that ended it; empty for a crash of another cause.
+	culprit string
+	// bystanders are the other items that ran.
+	bystanders []string
+	at         time.Time
+}
+
+// mortalEngines are engines that end under certain items and start again as a new incarnation. It
+// implements target.Transport.
+type mortalEngines struct {
+	cluster *cluster
+	// fatal holds the items that end engines.
+	fatal map[string]fatality
+	// fatalAfter is the time from the start of a fatal item to the end of its engine.
+	fatalAfter time.Duration
+	events     int
+	gap        time.Duration
+	// restartAfter is the time from an end to the start of the next incarnation, and listLag the time
+	// until the list shows it. The entry of an ended engine is removed after unlistAfter.
+	restartAfter, listLag, unlistAfter time.Duration
+	// breaks, if set, reports whether attempt n of an item, from 1, loses its connection.
+	breaks func(item string, n int) bool
+
+	mu       sync.Mutex
+	engines  map[string]*mortalEngine
+	ends     []engineEnd
+	sent     map[string][]time.Time
+	listings []target.Change
+}
+
+// newMortalEngines makes the engines of a cluster mortal.
+func newMortalEngines(cl *cluster) *mortalEngines {
+	f := &mortalEngines{
+		cluster: cl, fatal: map[string]fatality{}, fatalAfter: 150 * time.Millisecond, events: 20, gap: 50 * time.Millisecond,
+		restartAfter: 3 * time.Second, listLag: 800 * time.Millisecond, unlistAfter: 3600 * time.Millisecond,
+		engines: map[string]*mortalEngine{}, sent: map[string][]time.Time{},
+	}
+	for i, info := range cl.instances {
+		if info.Service == "lm" {
+			cl.instances[i].Started = 1
+			info.Started = 1
+			f.engines[info.ID] = &mortalEngine{info: info, running: map[string]bool{}, ended: make(chan struct{})}
+		}
+	}
+	cl.transportOf = func(string, string) target.Transport { return f }
+	return f
+}
+
+// end ends an engine and starts its next incarnation later.
+func (f *mortalEngines) end(e *mortalEngine, culprit string, silent bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if e.down {
+		return
+	}
+	e.down, e.silent = true, silent
+	end := engineEnd{engine: e.info.ID, culprit: culprit, at: time.Now()}
+	for item := range e.running {
+		if item != culprit {
+			end.bystanders = append(end.bystanders, item)
+		}
+	}
+	f.ends = append(f.ends, end)
+	close(e.ended)
+	time.AfterFunc(f.unlistAfter, func() {
+		f.mu.Lock()
+		down := e.down
+		f.mu.Unlock()
+		if down {
+			f.list(target.UnlistedChange(e.info.ID))
+		}
+	})
+	time.AfterFunc(f.restartAfter, func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		next := e.info
+		next.Started++
+		f.engines[next.ID] = &mortalEngine{info: next, running: map[string]bool{}, ended: make(chan struct{})}
+		e.down = false
+		time.AfterFunc(f.listLag, func() { f.list(target.ListedChange(next)) })
+	})
+}
+
+// list applies a change of the list of upstreams at all VMs, also those that start later.
+func (f *mortalEngines) list(change target.Change) {
+	f.mu.Lock()
+	f.listings = append(f.listings, change)
+	f.mu.Unlock()
+	f.cluster.mu.Lock()
+	defer f.cluster.mu.Unlock()
+	for _, v := range f.cluster.vms {
+		v.Roster.Apply(change)
+	}
+}
+
+// Call implements target.Transport.
+func (f *mortalEngines) Call(ctx context.Context, entry *target.Entry, request *target.Request) (*target.Response, error) {
+	id := entry.Info().ID
+	f.mu.Lock()
+	e := f.engines[id]
+	if e.down {
+		silent := e.silent
+		f.mu.Unlock()
+		if silent {
+			const dialTimeout = 400 * time.Millisecond
+			select {
+			case <-ctx.Done():
+			case <-time.After(dialTimeout):
+			}
+		}
+		return nil, fault.WithExecution(errors.WithStack(&fault.UpstreamFailed{Upstream: id, Reason: "no connection"}), fault.NotRun)
+	}
+	f.sent[request.ID] = append(f.sent[request.ID], time.Now())
+	n := len(f.sent[request.ID])
+	e.running[request.ID] = true
+	f.mu.Unlock()
+	how, fatal := f.fatal[request.ID]
+	if fatal && how == endsBeforeAnswer {
+		defer f.stopRunning(e, request.ID)
+		select {
+		case <-ctx.Done():
+		case <-e.ended:
+		case <-time.After(f.fatalAfter):
+			f.end(e, request.ID, false)
+		}
+		return nil, fault.WithExecution(errors.WithStack(&fault.UpstreamFailed{Upstream: id, Reason: "no answer"}), fault.Unknown)
+	}
+	body, out := io.Pipe()
+	go f.write(ctx, e, out, request, n)
+	return &target.Response{Status: http.StatusOK, Version: 1, VersionField: "v", Body: body}, nil
+}
+
+func (f *mortalEngines) stopRunning(e *mortalEngine, item string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(e.running, item)
+}
+
+// write streams a text until it is complete, the caller leaves or the engine ends.
+func (f *mortalEngines) write(ctx context.Context, e *mortalEngine, out *io.PipeWriter, request *target.Request, attempt int) {
+	defer f.stopRunning(e, request.ID)
+	how, fatal := f.fatal[request.ID]
+	broken := f.breaks != nil && f.breaks(request.ID, attempt)
+	from, _ := strconv.Atoi(request.LastEventID)
+	for n := from + 1; n <= f.events; n++ {
+		var endTimer <-chan time.Time
+		if fatal && n == from+4 {
+			endTimer = time.After(f.fatalAfter)
+		}
+		select {
+		case <-ctx.Done():
+			_ = out.CloseWithError(ctx.Err())
+			return
+		case <-e.ended:
+		case <-endTimer:
+			f.end(e, request.ID, how == silencesEngine)
+		case <-time.After(f.gap):
+			if endTimer == nil {
+				break
+			}
+			select {
+			case <-ctx.Done():
+			case <-e.ended:
+			case <-endTimer:
+				f.end(e, request.ID, how == silencesEngine)
+			}
+		}
+		select {
+		case <-e.ended:
+			if e.silent {
+				<-ctx.Done()
+			}
+			_ = out.CloseWithError(io.ErrUnexpectedEOF)
+			return
+		default:
+		}
+		if broken && n == from+3 {
+			_ = out.CloseWithError(io.ErrUnexpectedEOF)
+			return
+		}
+		if _, err := fmt.Fprintf(out, "id: %d\ndata: %s-%d\n\n", n, request.ID, n); err != nil {
+			return
+		}
+	}
+	_ = out.Close()
+}
+
+// endsUnder returns how many engines an item ended, and how many attempts it got after it had ended
+// maxEndsPerItem.
+func (f *mortalEngines) endsUnder(item string) (ends, sentAfter int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var last time.Time
+	for _, end := range f.ends {
+		if end.culprit != item {
+			continue
+		}
+		if ends++; ends == maxEndsPerItem {
+			last = end.at
+		}
+	}
+	for _, at := range f.sent[item] {
+		if !last.IsZero() && at.After(last) {
+			sentAfter++
+		}
+	}
+	return ends, sentAfter
+}
+
+// mortalPlay is a step whose first items end their engines.
+type mortalPlay struct {
+	*mortalEngines
+	t     *testing.T
+	step  Spec
+	items []Item
+}
+
+// newMortalPlay returns a play of a step at nine engines; its first fatal items end engines.
+func newMortalPlay(t *testing.T, n, fatal int, how fatality) *mortalPlay {
+	cl := newCluster(t, "e1", "e2", "e3", "e4", "e5", "e6", "e7", "e8", "e9")
+	p := &mortalPlay{mortalEngines: newMortalEngines(cl), t: t, step: spec("s"), items: items(n)}
+	for i := range fatal {
+		p.fatal[p.items[i*n/fatal].ID] = how
+	}
+	return p
+}
+
+// results returns the committed results by item.
+func (p *mortalPlay) results() map[string]Result {
+	p.t.Helper()
+	list, err := readAllResults(p.t.Context(), p.cluster.store, p.step.ID)
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	results := map[string]Result{}
+	for _, r := range list {
+		results[r.Item] = r
+	}
+	return results
+}
+
+// check checks that no item was sent after it had ended maxEndsPerItem engines, and that all others
+// are complete.
+func (p *mortalPlay) check() {
+	p.t.Helper()
+	for item := range p.fatal {
+		ends, sentAfter := p.endsUnder(item)
+		if ends > maxEndsPerItem || sentAfter > 0 {
+			p.t.Errorf("item %s ended %d engines and was sent %d times after the third end", item, ends, sentAfter)
+		}
+	}
+	p.checkSound()
+}
+
+// checkSound checks that all items that end no engine are complete.
+func (p *mortalPlay) checkSound() {
+	p.t.Helper()
+	results := p.results()
+	for _, item := range p.items {
+		if _, fatal := p.fatal[item.ID]; fatal {
+			continue
+		}
+		if r, ok := results[item.ID]; !ok || r.Outcome != Completed || r.Text != textOf(item.ID, p.events) {
+			p.t.Errorf("item %s has the result %q", item.ID, r.Outcome)
+		}
+	}
+}
+
+// Guards against an item that ends every engine to which it is sent, one after another.
+func TestItemUnderWhichEnginesEndIsSentToThreeAtMost(t *testing.T) {
+	for _, how := range []fatality{endsBeforeAnswer, endsMidStream, silencesEngine} {
+		t.Run(how.String(), func(t *testing.T) {
+			bubble(t, func(t *testing.T) {
+				p := newMortalPlay(t, 48, 1, how)
+				submit(t, p.cluster.start("a"), p.step, p.items)
+				time.Sleep(19 * time.Second)
+				p.logTimeline()
+				p.check()
+			})
+		})
+	}
+}
+
+// Guards against a count of ended engines that is lost with the owner of the step.
+func TestNextOwnerKnowsEnginesThatEndedUnderAnItem(t *testing.T) {
+	owners := map[string]func(*cluster, *testVM){
+		"killed":  func(cl *cluster, v *testVM) { cl.crash(v) },
+		"leaving": func(cl *cluster, v *testVM) { v.Leave(cl.t.Context()); cl.crash(v) },
+	}
+	for name, lose := range owners {
+		for _, how := range []fatality{endsBeforeAnswer, endsMidStream, silencesEngine} {
+			for _, after := range []time.Duration{700 * time.Millisecond, 1500 * time.Millisecond, 4 * time.Second} {
+				t.Run(fmt.Sprintf("%s %s %s", name, how, after), func(t *testing.T) {
+					bubble(t, func(t *testing.T) {
+						p := newMortalPlay(t, 48, 1, how)
+						a := p.cluster.start("a")
+						p.cluster.start("b")
+						submit(t, a, p.step, p.items)
+						time.Sleep(after)
+						lose(p.cluster, a)
+						time.Sleep(19 * time.Second)
+						p.logTimeline()
+						p.check()
+					})
+				})
+			}
+		}
+	}
+}
+
+// logTimeline logs the ends of engines.
+func (f *mortalEngines) logTimeline() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	counts := map[string]int{}
+	for _, end := range f.ends {
+		slices.Sort(end.bystanders)
+		for _, item := range end.bystanders {
+			counts[item]++
+		}
+		f.cluster.t.Logf("%s: %s ended under %q beside %d others", end.at.Format("05.000"), end.engine, end.culprit, len(end.bystanders))
+	}
+	byCount := map[int]int{}
+	for _, n := range counts {
+		byCount[n]++
+	}
+	f.cluster.t.Logf("%d ends; other items by the number of ends beside them: %v", len(f.ends), byCount)
+}
