Items of steps: at most three engines may end under one item

What callers saw: an item that ends the engine that runs it was sent to one engine after another for as long as its step was open; every one ended, with all that ran beside it.

Cause: what bounds the attempts at an item counts answers of failure. An engine that ends gives none, so the attempt was retried after a backoff, and nothing was counted or kept for the next owner. The class is a query of death whose retries are bounded by answers only.

Now an item whose answer was lost at an incarnation of an engine is under suspicion until that incarnation reports again, 250 ms or more later ("born" of the report). Under three suspicions it is held back: it waits without a slot until an engine reports, or until it may be abandoned. Before an item under suspicion is sent again, the engine to which it goes is recorded in a row of its step, which all VMs watch with the states: the next owner, the runs of other copies and the next step with the same item count it too. While that can't be saved, the item waits. An item under suspicion prefers engines without another one, and one that may end its last engine runs where no other does and none is added.

--- /dev/null
+++ b/internal/poison/ledger_test.go
@@ -0,0 +1,53 @@
+package poison
+
+import (
+	"testing"
+	"time"
+)
+
+var (
+	request = Request{Account: "a", ID: "q"}
+	first   = Incarnation{Upstream: "e1", Started: 1}
+	again   = Incarnation{Upstream: "e1", Started: 2}
+)
+
+// Guards against a suspicion that an answer from before the lost one lifts.
+func TestEarlierSignOfLifeLiftsNoSuspicion(t *testing.T) {
+	l, lostAt := NewLedger(), time.Unix(100, 0)
+	l.Add(request, first, lostAt)
+	l.NoteRunning(first, lostAt)
+	l.NoteRunning(first, lostAt.Add(-time.Second))
+	if l.Count(request) != 1 {
+		t.Error("the suspicion was lifted")
+	}
+	l.NoteRunning(first, lostAt.Add(time.Millisecond))
+	if !l.Empty() {
+		t.Error("the suspicion was not lifted")
+	}
+}
+
+// Guards against a new incarnation that counts as a sign of life of the one that ended.
+func TestNextIncarnationLiftsNoSuspicion(t *testing.T) {
+	l := NewLedger()
+	l.Add(request, first, time.Unix(100, 0))
+	l.NoteRunning(again, time.Unix(200, 0))
+	l.Remove(request, again)
+	if !l.Has(request, first) {
+		t.Error("the suspicion was lifted")
+	}
+}
+
+// Guards against one incarnation that counts several times against a request.
+func TestIncarnationCountsOnce(t *testing.T) {
+	l := NewLedger()
+	for n := range int64(4) {
+		l.Add(request, first, time.Unix(n, 0))
+	}
+	l.Add(request, again, time.Unix(9, 0))
+	if n := l.Count(request); n != 2 {
+		t.Errorf("the count is %d, want 2", n)
+	}
+	if l.Expire(time.Unix(8, 0)); l.Count(request) != 1 || l.Has(request, first) {
+		t.Error("the older suspicion has not expired, or the newer one has")
+	}
+}
--- a/internal/step/cluster_test.go
+++ b/internal/step/cluster_test.go
@@ -47,6 +47,8 @@
 	storeAvailable func(name string) bool
 	// transportOf, if set, returns the transport that an incarnation of a VM uses.
 	transportOf func(name, incarnation string) target.Transport
+	// reports, if set, are the engines' reports. Without it all engines still run.
+	reports EngineReports
 	// domains maps VMs that are not in failure domain "x" to their domains.
 	domains map[string]string
 	// storeOf, if set, returns the store that a VM uses.
@@ -104,11 +106,15 @@
 	if cl.transportOf != nil {
 		transport = cl.transportOf(name, incarnation)
 	}
+	var reports EngineReports = runningEngines{}
+	if cl.reports != nil {
+		reports = cl.reports
+	}
 	ctx, kill := context.WithCancel(cl.t.Context())
 	v := &testVM{kill: kill, Manager: NewManager(Config{
 		CallBudget: budget.New(budget.Rates{}),
 		VM:         name, Incarnation: incarnation, Domain: domain, Store: store, Clock: cl.store, Members: fakeMembers{cl, name, incarnation},
-		View: view, Roster: roster, Transport: transport, Scorer: cl.scorer, Events: events, Retention: time.Minute,
+		View: view, Roster: roster, Transport: transport, Engines: reports, Scorer: cl.scorer, Events: events, Retention: time.Minute,
 		AnnouncedVersion: func(string) (int64, bool) { return 1, true },
 		PreferredOwner:   cl.preferredOwner,
 		StoreAvailable:   func() bool { return cl.storeAvailable == nil || cl.storeAvailable(name) },
@@ -129,6 +135,13 @@
 	v.kill()
 }
 
+// runningEngines are the reports of engines that never end.
+type runningEngines struct{}
+
+func (runningEngines) Started(_ context.Context, e *target.Entry) (int64, error) {
+	return e.Info().Started, nil
+}
+
 // fakeMembers is a fake member list, as seen by one VM.
 type fakeMembers struct {
 	cluster           *cluster
--- a/internal/step/dispatch.go
+++ b/internal/step/dispatch.go
@@ -32,6 +32,7 @@
 		case <-timer.C:
 		}
 		for _, r := range m.runsByDueTime() {
+			m.reviewSuspects(r)
 			m.dispatchScores(r)
 			m.dispatch(r)
 		}
@@ -55,6 +56,7 @@
 func (m *Manager) dispatch(r *run) {
 	now := time.Now()
 	rankings := make(map[needKey]*ranking)
+	var suspects []suspectAttempt
 	m.chooseOrder(r, rankings, now)
 	for pos, ok := r.nextInPhase(phasePending, 0, now); ok; pos, ok = r.nextInPhase(phasePending, pos+1, now) {
 		i := r.order[pos]
@@ -63,6 +65,12 @@
 			r.abandonFrom(i, phasePending, routed)
 			continue
 		}
+		if m.suspicions.Count(r.request(i)) > 0 {
+			if attempt, ok := m.placeSuspect(r, i, n, now); ok {
+				suspects = append(suspects, attempt)
+			}
+			continue
+		}
 		engines, known := rankings[n.key()]
 		if !known {
 			engines = newRanking(m.newPool(m.engines(n.service, now), n, now), n, now)
@@ -73,6 +81,7 @@
 			m.tasks.Go(func() { r.runAttempt(i, n, entry) })
 		}
 	}
+	m.startSuspects(r, suspects)
 }
 
 // chooseOrder selects the item order that suits the slots of the engines that can serve
--- a/internal/step/early.go
+++ b/internal/step/early.go
@@ -98,6 +98,7 @@
 		<-decidedCh
 	case run != nil && !e.claimWithRetry(run, accepted):
 		e.manager.stop(run)
+		e.manager.saveLossesOfStopped(run)
 	}
 }
 
@@ -147,6 +148,9 @@
 		return false
 	}
 	committed, err := readAllResults(ctx, m.Store, owned.ID)
+	if err == nil {
+		err = m.readLosses(ctx, owned.ID)
+	}
 	if err != nil {
 		m.emitTakeoverFailed(owned.State, err)
 	}
--- a/internal/step/item.go
+++ b/internal/step/item.go
@@ -71,6 +71,7 @@
 	defer entry.End()
 	ctx, cancel := r.beginCall(i)
 	defer cancel(nil)
+	r.noteAttemptStart(i, entry)
 	a := &attempt{run: r, index: i, need: n, entry: entry, cancel: cancel}
 	outcome := a.generate(ctx)
 	if r.isObsolete(i) {
@@ -82,6 +83,7 @@
 	case errors.Is(cause, errStalled):
 		outcome = attemptStalled
 	}
+	r.noteAttemptEnd(i, entry, outcome)
 	r.handleOutcome(i, n, entry, outcome)
 }
 
@@ -112,9 +114,13 @@
 		r.requeue(i, retryBackoff)
 	case attemptImpossible:
 		r.abandon(i, "the engine says that it can't be done")
-	case attemptMoved, attemptStalled:
+	case attemptMoved:
 		r.countMove(i)
 		r.requeue(i, 0)
+	case attemptStalled:
+		r.countMove(i)
+		// Until then an engine that still runs has reported.
+		r.requeue(i, retryBackoff)
 	case attemptStale:
 		r.setText(i, partialText{})
 		entry.NoteModelUnavailable(n.model, now.Add(refusedBackoff))
@@ -202,6 +208,8 @@
 	stallTimer *time.Timer
 	// ended is true once the attempt has ended.
 	ended atomic.Bool
+	// suspected is true once the engine may have ended, because no event arrived in time.
+	suspected atomic.Bool
 	// startedAt is when the attempt started.
 	startedAt time.Time
 }
@@ -291,6 +299,9 @@
 			return attemptInterrupted
 		}
 		a.stallTimer.Reset(nextEventTimeout)
+		if a.suspected.CompareAndSwap(true, false) {
+			a.run.m.suspicions.Remove(a.run.request(a.index), incarnationOf(a.entry))
+		}
 		a.entry.NoteRunningSince(a.startedAt)
 		if changed, ok := e.Field(response.VersionField); ok {
 			version, err = strconv.ParseInt(changed, 10, 64)
--- a/internal/step/itemlist.go
+++ b/internal/step/itemlist.go
@@ -20,13 +20,16 @@
 	phaseUnscored
 	// phaseScoring items have a score call in progress.
 	phaseScoring
+	// phaseHeld items are not sent, because as many engines as are allowed may have ended under
+	// them.
+	phaseHeld
 	// phaseDone items have a result, committed or queued for commit.
 	phaseDone
 )
 
 // String returns the name of the phase in events.
 func (p phase) String() string {
-	return [...]string{"pending", "running", "unscored", "scoring", "done"}[p]
+	return [...]string{"pending", "running", "unscored", "scoring", "held back", "done"}[p]
 }
 
 // itemList holds the phases of a run's items and the list of their results. An item gets at most
--- a/internal/step/manager.go
+++ b/internal/step/manager.go
@@ -12,6 +12,7 @@
 	"dogwoodpond/internal/budget"
 	"dogwoodpond/internal/event"
 	"dogwoodpond/internal/fault"
+	"dogwoodpond/internal/poison"
 	"dogwoodpond/internal/route"
 	"dogwoodpond/internal/rowstore"
 	"dogwoodpond/internal/scoring"
@@ -51,6 +52,12 @@
 // Process identifies one incarnation of a VM's process.
 type Process struct{ VM, Incarnation string }
 
+// EngineReports reads what engines report of themselves.
+type EngineReports interface {
+	// Started returns the start of the engine's incarnation, in Unix milliseconds.
+	Started(ctx context.Context, e *target.Entry) (int64, error)
+}
+
 // Config holds the identity and the dependencies of a manager.
 type Config struct {
 	// VM and Incarnation identify this process. Domain is its failure domain.
@@ -61,6 +68,7 @@
 	View                    *route.View
 	Roster                  *target.Roster
 	Transport               target.Transport
+	Engines                 EngineReports
 	Scorer                  Scorer
 	Events                  *event.Recorder
 	// AnnouncedVersion returns the version of a model that its trainer announced last.
@@ -88,6 +96,12 @@
 	// statesReadAt is when the state rows were last read, in Unix nanoseconds.
 	statesReadAt atomic.Int64
 
+	// suspicions holds the engines that may have ended under items, suspects the engines that run an
+	// item under suspicion, and checks the checks of engines that may have ended.
+	suspicions *poison.Ledger
+	suspects   suspectEngines
+	checks     *engineChecks
+
 	// mu guards the fields down to noNewRuns. The maps have the step's ID as key.
 	mu sync.Mutex
 	// states holds the newest known state of each step.
@@ -102,7 +116,9 @@
 	takingOver map[string]bool
 	// unownedSince is when this VM first found that a step has no live owner.
 	unownedSince map[string]time.Time
-	retained     *retainedTexts
+	// knownLosses holds the names of the rows of lost answers that were read or written, by step.
+	knownLosses map[string]map[string]bool
+	retained    *retainedTexts
 	// leaving is true once this VM hands over its steps.
 	leaving bool
 	// noNewRuns is true once Run waits for the remaining runs to end.
@@ -124,6 +140,9 @@
 		Config:           c,
 		dispatchSignal:   make(chan struct{}, 1),
 		callLimiter:      scoring.NewCallLimiter(),
+		suspicions:       poison.NewLedger(),
+		checks:           newEngineChecks(),
+		knownLosses:      make(map[string]map[string]bool),
 		takeoverSignal:   make(chan struct{}, 1),
 		states:           make(map[string]stateRecord),
 		runs:             make(map[string]*run),
@@ -263,7 +282,7 @@
 func (m *Manager) replace(rows []rowstore.Row, skipped map[string]bool) {
 	present := make(map[string]bool, len(rows))
 	for _, row := range rows {
-		present[row.Part] = true
+		present[row.Part] = present[row.Part] || !isLossRow(row)
 	}
 	m.apply(rows)
 	m.mu.Lock()
@@ -278,6 +297,10 @@
 // apply records changed state rows and notifies the takeover loop.
 func (m *Manager) apply(rows []rowstore.Row) {
 	for _, row := range rows {
+		if isLossRow(row) {
+			m.observeLosses(row)
+			continue
+		}
 		if row.Deleted {
 			m.removeState(row.Part, row.Version)
 			continue
@@ -309,6 +332,7 @@
 func (m *Manager) removeStateLocked(id string) {
 	delete(m.states, id)
 	delete(m.acceptedVersions, id)
+	delete(m.knownLosses, id)
 }
 
 // recordState records a state unless the same or a newer version is known, and reports whether
@@ -451,6 +475,7 @@
 	r.restoreTexts(texts)
 	m.runs[rec.ID], m.lastRunAt = r, time.Now()
 	m.tasks.Go(r.commitLoop)
+	m.tasks.Go(r.saveLossesLoop)
 	m.tasks.Go(r.saveLoop)
 	m.mu.Unlock()
 	m.notifyDispatcher()
--- a/internal/step/move.go
+++ b/internal/step/move.go
@@ -79,13 +79,15 @@
 	return otherTime > 0 && float64(unitTime) >= idleMoveMinSlowdown*float64(otherTime)
 }
 
-// handleStall moves the item away from an unresponsive engine if another engine has a free
+// handleStall records that an unresponsive engine may have ended under the item, and moves the item away if another engine has a free
 // slot, and otherwise checks again after stallCheckInterval.
 func (a *attempt) handleStall() {
 	if a.ended.Load() {
 		return
 	}
 	now := time.Now()
+	a.suspected.Store(true)
+	a.run.suspect(a.index, a.entry, now.Add(-nextEventTimeout))
 	if place(a.run.shortlists.get(a.run.m, a.need, now).pool, a.need, a.entry, now) == nil {
 		a.stallTimer.Reset(stallCheckInterval)
 		return
--- a/internal/step/place.go
+++ b/internal/step/place.go
@@ -71,11 +71,12 @@
 	otherFirstSender map[*target.Entry]bool
 }
 
-// newPool returns the pool of those engines of a service that can serve a need. With several
+// newPool returns the pool of those engines of a service that can serve a need and are not left to an
+// item under suspicion. With several
 // models on the engines these are few, so costlier decisions consider only them.
 func (m *Manager) newPool(engines []*target.Entry, n need, now time.Time) pool {
 	p := pool{median: target.MedianExpectedUnitTime(engines, now)}
-	for _, e := range engines {
+	for _, e := range m.suspects.withoutClosed(engines) {
 		if canServe(e, n, now) {
 			p.engines = append(p.engines, e)
 		}
--- a/internal/step/query_of_death_test.go
+++ b/internal/step/query_of_death_test.go
@@ -74,6 +74,7 @@
 	// breaks, if set, reports whether attempt n of an item, from 1, loses its connection.
 	breaks func(item string, n int) bool
 
+	started  time.Time
 	mu       sync.Mutex
 	engines  map[string]*mortalEngine
 	ends     []engineEnd
@@ -84,7 +85,7 @@
 // newMortalEngines makes the engines of a cluster mortal.
 func newMortalEngines(cl *cluster) *mortalEngines {
 	f := &mortalEngines{
-		cluster: cl, fatal: map[string]fatality{}, fatalAfter: 150 * time.Millisecond, events: 20, gap: 50 * time.Millisecond,
+		cluster: cl, started: time.Now(), fatal: map[string]fatality{}, fatalAfter: 150 * time.Millisecond, events: 20, gap: 50 * time.Millisecond,
 		restartAfter: 3 * time.Second, listLag: 800 * time.Millisecond, unlistAfter: 3600 * time.Millisecond,
 		engines: map[string]*mortalEngine{}, sent: map[string][]time.Time{},
 	}
@@ -96,6 +97,7 @@
 		}
 	}
 	cl.transportOf = func(string, string) target.Transport { return f }
+	cl.reports = f
 	return f
 }
 
@@ -183,6 +185,17 @@
 	return &target.Response{Status: http.StatusOK, Version: 1, VersionField: "v", Body: body}, nil
 }
 
+// Started implements EngineReports.
+func (f *mortalEngines) Started(_ context.Context, entry *target.Entry) (int64, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	e := f.engines[entry.Info().ID]
+	if e.down {
+		return 0, errors.WithStack(&fault.UpstreamFailed{Upstream: e.info.ID, Reason: "no connection"})
+	}
+	return e.info.Started, nil
+}
+
 func (f *mortalEngines) stopRunning(e *mortalEngine, item string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -336,31 +349,38 @@
 
 // Guards against a count of ended engines that is lost with the owner of the step.
 func TestNextOwnerKnowsEnginesThatEndedUnderAnItem(t *testing.T) {
-	owners := map[string]func(*cluster, *testVM){
-		"killed":  func(cl *cluster, v *testVM) { cl.crash(v) },
-		"leaving": func(cl *cluster, v *testVM) { v.Leave(cl.t.Context()); cl.crash(v) },
-	}
-	for name, lose := range owners {
+	for _, owner := range []string{"killed", "leaving"} {
 		for _, how := range []fatality{endsBeforeAnswer, endsMidStream, silencesEngine} {
 			for _, after := range []time.Duration{700 * time.Millisecond, 1500 * time.Millisecond, 4 * time.Second} {
-				t.Run(fmt.Sprintf("%s %s %s", name, how, after), func(t *testing.T) {
-					bubble(t, func(t *testing.T) {
-						p := newMortalPlay(t, 48, 1, how)
-						a := p.cluster.start("a")
-						p.cluster.start("b")
-						submit(t, a, p.step, p.items)
-						time.Sleep(after)
-						lose(p.cluster, a)
-						time.Sleep(19 * time.Second)
-						p.logTimeline()
-						p.check()
-					})
-				})
+				t.Run(fmt.Sprintf("%s %s %s", owner, how, after), func(t *testing.T) { playNextOwner(t, how, after, owner == "leaving") })
 			}
 		}
 	}
 }
 
+// Guards against an end that nobody has noticed when the owner of the step is killed.
+func TestNextOwnerKnowsEngineThatEndedJustBeforeItsOwner(t *testing.T) {
+	playNextOwner(t, silencesEngine, 400*time.Millisecond, false)
+}
+
+// playNextOwner plays a step whose owner leaves or is killed after a time.
+func playNextOwner(t *testing.T, how fatality, after time.Duration, leaves bool) {
+	bubble(t, func(t *testing.T) {
+		p := newMortalPlay(t, 48, 1, how)
+		a := p.cluster.start("a")
+		p.cluster.start("b")
+		submit(t, a, p.step, p.items)
+		time.Sleep(after)
+		if leaves {
+			a.Leave(t.Context())
+		}
+		p.cluster.crash(a)
+		time.Sleep(19 * time.Second)
+		p.logTimeline()
+		p.check()
+	})
+}
+
 // logTimeline logs the ends of engines.
 func (f *mortalEngines) logTimeline() {
 	f.mu.Lock()
@@ -379,3 +399,105 @@
 	}
 	f.cluster.t.Logf("%d ends; other items by the number of ends beside them: %v", len(f.ends), byCount)
 }
+
+// Guards against a sound item that is held back because its connections break at engines that still
+// run.
+func TestItemsWithBrokenConnectionsAreComplete(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		p := newMortalPlay(t, 48, 0, 0)
+		p.events = 40
+		const breaks = 8
+		p.breaks = func(_ string, n int) bool { return n <= breaks }
+		submit(t, p.cluster.start("a"), p.step, p.items)
+		time.Sleep(19 * time.Second)
+		p.check()
+	})
+}
+
+// Guards against an item that is sent on under the same ID in the trainer's next step, at the same VM or
+// at another one, after it has ended as many engines as are allowed.
+func TestNextStepKnowsEnginesThatEndedUnderAnItem(t *testing.T) {
+	for _, next := range []string{"a", "b", "a VM that starts later"} {
+		t.Run(next, func(t *testing.T) {
+			bubble(t, func(t *testing.T) {
+				p := newMortalPlay(t, 48, 1, endsBeforeAnswer)
+				a, b := p.cluster.start("a"), p.cluster.start("b")
+				submit(t, a, p.step, p.items)
+				time.Sleep(8 * time.Second)
+				if err := a.End(t.Context(), p.step.ID, p.step.Account); err != nil {
+					t.Fatal(err)
+				}
+				v := map[string]*testVM{"a": a, "b": b}[next]
+				if v == nil {
+					p.cluster.crash(a)
+					p.cluster.crash(b)
+					v = p.cluster.start("c")
+				}
+				time.Sleep(time.Second)
+				p.step.ID = "s2"
+				submit(t, v, p.step, p.items)
+				time.Sleep(19 * time.Second)
+				p.logTimeline()
+				p.check()
+			})
+		})
+	}
+}
+
+// Guards against an item that is sent on while its lost answers can't be saved for the next owner.
+func TestItemUnderSuspicionWaitsForTheStore(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		p := newMortalPlay(t, 48, 1, endsBeforeAnswer)
+		p.cluster.storeAvailable = func(string) bool { return time.Since(p.started) > 5*time.Second }
+		a := p.cluster.start("a")
+		p.cluster.start("b")
+		submit(t, a, p.step, p.items)
+		p.cluster.store.SetDown(true)
+		time.Sleep(4 * time.Second)
+		if ends, _ := p.endsUnder(p.items[0].ID); ends != 1 {
+			t.Errorf("%d engines ended while the store was away, want 1", ends)
+		}
+		p.cluster.store.SetDown(false)
+		time.Sleep(2 * time.Second)
+		p.cluster.crash(a)
+		time.Sleep(19 * time.Second)
+		p.logTimeline()
+		p.check()
+	})
+}
+
+// Guards against an item that is held back and never listed.
+func TestItemThatIsHeldBackIsAbandonedInTime(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		p := newMortalPlay(t, 48, 1, endsBeforeAnswer)
+		submit(t, p.cluster.start("a"), p.step, p.items)
+		time.Sleep(p.step.AbandonAfter - time.Second)
+		if r, ok := p.results()[p.items[0].ID]; ok {
+			t.Errorf("the item was listed as %s before its time", r.Outcome)
+		}
+		time.Sleep(2 * time.Second)
+		if r := p.results()[p.items[0].ID]; r.Outcome != Abandoned {
+			t.Errorf("the item is listed as %q after its time", r.Outcome)
+		}
+		p.check()
+	})
+}
+
+// Guards against an item that each early run of a step counts for itself.
+func TestEarlyRunsShareEnginesThatEndedUnderAnItem(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		p := newMortalPlay(t, 48, 1, endsBeforeAnswer)
+		vms := []*testVM{p.cluster.start("a"), p.cluster.start("b"), p.cluster.start("c")}
+		time.Sleep(time.Second)
+		p.cluster.store.SetDown(true)
+		for _, v := range vms {
+			go func() { _ = v.Submit(t.Context(), p.step, p.items) }()
+			time.Sleep(200 * time.Millisecond)
+		}
+		time.Sleep(3 * time.Second)
+		p.cluster.store.SetDown(false)
+		time.Sleep(19 * time.Second)
+		p.logTimeline()
+		p.check()
+	})
+}
--- a/internal/step/run.go
+++ b/internal/step/run.go
@@ -38,6 +38,10 @@
 	// lastUpstream is the upstream that sent the last event of the text; empty when a previous
 	// owner read that event.
 	lastUpstream string
+	// engine is the engine of the attempt in progress, and silentSince the time of its last event or
+	// of its start.
+	engine      *target.Entry
+	silentSince time.Time
 	// cancelCall cancels the attempt or score call that started last; nil before the first.
 	cancelCall context.CancelCauseFunc
 }
@@ -80,6 +84,8 @@
 	mu       sync.Mutex
 	progress []itemProgress
 	list     *itemList
+	// acceptedAt is when the run was accepted, zero before.
+	acceptedAt time.Time
 	// committedCh is closed and replaced when results have been committed.
 	committedCh chan struct{}
 	// queuedCh signals commitLoop that results may be queued.
@@ -89,6 +95,9 @@
 	// commit was prepared or sent and is not confirmed; nil if there is none.
 	commitSlot chan struct{}
 	pending    *pendingBatch
+
+	// losses saves the lost answers of the run's items.
+	losses lossWriter
 }
 
 // newRun returns a run of a step; the items with a result in committed are done.
@@ -106,6 +115,7 @@
 		commitSlot:  make(chan struct{}, 1),
 
 		acceptedCh: make(chan struct{}),
+		losses:     newLossWriter(),
 	}
 	r.order = r.startOrders.byLength
 	r.ctx, r.cancel = context.WithCancel(m.ctx)
@@ -152,6 +162,9 @@
 	if len(committed) > 0 {
 		adopted = r.adopt(committed)
 	}
+	r.mu.Lock()
+	r.acceptedAt = time.Now()
+	r.mu.Unlock()
 	r.acceptedState.Store(&rec)
 	close(r.acceptedCh)
 	return adopted
@@ -306,6 +319,14 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.progress[i].partial = text
+	r.progress[i].silentSince = time.Now()
+}
+
+// noteAttemptStart records the engine of an attempt that starts.
+func (r *run) noteAttemptStart(i int, entry *target.Entry) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.progress[i].engine, r.progress[i].silentSince = entry, time.Now()
 }
 
 // countFailure counts an answer that reported an item as failed, and returns the number of
--- /dev/null
+++ b/internal/step/suspect.go
@@ -0,0 +1,397 @@
+package step
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"dogwoodpond/internal/event"
+	"dogwoodpond/internal/poison"
+	"dogwoodpond/internal/target"
+	"dogwoodpond/internal/wait"
+)
+
+const (
+	// survivalDelay is how long after a lost answer an engine must still run to have survived the
+	// item: a process may take a moment to end after it has closed its connections.
+	survivalDelay = 250 * time.Millisecond
+	// engineCheckTimeout bounds the read of an engine's report.
+	engineCheckTimeout = 400 * time.Millisecond
+	// engineCheckInterval is the interval between the first two checks of an engine that doesn't
+	// report. It doubles with each check up to maxEngineCheckInterval.
+	engineCheckInterval    = 100 * time.Millisecond
+	maxEngineCheckInterval = 1600 * time.Millisecond
+)
+
+// request returns the identity of an item among those of all steps. A trainer may submit an item of an
+// incomplete group again in a later step.
+func (r *run) request(i int) poison.Request {
+	return poison.Request{Account: r.rec.Account, ID: r.items[i].ID}
+}
+
+// incarnationOf returns the incarnation of an engine that an entry stands for.
+func incarnationOf(e *target.Entry) poison.Incarnation {
+	info := e.Info()
+	return poison.Incarnation{Upstream: info.ID, Started: info.Started}
+}
+
+// suspectAttempt is an attempt at an item under suspicion that has a slot but was not started.
+type suspectAttempt struct {
+	index int
+	need  need
+	entry *target.Entry
+}
+
+// suspectEngines holds the engines that run items under suspicion. It is safe for concurrent use.
+type suspectEngines struct {
+	mu sync.Mutex
+	// items holds the number of items under suspicion that each engine runs.
+	items map[*target.Entry]int
+	// closed holds the engines that get no other items for now.
+	closed map[*target.Entry]bool
+}
+
+// add counts an item at an engine. With alone, the engine gets no other items until the item is removed.
+func (s *suspectEngines) add(e *target.Entry, alone bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.items == nil {
+		s.items, s.closed = make(map[*target.Entry]int), make(map[*target.Entry]bool)
+	}
+	s.items[e]++
+	if alone {
+		s.closed[e] = true
+	}
+}
+
+// remove removes an item that add counted.
+func (s *suspectEngines) remove(e *target.Entry) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.items[e]--; s.items[e] == 0 {
+		delete(s.items, e)
+		delete(s.closed, e)
+	}
+}
+
+// has reports whether an engine runs an item under suspicion.
+func (s *suspectEngines) has(e *target.Entry) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.items[e] > 0
+}
+
+// withoutClosed returns the engines that may get other items.
+func (s *suspectEngines) withoutClosed(engines []*target.Entry) []*target.Entry {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.closed) == 0 {
+		return engines
+	}
+	return slices.DeleteFunc(slices.Clone(engines), func(e *target.Entry) bool { return s.closed[e] })
+}
+
+// placeSuspect takes an engine for an item under suspicion. It holds the item back if as many engines as
+// are allowed may have ended under it. While its suspicions can't be saved, because the run is not
+// accepted or the store is away, the item waits.
+func (m *Manager) placeSuspect(r *run, i int, n need, now time.Time) (suspectAttempt, bool) {
+	request := r.request(i)
+	count := m.suspicions.Count(request)
+	if count >= poison.MaxEnds {
+		r.hold(i)
+		return suspectAttempt{}, false
+	}
+	if !r.mayRunSuspects(now) || !m.StoreAvailable() {
+		return suspectAttempt{}, false
+	}
+	last := count == poison.MaxEnds-1
+	candidates := m.newPool(m.engines(n.service, now), n, now)
+	candidates.engines = slices.DeleteFunc(candidates.engines, func(e *target.Entry) bool {
+		return m.suspicions.Has(request, incarnationOf(e))
+	})
+	apart := candidates
+	apart.engines = slices.DeleteFunc(slices.Clone(candidates.engines), m.suspects.has)
+	entry := place(apart, n, nil, now)
+	if entry == nil && !last {
+		entry = place(candidates, n, nil, now)
+	}
+	if entry == nil || !r.changePhase(i, phasePending, phaseRunning) {
+		return suspectAttempt{}, false
+	}
+	m.suspects.add(entry, last)
+	entry.Begin()
+	return suspectAttempt{index: i, need: n, entry: entry}, true
+}
+
+// earlySuspectDelay is how long items under suspicion wait after the acceptance of an early run, until
+// the runs of the step's other copies have stopped and saved what they know.
+const earlySuspectDelay = 500 * time.Millisecond
+
+// mayRunSuspects reports whether the run is accepted and knows the lost answers of other copies of its
+// step.
+func (r *run) mayRunSuspects(now time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return !r.acceptedAt.IsZero() && (r.early == nil || now.Sub(r.acceptedAt) >= earlySuspectDelay)
+}
+
+// startSuspects starts attempts at items under suspicion once the next owner can know of them: should
+// this process end together with the engine, nobody else would count it.
+func (m *Manager) startSuspects(r *run, attempts []suspectAttempt) {
+	if len(attempts) == 0 {
+		return
+	}
+	for _, a := range attempts {
+		m.suspicions.Add(r.request(a.index), incarnationOf(a.entry), time.Now())
+	}
+	m.tasks.Go(func() {
+		ctx, cancel := context.WithTimeout(r.itemCtx, lossTimeout)
+		saved := r.saveLosses(ctx)
+		cancel()
+		for _, a := range attempts {
+			if !saved {
+				m.suspicions.Remove(r.request(a.index), incarnationOf(a.entry))
+				a.entry.End()
+				m.suspects.remove(a.entry)
+				r.requeue(a.index, retryBackoff)
+				continue
+			}
+			m.tasks.Go(func() {
+				defer m.suspects.remove(a.entry)
+				r.runAttempt(a.index, a.need, a.entry)
+			})
+		}
+	})
+}
+
+// noteAttemptEnd updates the suspicions against an item after an attempt at it.
+func (r *run) noteAttemptEnd(i int, entry *target.Entry, outcome attemptOutcome) {
+	request, incarnation := r.request(i), incarnationOf(entry)
+	switch outcome {
+	case attemptUnanswered, attemptInterrupted:
+		r.suspect(i, entry, time.Now())
+	case attemptStalled:
+		// handleStall has recorded it.
+	case attemptComplete:
+		r.m.suspicions.Forget(request)
+	default:
+		r.m.suspicions.Remove(request, incarnation)
+	}
+}
+
+// suspect records that an engine may have ended under an item, at a time or shortly after it.
+func (r *run) suspect(i int, entry *target.Entry, at time.Time) {
+	r.m.suspicions.Add(r.request(i), incarnationOf(entry), at)
+	r.losses.signal()
+	r.m.notifyDispatcher()
+}
+
+// silentPeriod is how long an attempt without an event may last until its engine may have ended
+// without a trace.
+const silentPeriod = 200 * time.Millisecond
+
+// silentAttempts returns the items whose attempts had no event for silentPeriod, by engine.
+func (r *run) silentAttempts(now time.Time) map[*target.Entry][]int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	silent := make(map[*target.Entry][]int)
+	for i := range r.progress {
+		p := &r.progress[i]
+		if r.list.phase(i) == phaseRunning && p.engine != nil && now.Sub(p.silentSince) >= silentPeriod {
+			silent[p.engine] = append(silent[p.engine], i)
+		}
+	}
+	return silent
+}
+
+// suspectEnded records the silent attempts at engines that don't report, for the next owner. Their
+// outcomes will not be known here.
+func (m *Manager) suspectEnded(ctx context.Context, r *run, silent map[*target.Entry][]int) {
+	ctx, cancel := context.WithTimeout(ctx, engineCheckTimeout)
+	defer cancel()
+	var checks sync.WaitGroup
+	for entry, items := range silent {
+		checks.Go(func() {
+			incarnation := incarnationOf(entry)
+			started, err := m.Engines.Started(ctx, entry)
+			if err == nil && started == incarnation.Started {
+				return
+			}
+			for _, i := range items {
+				m.suspicions.Add(r.request(i), incarnation, time.Now())
+			}
+		})
+	}
+	checks.Wait()
+}
+
+// hold makes a pending item wait until fewer engines may have ended under it.
+func (r *run) hold(i int) {
+	if !r.changePhase(i, phasePending, phaseHeld) {
+		return
+	}
+	r.m.Events.Emit(event.ItemHeldBack, r.suspicionSubject(i))
+}
+
+// suspicionSubject returns the subject of an event on the suspicions against an item.
+func (r *run) suspicionSubject(i int) event.Subject {
+	incarnations := r.m.suspicions.Suspects(r.request(i))
+	return event.Subject{
+		Step: r.rec.ID, Slot: r.items[i].ID, Account: r.rec.Account, Count: int64(len(incarnations)), Detail: poison.Describe(incarnations),
+	}
+}
+
+// reviewSuspects checks the engines that may have ended under the items of a run, and releases or
+// abandons the items that were held back.
+func (m *Manager) reviewSuspects(r *run) {
+	if m.suspicions.Empty() && !r.hasHeld() {
+		return
+	}
+	now := time.Now()
+	for i := range r.items {
+		phase := r.phase(i)
+		count := m.suspicions.Count(r.request(i))
+		if phase != phaseHeld && (phase != phasePending || count == 0) {
+			continue
+		}
+		for _, incarnation := range m.suspicions.Suspects(r.request(i)) {
+			m.checkEngine(incarnation, m.suspicions.LostAt(r.request(i), incarnation), now)
+		}
+		if phase != phaseHeld {
+			continue
+		}
+		if _, routed := r.needOf(i); !routed || m.canAbandon(r) {
+			r.abandonFrom(i, phaseHeld, routed)
+		} else if count < poison.MaxEnds && r.changePhase(i, phaseHeld, phasePending) {
+			m.Events.Emit(event.ItemReleased, r.suspicionSubject(i))
+		}
+	}
+}
+
+// phase returns the phase of an item.
+func (r *run) phase(i int) phase {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.list.phase(i)
+}
+
+// hasHeld reports whether an item is held back.
+func (r *run) hasHeld() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.list.has(phaseHeld)
+}
+
+// engineChecks holds the checks of engines that may have ended. It is safe for concurrent use.
+type engineChecks struct {
+	mu     sync.Mutex
+	checks map[poison.Incarnation]*engineCheck
+}
+
+// engineCheck is the state of the checks of one incarnation.
+type engineCheck struct {
+	// due is when the next check may start; interval follows it.
+	due      time.Time
+	interval time.Duration
+	// open is true during a check, ended once another incarnation has answered.
+	open, ended bool
+}
+
+func newEngineChecks() *engineChecks {
+	return &engineChecks{checks: make(map[poison.Incarnation]*engineCheck)}
+}
+
+// begin reports whether a check is due, and opens it.
+func (c *engineChecks) begin(incarnation poison.Incarnation, lostAt, now time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	check := c.checks[incarnation]
+	if check == nil {
+		check = &engineCheck{due: lostAt.Add(survivalDelay), interval: engineCheckInterval}
+		c.checks[incarnation] = check
+	}
+	if check.open || check.ended || now.Before(check.due) {
+		return false
+	}
+	check.open = true
+	return true
+}
+
+// finish closes a check. An engine that has answered is checked again only after a new loss.
+func (c *engineChecks) finish(incarnation poison.Incarnation, answered, ended bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if answered && !ended {
+		delete(c.checks, incarnation)
+		return
+	}
+	check := c.checks[incarnation]
+	check.open, check.ended = false, ended
+	check.due = time.Now().Add(check.interval)
+	check.interval = min(2*check.interval, maxEngineCheckInterval)
+}
+
+// forget removes the checks that were due before a time.
+func (c *engineChecks) forget(before time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for incarnation, check := range c.checks {
+		if !check.open && check.due.Before(before) {
+			delete(c.checks, incarnation)
+		}
+	}
+}
+
+// checkEngine asks an engine whether it is still the incarnation that may have ended at lostAt, if a
+// check is due and the incarnation is listed.
+func (m *Manager) checkEngine(incarnation poison.Incarnation, lostAt, now time.Time) {
+	entry := m.Roster.Incarnation(incarnation.Upstream, incarnation.Started)
+	if entry == nil || !m.checks.begin(incarnation, lostAt, now) {
+		return
+	}
+	m.tasks.Go(func() {
+		ctx, cancel := context.WithTimeout(m.ctx, engineCheckTimeout)
+		defer cancel()
+		asked := time.Now()
+		started, err := m.Engines.Started(ctx, entry)
+		running := err == nil && started == incarnation.Started
+		if running {
+			m.suspicions.NoteRunning(incarnation, asked.Add(-survivalDelay))
+		}
+		m.checks.finish(incarnation, err == nil, err == nil && !running)
+		m.notifyDispatcher()
+	})
+}
+
+// forgetSuspicions removes what is known of items that no trainer submits any more.
+func (m *Manager) forgetSuspicions(now time.Time) {
+	before := now.Add(-m.Retention - retentionGracePeriod)
+	m.suspicions.Expire(before)
+	m.checks.forget(before)
+}
+
+// saveLossesLoop saves lost answers at once, until the run ends.
+func (r *run) saveLossesLoop() {
+	for {
+		select {
+		case <-r.ctx.Done():
+			return
+		case <-r.losses.signalCh:
+		}
+		if !r.accepted() {
+			select {
+			case <-r.ctx.Done():
+				return
+			case <-r.acceptedCh:
+			}
+		}
+		// The items of an engine lose their answers at the same moment.
+		wait.For(r.ctx, dispatchBatchDelay)
+		ctx, cancel := context.WithTimeout(r.ctx, lossTimeout)
+		if !r.saveLosses(ctx) {
+			r.losses.signal()
+		}
+		cancel()
+	}
+}
--- a/internal/step/sweep.go
+++ b/internal/step/sweep.go
@@ -67,7 +67,8 @@
 }
 
 // removeStep removes the objects and rows of a step, the last rows of each table first: a reader during
-// the removal finds fewer results, none of them at the position of another. Each transaction expects the
+// the removal finds fewer results, none of them at the position of another. The names of the rows beside
+// the state row sort before it. Each transaction expects the
 // state row: one that takes effect late must not remove rows of a step with the same ID that was
 // submitted since.
 func (m *Manager) removeStep(ctx context.Context, r stateRecord) error {
@@ -81,7 +82,9 @@
 		if err != nil {
 			return err
 		}
-		slices.Reverse(rows)
+		if table != stateTable {
+			slices.Reverse(rows)
+		}
 		for len(rows) > 0 {
 			n := min(len(rows), sweepMaxRows)
 			txn := rowstore.Txn{Expected: []rowstore.Expectation{{Key: stateKey(r.ID), Version: r.version}}}
--- a/internal/step/takeover.go
+++ b/internal/step/takeover.go
@@ -32,6 +32,7 @@
 		if time.Since(lastSweep) > sweepInterval {
 			lastSweep = time.Now()
 			m.sweep(ctx)
+			m.forgetSuspicions(time.Now())
 		}
 	}
 }
@@ -105,6 +106,9 @@
 		if err == nil {
 			committed, err = readAllResults(ctx, m.Store, r.ID)
 		}
+		if err == nil {
+			err = m.readLosses(ctx, r.ID)
+		}
 		var texts map[string]savedText
 		if err == nil && len(committed) < r.Total {
 			texts, err = readTexts(ctx, m.Store, r.ID, func(row rowstore.Row) {
@@ -171,6 +175,7 @@
 // handOver stops a run's items, commits the finished results, saves the partial texts and
 // clears the owner in the state row. A run that was not accepted is only stopped.
 func (m *Manager) handOver(ctx context.Context, r *run) {
+	silent := r.silentAttempts(time.Now())
 	r.stopItems()
 	if !r.accepted() {
 		m.stop(r)
@@ -178,6 +183,8 @@
 	}
 	r.flush(ctx)
 	r.saveTexts(ctx, 1)
+	m.suspectEnded(ctx, r, silent)
+	r.saveLosses(ctx)
 	m.releaseStep(ctx, r.current())
 	m.stop(r)
 }
--- a/internal/weightload/loader.go
+++ b/internal/weightload/loader.go
@@ -46,6 +46,8 @@
 
 // Report is the state of an engine as the engine reports it.
 type Report struct {
+	// Started is the start of the engine's incarnation, in Unix milliseconds; 0 if it isn't reported.
+	Started int64
 	// Sequence is the number of orders that the engine accepted in this incarnation.
 	Sequence int64
 	// Busy reports whether the engine is executing an order.
