Requests and streams: at most three upstreams may end under one, whatever the route allows

What callers saw: on a route with more than three attempts, a request that ends its upstreams is sent to as many as the route allows. After three attempts without a complete answer the caller gets the failure at once, which says truthfully that the request may have run. A caller waits, so a sound request whose connections broke three times on such a route fails too: there is no time to find out whether the upstreams still run. Answers of 500 and above count as attempts only, as before.

--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -14,6 +14,7 @@
 
 	"dogwoodpond/internal/event"
 	"dogwoodpond/internal/fault"
+	"dogwoodpond/internal/poison"
 	"dogwoodpond/internal/retry"
 	"dogwoodpond/internal/route"
 	"dogwoodpond/internal/target"
@@ -151,6 +152,9 @@
 	notRunAttempts int
 	// pendingCount is the number of pending attempts.
 	pendingCount int
+	// unanswered counts the failed attempts whose upstream may have ended: it ran the request, or may
+	// have, and gave no complete answer.
+	unanswered int
 	// failedAnswers counts the answers that say that the request itself failed.
 	failedAnswers int
 	lastErr       error
@@ -212,7 +216,7 @@
 // so, it has taken a retry from the budget.
 func (r *inflightRequest) allowHedge() bool {
 	return r.call.Route.Kind == route.Idempotent && r.pendingCount == 1 &&
-		r.ranAttempts+r.pendingCount < r.call.Route.Attempts && r.RetryBudget.Take()
+		r.ranAttempts+r.pendingCount < r.call.Route.Attempts && r.mayEndAnother() && r.RetryBudget.Take()
 }
 
 // allowRetry reports whether the request may be sent again after a failed attempt. An
@@ -223,12 +227,17 @@
 		r.notRunAttempts++
 		return r.notRunAttempts <= maxNotRunRetries
 	}
-	if !r.call.Route.Repeatable() || r.ranAttempts+r.pendingCount >= r.call.Route.Attempts {
+	if !r.call.Route.Repeatable() || r.ranAttempts+r.pendingCount >= r.call.Route.Attempts || !r.mayEndAnother() {
 		return false
 	}
 	return r.RetryBudget.Take()
 }
 
+// mayEndAnother reports whether the request may be sent to another upstream, given how many may have
+// ended under it, whatever number of attempts the route allows. The caller waits, so there is no time
+// to find out whether they did.
+func (r *inflightRequest) mayEndAnother() bool { return r.unanswered+r.pendingCount < poison.MaxEnds }
+
 // startAttempt starts an attempt at the next upstream. It returns false if there is none
 // left.
 func (r *inflightRequest) startAttempt(ctx context.Context) bool {
@@ -345,10 +354,14 @@
 	delete(r.pending, a.entry)
 	r.lastErr = a.err
 	r.execution = r.execution.Or(a.execution)
+	answer, answered := ServerErrorAnswer(a.err)
 	if a.execution != fault.NotRun {
 		r.ranAttempts++
+		if !answered {
+			r.unanswered++
+		}
 	}
-	if answer, ok := ServerErrorAnswer(a.err); ok && answer.Status == http.StatusInternalServerError {
+	if answered && answer.Status == http.StatusInternalServerError {
 		r.failedAnswers++
 	}
 	detail := string(fault.CodeOf(a.err))
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -15,6 +16,7 @@
 
 	"dogwoodpond/internal/event"
 	"dogwoodpond/internal/fault"
+	"dogwoodpond/internal/poison"
 	"dogwoodpond/internal/retry"
 	"dogwoodpond/internal/route"
 	"dogwoodpond/internal/target"
@@ -296,6 +298,64 @@
 	}
 }
 
+// manyUpstreams returns a forwarder with more upstreams than may end under one request.
+func manyUpstreams(u *fakeUpstreams) *Forwarder {
+	f := newForwarder(u)
+	var list []target.Instance
+	for n := range 3 * poison.MaxEnds {
+		id := "u" + strconv.Itoa(n)
+		list = append(list, target.Instance{ID: id, Service: "desk", Address: id, FailureDomain: "x", Slots: 4})
+	}
+	f.Roster.Replace(list)
+	return f
+}
+
+// Guards against a request that ends more upstreams than are allowed, on a route with more attempts.
+func TestUpstreamsThatMayEndUnderARequestAreLimited(t *testing.T) {
+	const attempts = 3 * poison.MaxEnds
+	for name, fallback := range map[string]fakeAnswer{
+		"no answer": {delay: 10 * time.Millisecond, execution: fault.Unknown},
+		"hedged":    {delay: time.Second, execution: fault.Unknown},
+		"truncated": {delay: 10 * time.Millisecond, status: 200, body: truncatedBody("part")},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				u := &fakeUpstreams{fallback: fallback}
+				f := manyUpstreams(u)
+				started := time.Now()
+				_, err := f.Do(t.Context(), newCall(route.Idempotent, attempts))
+				if err == nil || fault.ExecutionOf(err) == fault.NotRun || u.sentCount() != poison.MaxEnds || time.Since(started) > 5*time.Second {
+					t.Errorf("%d attempts, %v after %s", u.sentCount(), err, time.Since(started))
+				}
+			})
+		})
+	}
+	t.Run("stream", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			u := &fakeUpstreams{fallback: fakeAnswer{status: 200, body: truncatedBody("")}}
+			c := newCall(route.Stream, attempts)
+			c.Route.Resumable = true
+			_, err := manyUpstreams(u).Stream(t.Context(), c, &recordingSink{})
+			if err == nil || u.sentCount() != poison.MaxEnds {
+				t.Errorf("%d attempts, %v", u.sentCount(), err)
+			}
+		})
+	})
+}
+
+// Guards against a limit on ended upstreams that counts answers of failure, which show that the upstream
+// still runs.
+func TestServerErrorsCountOnlyAsAttempts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const attempts = 3 * poison.MaxEnds
+		u := &fakeUpstreams{fallback: fakeAnswer{status: 503}}
+		_, err := manyUpstreams(u).Do(t.Context(), newCall(route.Idempotent, attempts))
+		if err == nil || u.sentCount() != attempts {
+			t.Errorf("%d attempts, %v", u.sentCount(), err)
+		}
+	})
+}
+
 // truncatedBody returns a body that fails after text.
 func truncatedBody(text string) io.Reader {
 	return io.MultiReader(strings.NewReader(text), truncatedReader{})
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -11,6 +11,7 @@
 	"dogwoodpond/internal/event"
 	"dogwoodpond/internal/eventstream"
 	"dogwoodpond/internal/fault"
+	"dogwoodpond/internal/poison"
 	"dogwoodpond/internal/target"
 )
 
@@ -159,7 +160,8 @@
 		return s.notRunAttempts <= maxNotRunRetries
 	}
 	s.ranAttempts++
-	if !s.call.Route.Resumable || s.ranAttempts >= s.call.Route.Attempts || !s.RetryBudget.Take() {
+	// Each attempt that ran ended without a complete answer, so its upstream may have ended.
+	if !s.call.Route.Resumable || s.ranAttempts >= min(s.call.Route.Attempts, poison.MaxEnds) || !s.RetryBudget.Take() {
 		return false
 	}
 	if s.started {
