Own interface: at most three engines may end under one request

The limit on attempts without a token started anew at each token, so a request that ends its engine after a token was bounded only by the pool's retry budget, which others refill; before a token four engines could end. An engine's answer of failure shows that it still runs and counts as before, so UpstreamFailed tells the two apart.

--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -120,7 +120,8 @@
 	if response.StatusCode == StatusNotServed {
 		execution = fault.NotRun
 	}
-	return fault.WithExecution(upstreamFailed(address, response.Status), execution)
+	answered := errors.WithStack(&fault.UpstreamFailed{Upstream: address, Reason: response.Status, Answered: true})
+	return fault.WithExecution(answered, execution)
 }
 
 func upstreamFailed(address, reason string) error {
--- a/internal/fault/types.go
+++ b/internal/fault/types.go
@@ -271,6 +271,8 @@
 type UpstreamFailed struct {
 	Upstream string
 	Reason   string
+	// Answered is true if the upstream answered with a failure: it still ran then.
+	Answered bool
 }
 
 // Error implements error.
--- a/internal/generate/local.go
+++ b/internal/generate/local.go
@@ -14,6 +14,7 @@
 	"dogwoodpond/internal/event"
 	"dogwoodpond/internal/fault"
 	"dogwoodpond/internal/platformapi"
+	"dogwoodpond/internal/poison"
 	"dogwoodpond/internal/retry"
 )
 
@@ -69,6 +70,9 @@
 	exclude []string
 	// emptyAttempts counts the attempts since the last one that produced a token.
 	emptyAttempts int
+	// lostAnswers counts the attempts whose engine may have ended: it ran the request, or may have, and
+	// the answer did not end.
+	lostAnswers int
 	// execution reports whether any attempt so far ran or may have run.
 	execution fault.Execution
 	backoff   *retry.Backoff
@@ -100,7 +104,7 @@
 // attempt is taken from the retry budget. allowRetry does not wait, so that a
 // request that may not be retried is answered at once.
 func (g *generation) allowRetry(err error) bool {
-	if g.result.FinishReason != "" || g.emptyAttempts >= maxEmptyAttempts {
+	if g.result.FinishReason != "" || g.emptyAttempts >= maxEmptyAttempts || g.lostAnswers >= poison.MaxEnds {
 		return false
 	}
 	if fault.Is[*fault.NoUpstream](err) && len(g.exclude) > 0 {
@@ -129,6 +133,15 @@
 	return fault.Is[*fault.UpstreamFailed](err) || fault.Is[*fault.AnswerTruncated](err)
 }
 
+// isAnswerLost reports whether an engine may have ended under an attempt that failed with err.
+func isAnswerLost(err error) bool {
+	var failed *fault.UpstreamFailed
+	if errors.As(err, &failed) && failed.Answered {
+		return false
+	}
+	return fault.ExecutionOf(err) != fault.NotRun
+}
+
 // attempt makes one attempt. If the dispatcher refuses the request, nothing ran.
 func (g *generation) attempt(ctx context.Context) error {
 	grant, report, err := g.acquire(ctx)
@@ -160,6 +173,9 @@
 	if produced > 0 {
 		g.emptyAttempts = 0
 	}
+	if failed && isAnswerLost(err) {
+		g.lostAnswers++
+	}
 	if err != nil {
 		g.emit(event.AttemptFailed, grant.Upstream.ID, string(fault.CodeOf(err)))
 		g.exclude = append(g.exclude, grant.Upstream.ID)
