Score calls: at most three upstreams may end under one sample's calls

A call whose attempts lose their answers was made again for as long as its text waited (39 calls in 20 s, each of which may have ended an upstream of the scoring service). Now the upstreams without an answer count against the call in the same ledger and rows; from three on it is held back. Plain services don't report their start, so one that is still listed 6 s after the lost answer has survived it; a call whose time passed counts nothing, since an outage of the service must not cost a sample its score. So ends without a reset are not bounded, and a call is sent before the row that names its attempt is stored.

TestScoreCallUnderWhichUpstreamsEndIsHeldBack failed before: 19 and 39 calls instead of 3.

--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -142,7 +142,7 @@
 	{CommitUnknown, zap.WarnLevel, "commit outcome unknown", "The commit of Count results, the first at Position, ended without a known outcome; Detail gives the failure."},
 	{ResultsAdopted, zap.InfoLevel, "results adopted", "The early run that claimed the step adopted the Count results of the previous owner; Detail gives the state of their items in this run."},
 	{ItemListedTwice, zap.ErrorLevel, "item listed twice", "The item of the step has a second committed result, at Position; Detail gives the first position. A step must list each item once."},
-	{ItemHeldBack, zap.WarnLevel, "item held back", "Count upstreams may have ended under the item, as many as are allowed: their answers to it were lost, and none has shown since that it still runs. The item is sent again only if one does. Detail names their incarnations."},
+	{ItemHeldBack, zap.WarnLevel, "item held back", "Count upstreams may have ended under the item or, if Request names it, its score call, as many as are allowed: their answers to it were lost, and none has shown since that it still runs. The item is sent again only if one does. Detail names their incarnations."},
 	{ItemReleased, zap.InfoLevel, "item released", "An upstream that may have ended under the item still runs, and the item may be sent again. Detail names the other incarnations."},
 	{UpstreamEjected, zap.WarnLevel, "upstream ejected", "The upstream failed too often and receives no work for a while."},
 	{UpstreamRestored, zap.InfoLevel, "upstream restored", "The upstream receives work again."},
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -155,6 +155,8 @@
 	// unanswered counts the failed attempts whose upstream may have ended: it ran the request, or may
 	// have, and gave no complete answer.
 	unanswered int
+	// lost holds the upstreams of these attempts, but for those that the caller's deadline ended.
+	lost []poison.Incarnation
 	// failedAnswers counts the answers that say that the request itself failed.
 	failedAnswers int
 	lastErr       error
@@ -185,7 +187,7 @@
 		select {
 		case <-ctx.Done():
 			r.cancelAll()
-			return nil, r.withFailedAnswers(r.contextError(ctx))
+			return nil, r.withAttempts(r.contextError(ctx))
 		case <-hedgeTimer.C:
 			if r.allowHedge() {
 				r.startAttempt(ctx)
@@ -202,7 +204,7 @@
 			}
 			if r.pendingCount == 0 {
 				r.cancelAll()
-				return nil, r.withFailedAnswers(r.finalError(ctx))
+				return nil, r.withAttempts(r.finalError(ctx))
 			}
 		}
 	}
@@ -359,6 +361,8 @@
 		r.ranAttempts++
 		if !answered {
 			r.unanswered++
+			info := a.entry.Info()
+			r.lost = append(r.lost, poison.Incarnation{Upstream: info.ID, Started: info.Started})
 		}
 	}
 	if answered && answer.Status == http.StatusInternalServerError {
@@ -466,10 +470,11 @@
 }
 
 // callError is the error of a call together with the number of answers that say that the
-// request itself failed.
+// request itself failed, and the upstreams whose answers were lost.
 type callError struct {
 	cause   error
 	answers int
+	lost    []poison.Incarnation
 }
 
 func (e *callError) Error() string { return e.cause.Error() }
@@ -477,12 +482,23 @@
 // Unwrap returns the cause.
 func (e *callError) Unwrap() error { return e.cause }
 
-// withFailedAnswers adds the number of failed answers to err, if there are any.
-func (r *inflightRequest) withFailedAnswers(err error) error {
-	if r.failedAnswers == 0 {
+// withAttempts adds the number of failed answers and the upstreams without an answer to err, if there
+// are any.
+func (r *inflightRequest) withAttempts(err error) error {
+	if r.failedAnswers == 0 && len(r.lost) == 0 {
 		return err
 	}
-	return &callError{cause: err, answers: r.failedAnswers}
+	return &callError{cause: err, answers: r.failedAnswers, lost: r.lost}
+}
+
+// LostUpstreams returns the upstreams that may have ended under a failed call: their answers were lost,
+// and not because the call's time had passed.
+func LostUpstreams(err error) []poison.Incarnation {
+	var e *callError
+	if errors.As(err, &e) {
+		return e.lost
+	}
+	return nil
 }
 
 // FailedAnswerCount returns the number of upstreams that answered a failed call with status
--- a/internal/poison/ledger.go
+++ b/internal/poison/ledger.go
@@ -21,7 +21,10 @@
 const MaxEnds = 3
 
 // Request identifies a request: an ID that is unique within its client account.
-type Request struct{ Account, ID string }
+type Request struct {
+	Account string `json:"account"`
+	ID      string `json:"request"`
+}
 
 // Incarnation is one incarnation of an upstream.
 type Incarnation struct {
--- a/internal/step/losses.go
+++ b/internal/step/losses.go
@@ -28,10 +28,9 @@
 	maxLossCommits = 4
 )
 
-// loss is a lost answer: the incarnation may have ended under the item.
+// loss is a lost answer: the incarnation may have ended under the item or its score call.
 type loss struct {
-	Account string `json:"account"`
-	Item    string `json:"item"`
+	poison.Request
 	poison.Incarnation
 }
 
@@ -62,9 +61,15 @@
 		if r.phase(i) == phaseDone {
 			continue
 		}
-		for _, incarnation := range r.m.suspicions.Suspects(r.request(i)) {
-			if l := (loss{Account: r.rec.Account, Item: item.ID, Incarnation: incarnation}); !r.losses.saved[l] {
-				losses = append(losses, l)
+		requests := []poison.Request{r.request(i)}
+		if item.Score != nil {
+			requests = append(requests, r.scoreRequest(i))
+		}
+		for _, request := range requests {
+			for _, incarnation := range r.m.suspicions.Suspects(request) {
+				if l := (loss{Request: request, Incarnation: incarnation}); !r.losses.saved[l] {
+					losses = append(losses, l)
+				}
 			}
 		}
 	}
@@ -180,7 +185,7 @@
 		return
 	}
 	for _, l := range losses {
-		m.suspicions.Add(poison.Request{Account: l.Account, ID: l.Item}, l.Incarnation, time.Now())
+		m.suspicions.Add(l.Request, l.Incarnation, time.Now())
 	}
 	m.notifyDispatcher()
 }
--- a/internal/step/run.go
+++ b/internal/step/run.go
@@ -35,6 +35,8 @@
 	// scoreTries are the attempts to score the text, which was complete at completedAt.
 	scoreTries  scoring.RetryState
 	completedAt time.Time
+	// scoreHeld is true while the score call is held back.
+	scoreHeld bool
 	// lastUpstream is the upstream that sent the last event of the text; empty when a previous
 	// owner read that event.
 	lastUpstream string
--- a/internal/step/score.go
+++ b/internal/step/score.go
@@ -6,6 +6,8 @@
 
 	"dogwoodpond/internal/event"
 	"dogwoodpond/internal/fault"
+	"dogwoodpond/internal/forward"
+	"dogwoodpond/internal/poison"
 	"dogwoodpond/internal/route"
 	"dogwoodpond/internal/scoring"
 )
@@ -47,7 +49,7 @@
 			r.abandonFrom(i, phaseUnscored, routed)
 			continue
 		}
-		if callRoute == nil {
+		if callRoute == nil || r.holdScore(i) {
 			continue
 		}
 		service := callRoute.Service(r.items[i].Score.ID)
@@ -101,6 +103,10 @@
 		r.finishWithText(i, score)
 		return
 	}
+	for _, incarnation := range forward.LostUpstreams(err) {
+		r.m.suspicions.Add(r.scoreRequest(i), incarnation, time.Now())
+		r.losses.signal()
+	}
 	state, backoff := r.countScoreFailure(i, err)
 	subject.Detail, subject.Count = string(fault.CodeOf(err)), int64(state.NegativeAnswers)
 	r.m.Events.Emit(event.ScoreFailed, subject)
@@ -111,6 +117,47 @@
 	r.moveAfter(i, backoff, phaseUnscored, phaseScoring)
 }
 
+// scoreRequest returns the identity of an item's score call.
+func (r *run) scoreRequest(i int) poison.Request {
+	return poison.Request{Account: r.rec.Account, ID: "score/" + r.items[i].Score.ID}
+}
+
+// listedSurvivalDelay is how long after a lost answer an upstream that doesn't report its start must
+// still be listed to have survived the call. The entry of one that ended is removed or replaced by
+// then.
+const listedSurvivalDelay = 6 * time.Second
+
+// holdScore reports whether an item's score call must wait, because as many upstreams as are allowed may
+// have ended under it.
+func (r *run) holdScore(i int) bool {
+	request := r.scoreRequest(i)
+	held := r.m.suspicions.Count(request) >= poison.MaxEnds
+	r.mu.Lock()
+	changed := r.progress[i].scoreHeld != held
+	r.progress[i].scoreHeld = held
+	r.mu.Unlock()
+	switch {
+	case changed && held:
+		r.m.Events.Emit(event.ItemHeldBack, r.suspicionSubject(i, request))
+	case changed:
+		r.m.Events.Emit(event.ItemReleased, r.suspicionSubject(i, request))
+	}
+	return held
+}
+
+// reviewScore lifts the suspicions against an item's score call whose upstreams are still listed.
+func (m *Manager) reviewScore(r *run, i int, now time.Time) {
+	request := r.scoreRequest(i)
+	for _, incarnation := range m.suspicions.Suspects(request) {
+		if now.Sub(m.suspicions.LostAt(request, incarnation)) < listedSurvivalDelay || m.Roster.ListAge(now) > listedSurvivalDelay/2 {
+			continue
+		}
+		if e := m.Roster.Incarnation(incarnation.Upstream, incarnation.Started); e != nil && !e.Unlisted() {
+			m.suspicions.Remove(request, incarnation)
+		}
+	}
+}
+
 // completedBy returns when the text of an item was complete, and the upstream that sent its
 // last event.
 func (r *run) completedBy(i int) (completedAt time.Time, upstream string) {
--- a/internal/step/score_test.go
+++ b/internal/step/score_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
+	"sync"
 	"testing"
 	"time"
 
@@ -11,10 +13,12 @@
 	"dogwoodpond/internal/event"
 	"dogwoodpond/internal/fault"
 	"dogwoodpond/internal/forward"
+	"dogwoodpond/internal/poison"
 	"dogwoodpond/internal/retry"
 	"dogwoodpond/internal/route"
 	"dogwoodpond/internal/scoring"
 	"dogwoodpond/internal/target"
+	"dogwoodpond/internal/wait"
 
 	"go.uber.org/zap"
 )
@@ -321,3 +325,83 @@
 		}
 	})
 }
+
+// endedScorer is the error of a score call whose attempt ended an upstream.
+func endedScorer(upstream string, started int64) error {
+	roster := target.NewRoster(event.NewRecorder("vm", 8, event.NewClock(time.Now), zap.NewNop()))
+	roster.Replace([]target.Instance{{ID: upstream, Service: "judge", Address: "j", FailureDomain: "x", Slots: 1, Started: started}})
+	f := &forward.Forwarder{Roster: roster, Transport: lostAnswers{}, Meter: forward.Unmetered{}, Events: event.NewRecorder("vm", 8, event.NewClock(time.Now), zap.NewNop()), RetryBudget: retry.NewBudget()}
+	_, err := f.Do(context.Background(), forward.Call{ID: "c", Route: &route.Route{Kind: route.Idempotent, Attempts: 1, Split: []route.Share{{Service: "judge", Weight: 1}}}})
+	return err
+}
+
+// lostAnswers is a transport to upstreams whose answers are lost.
+type lostAnswers struct{}
+
+func (lostAnswers) Call(context.Context, *target.Entry, *target.Request) (*target.Response, error) {
+	return nil, fault.WithExecution(errors.WithStack(&fault.UpstreamFailed{}), fault.Unknown)
+}
+
+// Guards against a score call that ends one upstream of its service after another for as long as its
+// text waits.
+func TestScoreCallUnderWhichUpstreamsEndIsHeldBack(t *testing.T) {
+	for _, crash := range []bool{false, true} {
+		t.Run(fmt.Sprintf("owner killed %t", crash), func(t *testing.T) {
+			bubble(t, func(t *testing.T) {
+				cl := newCluster(t, "e1")
+				ended := int64(0)
+				cl.scorer.behave = func(_ context.Context, item string, _ int) error {
+					if item != "i0" {
+						return nil
+					}
+					ended++
+					return endedScorer(fmt.Sprint("j", ended), ended)
+				}
+				a, b := cl.start("a"), cl.start("b")
+				submit(t, a, spec("s"), scoredItems(4))
+				time.Sleep(2 * time.Second)
+				if crash {
+					cl.crash(a)
+					time.Sleep(10 * time.Second)
+				}
+				time.Sleep(8 * time.Second)
+				if n := cl.scorer.count("i0"); n != poison.MaxEnds {
+					t.Errorf("%d score calls, want %d", n, poison.MaxEnds)
+				}
+				if results, _, err := b.Results(t.Context(), "s", "acc", 0, 0); err != nil || len(results) != 3 {
+					t.Errorf("%d results of the other items, %v", len(results), err)
+				}
+			})
+		})
+	}
+}
+
+// Guards against a sample that loses its score because its calls' connections broke at upstreams that
+// still run.
+func TestScoreCallsWithBrokenConnectionsAreMadeAgain(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		cl := newCluster(t, "e1")
+		for n := range 5 {
+			id := fmt.Sprint("k", n)
+			cl.instances = append(cl.instances, target.Instance{ID: id, Service: "judge", Address: id, FailureDomain: "x", Slots: 8, Started: 1})
+		}
+		cl.scorer.behave = func(_ context.Context, item string, n int) error {
+			if n <= 5 {
+				return endedScorer(fmt.Sprint("k", n-1), 1)
+			}
+			return nil
+		}
+		a := cl.start("a")
+		ctx, cancel := context.WithCancel(t.Context())
+		var reads sync.WaitGroup
+		reads.Go(func() {
+			for wait.For(ctx, 200*time.Millisecond) {
+				a.Roster.NoteListRead()
+			}
+		})
+		submit(t, a, spec("s"), scoredItems(4))
+		cl.checkScores(readUntilComplete(t, a, "s"))
+		cancel()
+		reads.Wait()
+	})
+}
--- a/internal/step/suspect.go
+++ b/internal/step/suspect.go
@@ -231,14 +231,14 @@
 	if !r.changePhase(i, phasePending, phaseHeld) {
 		return
 	}
-	r.m.Events.Emit(event.ItemHeldBack, r.suspicionSubject(i))
+	r.m.Events.Emit(event.ItemHeldBack, r.suspicionSubject(i, r.request(i)))
 }
 
-// suspicionSubject returns the subject of an event on the suspicions against an item.
-func (r *run) suspicionSubject(i int) event.Subject {
-	incarnations := r.m.suspicions.Suspects(r.request(i))
+// suspicionSubject returns the subject of an event on the suspicions against an item or its score call.
+func (r *run) suspicionSubject(i int, request poison.Request) event.Subject {
+	incarnations := r.m.suspicions.Suspects(request)
 	return event.Subject{
-		Step: r.rec.ID, Slot: r.items[i].ID, Account: r.rec.Account, Count: int64(len(incarnations)), Detail: poison.Describe(incarnations),
+		Request: request.ID, Step: r.rec.ID, Slot: r.items[i].ID, Account: r.rec.Account, Count: int64(len(incarnations)), Detail: poison.Describe(incarnations),
 	}
 }
 
@@ -251,6 +251,9 @@
 	now := time.Now()
 	for i := range r.items {
 		phase := r.phase(i)
+		if phase == phaseUnscored {
+			m.reviewScore(r, i, now)
+		}
 		count := m.suspicions.Count(r.request(i))
 		if phase != phaseHeld && (phase != phasePending || count == 0) {
 			continue
@@ -264,7 +267,7 @@
 		if _, routed := r.needOf(i); !routed || m.canAbandon(r) {
 			r.abandonFrom(i, phaseHeld, routed)
 		} else if count < poison.MaxEnds && r.changePhase(i, phaseHeld, phasePending) {
-			m.Events.Emit(event.ItemReleased, r.suspicionSubject(i))
+			m.Events.Emit(event.ItemReleased, r.suspicionSubject(i, r.request(i)))
 		}
 	}
 }
