Items: suspicions are taken back in the store too; ended steps are left out of full reads only once read

What callers would have seen: sound items that the trainer submits again with the group of an item that ends engines were held back, since the rows that record an attempt before it is sent were never taken back when it ended well. Found by the soak. TestCompleteItemsLeaveNoSuspicion failed before. Rows are joined in the order of their versions; the last save of a run comes after its end.

A VM that ended a step itself left the step out of its next full read, although other VMs' rows of it might have been missed; found by reading, a suspicion without a failing test.

--- a/internal/step/losses.go
+++ b/internal/step/losses.go
@@ -1,8 +1,10 @@
 package step
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -32,9 +34,11 @@
 type loss struct {
 	poison.Request
 	poison.Incarnation
+	// Survived takes an earlier loss back: the incarnation still ran afterwards, or the item is complete.
+	Survived bool `json:"survived,omitempty"`
 }
 
-// lossWriter remembers which lost answers of a run were saved.
+// lossWriter remembers which lost answers of a run's items the store has.
 type lossWriter struct {
 	signalCh chan struct{}
 	// slot holds a value during a save, which may last as long as its context. It guards saved.
@@ -54,18 +58,44 @@
 	}
 }
 
-// unsavedLosses returns the lost answers of unfinished items that were not saved.
+// requestsOf returns the identities of an item and of its score call, if it has one.
+func (r *run) requestsOf(i int) []poison.Request {
+	if r.items[i].Score == nil {
+		return []poison.Request{r.request(i)}
+	}
+	return []poison.Request{r.request(i), r.scoreRequest(i)}
+}
+
+// noteSavedLosses records that the store has the lost answers that this VM knows of the run's items. It
+// must be called before items start.
+func (r *run) noteSavedLosses() {
+	if r.m.suspicions.Empty() {
+		return
+	}
+	for i := range r.items {
+		for _, request := range r.requestsOf(i) {
+			for _, incarnation := range r.m.suspicions.Suspects(request) {
+				r.losses.saved[loss{Request: request, Incarnation: incarnation}] = true
+			}
+		}
+	}
+}
+
+// unsavedLosses returns the lost answers of unfinished items that the store lacks, and those that it has
+// and that are to be taken back.
 func (r *run) unsavedLosses() []loss {
 	var losses []loss
-	for i, item := range r.items {
+	for l := range r.losses.saved {
+		if !r.m.suspicions.Has(l.Request, l.Incarnation) {
+			l.Survived = true
+			losses = append(losses, l)
+		}
+	}
+	for i := range r.items {
 		if r.phase(i) == phaseDone {
 			continue
 		}
-		requests := []poison.Request{r.request(i)}
-		if item.Score != nil {
-			requests = append(requests, r.scoreRequest(i))
-		}
-		for _, request := range requests {
+		for _, request := range r.requestsOf(i) {
 			for _, incarnation := range r.m.suspicions.Suspects(request) {
 				if l := (loss{Request: request, Incarnation: incarnation}); !r.losses.saved[l] {
 					losses = append(losses, l)
@@ -76,8 +106,7 @@
 	return losses
 }
 
-// saveLosses saves the lost answers of unfinished items, and reports whether all are saved. A step that
-// no longer exists needs none.
+// saveLosses brings the lost answers that the store has up to date, and reports whether it did.
 func (r *run) saveLosses(ctx context.Context) bool {
 	select {
 	case <-ctx.Done():
@@ -96,6 +125,11 @@
 		return false
 	}
 	for _, l := range losses {
+		if l.Survived {
+			l.Survived = false
+			delete(r.losses.saved, l)
+			continue
+		}
 		r.losses.saved[l] = true
 	}
 	return true
@@ -149,11 +183,7 @@
 // readLosses reads the lost answers of a step, which this VM may not have watched yet.
 func (m *Manager) readLosses(ctx context.Context, id string) error {
 	rows, err := rowstore.ReadAll(ctx, m.Store, stateTable, id)
-	for _, row := range rows {
-		if isLossRow(row) {
-			m.observeLosses(row)
-		}
-	}
+	m.observeLossRows(rows)
 	return err
 }
 
@@ -174,7 +204,16 @@
 	return true
 }
 
-// observeLosses adds the lost answers of a row to the suspicions.
+// observeLossRows observes the rows of lost answers among rows, in the order in which they were written.
+func (m *Manager) observeLossRows(rows []rowstore.Row) {
+	rows = slices.DeleteFunc(slices.Clone(rows), func(row rowstore.Row) bool { return !isLossRow(row) })
+	slices.SortFunc(rows, func(a, b rowstore.Row) int { return cmp.Compare(a.Version, b.Version) })
+	for _, row := range rows {
+		m.observeLosses(row)
+	}
+}
+
+// observeLosses adds the lost answers of a row to the suspicions, or takes them back.
 func (m *Manager) observeLosses(row rowstore.Row) {
 	if row.Deleted || !m.noteLossRow(row.Part, row.Name) {
 		return
@@ -185,7 +224,11 @@
 		return
 	}
 	for _, l := range losses {
-		m.suspicions.Add(l.Request, l.Incarnation, time.Now())
+		if l.Survived {
+			m.suspicions.Remove(l.Request, l.Incarnation)
+		} else {
+			m.suspicions.Add(l.Request, l.Incarnation, time.Now())
+		}
 	}
 	m.notifyDispatcher()
 }
--- a/internal/step/manager.go
+++ b/internal/step/manager.go
@@ -112,6 +112,8 @@
 	// acceptedVersions holds, for each step, the version of the newest state row under which a run
 	// of this process was accepted.
 	acceptedVersions map[string]int64
+	// endsRead holds the ended steps whose end this VM has read, and so all rows that were written before.
+	endsRead map[string]bool
 	// takingOver holds the steps that this VM is taking over.
 	takingOver map[string]bool
 	// unownedSince is when this VM first found that a step has no live owner.
@@ -147,6 +149,7 @@
 		states:           make(map[string]stateRecord),
 		runs:             make(map[string]*run),
 		acceptedVersions: make(map[string]int64),
+		endsRead:         make(map[string]bool),
 		takingOver:       make(map[string]bool),
 		unownedSince:     make(map[string]time.Time),
 		retained:         newRetainedTexts(),
@@ -167,7 +170,7 @@
 		MinPollInterval: m.stateWatchInterval,
 		RetryBackoff:    func() time.Duration { return m.CallBudget.RetryBackoff(budget.Steps, minWatchInterval) },
 		SkipPart: func(id string) bool {
-			skipped[id] = m.isEnded(id) && !m.mayBeRemoved(id)
+			skipped[id] = m.isEndRead(id) && !m.mayBeRemoved(id)
 			return skipped[id]
 		},
 		Replace: func(rows []rowstore.Row) {
@@ -296,9 +299,9 @@
 
 // apply records changed state rows and notifies the takeover loop.
 func (m *Manager) apply(rows []rowstore.Row) {
+	m.observeLossRows(rows)
 	for _, row := range rows {
 		if isLossRow(row) {
-			m.observeLosses(row)
 			continue
 		}
 		if row.Deleted {
@@ -311,6 +314,9 @@
 			continue
 		}
 		m.observeState(r)
+		if r.Ended {
+			m.noteEndRead(r.ID)
+		}
 	}
 	select {
 	case m.takeoverSignal <- struct{}{}:
@@ -318,6 +324,23 @@
 	}
 }
 
+// noteEndRead records that the end of a step was read from the store.
+func (m *Manager) noteEndRead(id string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.states[id].Ended {
+		m.endsRead[id] = true
+	}
+}
+
+// isEndRead reports whether the end of a step was read from the store. A VM that ended the step itself
+// may still lack rows of the step that other VMs wrote.
+func (m *Manager) isEndRead(id string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.endsRead[id]
+}
+
 // removeState removes a step whose state row was deleted in a version of the store, unless a newer
 // state is known: the step was submitted again.
 func (m *Manager) removeState(id string, version int64) {
@@ -332,6 +355,7 @@
 func (m *Manager) removeStateLocked(id string) {
 	delete(m.states, id)
 	delete(m.acceptedVersions, id)
+	delete(m.endsRead, id)
 	delete(m.knownLosses, id)
 }
 
@@ -473,6 +497,7 @@
 	r.early = early
 	r.restoreTexts(m.retained.forItems(rec.Account, items))
 	r.restoreTexts(texts)
+	r.noteSavedLosses()
 	m.runs[rec.ID], m.lastRunAt = r, time.Now()
 	m.tasks.Go(r.commitLoop)
 	m.tasks.Go(r.saveLossesLoop)
--- a/internal/step/query_of_death_test.go
+++ b/internal/step/query_of_death_test.go
@@ -501,3 +501,26 @@
 		p.check()
 	})
 }
+
+// Guards against a sound item that is held back for engines at which it was complete, because it is
+// submitted again and again with the group of an item that ends engines.
+func TestCompleteItemsLeaveNoSuspicion(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		p := newMortalPlay(t, 48, 1, endsBeforeAnswer)
+		vms := []*testVM{p.cluster.start("a"), p.cluster.start("b"), p.cluster.start("c")}
+		p.breaks = func(_ string, n int) bool { return n == 1 }
+		const steps = 6
+		for n := range steps {
+			p.step.ID = fmt.Sprint("s", n)
+			submit(t, vms[n%len(vms)], p.step, p.items)
+			time.Sleep(6 * time.Second)
+			p.checkSound()
+			if err := vms[n%len(vms)].End(t.Context(), p.step.ID, p.step.Account); err != nil {
+				t.Fatal(err)
+			}
+			time.Sleep(500 * time.Millisecond)
+		}
+		p.logTimeline()
+		p.check()
+	})
+}
--- a/internal/step/suspect.go
+++ b/internal/step/suspect.go
@@ -174,9 +174,17 @@
 	case attemptStalled:
 		// handleStall has recorded it.
 	case attemptComplete:
-		r.m.suspicions.Forget(request)
+		r.lift(request, func() { r.m.suspicions.Forget(request) })
 	default:
-		r.m.suspicions.Remove(request, incarnation)
+		r.lift(request, func() { r.m.suspicions.Remove(request, incarnation) })
+	}
+}
+
+// lift lifts suspicions against a request, and has the rows that hold them taken back.
+func (r *run) lift(request poison.Request, lift func()) {
+	if r.m.suspicions.Count(request) > 0 {
+		lift()
+		r.losses.signal()
 	}
 }
 
@@ -374,27 +382,36 @@
 	m.checks.forget(before)
 }
 
-// saveLossesLoop saves lost answers at once, until the run ends.
+// saveLossesLoop saves lost answers at once, until the run ends, and then once more: the trainer may
+// submit the items of an incomplete group again.
 func (r *run) saveLossesLoop() {
-	for {
+	if !r.awaitAcceptance() {
+		return
+	}
+	for ended := false; !ended; {
 		select {
 		case <-r.ctx.Done():
-			return
+			ended = true
 		case <-r.losses.signalCh:
+			// The items of an engine lose their answers at the same moment.
+			wait.For(r.ctx, dispatchBatchDelay)
 		}
-		if !r.accepted() {
-			select {
-			case <-r.ctx.Done():
-				return
-			case <-r.acceptedCh:
-			}
-		}
-		// The items of an engine lose their answers at the same moment.
-		wait.For(r.ctx, dispatchBatchDelay)
-		ctx, cancel := context.WithTimeout(r.ctx, lossTimeout)
-		if !r.saveLosses(ctx) {
+		ctx, cancel := context.WithTimeout(r.m.ctx, lossTimeout)
+		saved := r.saveLosses(ctx)
+		cancel()
+		if !saved {
+			wait.For(r.ctx, refusedCommitBackoff)
 			r.losses.signal()
 		}
-		cancel()
+	}
+}
+
+// awaitAcceptance waits until the run is accepted, and returns false if it ends before.
+func (r *run) awaitAcceptance() bool {
+	select {
+	case <-r.ctx.Done():
+		return false
+	case <-r.acceptedCh:
+		return true
 	}
 }
