Items under suspicion go only to engines that report

What callers would have seen: a sound item held back for engines that had ended before they got it. A request written to a connection that still seems open is lost without a trace of when its engine ended, so it counts. Before an item under suspicion is sent, its engine must report the incarnation of its entry; it is asked after the row is saved.

TestItemUnderSuspicionIsNotSentToEndedEngines failed before: three sound items of 48 were held back when five of nine engines ended.

--- a/internal/step/query_of_death_test.go
+++ b/internal/step/query_of_death_test.go
@@ -71,6 +71,8 @@
 	// restartAfter is the time from an end to the start of the next incarnation, and listLag the time
 	// until the list shows it. The entry of an ended engine is removed after unlistAfter.
 	restartAfter, listLag, unlistAfter time.Duration
+	// staleConnections is true if connections to an engine that ended seem to be open.
+	staleConnections bool
 	// breaks, if set, reports whether attempt n of an item, from 1, loses its connection.
 	breaks func(item string, n int) bool
 
@@ -156,6 +158,9 @@
 	if e.down {
 		silent := e.silent
 		f.mu.Unlock()
+		if f.staleConnections {
+			return nil, fault.WithExecution(errors.WithStack(&fault.UpstreamFailed{Upstream: id, Reason: "no answer"}), fault.Unknown)
+		}
 		if silent {
 			const dialTimeout = 400 * time.Millisecond
 			select {
@@ -524,3 +529,19 @@
 		p.check()
 	})
 }
+
+// Guards against a sound item that is held back for engines that had ended before they got it, on
+// connections that still seemed open.
+func TestItemUnderSuspicionIsNotSentToEndedEngines(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		p := newMortalPlay(t, 48, 0, 0)
+		p.staleConnections = true
+		submit(t, p.cluster.start("a"), p.step, p.items)
+		time.Sleep(300 * time.Millisecond)
+		for _, id := range []string{"e1", "e2", "e3", "e4", "e5"} {
+			p.end(p.engines[id], "", false)
+		}
+		time.Sleep(19 * time.Second)
+		p.check()
+	})
+}
--- a/internal/step/suspect.go
+++ b/internal/step/suspect.go
@@ -136,8 +136,9 @@
 	return !r.acceptedAt.IsZero() && (r.early == nil || now.Sub(r.acceptedAt) >= earlySuspectDelay)
 }
 
-// startSuspects starts attempts at items under suspicion once the next owner can know of them: should
-// this process end together with the engine, nobody else would count it.
+// startSuspects starts attempts at items under suspicion once the next owner can know of them, should
+// this process end together with the engine. An engine that doesn't report gets none: an answer lost
+// there would count against the item, although the engine had ended before.
 func (m *Manager) startSuspects(r *run, attempts []suspectAttempt) {
 	if len(attempts) == 0 {
 		return
@@ -150,21 +151,37 @@
 		saved := r.saveLosses(ctx)
 		cancel()
 		for _, a := range attempts {
-			if !saved {
-				m.suspicions.Remove(r.request(a.index), incarnationOf(a.entry))
-				a.entry.End()
-				m.suspects.remove(a.entry)
-				r.requeue(a.index, retryBackoff)
-				continue
-			}
 			m.tasks.Go(func() {
 				defer m.suspects.remove(a.entry)
-				r.runAttempt(a.index, a.need, a.entry)
+				switch {
+				case !saved:
+					r.withdraw(a)
+				case !m.isRunning(r.itemCtx, a.entry):
+					a.entry.NoteFailure(time.Now())
+					r.withdraw(a)
+				default:
+					r.runAttempt(a.index, a.need, a.entry)
+				}
 			})
 		}
 	})
 }
 
+// isRunning reports whether an engine reports and is the incarnation that its entry stands for.
+func (m *Manager) isRunning(ctx context.Context, entry *target.Entry) bool {
+	ctx, cancel := context.WithTimeout(ctx, engineCheckTimeout)
+	defer cancel()
+	started, err := m.Engines.Started(ctx, entry)
+	return err == nil && started == entry.Info().Started
+}
+
+// withdraw takes back an attempt at an item under suspicion that was not sent.
+func (r *run) withdraw(a suspectAttempt) {
+	a.entry.End()
+	r.lift(r.request(a.index), func() { r.m.suspicions.Remove(r.request(a.index), incarnationOf(a.entry)) })
+	r.requeue(a.index, retryBackoff)
+}
+
 // noteAttemptEnd updates the suspicions against an item after an attempt at it.
 func (r *run) noteAttemptEnd(i int, entry *target.Entry, outcome attemptOutcome) {
 	request, incarnation := r.request(i), incarnationOf(entry)
@@ -216,18 +233,14 @@
 // suspectEnded records the silent attempts at engines that don't report, for the next owner. Their
 // outcomes will not be known here.
 func (m *Manager) suspectEnded(ctx context.Context, r *run, silent map[*target.Entry][]int) {
-	ctx, cancel := context.WithTimeout(ctx, engineCheckTimeout)
-	defer cancel()
 	var checks sync.WaitGroup
 	for entry, items := range silent {
 		checks.Go(func() {
-			incarnation := incarnationOf(entry)
-			started, err := m.Engines.Started(ctx, entry)
-			if err == nil && started == incarnation.Started {
+			if m.isRunning(ctx, entry) {
 				return
 			}
 			for _, i := range items {
-				m.suspicions.Add(r.request(i), incarnation, time.Now())
+				m.suspicions.Add(r.request(i), incarnationOf(entry), time.Now())
 			}
 		})
 	}
