--- a/internal/step/dispatch.go
+++ b/internal/step/dispatch.go
@@ -13,6 +13,9 @@
 	// dispatchInterval is the interval at which the dispatcher checks for free engines
 	// without being signaled. Usually the end of an attempt signals it.
 	dispatchInterval = 40 * time.Millisecond
+	// suspectReviewInterval is the minimum interval between two reviews of the items under suspicion.
+	// Passes can follow each other much faster.
+	suspectReviewInterval = 20 * time.Millisecond
 	// dispatchBatchDelay delays a pass after a signal, so that one pass serves all attempts
 	// that end together.
 	dispatchBatchDelay = 2 * time.Millisecond
@@ -23,6 +26,7 @@
 func (m *Manager) dispatchLoop(ctx context.Context) {
 	timer := time.NewTicker(dispatchInterval)
 	defer timer.Stop()
+	var reviewedAt time.Time
 	for {
 		select {
 		case <-ctx.Done():
@@ -31,8 +35,14 @@
 			wait.For(ctx, dispatchBatchDelay)
 		case <-timer.C:
 		}
+		review := time.Since(reviewedAt) >= suspectReviewInterval
+		if review {
+			reviewedAt = time.Now()
+		}
 		for _, r := range m.runsByDueTime() {
-			m.reviewSuspects(r)
+			if review {
+				m.reviewSuspects(r)
+			}
 			m.dispatchScores(r)
 			m.dispatch(r)
 		}
--- a/internal/step/move.go
+++ b/internal/step/move.go
@@ -79,8 +79,8 @@
 	return otherTime > 0 && float64(unitTime) >= idleMoveMinSlowdown*float64(otherTime)
 }
 
-// handleStall records that an unresponsive engine may have ended under the item, and moves the item away if another engine has a free
-// slot, and otherwise checks again after stallCheckInterval.
+// handleStall records that an unresponsive engine may have ended under the item. It moves the item away
+// if another engine has a free slot, and otherwise checks again after stallCheckInterval.
 func (a *attempt) handleStall() {
 	if a.ended.Load() {
 		return
--- a/internal/step/suspect.go
+++ b/internal/step/suspect.go
@@ -270,29 +270,47 @@
 		return
 	}
 	now := time.Now()
-	for i := range r.items {
-		phase := r.phase(i)
-		if phase == phaseUnscored {
+	for i, current := range r.phases() {
+		switch current {
+		case phasePending:
+			m.checkSuspects(r.request(i), now)
+		case phaseUnscored:
 			m.reviewScore(r, i, now)
+		case phaseHeld:
+			m.checkSuspects(r.request(i), now)
+			m.reviewHeld(r, i)
 		}
-		count := m.suspicions.Count(r.request(i))
-		if phase != phaseHeld && (phase != phasePending || count == 0) {
-			continue
-		}
-		for _, incarnation := range m.suspicions.Suspects(r.request(i)) {
-			m.checkEngine(incarnation, m.suspicions.LostAt(r.request(i), incarnation), now)
-		}
-		if phase != phaseHeld {
-			continue
-		}
-		if _, routed := r.needOf(i); !routed || m.canAbandon(r) {
-			r.abandonFrom(i, phaseHeld, routed)
-		} else if count < poison.MaxEnds && r.changePhase(i, phaseHeld, phasePending) {
-			m.Events.Emit(event.ItemReleased, r.suspicionSubject(i, r.request(i)))
-		}
 	}
 }
 
+// checkSuspects checks the engines that may have ended under an item.
+func (m *Manager) checkSuspects(request poison.Request, now time.Time) {
+	if m.suspicions.Count(request) == 0 {
+		return
+	}
+	for _, incarnation := range m.suspicions.Suspects(request) {
+		m.checkEngine(incarnation, m.suspicions.LostAt(request, incarnation), now)
+	}
+}
+
+// reviewHeld releases an item that was held back, or abandons it.
+func (m *Manager) reviewHeld(r *run, i int) {
+	if _, routed := r.needOf(i); !routed || m.canAbandon(r) {
+		r.abandonFrom(i, phaseHeld, routed)
+		return
+	}
+	if m.suspicions.Count(r.request(i)) < poison.MaxEnds && r.changePhase(i, phaseHeld, phasePending) {
+		m.Events.Emit(event.ItemReleased, r.suspicionSubject(i, r.request(i)))
+	}
+}
+
+// phases returns the phases of all items.
+func (r *run) phases() []phase {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.Clone(r.list.phases)
+}
+
 // phase returns the phase of an item.
 func (r *run) phase(i int) phase {
 	r.mu.Lock()
