--- a/internal/step/suspect_load_test.go
+++ b/internal/step/suspect_load_test.go
@@ -47,7 +47,9 @@
 	loadedObjective    = 7500 * time.Millisecond
 )
 
-func newLoadedPlay(t *testing.T, seed uint64) *loadedPlay {
+// newLoadedPlay returns a play; in the second step of each of the first fatal trainers an item ends its
+// engines.
+func newLoadedPlay(t *testing.T, seed uint64, fatal int) *loadedPlay {
 	cl := newCluster(t, "e1", "e2", "e3", "e4", "e5", "e6", "e7", "e8", "e9")
 	p := &loadedPlay{mortalEngines: newMortalEngines(cl), t: t, random: rand.New(rand.NewPCG(seed, 1)), held: map[string]bool{}, committedAt: map[string]time.Time{}}
 	cl.observe = func(record event.Record) {
@@ -57,26 +59,28 @@
 			p.held[record.Slot] = true
 		}
 	}
+	for trainer := range fatal {
+		p.fatal[loadedItem(trainer, 1, p.random.IntN(loadedItems))] = fatality(p.random.IntN(2))
+	}
 	for i := range loadedTrainers {
 		p.vms = append(p.vms, cl.start(string(rune('a'+i))))
 	}
 	return p
 }
 
-// submitSteps submits the steps of all trainers; in the second step of each of the first fatal
-// trainers an item ends its engines.
-func (p *loadedPlay) submitSteps(fatal int) {
+// loadedItem returns the ID of an item of a trainer's step.
+func loadedItem(trainer, step, item int) string { return fmt.Sprintf("t%d-%d-%d", trainer, step, item) }
+
+// submitSteps submits the steps of all trainers.
+func (p *loadedPlay) submitSteps() {
 	for n := range loadedSteps {
 		for trainer := range loadedTrainers {
 			s := playedStep{spec: spec(fmt.Sprintf("s%d-%d", trainer, n)), submittedAt: time.Now()}
 			for i := range loadedItems {
 				item := items(1)[0]
-				item.ID, item.Group = fmt.Sprintf("t%d-%d-%d", trainer, n, i), fmt.Sprintf("g%d-%d-%d", trainer, n, i/loadedGroup)
+				item.ID, item.Group = loadedItem(trainer, n, i), fmt.Sprintf("g%d-%d-%d", trainer, n, i/loadedGroup)
 				s.items = append(s.items, item)
 			}
-			if n == 1 && trainer < fatal {
-				p.fatal[s.items[p.random.IntN(loadedItems)].ID] = fatality(p.random.IntN(2))
-			}
 			p.state.Lock()
 			p.steps = append(p.steps, s)
 			p.state.Unlock()
@@ -179,7 +183,7 @@
 }
 
 // play plays a seed and returns what it cost.
-func (p *loadedPlay) play(fatal int, crashes bool) loadedOutcome {
+func (p *loadedPlay) play(crashes bool) loadedOutcome {
 	ctx, cancel := context.WithCancel(p.t.Context())
 	var tasks sync.WaitGroup
 	if crashes {
@@ -187,7 +191,7 @@
 	}
 	watchCtx, stopWatching := context.WithCancel(p.t.Context())
 	tasks.Go(func() { p.watchResults(watchCtx) })
-	p.submitSteps(fatal)
+	p.submitSteps()
 	cancel()
 	time.Sleep(10 * time.Second)
 	stopWatching()
@@ -203,7 +207,7 @@
 // engines.
 func TestItemThatEndsEnginesHoldsBackNoOthers(t *testing.T) {
 	bubble(t, func(t *testing.T) {
-		if o := newLoadedPlay(t, 1).play(1, false); o != (loadedOutcome{ends: maxEndsPerItem}) {
+		if o := newLoadedPlay(t, 1, 1).play(false); o != (loadedOutcome{ends: maxEndsPerItem}) {
 			t.Errorf("a play with one such item: %+v", o)
 		}
 	})
@@ -216,7 +220,7 @@
 		for _, fatal := range []int{0, 1, 3} {
 			var sum loadedOutcome
 			for seed := range uint64(plays) {
-				bubble(t, func(t *testing.T) { sum.add(newLoadedPlay(t, seed).play(fatal, crashes)) })
+				bubble(t, func(t *testing.T) { sum.add(newLoadedPlay(t, seed, fatal).play(crashes)) })
 			}
 			t.Logf("crashes %v, %d items that end engines, %d plays: %+v", crashes, fatal, plays, sum)
 		}
