--- a/internal/step/losses.go
+++ b/internal/step/losses.go
@@ -16,6 +16,7 @@
 	"dogwoodpond/internal/fault"
 	"dogwoodpond/internal/poison"
 	"dogwoodpond/internal/rowstore"
+	"dogwoodpond/internal/wait"
 )
 
 const (
@@ -135,6 +136,40 @@
 	return true
 }
 
+// saveLossesLoop saves lost answers at once, until the run ends, and then once more: the trainer may
+// submit the items of an incomplete group again.
+func (r *run) saveLossesLoop() {
+	if !r.awaitAcceptance() {
+		return
+	}
+	for ended := false; !ended; {
+		select {
+		case <-r.ctx.Done():
+			ended = true
+		case <-r.losses.signalCh:
+			// The items of an engine lose their answers at the same moment.
+			wait.For(r.ctx, dispatchBatchDelay)
+		}
+		ctx, cancel := context.WithTimeout(r.m.ctx, lossTimeout)
+		saved := r.saveLosses(ctx)
+		cancel()
+		if !saved {
+			wait.For(r.ctx, refusedCommitBackoff)
+			r.losses.signal()
+		}
+	}
+}
+
+// awaitAcceptance waits until the run is accepted, and returns false if it ends before.
+func (r *run) awaitAcceptance() bool {
+	select {
+	case <-r.ctx.Done():
+		return false
+	case <-r.acceptedCh:
+		return true
+	}
+}
+
 // saveLossesOfStopped saves the lost answers of an early run that was stopped, because another copy of
 // its step was accepted.
 func (m *Manager) saveLossesOfStopped(r *run) {
