A refused confirmation of a lease ends the context of its holder before it returns

Callers saw: Confirm reported a lost lease while the context of the holder's work had not ended yet; work that looks at its context only went on for as long as the renewals took to report the loss.

Cause: the renewal that reads another holder in the row wakes the calls of Confirm first, and its loop ends the context afterwards, once it has written the event. Nothing orders the two.

Confirm now ends the context itself.

Not load: the fault needs only that the holder's goroutine runs before that of the renewals.

--- a/internal/lease/confirm.go
+++ b/internal/lease/confirm.go
@@ -21,6 +21,8 @@
 	requests chan struct{}
 	// stopped is closed when the renewals end.
 	stopped <-chan struct{}
+	// stopRun ends the context of run.
+	stopRun context.CancelCauseFunc
 }
 
 // Confirm implements Guard.
@@ -31,9 +33,14 @@
 	defer timeout.Stop()
 	for {
 		committed, changed := c.committedAfter(begun)
-		if err := c.Check(); err != nil || committed {
+		if err := c.Check(); err != nil {
+			// renewLoop may not have reported the loss yet.
+			c.stopRun(err)
 			return err
 		}
+		if committed {
+			return nil
+		}
 		select {
 		case <-ctx.Done():
 			return errors.WithStack(context.Cause(ctx))
--- a/internal/lease/confirm_test.go
+++ b/internal/lease/confirm_test.go
@@ -73,6 +73,29 @@
 	})
 }
 
+// Guards against a caller that is told of the loss and goes on with a context that has not ended,
+// because the renewals are slow to report the loss.
+func TestRefusedConfirmEndsRunBeforeItReturns(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cluster := faultinject.NewCluster(faultinject.NoFaults)
+		p := cluster.Start(t.Context(), "vm-1")
+		m := newTestManager(p)
+		m.events.Observe(func(r event.Record) {
+			if r.Number == event.LeaseLost {
+				time.Sleep(time.Second)
+			}
+		})
+		_ = m.Campaign(p.Context, "a", func(ctx context.Context, g Guard) (bool, error) {
+			overwriteRow(t, cluster, "a")
+			err := g.Confirm(ctx)
+			if cause := context.Cause(ctx); !fault.Is[*fault.LeaseLost](err) || !fault.Is[*fault.LeaseLost](cause) {
+				t.Errorf("Confirm of a lost lease: %v, and the context ended with %v; want a lost lease from both", err, cause)
+			}
+			return true, nil
+		})
+	})
+}
+
 // The store does not answer. The lease is neither confirmed nor lost.
 func TestUnansweredConfirmKeepsTheHold(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/lease/guard.go
+++ b/internal/lease/guard.go
@@ -18,11 +18,11 @@
 	// Confirm renews the lease: it returns nil once a renewal is committed that began after the
 	// call. The term runs on the local monotonic clock, which stops while the machine is
 	// suspended, so Check may pass although another VM holds the lease. It fails with
-	// *fault.LeaseLost if the lease is lost, with *fault.StoreUnavailable if no renewal is
-	// committed in half a term, and with the cause of ctx when ctx ends first. Concurrent
-	// calls share a renewal that has not begun. Callers confirm the lease directly before
-	// each order to receivers that ignore fencing tokens; if the receiver can't be asked whether
-	// it executed an order, they use Act.
+	// *fault.LeaseLost if the lease is lost, and the context of run has ended by then; with
+	// *fault.StoreUnavailable if no renewal is committed in half a term; and with the cause of
+	// ctx when ctx ends first. Concurrent calls share a renewal that has not begun. Callers
+	// confirm the lease directly before each order to receivers that ignore fencing tokens; if
+	// the receiver can't be asked whether it executed an order, they use Act.
 	Confirm(ctx context.Context) error
 	// BeginAction confirms the lease like Confirm, with a renewal that tells the next holder
 	// that an action is pending. The caller calls end when the action has ended; mayTakeEffect
--- a/internal/lease/manager.go
+++ b/internal/lease/manager.go
@@ -228,7 +228,7 @@
 	// Both renewLoop and the check after run can find the loss; the event is emitted
 	// once.
 	emitLoss := sync.OnceFunc(func() { c.emit(event.LeaseLost, hold.Epoch()) })
-	guard := &confirmer{Hold: hold, requests: make(chan struct{}, 1), stopped: renewCtx.Done()}
+	guard := &confirmer{Hold: hold, requests: make(chan struct{}, 1), stopped: renewCtx.Done(), stopRun: stopRun}
 	var renewals sync.WaitGroup
 	renewals.Go(func() {
 		if lossErr := c.renewLoop(renewCtx, hold, guard.requests); lossErr != nil {
