An engine that ended just before the owner of its step counts against the item for the next owner

Callers saw, in a test: an item that ends its engines silently is sent to a fourth engine if its owner is killed between the first end and the moment at which that owner would have noticed it.

Cause: the first attempt at an item is not recorded anywhere before its answer is lost, and what the owner had in flight is lost with it. The next owner counted only what was recorded.

Now a run that takes over from a killed owner knows that each unfinished item may have one attempt that nobody knows. It costs nothing until one more end would be too many: an item with two lost answers waits until the list of upstreams shows which of them ended about when the owner did, 6 s after the owner was found dead at most, and one of these counts against it. Without such an upstream the item is sent again. The roster remembers upstreams that left the list without notice for 30 s.

TestNextOwnerSendsItemUnderWhichTwoEnginesEnded holds that the item isn't held back for no reason.

Not covered: two owners killed one after the other, each with an end that nobody noticed; a process that started after the end, which has not seen the upstream; an engine that ended later than 6 s before its owner was found dead is covered, an earlier one was noticed by that owner.

--- a/internal/step/cluster_test.go
+++ b/internal/step/cluster_test.go
@@ -23,6 +23,7 @@
 	"dogwoodpond/internal/rowstore/memory"
 	"dogwoodpond/internal/scoring"
 	"dogwoodpond/internal/target"
+	"dogwoodpond/internal/wait"
 
 	"github.com/cockroachdb/errors"
 )
@@ -83,6 +84,19 @@
 	return cl
 }
 
+// readLists keeps the lists of upstreams of all VMs up to date.
+func (cl *cluster) readLists() {
+	go func() {
+		for wait.For(cl.t.Context(), 200*time.Millisecond) {
+			cl.mu.Lock()
+			for _, v := range cl.vms {
+				v.Roster.NoteListRead()
+			}
+			cl.mu.Unlock()
+		}
+	}()
+}
+
 // start starts the first incarnation of a VM.
 func (cl *cluster) start(name string) *testVM { return cl.startIncarnation(name, name+"-1") }
 
--- a/internal/step/query_of_death_test.go
+++ b/internal/step/query_of_death_test.go
@@ -66,8 +66,10 @@
 	fatal map[string]fatality
 	// fatalAfter is the time from the start of a fatal item to the end of its engine.
 	fatalAfter time.Duration
-	events     int
-	gap        time.Duration
+	// fatalAttempts, if set, is the last attempt at a fatal item that ends its engine.
+	fatalAttempts int
+	events        int
+	gap           time.Duration
 	// restartAfter is the time from an end to the start of the next incarnation, and listLag the time
 	// until the list shows it. The entry of an ended engine is removed after unlistAfter.
 	restartAfter, listLag, unlistAfter time.Duration
@@ -174,7 +176,7 @@
 	n := len(f.sent[request.ID])
 	e.running[request.ID] = true
 	f.mu.Unlock()
-	how, fatal := f.fatal[request.ID]
+	how, fatal := f.fatality(request.ID, n)
 	if fatal && how == endsBeforeAnswer {
 		defer f.stopRunning(e, request.ID)
 		select {
@@ -190,6 +192,12 @@
 	return &target.Response{Status: http.StatusOK, Version: 1, VersionField: "v", Body: body}, nil
 }
 
+// fatality returns how an attempt at an item ends its engine; ok is false if it doesn't.
+func (f *mortalEngines) fatality(item string, attempt int) (how fatality, ok bool) {
+	how, ok = f.fatal[item]
+	return how, ok && (f.fatalAttempts == 0 || attempt <= f.fatalAttempts)
+}
+
 // Started implements EngineReports.
 func (f *mortalEngines) Started(_ context.Context, entry *target.Entry) (int64, error) {
 	f.mu.Lock()
@@ -210,7 +218,7 @@
 // write streams a text until it is complete, the caller leaves or the engine ends.
 func (f *mortalEngines) write(ctx context.Context, e *mortalEngine, out *io.PipeWriter, request *target.Request, attempt int) {
 	defer f.stopRunning(e, request.ID)
-	how, fatal := f.fatal[request.ID]
+	how, fatal := f.fatality(request.ID, attempt)
 	broken := f.breaks != nil && f.breaks(request.ID, attempt)
 	from, _ := strconv.Atoi(request.LastEventID)
 	for n := from + 1; n <= f.events; n++ {
@@ -365,13 +373,44 @@
 
 // Guards against an end that nobody has noticed when the owner of the step is killed.
 func TestNextOwnerKnowsEngineThatEndedJustBeforeItsOwner(t *testing.T) {
-	playNextOwner(t, silencesEngine, 400*time.Millisecond, false)
+	for _, how := range []fatality{endsBeforeAnswer, endsMidStream, silencesEngine} {
+		for after := 100 * time.Millisecond; after <= time.Second; after += 50 * time.Millisecond {
+			t.Run(fmt.Sprintf("%s %s", how, after), func(t *testing.T) { playNextOwner(t, how, after, false) })
+		}
+	}
+}
+
+// Guards against an item that is held back after its owner was killed, although no engine ended under it
+// then.
+func TestNextOwnerSendsItemUnderWhichTwoEnginesEnded(t *testing.T) {
+	for _, how := range []fatality{endsBeforeAnswer, endsMidStream, silencesEngine} {
+		t.Run(how.String(), func(t *testing.T) {
+			bubble(t, func(t *testing.T) {
+				p := newMortalPlay(t, 48, 1, how)
+				p.fatalAttempts = 3
+				p.cluster.readLists()
+				a := p.cluster.start("a")
+				p.cluster.start("b")
+				submit(t, a, p.step, p.items)
+				time.Sleep(100 * time.Millisecond)
+				p.cluster.crash(a)
+				time.Sleep(19 * time.Second)
+				p.logTimeline()
+				culprit := p.items[0].ID
+				if ends, _ := p.endsUnder(culprit); ends != 2 || p.results()[culprit].Outcome != Completed {
+					t.Errorf("%d engines ended under item %s, want 2, and its result is %q", ends, culprit, p.results()[culprit].Outcome)
+				}
+				p.checkSound()
+			})
+		})
+	}
 }
 
 // playNextOwner plays a step whose owner leaves or is killed after a time.
 func playNextOwner(t *testing.T, how fatality, after time.Duration, leaves bool) {
 	bubble(t, func(t *testing.T) {
 		p := newMortalPlay(t, 48, 1, how)
+		p.cluster.readLists()
 		a := p.cluster.start("a")
 		p.cluster.start("b")
 		submit(t, a, p.step, p.items)
--- a/internal/step/run.go
+++ b/internal/step/run.go
@@ -100,6 +100,8 @@
 
 	// losses saves the lost answers of the run's items.
 	losses lossWriter
+	// unaccounted holds the requests of which a lost owner may have left an attempt that nobody knows.
+	unaccounted *unaccountedRequests
 }
 
 // newRun returns a run of a step; the items with a result in committed are done.
@@ -124,6 +126,7 @@
 	r.itemCtx, r.stopItems = context.WithCancel(r.ctx)
 	r.list.adopt(committed)
 	r.emitRepeated(0)
+	r.unaccounted = newUnaccountedRequests(r)
 	return r
 }
 
--- a/internal/step/step.go
+++ b/internal/step/step.go
@@ -138,6 +138,9 @@
 	version int64
 	// ownerKnownSince is when this VM learned that the current owner owns the step.
 	ownerKnownSince time.Time
+	// lostOwnerAt is when this VM found the previous owner dead, at a takeover; zero if that owner
+	// handed the step over.
+	lostOwnerAt time.Time
 }
 
 func decodeState(row rowstore.Row) (stateRecord, error) {
--- a/internal/step/suspect.go
+++ b/internal/step/suspect.go
@@ -84,6 +84,9 @@
 // accepted or the store is away, the item waits.
 func (m *Manager) placeSuspect(r *run, i int, n need, now time.Time) (suspectAttempt, bool) {
 	request := r.request(i)
+	if !r.settleUnaccounted(request, n.service, now) {
+		return suspectAttempt{}, false
+	}
 	count := m.suspicions.Count(request)
 	if count >= poison.MaxEnds {
 		r.hold(i)
--- a/internal/step/takeover.go
+++ b/internal/step/takeover.go
@@ -95,10 +95,12 @@
 		delete(m.takingOver, r.ID)
 	}()
 	if !m.isOwner(r) || m.hadRun(r) {
+		lostOwnerAt := m.lostOwnerSince(r)
 		var ok bool
 		if r, ok = m.becomeOwner(ctx, r, 0); !ok {
 			return
 		}
+		r.lostOwnerAt = lostOwnerAt
 	}
 	for ctx.Err() == nil && m.isCurrent(r) {
 		items, err := readItems(ctx, m.Store, r.State)
--- a/internal/target/roster.go
+++ b/internal/target/roster.go
@@ -1,6 +1,7 @@
 package target
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"strings"
@@ -23,6 +24,8 @@
 	entriesByID map[string][]*Entry
 	// unlisted holds the entries that are no longer listed.
 	unlisted map[*Entry]bool
+	// ended holds when upstreams left the list without notice, within endedRetention.
+	ended map[*Entry]time.Time
 	// current holds the published lists by service. They are never changed in place.
 	current atomic.Pointer[map[string][]*Entry]
 	// slowStarts holds the bounds of the services whose upstreams warm up.
@@ -50,7 +53,7 @@
 
 // NewRoster returns an empty roster.
 func NewRoster(events *event.Recorder) *Roster {
-	r := &Roster{events: events, entriesByID: make(map[string][]*Entry), unlisted: make(map[*Entry]bool)}
+	r := &Roster{events: events, entriesByID: make(map[string][]*Entry), unlisted: make(map[*Entry]bool), ended: make(map[*Entry]time.Time)}
 	r.current.Store(&map[string][]*Entry{})
 	r.evacuated.Store(&map[string]bool{})
 	r.NoteListRead()
@@ -195,6 +198,7 @@
 		e.noteListed(info.ColdFor, now)
 		if e.unlisted.Swap(false) {
 			delete(r.unlisted, e)
+			delete(r.ended, e)
 		}
 		if sameContent(known, &info) {
 			return nil
@@ -211,9 +215,11 @@
 		return nil
 	}
 	for _, earlier := range r.entriesByID[info.ID] {
+		r.noteEnded(earlier, now)
 		earlier.unlistAtOnce()
 		r.unlisted[earlier] = true
 	}
+	r.forgetEnded(info)
 	e := newEntry(r, info)
 	e.setSlowStart(r.slowStarts[info.Service])
 	e.noteListed(info.ColdFor, now)
@@ -236,11 +242,45 @@
 	if e.unlisted.Load() {
 		return false
 	}
+	r.noteEnded(e, time.Now())
 	e.graceUntil.Store(time.Now().Add(unlistedGracePeriod).UnixNano())
 	e.unlisted.Store(true)
 	return true
 }
 
+// endedRetention is how long the roster knows of an upstream that has left the list.
+const endedRetention = 30 * time.Second
+
+// noteEnded records that an upstream left the list, unless it had announced that.
+func (r *Roster) noteEnded(e *Entry, now time.Time) {
+	maps.DeleteFunc(r.ended, func(_ *Entry, at time.Time) bool { return now.Sub(at) > endedRetention })
+	if _, known := r.ended[e]; !known && !e.Info().Leaving {
+		r.ended[e] = now
+	}
+}
+
+// forgetEnded removes the record that an incarnation left the list, after it was listed again.
+func (r *Roster) forgetEnded(info Instance) {
+	maps.DeleteFunc(r.ended, func(e *Entry, _ time.Time) bool { return e.Info().ID == info.ID && e.Info().Started == info.Started })
+}
+
+// Ended returns the upstreams of a service that left the list without notice since a time, at most
+// endedRetention ago, in a fixed order.
+func (r *Roster) Ended(service string, since time.Time) []*Entry {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var ended []*Entry
+	for e, at := range r.ended {
+		if e.Info().Service == service && !at.Before(since) {
+			ended = append(ended, e)
+		}
+	}
+	slices.SortFunc(ended, func(a, b *Entry) int {
+		return cmp.Or(byID(a, b), cmp.Compare(a.Info().Started, b.Info().Started))
+	})
+	return ended
+}
+
 // evict removes unlisted entries whose grace period is over and that have no requests in
 // flight.
 func (r *Roster) evict(touched listChanges, now time.Time) {
--- a/internal/target/roster_test.go
+++ b/internal/target/roster_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -154,3 +155,27 @@
 		}
 	}
 }
+
+// Guards against upstreams that count as ended although they left as announced or are listed again.
+func TestEndedUpstreamsAreThoseThatLeftWithoutNotice(t *testing.T) {
+	list := newInstances(5)
+	for i := range list {
+		list[i].Started = 1
+	}
+	r := newTestRoster(list...)
+	started := time.Now()
+	leaving, restarted := list[1], list[2]
+	leaving.Leaving, restarted.Started = true, 2
+	r.Apply(UnlistedChange(list[0].ID), ListedChange(leaving), ListedChange(restarted), UnlistedChange(list[3].ID))
+	r.Apply(UnlistedChange(leaving.ID), ListedChange(list[3]))
+	var ended []string
+	for _, e := range r.Ended(list[0].Service, started) {
+		ended = append(ended, fmt.Sprint(e.Info().ID, " ", e.Info().Started))
+	}
+	if want := []string{"up-0000 1", "up-0002 1"}; !slices.Equal(ended, want) {
+		t.Errorf("ended: %q, want %q", ended, want)
+	}
+	if n := len(r.Ended(list[0].Service, time.Now().Add(time.Second))) + len(r.Ended("other", started)); n > 0 {
+		t.Errorf("%d upstreams of another time or service", n)
+	}
+}
