A scoring upstream that ended just before the owner of its step counts against the score call

Callers saw, in a test: a score call whose first attempt ended its upstream silently was sent three times more by the next owner; 4 ends, where 3 are allowed.

Score calls go through the same check as items.

--- a/internal/step/score.go
+++ b/internal/step/score.go
@@ -49,10 +49,13 @@
 			r.abandonFrom(i, phaseUnscored, routed)
 			continue
 		}
-		if callRoute == nil || r.holdScore(i) {
+		if callRoute == nil {
 			continue
 		}
 		service := callRoute.Service(r.items[i].Score.ID)
+		if !r.settleUnaccounted(r.scoreRequest(i), service, now) || r.holdScore(i) {
+			continue
+		}
 		if _, known := free[service]; !known {
 			free[service] = m.callLimiter.Available(service, m.Roster.Usable(service, now), now)
 		}
--- a/internal/step/score_test.go
+++ b/internal/step/score_test.go
@@ -376,6 +376,42 @@
 	}
 }
 
+// Guards against a score call whose first attempt ended an upstream silently, just before the owner of its
+// step was killed.
+func TestNextOwnerKnowsScorerThatEndedJustBeforeItsOwner(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		cl := newCluster(t, "e1")
+		cl.readLists()
+		silent := target.Instance{ID: "j0", Service: "judge", Address: "j0", FailureDomain: "x", Slots: 8, Started: 1}
+		cl.instances = append(cl.instances, silent)
+		cl.scorer.behave = func(ctx context.Context, item string, n int) error {
+			switch {
+			case item != "i0":
+				return nil
+			case n == 1:
+				<-ctx.Done()
+				return context.Cause(ctx)
+			}
+			return endedScorer(fmt.Sprint("j", n), 1)
+		}
+		a, b := cl.start("a"), cl.start("b")
+		submit(t, a, spec("s"), scoredItems(4))
+		for cl.scorer.count("i0") == 0 {
+			time.Sleep(10 * time.Millisecond)
+		}
+		cl.crash(a)
+		time.Sleep(3600 * time.Millisecond)
+		b.Roster.Apply(target.UnlistedChange(silent.ID))
+		time.Sleep(15 * time.Second)
+		if n := cl.scorer.count("i0"); n != poison.MaxEnds {
+			t.Errorf("%d score calls, want %d", n, poison.MaxEnds)
+		}
+		if results, _, err := b.Results(t.Context(), "s", "acc", 0, 0); err != nil || len(results) != 3 {
+			t.Errorf("%d results of the other items, %v", len(results), err)
+		}
+	})
+}
+
 // Guards against a sample that loses its score because its calls' connections broke at upstreams that
 // still run.
 func TestScoreCallsWithBrokenConnectionsAreMadeAgain(t *testing.T) {
