A recorded attempt of a lost owner does not count twice against an item

Their owner had been paused, their step taken over; it had recorded the answers it lost and its next attempts at them. The new owner counted these, and one more upstream for the attempt that nobody knew.

Cause: the takeover counted an unknown attempt for each unfinished item. An item of which the lost owner recorded a lost answer has none: attempts at it are recorded before they are sent.

Before: TestNextOwnerCountsRecordedAttemptOnce:

query_of_death_test.go:427: the item with two lost answers has the result ""

Score calls are sent before they are recorded, so for them the unknown attempt counts in any case.

--- a/internal/step/query_of_death_test.go
+++ b/internal/step/query_of_death_test.go
@@ -406,6 +406,52 @@
 	}
 }
 
+// Guards against an attempt that a killed owner had recorded and that counts twice for the next one.
+func TestNextOwnerCountsRecordedAttemptOnce(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		p := newMortalPlay(t, 48, 1, endsMidStream)
+		p.fatalAttempts = 1
+		p.cluster.readLists()
+		a := p.cluster.start("a")
+		p.cluster.start("b")
+		submit(t, a, p.step, p.items)
+		culprit := p.items[0].ID
+		for p.attempts(culprit) < 2 {
+			time.Sleep(10 * time.Millisecond)
+		}
+		p.cluster.crash(a)
+		p.endWhere(func(e *mortalEngine) bool { return e.running[culprit] || e.info.ID == "e9" })
+		time.Sleep(19 * time.Second)
+		p.logTimeline()
+		if outcome := p.results()[culprit].Outcome; outcome != Completed {
+			t.Errorf("the item with two lost answers has the result %q", outcome)
+		}
+		p.checkSound()
+	})
+}
+
+// attempts returns how often an item was sent.
+func (f *mortalEngines) attempts(item string) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.sent[item])
+}
+
+// endWhere ends the engines that satisfy a condition, for another cause than an item.
+func (f *mortalEngines) endWhere(condition func(*mortalEngine) bool) {
+	f.mu.Lock()
+	var chosen []*mortalEngine
+	for _, e := range f.engines {
+		if condition(e) {
+			chosen = append(chosen, e)
+		}
+	}
+	f.mu.Unlock()
+	for _, e := range chosen {
+		f.end(e, "", false)
+	}
+}
+
 // playNextOwner plays a step whose owner leaves or is killed after a time.
 func playNextOwner(t *testing.T, how fatality, after time.Duration, leaves bool) {
 	bubble(t, func(t *testing.T) {
--- a/internal/step/score.go
+++ b/internal/step/score.go
@@ -107,7 +107,7 @@
 		return
 	}
 	for _, incarnation := range forward.LostUpstreams(err) {
-		r.m.suspicions.Add(r.scoreRequest(i), incarnation, time.Now())
+		r.addSuspicion(r.scoreRequest(i), incarnation, time.Now())
 		r.losses.signal()
 	}
 	state, backoff := r.countScoreFailure(i, err)
--- a/internal/step/suspect.go
+++ b/internal/step/suspect.go
@@ -84,6 +84,7 @@
 // accepted or the store is away, the item waits.
 func (m *Manager) placeSuspect(r *run, i int, n need, now time.Time) (suspectAttempt, bool) {
 	request := r.request(i)
+	r.accountForRecorded(request)
 	if !r.settleUnaccounted(request, n.service, now) {
 		return suspectAttempt{}, false
 	}
@@ -134,7 +135,7 @@
 		return
 	}
 	for _, a := range attempts {
-		m.suspicions.Add(r.request(a.index), incarnationOf(a.entry), time.Now())
+		r.addSuspicion(r.request(a.index), incarnationOf(a.entry), time.Now())
 	}
 	m.tasks.Go(func() {
 		ctx, cancel := context.WithTimeout(r.itemCtx, lossTimeout)
@@ -197,7 +198,7 @@
 
 // suspect records that an engine may have ended under an item, at a time or shortly after it.
 func (r *run) suspect(i int, entry *target.Entry, at time.Time) {
-	r.m.suspicions.Add(r.request(i), incarnationOf(entry), at)
+	r.addSuspicion(r.request(i), incarnationOf(entry), at)
 	r.losses.signal()
 	r.m.notifyDispatcher()
 }
--- a/internal/step/unaccounted.go
+++ b/internal/step/unaccounted.go
@@ -19,11 +19,13 @@
 
 	mu       sync.Mutex
 	requests map[poison.Request]bool
+	// own holds the suspicions that this run has added itself.
+	own map[loss]bool
 }
 
 // newUnaccountedRequests returns the unaccounted requests of a run whose results are known.
 func newUnaccountedRequests(r *run) *unaccountedRequests {
-	u := &unaccountedRequests{lostOwnerAt: r.rec.lostOwnerAt, requests: make(map[poison.Request]bool)}
+	u := &unaccountedRequests{lostOwnerAt: r.rec.lostOwnerAt, requests: make(map[poison.Request]bool), own: make(map[loss]bool)}
 	if u.lostOwnerAt.IsZero() {
 		return u
 	}
@@ -50,6 +52,28 @@
 	delete(u.requests, request)
 }
 
+// addSuspicion records that an incarnation may end, or may have ended, under an attempt of this run.
+func (r *run) addSuspicion(request poison.Request, incarnation poison.Incarnation, at time.Time) {
+	r.m.suspicions.Add(request, incarnation, at)
+	u := r.unaccounted
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.own[loss{Request: request, Incarnation: incarnation}] = true
+}
+
+// accountForRecorded drops an item of which the lost owner has recorded a lost answer: that was its
+// only attempt, or the later ones were recorded before they were sent.
+func (r *run) accountForRecorded(request poison.Request) {
+	u := r.unaccounted
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	for _, incarnation := range r.m.suspicions.Suspects(request) {
+		if !u.own[loss{Request: request, Incarnation: incarnation}] {
+			delete(u.requests, request)
+		}
+	}
+}
+
 // settleUnaccounted reports whether the ledger holds all that counts against a request to a service. If
 // one more end would be too many, and the lost owner's attempt is unaccounted for, the request waits until
 // the list shows which upstreams ended about when that owner did. One of these counts against it.
