An upstream that was missed before a step was owned does not count against its items

Cause: the next owner counted an engine that left the list within 6 s before and any time after the owner was found dead, whether the owner could have sent it anything or not; and it looked at the list whenever an item came to its second lost answer, so engines that ended long afterwards counted as well.

Now only engines count that this VM missed after it knew of the owner, until 6 s after it found the owner dead; this is noted once.

Before: TestNextOwnerLeavesOutEnginesThatEndedBeforeTheStep:

query_of_death_test.go:415: 2 engines ended under item i0, want 2, and its result is ""

After: passes. An engine whose end the list shows only after the step was opened still counts.

--- a/internal/step/dispatch.go
+++ b/internal/step/dispatch.go
@@ -41,6 +41,7 @@
 		}
 		for _, r := range m.runsByDueTime() {
 			if review {
+				r.unaccounted.settle(m.Roster, reviewedAt)
 				m.reviewSuspects(r)
 			}
 			m.dispatchScores(r)
--- a/internal/step/query_of_death_test.go
+++ b/internal/step/query_of_death_test.go
@@ -384,28 +384,40 @@
 // then.
 func TestNextOwnerSendsItemUnderWhichTwoEnginesEnded(t *testing.T) {
 	for _, how := range []fatality{endsBeforeAnswer, endsMidStream, silencesEngine} {
-		t.Run(how.String(), func(t *testing.T) {
-			bubble(t, func(t *testing.T) {
-				p := newMortalPlay(t, 48, 1, how)
-				p.fatalAttempts = 3
-				p.cluster.readLists()
-				a := p.cluster.start("a")
-				p.cluster.start("b")
-				submit(t, a, p.step, p.items)
-				time.Sleep(100 * time.Millisecond)
-				p.cluster.crash(a)
-				time.Sleep(19 * time.Second)
-				p.logTimeline()
-				culprit := p.items[0].ID
-				if ends, _ := p.endsUnder(culprit); ends != 2 || p.results()[culprit].Outcome != Completed {
-					t.Errorf("%d engines ended under item %s, want 2, and its result is %q", ends, culprit, p.results()[culprit].Outcome)
-				}
-				p.checkSound()
-			})
-		})
+		t.Run(how.String(), func(t *testing.T) { playTwoEndsAtNextOwner(t, how, func(*mortalPlay) {}) })
 	}
 }
 
+// Guards against the same for an engine that was missed before the step was submitted.
+func TestNextOwnerLeavesOutEnginesThatEndedBeforeTheStep(t *testing.T) {
+	playTwoEndsAtNextOwner(t, endsMidStream, func(p *mortalPlay) {
+		p.endWhere(func(e *mortalEngine) bool { return e.info.ID == "e9" })
+		time.Sleep(p.restartAfter + p.listLag + 100*time.Millisecond)
+	})
+}
+
+// playTwoEndsAtNextOwner plays an item that ends two engines after its owner was killed.
+func playTwoEndsAtNextOwner(t *testing.T, how fatality, beforeStep func(*mortalPlay)) {
+	bubble(t, func(t *testing.T) {
+		p := newMortalPlay(t, 48, 1, how)
+		p.fatalAttempts = 3
+		p.cluster.readLists()
+		a := p.cluster.start("a")
+		p.cluster.start("b")
+		beforeStep(p)
+		submit(t, a, p.step, p.items)
+		time.Sleep(100 * time.Millisecond)
+		p.cluster.crash(a)
+		time.Sleep(19 * time.Second)
+		p.logTimeline()
+		culprit := p.items[0].ID
+		if ends, _ := p.endsUnder(culprit); ends != 2 || p.results()[culprit].Outcome != Completed {
+			t.Errorf("%d engines ended under item %s, want 2, and its result is %q", ends, culprit, p.results()[culprit].Outcome)
+		}
+		p.checkSound()
+	})
+}
+
 // Guards against an attempt that a killed owner had recorded and that counts twice for the next one.
 func TestNextOwnerCountsRecordedAttemptOnce(t *testing.T) {
 	bubble(t, func(t *testing.T) {
--- a/internal/step/step.go
+++ b/internal/step/step.go
@@ -138,9 +138,8 @@
 	version int64
 	// ownerKnownSince is when this VM learned that the current owner owns the step.
 	ownerKnownSince time.Time
-	// lostOwnerAt is when this VM found the previous owner dead, at a takeover; zero if that owner
-	// handed the step over.
-	lostOwnerAt time.Time
+	// lostOwner is the owner from which this VM took the step over.
+	lostOwner lostOwner
 }
 
 func decodeState(row rowstore.Row) (stateRecord, error) {
--- a/internal/step/takeover.go
+++ b/internal/step/takeover.go
@@ -95,12 +95,12 @@
 		delete(m.takingOver, r.ID)
 	}()
 	if !m.isOwner(r) || m.hadRun(r) {
-		lostOwnerAt := m.lostOwnerSince(r)
+		lost := m.lostOwnerOf(r)
 		var ok bool
 		if r, ok = m.becomeOwner(ctx, r, 0); !ok {
 			return
 		}
-		r.lostOwnerAt = lostOwnerAt
+		r.lostOwner = lost
 	}
 	for ctx.Err() == nil && m.isCurrent(r) {
 		items, err := readItems(ctx, m.Store, r.State)
--- a/internal/step/unaccounted.go
+++ b/internal/step/unaccounted.go
@@ -1,32 +1,46 @@
 package step
 
 import (
+	"slices"
 	"sync"
 	"time"
 
 	"dogwoodpond/internal/poison"
+	"dogwoodpond/internal/target"
 )
 
 // ownerLossNotice is the longest time from the death of a VM until the others find it dead.
 const ownerLossNotice = 6 * time.Second
 
+// lostOwner is what a VM knows of an owner of a step that died before the VM took the step over. It is
+// zero if the owner handed the step over.
+type lostOwner struct {
+	// foundDeadAt is when this VM found the owner dead.
+	foundDeadAt time.Time
+	// endsSince is when this VM may first have noticed the end of an upstream that the owner had not
+	// noticed when it died.
+	endsSince time.Time
+}
+
 // unaccountedRequests holds the items and score calls of which the previous owner of a step may have
 // had an attempt in flight when it died. Nobody knows at which upstream that attempt ran, so each of
 // these requests may have ended one upstream more than the ledger holds. It is safe for concurrent use.
 type unaccountedRequests struct {
-	// lostOwnerAt is when the owner was found dead.
-	lostOwnerAt time.Time
+	owner lostOwner
 
 	mu       sync.Mutex
 	requests map[poison.Request]bool
+	// ended holds the upstreams that ended about when the owner died, once they are known.
+	ended   []*target.Entry
+	settled bool
 	// own holds the suspicions that this run has added itself.
 	own map[loss]bool
 }
 
 // newUnaccountedRequests returns the unaccounted requests of a run whose results are known.
 func newUnaccountedRequests(r *run) *unaccountedRequests {
-	u := &unaccountedRequests{lostOwnerAt: r.rec.lostOwnerAt, requests: make(map[poison.Request]bool), own: make(map[loss]bool)}
-	if u.lostOwnerAt.IsZero() {
+	u := &unaccountedRequests{owner: r.rec.lostOwner, requests: make(map[poison.Request]bool), own: make(map[loss]bool)}
+	if u.owner.foundDeadAt.IsZero() {
 		return u
 	}
 	for i := range r.items {
@@ -40,16 +54,30 @@
 	return u
 }
 
-func (u *unaccountedRequests) has(request poison.Request) bool {
+// settle records which upstreams ended about when the owner died, as soon as the list shows it.
+func (u *unaccountedRequests) settle(roster *target.Roster, now time.Time) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	return u.requests[request]
+	until := u.owner.foundDeadAt.Add(listedSurvivalDelay)
+	if u.settled || len(u.requests) == 0 || now.Before(until) || roster.ListAge(now) > listedSurvivalDelay/2 {
+		return
+	}
+	u.ended, u.settled = roster.Ended(u.owner.endsSince, until), true
 }
 
-func (u *unaccountedRequests) remove(request poison.Request) {
+// take removes a request and returns the upstreams of a service that may have ended under it. It fails
+// if these are not known yet.
+func (u *unaccountedRequests) take(request poison.Request, service string) (ended []*target.Entry, ok bool) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
+	if !u.requests[request] {
+		return nil, true
+	}
+	if !u.settled {
+		return nil, false
+	}
 	delete(u.requests, request)
+	return slices.DeleteFunc(slices.Clone(u.ended), func(e *target.Entry) bool { return e.Info().Service != service }), true
 }
 
 // addSuspicion records that an incarnation may end, or may have ended, under an attempt of this run.
@@ -78,33 +106,35 @@
 // one more end would be too many, and the lost owner's attempt is unaccounted for, the request waits until
 // the list shows which upstreams ended about when that owner did. One of these counts against it.
 func (r *run) settleUnaccounted(request poison.Request, service string, now time.Time) bool {
-	u := r.unaccounted
-	if r.m.suspicions.Count(request) != poison.MaxEnds-1 || !u.has(request) {
+	if r.m.suspicions.Count(request) != poison.MaxEnds-1 {
 		return true
 	}
-	if now.Sub(u.lostOwnerAt) < listedSurvivalDelay || r.m.Roster.ListAge(now) > listedSurvivalDelay/2 {
-		return false
-	}
-	u.remove(request)
-	for _, entry := range r.m.Roster.Ended(service, u.lostOwnerAt.Add(-ownerLossNotice)) {
+	ended, ok := r.unaccounted.take(request, service)
+	for _, entry := range ended {
 		if incarnation := incarnationOf(entry); !r.m.suspicions.Has(request, incarnation) {
 			r.m.suspicions.Add(request, incarnation, now)
 			r.losses.signal()
 			break
 		}
 	}
-	return true
+	return ok
 }
 
-// lostOwnerSince returns when this VM found the owner of a step dead; zero if the step has no owner.
-func (m *Manager) lostOwnerSince(r stateRecord) time.Time {
+// lostOwnerOf returns what this VM knows of the dead owner of a step.
+func (m *Manager) lostOwnerOf(r stateRecord) lostOwner {
 	if r.Owner == "" {
-		return time.Time{}
+		return lostOwner{}
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if since, ok := m.unownedSince[r.ID]; ok {
-		return since
+	foundDeadAt, ok := m.unownedSince[r.ID]
+	if !ok {
+		foundDeadAt = time.Now()
+	}
+	// An upstream that was missed before the owner owned the step got no item of it.
+	endsSince := foundDeadAt.Add(-ownerLossNotice)
+	if r.ownerKnownSince.After(endsSince) {
+		endsSince = r.ownerKnownSince
 	}
-	return time.Now()
+	return lostOwner{foundDeadAt: foundDeadAt, endsSince: endsSince}
 }
--- a/internal/target/roster.go
+++ b/internal/target/roster.go
@@ -264,14 +264,14 @@
 	maps.DeleteFunc(r.ended, func(e *Entry, _ time.Time) bool { return e.Info().ID == info.ID && e.Info().Started == info.Started })
 }
 
-// Ended returns the upstreams of a service that left the list without notice since a time, at most
-// endedRetention ago, in a fixed order.
-func (r *Roster) Ended(service string, since time.Time) []*Entry {
+// Ended returns the upstreams that left the list without notice in a period, at most endedRetention
+// ago, in a fixed order.
+func (r *Roster) Ended(since, until time.Time) []*Entry {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var ended []*Entry
 	for e, at := range r.ended {
-		if e.Info().Service == service && !at.Before(since) {
+		if !at.Before(since) && !at.After(until) {
 			ended = append(ended, e)
 		}
 	}
--- a/internal/target/roster_test.go
+++ b/internal/target/roster_test.go
@@ -169,13 +169,13 @@
 	r.Apply(UnlistedChange(list[0].ID), ListedChange(leaving), ListedChange(restarted), UnlistedChange(list[3].ID))
 	r.Apply(UnlistedChange(leaving.ID), ListedChange(list[3]))
 	var ended []string
-	for _, e := range r.Ended(list[0].Service, started) {
+	for _, e := range r.Ended(started, time.Now()) {
 		ended = append(ended, fmt.Sprint(e.Info().ID, " ", e.Info().Started))
 	}
 	if want := []string{"up-0000 1", "up-0002 1"}; !slices.Equal(ended, want) {
 		t.Errorf("ended: %q, want %q", ended, want)
 	}
-	if n := len(r.Ended(list[0].Service, time.Now().Add(time.Second))) + len(r.Ended("other", started)); n > 0 {
-		t.Errorf("%d upstreams of another time or service", n)
+	if n := len(r.Ended(time.Now(), time.Now().Add(time.Second))) + len(r.Ended(started.Add(-time.Second), started)); n > 0 {
+		t.Errorf("%d upstreams of another period", n)
 	}
 }
