The tries of a score call share one limit on upstreams that may end under it

Callers saw, in a test: a score call that ends its upstreams ended four of them, with a route that allows two attempts; the limit is three.

Cause: each try of the call counted its own attempts from zero. The next try was held back only once three upstreams were under suspicion, and began with two attempts when there were two.

Now a try knows how many upstreams may have ended before it, the attempt of a lost owner among them, and is retried and hedged within what is left.

Still open: an upstream that ends without closing its connections is not counted, since a call that runs out of time says nothing of its upstreams.

--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -64,6 +64,8 @@
 	// LastEventID is the ID of the last event that the caller received, if it resumes a
 	// stream.
 	LastEventID string
+	// EarlierLosses is the number of upstreams that may have ended under earlier calls of the request.
+	EarlierLosses int
 }
 
 // Answer is an upstream's answer for the caller. Body holds its first bytes. Rest, if
@@ -238,7 +240,9 @@
 // mayEndAnother reports whether the request may be sent to another upstream, given how many may have
 // ended under it, whatever number of attempts the route allows. The caller waits, so there is no time
 // to find out whether they did.
-func (r *inflightRequest) mayEndAnother() bool { return r.unanswered+r.pendingCount < poison.MaxEnds }
+func (r *inflightRequest) mayEndAnother() bool {
+	return r.call.EarlierLosses+r.unanswered+r.pendingCount < poison.MaxEnds
+}
 
 // startAttempt starts an attempt at the next upstream. It returns false if there is none
 // left.
--- a/internal/scoring/client.go
+++ b/internal/scoring/client.go
@@ -39,15 +39,16 @@
 
 // Score makes a call by the given route and returns the score, which is the digest of
 // the service's complete, successful answer. residency limits the failure domains to which
-// the call may go. forward.FailedAnswerCount returns, for an error of Score, how many
+// the call may go. earlierLosses is the number of upstreams that may have ended under earlier
+// tries of the call. forward.FailedAnswerCount returns, for an error of Score, how many
 // upstreams answered that the call failed.
-func (c *Client) Score(ctx context.Context, call Call, callRoute *route.Route, residency route.Residency) (string, error) {
+func (c *Client) Score(ctx context.Context, call Call, callRoute *route.Route, residency route.Residency, earlierLosses int) (string, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeoutOf(callRoute))
 	defer cancel()
 	answer, err := c.Forwarder.Do(ctx, forward.Call{
 		ID: call.ID, Route: idempotentRoute(callRoute), Arrived: time.Now(),
 		Method: http.MethodPost, URI: call.Path, Host: call.Host, Header: make(http.Header), Body: call.Body,
-		Residency: residency,
+		Residency: residency, EarlierLosses: earlierLosses,
 	})
 	if err != nil {
 		return "", err
--- a/internal/scoring/scoring_test.go
+++ b/internal/scoring/scoring_test.go
@@ -73,7 +73,7 @@
 func TestScoreIsTheDigestOfTheAnswer(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := &fakeScorer{answer: func(string) *target.Response { return scoredResponse("d1", "text") }}
-		score, err := newClient(f).Score(t.Context(), call, scoreRoute(2), route.Residency{})
+		score, err := newClient(f).Score(t.Context(), call, scoreRoute(2), route.Residency{}, 0)
 		if err != nil || score != "d1" {
 			t.Errorf("Score = %q, %v", score, err)
 		}
@@ -99,7 +99,7 @@
 			return scoredResponse("d2", "")
 		}
 		started := time.Now()
-		score, err := newClient(f).Score(t.Context(), call, scoreRoute(2), route.Residency{})
+		score, err := newClient(f).Score(t.Context(), call, scoreRoute(2), route.Residency{}, 0)
 		if err != nil || score != "d2" || time.Since(started) > 400*time.Millisecond {
 			t.Errorf("Score = %q, %v after %s", score, err, time.Since(started))
 		}
@@ -112,7 +112,7 @@
 func TestFailedAnswersAreCounted(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := &fakeScorer{answer: func(string) *target.Response { return failedResponse() }}
-		_, err := newClient(f).Score(t.Context(), call, scoreRoute(2), route.Residency{})
+		_, err := newClient(f).Score(t.Context(), call, scoreRoute(2), route.Residency{}, 0)
 		if n := forward.FailedAnswerCount(err); n != 2 {
 			t.Errorf("%d failed answers, want 2: %v", n, err)
 		}
@@ -151,7 +151,7 @@
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				f := &fakeScorer{answer: func(string) *target.Response { return response() }}
-				score, err := newClient(f).Score(t.Context(), call, scoreRoute(2), route.Residency{})
+				score, err := newClient(f).Score(t.Context(), call, scoreRoute(2), route.Residency{}, 0)
 				if err == nil || score != "" || forward.FailedAnswerCount(err) != 0 {
 					t.Errorf("Score = %q, %v", score, err)
 				}
--- a/internal/step/cluster_test.go
+++ b/internal/step/cluster_test.go
@@ -48,6 +48,8 @@
 	storeAvailable func(name string) bool
 	// transportOf, if set, returns the transport that an incarnation of a VM uses.
 	transportOf func(name, incarnation string) target.Transport
+	// scoring, if set, returns the Scorer of a VM instead of scorer.
+	scoring func(Config) Scorer
 	// reports, if set, are the engines' reports. Without it all engines still run.
 	reports EngineReports
 	// domains maps VMs that are not in failure domain "x" to their domains.
@@ -125,14 +127,18 @@
 		reports = cl.reports
 	}
 	ctx, kill := context.WithCancel(cl.t.Context())
-	v := &testVM{kill: kill, Manager: NewManager(Config{
+	config := Config{
 		CallBudget: budget.New(budget.Rates{}),
 		VM:         name, Incarnation: incarnation, Domain: domain, Store: store, Clock: cl.store, Members: fakeMembers{cl, name, incarnation},
 		View: view, Roster: roster, Transport: transport, Engines: reports, Scorer: cl.scorer, Events: events, Retention: time.Minute,
 		AnnouncedVersion: func(string) (int64, bool) { return 1, true },
 		PreferredOwner:   cl.preferredOwner,
 		StoreAvailable:   func() bool { return cl.storeAvailable == nil || cl.storeAvailable(name) },
-	})}
+	}
+	if cl.scoring != nil {
+		config.Scorer = cl.scoring(config)
+	}
+	v := &testVM{kill: kill, Manager: NewManager(config)}
 	cl.mu.Lock()
 	cl.vms[name] = v
 	cl.mu.Unlock()
@@ -328,7 +334,7 @@
 	earlyCalls []string
 }
 
-func (s *fakeScorer) Score(ctx context.Context, call scoring.Call, _ *route.Route, _ route.Residency) (string, error) {
+func (s *fakeScorer) Score(ctx context.Context, call scoring.Call, _ *route.Route, _ route.Residency, _ int) (string, error) {
 	item := string(call.Body)
 	s.engines.mu.Lock()
 	finished := s.engines.finished[item]
--- a/internal/step/score.go
+++ b/internal/step/score.go
@@ -18,8 +18,9 @@
 
 // Scorer sends score calls for texts. It is safe for concurrent use.
 type Scorer interface {
-	// Score returns the score that a service of the route returned.
-	Score(ctx context.Context, call scoring.Call, callRoute *route.Route, residency route.Residency) (string, error)
+	// Score returns the score that a service of the route returned. earlierLosses is the number of
+	// upstreams that may have ended under earlier tries of the call.
+	Score(ctx context.Context, call scoring.Call, callRoute *route.Route, residency route.Residency, earlierLosses int) (string, error)
 }
 
 // awaitScore moves an item with a complete text to the phase in which it needs a score, so that
@@ -94,7 +95,7 @@
 	item := r.items[i]
 	ctx, cancel := r.beginCall(i)
 	defer cancel(nil)
-	score, err := r.m.Scorer.Score(ctx, *item.Score, callRoute, r.m.residency(r.rec.Account, callRoute))
+	score, err := r.m.Scorer.Score(ctx, *item.Score, callRoute, r.m.residency(r.rec.Account, callRoute), r.possibleEnds(r.scoreRequest(i)))
 	if r.isObsolete(i) {
 		return
 	}
--- a/internal/step/score_test.go
+++ b/internal/step/score_test.go
@@ -36,7 +36,7 @@
 		"": func(string, int) reply { return reply{status: http.StatusInternalServerError} },
 	}}
 	client := &scoring.Client{Forwarder: &forward.Forwarder{Roster: roster, Transport: failing, Meter: forward.Unmetered{}, Events: events, RetryBudget: retry.NewBudget()}}
-	_, err := client.Score(t.Context(), scoring.Call{ID: "q"}, &route.Route{Attempts: 1, Split: []route.Share{{Service: "judge", Weight: 1}}}, route.Residency{})
+	_, err := client.Score(t.Context(), scoring.Call{ID: "q"}, &route.Route{Attempts: 1, Split: []route.Share{{Service: "judge", Weight: 1}}}, route.Residency{}, 0)
 	if forward.FailedAnswerCount(err) != 1 {
 		t.Fatalf("the failure is %v", err)
 	}
--- a/internal/step/unaccounted.go
+++ b/internal/step/unaccounted.go
@@ -65,6 +65,12 @@
 	u.ended, u.settled = roster.Ended(u.owner.endsSince, until), true
 }
 
+func (u *unaccountedRequests) has(request poison.Request) bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.requests[request]
+}
+
 // take removes a request and returns the upstreams of a service that may have ended under it. It fails
 // if these are not known yet.
 func (u *unaccountedRequests) take(request poison.Request, service string) (ended []*target.Entry, ok bool) {
@@ -120,6 +126,15 @@
 	return ok
 }
 
+// possibleEnds returns how many upstreams may have ended under a request.
+func (r *run) possibleEnds(request poison.Request) int {
+	n := r.m.suspicions.Count(request)
+	if r.unaccounted.has(request) {
+		n++
+	}
+	return n
+}
+
 // lostOwnerOf returns what this VM knows of the dead owner of a step.
 func (m *Manager) lostOwnerOf(r stateRecord) lostOwner {
 	if r.Owner == "" {
