An upstream that was listed after the owner of a step was found dead does not count for the next owner

Cause: the next owner counted engines that ended up to 6 s after it found the owner dead.

Now an engine that renewed its place in the list after that is left out: it ran when the owner was dead.

Before: TestNextOwnerLeavesOutEnginesThatEndedAfterTheTakeover:

query_of_death_test.go:446: 2 engines ended under item i0, want 2, and its result is ""

After: passes.

--- a/internal/step/query_of_death_test.go
+++ b/internal/step/query_of_death_test.go
@@ -15,6 +15,7 @@
 
 	"dogwoodpond/internal/fault"
 	"dogwoodpond/internal/target"
+	"dogwoodpond/internal/wait"
 )
 
 // maxEndsPerItem is the number of upstreams under which an item may have ended and still be sent.
@@ -396,6 +397,36 @@
 	})
 }
 
+// Guards against the same for an engine that ended after the owner had been found dead.
+func TestNextOwnerLeavesOutEnginesThatEndedAfterTheTakeover(t *testing.T) {
+	playTwoEndsAtNextOwner(t, endsMidStream, func(p *mortalPlay) {
+		const heartbeatInterval = 500 * time.Millisecond
+		p.heartbeat(heartbeatInterval)
+		time.AfterFunc(1500*time.Millisecond, func() {
+			p.endWhere(func(e *mortalEngine) bool { return e.info.ID == "e9" })
+		})
+	})
+}
+
+// heartbeat lists the engines that run at an interval.
+func (f *mortalEngines) heartbeat(interval time.Duration) {
+	go func() {
+		for wait.For(f.cluster.t.Context(), interval) {
+			var listed []target.Change
+			f.mu.Lock()
+			for _, e := range f.engines {
+				if !e.down {
+					listed = append(listed, target.ListedChange(e.info))
+				}
+			}
+			f.mu.Unlock()
+			for _, change := range listed {
+				f.list(change)
+			}
+		}
+	}()
+}
+
 // playTwoEndsAtNextOwner plays an item that ends two engines after its owner was killed.
 func playTwoEndsAtNextOwner(t *testing.T, how fatality, beforeStep func(*mortalPlay)) {
 	bubble(t, func(t *testing.T) {
--- a/internal/step/unaccounted.go
+++ b/internal/step/unaccounted.go
@@ -62,7 +62,12 @@
 	if u.settled || len(u.requests) == 0 || now.Before(until) || roster.ListAge(now) > listedSurvivalDelay/2 {
 		return
 	}
-	u.ended, u.settled = roster.Ended(u.owner.endsSince, until), true
+	u.settled = true
+	for _, e := range roster.Ended(u.owner.endsSince, until) {
+		if !e.ListedAt().After(u.owner.foundDeadAt) {
+			u.ended = append(u.ended, e)
+		}
+	}
 }
 
 func (u *unaccountedRequests) has(request poison.Request) bool {
--- a/internal/target/instance.go
+++ b/internal/target/instance.go
@@ -64,6 +64,8 @@
 	failures     atomic.Int32
 	graceUntil   atomic.Int64
 	unlisted     atomic.Bool
+	// listedAt is when the upstream was last seen in the list, in Unix nanoseconds.
+	listedAt atomic.Int64
 	// evicted is true when no list holds the entry any more. The roster's mu guards it.
 	evicted bool
 
@@ -125,6 +127,9 @@
 // Unlisted reports whether the upstream is no longer in the platform's list.
 func (e *Entry) Unlisted() bool { return e.unlisted.Load() }
 
+// ListedAt returns when this VM last saw the upstream in the platform's list, which upstreams renew.
+func (e *Entry) ListedAt() time.Time { return time.Unix(0, e.listedAt.Load()) }
+
 // Listed reports whether the upstream is in the platform's list and not leaving.
 func (e *Entry) Listed() bool { return !e.unlisted.Load() && !e.Info().Leaving }
 
--- a/internal/target/slowstart.go
+++ b/internal/target/slowstart.go
@@ -188,6 +188,7 @@
 }
 
 func (e *Entry) noteListed(coldFor time.Duration, now time.Time) {
+	e.listedAt.Store(now.UnixNano())
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.admission.setColdFor(coldFor, now)
