An attempt that its own process canceled leaves no suspicion

Cause: an attempt at an item under suspicion is recorded before it is sent. If the end of its step, a planned stop or another owner canceled it, the record stayed until the engine was asked again, which happened when the item came again. An engine that ended in between for another reason counted as ended under the item.

If it doesn't report, it may have ended under the item, and the record stays.

Before: TestCanceledAttemptsLeaveNoSuspicion:

query_of_death_test.go:695: a: e2 counts as ended under the item query_of_death_test.go:695: b: e2 counts as ended under the item

After: passes.

--- a/internal/step/item.go
+++ b/internal/step/item.go
@@ -75,6 +75,9 @@
 	a := &attempt{run: r, index: i, need: n, entry: entry, cancel: cancel}
 	outcome := a.generate(ctx)
 	if r.isObsolete(i) {
+		if ctx.Err() != nil {
+			r.m.tasks.Go(func() { r.liftCanceled(i, entry) })
+		}
 		return
 	}
 	switch cause := context.Cause(ctx); {
--- a/internal/step/query_of_death_test.go
+++ b/internal/step/query_of_death_test.go
@@ -14,6 +14,7 @@
 	"github.com/cockroachdb/errors"
 
 	"dogwoodpond/internal/fault"
+	"dogwoodpond/internal/poison"
 	"dogwoodpond/internal/target"
 	"dogwoodpond/internal/wait"
 )
@@ -658,6 +659,47 @@
 	})
 }
 
+// Guards against a sound item that is held back for an engine that ended after the end of the item's step,
+// or a planned stop, had canceled its attempt there.
+func TestCanceledAttemptsLeaveNoSuspicion(t *testing.T) {
+	for _, leaves := range []bool{false, true} {
+		t.Run(fmt.Sprintf("planned stop %t", leaves), func(t *testing.T) {
+			bubble(t, func(t *testing.T) {
+				p := newMortalPlay(t, 48, 1, endsMidStream)
+				p.fatalAttempts = 1
+				a, b := p.cluster.start("a"), p.cluster.start("b")
+				submit(t, a, p.step, p.items)
+				culprit := p.items[0].ID
+				for p.attempts(culprit) < 2 {
+					time.Sleep(10 * time.Millisecond)
+				}
+				var engine string
+				p.mu.Lock()
+				for _, e := range p.engines {
+					if e.running[culprit] {
+						engine = e.info.ID
+					}
+				}
+				p.mu.Unlock()
+				if leaves {
+					a.Leave(t.Context())
+				} else if err := a.End(t.Context(), p.step.ID, p.step.Account); err != nil {
+					t.Fatal(err)
+				}
+				time.Sleep(400 * time.Millisecond)
+				p.endWhere(func(e *mortalEngine) bool { return e.info.ID == engine })
+				time.Sleep(time.Second)
+				for _, v := range []*testVM{a, b} {
+					request := poison.Request{Account: p.step.Account, ID: culprit}
+					if v.suspicions.Has(request, poison.Incarnation{Upstream: engine, Started: 1}) {
+						t.Errorf("%s: %s counts as ended under the item", v.VM, engine)
+					}
+				}
+			})
+		})
+	}
+}
+
 // Guards against a sound item that is held back for engines that had ended before they got it, on
 // connections that still seemed open.
 func TestItemUnderSuspicionIsNotSentToEndedEngines(t *testing.T) {
--- a/internal/step/suspect.go
+++ b/internal/step/suspect.go
@@ -9,6 +9,7 @@
 	"dogwoodpond/internal/event"
 	"dogwoodpond/internal/poison"
 	"dogwoodpond/internal/target"
+	"dogwoodpond/internal/wait"
 )
 
 // request returns the identity of an item among those of all steps. A trainer may submit an item of an
@@ -188,6 +189,31 @@
 	}
 }
 
+// liftCanceled lifts the suspicion that was recorded before an attempt that this process canceled, unless
+// the engine may have ended before. It would stay on record otherwise, and count if the engine ends later.
+func (r *run) liftCanceled(i int, entry *target.Entry) {
+	request, incarnation := r.request(i), incarnationOf(entry)
+	if r.m.ctx.Err() != nil || !r.m.suspicions.Has(request, incarnation) {
+		return
+	}
+	if r.silentFor(i) >= silentPeriod && !r.m.isRunning(r.m.ctx, entry) {
+		return
+	}
+	r.m.suspicions.Remove(request, incarnation)
+	// The attempts of a step are canceled at the same moment.
+	wait.For(r.m.ctx, dispatchBatchDelay)
+	ctx, cancel := context.WithTimeout(r.m.ctx, lossTimeout)
+	defer cancel()
+	r.saveLosses(ctx)
+}
+
+// silentFor returns the time since the last event of an item's attempt, or since the start of the attempt.
+func (r *run) silentFor(i int) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return time.Since(r.progress[i].silentSince)
+}
+
 // lift lifts suspicions against a request, and has the rows that hold them taken back.
 func (r *run) lift(request poison.Request, lift func()) {
 	if r.m.suspicions.Count(request) > 0 {
