Engines that may have ended under an item are asked while the item runs elsewhere

Cause: engines were asked only while the item was pending or held back, and not in the first 0.25 s after the loss; by then the item ran elsewhere. And a report lifted the suspicion of any attempt that had begun before, also of one that still ran, so asking more often would have hidden an end.

Now engines are asked in all these phases, and the ledger knows attempts that run: a report doesn't lift them.

Before: TestEnginesAreAskedWhileTheItemRunsElsewhere:

query_of_death_test.go:731: e2 counts as ended under the item

After: passes; TestRunningUpstreamDoesNotLiftOpenAttempts holds the other half.

--- a/internal/poison/ledger.go
+++ b/internal/poison/ledger.go
@@ -36,22 +36,39 @@
 // Ledger holds, for each request under suspicion, the incarnations that may have ended under it. It is
 // safe for concurrent use.
 type Ledger struct {
-	mu sync.Mutex
-	// losses holds, by request and incarnation, when the answer was lost.
-	losses map[Request]map[Incarnation]time.Time
+	mu         sync.Mutex
+	suspicions map[Request]map[Incarnation]suspicion
+}
+
+// suspicion is a suspicion against a request that one incarnation may have ended under it.
+type suspicion struct {
+	// at is when the answer was lost, or when the attempt began.
+	at time.Time
+	// open is true while the attempt runs.
+	open bool
 }
 
 // NewLedger returns an empty ledger.
-func NewLedger() *Ledger { return &Ledger{losses: make(map[Request]map[Incarnation]time.Time)} }
+func NewLedger() *Ledger { return &Ledger{suspicions: make(map[Request]map[Incarnation]suspicion)} }
+
+// Begin records that an attempt at a request under suspicion begins, under which the incarnation may end.
+// Add or Remove must follow.
+func (l *Ledger) Begin(request Request, incarnation Incarnation, at time.Time) {
+	l.put(request, incarnation, suspicion{at: at, open: true})
+}
 
-// Add records that the incarnation may end, or may have ended, under the request.
+// Add records that the incarnation may have ended under the request.
 func (l *Ledger) Add(request Request, incarnation Incarnation, at time.Time) {
+	l.put(request, incarnation, suspicion{at: at})
+}
+
+func (l *Ledger) put(request Request, incarnation Incarnation, s suspicion) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.losses[request] == nil {
-		l.losses[request] = make(map[Incarnation]time.Time)
+	if l.suspicions[request] == nil {
+		l.suspicions[request] = make(map[Incarnation]suspicion)
 	}
-	l.losses[request][incarnation] = at
+	l.suspicions[request][incarnation] = s
 }
 
 // Remove records that the incarnation did not end under the request.
@@ -62,9 +79,9 @@
 }
 
 func (l *Ledger) removeLocked(request Request, incarnation Incarnation) {
-	delete(l.losses[request], incarnation)
-	if len(l.losses[request]) == 0 {
-		delete(l.losses, request)
+	delete(l.suspicions[request], incarnation)
+	if len(l.suspicions[request]) == 0 {
+		delete(l.suspicions, request)
 	}
 }
 
@@ -72,16 +89,16 @@
 func (l *Ledger) Forget(request Request) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	delete(l.losses, request)
+	delete(l.suspicions, request)
 }
 
 // NoteRunning records that the incarnation ran at a time: it has not ended under the requests that
-// lost their answers before.
+// lost their answers before. It may still end under attempts that run.
 func (l *Ledger) NoteRunning(incarnation Incarnation, at time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for request, losses := range l.losses {
-		if lostAt, ok := losses[incarnation]; ok && lostAt.Before(at) {
+	for request, suspicions := range l.suspicions {
+		if s, ok := suspicions[incarnation]; ok && !s.open && s.at.Before(at) {
 			l.removeLocked(request, incarnation)
 		}
 	}
@@ -91,8 +108,8 @@
 func (l *Ledger) Suspects(request Request) []Incarnation {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	incarnations := make([]Incarnation, 0, len(l.losses[request]))
-	for incarnation := range l.losses[request] {
+	incarnations := make([]Incarnation, 0, len(l.suspicions[request]))
+	for incarnation := range l.suspicions[request] {
 		incarnations = append(incarnations, incarnation)
 	}
 	slices.SortFunc(incarnations, func(a, b Incarnation) int {
@@ -101,25 +118,27 @@
 	return incarnations
 }
 
-// LostAt returns when the incarnation may have ended under a request.
-func (l *Ledger) LostAt(request Request, incarnation Incarnation) time.Time {
+// LostAt returns when the incarnation may have ended under a request; ok is false if no answer was lost
+// there, or not yet.
+func (l *Ledger) LostAt(request Request, incarnation Incarnation) (at time.Time, ok bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.losses[request][incarnation]
+	s, ok := l.suspicions[request][incarnation]
+	return s.at, ok && !s.open
 }
 
 // Count returns how many incarnations may have ended under a request.
 func (l *Ledger) Count(request Request) int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return len(l.losses[request])
+	return len(l.suspicions[request])
 }
 
 // Has reports whether an incarnation may have ended under a request.
 func (l *Ledger) Has(request Request, incarnation Incarnation) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	_, ok := l.losses[request][incarnation]
+	_, ok := l.suspicions[request][incarnation]
 	return ok
 }
 
@@ -127,9 +146,9 @@
 func (l *Ledger) Expire(before time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for request, losses := range l.losses {
-		for incarnation, at := range losses {
-			if at.Before(before) {
+	for request, suspicions := range l.suspicions {
+		for incarnation, s := range suspicions {
+			if s.at.Before(before) {
 				l.removeLocked(request, incarnation)
 			}
 		}
@@ -140,7 +159,7 @@
 func (l *Ledger) Empty() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return len(l.losses) == 0
+	return len(l.suspicions) == 0
 }
 
 // Describe returns incarnations for events.
--- a/internal/poison/ledger_test.go
+++ b/internal/poison/ledger_test.go
@@ -51,3 +51,24 @@
 		t.Error("the older suspicion has not expired, or the newer one has")
 	}
 }
+
+// Guards against an attempt that runs and no longer counts, because its upstream still ran after it began.
+func TestRunningUpstreamDoesNotLiftOpenAttempts(t *testing.T) {
+	l := NewLedger()
+	request, incarnation := Request{Account: "a", ID: "q"}, Incarnation{Upstream: "e", Started: 1}
+	began := time.Now()
+	l.Begin(request, incarnation, began)
+	l.NoteRunning(incarnation, began.Add(time.Second))
+	if _, lost := l.LostAt(request, incarnation); lost || l.Count(request) != 1 {
+		t.Errorf("an open attempt: lost %t, count %d, want false, 1", lost, l.Count(request))
+	}
+	l.Add(request, incarnation, began.Add(2*time.Second))
+	l.NoteRunning(incarnation, began.Add(time.Second))
+	if l.Count(request) != 1 {
+		t.Error("a report from before the lost answer lifts the suspicion")
+	}
+	l.NoteRunning(incarnation, began.Add(3*time.Second))
+	if l.Count(request) != 0 {
+		t.Error("a report from after the lost answer leaves the suspicion")
+	}
+}
--- a/internal/step/item.go
+++ b/internal/step/item.go
@@ -75,9 +75,8 @@
 	a := &attempt{run: r, index: i, need: n, entry: entry, cancel: cancel}
 	outcome := a.generate(ctx)
 	if r.isObsolete(i) {
-		if ctx.Err() != nil {
-			r.m.tasks.Go(func() { r.liftCanceled(i, entry) })
-		}
+		canceled := ctx.Err() != nil
+		r.m.tasks.Go(func() { r.noteAttemptObsolete(i, entry, canceled) })
 		return
 	}
 	switch cause := context.Cause(ctx); {
@@ -303,7 +302,7 @@
 		}
 		a.stallTimer.Reset(nextEventTimeout)
 		if a.suspected.CompareAndSwap(true, false) {
-			a.run.m.suspicions.Remove(a.run.request(a.index), incarnationOf(a.entry))
+			a.run.noteResumed(a.index, a.entry)
 		}
 		a.entry.NoteRunningSince(a.startedAt)
 		if changed, ok := e.Field(response.VersionField); ok {
--- a/internal/step/query_of_death_test.go
+++ b/internal/step/query_of_death_test.go
@@ -481,6 +481,19 @@
 	return len(f.sent[item])
 }
 
+// engineOf returns the engine that runs an item.
+func (f *mortalEngines) engineOf(item string) string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, e := range f.engines {
+		if e.running[item] {
+			return e.info.ID
+		}
+	}
+	f.cluster.t.Errorf("no engine runs item %s", item)
+	return ""
+}
+
 // endWhere ends the engines that satisfy a condition, for another cause than an item.
 func (f *mortalEngines) endWhere(condition func(*mortalEngine) bool) {
 	f.mu.Lock()
@@ -673,14 +686,7 @@
 				for p.attempts(culprit) < 2 {
 					time.Sleep(10 * time.Millisecond)
 				}
-				var engine string
-				p.mu.Lock()
-				for _, e := range p.engines {
-					if e.running[culprit] {
-						engine = e.info.ID
-					}
-				}
-				p.mu.Unlock()
+				engine := p.engineOf(culprit)
 				if leaves {
 					a.Leave(t.Context())
 				} else if err := a.End(t.Context(), p.step.ID, p.step.Account); err != nil {
@@ -700,6 +706,33 @@
 	}
 }
 
+// Guards against a sound item that is held back for an engine that ran when the item was sent elsewhere, and
+// ended later for another cause.
+func TestEnginesAreAskedWhileTheItemRunsElsewhere(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		p := newMortalPlay(t, 48, 1, endsMidStream)
+		p.fatalAttempts, p.events = 1, 80
+		a, b := p.cluster.start("a"), p.cluster.start("b")
+		submit(t, a, p.step, p.items)
+		culprit := p.items[0].ID
+		for p.attempts(culprit) < 2 {
+			time.Sleep(10 * time.Millisecond)
+		}
+		engine := p.engineOf(culprit)
+		p.cluster.crash(a)
+		for p.attempts(culprit) < 3 {
+			time.Sleep(10 * time.Millisecond)
+		}
+		time.Sleep(time.Second)
+		p.endWhere(func(e *mortalEngine) bool { return e.info.ID == engine })
+		time.Sleep(500 * time.Millisecond)
+		request := poison.Request{Account: p.step.Account, ID: culprit}
+		if p.engineOf(culprit) == engine || b.suspicions.Has(request, poison.Incarnation{Upstream: engine, Started: 1}) {
+			t.Errorf("%s counts as ended under the item", engine)
+		}
+	})
+}
+
 // Guards against a sound item that is held back for engines that had ended before they got it, on
 // connections that still seemed open.
 func TestItemUnderSuspicionIsNotSentToEndedEngines(t *testing.T) {
--- a/internal/step/score.go
+++ b/internal/step/score.go
@@ -153,7 +153,8 @@
 func (m *Manager) reviewScore(r *run, i int, now time.Time) {
 	request := r.scoreRequest(i)
 	for _, incarnation := range m.suspicions.Suspects(request) {
-		if now.Sub(m.suspicions.LostAt(request, incarnation)) < listedSurvivalDelay || m.Roster.ListAge(now) > listedSurvivalDelay/2 {
+		lostAt, lost := m.suspicions.LostAt(request, incarnation)
+		if !lost || now.Sub(lostAt) < listedSurvivalDelay || m.Roster.ListAge(now) > listedSurvivalDelay/2 {
 			continue
 		}
 		if e := m.Roster.Incarnation(incarnation.Upstream, incarnation.Started); e != nil && !e.Unlisted() {
--- a/internal/step/suspect.go
+++ b/internal/step/suspect.go
@@ -136,7 +136,7 @@
 		return
 	}
 	for _, a := range attempts {
-		r.addSuspicion(r.request(a.index), incarnationOf(a.entry), time.Now())
+		r.beginSuspectAttempt(r.request(a.index), incarnationOf(a.entry))
 	}
 	m.tasks.Go(func() {
 		ctx, cancel := context.WithTimeout(r.itemCtx, lossTimeout)
@@ -189,14 +189,16 @@
 	}
 }
 
-// liftCanceled lifts the suspicion that was recorded before an attempt that this process canceled, unless
-// the engine may have ended before. It would stay on record otherwise, and count if the engine ends later.
-func (r *run) liftCanceled(i int, entry *target.Entry) {
+// noteAttemptObsolete updates the suspicions against an item whose attempt was of no use any more when it
+// ended. A suspicion that was recorded before an attempt which this process canceled is lifted, unless the
+// engine may have ended before. It would stay on record otherwise, and count if the engine ends later.
+func (r *run) noteAttemptObsolete(i int, entry *target.Entry, canceled bool) {
 	request, incarnation := r.request(i), incarnationOf(entry)
 	if r.m.ctx.Err() != nil || !r.m.suspicions.Has(request, incarnation) {
 		return
 	}
-	if r.silentFor(i) >= silentPeriod && !r.m.isRunning(r.m.ctx, entry) {
+	if !canceled || r.silentFor(i) >= silentPeriod && !r.m.isRunning(r.m.ctx, entry) {
+		r.m.suspicions.Add(request, incarnation, time.Now())
 		return
 	}
 	r.m.suspicions.Remove(request, incarnation)
@@ -207,6 +209,17 @@
 	r.saveLosses(ctx)
 }
 
+// noteResumed updates the suspicions against an item whose attempt goes on after the engine seemed to have
+// ended.
+func (r *run) noteResumed(i int, entry *target.Entry) {
+	request, incarnation := r.request(i), incarnationOf(entry)
+	if r.m.suspicions.Count(request) > 1 {
+		r.beginSuspectAttempt(request, incarnation)
+		return
+	}
+	r.m.suspicions.Remove(request, incarnation)
+}
+
 // silentFor returns the time since the last event of an item's attempt, or since the start of the attempt.
 func (r *run) silentFor(i int) time.Duration {
 	r.mu.Lock()
@@ -222,6 +235,18 @@
 	}
 }
 
+// beginSuspectAttempt records that an attempt at an item under suspicion begins.
+func (r *run) beginSuspectAttempt(request poison.Request, incarnation poison.Incarnation) {
+	r.m.suspicions.Begin(request, incarnation, time.Now())
+	r.unaccounted.noteOwn(request, incarnation)
+}
+
+// addSuspicion records that an incarnation may have ended under an attempt of this run.
+func (r *run) addSuspicion(request poison.Request, incarnation poison.Incarnation, at time.Time) {
+	r.m.suspicions.Add(request, incarnation, at)
+	r.unaccounted.noteOwn(request, incarnation)
+}
+
 // suspect records that an engine may have ended under an item, at a time or shortly after it.
 func (r *run) suspect(i int, entry *target.Entry, at time.Time) {
 	r.addSuspicion(r.request(i), incarnationOf(entry), at)
@@ -289,7 +314,8 @@
 	now := time.Now()
 	for i, current := range r.phases() {
 		switch current {
-		case phasePending:
+		case phasePending, phaseRunning:
+			// An engine that ran when the item left it may end for another cause while the item runs.
 			m.checkSuspects(r.request(i), now)
 		case phaseUnscored:
 			m.reviewScore(r, i, now)
@@ -306,7 +332,9 @@
 		return
 	}
 	for _, incarnation := range m.suspicions.Suspects(request) {
-		m.checkEngine(incarnation, m.suspicions.LostAt(request, incarnation), now)
+		if lostAt, lost := m.suspicions.LostAt(request, incarnation); lost {
+			m.checkEngine(incarnation, lostAt, now)
+		}
 	}
 }
 
--- a/internal/step/unaccounted.go
+++ b/internal/step/unaccounted.go
@@ -91,10 +91,8 @@
 	return slices.DeleteFunc(slices.Clone(u.ended), func(e *target.Entry) bool { return e.Info().Service != service }), true
 }
 
-// addSuspicion records that an incarnation may end, or may have ended, under an attempt of this run.
-func (r *run) addSuspicion(request poison.Request, incarnation poison.Incarnation, at time.Time) {
-	r.m.suspicions.Add(request, incarnation, at)
-	u := r.unaccounted
+// noteOwn records that the run has added a suspicion itself.
+func (u *unaccountedRequests) noteOwn(request poison.Request, incarnation poison.Incarnation) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.own[loss{Request: request, Incarnation: incarnation}] = true
