The list of ended upstreams is keyed by incarnation; a process is not its own lost owner

From reading the change as a newcomer: each upstream that left the list went through all that had left before, under the roster's lock; with thousands at once, after an outage of the store, that is millions. And a process that took over a step of its own counted as having lost its owner, though its ledger knows its attempts.

--- a/internal/step/unaccounted.go
+++ b/internal/step/unaccounted.go
@@ -138,9 +138,10 @@
 	return n
 }
 
-// lostOwnerOf returns what this VM knows of the dead owner of a step.
+// lostOwnerOf returns what this VM knows of the dead owner of a step. The attempts of this process are in
+// its ledger.
 func (m *Manager) lostOwnerOf(r stateRecord) lostOwner {
-	if r.Owner == "" {
+	if r.Owner == "" || m.isOwner(r) {
 		return lostOwner{}
 	}
 	m.mu.Lock()
--- a/internal/target/roster.go
+++ b/internal/target/roster.go
@@ -24,8 +24,8 @@
 	entriesByID map[string][]*Entry
 	// unlisted holds the entries that are no longer listed.
 	unlisted map[*Entry]bool
-	// ended holds when upstreams left the list without notice, within endedRetention.
-	ended map[*Entry]time.Time
+	// ended holds the upstreams that left the list without notice within endedRetention.
+	ended map[incarnation]endedUpstream
 	// current holds the published lists by service. They are never changed in place.
 	current atomic.Pointer[map[string][]*Entry]
 	// slowStarts holds the bounds of the services whose upstreams warm up.
@@ -53,7 +53,7 @@
 
 // NewRoster returns an empty roster.
 func NewRoster(events *event.Recorder) *Roster {
-	r := &Roster{events: events, entriesByID: make(map[string][]*Entry), unlisted: make(map[*Entry]bool), ended: make(map[*Entry]time.Time)}
+	r := &Roster{events: events, entriesByID: make(map[string][]*Entry), unlisted: make(map[*Entry]bool), ended: make(map[incarnation]endedUpstream)}
 	r.current.Store(&map[string][]*Entry{})
 	r.evacuated.Store(&map[string]bool{})
 	r.NoteListRead()
@@ -142,6 +142,7 @@
 	r.emitEach(event.UpstreamListed, added)
 	r.emitEach(event.UpstreamUnlisted, removed)
 	r.evict(touched, now)
+	maps.DeleteFunc(r.ended, func(_ incarnation, u endedUpstream) bool { return now.Sub(u.at) > endedRetention })
 	r.publish(touched)
 }
 
@@ -198,7 +199,7 @@
 		e.noteListed(info.ColdFor, now)
 		if e.unlisted.Swap(false) {
 			delete(r.unlisted, e)
-			delete(r.ended, e)
+			delete(r.ended, incarnationOf(known))
 		}
 		if sameContent(known, &info) {
 			return nil
@@ -219,7 +220,7 @@
 		earlier.unlistAtOnce()
 		r.unlisted[earlier] = true
 	}
-	r.forgetEnded(info)
+	delete(r.ended, incarnationOf(&info))
 	e := newEntry(r, info)
 	e.setSlowStart(r.slowStarts[info.Service])
 	e.noteListed(info.ColdFor, now)
@@ -251,28 +252,37 @@
 // endedRetention is how long the roster knows of an upstream that has left the list.
 const endedRetention = 30 * time.Second
 
+// incarnation identifies one incarnation of an upstream.
+type incarnation struct {
+	id      string
+	started int64
+}
+
+func incarnationOf(info *Instance) incarnation { return incarnation{info.ID, info.Started} }
+
+// endedUpstream is an upstream that left the list without notice.
+type endedUpstream struct {
+	entry *Entry
+	at    time.Time
+}
+
 // noteEnded records that an upstream left the list, unless it had announced that.
 func (r *Roster) noteEnded(e *Entry, now time.Time) {
-	maps.DeleteFunc(r.ended, func(_ *Entry, at time.Time) bool { return now.Sub(at) > endedRetention })
-	if _, known := r.ended[e]; !known && !e.Info().Leaving {
-		r.ended[e] = now
+	key := incarnationOf(e.Info())
+	if _, known := r.ended[key]; !known && !e.Info().Leaving {
+		r.ended[key] = endedUpstream{entry: e, at: now}
 	}
 }
 
-// forgetEnded removes the record that an incarnation left the list, after it was listed again.
-func (r *Roster) forgetEnded(info Instance) {
-	maps.DeleteFunc(r.ended, func(e *Entry, _ time.Time) bool { return e.Info().ID == info.ID && e.Info().Started == info.Started })
-}
-
 // Ended returns the upstreams that left the list without notice in a period, at most endedRetention
 // ago, in a fixed order.
 func (r *Roster) Ended(since, until time.Time) []*Entry {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var ended []*Entry
-	for e, at := range r.ended {
-		if !at.Before(since) && !at.After(until) {
-			ended = append(ended, e)
+	for _, u := range r.ended {
+		if !u.at.Before(since) && !u.at.After(until) {
+			ended = append(ended, u.entry)
 		}
 	}
 	slices.SortFunc(ended, func(a, b *Entry) int {
