step: start no item before the first full read of the state table

A row of lost answers was also noted as known before its content counted; a concurrent reader skipped it and went on. Rows are now observed one at a time.

TestRunIsNotAcceptedUnderObsoleteState needs an early run and so waits for the read first.

--- a/internal/step/dispatch.go
+++ b/internal/step/dispatch.go
@@ -22,8 +22,13 @@
 )
 
 // dispatchLoop starts items and score calls whenever engines and scoring services have
-// free slots.
+// free slots, once the state table has been read.
 func (m *Manager) dispatchLoop(ctx context.Context) {
+	select {
+	case <-ctx.Done():
+		return
+	case <-m.statesReadCh:
+	}
 	timer := time.NewTicker(dispatchInterval)
 	defer timer.Stop()
 	var reviewedAt time.Time
--- a/internal/step/losses.go
+++ b/internal/step/losses.go
@@ -251,6 +251,8 @@
 
 // observeLosses adds the lost answers of a row to the suspicions, or takes them back.
 func (m *Manager) observeLosses(row rowstore.Row) {
+	m.lossRowsMu.Lock()
+	defer m.lossRowsMu.Unlock()
 	if row.Deleted || !m.noteLossRow(row.Part, row.Name) {
 		return
 	}
--- a/internal/step/manager.go
+++ b/internal/step/manager.go
@@ -104,6 +104,10 @@
 	takeoverSignal chan struct{}
 	// statesReadAt is when the state rows were last read, in Unix nanoseconds.
 	statesReadAt atomic.Int64
+	// statesReadCh is closed once the rows of the first full read of the state table are observed. Until then no
+	// item starts here: the lost answers of earlier steps may count against it.
+	statesReadCh   chan struct{}
+	noteStatesRead func()
 
 	// suspicions holds the engines that may have ended under items, suspects the engines that run an
 	// item under suspicion, and checks the checks of engines that may have ended.
@@ -129,7 +133,10 @@
 	unownedSince map[string]time.Time
 	// knownLosses holds the names of the rows of lost answers that were read or written, by step.
 	knownLosses map[string]map[string]bool
-	retained    *retainedTexts
+	// lossRowsMu is held while a row of lost answers is observed: another reader of the row must not go on
+	// before its content counts. It is locked before mu.
+	lossRowsMu sync.Mutex
+	retained   *retainedTexts
 	// leaving is true once this VM hands over its steps.
 	leaving bool
 	// noNewRuns is true once Run waits for the remaining runs to end.
@@ -147,8 +154,11 @@
 // NewManager returns a manager. Call Run to start it.
 func NewManager(c Config) *Manager {
 	ctx, cancel := context.WithCancel(context.Background())
+	statesReadCh := make(chan struct{})
 	return &Manager{
 		Config:           c,
+		statesReadCh:     statesReadCh,
+		noteStatesRead:   sync.OnceFunc(func() { close(statesReadCh) }),
 		dispatchSignal:   make(chan struct{}, 1),
 		callLimiter:      scoring.NewCallLimiter(),
 		suspicions:       poison.NewLedger(),
@@ -291,12 +301,14 @@
 
 // replace applies the state rows of a full read, and removes the ended steps that the store
 // no longer has. skipped contains the ended steps that the store has and the read left out.
+// Items may start afterwards.
 func (m *Manager) replace(rows []rowstore.Row, skipped map[string]bool) {
 	present := make(map[string]bool, len(rows))
 	for _, row := range rows {
 		present[row.Part] = present[row.Part] || !isLossRow(row)
 	}
 	m.apply(rows)
+	m.noteStatesRead()
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for id, r := range m.states {
@@ -306,6 +318,16 @@
 	}
 }
 
+// statesRead reports whether the first full read of the state table has ended.
+func (m *Manager) statesRead() bool {
+	select {
+	case <-m.statesReadCh:
+		return true
+	default:
+		return false
+	}
+}
+
 // apply records changed state rows and notifies the takeover loop.
 func (m *Manager) apply(rows []rowstore.Row) {
 	m.observeLossRows(rows)
--- a/internal/step/runs_test.go
+++ b/internal/step/runs_test.go
@@ -123,6 +123,7 @@
 	bubble(t, func(t *testing.T) {
 		cl := newCluster(t, "e1")
 		a := cl.start("a")
+		<-a.statesReadCh
 		rec := openStepRecord("s", "a", 1)
 		e := &earlyRun{manager: a.Manager, state: rec.State, items: items(4)}
 		e.start()
