Step: an owner stays the owner while it shows that it lives

While the store refused a third of the VMs, two live VMs took a step from each other eight times in 0.7 s, and a step that a partitioned failure domain had accepted was taken over 120 ms later: heartbeats lag behind the state rows. A state row now counts as a sign of life of the owner that it names from the moment it is learned, unless it may be older than the reading process. A takeover needs member.DeathPeriod without a heartbeat after that row and after the end of an outage of the store. Takeovers of owners that were known long and of steps that were handed over keep their time.

--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -127,7 +127,11 @@
 	// availableSince is when a read succeeded for the first time after an outage of the
 	// store.
 	availableSince time.Time
-	ready          bool
+	// readAt is when the rows were last read, also after a failed read. outageEndedAt is when a read
+	// succeeded after reads had failed for DeathPeriod; zero before the first such outage.
+	readAt        time.Time
+	outageEndedAt time.Time
+	ready         bool
 }
 
 // New returns a list for the VM self in a fleet with the failure domains. viaPeers
@@ -307,11 +311,14 @@
 func (l *List) notePoll(now time.Time) (elapsed time.Duration) {
 	if l.polledAt.IsZero() {
 		l.availableSince = now
+		if l.ready && now.Sub(l.readAt) >= l.DeathPeriod() {
+			l.outageEndedAt = now
+		}
 	} else {
 		// Limited, because a pause of this process says nothing about the other VMs.
 		elapsed = min(now.Sub(l.polledAt), 2*l.pollInterval())
 	}
-	l.polledAt, l.ready = now, true
+	l.polledAt, l.readAt, l.ready = now, now, true
 	return elapsed
 }
 
@@ -389,7 +396,20 @@
 }
 
 func (l *List) isAlive(status *statusRow) bool {
-	return status.unchangedFor < maxMissedHeartbeats*max(l.heartbeatInterval(), l.pollInterval())
+	return status.unchangedFor < l.DeathPeriod()
+}
+
+// DeathPeriod returns the time without a heartbeat after which a VM counts as dead.
+func (l *List) DeathPeriod() time.Duration {
+	return maxMissedHeartbeats * max(l.heartbeatInterval(), l.pollInterval())
+}
+
+// OutageEndedAt returns when this VM could read the list again after an outage of at least
+// DeathPeriod; zero before the first one. A live VM may need some of that time for its next heartbeat.
+func (l *List) OutageEndedAt() time.Time {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.outageEndedAt
 }
 
 // Ready reports whether the list has been read at least once.
--- a/internal/member/member_test.go
+++ b/internal/member/member_test.go
@@ -312,3 +312,22 @@
 		}
 	})
 }
+
+// Guards against takeovers that rest on heartbeats from before an outage: its end must be known.
+func TestEndOfAnOutageIsKnown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := memory.New()
+		a, _ := startVM(t, store, "a", "x", "1")
+		time.Sleep(4 * time.Second)
+		if at := a.OutageEndedAt(); !at.IsZero() {
+			t.Errorf("an outage ended %s ago before there was one", time.Since(at))
+		}
+		store.SetDown(true)
+		time.Sleep(5 * time.Second)
+		store.SetDown(false)
+		time.Sleep(2 * time.Second)
+		if at := a.OutageEndedAt(); at.IsZero() || time.Since(at) > 2*time.Second {
+			t.Errorf("the outage ended at %s", at)
+		}
+	})
+}
--- a/internal/step/cluster_test.go
+++ b/internal/step/cluster_test.go
@@ -44,6 +44,9 @@
 	preferred, preferredIncarnation string
 	// alive, if set, reports whether an incarnation of another VM is alive.
 	alive func(id, incarnation string) bool
+	// deathPeriod and outageEndedAt are those of all member lists.
+	deathPeriod   time.Duration
+	outageEndedAt time.Time
 	// storeAvailable, if set, reports whether the store is available to a VM.
 	storeAvailable func(name string) bool
 	// transportOf, if set, returns the transport that an incarnation of a VM uses.
@@ -182,6 +185,10 @@
 	return !m.cluster.dead[id]
 }
 
+func (m fakeMembers) DeathPeriod() time.Duration { return m.cluster.deathPeriod }
+
+func (m fakeMembers) OutageEndedAt() time.Time { return m.cluster.outageEndedAt }
+
 func (m fakeMembers) Rank(duty string) int { return m.RankWithinResidency(duty, route.Residency{}) }
 
 func (m fakeMembers) RankWithinResidency(_ string, residency route.Residency) int {
--- a/internal/step/fleet_test.go
+++ b/internal/step/fleet_test.go
@@ -101,6 +101,7 @@
 	p.cluster.transportOf = func(name, incarnation string) target.Transport {
 		return &playTransport{play: p, process: incarnation, store: p.stores[name]}
 	}
+	p.cluster.deathPeriod = deathDelay
 	p.cluster.alive = func(id, incarnation string) bool {
 		p.state.Lock()
 		defer p.state.Unlock()
--- a/internal/step/manager.go
+++ b/internal/step/manager.go
@@ -43,6 +43,11 @@
 	Ready() bool
 	// Alive reports whether an incarnation of a VM is alive.
 	Alive(id, incarnation string) bool
+	// DeathPeriod returns the time without a heartbeat after which a VM counts as dead.
+	DeathPeriod() time.Duration
+	// OutageEndedAt returns when this VM could read the list again after its last outage of at least
+	// DeathPeriod; zero before the first one.
+	OutageEndedAt() time.Time
 	// Rank returns the position of this VM, from 0, when the live VMs are ranked for a duty.
 	Rank(duty string) int
 	// RankWithinResidency is Rank among the VMs of the failure domains that a residency allows.
@@ -127,6 +132,9 @@
 	takingOver map[string]bool
 	// unownedSince is when this VM first found that a step has no live owner.
 	unownedSince map[string]time.Time
+	// statesRead is true once all state rows were read. A row that is new to this VM from then on was
+	// written while this process ran.
+	statesRead bool
 	// knownLosses holds the names of the rows of lost answers that were read or written, by step.
 	knownLosses map[string]map[string]bool
 	retained    *retainedTexts
@@ -299,6 +307,7 @@
 	m.apply(rows)
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.statesRead = true
 	for id, r := range m.states {
 		if !present[id] && !skipped[id] && r.Ended {
 			m.removeStateLocked(id)
@@ -386,6 +395,9 @@
 	if ok && known.Owner == r.Owner {
 		r.ownerKnownSince = known.ownerKnownSince
 	}
+	if ok || m.statesRead {
+		r.changeSeenAt = time.Now()
+	}
 	m.states[r.ID] = r
 	delete(m.unownedSince, r.ID)
 	return true
--- a/internal/step/outage_test.go
+++ b/internal/step/outage_test.go
@@ -58,6 +58,7 @@
 		}
 	}
 	p.fallible = p.random.IntN(3) == 0
+	p.cluster.deathPeriod = deathDelay
 	unknown := p.random.IntN(2) == 0
 	p.cluster.storeOf = func(vm string) rowstore.Store {
 		p.stores[vm] = newRemoteStore(p.cluster.store, seed<<8|uint64(vm[0]), unknown)
--- a/internal/step/step.go
+++ b/internal/step/step.go
@@ -140,6 +140,9 @@
 	version int64
 	// ownerKnownSince is when this VM learned that the current owner owns the step.
 	ownerKnownSince time.Time
+	// changeSeenAt is when this VM learned of this version of the row; zero if the row may have been
+	// written before this process ran. The owner that the row names was alive then.
+	changeSeenAt time.Time
 	// lostOwner is the owner from which this VM took the step over.
 	lostOwner lostOwner
 }
--- a/internal/step/takeover.go
+++ b/internal/step/takeover.go
@@ -40,6 +40,11 @@
 // selectForTakeover returns the steps that this VM should run but does not, and marks them
 // as being taken over. A step is taken over when its owner's process is dead, by the VM
 // that ranks first for the step. Each further VM waits longer, according to its rank.
+//
+// Heartbeats may lag behind the state rows: while the store refuses some of the VMs, or after a
+// partition. A state row is therefore a sign of life of the owner that it names, and a takeover needs
+// the whole period without a heartbeat after it. Otherwise VMs that take each other for dead
+// exchange the step at the rate of their transactions.
 func (m *Manager) selectForTakeover(now time.Time) []stateRecord {
 	if !m.Members.Ready() {
 		return nil
@@ -67,7 +72,7 @@
 		// VM is certainly dead, even while its status row still makes it look alive to
 		// others, for example after a power failure of all VMs.
 		ownStep := r.Owner == m.VM
-		if !ownStep && !m.canTakeOver(r, now.Sub(since)) {
+		if !ownStep && !m.canTakeOver(r, now.Sub(m.deathCountsFrom(r, since))) {
 			continue
 		}
 		m.takingOver[id] = true
@@ -76,6 +81,23 @@
 	return steps
 }
 
+// deathCountsFrom returns the time from which on a step counts as without a live owner. That is since,
+// when the owner's heartbeats had stopped, but at least Members.DeathPeriod after the last sign of life
+// and after the last outage of the store. An owner that handed the step over needs no such time.
+func (m *Manager) deathCountsFrom(r stateRecord, since time.Time) time.Time {
+	if r.Owner == "" {
+		return since
+	}
+	evidenceFrom := r.changeSeenAt
+	if ended := m.Members.OutageEndedAt(); ended.After(evidenceFrom) {
+		evidenceFrom = ended
+	}
+	if earliest := evidenceFrom.Add(m.Members.DeathPeriod()); earliest.After(since) {
+		return earliest
+	}
+	return since
+}
+
 // canTakeOver reports whether this VM may take over a step that has had no live owner for
 // the given time. The step's residency must allow this VM's failure domain, and the delay
 // that follows from this VM's rank must have passed.
