Choose upstreams of plain requests by expected time under load

An upstream counts as slow by the fastest one of its service instead of by the median, which is slow itself when most upstreams are.

--- a/internal/target/instance.go
+++ b/internal/target/instance.go
@@ -74,8 +74,11 @@
 	// inFlightAtLoad is the value of inFlight when load was reported.
 	inFlightAtLoad int32
 	loadAt         time.Time
-	unitTime       float64
-	unitTimeAt     time.Time
+	// loadedAt is when the upstream last reported waiting requests or full slots, or refused a
+	// request because it was full.
+	loadedAt   time.Time
+	unitTime   float64
+	unitTimeAt time.Time
 	// longTermUnitTime is the long-term average duration of a unit of work.
 	longTermUnitTime float64
 	// observedVersions, unavailableUntil and loadingVersions are nil for the many upstreams that this
@@ -188,6 +191,49 @@
 	defer e.mu.Unlock()
 	e.admission.noteAnswered(now)
 	e.load, e.inFlightAtLoad, e.loadAt = load, e.inFlight.Load(), now
+	if load.Slots > 0 && load.Running+load.Waiting >= load.Slots {
+		e.loadedAt = now
+	} else {
+		e.loadedAt = time.Time{}
+	}
+}
+
+// Loaded reports whether the newest report of the upstream, at most loadedTTL old, tells of
+// waiting requests or full slots.
+func (e *Entry) Loaded(now time.Time) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return !e.loadedAt.IsZero() && now.Sub(e.loadedAt) <= loadedTTL
+}
+
+// expectedOthers is OthersInFlight for a choice under load: older reports count as well, for
+// less with their age.
+func (e *Entry) expectedOthers(now time.Time) int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	age := now.Sub(e.loadAt)
+	if e.loadAt.IsZero() || age > loadedTTL {
+		return 0
+	}
+	others := max(0, e.load.Running+e.load.Waiting-int(e.inFlightAtLoad))
+	if age <= loadTTL {
+		return others
+	}
+	return int(float64(others) * float64(loadedTTL-age) / float64(loadedTTL-loadTTL))
+}
+
+// NoteAnswerTime records the duration of a plain request. The part of it that the request
+// waited for a slot, as far as the upstream's report tells, is no part of the unit time: a
+// choice adds the wait that is to be expected now.
+func (e *Entry) NoteAnswerTime(took time.Duration, now time.Time) {
+	e.mu.Lock()
+	waiting := 0
+	if e.loadKnownLocked(now) {
+		waiting = e.load.Waiting
+	}
+	e.mu.Unlock()
+	slots := e.Slots()
+	e.NoteUnitTime(time.Duration(float64(took)*float64(slots)/float64(slots+waiting)), now)
 }
 
 // LoadKnown reports whether the upstream reported its load within loadTTL.
@@ -359,11 +405,11 @@
 }
 
 // slowness returns the ratio of the upstream's duration of a unit of work to the
-// median, at least 1.
-func slowness(e *Entry, median time.Duration, now time.Time) float64 {
+// least one, at least 1.
+func slowness(e *Entry, least time.Duration, now time.Time) float64 {
 	unitTime := e.UnitTime(now)
-	if median == 0 || unitTime == 0 {
+	if least == 0 || unitTime == 0 {
 		return 1
 	}
-	return math.Max(1, float64(unitTime)/float64(median))
+	return math.Max(1, float64(unitTime)/float64(least))
 }
--- a/internal/target/roster.go
+++ b/internal/target/roster.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"strings"
 	"sync"
@@ -31,6 +32,9 @@
 	// slowStarts holds the bounds of the services whose upstreams warm up.
 	slowStarts map[string]SlowStart
 
+	// random returns a number in [0, 1) for choices under load.
+	random func() float64
+
 	// listReadAt is when the platform's list was last read, in Unix nanoseconds.
 	listReadAt atomic.Int64
 	// coldSender reports whether this VM may send requests to a cold upstream.
@@ -53,7 +57,7 @@
 
 // NewRoster returns an empty roster.
 func NewRoster(events *event.Recorder) *Roster {
-	r := &Roster{events: events, entriesByID: make(map[string][]*Entry), unlisted: make(map[*Entry]bool), ended: make(map[Incarnation]endedUpstream)}
+	r := &Roster{events: events, entriesByID: make(map[string][]*Entry), unlisted: make(map[*Entry]bool), ended: make(map[Incarnation]endedUpstream), random: rand.Float64}
 	r.current.Store(&map[string][]*Entry{})
 	r.evacuated.Store(&map[string]bool{})
 	r.NoteListRead()
@@ -73,6 +77,10 @@
 	return r.ListAge(now) > staleAfter
 }
 
+// SetRandom sets the source of random numbers in [0, 1) for choices under load. It must be called
+// before the roster is used.
+func (r *Roster) SetRandom(random func() float64) { r.random = random }
+
 // SetColdSender sets the function that reports whether this VM may send requests to a cold
 // upstream; without one it may. It must be called before the roster is used.
 func (r *Roster) SetColdSender(coldSender func(*Entry) bool) { r.coldSender.Store(&coldSender) }
