Forward: hedge and repeat from spare capacity only

No request is hedged while its service has full slots or waiting requests, and a request is late by the time that its upstream usually takes. A refusal by a full upstream no longer makes it suspect, and is repeated only at upstreams that are not known to be full.

--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -12,6 +12,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"dogwoodpond/internal/admission"
 	"dogwoodpond/internal/event"
 	"dogwoodpond/internal/fault"
 	"dogwoodpond/internal/poison"
@@ -21,14 +22,6 @@
 )
 
 const (
-	// hedgeDelayShare is the share of the latency objective after which an idempotent
-	// request without an answer is hedged. It is high enough that few requests are
-	// hedged, and low enough that the hedge of a request to a dead upstream is still
-	// answered within the objective.
-	hedgeDelayShare = 0.4
-	// minHedgeDelay is the smallest delay of a hedge. Without it, nearly every request
-	// of a route with a very short objective would be hedged.
-	minHedgeDelay = 20 * time.Millisecond
 	// maxNotRunRetries limits the retries after attempts that did not run, for example
 	// because the upstream refused the request. Such an attempt costs only a round trip.
 	maxNotRunRetries = 4
@@ -132,6 +125,8 @@
 	err    error
 	// execution says whether the request ran at the upstream, if err is set.
 	execution fault.Execution
+	// full is true if the upstream refused the request because it had no free slot.
+	full bool
 }
 
 // pendingAttempt is an attempt whose result has not been received.
@@ -182,7 +177,7 @@
 		pending:   make(map[*target.Entry]pendingAttempt),
 		execution: fault.NotRun,
 	}
-	if !r.startAttempt(ctx) {
+	if !r.startAttempt(ctx, false) {
 		return nil, r.noUpstreamError()
 	}
 	defer r.recordCanceled()
@@ -195,7 +190,7 @@
 			return nil, r.withAttempts(r.contextError(ctx))
 		case <-hedgeTimer.C:
 			if r.allowHedge() {
-				r.startAttempt(ctx)
+				r.startAttempt(ctx, true)
 			}
 		case a := <-r.results:
 			r.pendingCount--
@@ -204,7 +199,7 @@
 				return a.answer, nil
 			}
 			r.recordFailure(a)
-			if ctx.Err() == nil && r.allowRetry(a) && r.startAttempt(ctx) {
+			if ctx.Err() == nil && r.allowRetry(a) && r.startAttempt(ctx, a.full) {
 				continue
 			}
 			if r.pendingCount == 0 {
@@ -216,13 +211,15 @@
 }
 
 func (r *inflightRequest) hedgeDelay() time.Duration {
-	return max(time.Duration(float64(r.call.Route.Objective)*hedgeDelayShare), minHedgeDelay)
+	here, elsewhere := r.Roster.ExpectedTimes(r.tried[0], time.Now())
+	return admission.HedgeDelay(r.call.Route.Objective, here, elsewhere)
 }
 
 // allowHedge reports whether a second attempt may run concurrently with the first. If
-// so, it has taken a retry from the budget.
+// so, it has taken a retry from the budget. A hedge uses spare capacity only: at a loaded
+// service it would delay other requests as much as it helps this one.
 func (r *inflightRequest) allowHedge() bool {
-	return r.call.Route.Kind == route.Idempotent && r.pendingCount == 1 &&
+	return !r.Roster.Loaded(r.service, time.Now()) && r.call.Route.Kind == route.Idempotent && r.pendingCount == 1 &&
 		r.ranAttempts+r.pendingCount < r.call.Route.Attempts && r.mayEndAnother() && r.RetryBudget.Take()
 }
 
@@ -247,10 +244,10 @@
 	return r.call.EarlierLosses+r.unanswered+r.pendingCount < poison.MaxEnds
 }
 
-// startAttempt starts an attempt at the next upstream. It returns false if there is none
-// left.
-func (r *inflightRequest) startAttempt(ctx context.Context) bool {
-	entry := r.Roster.Reserve(target.Criteria{Service: r.service, Domain: r.Domain, Residency: r.call.Residency, Skip: r.tried})
+// startAttempt starts an attempt at the next upstream, with spareOnly at one that is not known to
+// be full. It returns false if there is none left.
+func (r *inflightRequest) startAttempt(ctx context.Context, spareOnly bool) bool {
+	entry := r.Roster.Reserve(target.Criteria{Service: r.service, Domain: r.Domain, Residency: r.call.Residency, Skip: r.tried, SpareOnly: spareOnly})
 	if entry == nil {
 		return false
 	}
@@ -286,7 +283,7 @@
 	if err != nil {
 		return r.failedAttempt(entry, err, fault.Ran)
 	}
-	entry.NoteUnitTime(time.Since(started), time.Now())
+	entry.NoteAnswerTime(time.Since(started), time.Now())
 	entry.NoteRunningSince(started)
 	if answer.Status >= http.StatusInternalServerError && r.call.Route.Repeatable() {
 		closeRest(answer)
@@ -308,13 +305,14 @@
 	}
 	if response.NotRun {
 		_ = response.Body.Close()
-		return nil, fault.WithExecution(errors.WithStack(&fault.UpstreamFailed{Upstream: entry.Info().ID, Reason: "refused"}), fault.NotRun)
+		return nil, fault.WithExecution(errors.WithStack(&fault.UpstreamFailed{Upstream: entry.Info().ID, Reason: "refused", Answered: true}), fault.NotRun)
 	}
 	return response, nil
 }
 
 func (r *inflightRequest) failedAttempt(entry *target.Entry, err error, execution fault.Execution) attemptResult {
-	return attemptResult{entry: entry, err: err, execution: execution}
+	full := execution == fault.NotRun && fault.HasAnswered(err) && entry.Loaded(time.Now())
+	return attemptResult{entry: entry, err: err, execution: execution, full: full}
 }
 
 // request returns the request of an attempt, with the time that remains until the deadline
@@ -371,7 +369,8 @@
 
 // recordFailure records a failed attempt in the state of the request and, unless the
 // caller canceled the request, in the entry of the upstream, which is then avoided for a
-// backoff.
+// backoff. A full upstream is not avoided: it serves as many requests as its slots allow, and its
+// report of the load lowers its share of them.
 func (r *inflightRequest) recordFailure(a attemptResult) {
 	r.pending[a.entry].cancel()
 	delete(r.pending, a.entry)
@@ -391,7 +390,7 @@
 	}
 	detail := string(fault.CodeOf(a.err))
 	var backoff time.Duration
-	if !fault.Is[*fault.CallerGone](a.err) {
+	if !a.full && !fault.Is[*fault.CallerGone](a.err) {
 		backoff = a.entry.NoteFailure(time.Now())
 	}
 	r.Events.Emit(event.AttemptFailed, event.Subject{
