--- a/internal/step/manager.go
+++ b/internal/step/manager.go
@@ -136,9 +136,6 @@
 	takingOver map[string]bool
 	// unownedSince is when this VM first found that a step has no live owner.
 	unownedSince map[string]time.Time
-	// statesRead is true once all state rows were read. A row that is new to this VM from then on was
-	// written while this process ran.
-	statesRead bool
 	// knownLosses holds the names of the rows of lost answers that were read or written, by step.
 	knownLosses map[string]map[string]bool
 	// lossRowsMu is held while a row of lost answers is observed: another reader of the row must not go on
@@ -319,7 +316,6 @@
 	m.noteStatesRead()
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.statesRead = true
 	for id, r := range m.states {
 		if !present[id] && !skipped[id] && r.Ended {
 			m.removeStateLocked(id)
@@ -327,7 +323,8 @@
 	}
 }
 
-// statesRead reports whether the first full read of the state table has ended.
+// statesRead reports whether the first full read of the state table has ended. A row that is new to this
+// VM from then on was written while this process ran.
 func (m *Manager) statesRead() bool {
 	select {
 	case <-m.statesReadCh:
@@ -417,7 +414,7 @@
 	if ok && known.Owner == r.Owner {
 		r.ownerKnownSince = known.ownerKnownSince
 	}
-	if ok || m.statesRead {
+	if ok || m.statesRead() {
 		r.changeSeenAt = time.Now()
 	}
 	m.states[r.ID] = r
