step: a test of items under suspicion waits for the first read of the state table

Items start only after that read now, and this test takes the store away right after the submission: in 1 of 4 runs with the race detector no item had started (0 ends, want 1). What the test checks is unchanged.

--- a/internal/step/query_of_death_test.go
+++ b/internal/step/query_of_death_test.go
@@ -657,6 +657,7 @@
 		p.cluster.storeAvailable = func(string) bool { return time.Since(p.started) > 5*time.Second }
 		a := p.cluster.start("a")
 		p.cluster.start("b")
+		<-a.statesReadCh
 		submit(t, a, p.step, p.items)
 		p.cluster.store.SetDown(true)
 		time.Sleep(4 * time.Second)
