Step: the backoff after a failed connection belongs to the engine

During a partition each VM made 400 to 850 attempts a second at engines that it could not reach, because each of hundreds of items had its own backoff. The first answer of an engine that was unreachable ends the backoff of all others, so that items resume when the partition ends. Refusals and broken streams are treated as before.

--- a/internal/step/item.go
+++ b/internal/step/item.go
@@ -134,7 +134,12 @@
 	case attemptInvalid:
 		entry.NoteFailure(now)
 		r.requeue(i, r.interruptedBackoff(i, text))
-	case attemptInterrupted, attemptUnreachable, attemptUnanswered:
+	case attemptUnreachable:
+		// The engine has a backoff, so the item needs none.
+		entry.NoteUnanswered()
+		entry.NoteFailure(now)
+		r.requeue(i, 0)
+	case attemptInterrupted, attemptUnanswered:
 		entry.NoteUnanswered()
 		entry.NoteFailure(now)
 		r.requeue(i, r.interruptedBackoff(i, text))
@@ -232,18 +237,12 @@
 		a.stallTimer.Stop()
 	}()
 	response, err := a.run.m.Transport.Call(ctx, a.entry, a.request())
+	outcome := outcomeOfCall(err)
+	if a.entry.NoteContact(contactOf(ctx, outcome), a.startedAt) {
+		a.run.m.notifyDispatcher()
+	}
 	if err != nil {
-		switch {
-		case fault.IsEndless(err):
-			return attemptEndless
-		case fault.HasAnswered(err):
-			return attemptInvalid
-		case fault.ExecutionOf(err) != fault.NotRun:
-			return attemptUnanswered
-		case fault.Is[*fault.UpstreamFailed](err):
-			return attemptUnreachable
-		}
-		return attemptRefused
+		return outcome
 	}
 	defer func() { _ = response.Body.Close() }()
 	if outcome, ends := checkResponse(response); ends {
@@ -258,6 +257,35 @@
 	return a.read(response)
 }
 
+// outcomeOfCall returns the outcome of an attempt whose call failed; attemptComplete if err is nil.
+func outcomeOfCall(err error) attemptOutcome {
+	switch {
+	case err == nil:
+		return attemptComplete
+	case fault.IsEndless(err):
+		return attemptEndless
+	case fault.HasAnswered(err):
+		return attemptInvalid
+	case fault.ExecutionOf(err) != fault.NotRun:
+		return attemptUnanswered
+	case fault.Is[*fault.UpstreamFailed](err):
+		return attemptUnreachable
+	}
+	return attemptRefused
+}
+
+// contactOf returns what the outcome of a call, as outcomeOfCall returns it, shows of the connection to
+// the engine. A canceled call fails without a connection too.
+func contactOf(ctx context.Context, outcome attemptOutcome) target.Contact {
+	switch {
+	case outcome == attemptUnreachable && ctx.Err() == nil:
+		return target.NoConnection
+	case outcome == attemptUnreachable || outcome == attemptUnanswered || outcome == attemptRefused:
+		return target.Undecided
+	}
+	return target.Answered
+}
+
 // checkResponse classifies a response by its status. ends is true when the attempt ends with
 // outcome; otherwise the body is the item's stream.
 func checkResponse(response *target.Response) (outcome attemptOutcome, ends bool) {
--- a/internal/step/place.go
+++ b/internal/step/place.go
@@ -86,13 +86,13 @@
 }
 
 // place returns the engine for one item, other than avoid, or nil when none has a free
-// slot. Items are never queued at an engine: its queue is first in, first out and ignores
+// slot. An item at avoid doesn't leave it for an engine that can't be reached. Items are never queued at an engine: its queue is first in, first out and ignores
 // deadlines, so an item is better off in the queue of this VM.
 func place(p pool, n need, avoid *target.Entry, now time.Time) *target.Entry {
 	var best *target.Entry
 	var least float64
 	for _, e := range p.engines {
-		if e == avoid {
+		if e == avoid || avoid != nil && !e.Reachable() {
 			continue
 		}
 		if cost, ok := p.cost(e, n, now); ok && (best == nil || cost < least) {
@@ -105,7 +105,7 @@
 // cost returns the cost of placing an item at an engine of the pool; ok is false when the
 // engine can't serve the item or has no free slot for it.
 func (p pool) cost(e *target.Entry, n need, now time.Time) (cost float64, ok bool) {
-	if !canServe(e, n, now) || e.FreeSlots(now) <= 0 || !e.Admits(now) {
+	if !canServe(e, n, now) || e.FreeSlots(now) <= 0 || !e.Admits(now) || !e.AdmitsAttempt(now) {
 		return 0, false
 	}
 	if !p.otherFirstSender[e] {
--- a/internal/target/instance.go
+++ b/internal/target/instance.go
@@ -85,6 +85,7 @@
 	loadingVersions  map[string]int64
 	// admission limits the requests while the upstream warms up.
 	admission admission
+	reach     reach
 }
 
 // Load is the load that an upstream reports.
@@ -123,6 +124,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.admission.record(now)
+	e.reach.begin(now)
 	e.inFlight.Add(1)
 }
 
