Step: results that collected in an outage are committed without waits

After an outage of the store the results of a step became readable batch by batch, with commitDelay before each: 220 results took 180 to 240 ms. Results that have collected before the acceptance of an early run or during a long commit are now committed back to back, and a full batch doesn't wait.

--- a/internal/step/commit.go
+++ b/internal/step/commit.go
@@ -26,23 +26,29 @@
 )
 
 // commitLoop commits finished results in batches, from the acceptance of the step until
-// the run ends.
+// the run ends. Results that have collected before the acceptance or during a long commit, as in an
+// outage of the store, are a backlog: they are committed without commitDelay between their batches.
 func (r *run) commitLoop() {
 	select {
 	case <-r.ctx.Done():
 		return
 	case <-r.acceptedCh:
 	}
+	backlogEnd := r.resultCount()
 	for {
 		select {
 		case <-r.ctx.Done():
 			return
 		case <-r.queuedCh:
 		}
-		if !r.isBatchFull() {
+		if !r.isCommitDue(backlogEnd) {
 			wait.For(r.ctx, commitDelay)
 		}
+		started := time.Now()
 		more, err := r.commitBatch(r.ctx)
+		if time.Since(started) >= commitDelay {
+			backlogEnd = r.resultCount()
+		}
 		if err != nil {
 			more = wait.For(r.ctx, refusedCommitBackoff)
 		}
@@ -106,12 +112,19 @@
 	}
 }
 
-// isBatchFull reports whether the queued results are worth a commit before commitDelay has
-// passed.
-func (r *run) isBatchFull() bool {
+// resultCount returns the number of results, committed or queued.
+func (r *run) resultCount() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.list.committed) + len(r.list.queued)
+}
+
+// isCommitDue reports whether the queued results are worth a commit before commitDelay has
+// passed: they fill a batch, or the next one is in the backlog, which ends at a position.
+func (r *run) isCommitDue(backlogEnd int) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.list.queuedBytes >= commitBatchBytes
+	return r.list.queuedBytes >= commitBatchBytes || len(r.list.queued) >= maxBatchResults || len(r.list.committed) < backlogEnd
 }
 
 // flush commits all finished results. It stops when a commit fails or ctx ends.
