--- a/internal/step/early.go
+++ b/internal/step/early.go
@@ -99,6 +99,7 @@
 	case run != nil && !e.claimWithRetry(run, accepted):
 		e.manager.stop(run)
 		e.manager.saveLossesOfStopped(run)
+		e.manager.tasks.Go(func() { e.manager.handOverTexts(run) })
 	}
 }
 
--- a/internal/step/text.go
+++ b/internal/step/text.go
@@ -114,6 +114,10 @@
 	return len(versions) > 0 && slices.Min(versions) >= spec.MinVersion
 }
 
+func textKey(id, item string) rowstore.Key {
+	return rowstore.Key{Table: textTable, Part: id, Name: item}
+}
+
 // saveTexts saves the texts that takeUnsaved selects; minEvents is the minimum number of new
 // events. A failure is ignored: the next owner would generate the items again.
 func (r *run) saveTexts(ctx context.Context, minEvents int64) {
@@ -127,7 +131,7 @@
 			continue
 		}
 		size += len(value)
-		txn.Puts = append(txn.Puts, rowstore.Put{Key: rowstore.Key{Table: textTable, Part: rec.ID, Name: r.items[i].ID}, Value: value})
+		txn.Puts = append(txn.Puts, rowstore.Put{Key: textKey(rec.ID, r.items[i].ID), Value: value})
 	}
 	if len(txn.Puts) == 0 {
 		return
