Step: one early run for each failure domain and step

While the store doesn't answer, the trainer submits a step again at another VM every 1.5 s, and each of these VMs started its items: four copies of 224 items filled the engines of a partitioned failure domain. Before an early run the VM now asks the VM of its failure domain that ranks first for the step, which keeps the process that asked first for 1.5 s after its last question. A VM of an older build, or one that has ended, doesn't answer; the early run then starts as before.

--- a/internal/step/early.go
+++ b/internal/step/early.go
@@ -41,19 +41,44 @@
 	mu     sync.Mutex
 	run    *run
 	closed bool
+	// started is true once start has tried to run the items.
+	started bool
 	// decidedCh is nil until another copy of the step is accepted. It is closed once the run
 	// has either claimed the step or been stopped.
 	decidedCh chan struct{}
 }
 
-// start runs the items, unless the outcome of the submission is already known.
+// startIfHeld runs the items while no other VM of the failure domain does, and keeps the step from others
+// then. It returns when ctx ends or the outcome of the submission is known.
+func (e *earlyRun) startIfHeld(ctx context.Context) {
+	key := e.state.Account + "/" + e.state.ID
+	for {
+		if e.manager.holdsEarly(ctx, key) {
+			e.start()
+		}
+		if e.isDecided() || !wait.For(ctx, earlyHoldInterval) || e.isDecided() {
+			return
+		}
+	}
+}
+
+// isDecided reports whether the outcome of the submission is known.
+func (e *earlyRun) isDecided() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.closed || e.decidedCh != nil
+}
+
+// start runs the items, unless the outcome of the submission is already known. It has no effect if it was
+// called before.
 func (e *earlyRun) start() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	m := e.manager
-	if e.closed || e.state.Owner != m.VM {
+	if e.closed || e.started || e.decidedCh != nil || e.state.Owner != m.VM {
 		return
 	}
+	e.started = true
 	e.run = m.startRun(stateRecord{State: e.state}, e.items, nil, nil, e)
 	if e.run != nil {
 		m.Events.Emit(event.StepStartedEarly, event.Subject{Step: e.state.ID, Account: e.state.Account, Count: int64(len(e.items))})
