--- a/internal/step/early.go
+++ b/internal/step/early.go
@@ -51,10 +51,14 @@
 // startIfHeld runs the items while no other VM of the failure domain does, and keeps the step from others
 // then. It returns when ctx ends or the outcome of the submission is known.
 func (e *earlyRun) startIfHeld(ctx context.Context) {
-	key := e.state.Account + "/" + e.state.ID
+	m, key, told := e.manager, e.state.Account+"/"+e.state.ID, false
 	for {
-		if e.manager.holdsEarly(ctx, key) {
+		switch holder := m.askEarlyHolder(ctx, key); {
+		case holder.VM == m.VM && holder.Incarnation == m.Incarnation:
 			e.start()
+		case !told:
+			told = true
+			m.Events.Emit(event.EarlyRunHeld, event.Subject{Step: e.state.ID, Account: e.state.Account, Peer: holder.VM})
 		}
 		if e.isDecided() || !wait.For(ctx, earlyHoldInterval) || e.isDecided() {
 			return
--- a/internal/step/earlyholder.go
+++ b/internal/step/earlyholder.go
@@ -55,13 +55,15 @@
 	return m.earlyHolders.hold(step, sender, time.Now())
 }
 
-// holdsEarly reports whether this process may run a step early. It may if the VM that knows doesn't
-// answer: a second run costs less than none.
-func (m *Manager) holdsEarly(ctx context.Context, step string) bool {
+// askEarlyHolder returns the process that may run a step early. It is this one if the VM that knows
+// doesn't answer: a second run costs less than none.
+func (m *Manager) askEarlyHolder(ctx context.Context, step string) Process {
+	self := Process{VM: m.VM, Incarnation: m.Incarnation}
 	if m.AskEarlyHolder == nil {
-		return true
+		return self
 	}
-	self := Process{VM: m.VM, Incarnation: m.Incarnation}
-	holder, ok := m.AskEarlyHolder(ctx, step, self, m.HoldEarly)
-	return !ok || holder == self
+	if holder, ok := m.AskEarlyHolder(ctx, step, self, m.HoldEarly); ok {
+		return holder
+	}
+	return self
 }
--- a/internal/step/earlyholder_test.go
+++ b/internal/step/earlyholder_test.go
@@ -49,6 +49,9 @@
 		if earlyStarts(a) != 1 || earlyStarts(b) != 0 {
 			t.Errorf("%d early runs at a and %d at b", earlyStarts(a), earlyStarts(b))
 		}
+		if held := b.Events.Select(event.Query{Numbers: []event.Number{event.EarlyRunHeld}}); len(held) != 1 || held[0].Peer != "a" {
+			t.Errorf("the events at b tell of the early run at %v", held)
+		}
 		if epoch := epochOf(t, cl); epoch > 2 {
 			t.Errorf("epoch %d", epoch)
 		}
