Step: texts are saved in transactions that the store accepts

The store accepts 100 entries in a transaction. A save of the texts of more items, as in the handover of a large step, was refused as a whole, and the next owner generated all of them again. Texts are now saved in several transactions, also those of early runs that lost.

--- a/internal/step/cluster_test.go
+++ b/internal/step/cluster_test.go
@@ -81,14 +81,28 @@
 }
 
 // newCluster returns a cluster with engines of 4 slots each, a scoring service, and no VMs.
-func newCluster(t *testing.T, engineIDs ...string) *cluster {
+func newCluster(t *testing.T, ids ...string) *cluster {
 	cl := &cluster{t: t, store: memory.New(), engines: &fakeEngines{behave: map[string]behaviour{}, attempts: map[string][]string{}, finished: map[string]int{}}, dead: map[string]bool{}, vms: map[string]*testVM{}, domains: map[string]string{}, configuration: configuration(1, true)}
 	cl.scorer = &fakeScorer{engines: cl.engines, calls: map[string]int{}}
 	cl.instances = append(cl.instances, target.Instance{ID: "j1", Service: "judge", Address: "j1", FailureDomain: "x", Slots: 8})
-	for _, id := range engineIDs {
+	cl.addEngines(ids...)
+	return cl
+}
+
+// addEngines adds engines of 4 slots each.
+func (cl *cluster) addEngines(ids ...string) {
+	for _, id := range ids {
 		cl.instances = append(cl.instances, target.Instance{ID: id, Service: "lm", Address: id, FailureDomain: "x", Slots: 4, Versions: map[string]int64{"m": 1}})
 	}
-	return cl
+}
+
+// engineIDs returns n IDs of engines.
+func engineIDs(n int) []string {
+	ids := make([]string, n)
+	for i := range ids {
+		ids[i] = "e" + strconv.Itoa(i)
+	}
+	return ids
 }
 
 // readLists keeps the lists of upstreams of all VMs up to date.
--- a/internal/step/earlytexts.go
+++ b/internal/step/earlytexts.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 
-	"dogwoodpond/internal/event"
 	"dogwoodpond/internal/rowstore"
 )
 
@@ -30,7 +29,7 @@
 		_ = json.Unmarshal(row.Value, &known.text)
 		saved[row.Name] = known
 	}
-	txn, size := newTextsTxn(accepted), 0
+	batch := newTextBatch(m, accepted)
 	for item, text := range texts {
 		before := saved[item]
 		if !text.extends(before.text) {
@@ -41,31 +40,9 @@
 		if err != nil || len(value) > rowLimit {
 			continue
 		}
-		if size+len(value) > saveMaxBytes {
-			m.commitTexts(ctx, accepted, txn)
-			txn, size = newTextsTxn(accepted), 0
-		}
-		size += len(value)
-		key := textKey(accepted.ID, item)
-		txn.Expected = append(txn.Expected, rowstore.Expectation{Key: key, Version: before.version})
-		txn.Puts = append(txn.Puts, rowstore.Put{Key: key, Value: value})
-	}
-	m.commitTexts(ctx, accepted, txn)
-}
-
-// newTextsTxn returns a transaction, without texts so far, that takes effect only under a step's state.
-func newTextsTxn(rec stateRecord) rowstore.Txn {
-	return rowstore.Txn{Expected: []rowstore.Expectation{{Key: stateKey(rec.ID), Version: rec.version}}}
-}
-
-// commitTexts commits a transaction of newTextsTxn, unless it has no texts.
-func (m *Manager) commitTexts(ctx context.Context, rec stateRecord, txn rowstore.Txn) {
-	if len(txn.Puts) == 0 {
-		return
-	}
-	if _, err := m.Store.Commit(ctx, txn); err == nil {
-		m.Events.Emit(event.TextsSaved, event.Subject{Step: rec.ID, Account: rec.Account, Count: int64(len(txn.Puts))})
+		batch.put(ctx, item, value, rowstore.Expectation{Key: textKey(accepted.ID, item), Version: before.version})
 	}
+	batch.commit(ctx)
 }
 
 // savedRow is a row of a saved text; its text is empty if the row can't be decoded.
--- a/internal/step/text.go
+++ b/internal/step/text.go
@@ -121,9 +121,10 @@
 // saveTexts saves the texts that takeUnsaved selects; minEvents is the minimum number of new
 // events. A failure is ignored: the next owner would generate the items again.
 func (r *run) saveTexts(ctx context.Context, minEvents int64) {
-	rec := r.current()
-	txn := rowstore.Txn{Expected: []rowstore.Expectation{{Key: stateKey(rec.ID), Version: rec.version}}}
 	size := 0
+	batch := newTextBatch(r.m, r.current())
+	ctx, cancel := context.WithTimeout(ctx, saveTimeout)
+	defer cancel()
 	for i, text := range r.takeUnsaved(minEvents) {
 		value, err := encodeRow(text)
 		if err != nil || len(value) > rowLimit || size+len(value) > saveMaxBytes {
@@ -131,16 +132,51 @@
 			continue
 		}
 		size += len(value)
-		txn.Puts = append(txn.Puts, rowstore.Put{Key: textKey(rec.ID, r.items[i].ID), Value: value})
+		batch.put(ctx, r.items[i].ID, value)
 	}
-	if len(txn.Puts) == 0 {
+	batch.commit(ctx)
+}
+
+// textBatch is a transaction that saves texts under a step's state. A step has more items than one
+// transaction has entries.
+type textBatch struct {
+	m    *Manager
+	rec  stateRecord
+	txn  rowstore.Txn
+	size int
+}
+
+// newTextBatch returns a batch without texts. It takes effect only while rec is the state of the step.
+func newTextBatch(m *Manager, rec stateRecord) *textBatch {
+	b := &textBatch{m: m, rec: rec}
+	b.reset()
+	return b
+}
+
+func (b *textBatch) reset() {
+	b.size, b.txn = 0, rowstore.Txn{Expected: []rowstore.Expectation{{Key: stateKey(b.rec.ID), Version: b.rec.version}}}
+}
+
+// put adds the text of an item, with expectations on its row. It commits the texts before it if they fill a
+// transaction.
+func (b *textBatch) put(ctx context.Context, item string, value []byte, expected ...rowstore.Expectation) {
+	if b.size+len(value) > saveMaxBytes || len(b.txn.Expected)+len(b.txn.Puts)+len(expected)+1 > txnMaxEntries {
+		b.commit(ctx)
+	}
+	b.size += len(value)
+	b.txn.Expected = append(b.txn.Expected, expected...)
+	b.txn.Puts = append(b.txn.Puts, rowstore.Put{Key: textKey(b.rec.ID, item), Value: value})
+}
+
+// commit commits the texts and empties the batch.
+func (b *textBatch) commit(ctx context.Context) {
+	if len(b.txn.Puts) == 0 {
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, saveTimeout)
-	defer cancel()
-	if _, err := r.m.Store.Commit(ctx, txn); err == nil {
-		r.m.Events.Emit(event.TextsSaved, event.Subject{Step: rec.ID, Account: rec.Account, Count: int64(len(txn.Puts))})
+	if _, err := b.m.Store.Commit(ctx, b.txn); err == nil {
+		b.m.Events.Emit(event.TextsSaved, event.Subject{Step: b.rec.ID, Account: b.rec.Account, Count: int64(len(b.txn.Puts))})
 	}
+	b.reset()
 }
 
 // takeUnsaved returns, by index of the item, the texts that since their last save got at least
