--- a/cmd/dogwoodpondctl/main.go
+++ b/cmd/dogwoodpondctl/main.go
@@ -6,10 +6,11 @@
 	"os"
 
 	"dogwoodpond/internal/ctl"
+	"dogwoodpond/platform"
 )
 
 func main() {
-	err := ctl.NewApp(os.Stdout, os.Stderr).Run(os.Args[1:])
+	err := ctl.NewApp(os.Stdout, os.Stderr, platform.ReadConfiguration).Run(os.Args[1:])
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "dogwoodpondctl:", err)
 	}
--- a/internal/ctl/app.go
+++ b/internal/ctl/app.go
@@ -17,6 +17,8 @@
 	// out must not see.
 	out   io.Writer
 	notes io.Writer
+	// readConfig reads a platform's configuration.
+	readConfig ConfigurationReader
 
 	address *string
 	token   *string
@@ -30,12 +32,15 @@
 	outputJSON  = "json"
 )
 
-// NewApp returns an App that writes results to out and messages for people to notes.
-func NewApp(out, notes io.Writer) *App {
+// NewApp returns an App that writes results to out and messages for people to notes, and reads
+// configurations of the platform with readConfig.
+func NewApp(out, notes io.Writer, readConfig ConfigurationReader) *App {
 	a := &App{
 		kingpin: kingpin.New("dogwoodpondctl", "Edits contracts and keys of dogwoodpond, and shows the state and events of its VMs."),
 		out:     out,
 		notes:   notes,
+
+		readConfig: readConfig,
 	}
 	a.address = a.kingpin.Flag("address", "The address of the operators' API of any VM.").Envar("DOGWOODPOND_ADDRESS").Default("127.0.0.1:7001").String()
 	a.token = a.kingpin.Flag("token", "The operators' credential.").Envar("DOGWOODPOND_TOKEN").String()
@@ -49,6 +54,7 @@
 	a.reportCommand()
 	a.evacuationsCommand()
 	a.settingsCommands()
+	a.configCommands()
 	return a
 }
 
--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -98,7 +98,7 @@
 
 func runWith(flags []string, arguments ...string) (out, notes string, code int) {
 	var o, n bytes.Buffer
-	err := NewApp(&o, &n).Run(append(flags, arguments...))
+	err := NewApp(&o, &n, fakeReader).Run(append(flags, arguments...))
 	if err != nil {
 		n.WriteString(err.Error())
 	}
@@ -428,7 +428,7 @@
 			}
 		}
 	}
-	if len(numbers) != ExitUnknown+1 || !maps.Equal(onPage, exitCodes) {
+	if len(numbers) != ExitWarnings+1 || !maps.Equal(onPage, exitCodes) {
 		t.Errorf("the page has %d exit codes for\n%v\nthe code has\n%v", len(numbers), onPage, exitCodes)
 	}
 }
--- a/internal/ctl/exit.go
+++ b/internal/ctl/exit.go
@@ -23,6 +23,8 @@
 	ExitPending = 7
 	// ExitUnknown is an edit with an unknown outcome; retry it with the same ID.
 	ExitUnknown = 8
+	// ExitWarnings is a configuration that was checked and has warnings, but no errors.
+	ExitWarnings = 9
 )
 
 var exitCodes = map[fault.Code]int{
@@ -42,6 +44,9 @@
 	fault.CodePeerUnavailable:    ExitUnavailable,
 	fault.CodeEditPending:        ExitPending,
 	fault.CodeEditOutcomeUnknown: ExitUnknown,
+
+	fault.CodeConfigurationInvalid:  ExitInvalid,
+	fault.CodeConfigurationWarnings: ExitWarnings,
 }
 
 // ExitCode returns the exit code for the error that Run returned.
--- a/internal/ctl/logs_test.go
+++ b/internal/ctl/logs_test.go
@@ -47,7 +47,7 @@
 func runTool(t *testing.T, arguments ...string) (string, error) {
 	t.Helper()
 	var out, notes bytes.Buffer
-	err := NewApp(&out, &notes).Run(arguments)
+	err := NewApp(&out, &notes, nil).Run(arguments)
 	return out.String(), err
 }
 
@@ -331,7 +331,7 @@
 		t.Fatal(err)
 	}
 	var out, notes bytes.Buffer
-	if err := NewApp(&out, &notes).Run([]string{"explain", "s", "--logs", dir}); err != nil {
+	if err := NewApp(&out, &notes, nil).Run([]string{"explain", "s", "--logs", dir}); err != nil {
 		t.Fatal(err)
 	}
 	if want := fmt.Sprintf("the VM dropped %d log lines", sink.Dropped()); !strings.Contains(notes.String(), want) {
--- a/internal/fault/operators.go
+++ b/internal/fault/operators.go
@@ -66,3 +66,29 @@
 
 // Code implements Failure.
 func (*EditOutcomeUnknown) Code() Code { return CodeEditOutcomeUnknown }
+
+// ConfigurationInvalid reports a checked configuration with errors.
+type ConfigurationInvalid struct {
+	Errors, Warnings int
+}
+
+// Error implements error.
+func (e *ConfigurationInvalid) Error() string {
+	return fmt.Sprintf("configuration: errors: %d, warnings: %d", e.Errors, e.Warnings)
+}
+
+// Code implements Failure.
+func (*ConfigurationInvalid) Code() Code { return CodeConfigurationInvalid }
+
+// ConfigurationWarnings reports a checked configuration with warnings, but no errors.
+type ConfigurationWarnings struct {
+	Warnings int
+}
+
+// Error implements error.
+func (e *ConfigurationWarnings) Error() string {
+	return fmt.Sprintf("configuration: errors: 0, warnings: %d", e.Warnings)
+}
+
+// Code implements Failure.
+func (*ConfigurationWarnings) Code() Code { return CodeConfigurationWarnings }
--- a/internal/fault/types.go
+++ b/internal/fault/types.go
@@ -53,6 +53,9 @@
 	CodeRequestUnknown       Code = "request_unknown"
 	CodeEditPending          Code = "edit_pending"
 	CodeEditOutcomeUnknown   Code = "edit_outcome_unknown"
+	// CodeConfigurationInvalid and CodeConfigurationWarnings are results of dogwoodpondctl.
+	CodeConfigurationInvalid  Code = "configuration_invalid"
+	CodeConfigurationWarnings Code = "configuration_warnings"
 )
 
 // Codes lists all codes in the order of their declaration, for the tests that compare
@@ -100,6 +103,8 @@
 	CodeRequestUnknown,
 	CodeEditPending,
 	CodeEditOutcomeUnknown,
+	CodeConfigurationInvalid,
+	CodeConfigurationWarnings,
 }
 
 // Internal reports a defect of the program itself, for example a recovered panic.
--- a/internal/route/residency.go
+++ b/internal/route/residency.go
@@ -36,3 +36,15 @@
 	}
 	return true
 }
+
+// Domains returns the failure domains that a limited residency allows, sorted. It is nil for
+// a residency that sets no limit.
+func (r Residency) Domains() []string {
+	if !r.Limited() {
+		return nil
+	}
+	allowed := slices.Clone(r.limits[0])
+	allowed = slices.DeleteFunc(allowed, func(domain string) bool { return !r.Allows(domain) })
+	slices.Sort(allowed)
+	return slices.Compact(allowed)
+}
--- a/internal/route/residency_test.go
+++ b/internal/route/residency_test.go
@@ -24,6 +24,9 @@
 	if r := one.And(NewResidency([]string{"y", "z"})); r.Allows("x") || r.Allows("z") || !r.Allows("y") {
 		t.Errorf("both limits allow x %v, y %v, z %v", r.Allows("x"), r.Allows("y"), r.Allows("z"))
 	}
+	if got := one.And(NewResidency([]string{"z", "y"})).Domains(); !slices.Equal(got, []string{"y"}) || (Residency{}).Domains() != nil {
+		t.Errorf("both limits together allow %v, want y alone", got)
+	}
 	if r := NewResidency(nil); !r.Limited() || r.Allows("x") {
 		t.Error("an empty list of failure domains sets no limit or allows one")
 	}
