--- a/internal/configcheck/configcheck.go
+++ b/internal/configcheck/configcheck.go
@@ -11,7 +11,7 @@
 //     which contradicts another entry (an objective beyond the timeout, a service without a
 //     route).
 //
-// A field that is absent or 0 has its default and is no problem.
+// An absent field has its default and is no problem; nor is 0 where it stands for the default.
 //
 // The reader of the wire format reports what it replaces by a default as it decodes, so the
 // rules of decoding are stated once, in the code that the daemon runs. This package judges
