Route: weights whose sum is a multiple of 2^32 don't panic

The sum of the weights was reduced to 32 bits before the modulo, so that a single weight of 2^32 divided by zero in each request of the route. Sums have 64 bits now, and a negative weight counts as 0.

Before, go test -run TestServiceOfExtremeWeights ./internal/route: panic: integer divide by zero.

--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -67,6 +67,9 @@
 	Weight  int
 }
 
+// share returns the weight for sums; a negative weight counts as 0.
+func (s Share) share() uint64 { return uint64(max(s.Weight, 0)) }
+
 // Repeatable reports whether a request of the route may run more than once.
 func (r *Route) Repeatable() bool {
 	return r.Kind == Idempotent || r.Kind == Stream && r.Resumable
@@ -75,20 +78,21 @@
 // Service returns the service for a request. The choice depends only on the request ID,
 // so that it is the same for every attempt and on every VM.
 func (r *Route) Service(requestID string) string {
-	total := 0
+	var total uint64
 	for _, s := range r.Split {
-		total += s.Weight
+		total += s.share()
 	}
 	if total == 0 {
 		return ""
 	}
 	h := fnv.New32a()
 	_, _ = h.Write([]byte(requestID))
-	at := int(h.Sum32() % uint32(total))
+	at := uint64(h.Sum32()) % total
 	for _, s := range r.Split {
-		if at -= s.Weight; at < 0 {
+		if at < s.share() {
 			return s.Service
 		}
+		at -= s.share()
 	}
 	return ""
 }
--- a/internal/route/route_test.go
+++ b/internal/route/route_test.go
@@ -1,6 +1,8 @@
 package route
 
 import (
+	"slices"
+	"strconv"
 	"testing"
 
 	"dogwoodpond/internal/fault"
@@ -79,3 +81,26 @@
 		t.Errorf("of 4000 requests, 3 of 4 should be routed to s: %v", counts)
 	}
 }
+
+// Guards against a panic in the choice of a service by weights that no operator means.
+func TestServiceOfExtremeWeights(t *testing.T) {
+	for _, c := range []struct {
+		weights []int
+		want    []string
+	}{
+		{weights: []int{1 << 32}, want: []string{"0"}},
+		{weights: []int{1 << 31, 1 << 31}, want: []string{"0", "1"}},
+		{weights: []int{-1, 1}, want: []string{"1"}},
+		{weights: []int{-1, 0}, want: []string{""}},
+	} {
+		r := &Route{}
+		for i, weight := range c.weights {
+			r.Split = append(r.Split, Share{Service: strconv.Itoa(i), Weight: weight})
+		}
+		for id := range 100 {
+			if got := r.Service(strconv.Itoa(id)); !slices.Contains(c.want, got) {
+				t.Errorf("weights %v: service %q, want one of %q", c.weights, got, c.want)
+			}
+		}
+	}
+}
