Step: a VM that can't run a step early doesn't keep others from it

A copy that was submitted before the outage was noticed names the preferred owner and never runs here. Its VM asked for the step all the same, and the copies at other VMs waited for it.

--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -2,7 +2,8 @@
 // reach the store itself. The store may refuse some VMs while it serves others, and a network
 // partition may cut some VMs off; without relays a third of the fleet would be unusable for
 // minutes. The VMs of a fleet trust each other. A relayed commit is as safe as a direct one,
-// because its expectations protect it on either path.
+// because its expectations protect it on either path. The same connections carry the question which VM
+// of a failure domain runs a step before it is accepted.
 package relay
 
 import (
--- a/internal/step/early.go
+++ b/internal/step/early.go
@@ -41,21 +41,25 @@
 	mu     sync.Mutex
 	run    *run
 	closed bool
-	// started is true once start has tried to run the items.
-	started bool
 	// decidedCh is nil until another copy of the step is accepted. It is closed once the run
 	// has either claimed the step or been stopped.
 	decidedCh chan struct{}
 }
 
 // startIfHeld runs the items while no other VM of the failure domain does, and keeps the step from others
-// then. It returns when ctx ends or the outcome of the submission is known.
+// then. It returns when ctx ends, the outcome of the submission is known, or this VM can't run the items:
+// a VM that keeps the step without running it would keep all others from it.
 func (e *earlyRun) startIfHeld(ctx context.Context) {
 	m, key, told := e.manager, e.state.Account+"/"+e.state.ID, false
+	if e.state.Owner != m.VM {
+		return
+	}
 	for {
 		switch holder := m.askEarlyHolder(ctx, key); {
 		case holder.VM == m.VM && holder.Incarnation == m.Incarnation:
-			e.start()
+			if !e.start() {
+				return
+			}
 		case !told:
 			told = true
 			m.Events.Emit(event.EarlyRunHeld, event.Subject{Step: e.state.ID, Account: e.state.Account, Peer: holder.VM})
@@ -73,20 +77,20 @@
 	return e.closed || e.decidedCh != nil
 }
 
-// start runs the items, unless the outcome of the submission is already known. It has no effect if it was
-// called before.
-func (e *earlyRun) start() {
+// start runs the items, unless they run already or the outcome of the submission is known. It reports
+// whether they run.
+func (e *earlyRun) start() bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	m := e.manager
-	if e.closed || e.started || e.decidedCh != nil || e.state.Owner != m.VM {
-		return
+	if e.closed || e.decidedCh != nil || e.run != nil {
+		return e.run != nil
 	}
-	e.started = true
 	e.run = m.startRun(stateRecord{State: e.state}, e.items, nil, nil, e)
 	if e.run != nil {
 		m.Events.Emit(event.StepStartedEarly, event.Subject{Step: e.state.ID, Account: e.state.Account, Count: int64(len(e.items))})
 	}
+	return e.run != nil
 }
 
 // accept makes the early run the run of the accepted step r, whose previous owner committed
--- a/internal/step/earlyholder_test.go
+++ b/internal/step/earlyholder_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -88,3 +89,27 @@
 		})
 	}
 }
+
+// Guards against a step that nobody runs early because a VM keeps the others from it: its copy names an
+// owner that was chosen before the outage was noticed.
+func TestVMThatCannotRunEarlyKeepsNobodyFromIt(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		cl := newCluster(t, "e1", "e2")
+		cl.askEarlyHolder = keepEarlyHolders(func() bool { return true })
+		cl.engines.behave[""] = pacedBehaviour(100, 100*time.Millisecond)
+		cl.preferred = "c"
+		var noticed atomic.Bool
+		cl.storeAvailable = func(string) bool { return !noticed.Load() }
+		a, b := cl.start("a"), cl.start("b")
+		time.Sleep(time.Second)
+		cl.store.SetDown(true)
+		go func() { _ = a.Submit(t.Context(), spec("s"), items(4)) }()
+		time.Sleep(time.Second)
+		noticed.Store(true)
+		go func() { _ = b.Submit(t.Context(), spec("s"), items(4)) }()
+		time.Sleep(time.Second)
+		if earlyStarts(a) != 0 || earlyStarts(b) != 1 {
+			t.Errorf("%d early runs at a and %d at b", earlyStarts(a), earlyStarts(b))
+		}
+	})
+}
