Queue plain requests while no upstream has capacity

Each VM queues the plain requests that it accepted by priority, client account and objective, as far as it knows of no upstream that answers them in time, and refuses those that none would.

Services whose upstreams report no load, streams and score calls are as before.

--- a/internal/admission/model_test.go
+++ b/internal/admission/model_test.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"dogwoodpond/internal/event"
+	"dogwoodpond/internal/forward"
 	"dogwoodpond/internal/retry"
 	"dogwoodpond/internal/target"
 )
@@ -79,7 +80,7 @@
 		return best
 	},
 	hedgeDelay: func(*modelVM, *target.Entry, time.Time) time.Duration {
-		return HedgeDelay(modelObjective, 0, 0)
+		return forward.HedgeDelay(modelObjective, 0, 0)
 	},
 	mayHedge:    func(*modelVM, time.Time) bool { return true },
 	noteRefusal: func(e *target.Entry, now time.Time) { e.NoteFailure(now) },
@@ -93,7 +94,7 @@
 	},
 	hedgeDelay: func(vm *modelVM, e *target.Entry, now time.Time) time.Duration {
 		here, elsewhere := vm.roster.ExpectedTimes(e, now)
-		return HedgeDelay(modelObjective, here, elsewhere)
+		return forward.HedgeDelay(modelObjective, here, elsewhere)
 	},
 	mayHedge:    func(vm *modelVM, now time.Time) bool { return !vm.roster.Loaded(modelService, now) },
 	noteRefusal: func(*target.Entry, time.Time) {},
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -33,6 +33,8 @@
 	CircuitOpened     Number = 1308
 	CircuitClosed     Number = 1309
 	AttemptCanceled   Number = 1310
+	RequestQueued     Number = 1311
+	RequestShed       Number = 1312
 
 	StepOpened       Number = 1401
 	StepOwned        Number = 1402
@@ -122,6 +124,8 @@
 	{CircuitOpened, zap.WarnLevel, "circuit opened", "Several consecutive attempts of callers at the upstream failed; it receives none for a while."},
 	{CircuitClosed, zap.InfoLevel, "circuit closed", "An attempt at the upstream succeeded, and it receives attempts again."},
 	{AttemptCanceled, zap.InfoLevel, "attempt canceled", "An attempt was canceled because another one answered or the request ended; Detail says whether it ran. Unless it is not_run, its usage is counted."},
+	{RequestQueued, zap.InfoLevel, "request queued", "The request waited Count milliseconds for capacity of the service in Detail."},
+	{RequestShed, zap.InfoLevel, "request shed", "The request was refused while it waited, or instead of waiting; Detail gives the service and the reason, Count the expected wait in milliseconds."},
 	{StepOpened, zap.InfoLevel, "step opened", "A trainer opened the step. Detail, if set, is the time from its submission to its acceptance."},
 	{StepOwned, zap.InfoLevel, "step owned", "The VM became the owner of the step under a lease with the given epoch; Count slots already have a sample."},
 	{SamplesCommitted, zap.InfoLevel, "samples committed", "Count samples of the step were committed in one transaction; Position is that of the first result."},
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -8,11 +8,11 @@
 	"context"
 	"io"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
-	"dogwoodpond/internal/admission"
 	"dogwoodpond/internal/event"
 	"dogwoodpond/internal/fault"
 	"dogwoodpond/internal/poison"
@@ -60,6 +60,8 @@
 	// LastEventID is the ID of the last event that the caller received, if it resumes a
 	// stream.
 	LastEventID string
+	// Priority is the priority of the request; 0 is the highest.
+	Priority int
 	// EarlierLosses is the number of upstreams that may have ended under earlier calls of the request.
 	EarlierLosses int
 }
@@ -116,6 +118,8 @@
 	RetryBudget *retry.Budget
 	// Domain is the failure domain of this VM.
 	Domain string
+	// Admission lets plain requests wait for capacity. Without it they are sent at once.
+	Admission Admission
 }
 
 // attemptResult is the result of one attempt.
@@ -160,6 +164,8 @@
 	// failedAnswers counts the answers that say that the request itself failed.
 	failedAnswers int
 	lastErr       error
+	// refusal is the error with which the request was refused instead of being sent again.
+	refusal error
 	// execution says whether the request ran in any attempt so far.
 	execution fault.Execution
 }
@@ -177,7 +183,10 @@
 		pending:   make(map[*target.Entry]pendingAttempt),
 		execution: fault.NotRun,
 	}
-	if !r.startAttempt(ctx, false) {
+	switch started, err := r.acquireAttempt(ctx); {
+	case err != nil:
+		return nil, err
+	case !started:
 		return nil, r.noUpstreamError()
 	}
 	defer r.recordCanceled()
@@ -190,7 +199,7 @@
 			return nil, r.withAttempts(r.contextError(ctx))
 		case <-hedgeTimer.C:
 			if r.allowHedge() {
-				r.startAttempt(ctx, true)
+				r.startSpareAttempt(ctx)
 			}
 		case a := <-r.results:
 			r.pendingCount--
@@ -199,7 +208,7 @@
 				return a.answer, nil
 			}
 			r.recordFailure(a)
-			if ctx.Err() == nil && r.allowRetry(a) && r.startAttempt(ctx, a.full) {
+			if ctx.Err() == nil && r.allowRetry(a) && r.repeat(ctx, a) {
 				continue
 			}
 			if r.pendingCount == 0 {
@@ -212,14 +221,14 @@
 
 func (r *inflightRequest) hedgeDelay() time.Duration {
 	here, elsewhere := r.Roster.ExpectedTimes(r.tried[0], time.Now())
-	return admission.HedgeDelay(r.call.Route.Objective, here, elsewhere)
+	return HedgeDelay(r.call.Route.Objective, here, elsewhere)
 }
 
 // allowHedge reports whether a second attempt may run concurrently with the first. If
 // so, it has taken a retry from the budget. A hedge uses spare capacity only: at a loaded
 // service it would delay other requests as much as it helps this one.
 func (r *inflightRequest) allowHedge() bool {
-	return !r.Roster.Loaded(r.service, time.Now()) && r.call.Route.Kind == route.Idempotent && r.pendingCount == 1 &&
+	return !r.Roster.Loaded(r.service, time.Now()) && !r.admission().Waiting(r.service) && r.call.Route.Kind == route.Idempotent && r.pendingCount == 1 &&
 		r.ranAttempts+r.pendingCount < r.call.Route.Attempts && r.mayEndAnother() && r.RetryBudget.Take()
 }
 
@@ -244,23 +253,75 @@
 	return r.call.EarlierLosses+r.unanswered+r.pendingCount < poison.MaxEnds
 }
 
-// startAttempt starts an attempt at the next upstream, with spareOnly at one that is not known to
-// be full. It returns false if there is none left.
-func (r *inflightRequest) startAttempt(ctx context.Context, spareOnly bool) bool {
-	entry := r.Roster.Reserve(target.Criteria{Service: r.service, Domain: r.Domain, Residency: r.call.Residency, Skip: r.tried, SpareOnly: spareOnly})
-	if entry == nil {
+func (r *inflightRequest) criteria() target.Criteria {
+	return target.Criteria{Service: r.service, Domain: r.Domain, Residency: r.call.Residency, Skip: r.tried}
+}
+
+// acquireAttempt starts an attempt at the next upstream with capacity, for which the request may
+// wait. started is false if there is no upstream left.
+func (r *inflightRequest) acquireAttempt(ctx context.Context) (started bool, err error) {
+	g, err := r.admission().Acquire(ctx, AdmissionRequest{Call: &r.call, Criteria: r.criteria()})
+	if err != nil || g == nil {
+		return false, err
+	}
+	r.startAttempt(ctx, g)
+	return true, nil
+}
+
+// startSpareAttempt starts an attempt at the next upstream that is not known to be full. It returns
+// false if there is none left.
+func (r *inflightRequest) startSpareAttempt(ctx context.Context) bool {
+	c := r.criteria()
+	c.SpareOnly = true
+	entry := r.Roster.Reserve(c)
+	if entry != nil {
+		r.startAttempt(ctx, entryGrant{entry})
+	}
+	return entry != nil
+}
+
+// repeat starts another attempt after a failed one. A request that a full upstream refused waits
+// for capacity again instead of being passed from one upstream to the next. While another attempt is
+// pending the request does not wait, since its answer may arrive.
+func (r *inflightRequest) repeat(ctx context.Context, a attemptResult) bool {
+	switch {
+	case a.full && r.pendingCount > 0:
 		return false
+	case a.full && r.Admission == nil || r.pendingCount > 0:
+		return r.startSpareAttempt(ctx)
+	case a.full:
+		r.tried = slices.DeleteFunc(r.tried, func(e *target.Entry) bool { return e == a.entry })
 	}
+	started, err := r.acquireAttempt(ctx)
+	if err != nil {
+		r.refusal = err
+	}
+	return started
+}
+
+// startAttempt starts an attempt at the upstream of a grant.
+func (r *inflightRequest) startAttempt(ctx context.Context, g Grant) {
+	entry := g.Upstream()
 	r.tried = append(r.tried, entry)
 	r.pendingCount++
 	attemptCtx, cancel := context.WithCancel(ctx)
 	r.pending[entry] = pendingAttempt{cancel: cancel, startedAt: time.Now()}
 	r.Events.Emit(event.RequestDispatched, event.Subject{Request: r.call.ID, Account: r.call.Account, Upstream: entry.Info().ID, Attempt: len(r.tried)})
 	go func() {
-		defer entry.End()
-		r.results <- r.runAttempt(attemptCtx, entry)
+		a := r.runAttempt(attemptCtx, entry)
+		g.End(grantOutcome(a))
+		r.results <- a
 	}()
-	return true
+}
+
+func grantOutcome(a attemptResult) GrantOutcome {
+	switch {
+	case a.full:
+		return GrantRefused
+	case a.err == nil:
+		return GrantAnswered
+	}
+	return GrantFailed
 }
 
 // runAttempt sends the request to an upstream and buffers the first bytes of the answer.
@@ -451,6 +512,9 @@
 	if ctx.Err() != nil {
 		return r.contextError(ctx)
 	}
+	if r.execution == fault.NotRun && r.refusal != nil {
+		return r.refusal
+	}
 	if r.execution == fault.NotRun {
 		return fault.WithExecution(errors.WithStack(&fault.NoUpstream{Pool: r.service, Wait: busyRetryAfter}), fault.NotRun)
 	}
--- a/internal/admission/hedge.go
+++ b/internal/forward/hedge.go
@@ -1,9 +1,4 @@
-// Package admission decides when plain requests go to upstreams that may be short of capacity:
-// when a request is late enough to be sent a second time. It reads no clock and does no I/O.
-//
-// It is meant for bursts of 12 to 20 times the usual rate while most upstreams of a service are
-// several times slower than usual.
-package admission
+package forward
 
 import "time"
 
--- a/internal/admission/hedge_test.go
+++ b/internal/forward/hedge_test.go
@@ -1,4 +1,4 @@
-package admission
+package forward
 
 import (
 	"testing"
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -30,6 +31,9 @@
 	scoreWaitSeconds prometheus.Histogram
 	reportDefects    *prometheus.CounterVec
 	slowdowns        prometheus.Histogram
+	queueLengths     *prometheus.GaugeVec
+	queueWaitSeconds *prometheus.HistogramVec
+	shedRequests     *prometheus.CounterVec
 }
 
 // storeBuckets are in seconds. They cover the store's usual latency of 5 ms and slow answers
@@ -64,9 +68,15 @@
 			Name: "dogwoodpond_upstream_slowdown_ratio", Help: "Slowdowns that upstreams report with their load: how long work takes on their machine, as a multiple of the usual time.",
 			Buckets: []float64{.5, .75, 1, 1.5, 2, 3, 5, 10},
 		}),
+		queueLengths: prometheus.NewGaugeVec(prometheus.GaugeOpts{Name: "dogwoodpond_admission_queue_length", Help: "Plain requests that wait for capacity, by service."}, []string{"service"}),
+		queueWaitSeconds: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "dogwoodpond_admission_wait_seconds", Help: "Time for which plain requests waited for capacity, of those that waited, by service and priority.",
+			Buckets: []float64{.005, .01, .02, .04, .08, .15, .3, .6, 1.2},
+		}, []string{"service", "priority"}),
+		shedRequests:     prometheus.NewCounterVec(prometheus.CounterOpts{Name: "dogwoodpond_admission_shed_total", Help: "Plain requests that were refused while they waited for capacity or instead of waiting, by service, priority and reason."}, []string{"service", "priority", "reason"}),
 		committedResults: prometheus.NewCounter(prometheus.CounterOpts{Name: "dogwoodpond_results_listed_total", Help: "Committed results of steps."}),
 	}
-	m.registry.MustRegister(m.events, m.refusals, m.failedAttempts, m.requestSeconds, m.committedResults, m.commitSeconds, m.storeCallSeconds, m.revision, m.scoreCalls, m.scoreWaitSeconds, m.reportDefects, m.slowdowns, collectors.NewGoCollector(),
+	m.registry.MustRegister(m.events, m.refusals, m.failedAttempts, m.requestSeconds, m.committedResults, m.commitSeconds, m.storeCallSeconds, m.revision, m.scoreCalls, m.scoreWaitSeconds, m.reportDefects, m.slowdowns, m.queueLengths, m.queueWaitSeconds, m.shedRequests, collectors.NewGoCollector(),
 		prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "dogwoodpond_open_requests", Help: "Requests that are being served."}, func() float64 { return float64(incarnation.OpenRequests()) }),
 		prometheus.NewCounterFunc(prometheus.CounterOpts{Name: "dogwoodpond_log_lines_dropped_total", Help: "Log lines dropped because the log buffer was full."}, func() float64 { return float64(sink.Dropped()) }),
 	)
@@ -123,6 +133,21 @@
 // time.
 func (m *Metrics) ObserveSlowdown(slowdown float64) { m.slowdowns.Observe(slowdown) }
 
+// ObserveWait records the wait of a plain request for capacity of a service.
+func (m *Metrics) ObserveWait(service string, priority int, wait time.Duration) {
+	m.queueWaitSeconds.WithLabelValues(service, strconv.Itoa(priority)).Observe(wait.Seconds())
+}
+
+// CountShed counts a plain request that was refused while it waited or instead of waiting.
+func (m *Metrics) CountShed(service string, priority int, reason string) {
+	m.shedRequests.WithLabelValues(service, strconv.Itoa(priority), reason).Inc()
+}
+
+// SetQueueLength sets the number of plain requests that wait for capacity of a service.
+func (m *Metrics) SetQueueLength(service string, length int) {
+	m.queueLengths.WithLabelValues(service).Set(float64(length))
+}
+
 // RegisterBackoffFactor registers the metric of the factor by which the intervals between
 // this VM's reads of the store are longer because the store refused calls.
 func (m *Metrics) RegisterBackoffFactor(backoffFactor func() float64) {
--- a/internal/node/metrics_test.go
+++ b/internal/node/metrics_test.go
@@ -27,6 +27,9 @@
 	m.Observe(event.Record{Number: event.AttemptFailed, Subject: event.Subject{Detail: "broke off after event 3"}})
 	m.Observe(event.Record{Number: event.SamplesCommitted, Subject: event.Subject{Count: 2, Detail: "6ms"}})
 	m.ObserveStoreCall("commit", "answered", time.Millisecond)
+	m.SetQueueLength("desk", 0)
+	m.ObserveWait("desk", 0, time.Millisecond)
+	m.CountShed("desk", 0, "queue full")
 	m.RegisterListAge("configuration")()
 	m.RegisterBackoffFactor(func() float64 { return 1 })
 }
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -165,6 +165,8 @@
 	// residencies holds the residencies of the accounts that set a limit.
 	residencies        map[string]Residency
 	hasResidencyLimits bool
+	// priorities holds the priorities of the accounts that have one.
+	priorities map[string]int
 }
 
 // NewSnapshot indexes a configuration. hasAccounts says whether it has accounts.
@@ -180,6 +182,7 @@
 		routes:      routes,
 
 		residencies: make(map[string]Residency),
+		priorities:  make(map[string]int),
 	}
 	for _, r := range routes {
 		s.hasResidencyLimits = s.hasResidencyLimits || r.Residency.Limited()
@@ -193,6 +196,9 @@
 		for _, key := range a.Keys {
 			s.byKey[key] = a.Name
 		}
+		if a.Priority != nil && *a.Priority >= 0 {
+			s.priorities[a.Name] = *a.Priority
+		}
 		if a.Residency.Limited() {
 			s.residencies[a.Name] = a.Residency
 			s.hasResidencyLimits = true
@@ -207,6 +213,15 @@
 	return r.Residency.And(s.residencies[account])
 }
 
+// Priority returns the priority of a request: that of its account, or that of its route if the
+// account has none or an invalid one.
+func (s *Snapshot) Priority(r *Route, account string) int {
+	if p, ok := s.priorities[account]; ok {
+		return p
+	}
+	return max(r.Priority, 0)
+}
+
 // ForwardsToEngines reports whether requests of callers, other than steps, are forwarded to
 // model engines or to services that the configuration does not describe.
 func (s *Snapshot) ForwardsToEngines() bool {
--- a/internal/target/choose.go
+++ b/internal/target/choose.go
@@ -130,6 +130,12 @@
 	return nil
 }
 
+// LeastUnitTime returns the least known duration of a request at the upstreams of a service; 0 if
+// none is known.
+func (r *Roster) LeastUnitTime(service string, now time.Time) time.Duration {
+	return leastUnitTime(r.Usable(service, now), now)
+}
+
 // leastUnitTime returns the least known duration of a request; 0 if none is known.
 func leastUnitTime(entries []*Entry, now time.Time) time.Duration {
 	var least time.Duration
@@ -149,7 +155,7 @@
 	if took == 0 {
 		took = unmeasured
 	}
-	ahead := float64(e.InFlight()+e.expectedOthers(now)+1) / float64(e.Slots())
+	ahead := float64(e.InFlight()+e.ExpectedOthers(now)+1) / float64(e.Slots())
 	return time.Duration(float64(took) * max(1, ahead))
 }
 
--- a/internal/target/instance.go
+++ b/internal/target/instance.go
@@ -206,9 +206,9 @@
 	return !e.loadedAt.IsZero() && now.Sub(e.loadedAt) <= loadedTTL
 }
 
-// expectedOthers is OthersInFlight for a choice under load: older reports count as well, for
-// less with their age.
-func (e *Entry) expectedOthers(now time.Time) int {
+// ExpectedOthers is OthersInFlight for decisions under load: reports up to loadedTTL old count as
+// well, for less with their age.
+func (e *Entry) ExpectedOthers(now time.Time) int {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	age := now.Sub(e.loadAt)
@@ -222,6 +222,13 @@
 	return int(float64(others) * float64(loadedTTL-age) / float64(loadedTTL-loadTTL))
 }
 
+// HasReported reports whether the upstream has ever reported its load to this VM.
+func (e *Entry) HasReported() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return !e.loadAt.IsZero()
+}
+
 // NoteAnswerTime records the duration of a plain request. The part of it that the request
 // waited for a slot, as far as the upstream's report tells, is no part of the unit time: a
 // choice adds the wait that is to be expected now.
