--- a/internal/ctl/explain.go
+++ b/internal/ctl/explain.go
@@ -229,9 +229,9 @@
 
 // isFirstEvent reports whether an event is the first of its request. Items of a step and
 // requests that are only forwarded have no RequestAccepted event; their first event is the
-// dispatch of the first attempt.
+// end of a wait for capacity or the dispatch of the first attempt.
 func isFirstEvent(e event.Record) bool {
-	return e.Number == event.RequestAccepted || e.Number == event.RequestRefused ||
+	return e.Number == event.RequestAccepted || e.Number == event.RequestRefused || e.Number == event.RequestQueued || e.Number == event.RequestShed ||
 		e.Number == event.RequestDispatched && e.Attempt == 1
 }
 
@@ -298,6 +298,10 @@
 		return fmt.Sprintf("the attempt at upstream %s was canceled: %s", e.Upstream, e.Detail)
 	case event.RequestAnswered:
 		return fmt.Sprintf("the caller received the complete answer (%d tokens)", e.Count)
+	case event.RequestQueued:
+		return fmt.Sprintf("the request waited %d ms for capacity of service %s", e.Count, e.Detail)
+	case event.RequestShed:
+		return fmt.Sprintf("the request was shed (%s); the expected wait was %d ms", e.Detail, e.Count)
 	case event.RequestRefused:
 		return fmt.Sprintf("the caller got a refusal: %s", e.Detail)
 	case event.SampleScored:
