--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -60,7 +60,6 @@
 	ItemHeldBack     Number = 1422
 	ItemReleased     Number = 1423
 	ItemRunsOn       Number = 1424
-	EarlyRunHeld     Number = 1425
 
 	UpstreamEjected  Number = 1501
 	UpstreamRestored Number = 1502
@@ -151,7 +150,6 @@
 	{ItemHeldBack, zap.WarnLevel, "item held back", "Count upstreams may have ended under the item or, if Request names it, its score call, as many as are allowed: their answers to it were lost, and none has shown since that it still runs and has given the request up. The item is sent again only if one does. Detail names their incarnations."},
 	{ItemReleased, zap.InfoLevel, "item released", "An upstream that may have ended under the item still runs and has given it up, and the item may be sent again. Detail names the other incarnations."},
 	{ItemRunsOn, zap.InfoLevel, "item runs on", "The upstream's report lists a run of the item although its attempt has ended here: the upstream goes on with it and may still end under it, or the trainer has submitted the item again and another VM runs it there."},
-	{EarlyRunHeld, zap.InfoLevel, "early run elsewhere", "This VM doesn't start the step before its acceptance, because Peer of the same failure domain runs it."},
 	{UpstreamEjected, zap.WarnLevel, "upstream ejected", "The upstream failed too often and receives no work for a while."},
 	{UpstreamRestored, zap.InfoLevel, "upstream restored", "The upstream receives work again."},
 	{UpstreamLeaving, zap.InfoLevel, "upstream leaving", "The upstream is leaving and receives no new work."},
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -127,9 +127,10 @@
 	// availableSince is when a read succeeded for the first time after an outage of the
 	// store.
 	availableSince time.Time
-	// readAt is when the rows were last read, also after a failed read. outageEndedAt is when a read
-	// succeeded after reads had failed for DeathPeriod; zero before the first such outage.
-	readAt        time.Time
+	// failingSince is when the first of the reads that have failed since the last successful one did.
+	// outageEndedAt is when a read succeeded after reads had failed for DeathPeriod; zero before the first
+	// such outage.
+	failingSince  time.Time
 	outageEndedAt time.Time
 	ready         bool
 }
@@ -304,6 +305,9 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.polledAt = time.Time{}
+	if l.failingSince.IsZero() {
+		l.failingSince = time.Now()
+	}
 }
 
 // notePoll records a successful read and returns the time since the previous one, which
@@ -311,14 +315,14 @@
 func (l *List) notePoll(now time.Time) (elapsed time.Duration) {
 	if l.polledAt.IsZero() {
 		l.availableSince = now
-		if l.ready && now.Sub(l.readAt) >= l.DeathPeriod() {
+		if l.ready && !l.failingSince.IsZero() && now.Sub(l.failingSince) >= l.DeathPeriod() {
 			l.outageEndedAt = now
 		}
 	} else {
 		// Limited, because a pause of this process says nothing about the other VMs.
 		elapsed = min(now.Sub(l.polledAt), 2*l.pollInterval())
 	}
-	l.polledAt, l.readAt, l.ready = now, now, true
+	l.polledAt, l.failingSince, l.ready = now, time.Time{}, true
 	return elapsed
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -75,7 +75,7 @@
 	Orderers       []*scaling.Orderer
 	CallerHandler  http.Handler
 	MetricsHandler http.Handler
-	PeerHandlers   relay.Handlers
+	Relay          relay.CallFunc
 	// Background holds loops that run until the process ends: they watch the platform's
 	// tables and probe the store.
 	Background Loops
@@ -241,7 +241,7 @@
 	}
 	go func() { _ = s.callers.Serve(callers) }()
 	go func() { _ = s.ready.Serve(ready) }()
-	go func() { _ = relay.Serve(ctx, peers, n.PeerHandlers) }()
+	go func() { _ = relay.Serve(ctx, peers, n.Relay) }()
 	return s, n.listenMetrics(s)
 }
 
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -2,8 +2,7 @@
 // reach the store itself. The store may refuse some VMs while it serves others, and a network
 // partition may cut some VMs off; without relays a third of the fleet would be unusable for
 // minutes. The VMs of a fleet trust each other. A relayed commit is as safe as a direct one,
-// because its expectations protect it on either path. The same connections carry the question which VM
-// of a failure domain runs a step before it is accepted.
+// because its expectations protect it on either path.
 package relay
 
 import (
@@ -52,29 +51,16 @@
 // sent is true if the call may have reached the store.
 type CallFunc func(ctx context.Context, call Call) (answer Answer, sent bool, err error)
 
-// Process identifies one incarnation of a VM's process.
-type Process struct{ VM, Incarnation string }
-
-// HoldEarlyFunc returns the process that runs a step before the step is accepted: sender, if no other
-// one is known.
-type HoldEarlyFunc func(step string, sender Process) Process
-
-// Handlers handle the calls of peers.
-type Handlers struct {
-	CallStore CallFunc
-	HoldEarly HoldEarlyFunc
-}
-
-// Serve handles the calls that peers make on a listener until ctx ends.
-func Serve(ctx context.Context, listener net.Listener, handlers Handlers) error {
+// Serve relays the calls that peers make on a listener, through callStore, until ctx ends.
+func Serve(ctx context.Context, listener net.Listener, callStore CallFunc) error {
 	mux := drpcmux.New()
-	if err := carrypb.DRPCRegisterCarrier(mux, &server{handlers}); err != nil {
+	if err := carrypb.DRPCRegisterCarrier(mux, &server{callStore: callStore}); err != nil {
 		return errors.WithStack(&fault.Internal{Where: "registration of the relay service"})
 	}
 	return drpcserver.New(mux).Serve(ctx, listener)
 }
 
-type server struct{ Handlers }
+type server struct{ callStore CallFunc }
 
 // Carry implements carrypb.DRPCCarrierServer.
 func (s *server) Carry(ctx context.Context, in *carrypb.Call) (*carrypb.Answer, error) {
@@ -82,20 +68,14 @@
 		Method: in.GetMethod(), URI: in.GetUri(), Body: in.GetBody(), IfAbsent: in.GetIfAbsent(),
 		Timeout: time.Duration(in.GetTimeoutMillis()) * time.Millisecond,
 	}
-	answer, sent, err := s.CallStore(ctx, call)
+	answer, sent, err := s.callStore(ctx, call)
 	if err != nil {
 		return &carrypb.Answer{Sent: sent}, nil
 	}
 	return &carrypb.Answer{Status: int32(answer.Status), Body: answer.Body, Sent: true}, nil
 }
 
-// HoldEarly implements carrypb.DRPCCarrierServer.
-func (s *server) HoldEarly(_ context.Context, in *carrypb.EarlyStep) (*carrypb.EarlyHolder, error) {
-	holder := s.Handlers.HoldEarly(in.GetStep(), Process{VM: in.GetSender().GetVm(), Incarnation: in.GetSender().GetIncarnation()})
-	return &carrypb.EarlyHolder{Vm: holder.VM, Incarnation: holder.Incarnation}, nil
-}
-
-// Client makes calls to peers, most of them calls to the store. It is safe for concurrent use.
+// Client makes calls to the store through peers. It is safe for concurrent use.
 type Client struct {
 	pool *drpcpool.Pool[string, *drpcconn.Conn]
 }
@@ -114,7 +94,14 @@
 	ctx, cancel := context.WithTimeout(ctx, call.Timeout+peerMargin)
 	defer cancel()
 	dialed := false
-	conn := c.connect(ctx, address, &dialed)
+	conn := c.pool.Get(ctx, address, func(ctx context.Context, address string) (*drpcconn.Conn, error) {
+		raw, err := (&net.Dialer{Timeout: dialTimeout}).DialContext(ctx, "tcp", address)
+		if err != nil {
+			return nil, err
+		}
+		dialed = true
+		return drpcconn.New(raw), nil
+	})
 	defer func() { _ = conn.Close() }()
 	out, err := carrypb.NewDRPCCarrierClient(conn).Carry(ctx, &carrypb.Call{
 		Method: call.Method, Uri: call.URI, Body: call.Body, IfAbsent: call.IfAbsent,
@@ -131,37 +118,6 @@
 	return Answer{Status: int(out.GetStatus()), Body: out.GetBody()}, true, nil
 }
 
-// connect returns a connection to a peer. dialed is set to true when a new one was opened for it.
-func (c *Client) connect(ctx context.Context, address string, dialed *bool) drpcpool.Conn {
-	return c.pool.Get(ctx, address, func(ctx context.Context, address string) (*drpcconn.Conn, error) {
-		raw, err := (&net.Dialer{Timeout: dialTimeout}).DialContext(ctx, "tcp", address)
-		if err != nil {
-			return nil, err
-		}
-		*dialed = true
-		return drpcconn.New(raw), nil
-	})
-}
-
-// holdEarlyTimeout is the timeout of HoldEarly, which stays within a failure domain.
-const holdEarlyTimeout = 150 * time.Millisecond
-
-// HoldEarly asks the peer at an address which process runs a step before the step is accepted. It fails
-// with *fault.PeerUnavailable, also if the peer is of a build without this call.
-func (c *Client) HoldEarly(ctx context.Context, address, step string, sender Process) (Process, error) {
-	ctx, cancel := context.WithTimeout(ctx, holdEarlyTimeout)
-	defer cancel()
-	conn := c.connect(ctx, address, new(bool))
-	defer func() { _ = conn.Close() }()
-	holder, err := carrypb.NewDRPCCarrierClient(conn).HoldEarly(ctx, &carrypb.EarlyStep{
-		Step: step, Sender: &carrypb.EarlyHolder{Vm: sender.VM, Incarnation: sender.Incarnation},
-	})
-	if err != nil {
-		return Process{}, errors.WithStack(&fault.PeerUnavailable{VM: address})
-	}
-	return Process{VM: holder.GetVm(), Incarnation: holder.GetIncarnation()}, nil
-}
-
 // isDialError reports whether a call failed at the dial, before any byte was sent.
 func isDialError(err error) bool {
 	var op *net.OpError
--- a/internal/step/accept.go
+++ b/internal/step/accept.go
@@ -48,7 +48,7 @@
 		return notStored(err)
 	}
 	early := &earlyRun{manager: m, state: state, items: items}
-	timer := time.AfterFunc(earlyStartDelay, func() { early.startIfHeld(ctx) })
+	timer := time.AfterFunc(earlyStartDelay, early.start)
 	version, err := rowstore.CommitConfirmed(ctx, m.Store, txn)
 	timer.Stop()
 	err = m.handleSubmitOutcome(ctx, stateRecord{State: state, version: version}, items, early, err)
--- a/internal/step/early.go
+++ b/internal/step/early.go
@@ -46,51 +46,19 @@
 	decidedCh chan struct{}
 }
 
-// startIfHeld runs the items while no other VM of the failure domain does, and keeps the step from others
-// then. It returns when ctx ends, the outcome of the submission is known, or this VM can't run the items:
-// a VM that keeps the step without running it would keep all others from it.
-func (e *earlyRun) startIfHeld(ctx context.Context) {
-	m, key, told := e.manager, e.state.Account+"/"+e.state.ID, false
-	if e.state.Owner != m.VM {
-		return
-	}
-	for {
-		switch holder := m.askEarlyHolder(ctx, key); {
-		case holder.VM == m.VM && holder.Incarnation == m.Incarnation:
-			if !e.start() {
-				return
-			}
-		case !told:
-			told = true
-			m.Events.Emit(event.EarlyRunHeld, event.Subject{Step: e.state.ID, Account: e.state.Account, Peer: holder.VM})
-		}
-		if e.isDecided() || !wait.For(ctx, earlyHoldInterval) || e.isDecided() {
-			return
-		}
-	}
-}
-
-// isDecided reports whether the outcome of the submission is known.
-func (e *earlyRun) isDecided() bool {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return e.closed || e.decidedCh != nil
-}
-
-// start runs the items, unless they run already or the outcome of the submission is known. It reports
-// whether they run.
-func (e *earlyRun) start() bool {
+// start runs the items, unless the outcome of the submission is already known. A VM that has not read the state
+// table yet doesn't: its items would wait for the store, and the error of the submission would claim that they ran.
+func (e *earlyRun) start() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	m := e.manager
-	if e.closed || e.decidedCh != nil || e.run != nil || !m.statesRead() {
-		return e.run != nil
+	if e.closed || e.state.Owner != m.VM || !m.statesRead() {
+		return
 	}
 	e.run = m.startRun(stateRecord{State: e.state}, e.items, nil, nil, e)
 	if e.run != nil {
 		m.Events.Emit(event.StepStartedEarly, event.Subject{Step: e.state.ID, Account: e.state.Account, Count: int64(len(e.items))})
 	}
-	return e.run != nil
 }
 
 // accept makes the early run the run of the accepted step r, whose previous owner committed
@@ -132,7 +100,6 @@
 	case run != nil && !e.claimWithRetry(run, accepted):
 		e.manager.stop(run)
 		e.manager.saveLossesOfStopped(run)
-		e.manager.tasks.Go(func() { e.manager.handOverTexts(run) })
 	}
 }
 
--- a/internal/step/handover_test.go
+++ b/internal/step/handover_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"dogwoodpond/internal/rowstore"
+	"dogwoodpond/internal/rowstore/memory"
 )
 
 // Guards against a VM that can't leave while a commit of results waits for the store: the handover
@@ -129,3 +130,31 @@
 		})
 	}
 }
+
+// refuseLarge makes the store refuse transactions with more entries than it accepts.
+func (cl *cluster) refuseLarge() {
+	cl.store.SetFault(func(txn rowstore.Txn) memory.Fault {
+		if len(txn.Puts) > 0 && len(txn.Expected)+len(txn.Puts)+len(txn.Deletes) > txnMaxEntries {
+			return memory.Refused
+		}
+		return memory.NoFault
+	})
+}
+
+// Guards against a handover that loses all texts of a step with more items than a transaction has
+// entries.
+func TestHandoverSavesTheTextsOfManyItems(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		const total = 2 * txnMaxEntries
+		cl := newCluster(t, engineIDs(total/4)...)
+		cl.refuseLarge()
+		cl.engines.behave[""] = pacedBehaviour(100, 100*time.Millisecond)
+		a := cl.start("a")
+		submit(t, a, spec("s"), items(total))
+		time.Sleep(700 * time.Millisecond)
+		a.Leave(t.Context())
+		if texts, err := readTexts(t.Context(), cl.store, "s", nil); err != nil || len(texts) != total {
+			t.Errorf("%d of %d texts are saved, %v", len(texts), total, err)
+		}
+	})
+}
--- a/internal/step/manager.go
+++ b/internal/step/manager.go
@@ -90,10 +90,6 @@
 	// PreferredOwner returns the process that should own the steps of a model; ok is false when
 	// no live one is known in the failure domains that the residency allows.
 	PreferredOwner func(model string, residency route.Residency) (p Process, ok bool)
-	// AskEarlyHolder asks the VM of this failure domain that keeps the early runs of a step which
-	// process runs the step early; local answers if that VM is this one. ok is false if it doesn't
-	// answer. Without this function each VM runs the steps early that are submitted to it.
-	AskEarlyHolder func(ctx context.Context, step string, sender Process, local HoldEarlyFunc) (holder Process, ok bool)
 	// StoreAvailable reports whether the store is available.
 	StoreAvailable func() bool
 	// CallBudget limits the rate of the watch calls.
@@ -146,8 +142,6 @@
 	// before its content counts. It is locked before mu.
 	lossRowsMu sync.Mutex
 	retained   *retainedTexts
-	// earlyHolders holds the processes that run steps early and have asked this VM.
-	earlyHolders earlyHolders
 	// leaving is true once this VM hands over its steps.
 	leaving bool
 	// noNewRuns is true once Run waits for the remaining runs to end.
--- a/internal/step/place.go
+++ b/internal/step/place.go
@@ -86,14 +86,14 @@
 }
 
 // place returns the engine for one item, other than avoid, or nil when none has a free
-// slot. An item at avoid doesn't leave it for an engine that can't be reached. Items are never queued at an
+// slot. An item at avoid doesn't leave it for an engine to which a connection has just failed. Items are never queued at an
 // engine: its queue is first in, first out and ignores deadlines, so an item is better off in the queue of
 // this VM.
 func place(p pool, n need, avoid *target.Entry, now time.Time) *target.Entry {
 	var best *target.Entry
 	var least float64
 	for _, e := range p.engines {
-		if e == avoid || avoid != nil && !e.Reachable() {
+		if e == avoid || avoid != nil && e.Unreachable(now) {
 			continue
 		}
 		if cost, ok := p.cost(e, n, now); ok && (best == nil || cost < least) {
--- a/internal/step/text.go
+++ b/internal/step/text.go
@@ -140,10 +140,10 @@
 // textBatch is a transaction that saves texts under a step's state. A step has more items than one
 // transaction has entries.
 type textBatch struct {
-	m    *Manager
-	rec  stateRecord
-	txn  rowstore.Txn
-	size int
+	m      *Manager
+	rec    stateRecord
+	txn    rowstore.Txn
+	failed bool
 }
 
 // newTextBatch returns a batch without texts. It takes effect only while rec is the state of the step.
@@ -154,26 +154,26 @@
 }
 
 func (b *textBatch) reset() {
-	b.size, b.txn = 0, rowstore.Txn{Expected: []rowstore.Expectation{{Key: stateKey(b.rec.ID), Version: b.rec.version}}}
+	b.txn = rowstore.Txn{Expected: []rowstore.Expectation{{Key: stateKey(b.rec.ID), Version: b.rec.version}}}
 }
 
-// put adds the text of an item, with expectations on its row. It commits the texts before it if they fill a
-// transaction.
-func (b *textBatch) put(ctx context.Context, item string, value []byte, expected ...rowstore.Expectation) {
-	if b.size+len(value) > saveMaxBytes || len(b.txn.Expected)+len(b.txn.Puts)+len(expected)+1 > txnMaxEntries {
+// put adds the text of an item. It commits the texts before it if they fill a transaction.
+func (b *textBatch) put(ctx context.Context, item string, value []byte) {
+	if len(b.txn.Expected)+len(b.txn.Puts)+1 > txnMaxEntries {
 		b.commit(ctx)
 	}
-	b.size += len(value)
-	b.txn.Expected = append(b.txn.Expected, expected...)
 	b.txn.Puts = append(b.txn.Puts, rowstore.Put{Key: textKey(b.rec.ID, item), Value: value})
 }
 
-// commit commits the texts and empties the batch.
+// commit commits the texts and empties the batch. After a failure it does nothing: the state has changed or
+// the store is unavailable, and each further call would fail too.
 func (b *textBatch) commit(ctx context.Context) {
-	if len(b.txn.Puts) == 0 {
+	if len(b.txn.Puts) == 0 || b.failed {
 		return
 	}
-	if _, err := b.m.Store.Commit(ctx, b.txn); err == nil {
+	if _, err := b.m.Store.Commit(ctx, b.txn); err != nil {
+		b.failed = true
+	} else {
 		b.m.Events.Emit(event.TextsSaved, event.Subject{Step: b.rec.ID, Account: b.rec.Account, Count: int64(len(b.txn.Puts))})
 	}
 	b.reset()
--- a/internal/target/roster.go
+++ b/internal/target/roster.go
@@ -37,9 +37,8 @@
 
 	// listReadAt is when the platform's list was last read, in Unix nanoseconds.
 	listReadAt atomic.Int64
-	// contactRegainedAt is when an upstream to which connections had failed last answered again, in Unix
-	// nanoseconds.
-	contactRegainedAt atomic.Int64
+	// reopened counts the first answers of upstreams to which connections had failed.
+	reopened atomic.Int64
 	// coldSender reports whether this VM may send requests to a cold upstream.
 	coldSender atomic.Pointer[func(*Entry) bool]
 	// evacuated holds the failure domains whose upstreams get no requests.
