--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -14,9 +14,9 @@
 
 	"dogwoodpond/internal/event"
 	"dogwoodpond/internal/fault"
-	"dogwoodpond/internal/poison"
 	"dogwoodpond/internal/retry"
 	"dogwoodpond/internal/route"
+	"dogwoodpond/internal/suspicion"
 	"dogwoodpond/internal/target"
 )
 
@@ -244,7 +244,7 @@
 // ended under it, whatever number of attempts the route allows. The caller waits, so there is no time
 // to find out whether they did.
 func (r *inflightRequest) mayEndAnother() bool {
-	return r.call.EarlierLosses+r.unanswered+r.pendingCount < poison.MaxEnds
+	return r.call.EarlierLosses+r.unanswered+r.pendingCount < suspicion.MaxEnds
 }
 
 // startAttempt starts an attempt at the next upstream. It returns false if there is none
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -16,9 +16,9 @@
 
 	"dogwoodpond/internal/event"
 	"dogwoodpond/internal/fault"
-	"dogwoodpond/internal/poison"
 	"dogwoodpond/internal/retry"
 	"dogwoodpond/internal/route"
+	"dogwoodpond/internal/suspicion"
 	"dogwoodpond/internal/target"
 )
 
@@ -302,7 +302,7 @@
 func manyUpstreams(u *fakeUpstreams) *Forwarder {
 	f := newForwarder(u)
 	var list []target.Instance
-	for n := range 3 * poison.MaxEnds {
+	for n := range 3 * suspicion.MaxEnds {
 		id := "u" + strconv.Itoa(n)
 		list = append(list, target.Instance{ID: id, Service: "desk", Address: id, FailureDomain: "x", Slots: 4})
 	}
@@ -312,7 +312,7 @@
 
 // Guards against a request that ends more upstreams than are allowed, on a route with more attempts.
 func TestUpstreamsThatMayEndUnderARequestAreLimited(t *testing.T) {
-	const attempts = 3 * poison.MaxEnds
+	const attempts = 3 * suspicion.MaxEnds
 	for name, fallback := range map[string]fakeAnswer{
 		"no answer": {delay: 10 * time.Millisecond, execution: fault.Unknown},
 		"hedged":    {delay: time.Second, execution: fault.Unknown},
@@ -324,7 +324,7 @@
 				f := manyUpstreams(u)
 				started := time.Now()
 				_, err := f.Do(t.Context(), newCall(route.Idempotent, attempts))
-				if err == nil || fault.ExecutionOf(err) == fault.NotRun || u.sentCount() != poison.MaxEnds || time.Since(started) > 5*time.Second {
+				if err == nil || fault.ExecutionOf(err) == fault.NotRun || u.sentCount() != suspicion.MaxEnds || time.Since(started) > 5*time.Second {
 					t.Errorf("%d attempts, %v after %s", u.sentCount(), err, time.Since(started))
 				}
 			})
@@ -336,7 +336,7 @@
 			c := newCall(route.Stream, attempts)
 			c.Route.Resumable = true
 			_, err := manyUpstreams(u).Stream(t.Context(), c, &recordingSink{})
-			if err == nil || u.sentCount() != poison.MaxEnds {
+			if err == nil || u.sentCount() != suspicion.MaxEnds {
 				t.Errorf("%d attempts, %v", u.sentCount(), err)
 			}
 		})
@@ -347,7 +347,7 @@
 // still runs.
 func TestServerErrorsCountOnlyAsAttempts(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		const attempts = 3 * poison.MaxEnds
+		const attempts = 3 * suspicion.MaxEnds
 		u := &fakeUpstreams{fallback: fakeAnswer{status: 503}}
 		_, err := manyUpstreams(u).Do(t.Context(), newCall(route.Idempotent, attempts))
 		if err == nil || u.sentCount() != attempts {
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -11,7 +11,7 @@
 	"dogwoodpond/internal/event"
 	"dogwoodpond/internal/eventstream"
 	"dogwoodpond/internal/fault"
-	"dogwoodpond/internal/poison"
+	"dogwoodpond/internal/suspicion"
 	"dogwoodpond/internal/target"
 )
 
@@ -173,7 +173,7 @@
 	}
 	s.ranAttempts++
 	// Each attempt that ran ended without a complete answer, so its upstream may have ended.
-	if !s.call.Route.Resumable || s.ranAttempts >= min(s.call.Route.Attempts, poison.MaxEnds) || !s.RetryBudget.Take() {
+	if !s.call.Route.Resumable || s.ranAttempts >= min(s.call.Route.Attempts, suspicion.MaxEnds) || !s.RetryBudget.Take() {
 		return false
 	}
 	if s.started {
--- a/internal/generate/local.go
+++ b/internal/generate/local.go
@@ -14,8 +14,8 @@
 	"dogwoodpond/internal/event"
 	"dogwoodpond/internal/fault"
 	"dogwoodpond/internal/platformapi"
-	"dogwoodpond/internal/poison"
 	"dogwoodpond/internal/retry"
+	"dogwoodpond/internal/suspicion"
 )
 
 // maxEmptyAttempts limits the consecutive attempts that produce no token.
@@ -104,7 +104,7 @@
 // attempt is taken from the retry budget. allowRetry does not wait, so that a
 // request that may not be retried is answered at once.
 func (g *generation) allowRetry(err error) bool {
-	if g.result.FinishReason != "" || g.emptyAttempts >= maxEmptyAttempts || g.lostAnswers >= poison.MaxEnds {
+	if g.result.FinishReason != "" || g.emptyAttempts >= maxEmptyAttempts || g.lostAnswers >= suspicion.MaxEnds {
 		return false
 	}
 	if fault.Is[*fault.NoUpstream](err) && len(g.exclude) > 0 {
--- a/internal/generate/lost_answers_test.go
+++ b/internal/generate/lost_answers_test.go
@@ -12,7 +12,7 @@
 	"dogwoodpond/internal/contract"
 	"dogwoodpond/internal/engine"
 	"dogwoodpond/internal/platformapi"
-	"dogwoodpond/internal/poison"
+	"dogwoodpond/internal/suspicion"
 )
 
 // serveTokenAndEnd answers a completion request with one token more and breaks the connection.
@@ -44,7 +44,7 @@
 			}))
 			defer server.Close()
 			p.upstreams = []platformapi.Upstream{{ID: "e", Address: strings.TrimPrefix(server.URL, "http://")}}
-			if _, err := newLocalRunner(p).Generate(t.Context(), endlessRequest(), nil); err == nil || p.attempts.Load() != poison.MaxEnds {
+			if _, err := newLocalRunner(p).Generate(t.Context(), endlessRequest(), nil); err == nil || p.attempts.Load() != suspicion.MaxEnds {
 				t.Errorf("%d attempts, %v", p.attempts.Load(), err)
 			}
 		})
@@ -57,7 +57,7 @@
 	p := &faultyPool{anonymous: true}
 	var failures atomic.Int64
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if failures.Add(1) <= poison.MaxEnds {
+		if failures.Add(1) <= suspicion.MaxEnds {
 			w.WriteHeader(http.StatusInternalServerError)
 			return
 		}
--- a/internal/step/cluster_test.go
+++ b/internal/step/cluster_test.go
@@ -22,6 +22,7 @@
 	"dogwoodpond/internal/rowstore"
 	"dogwoodpond/internal/rowstore/memory"
 	"dogwoodpond/internal/scoring"
+	"dogwoodpond/internal/suspicion"
 	"dogwoodpond/internal/target"
 	"dogwoodpond/internal/wait"
 
@@ -51,7 +52,7 @@
 	// scoring, if set, returns the Scorer of a VM instead of scorer.
 	scoring func(Config) Scorer
 	// reports, if set, are the engines' reports. Without it all engines still run.
-	reports EngineReports
+	reports suspicion.EngineReports
 	// domains maps VMs that are not in failure domain "x" to their domains.
 	domains map[string]string
 	// storeOf, if set, returns the store that a VM uses.
@@ -122,7 +123,7 @@
 	if cl.transportOf != nil {
 		transport = cl.transportOf(name, incarnation)
 	}
-	var reports EngineReports = runningEngines{}
+	var reports suspicion.EngineReports = runningEngines{}
 	if cl.reports != nil {
 		reports = cl.reports
 	}
@@ -158,8 +159,8 @@
 // runningEngines are the reports of engines that never end.
 type runningEngines struct{}
 
-func (runningEngines) RunReport(_ context.Context, e *target.Entry) (RunReport, error) {
-	return RunReport{Started: e.Info().Started, Complete: true}, nil
+func (runningEngines) RunReport(_ context.Context, e *target.Entry) (suspicion.RunReport, error) {
+	return suspicion.RunReport{Started: e.Info().Started, Complete: true}, nil
 }
 
 // fakeMembers is a fake member list, as seen by one VM.
--- a/internal/step/dispatch.go
+++ b/internal/step/dispatch.go
@@ -24,11 +24,6 @@
 // dispatchLoop starts items and score calls whenever engines and scoring services have
 // free slots, once the state table has been read.
 func (m *Manager) dispatchLoop(ctx context.Context) {
-	select {
-	case <-ctx.Done():
-		return
-	case <-m.statesReadCh:
-	}
 	timer := time.NewTicker(dispatchInterval)
 	defer timer.Stop()
 	var reviewedAt time.Time
@@ -40,13 +35,16 @@
 			wait.For(ctx, dispatchBatchDelay)
 		case <-timer.C:
 		}
+		if !m.statesRead.Load() {
+			continue
+		}
 		review := time.Since(reviewedAt) >= suspectReviewInterval
 		if review {
 			reviewedAt = time.Now()
 		}
 		for _, r := range m.runsByDueTime() {
 			if review {
-				r.unaccounted.settle(m.Roster, reviewedAt)
+				r.unaccounted.NoteEnded(m.Roster, reviewedAt)
 				m.reviewSuspects(r)
 			}
 			m.dispatchScores(r)
--- a/internal/step/early.go
+++ b/internal/step/early.go
@@ -52,7 +52,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	m := e.manager
-	if e.closed || e.state.Owner != m.VM || !m.statesRead() {
+	if e.closed || e.state.Owner != m.VM || !m.statesRead.Load() {
 		return
 	}
 	e.run = m.startRun(stateRecord{State: e.state}, e.items, nil, nil, e)
@@ -99,7 +99,7 @@
 		<-decidedCh
 	case run != nil && !e.claimWithRetry(run, accepted):
 		e.manager.stop(run)
-		e.manager.saveLossesOfStopped(run)
+		run.saveChangedSuspicions()
 	}
 }
 
@@ -150,7 +150,7 @@
 	}
 	committed, err := readAllResults(ctx, m.Store, owned.ID)
 	if err == nil {
-		err = m.readLosses(ctx, owned.ID)
+		err = m.readSuspicions(ctx, owned.ID)
 	}
 	if err != nil {
 		m.emitTakeoverFailed(owned.State, err)
--- a/internal/step/manager.go
+++ b/internal/step/manager.go
@@ -12,10 +12,10 @@
 	"dogwoodpond/internal/budget"
 	"dogwoodpond/internal/event"
 	"dogwoodpond/internal/fault"
-	"dogwoodpond/internal/poison"
 	"dogwoodpond/internal/route"
 	"dogwoodpond/internal/rowstore"
 	"dogwoodpond/internal/scoring"
+	"dogwoodpond/internal/suspicion"
 	"dogwoodpond/internal/target"
 )
 
@@ -52,21 +52,6 @@
 // Process identifies one incarnation of a VM's process.
 type Process struct{ VM, Incarnation string }
 
-// EngineReports reads what engines report of themselves.
-type EngineReports interface {
-	RunReport(ctx context.Context, e *target.Entry) (RunReport, error)
-}
-
-// RunReport is what an engine reports of itself. Its list of runs is some hundred milliseconds old.
-type RunReport struct {
-	// Started is the start of the engine's incarnation, in Unix milliseconds.
-	Started int64
-	// Runs holds the IDs of the requests that the engine runs. It is of no use if Complete is false: the
-	// engine doesn't list its runs, or further requests wait there.
-	Runs     []string
-	Complete bool
-}
-
 // Config holds the identity and the dependencies of a manager.
 type Config struct {
 	// VM and Incarnation identify this process. Domain is its failure domain.
@@ -77,7 +62,7 @@
 	View                    *route.View
 	Roster                  *target.Roster
 	Transport               target.Transport
-	Engines                 EngineReports
+	Engines                 suspicion.EngineReports
 	Scorer                  Scorer
 	Events                  *event.Recorder
 	// AnnouncedVersion returns the version of a model that its trainer announced last.
@@ -104,16 +89,15 @@
 	takeoverSignal chan struct{}
 	// statesReadAt is when the state rows were last read, in Unix nanoseconds.
 	statesReadAt atomic.Int64
-	// statesReadCh is closed once the rows of the first full read of the state table are observed. Until then no
-	// item starts here: the lost answers of earlier steps may count against it.
-	statesReadCh   chan struct{}
-	noteStatesRead func()
+	// statesRead is true once the rows of the first full read of the state table are observed. Until then no item
+	// starts here: suspicions that began in earlier steps may count against it.
+	statesRead atomic.Bool
 
 	// suspicions holds the engines that may have ended under items, suspects the engines that run an
 	// item under suspicion, and checks the checks of engines that may have ended.
-	suspicions *poison.Ledger
+	suspicions *suspicion.Ledger
 	suspects   suspectEngines
-	checks     *engineChecks
+	checks     *suspicion.Checks
 
 	// mu guards the fields down to noNewRuns. The maps have the step's ID as key.
 	mu sync.Mutex
@@ -131,12 +115,7 @@
 	takingOver map[string]bool
 	// unownedSince is when this VM first found that a step has no live owner.
 	unownedSince map[string]time.Time
-	// knownLosses holds the names of the rows of lost answers that were read or written, by step.
-	knownLosses map[string]map[string]bool
-	// lossRowsMu is held while a row of lost answers is observed: another reader of the row must not go on
-	// before its content counts. It is locked before mu.
-	lossRowsMu sync.Mutex
-	retained   *retainedTexts
+	retained     *retainedTexts
 	// leaving is true once this VM hands over its steps.
 	leaving bool
 	// noNewRuns is true once Run waits for the remaining runs to end.
@@ -154,16 +133,11 @@
 // NewManager returns a manager. Call Run to start it.
 func NewManager(c Config) *Manager {
 	ctx, cancel := context.WithCancel(context.Background())
-	statesReadCh := make(chan struct{})
-	return &Manager{
+	m := &Manager{
 		Config:           c,
-		statesReadCh:     statesReadCh,
-		noteStatesRead:   sync.OnceFunc(func() { close(statesReadCh) }),
 		dispatchSignal:   make(chan struct{}, 1),
 		callLimiter:      scoring.NewCallLimiter(),
-		suspicions:       poison.NewLedger(),
-		checks:           newEngineChecks(),
-		knownLosses:      make(map[string]map[string]bool),
+		suspicions:       suspicion.NewLedger(),
 		takeoverSignal:   make(chan struct{}, 1),
 		states:           make(map[string]stateRecord),
 		runs:             make(map[string]*run),
@@ -175,6 +149,10 @@
 		ctx:              ctx,
 		cancel:           cancel,
 	}
+	m.checks = &suspicion.Checks{
+		Ledger: m.suspicions, Roster: c.Roster, Engines: c.Engines, Events: c.Events, Go: m.tasks.Go, OnChecked: m.notifyDispatcher,
+	}
+	return m
 }
 
 // Run watches the steps of the fleet and runs those that this VM owns, until ctx
@@ -305,10 +283,10 @@
 func (m *Manager) replace(rows []rowstore.Row, skipped map[string]bool) {
 	present := make(map[string]bool, len(rows))
 	for _, row := range rows {
-		present[row.Part] = present[row.Part] || !isLossRow(row)
+		present[row.Part] = present[row.Part] || !suspicion.IsRow(row)
 	}
 	m.apply(rows)
-	m.noteStatesRead()
+	m.statesRead.Store(true)
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for id, r := range m.states {
@@ -318,21 +296,11 @@
 	}
 }
 
-// statesRead reports whether the first full read of the state table has ended.
-func (m *Manager) statesRead() bool {
-	select {
-	case <-m.statesReadCh:
-		return true
-	default:
-		return false
-	}
-}
-
 // apply records changed state rows and notifies the takeover loop.
 func (m *Manager) apply(rows []rowstore.Row) {
-	m.observeLossRows(rows)
+	m.observeSuspicions(rows)
 	for _, row := range rows {
-		if isLossRow(row) {
+		if suspicion.IsRow(row) {
 			continue
 		}
 		if row.Deleted {
@@ -387,7 +355,7 @@
 	delete(m.states, id)
 	delete(m.acceptedVersions, id)
 	delete(m.endsRead, id)
-	delete(m.knownLosses, id)
+	m.suspicions.ForgetRows(id)
 }
 
 // recordState records a state unless the same or a newer version is known, and reports whether
@@ -505,7 +473,7 @@
 		return
 	}
 	m.emitOwned(rec, len(committed))
-	r.askSurvivors()
+	r.unaccounted.AskSurvivors(r.ctx, m.checks, r.enginesOfOpenItems)
 }
 
 // emitOwned emits the event that this VM owns a step; committed is the number of results that
@@ -529,10 +497,9 @@
 	r.early = early
 	r.restoreTexts(m.retained.forItems(rec.Account, items))
 	r.restoreTexts(texts)
-	r.noteSavedLosses()
 	m.runs[rec.ID], m.lastRunAt = r, time.Now()
 	m.tasks.Go(r.commitLoop)
-	m.tasks.Go(r.saveLossesLoop)
+	m.tasks.Go(r.saveSuspicionsLoop)
 	m.tasks.Go(r.saveLoop)
 	m.mu.Unlock()
 	m.notifyDispatcher()
--- a/internal/step/query_of_death_test.go
+++ b/internal/step/query_of_death_test.go
@@ -9,12 +9,13 @@
 	"strconv"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
 	"dogwoodpond/internal/fault"
-	"dogwoodpond/internal/poison"
+	"dogwoodpond/internal/suspicion"
 	"dogwoodpond/internal/target"
 	"dogwoodpond/internal/wait"
 )
@@ -229,8 +230,8 @@
 // reportLag is how old the list of runs in an engine's report is.
 const reportLag = 200 * time.Millisecond
 
-// RunReport implements EngineReports.
-func (f *mortalEngines) RunReport(ctx context.Context, entry *target.Entry) (RunReport, error) {
+// RunReport implements suspicion.EngineReports.
+func (f *mortalEngines) RunReport(ctx context.Context, entry *target.Entry) (suspicion.RunReport, error) {
 	f.mu.Lock()
 	e := f.engines[entry.Info().ID]
 	down := e.down
@@ -241,9 +242,9 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if e.down {
-		return RunReport{}, errors.WithStack(&fault.UpstreamFailed{Upstream: e.info.ID, Reason: "no connection"})
+		return suspicion.RunReport{}, errors.WithStack(&fault.UpstreamFailed{Upstream: e.info.ID, Reason: "no connection"})
 	}
-	report := RunReport{Started: e.info.Started, Complete: !f.listsNoRuns}
+	report := suspicion.RunReport{Started: e.info.Started, Complete: !f.listsNoRuns}
 	for item, since := range e.running {
 		if time.Since(since) >= reportLag {
 			report.Runs = append(report.Runs, item)
@@ -658,6 +659,7 @@
 		a := p.cluster.start("a")
 		p.cluster.start("b")
 		submit(t, a, p.step, p.items)
+		synctest.Wait()
 		p.cluster.store.SetDown(true)
 		time.Sleep(4 * time.Second)
 		if ends, _ := p.endsUnder(p.items[0].ID); ends != 1 {
@@ -755,7 +757,7 @@
 				p.endWhere(func(e *mortalEngine) bool { return e.info.ID == engine })
 				time.Sleep(time.Second)
 				for _, v := range []*testVM{a, b} {
-					request := poison.Request{Account: p.step.Account, ID: culprit}
+					request := suspicion.Request{Account: p.step.Account, ID: culprit}
 					if v.suspicions.Has(request, target.Incarnation{Upstream: engine, Started: 1}) {
 						t.Errorf("%s: %s counts as ended under the item", v.VM, engine)
 					}
@@ -785,7 +787,7 @@
 		time.Sleep(time.Second)
 		p.endWhere(func(e *mortalEngine) bool { return e.info.ID == engine })
 		time.Sleep(500 * time.Millisecond)
-		request := poison.Request{Account: p.step.Account, ID: culprit}
+		request := suspicion.Request{Account: p.step.Account, ID: culprit}
 		if p.engineOf(culprit) == engine || b.suspicions.Has(request, target.Incarnation{Upstream: engine, Started: 1}) {
 			t.Errorf("%s counts as ended under the item", engine)
 		}
@@ -826,7 +828,7 @@
 				time.Sleep(after)
 				p.cluster.crash(a)
 				time.Sleep(2 * time.Second)
-				for _, suspect := range b.suspicions.Suspects(poison.Request{Account: p.step.Account, ID: culprit}) {
+				for _, suspect := range b.suspicions.Suspects(suspicion.Request{Account: p.step.Account, ID: culprit}) {
 					if !slices.Contains(p.sentTo[culprit], suspect) {
 						t.Errorf("%s counts as ended under the item, which was sent to %v", suspect.Upstream, p.sentTo[culprit])
 					}
--- a/internal/step/run.go
+++ b/internal/step/run.go
@@ -12,6 +12,7 @@
 
 	"dogwoodpond/internal/event"
 	"dogwoodpond/internal/scoring"
+	"dogwoodpond/internal/suspicion"
 	"dogwoodpond/internal/target"
 )
 
@@ -98,10 +99,10 @@
 	commitSlot chan struct{}
 	pending    *pendingBatch
 
-	// losses saves the lost answers of the run's items.
-	losses lossWriter
+	// saveCh signals saveSuspicionsLoop. saveSlot holds a value during a save, which may last as long as its context.
+	saveCh, saveSlot chan struct{}
 	// unaccounted holds the requests of which a lost owner may have left an attempt that nobody knows.
-	unaccounted *unaccountedRequests
+	unaccounted *suspicion.Unaccounted
 }
 
 // newRun returns a run of a step; the items with a result in committed are done.
@@ -119,14 +120,14 @@
 		commitSlot:  make(chan struct{}, 1),
 
 		acceptedCh: make(chan struct{}),
-		losses:     newLossWriter(),
+		saveCh:     make(chan struct{}, 1), saveSlot: make(chan struct{}, 1),
 	}
 	r.order = r.startOrders.byLength
 	r.ctx, r.cancel = context.WithCancel(m.ctx)
 	r.itemCtx, r.stopItems = context.WithCancel(r.ctx)
 	r.list.adopt(committed)
 	r.emitRepeated(0)
-	r.unaccounted = newUnaccountedRequests(r)
+	r.unaccounted = suspicion.NewUnaccounted(m.suspicions, rec.lostOwner, r.openRequests)
 	return r
 }
 
--- a/internal/step/runs_test.go
+++ b/internal/step/runs_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/google/uuid"
@@ -123,7 +124,7 @@
 	bubble(t, func(t *testing.T) {
 		cl := newCluster(t, "e1")
 		a := cl.start("a")
-		<-a.statesReadCh
+		synctest.Wait()
 		rec := openStepRecord("s", "a", 1)
 		e := &earlyRun{manager: a.Manager, state: rec.State, items: items(4)}
 		e.start()
--- a/internal/step/score.go
+++ b/internal/step/score.go
@@ -7,9 +7,9 @@
 	"dogwoodpond/internal/event"
 	"dogwoodpond/internal/fault"
 	"dogwoodpond/internal/forward"
-	"dogwoodpond/internal/poison"
 	"dogwoodpond/internal/route"
 	"dogwoodpond/internal/scoring"
+	"dogwoodpond/internal/suspicion"
 )
 
 // scoreBackoff bounds the backoff between attempts to score one text. By then the item
@@ -54,7 +54,7 @@
 			continue
 		}
 		service := callRoute.Service(r.items[i].Score.ID)
-		if !r.settleUnaccounted(r.scoreRequest(i), service, now) || r.holdScore(i) {
+		if !r.unaccounted.Settle(r.scoreRequest(i), service, now, r.signalSave) || r.holdScore(i) {
 			continue
 		}
 		if _, known := free[service]; !known {
@@ -95,7 +95,7 @@
 	item := r.items[i]
 	ctx, cancel := r.beginCall(i)
 	defer cancel(nil)
-	score, err := r.m.Scorer.Score(ctx, *item.Score, callRoute, r.m.residency(r.rec.Account, callRoute), r.possibleEnds(r.scoreRequest(i)))
+	score, err := r.m.Scorer.Score(ctx, *item.Score, callRoute, r.m.residency(r.rec.Account, callRoute), r.unaccounted.PossibleEnds(r.scoreRequest(i)))
 	if r.isObsolete(i) {
 		return
 	}
@@ -108,8 +108,8 @@
 		return
 	}
 	for _, incarnation := range forward.LostUpstreams(err) {
-		r.addSuspicion(r.scoreRequest(i), incarnation, time.Now())
-		r.losses.signal()
+		r.m.suspicions.Add(r.scoreRequest(i), incarnation, time.Now())
+		r.signalSave()
 	}
 	state, backoff := r.countScoreFailure(i, err)
 	subject.Detail, subject.Count = string(fault.CodeOf(err)), int64(state.NegativeAnswers)
@@ -122,15 +122,15 @@
 }
 
 // scoreRequest returns the identity of an item's score call.
-func (r *run) scoreRequest(i int) poison.Request {
-	return poison.Request{Account: r.rec.Account, ID: "score/" + r.items[i].Score.ID}
+func (r *run) scoreRequest(i int) suspicion.Request {
+	return suspicion.Request{Account: r.rec.Account, ID: "score/" + r.items[i].Score.ID}
 }
 
 // holdScore reports whether an item's score call must wait, because as many upstreams as are allowed may
 // have ended under it.
 func (r *run) holdScore(i int) bool {
 	request := r.scoreRequest(i)
-	held := r.m.suspicions.Count(request) >= poison.MaxEnds
+	held := r.m.suspicions.Count(request) >= suspicion.MaxEnds
 	r.mu.Lock()
 	changed := r.progress[i].scoreHeld != held
 	r.progress[i].scoreHeld = held
@@ -144,20 +144,6 @@
 	return held
 }
 
-// reviewScore lifts the suspicions against an item's score call whose upstreams are still listed.
-func (m *Manager) reviewScore(r *run, i int, now time.Time) {
-	request := r.scoreRequest(i)
-	for _, incarnation := range m.suspicions.Suspects(request) {
-		lostAt, lost := m.suspicions.LostAt(request, incarnation)
-		if !lost || now.Sub(lostAt) < poison.UnlistedSurvivalDelay || m.Roster.ListAge(now) > poison.UnlistedSurvivalDelay/2 {
-			continue
-		}
-		if e := m.Roster.Incarnation(incarnation.Upstream, incarnation.Started); e != nil && !e.Unlisted() {
-			m.suspicions.Remove(request, incarnation)
-		}
-	}
-}
-
 // completedBy returns when the text of an item was complete, and the upstream that sent its
 // last event.
 func (r *run) completedBy(i int) (completedAt time.Time, upstream string) {
--- a/internal/step/score_ends_test.go
+++ b/internal/step/score_ends_test.go
@@ -13,9 +13,9 @@
 
 	"dogwoodpond/internal/fault"
 	"dogwoodpond/internal/forward"
-	"dogwoodpond/internal/poison"
 	"dogwoodpond/internal/retry"
 	"dogwoodpond/internal/scoring"
+	"dogwoodpond/internal/suspicion"
 	"dogwoodpond/internal/target"
 )
 
@@ -66,7 +66,7 @@
 		a := cl.start("a")
 		submit(t, a, spec("s"), scoredItems(4))
 		time.Sleep(5 * time.Second)
-		if n := scorers.count(); n > poison.MaxEnds {
+		if n := scorers.count(); n > suspicion.MaxEnds {
 			t.Errorf("%d upstreams ended under a score call", n)
 		}
 		if results, _, err := a.Results(t.Context(), "s", "acc", 0, 0); err != nil || len(results) != 3 {
--- a/internal/step/score_test.go
+++ b/internal/step/score_test.go
@@ -13,10 +13,10 @@
 	"dogwoodpond/internal/event"
 	"dogwoodpond/internal/fault"
 	"dogwoodpond/internal/forward"
-	"dogwoodpond/internal/poison"
 	"dogwoodpond/internal/retry"
 	"dogwoodpond/internal/route"
 	"dogwoodpond/internal/scoring"
+	"dogwoodpond/internal/suspicion"
 	"dogwoodpond/internal/target"
 	"dogwoodpond/internal/wait"
 
@@ -365,8 +365,8 @@
 					time.Sleep(10 * time.Second)
 				}
 				time.Sleep(8 * time.Second)
-				if n := cl.scorer.count("i0"); n != poison.MaxEnds {
-					t.Errorf("%d score calls, want %d", n, poison.MaxEnds)
+				if n := cl.scorer.count("i0"); n != suspicion.MaxEnds {
+					t.Errorf("%d score calls, want %d", n, suspicion.MaxEnds)
 				}
 				if results, _, err := b.Results(t.Context(), "s", "acc", 0, 0); err != nil || len(results) != 3 {
 					t.Errorf("%d results of the other items, %v", len(results), err)
@@ -403,8 +403,8 @@
 		time.Sleep(3600 * time.Millisecond)
 		b.Roster.Apply(target.UnlistedChange(silent.ID))
 		time.Sleep(15 * time.Second)
-		if n := cl.scorer.count("i0"); n != poison.MaxEnds {
-			t.Errorf("%d score calls, want %d", n, poison.MaxEnds)
+		if n := cl.scorer.count("i0"); n != suspicion.MaxEnds {
+			t.Errorf("%d score calls, want %d", n, suspicion.MaxEnds)
 		}
 		if results, _, err := b.Results(t.Context(), "s", "acc", 0, 0); err != nil || len(results) != 3 {
 			t.Errorf("%d results of the other items, %v", len(results), err)
--- a/internal/step/step.go
+++ b/internal/step/step.go
@@ -18,6 +18,7 @@
 	"dogwoodpond/internal/fault"
 	"dogwoodpond/internal/rowstore"
 	"dogwoodpond/internal/scoring"
+	"dogwoodpond/internal/suspicion"
 )
 
 // The tables of steps. The partition is the step's ID.
@@ -141,7 +142,7 @@
 	// ownerKnownSince is when this VM learned that the current owner owns the step.
 	ownerKnownSince time.Time
 	// lostOwner is the owner from which this VM took the step over.
-	lostOwner lostOwner
+	lostOwner suspicion.LostOwner
 }
 
 func decodeState(row rowstore.Row) (stateRecord, error) {
--- a/internal/step/suspect.go
+++ b/internal/step/suspect.go
@@ -7,15 +7,15 @@
 	"time"
 
 	"dogwoodpond/internal/event"
-	"dogwoodpond/internal/poison"
+	"dogwoodpond/internal/suspicion"
 	"dogwoodpond/internal/target"
 	"dogwoodpond/internal/wait"
 )
 
 // request returns the identity of an item among those of all steps. A trainer may submit an item of an
 // incomplete group again in a later step.
-func (r *run) request(i int) poison.Request {
-	return poison.Request{Account: r.rec.Account, ID: r.items[i].ID}
+func (r *run) request(i int) suspicion.Request {
+	return suspicion.Request{Account: r.rec.Account, ID: r.items[i].ID}
 }
 
 // suspectAttempt is an attempt at an item under suspicion that has a slot but was not started.
@@ -79,19 +79,19 @@
 // accepted or the store is away, the item waits.
 func (m *Manager) placeSuspect(r *run, i int, n need, now time.Time) (suspectAttempt, bool) {
 	request := r.request(i)
-	r.accountForRecorded(request)
-	if !r.settleUnaccounted(request, n.service, now) {
+	r.unaccounted.DropRecorded(request)
+	if !r.unaccounted.Settle(request, n.service, now, r.signalSave) {
 		return suspectAttempt{}, false
 	}
 	count := m.suspicions.Count(request)
-	if count >= poison.MaxEnds {
+	if count >= suspicion.MaxEnds {
 		r.hold(i)
 		return suspectAttempt{}, false
 	}
 	if !r.mayRunSuspects(now) || !m.StoreAvailable() {
 		return suspectAttempt{}, false
 	}
-	last := count == poison.MaxEnds-1
+	last := count == suspicion.MaxEnds-1
 	candidates := m.newPool(m.engines(n.service, now), n, now)
 	candidates.engines = slices.DeleteFunc(candidates.engines, func(e *target.Entry) bool {
 		return m.suspicions.Has(request, e.Incarnation())
@@ -128,7 +128,7 @@
 	for _, a := range attempts {
 		m.tasks.Go(func() {
 			defer m.suspects.remove(a.entry)
-			if !m.isRunning(r.itemCtx, a.entry) {
+			if !m.checks.IsRunning(r.itemCtx, a.entry) {
 				a.entry.NoteFailure(time.Now())
 				r.withdraw(a)
 				return
@@ -146,24 +146,18 @@
 // owner will know of it, should this process end together with the engine. An engine that has ended must
 // not be recorded: it would count if the owner ended then.
 func (r *run) recordSuspectAttempt(a suspectAttempt) bool {
-	r.beginSuspectAttempt(r.request(a.index), a.entry.Incarnation())
+	r.m.suspicions.Begin(r.request(a.index), a.entry.Incarnation(), time.Now())
 	// Attempts that start together are saved together.
 	wait.For(r.itemCtx, dispatchBatchDelay)
-	ctx, cancel := context.WithTimeout(r.itemCtx, lossTimeout)
+	ctx, cancel := context.WithTimeout(r.itemCtx, suspicionSaveTimeout)
 	defer cancel()
-	return r.saveLosses(ctx)
-}
-
-// isRunning reports whether an engine reports and is the incarnation that its entry stands for.
-func (m *Manager) isRunning(ctx context.Context, entry *target.Entry) bool {
-	state, _ := m.askEngine(ctx, entry)
-	return state == engineRunning
+	return r.saveSuspicions(ctx)
 }
 
 // withdraw takes back an attempt at an item under suspicion that was not sent.
 func (r *run) withdraw(a suspectAttempt) {
 	a.entry.End()
-	r.lift(r.request(a.index), func() { r.m.suspicions.Remove(r.request(a.index), a.entry.Incarnation()) })
+	r.lift(r.request(a.index), func() { r.m.suspicions.Withdraw(r.request(a.index), a.entry.Incarnation()) })
 	r.requeue(a.index, retryBackoff)
 }
 
@@ -177,6 +171,8 @@
 		r.noteCanceled(i, entry)
 	case attemptComplete:
 		r.lift(request, func() { r.m.suspicions.Forget(request) })
+	case attemptRefused, attemptUnreachable:
+		r.lift(request, func() { r.m.suspicions.Withdraw(request, incarnation) })
 	default:
 		r.lift(request, func() { r.m.suspicions.Remove(request, incarnation) })
 	}
@@ -204,45 +200,23 @@
 	return ok && known.Ended
 }
 
-const (
-	// followTimeout is how long an engine is asked whether it goes on with an item whose attempt this VM
-	// has canceled, and followInterval the interval at which the answer is awaited.
-	followTimeout  = poison.UnlistedSurvivalDelay + time.Second
-	followInterval = 50 * time.Millisecond
-)
-
 // noteCanceled records that this VM has canceled an attempt at an engine that answered, and asks the engine
 // whether it goes on with the item.
 func (r *run) noteCanceled(i int, entry *target.Entry) {
 	request, incarnation, now := r.request(i), entry.Incarnation(), time.Now()
 	r.m.suspicions.Cancel(request, incarnation, now)
-	r.m.tasks.Go(func() { r.followCanceled(request, incarnation, now) })
-}
-
-// followCanceled waits until an engine reports that it has given up an item whose attempt this VM has
-// canceled. If it goes on with the item, it counts against it: it may still end.
-func (r *run) followCanceled(request poison.Request, incarnation target.Incarnation, canceledAt time.Time) {
-	counted := r.m.suspicions.Has(request, incarnation)
-	for r.m.suspicions.Unsettled(request, incarnation) && time.Since(canceledAt) < followTimeout && wait.For(r.m.ctx, followInterval) {
-		r.m.checkEngine(incarnation, canceledAt, time.Now())
-		if counts := r.m.suspicions.Has(request, incarnation); counts != counted {
-			counted = counts
-			r.saveChangedLosses()
-		}
-	}
-	r.m.suspicions.DropUnconfirmed(request, incarnation)
-	r.saveChangedLosses()
+	r.m.tasks.Go(func() { r.m.checks.Follow(r.m.ctx, request, incarnation, now, func() { r.saveChangedSuspicions() }) })
 }
 
-// saveChangedLosses saves what has changed about the lost answers of a run that may have ended. The step of an
-// early run may not be in the store yet; saveLossesLoop saves what is known once it is.
-func (r *run) saveChangedLosses() {
+// saveChangedSuspicions brings the rows of suspicions up to date for a run that may have ended, and reports whether
+// it did. The step of an early run may not be in the store yet; saveSuspicionsLoop saves what is known once it is.
+func (r *run) saveChangedSuspicions() bool {
 	if _, known := r.m.lookUp(r.rec.ID); !known {
-		return
+		return false
 	}
-	ctx, cancel := context.WithTimeout(r.m.ctx, lossTimeout)
+	ctx, cancel := context.WithTimeout(r.m.ctx, suspicionSaveTimeout)
 	defer cancel()
-	r.saveLosses(ctx)
+	return r.saveSuspicions(ctx)
 }
 
 // noteResumed updates the suspicions against an item whose attempt goes on after the engine seemed to have
@@ -250,36 +224,24 @@
 func (r *run) noteResumed(i int, entry *target.Entry) {
 	request, incarnation := r.request(i), entry.Incarnation()
 	if r.m.suspicions.Count(request) > 1 {
-		r.beginSuspectAttempt(request, incarnation)
+		r.m.suspicions.Begin(request, incarnation, time.Now())
 		return
 	}
 	r.m.suspicions.Remove(request, incarnation)
 }
 
 // lift lifts suspicions against a request, and has the rows that hold them taken back.
-func (r *run) lift(request poison.Request, lift func()) {
+func (r *run) lift(request suspicion.Request, lift func()) {
 	if r.m.suspicions.Count(request) > 0 {
 		lift()
-		r.losses.signal()
+		r.signalSave()
 	}
 }
 
-// beginSuspectAttempt records that an attempt at an item under suspicion begins.
-func (r *run) beginSuspectAttempt(request poison.Request, incarnation target.Incarnation) {
-	r.m.suspicions.Begin(request, incarnation, time.Now())
-	r.unaccounted.noteOwn(request, incarnation)
-}
-
-// addSuspicion records that an incarnation may have ended under an attempt of this run.
-func (r *run) addSuspicion(request poison.Request, incarnation target.Incarnation, at time.Time) {
-	r.m.suspicions.Add(request, incarnation, at)
-	r.unaccounted.noteOwn(request, incarnation)
-}
-
 // suspect records that an engine may have ended under an item, at a time or shortly after it.
 func (r *run) suspect(i int, entry *target.Entry, at time.Time) {
-	r.addSuspicion(r.request(i), entry.Incarnation(), at)
-	r.losses.signal()
+	r.m.suspicions.Add(r.request(i), entry.Incarnation(), at)
+	r.signalSave()
 	r.m.notifyDispatcher()
 }
 
@@ -307,7 +269,7 @@
 	var checks sync.WaitGroup
 	for entry, items := range silent {
 		checks.Go(func() {
-			if m.isRunning(ctx, entry) {
+			if m.checks.IsRunning(ctx, entry) {
 				return
 			}
 			for _, i := range items {
@@ -327,10 +289,10 @@
 }
 
 // suspicionSubject returns the subject of an event on the suspicions against an item or its score call.
-func (r *run) suspicionSubject(i int, request poison.Request) event.Subject {
+func (r *run) suspicionSubject(i int, request suspicion.Request) event.Subject {
 	incarnations := r.m.suspicions.Suspects(request)
 	return event.Subject{
-		Request: request.ID, Step: r.rec.ID, Slot: r.items[i].ID, Account: r.rec.Account, Count: int64(len(incarnations)), Detail: poison.Describe(incarnations),
+		Request: request.ID, Step: r.rec.ID, Slot: r.items[i].ID, Account: r.rec.Account, Count: int64(len(incarnations)), Detail: suspicion.Describe(incarnations),
 	}
 }
 
@@ -345,35 +307,23 @@
 		switch current {
 		case phasePending, phaseRunning:
 			// An engine that ran when the item left it may end for another cause while the item runs.
-			m.checkSuspects(r.request(i), now)
+			m.checks.Check(m.ctx, r.request(i), now)
 		case phaseUnscored:
-			m.reviewScore(r, i, now)
+			m.checks.CheckListed(r.scoreRequest(i), now)
 		case phaseHeld:
-			m.checkSuspects(r.request(i), now)
+			m.checks.Check(m.ctx, r.request(i), now)
 			m.reviewHeld(r, i)
 		}
 	}
 }
 
-// checkSuspects checks the engines that may have ended under an item.
-func (m *Manager) checkSuspects(request poison.Request, now time.Time) {
-	if m.suspicions.Count(request) == 0 {
-		return
-	}
-	for _, incarnation := range m.suspicions.Suspects(request) {
-		if lostAt, lost := m.suspicions.LostAt(request, incarnation); lost {
-			m.checkEngine(incarnation, lostAt, now)
-		}
-	}
-}
-
 // reviewHeld releases an item that was held back, or abandons it.
 func (m *Manager) reviewHeld(r *run, i int) {
 	if _, routed := r.needOf(i); !routed || m.canAbandon(r) {
 		r.abandonFrom(i, phaseHeld, routed)
 		return
 	}
-	if m.suspicions.Count(r.request(i)) < poison.MaxEnds && r.changePhase(i, phaseHeld, phasePending) {
+	if m.suspicions.Count(r.request(i)) < suspicion.MaxEnds && r.changePhase(i, phaseHeld, phasePending) {
 		m.Events.Emit(event.ItemReleased, r.suspicionSubject(i, r.request(i)))
 	}
 }
@@ -385,13 +335,6 @@
 	return slices.Clone(r.list.phases)
 }
 
-// phase returns the phase of an item.
-func (r *run) phase(i int) phase {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.list.phase(i)
-}
-
 // hasHeld reports whether an item is held back.
 func (r *run) hasHeld() bool {
 	r.mu.Lock()
@@ -399,9 +342,30 @@
 	return r.list.has(phaseHeld)
 }
 
-// forgetSuspicions removes what is known of items that no trainer submits any more.
-func (m *Manager) forgetSuspicions(now time.Time) {
-	before := now.Add(-m.Retention - retentionGracePeriod)
-	m.suspicions.Expire(before)
-	m.checks.forget(before)
+// enginesOfOpenItems returns the engines that may run the run's unfinished items.
+func (r *run) enginesOfOpenItems() []*target.Entry {
+	var engines []*target.Entry
+	seen := make(map[string]bool)
+	for i, current := range r.phases() {
+		if n, routed := r.needOf(i); routed && current != phaseDone && !seen[n.service] {
+			seen[n.service] = true
+			engines = append(engines, r.m.engines(n.service, time.Now())...)
+		}
+	}
+	return engines
+}
+
+// lostOwnerOf returns what this VM knows of the dead owner of a step. The attempts of this process are in
+// its ledger.
+func (m *Manager) lostOwnerOf(r stateRecord) suspicion.LostOwner {
+	if r.Owner == "" || m.isOwner(r) {
+		return suspicion.LostOwner{}
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	foundDeadAt, ok := m.unownedSince[r.ID]
+	if !ok {
+		foundDeadAt = time.Now()
+	}
+	return suspicion.LostOwner{FoundDeadAt: foundDeadAt, KnownSince: r.ownerKnownSince}
 }
--- /dev/null
+++ b/internal/step/suspicionrows.go
@@ -0,0 +1,158 @@
+package step
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"dogwoodpond/internal/event"
+	"dogwoodpond/internal/fault"
+	"dogwoodpond/internal/rowstore"
+	"dogwoodpond/internal/suspicion"
+	"dogwoodpond/internal/wait"
+)
+
+const (
+	// suspicionSaveTimeout bounds one save of suspicions.
+	suspicionSaveTimeout = 2 * time.Second
+	// maxSaveCommits bounds the commits of one save. Each further one follows a change of the step's
+	// state row.
+	maxSaveCommits = 4
+)
+
+// signalSave makes saveSuspicionsLoop save suspicions.
+func (r *run) signalSave() {
+	select {
+	case r.saveCh <- struct{}{}:
+	default:
+	}
+}
+
+// requestsOf returns the identities of an item and of its score call, if it has one.
+func (r *run) requestsOf(i int) []suspicion.Request {
+	if r.items[i].Score == nil {
+		return []suspicion.Request{r.request(i)}
+	}
+	return []suspicion.Request{r.request(i), r.scoreRequest(i)}
+}
+
+// openRequests returns the identities of the run's unfinished items and of their score calls.
+func (r *run) openRequests() []suspicion.Request {
+	var requests []suspicion.Request
+	for i, current := range r.phases() {
+		if current != phaseDone {
+			requests = append(requests, r.requestsOf(i)...)
+		}
+	}
+	return requests
+}
+
+// saveSuspicions brings the rows of suspicions up to date, and reports whether it did.
+func (r *run) saveSuspicions(ctx context.Context) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case r.saveSlot <- struct{}{}:
+	}
+	defer func() { <-r.saveSlot }()
+	var records []suspicion.Record
+	for i, current := range r.phases() {
+		for _, request := range r.requestsOf(i) {
+			records = append(records, r.m.suspicions.Unstored(request, current == phaseDone)...)
+		}
+	}
+	if len(records) == 0 {
+		return true
+	}
+	if err := r.m.commitSuspicions(ctx, r.current(), records); err != nil {
+		if ctx.Err() == nil {
+			r.m.Events.Emit(event.DependencyLost, event.Subject{Step: r.rec.ID, Detail: "lost answers: " + err.Error()})
+		}
+		return false
+	}
+	r.m.suspicions.NoteStored(records, time.Now())
+	return true
+}
+
+// saveSuspicionsLoop saves lost answers at once, until the run ends, and then once more: the trainer may
+// submit the items of an incomplete group again.
+func (r *run) saveSuspicionsLoop() {
+	select {
+	case <-r.ctx.Done():
+		return
+	case <-r.acceptedCh:
+	}
+	for ended := false; !ended; {
+		select {
+		case <-r.ctx.Done():
+			ended = true
+		case <-r.saveCh:
+			// The items of an engine lose their answers at the same moment.
+			wait.For(r.ctx, dispatchBatchDelay)
+		}
+		if !r.saveChangedSuspicions() {
+			wait.For(r.ctx, refusedCommitBackoff)
+			r.signalSave()
+		}
+	}
+}
+
+// commitSuspicions adds rows with lost answers to a step. It expects only that the step exists: what an
+// earlier owner or another copy of the step knows holds too.
+func (m *Manager) commitSuspicions(ctx context.Context, rec stateRecord, records []suspicion.Record) error {
+	chunks, err := pack(records, rowLimit)
+	if err != nil {
+		return err
+	}
+	if known, ok := m.lookUp(rec.ID); ok {
+		rec = known
+	}
+	if rec.version == 0 {
+		return errors.WithStack(&fault.StepUnknown{Step: rec.ID})
+	}
+	var puts []rowstore.Put
+	var expected []rowstore.Expectation
+	for _, chunk := range chunks {
+		key := rowstore.Key{Table: stateTable, Part: rec.ID, Name: m.suspicions.RowName()}
+		puts = append(puts, rowstore.Put{Key: key, Value: chunk.body})
+		expected = append(expected, rowstore.Expectation{Key: key})
+	}
+	version := rec.version
+	for range maxSaveCommits {
+		_, err = rowstore.CommitConfirmed(ctx, m.Store, rowstore.Txn{
+			Expected: append([]rowstore.Expectation{{Key: stateKey(rec.ID), Version: version}}, expected...), Puts: puts,
+		})
+		var conflict *rowstore.Conflict
+		if !errors.As(err, &conflict) {
+			return err
+		}
+		if version = conflict.Row(stateKey(rec.ID)).Version; version == 0 {
+			return errors.WithStack(&fault.StepUnknown{Step: rec.ID})
+		}
+	}
+	return err
+}
+
+// readSuspicions reads the lost answers of a step, which this VM may not have watched yet.
+func (m *Manager) readSuspicions(ctx context.Context, id string) error {
+	rows, err := rowstore.ReadAll(ctx, m.Store, stateTable, id)
+	m.observeSuspicions(rows)
+	return err
+}
+
+// observeSuspicions joins the rows of suspicions among rows to the ledger. The runs save what an older row of another
+// VM took back although an attempt is in progress here.
+func (m *Manager) observeSuspicions(rows []rowstore.Row) {
+	if !slices.ContainsFunc(rows, suspicion.IsRow) {
+		return
+	}
+	for _, row := range m.suspicions.Observe(rows, time.Now()) {
+		m.Events.Emit(event.RowUnreadable, event.Subject{Step: row.Part, Detail: row.String()})
+	}
+	for _, r := range m.runsByDueTime() {
+		r.signalSave()
+	}
+	m.notifyDispatcher()
+}
--- a/internal/step/takeover.go
+++ b/internal/step/takeover.go
@@ -32,7 +32,7 @@
 		if time.Since(lastSweep) > sweepInterval {
 			lastSweep = time.Now()
 			m.sweep(ctx)
-			m.forgetSuspicions(time.Now())
+			m.checks.Expire(time.Now().Add(-m.Retention - retentionGracePeriod))
 		}
 	}
 }
@@ -109,7 +109,7 @@
 			committed, err = readAllResults(ctx, m.Store, r.ID)
 		}
 		if err == nil {
-			err = m.readLosses(ctx, r.ID)
+			err = m.readSuspicions(ctx, r.ID)
 		}
 		var texts map[string]savedText
 		if err == nil && len(committed) < r.Total {
@@ -186,7 +186,7 @@
 	r.flush(ctx)
 	r.saveTexts(ctx, 1)
 	m.suspectEnded(ctx, r, silent)
-	r.saveLosses(ctx)
+	r.saveSuspicions(ctx)
 	m.releaseStep(ctx, r.current())
 	m.stop(r)
 }
--- a/internal/step/unread_rows_test.go
+++ b/internal/step/unread_rows_test.go
@@ -2,14 +2,10 @@
 
 import (
 	"context"
-	"strconv"
-	"sync"
 	"testing"
 	"time"
 
-	"dogwoodpond/internal/poison"
 	"dogwoodpond/internal/rowstore"
-	"dogwoodpond/internal/target"
 	"dogwoodpond/internal/wait"
 )
 
@@ -82,27 +78,3 @@
 		})
 	}
 }
-
-// Guards against a reader of a row of lost answers that goes on while another one has noted the row as known and
-// not yet counted what it holds.
-func TestConcurrentReadersOfARowCountItsLostAnswers(t *testing.T) {
-	m, last := NewManager(Config{}), poison.Request{Account: "acc", ID: "4999"}
-	var losses []loss
-	for n := range 5000 {
-		losses = append(losses, loss{Request: poison.Request{Account: "acc", ID: strconv.Itoa(n)}, Incarnation: target.Incarnation{Upstream: "e1"}})
-	}
-	value, err := encodeRow(losses)
-	if err != nil {
-		t.Fatal(err)
-	}
-	row := rowstore.Row{Key: rowstore.Key{Table: stateTable, Part: "s", Name: lossPrefix + "1"}, Version: 1, Value: value}
-	var readers sync.WaitGroup
-	for range 4 {
-		readers.Go(func() {
-			if m.observeLossRows([]rowstore.Row{row}); m.suspicions.Count(last) != 1 {
-				t.Error("a reader goes on before the row counts")
-			}
-		})
-	}
-	readers.Wait()
-}
--- a/internal/poison/ledger.go
+++ b/internal/suspicion/ledger.go
@@ -1,43 +1,32 @@
-// Package poison bounds how many upstreams one request may end. Limits on retries count answers
-// of failure; an upstream that ends gives no answer. A request that ends each upstream that runs
-// it, a query of death, would otherwise go from one to the next for as long as it is retried.
-//
-// Whether an upstream ended is known only later, and a connection breaks for other reasons too. An
-// upstream may also go on with a request after its connection has closed, and end later. So a request
-// whose attempt ended without the upstream's word is under suspicion until that incarnation shows that
-// it still runs, and no longer runs the request.
-package poison
+package suspicion
 
 import (
 	"cmp"
+	"maps"
 	"slices"
-	"strconv"
-	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
+	"github.com/google/uuid"
+
 	"dogwoodpond/internal/target"
 )
 
-// MaxEnds is the largest number of upstreams that may have ended under a request that is sent
-// again.
-const MaxEnds = 3
-
-// Request identifies a request: an ID that is unique within its client account.
-type Request struct {
-	Account string `json:"account"`
-	ID      string `json:"request"`
-}
-
-// Ledger holds, for each request under suspicion, the incarnations that may have ended under it or may still. It is
-// safe for concurrent use.
+// Ledger holds the suspicions that a VM knows. It is safe for concurrent use.
 type Ledger struct {
 	mu         sync.Mutex
-	suspicions map[Request]map[target.Incarnation]suspicion
+	suspicions map[Request]map[target.Incarnation]state
+	// stored holds when this VM learned that a row of the store holds a suspicion which no later row lifts.
+	stored map[Request]map[target.Incarnation]time.Time
+	// rows holds the names of the rows that were read, by step. Those of this process contain process and a number.
+	rows    map[string]map[string]bool
+	process string
+	written atomic.Int64
 }
 
-// suspicion is a suspicion against a request that one incarnation may have ended under it.
-type suspicion struct {
+// state is what is known of a suspicion.
+type state struct {
 	// at is when the answer was lost, or when the attempt began.
 	at time.Time
 	// open is true while the attempt runs, runsOn once a report has listed the request after that.
@@ -45,25 +34,32 @@
 	// canceled is true if the attempt was canceled while the upstream answered. It counts only if runsOn
 	// is true as well.
 	canceled bool
+	// recorded is true if a row of another process holds the suspicion.
+	recorded bool
 }
 
 // counts reports whether the suspicion counts against the request.
-func (s suspicion) counts() bool { return !s.canceled || s.runsOn }
+func (s state) counts() bool { return !s.canceled || s.runsOn }
 
 // NewLedger returns an empty ledger.
 func NewLedger() *Ledger {
-	return &Ledger{suspicions: make(map[Request]map[target.Incarnation]suspicion)}
+	return &Ledger{
+		suspicions: make(map[Request]map[target.Incarnation]state),
+		stored:     make(map[Request]map[target.Incarnation]time.Time),
+		rows:       make(map[string]map[string]bool),
+		process:    uuid.NewString(),
+	}
 }
 
 // Begin records that an attempt at a request under suspicion begins, under which the incarnation may end.
 // Add or Remove must follow.
 func (l *Ledger) Begin(request Request, incarnation target.Incarnation, at time.Time) {
-	l.put(request, incarnation, suspicion{at: at, open: true})
+	l.put(request, incarnation, state{at: at, open: true})
 }
 
 // Add records that the incarnation may have ended under the request.
 func (l *Ledger) Add(request Request, incarnation target.Incarnation, at time.Time) {
-	l.put(request, incarnation, suspicion{at: at})
+	l.put(request, incarnation, state{at: at})
 }
 
 // Cancel records that an attempt at the request was canceled although the incarnation answered. If it counted
@@ -73,7 +69,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	s, ok := l.suspicions[request][incarnation]
-	l.putLocked(request, incarnation, suspicion{at: at, canceled: !ok || !s.counts()})
+	l.putLocked(request, incarnation, state{at: at, canceled: !ok || !s.counts()})
 }
 
 // DropUnconfirmed removes a canceled attempt that doesn't count.
@@ -85,27 +81,32 @@
 	}
 }
 
-// Unsettled reports whether a report may still lift a suspicion against a request, or confirm it.
-func (l *Ledger) Unsettled(request Request, incarnation target.Incarnation) bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	s, ok := l.suspicions[request][incarnation]
-	return ok && !s.open
-}
-
-func (l *Ledger) put(request Request, incarnation target.Incarnation, s suspicion) {
+func (l *Ledger) put(request Request, incarnation target.Incarnation, s state) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.putLocked(request, incarnation, s)
 }
 
-func (l *Ledger) putLocked(request Request, incarnation target.Incarnation, s suspicion) {
+func (l *Ledger) putLocked(request Request, incarnation target.Incarnation, s state) {
 	if l.suspicions[request] == nil {
-		l.suspicions[request] = make(map[target.Incarnation]suspicion)
+		l.suspicions[request] = make(map[target.Incarnation]state)
 	}
+	s.recorded = s.recorded || l.suspicions[request][incarnation].recorded
 	l.suspicions[request][incarnation] = s
 }
 
+// Withdraw takes back what this process has recorded of an attempt that did not run. Another process may have
+// lost an answer to the request at the same incarnation.
+func (l *Ledger) Withdraw(request Request, incarnation target.Incarnation) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if s := l.suspicions[request][incarnation]; s.recorded {
+		l.putLocked(request, incarnation, state{at: s.at})
+		return
+	}
+	l.removeLocked(request, incarnation)
+}
+
 // Remove records that the incarnation did not end under the request.
 func (l *Ledger) Remove(request Request, incarnation target.Incarnation) {
 	l.mu.Lock()
@@ -139,20 +140,11 @@
 	UnlistedSurvivalDelay = 6 * time.Second
 )
 
-// Report is what an incarnation of an upstream reports of itself.
-type Report struct {
-	// Asked is when it was asked for.
-	Asked time.Time
-	// Runs holds the IDs of the requests that it runs, if Complete is true.
-	Runs     []string
-	Complete bool
-}
-
-// NoteReport records a report of the incarnation: it has not ended under the requests that lost their
-// answers some time before, unless it still runs them. It may still end under attempts that run. NoteReport
-// returns the requests that the report is the first to list after their answers were lost, and how many suspicions
-// are left that a later report may lift.
-func (l *Ledger) NoteReport(incarnation target.Incarnation, report Report) (runsOn []Request, left int) {
+// NoteReport records a report of the incarnation and when it was asked: it has not ended under the requests that
+// lost their answers some time before, unless it still runs them. It may still end under attempts that run.
+// NoteReport returns the requests that the report is the first to list after their answers were lost, and how many
+// suspicions are left that a later report may lift.
+func (l *Ledger) NoteReport(incarnation target.Incarnation, asked time.Time, report RunReport) (runsOn []Request, left int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for request, suspicions := range l.suspicions {
@@ -164,7 +156,7 @@
 		if !report.Complete && s.counts() {
 			delay = UnlistedSurvivalDelay
 		}
-		age, listed := report.Asked.Sub(s.at), report.Complete && slices.Contains(report.Runs, request.ID)
+		age, listed := asked.Sub(s.at), report.Complete && slices.Contains(report.Runs, request.ID)
 		if age >= delay && !listed {
 			l.removeLocked(request, incarnation)
 			continue
@@ -196,7 +188,7 @@
 }
 
 // LostAt returns when the incarnation may have ended under a request; ok is false if no answer was lost
-// there, or not yet.
+// there, or not yet, so that no report can lift or confirm a suspicion.
 func (l *Ledger) LostAt(request Request, incarnation target.Incarnation) (at time.Time, ok bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -205,16 +197,18 @@
 }
 
 // Count returns how many incarnations may have ended under a request.
-func (l *Ledger) Count(request Request) int {
+func (l *Ledger) Count(request Request) int { return len(l.Suspects(request)) }
+
+// recordedBefore reports whether a suspicion against a request is of another process, or not younger than a time.
+func (l *Ledger) recordedBefore(request Request, since time.Time) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	n := 0
 	for _, s := range l.suspicions[request] {
-		if s.counts() {
-			n++
+		if s.counts() && (s.recorded || !s.at.After(since)) {
+			return true
 		}
 	}
-	return n
+	return false
 }
 
 // Has reports whether an incarnation may have ended under a request.
@@ -233,9 +227,17 @@
 		for incarnation, s := range suspicions {
 			if s.at.Before(before) {
 				l.removeLocked(request, incarnation)
+				// The incarnation has not survived, so that no row may say so.
+				delete(l.stored[request], incarnation)
 			}
 		}
 	}
+	for request, stored := range l.stored {
+		maps.DeleteFunc(stored, func(_ target.Incarnation, at time.Time) bool { return at.Before(before) })
+		if len(stored) == 0 {
+			delete(l.stored, request)
+		}
+	}
 }
 
 // Empty reports whether no request is under suspicion.
@@ -244,12 +246,3 @@
 	defer l.mu.Unlock()
 	return len(l.suspicions) == 0
 }
-
-// Describe returns incarnations for events.
-func Describe(incarnations []target.Incarnation) string {
-	var parts []string
-	for _, i := range incarnations {
-		parts = append(parts, i.Upstream+" started "+strconv.FormatInt(i.Started, 10))
-	}
-	return strings.Join(parts, ", ")
-}
--- a/internal/poison/ledger_test.go
+++ b/internal/suspicion/ledger_test.go
@@ -1,4 +1,4 @@
-package poison
+package suspicion
 
 import (
 	"testing"
@@ -13,9 +13,9 @@
 	again   = target.Incarnation{Upstream: "e1", Started: 2}
 )
 
-// report returns a complete report that was asked for some time after an instant.
-func report(after time.Duration, since time.Time, runs ...string) Report {
-	return Report{Asked: since.Add(after), Runs: runs, Complete: true}
+// note has a ledger note a complete report that was asked for some time after an instant.
+func note(l *Ledger, incarnation target.Incarnation, after time.Duration, since time.Time, runs ...string) (runsOn []Request, left int) {
+	return l.NoteReport(incarnation, since.Add(after), RunReport{Runs: runs, Complete: true})
 }
 
 // Guards against a suspicion that a report from before the lost answer, or from just after it, lifts.
@@ -23,11 +23,11 @@
 	l, lostAt := NewLedger(), time.Unix(100, 0)
 	l.Add(request, first, lostAt)
 	for _, after := range []time.Duration{-time.Second, 0, SurvivalDelay - time.Millisecond} {
-		if _, left := l.NoteReport(first, report(after, lostAt)); left != 1 || l.Count(request) != 1 {
+		if _, left := note(l, first, after, lostAt); left != 1 || l.Count(request) != 1 {
 			t.Errorf("a report asked for %s after the lost answer lifts the suspicion", after)
 		}
 	}
-	if _, left := l.NoteReport(first, report(SurvivalDelay, lostAt)); left != 0 || !l.Empty() {
+	if _, left := note(l, first, SurvivalDelay, lostAt); left != 0 || !l.Empty() {
 		t.Error("the suspicion was not lifted")
 	}
 }
@@ -37,12 +37,12 @@
 	l, lostAt := NewLedger(), time.Unix(100, 0)
 	l.Add(request, first, lostAt)
 	for n, want := range []int{1, 0} {
-		runsOn, left := l.NoteReport(first, report(time.Duration(n+1)*time.Second, lostAt, "other", request.ID))
+		runsOn, left := note(l, first, time.Duration(n+1)*time.Second, lostAt, "other", request.ID)
 		if len(runsOn) != want || left != 1 || l.Count(request) != 1 {
 			t.Errorf("report %d that lists the request: runs on %v, %d suspicions left", n, runsOn, left)
 		}
 	}
-	if _, left := l.NoteReport(first, report(3*time.Second, lostAt, "other")); left != 0 || !l.Empty() {
+	if _, left := note(l, first, 3*time.Second, lostAt, "other"); left != 0 || !l.Empty() {
 		t.Error("the suspicion was not lifted")
 	}
 }
@@ -51,10 +51,10 @@
 func TestReportWithoutRunsLiftsSuspicionLater(t *testing.T) {
 	l, lostAt := NewLedger(), time.Unix(100, 0)
 	l.Add(request, first, lostAt)
-	if _, left := l.NoteReport(first, Report{Asked: lostAt.Add(UnlistedSurvivalDelay - time.Millisecond)}); left != 1 || l.Empty() {
+	if _, left := l.NoteReport(first, lostAt.Add(UnlistedSurvivalDelay-time.Millisecond), RunReport{}); left != 1 || l.Empty() {
 		t.Error("the suspicion was lifted early")
 	}
-	if l.NoteReport(first, Report{Asked: lostAt.Add(UnlistedSurvivalDelay)}); !l.Empty() {
+	if l.NoteReport(first, lostAt.Add(UnlistedSurvivalDelay), RunReport{}); !l.Empty() {
 		t.Error("the suspicion was not lifted")
 	}
 }
@@ -63,7 +63,7 @@
 func TestNextIncarnationLiftsNoSuspicion(t *testing.T) {
 	l := NewLedger()
 	l.Add(request, first, time.Unix(100, 0))
-	l.NoteReport(again, report(time.Minute, time.Unix(100, 0)))
+	note(l, again, time.Minute, time.Unix(100, 0))
 	l.Remove(request, again)
 	if !l.Has(request, first) {
 		t.Error("the suspicion was lifted")
@@ -89,15 +89,15 @@
 func TestReportDoesNotLiftOpenAttempts(t *testing.T) {
 	l, began := NewLedger(), time.Unix(100, 0)
 	l.Begin(request, first, began)
-	l.NoteReport(first, report(time.Second, began))
+	note(l, first, time.Second, began)
 	if _, lost := l.LostAt(request, first); lost || l.Count(request) != 1 {
 		t.Errorf("an open attempt: lost %t, count %d, want false, 1", lost, l.Count(request))
 	}
 	l.Add(request, first, began.Add(2*time.Second))
-	if l.NoteReport(first, report(time.Second, began)); l.Count(request) != 1 {
+	if note(l, first, time.Second, began); l.Count(request) != 1 {
 		t.Error("a report from before the lost answer lifts the suspicion")
 	}
-	if l.NoteReport(first, report(3*time.Second, began)); l.Count(request) != 0 {
+	if note(l, first, 3*time.Second, began); l.Count(request) != 0 {
 		t.Error("a report from after the lost answer leaves the suspicion")
 	}
 }
@@ -109,17 +109,17 @@
 	for _, goesOn := range []bool{false, true} {
 		l := NewLedger()
 		l.Cancel(request, first, canceledAt)
-		if l.Count(request) != 0 || l.Has(request, first) || !l.Unsettled(request, first) {
+		if _, known := l.LostAt(request, first); l.Count(request) != 0 || l.Has(request, first) || !known {
 			t.Error("a canceled attempt counts at once, or isn't known")
 		}
 		var runs []string
 		if goesOn {
 			runs = []string{request.ID}
 		}
-		if l.NoteReport(first, report(SurvivalDelay, canceledAt, runs...)); l.Has(request, first) {
+		if note(l, first, SurvivalDelay, canceledAt, runs...); l.Has(request, first) {
 			t.Error("a list of runs that may be older than the end of the attempt counts")
 		}
-		l.NoteReport(first, report(runsOnDelay, canceledAt, runs...))
+		note(l, first, runsOnDelay, canceledAt, runs...)
 		l.DropUnconfirmed(request, first)
 		if l.Has(request, first) != goesOn {
 			t.Errorf("the upstream goes on %t, the canceled attempt counts %t", goesOn, !goesOn)
--- /dev/null
+++ b/internal/suspicion/rows.go
@@ -0,0 +1,118 @@
+package suspicion
+
+import (
+	"cmp"
+	"encoding/json"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"dogwoodpond/internal/rowstore"
+	"dogwoodpond/internal/target"
+)
+
+// RowPrefix starts the names of the rows that hold suspicions, in the partition of a step in the table of state
+// rows, which all VMs watch. Such a row is never changed: each process adds its own, and a reader joins them.
+const RowPrefix = "loss-"
+
+// Record is an entry of a row: a suspicion, or that the incarnation has survived the request.
+type Record struct {
+	Suspicion
+	Survived bool `json:"survived,omitempty"`
+}
+
+// IsRow reports whether a row holds suspicions.
+func IsRow(row rowstore.Row) bool { return strings.HasPrefix(row.Name, RowPrefix) }
+
+// RowName returns the name of a new row of this process.
+func (l *Ledger) RowName() string {
+	return RowPrefix + l.process + "-" + strconv.FormatInt(l.written.Add(1), 10)
+}
+
+// ForgetRows forgets which rows of a removed step are known.
+func (l *Ledger) ForgetRows(step string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.rows, step)
+}
+
+// Observe joins the rows of suspicions of other processes among rows to the ledger, in the order in which they were written, and
+// returns those that can't be read. mu is held throughout: a concurrent reader of a row must not go on before
+// its content counts.
+func (l *Ledger) Observe(rows []rowstore.Row, now time.Time) (unreadable []rowstore.Row) {
+	rows = slices.DeleteFunc(slices.Clone(rows), func(row rowstore.Row) bool {
+		return !IsRow(row) || row.Deleted || strings.HasPrefix(row.Name, RowPrefix+l.process)
+	})
+	slices.SortFunc(rows, func(a, b rowstore.Row) int { return cmp.Compare(a.Version, b.Version) })
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, row := range rows {
+		if l.rows[row.Part][row.Name] {
+			continue
+		}
+		if l.rows[row.Part] == nil {
+			l.rows[row.Part] = make(map[string]bool)
+		}
+		l.rows[row.Part][row.Name] = true
+		var records []Record
+		if err := json.Unmarshal(row.Value, &records); err != nil {
+			unreadable = append(unreadable, row)
+			continue
+		}
+		l.noteStoredLocked(records, now)
+		for _, r := range records {
+			s := l.suspicions[r.Request][r.Incarnation]
+			switch {
+			case !r.Survived:
+				l.putLocked(r.Request, r.Incarnation, state{at: now, open: s.open, recorded: true})
+			case !s.open:
+				l.removeLocked(r.Request, r.Incarnation)
+			}
+		}
+	}
+	return unreadable
+}
+
+// NoteStored records that the store has records of this process.
+func (l *Ledger) NoteStored(records []Record, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.noteStoredLocked(records, now)
+}
+
+func (l *Ledger) noteStoredLocked(records []Record, now time.Time) {
+	for _, r := range records {
+		switch {
+		case r.Survived:
+			delete(l.stored[r.Request], r.Incarnation)
+		case l.stored[r.Request] == nil:
+			l.stored[r.Request] = map[target.Incarnation]time.Time{r.Incarnation: now}
+		default:
+			l.stored[r.Request][r.Incarnation] = now
+		}
+		if len(l.stored[r.Request]) == 0 {
+			delete(l.stored, r.Request)
+		}
+	}
+}
+
+// Unstored returns the records by which the store has to be brought up to date about a request: the suspicions
+// that it lacks, unless the request is done, and those that were lifted since.
+func (l *Ledger) Unstored(request Request, done bool) []Record {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var records []Record
+	stored := l.stored[request]
+	for incarnation := range stored {
+		if s, ok := l.suspicions[request][incarnation]; !ok || !s.counts() {
+			records = append(records, Record{Suspicion{request, incarnation}, true})
+		}
+	}
+	for incarnation, s := range l.suspicions[request] {
+		if _, ok := stored[incarnation]; !ok && !done && s.counts() {
+			records = append(records, Record{Suspicion: Suspicion{request, incarnation}})
+		}
+	}
+	return records
+}
--- /dev/null
+++ b/internal/suspicion/rows_test.go
@@ -0,0 +1,76 @@
+package suspicion
+
+import (
+	"encoding/json"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"dogwoodpond/internal/rowstore"
+)
+
+// row returns a row of records that was written at a version.
+func row(t *testing.T, version int64, records ...Record) rowstore.Row {
+	t.Helper()
+	value, err := json.Marshal(records)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return rowstore.Row{Key: rowstore.Key{Part: "s", Name: RowPrefix + strconv.FormatInt(version, 10)}, Version: version, Value: value}
+}
+
+// Guards against a reader of a row that goes on while another one has noted the row as known and not yet counted
+// what it holds.
+func TestConcurrentReadersOfARowCountItsSuspicions(t *testing.T) {
+	l, last := NewLedger(), Request{Account: "a", ID: "4999"}
+	var records []Record
+	for n := range 5000 {
+		records = append(records, Record{Suspicion: Suspicion{Request{Account: "a", ID: strconv.Itoa(n)}, first}})
+	}
+	written := row(t, 1, records...)
+	var readers sync.WaitGroup
+	for range 4 {
+		readers.Go(func() {
+			if l.Observe([]rowstore.Row{written}, time.Unix(100, 0)); l.Count(last) != 1 {
+				t.Error("a reader goes on before the row counts")
+			}
+		})
+	}
+	readers.Wait()
+}
+
+// Guards against a lost answer of another owner that is taken back by an attempt which did not run, and against an
+// attempt in progress that no longer counts because another owner took back an earlier one.
+func TestOwnersTakeBackOnlyTheirOwnSuspicions(t *testing.T) {
+	l, at := NewLedger(), time.Unix(100, 0)
+	lost := Record{Suspicion: Suspicion{request, first}}
+	l.Begin(request, first, at)
+	l.Observe([]rowstore.Row{row(t, 1, lost)}, at)
+	if l.Withdraw(request, first); l.Count(request) != 1 || len(l.Unstored(request, false)) > 0 {
+		t.Error("an attempt that did not run takes back a lost answer of another owner")
+	}
+	l.Begin(request, first, at)
+	survived := lost
+	survived.Survived = true
+	l.Observe([]rowstore.Row{row(t, 2, survived)}, at)
+	if records := l.Unstored(request, false); l.Count(request) != 1 || len(records) != 1 || records[0] != lost {
+		t.Errorf("count %d after another owner took back an attempt in progress; to be stored: %v", l.Count(request), records)
+	}
+}
+
+// Guards against a row which says that an upstream survived a request, because the suspicion has expired.
+func TestExpiredSuspicionIsNotTakenBack(t *testing.T) {
+	l, at := NewLedger(), time.Unix(100, 0)
+	l.Add(request, first, at)
+	l.NoteStored(l.Unstored(request, false), at.Add(time.Second))
+	if l.Expire(at.Add(time.Millisecond)); !l.Empty() || len(l.Unstored(request, false)) > 0 {
+		t.Errorf("to be stored: %v", l.Unstored(request, false))
+	}
+	l.Add(request, first, at)
+	l.NoteStored(l.Unstored(request, false), at)
+	l.Remove(request, first)
+	if records := l.Unstored(request, true); len(records) != 1 || !records[0].Survived {
+		t.Errorf("to be stored after the upstream survived: %v", records)
+	}
+}
