step: read the rows that were written after the end of a step

A full read of the state table leaves out the steps whose end was read. Rows of suspicions are written up to some seconds after that, and a VM that could not read the store meanwhile missed them if the history was lost.

Before the change, go test -run TestRowsAfterTheEnd ./internal/step: unread_rows_test.go:105: the row is not known

--- a/internal/step/manager.go
+++ b/internal/step/manager.go
@@ -109,8 +109,8 @@
 	// acceptedVersions holds, for each step, the version of the newest state row under which a run
 	// of this process was accepted.
 	acceptedVersions map[string]int64
-	// endsRead holds the ended steps whose end this VM has read, and so all rows that were written before.
-	endsRead map[string]bool
+	// endsRead holds when this VM has read the end of a step, and so all rows that were written before.
+	endsRead map[string]time.Time
 	// takingOver holds the steps that this VM is taking over.
 	takingOver map[string]bool
 	// unownedSince is when this VM first found that a step has no live owner.
@@ -142,7 +142,7 @@
 		states:           make(map[string]stateRecord),
 		runs:             make(map[string]*run),
 		acceptedVersions: make(map[string]int64),
-		endsRead:         make(map[string]bool),
+		endsRead:         make(map[string]time.Time),
 		takingOver:       make(map[string]bool),
 		unownedSince:     make(map[string]time.Time),
 		retained:         newRetainedTexts(),
@@ -327,17 +327,23 @@
 func (m *Manager) noteEndRead(id string) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.states[id].Ended {
-		m.endsRead[id] = true
+	if _, known := m.endsRead[id]; !known && m.states[id].Ended {
+		m.endsRead[id] = time.Now()
 	}
 }
 
-// isEndRead reports whether the end of a step was read from the store. A VM that ended the step itself
-// may still lack rows of the step that other VMs wrote.
+// lateRowsPeriod is how long after its end a step gets rows of suspicions, unless their writer was cut off. Their
+// writer asks an engine for up to 7 s whether it goes on with a canceled attempt.
+const lateRowsPeriod = 15 * time.Second
+
+// isEndRead reports whether the end of a step was read from the store, and the table was followed long enough to
+// know the rows that were written after it. A VM that ended the step itself may still lack rows of the step that
+// other VMs wrote.
 func (m *Manager) isEndRead(id string) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.endsRead[id]
+	readAt, ok := m.endsRead[id]
+	return ok && time.Unix(0, m.statesReadAt.Load()).Sub(readAt) >= lateRowsPeriod
 }
 
 // removeState removes a step whose state row was deleted in a version of the store, unless a newer
--- a/internal/step/unread_rows_test.go
+++ b/internal/step/unread_rows_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"dogwoodpond/internal/rowstore"
+	"dogwoodpond/internal/suspicion"
+	"dogwoodpond/internal/target"
 	"dogwoodpond/internal/wait"
 )
 
@@ -78,3 +80,29 @@
 		})
 	}
 }
+
+// Guards against rows of suspicions that were written after the end of their step, while a VM could not read the
+// store, and that its next full read leaves out.
+func TestRowsAfterTheEndOfAStepAreRead(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		cl := newCluster(t, "e1")
+		a := cl.start("a")
+		submit(t, a, spec("s"), items(2))
+		time.Sleep(time.Second)
+		if err := a.End(t.Context(), "s", "acc"); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(time.Second)
+		cl.store.SetDown(true)
+		time.Sleep(2 * time.Second)
+		lost := suspicion.Record{Suspicion: suspicion.Suspicion{Request: suspicion.Request{Account: "acc", ID: "i0"}, Incarnation: target.Incarnation{Upstream: "e1"}}}
+		cl.setRow(rowstore.Key{Table: stateTable, Part: "s", Name: suspicion.RowPrefix + "other"}, []suspicion.Record{lost})
+		cl.store.TruncateHistory()
+		time.Sleep(time.Minute / 2)
+		cl.store.SetDown(false)
+		time.Sleep(2 * time.Second)
+		if a.suspicions.Count(lost.Request) != 1 {
+			t.Error("the row is not known")
+		}
+	})
+}
