--- a/internal/step/run.go
+++ b/internal/step/run.go
@@ -127,7 +127,7 @@
 	r.itemCtx, r.stopItems = context.WithCancel(r.ctx)
 	r.list.adopt(committed)
 	r.emitRepeated(0)
-	r.unaccounted = suspicion.NewUnaccounted(m.suspicions, rec.lostOwner, r.openRequests)
+	r.unaccounted = suspicion.NewUnaccounted(m.suspicions, rec.lostOwner, r.requests)
 	return r
 }
 
--- a/internal/step/suspicionrows.go
+++ b/internal/step/suspicionrows.go
@@ -30,20 +30,13 @@
 	}
 }
 
-// requestsOf returns the identities of an item and of its score call, if it has one.
-func (r *run) requestsOf(i int) []suspicion.Request {
-	if r.items[i].Score == nil {
-		return []suspicion.Request{r.request(i)}
-	}
-	return []suspicion.Request{r.request(i), r.scoreRequest(i)}
-}
-
-// openRequests returns the identities of the run's unfinished items and of their score calls.
-func (r *run) openRequests() []suspicion.Request {
-	var requests []suspicion.Request
+// requests returns the identities of the run's items and of their score calls, and whether the items are done.
+func (r *run) requests() map[suspicion.Request]bool {
+	requests := make(map[suspicion.Request]bool)
 	for i, current := range r.phases() {
-		if current != phaseDone {
-			requests = append(requests, r.requestsOf(i)...)
+		requests[r.request(i)] = current == phaseDone
+		if r.items[i].Score != nil {
+			requests[r.scoreRequest(i)] = current == phaseDone
 		}
 	}
 	return requests
@@ -57,12 +50,7 @@
 	case r.saveSlot <- struct{}{}:
 	}
 	defer func() { <-r.saveSlot }()
-	var records []suspicion.Record
-	for i, current := range r.phases() {
-		for _, request := range r.requestsOf(i) {
-			records = append(records, r.m.suspicions.Unstored(request, current == phaseDone)...)
-		}
-	}
+	records := r.m.suspicions.Unstored(r.requests())
 	if len(records) == 0 {
 		return true
 	}
--- a/internal/suspicion/ledger.go
+++ b/internal/suspicion/ledger.go
@@ -18,7 +18,7 @@
 	mu         sync.Mutex
 	suspicions map[Request]map[target.Incarnation]state
 	// stored holds when this VM learned that a row of the store holds a suspicion which no later row lifts.
-	stored map[Request]map[target.Incarnation]time.Time
+	stored map[Suspicion]time.Time
 	// rows holds the names of the rows that were read, by step. Those of this process contain process and a number.
 	rows    map[string]map[string]bool
 	process string
@@ -45,7 +45,7 @@
 func NewLedger() *Ledger {
 	return &Ledger{
 		suspicions: make(map[Request]map[target.Incarnation]state),
-		stored:     make(map[Request]map[target.Incarnation]time.Time),
+		stored:     make(map[Suspicion]time.Time),
 		rows:       make(map[string]map[string]bool),
 		process:    uuid.NewString(),
 	}
@@ -228,16 +228,11 @@
 			if s.at.Before(before) {
 				l.removeLocked(request, incarnation)
 				// The incarnation has not survived, so that no row may say so.
-				delete(l.stored[request], incarnation)
+				delete(l.stored, Suspicion{request, incarnation})
 			}
 		}
 	}
-	for request, stored := range l.stored {
-		maps.DeleteFunc(stored, func(_ target.Incarnation, at time.Time) bool { return at.Before(before) })
-		if len(stored) == 0 {
-			delete(l.stored, request)
-		}
-	}
+	maps.DeleteFunc(l.stored, func(_ Suspicion, at time.Time) bool { return at.Before(before) })
 }
 
 // Empty reports whether no request is under suspicion.
--- a/internal/suspicion/rows.go
+++ b/internal/suspicion/rows.go
@@ -9,7 +9,6 @@
 	"time"
 
 	"dogwoodpond/internal/rowstore"
-	"dogwoodpond/internal/target"
 )
 
 // RowPrefix starts the names of the rows that hold suspicions, in the partition of a step in the table of state
@@ -83,35 +82,32 @@
 
 func (l *Ledger) noteStoredLocked(records []Record, now time.Time) {
 	for _, r := range records {
-		switch {
-		case r.Survived:
-			delete(l.stored[r.Request], r.Incarnation)
-		case l.stored[r.Request] == nil:
-			l.stored[r.Request] = map[target.Incarnation]time.Time{r.Incarnation: now}
-		default:
-			l.stored[r.Request][r.Incarnation] = now
-		}
-		if len(l.stored[r.Request]) == 0 {
-			delete(l.stored, r.Request)
+		l.stored[r.Suspicion] = now
+		if r.Survived {
+			delete(l.stored, r.Suspicion)
 		}
 	}
 }
 
-// Unstored returns the records by which the store has to be brought up to date about a request: the suspicions
-// that it lacks, unless the request is done, and those that were lifted since.
-func (l *Ledger) Unstored(request Request, done bool) []Record {
+// Unstored returns the records by which the store has to be brought up to date about requests: the suspicions that
+// it lacks, unless the request is done, which is the value, and those that were lifted since.
+func (l *Ledger) Unstored(requests map[Request]bool) []Record {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	var records []Record
-	stored := l.stored[request]
-	for incarnation := range stored {
-		if s, ok := l.suspicions[request][incarnation]; !ok || !s.counts() {
-			records = append(records, Record{Suspicion{request, incarnation}, true})
+	for stored := range l.stored {
+		s, ok := l.suspicions[stored.Request][stored.Incarnation]
+		if _, asked := requests[stored.Request]; asked && !(ok && s.counts()) {
+			records = append(records, Record{stored, true})
 		}
 	}
-	for incarnation, s := range l.suspicions[request] {
-		if _, ok := stored[incarnation]; !ok && !done && s.counts() {
-			records = append(records, Record{Suspicion: Suspicion{request, incarnation}})
+	for request, suspicions := range l.suspicions {
+		done, asked := requests[request]
+		for incarnation, s := range suspicions {
+			unstored := Suspicion{request, incarnation}
+			if _, ok := l.stored[unstored]; !ok && asked && !done && s.counts() {
+				records = append(records, Record{Suspicion: unstored})
+			}
 		}
 	}
 	return records
--- a/internal/suspicion/rows_test.go
+++ b/internal/suspicion/rows_test.go
@@ -47,14 +47,14 @@
 	lost := Record{Suspicion: Suspicion{request, first}}
 	l.Begin(request, first, at)
 	l.Observe([]rowstore.Row{row(t, 1, lost)}, at)
-	if l.Withdraw(request, first); l.Count(request) != 1 || len(l.Unstored(request, false)) > 0 {
+	if l.Withdraw(request, first); l.Count(request) != 1 || len(l.Unstored(map[Request]bool{request: false})) > 0 {
 		t.Error("an attempt that did not run takes back a lost answer of another owner")
 	}
 	l.Begin(request, first, at)
 	survived := lost
 	survived.Survived = true
 	l.Observe([]rowstore.Row{row(t, 2, survived)}, at)
-	if records := l.Unstored(request, false); l.Count(request) != 1 || len(records) != 1 || records[0] != lost {
+	if records := l.Unstored(map[Request]bool{request: false}); l.Count(request) != 1 || len(records) != 1 || records[0] != lost {
 		t.Errorf("count %d after another owner took back an attempt in progress; to be stored: %v", l.Count(request), records)
 	}
 }
@@ -63,14 +63,14 @@
 func TestExpiredSuspicionIsNotTakenBack(t *testing.T) {
 	l, at := NewLedger(), time.Unix(100, 0)
 	l.Add(request, first, at)
-	l.NoteStored(l.Unstored(request, false), at.Add(time.Second))
-	if l.Expire(at.Add(time.Millisecond)); !l.Empty() || len(l.Unstored(request, false)) > 0 {
-		t.Errorf("to be stored: %v", l.Unstored(request, false))
+	l.NoteStored(l.Unstored(map[Request]bool{request: false}), at.Add(time.Second))
+	if l.Expire(at.Add(time.Millisecond)); !l.Empty() || len(l.Unstored(map[Request]bool{request: false})) > 0 {
+		t.Errorf("to be stored: %v", l.Unstored(map[Request]bool{request: false}))
 	}
 	l.Add(request, first, at)
-	l.NoteStored(l.Unstored(request, false), at)
+	l.NoteStored(l.Unstored(map[Request]bool{request: false}), at)
 	l.Remove(request, first)
-	if records := l.Unstored(request, true); len(records) != 1 || !records[0].Survived {
+	if records := l.Unstored(map[Request]bool{request: true}); len(records) != 1 || !records[0].Survived {
 		t.Errorf("to be stored after the upstream survived: %v", records)
 	}
 }
--- a/internal/suspicion/unaccounted.go
+++ b/internal/suspicion/unaccounted.go
@@ -39,15 +39,15 @@
 	settled bool
 }
 
-// NewUnaccounted returns the unaccounted requests of a run: those that are open, if the owner was lost.
-func NewUnaccounted(ledger *Ledger, owner LostOwner, open func() []Request) *Unaccounted {
+// NewUnaccounted returns the unaccounted requests of a run: those of requests that are not done, if the owner was lost.
+func NewUnaccounted(ledger *Ledger, owner LostOwner, requests func() map[Request]bool) *Unaccounted {
 	u := &Unaccounted{
 		ledger: ledger, owner: owner, since: time.Now(),
 		requests: make(map[Request]bool), survivors: make(map[*target.Entry][]string),
 	}
 	if u.ownerLost() {
-		for _, request := range open() {
-			u.requests[request] = true
+		for request, done := range requests() {
+			u.requests[request] = !done
 		}
 	}
 	return u
