--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -15,9 +15,9 @@
 
 	"dogwoodpond/internal/event"
 	"dogwoodpond/internal/fault"
-	"dogwoodpond/internal/poison"
 	"dogwoodpond/internal/retry"
 	"dogwoodpond/internal/route"
+	"dogwoodpond/internal/suspicion"
 	"dogwoodpond/internal/target"
 )
 
@@ -250,7 +250,7 @@
 // ended under it, whatever number of attempts the route allows. The caller waits, so there is no time
 // to find out whether they did.
 func (r *inflightRequest) mayEndAnother() bool {
-	return r.call.EarlierLosses+r.unanswered+r.pendingCount < poison.MaxEnds
+	return r.call.EarlierLosses+r.unanswered+r.pendingCount < suspicion.MaxEnds
 }
 
 func (r *inflightRequest) criteria() target.Criteria {
--- a/internal/step/step.go
+++ b/internal/step/step.go
@@ -18,6 +18,7 @@
 	"dogwoodpond/internal/fault"
 	"dogwoodpond/internal/rowstore"
 	"dogwoodpond/internal/scoring"
+	"dogwoodpond/internal/suspicion"
 )
 
 // The tables of steps. The partition is the step's ID.
@@ -144,7 +145,7 @@
 	// written before this process ran. The owner that the row names was alive then.
 	changeSeenAt time.Time
 	// lostOwner is the owner from which this VM took the step over.
-	lostOwner lostOwner
+	lostOwner suspicion.LostOwner
 }
 
 func decodeState(row rowstore.Row) (stateRecord, error) {
