Step: an item moves only if the move gains more than it costs

An item moved at 1.8 times the median time for an event, or at 1.2 times that of an idle engine, whatever remained of it. It now moves if the remaining events gain more at the other engine than reading and the lost event cost, and only if it would otherwise end about as late as the step's longest item. The number of events for an expected token is learned from complete texts. The speed is checked after each event over the last two, so that an item that moves does so early.

--- a/internal/step/item.go
+++ b/internal/step/item.go
@@ -106,6 +106,7 @@
 	case attemptComplete:
 		entry.NoteSuccess()
 		r.setLastUpstream(i, entry.Info().ID)
+		r.m.eventRates.note(n.service, text.lastEvent, r.items[i].ExpectedTokens)
 		r.handleComplete(i)
 	case attemptRefused:
 		entry.NoteModelUnavailable(n.model, now.Add(refusedBackoff))
@@ -219,8 +220,9 @@
 	ended atomic.Bool
 	// suspected is true once the engine may have ended, because no event arrived in time.
 	suspected atomic.Bool
-	// startedAt is when the attempt started.
-	startedAt time.Time
+	// startedAt is when the attempt started, and firstEventAfter how long its first event took.
+	startedAt       time.Time
+	firstEventAfter time.Duration
 }
 
 // generate sends the item to the engine and reads its stream to the end.
@@ -301,7 +303,7 @@
 	before := text
 	version := response.Version
 	events := eventstream.NewReader(response.Body)
-	meter := unitTimeMeter{started: time.Now()}
+	meter := newSpeedMeter(time.Now())
 	limit := textLimit{maxEvents: a.run.items[a.index].MaxEvents}
 	for {
 		e, err := events.Next()
@@ -338,11 +340,16 @@
 		if a.suspected.CompareAndSwap(true, false) {
 			a.run.noteResumed(a.index, a.entry)
 		}
+		if a.firstEventAfter == 0 {
+			a.firstEventAfter = time.Since(a.startedAt)
+		}
 		a.entry.NoteRunningSince(a.startedAt)
 		text.add(e, version)
 		a.run.setText(a.index, text)
-		if meter.addEvent() {
-			a.checkSpeed(&meter)
+		now := time.Now()
+		if unitTime, ok := meter.addEvent(now); ok {
+			a.entry.NoteUnitTime(unitTime, now)
+			a.checkSpeed(unitTime, now)
 		}
 	}
 }
--- a/internal/step/manager.go
+++ b/internal/step/manager.go
@@ -110,6 +110,8 @@
 	suspicions *poison.Ledger
 	suspects   suspectEngines
 	checks     *engineChecks
+	// eventRates estimates how many events a text has.
+	eventRates eventRates
 
 	// mu guards the fields down to noNewRuns. The maps have the step's ID as key.
 	mu sync.Mutex
