--- a/internal/step/manager.go
+++ b/internal/step/manager.go
@@ -103,6 +103,8 @@
 	suspicions *suspicion.Ledger
 	suspects   suspectEngines
 	checks     *suspicion.Checks
+	// eventRates estimates how many events a text has.
+	eventRates eventRates
 
 	// mu guards the fields down to noNewRuns. The maps have the step's ID as key.
 	mu sync.Mutex
