Step: placement weighs the reading of a prompt that an engine lacks

Items carry the list of their prompt's parts. The time for reading what an engine lacks is part of the placement cost, where a slot costs what one more running item costs, so a hit decides only as far as it saves more than it waits or slows. It applies only to items with the list, at engines whose memory is configured, and to prompts whose reading takes a hundred-and-fiftieth of the generation. Engines that are suspect, cold or left to another owner count as without the parts. The reading rate is learned from first events. A list that can't be used is counted and the item is accepted.

--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -29,6 +29,9 @@
 	scoreCalls       *prometheus.CounterVec
 	scoreWaitSeconds prometheus.Histogram
 	reportDefects    *prometheus.CounterVec
+	promptHits       *prometheus.CounterVec
+	promptTokens     *prometheus.CounterVec
+	promptDefects    prometheus.Counter
 	slowdowns        prometheus.Histogram
 }
 
@@ -64,9 +67,12 @@
 			Name: "dogwoodpond_upstream_slowdown_ratio", Help: "Slowdowns that upstreams report with their load: how long work takes on their machine, as a multiple of the usual time.",
 			Buckets: []float64{.5, .75, 1, 1.5, 2, 3, 5, 10},
 		}),
+		promptHits:       prometheus.NewCounterVec(prometheus.CounterOpts{Name: "dogwoodpond_prompt_placements_total", Help: "Items with long prompts that were sent to an engine, by service and whether the engine is expected to keep a part of the prompt (hit) or none (miss)."}, []string{"service", "expected"}),
+		promptTokens:     prometheus.NewCounterVec(prometheus.CounterOpts{Name: "dogwoodpond_prompt_tokens_total", Help: "Tokens of these items' prompts, by service and whether the engine is expected to keep (saved) or read them."}, []string{"service", "expected"}),
+		promptDefects:    prometheus.NewCounter(prometheus.CounterOpts{Name: "dogwoodpond_prompt_list_defects_total", Help: "Lists of the parts of items' prompts that can't be used."}),
 		committedResults: prometheus.NewCounter(prometheus.CounterOpts{Name: "dogwoodpond_results_listed_total", Help: "Committed results of steps."}),
 	}
-	m.registry.MustRegister(m.events, m.refusals, m.failedAttempts, m.requestSeconds, m.committedResults, m.commitSeconds, m.storeCallSeconds, m.revision, m.scoreCalls, m.scoreWaitSeconds, m.reportDefects, m.slowdowns, collectors.NewGoCollector(),
+	m.registry.MustRegister(m.events, m.refusals, m.failedAttempts, m.requestSeconds, m.committedResults, m.commitSeconds, m.storeCallSeconds, m.revision, m.scoreCalls, m.scoreWaitSeconds, m.reportDefects, m.promptHits, m.promptTokens, m.promptDefects, m.slowdowns, collectors.NewGoCollector(),
 		prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "dogwoodpond_open_requests", Help: "Requests that are being served."}, func() float64 { return float64(incarnation.OpenRequests()) }),
 		prometheus.NewCounterFunc(prometheus.CounterOpts{Name: "dogwoodpond_log_lines_dropped_total", Help: "Log lines dropped because the log buffer was full."}, func() float64 { return float64(sink.Dropped()) }),
 	)
@@ -114,6 +120,20 @@
 	m.storeCallSeconds.WithLabelValues(call, outcome).Observe(duration.Seconds())
 }
 
+// CountPrompt implements step.PromptMetrics.
+func (m *Metrics) CountPrompt(service string, kept, read int) {
+	expected := "miss"
+	if kept > 0 {
+		expected = "hit"
+	}
+	m.promptHits.WithLabelValues(service, expected).Inc()
+	m.promptTokens.WithLabelValues(service, "saved").Add(float64(kept))
+	m.promptTokens.WithLabelValues(service, "read").Add(float64(read))
+}
+
+// CountPromptListDefect implements step.PromptMetrics.
+func (m *Metrics) CountPromptListDefect() { m.promptDefects.Inc() }
+
 // CountLoadReportDefect counts a load report by the part that can't be used.
 func (m *Metrics) CountLoadReportDefect(part string) {
 	m.reportDefects.WithLabelValues(part).Inc()
--- a/internal/node/metrics_test.go
+++ b/internal/node/metrics_test.go
@@ -28,6 +28,7 @@
 	m.Observe(event.Record{Number: event.SamplesCommitted, Subject: event.Subject{Count: 2, Detail: "6ms"}})
 	m.ObserveStoreCall("commit", "answered", time.Millisecond)
 	m.RegisterListAge("configuration")()
+	m.CountPrompt("lm", 1, 1)
 	m.RegisterBackoffFactor(func() float64 { return 1 })
 }
 
--- a/internal/promptcache/prefix.go
+++ b/internal/promptcache/prefix.go
@@ -25,8 +25,8 @@
 
 // Part is a part of a prompt. Equal parts after equal parts have equal IDs.
 type Part struct {
-	ID     uint64
-	Tokens int
+	ID     uint64 `json:"id"`
+	Tokens int    `json:"tokens"`
 }
 
 // Prompt is the list of a prompt's parts, in order. The last part belongs to the request itself.
--- a/internal/promptcache/promptcache_test.go
+++ b/internal/promptcache/promptcache_test.go
@@ -7,6 +7,7 @@
 	"slices"
 	"strings"
 	"testing"
+	"time"
 )
 
 // Guards against lists that any caller may send: each one gives the parts or an error, and the error
@@ -137,3 +138,14 @@
 	}
 	runtime.KeepAlive(table)
 }
+
+// Guards against a measurement without sense that decides from then on.
+func TestRateBounds(t *testing.T) {
+	rate := InitialTokensPerMilli
+	for range 1000 {
+		rate = NextRate(rate, 5000, time.Nanosecond)
+	}
+	if rate > maxTokensPerMilli || NextRate(300, 10, time.Hour) != 300 || NextRate(300, 5000, -time.Second) != 300 {
+		t.Errorf("the rate is %f", rate)
+	}
+}
--- a/internal/promptcache/table.go
+++ b/internal/promptcache/table.go
@@ -207,3 +207,12 @@
 	}
 	return (hash ^ uint64(part.Tokens)) * chainPrime
 }
+
+// SharedKey returns a hash of the parts that other requests can share.
+func (p Prompt) SharedKey() uint64 {
+	chain := uint64(chainStart)
+	for _, part := range p.Shared() {
+		chain = chainOf(chain, part)
+	}
+	return chain
+}
--- a/internal/step/dispatch.go
+++ b/internal/step/dispatch.go
@@ -67,6 +67,7 @@
 func (m *Manager) dispatch(r *run) {
 	now := time.Now()
 	rankings := make(map[needKey]*ranking)
+	prompts := make(promptRankings)
 	var suspects []suspectAttempt
 	m.chooseOrder(r, rankings, now)
 	for pos, ok := r.nextInPhase(phasePending, 0, now); ok; pos, ok = r.nextInPhase(phasePending, pos+1, now) {
@@ -84,10 +85,16 @@
 		}
 		engines, known := rankings[n.key()]
 		if !known {
-			engines = newRanking(m.newPool(m.engines(n.service, now), n, now), n, now)
+			engines = newRanking(m.newPool(m.engines(n.service, now), n, now), n.withoutPrompt(), now)
 			rankings[n.key()] = engines
 		}
+		if engines.pool.promptMatters(n) {
+			engines = prompts.get(n, engines.pool, now)
+		} else {
+			n.prompt = nil
+		}
 		if entry := engines.best(); entry != nil && r.changePhase(i, phasePending, phaseRunning) {
+			n.prompt.noteSent(entry, n, now)
 			entry.Begin()
 			m.tasks.Go(func() { r.runAttempt(i, n, entry) })
 		}
@@ -103,7 +110,7 @@
 		return
 	}
 	if n, routed := r.needOf(r.order[pos]); routed {
-		engines := newRanking(m.newPool(m.engines(n.service, now), n, now), n, now)
+		engines := newRanking(m.newPool(m.engines(n.service, now), n, now), n.withoutPrompt(), now)
 		rankings[n.key()] = engines
 		r.order = r.startOrders.forSlots(slotsFor(engines.pool.engines, n, now))
 	}
--- a/internal/step/item.go
+++ b/internal/step/item.go
@@ -349,6 +349,7 @@
 		now := time.Now()
 		if unitTime, ok := meter.addEvent(now); ok {
 			a.entry.NoteUnitTime(unitTime, now)
+			a.need.prompt.noteReading(a.firstEventAfter - unitTime)
 			a.checkSpeed(unitTime, now)
 		}
 	}
--- a/internal/step/manager.go
+++ b/internal/step/manager.go
@@ -80,6 +80,8 @@
 	Engines                 EngineReports
 	Scorer                  Scorer
 	Events                  *event.Recorder
+	// PromptMetrics counts what the placement by prompts does; nil for none.
+	PromptMetrics PromptMetrics
 	// AnnouncedVersion returns the version of a model that its trainer announced last.
 	AnnouncedVersion func(model string) (int64, bool)
 	// PreferredOwner returns the process that should own the steps of a model; ok is false when
@@ -112,6 +114,8 @@
 	checks     *engineChecks
 	// eventRates estimates how many events a text has.
 	eventRates eventRates
+	// prompts holds what is known of the prompts that the engines keep.
+	prompts *promptKnowledge
 
 	// mu guards the fields down to noNewRuns. The maps have the step's ID as key.
 	mu sync.Mutex
@@ -154,6 +158,7 @@
 		dispatchSignal:   make(chan struct{}, 1),
 		callLimiter:      scoring.NewCallLimiter(),
 		suspicions:       poison.NewLedger(),
+		prompts:          newPromptKnowledge(c.PromptMetrics),
 		checks:           newEngineChecks(),
 		knownLosses:      make(map[string]map[string]bool),
 		takeoverSignal:   make(chan struct{}, 1),
--- a/internal/step/place.go
+++ b/internal/step/place.go
@@ -19,6 +19,8 @@
 	residency route.Residency
 	// route is the route that led to the service.
 	route *route.Route
+	// prompt is set for an item whose prompt's parts are known, at engines whose memory is.
+	prompt *promptNeed
 }
 
 // needKey identifies a need among the needs of one step, which differ in nothing else.
@@ -109,12 +111,12 @@
 		return 0, false
 	}
 	if !p.otherFirstSender[e] {
-		return placeCost(e, n, p.median, now), true
+		return placeCost(e, n, p.median, now) + p.readingCost(e, n, now), true
 	}
 	if !e.LoadKnown(now) && e.InFlight() >= unknownLoadMaxItems {
 		return 0, false
 	}
-	return placeCost(e, n, p.median, now) + otherOwnerCost, true
+	return placeCost(e, n, p.median, now) + p.readingCost(e, n, now) + otherOwnerCost, true
 }
 
 // canServe reports whether an engine may run items with this need now: its failure domain is
--- a/internal/step/run.go
+++ b/internal/step/run.go
@@ -439,6 +439,7 @@
 		domain:     r.m.Domain,
 		residency:  snapshot.Residency(matched, r.rec.Account),
 		route:      matched,
+		prompt:     r.m.promptNeed(&r.items[i], snapshot.Services[matched.Service(r.items[i].ID)]),
 	}, true
 }
 
--- a/internal/step/step.go
+++ b/internal/step/step.go
@@ -16,6 +16,7 @@
 	"github.com/cockroachdb/errors"
 
 	"dogwoodpond/internal/fault"
+	"dogwoodpond/internal/promptcache"
 	"dogwoodpond/internal/rowstore"
 	"dogwoodpond/internal/scoring"
 )
@@ -65,6 +66,8 @@
 	ExpectedTokens float64 `json:"expected,omitempty"`
 	// MaxEvents is the largest number of events that its text can have; 0 when unknown.
 	MaxEvents int `json:"maxEvents,omitempty"`
+	// Prompt lists the parts of the prompt; empty when unknown.
+	Prompt promptcache.Prompt `json:"prompt,omitempty"`
 	// Score is the call that scores the complete text; nil when the sample needs no score.
 	Score *scoring.Call `json:"score,omitempty"`
 }
