--- a/internal/step/promptplay_test.go
+++ b/internal/step/promptplay_test.go
@@ -6,12 +6,12 @@
 	"testing"
 	"time"
 
+	"go.uber.org/zap"
+
 	"dogwoodpond/internal/event"
 	"dogwoodpond/internal/promptcache"
 	"dogwoodpond/internal/route"
 	"dogwoodpond/internal/target"
-
-	"go.uber.org/zap"
 )
 
 // promptLoad is a load of groups of eight items that share a prompt, played without a network.
