--- a/internal/node/metrics_test.go
+++ b/internal/node/metrics_test.go
@@ -31,6 +31,7 @@
 	m.ObserveWait("desk", 0, time.Millisecond)
 	m.CountShed("desk", 0, "queue full")
 	m.RegisterListAge("configuration")()
+	m.CountPrompt("lm", 1, 1)
 	m.RegisterBackoffFactor(func() float64 { return 1 })
 }
 
