Admission: no refusal during a pause while most slots are free; slow at twice the median again

After a burst, pauses of up to 2 s could have had requests refused at a service that had recovered; a pause counts only while half of the slots are known to be taken (TestPauseEndsOnceSlotsAreFree fails without that). Without load an upstream counts as slow at twice the median, as before, so that other deployments are served as they were.

--- a/internal/admission/limit.go
+++ b/internal/admission/limit.go
@@ -49,9 +49,14 @@
 }
 
 // hasCapacity reports whether an upstream has capacity for a request with the given time left
-// until its objective, as far as this VM knows.
+// until its objective, as far as this VM knows. A pause counts only while at least half of the slots are
+// known to be taken: no request is refused at a service that has recovered.
 func hasCapacity(e *target.Entry, p pause, left time.Duration, now time.Time) bool {
-	return !now.Before(p.until) && atUpstream(e, now) < bound(e.Slots(), left, e.ExpectedUnitTime(now))
+	inside, slots := atUpstream(e, now), e.Slots()
+	if now.Before(p.until) && 2*inside >= slots {
+		return false
+	}
+	return inside < bound(slots, left, e.ExpectedUnitTime(now))
 }
 
 // atUpstream estimates the number of requests at an upstream.
--- a/internal/target/choose.go
+++ b/internal/target/choose.go
@@ -16,8 +16,8 @@
 const (
 	otherDomainCost = 0.35
 	// slowFactor is no cost: an upstream is slow when its unit time is more than this
-	// multiple of the least one of the service. The median would tell nothing while most
-	// upstreams are slow.
+	// multiple of the median. While most upstreams are slow the median tells nothing, but a
+	// service that is short of capacity then is served by chooseUnderLoad.
 	slowFactor = 2.0
 	slowCost   = 0.8
 	// coldCost makes a warming upstream a choice only when the others are full.
@@ -55,15 +55,15 @@
 			return e
 		}
 	}
-	least := leastUnitTime(usable, now)
+	median := MedianUnitTime(usable, now)
 	var best *Entry
-	var lowest float64
+	var least float64
 	for _, e := range usable {
 		if contains(c.Skip, e) || !c.Residency.Allows(e.Info().FailureDomain) || !e.Admits(now) {
 			continue
 		}
-		if cost := costOf(e, c.Domain, least, now); best == nil || cost < lowest {
-			best, lowest = e, cost
+		if cost := costOf(e, c.Domain, median, now); best == nil || cost < least {
+			best, least = e, cost
 		}
 	}
 	return best
@@ -173,12 +173,12 @@
 	return e.expectedTime(0, now), elsewhere
 }
 
-func costOf(e *Entry, domain string, least time.Duration, now time.Time) float64 {
+func costOf(e *Entry, domain string, median time.Duration, now time.Time) float64 {
 	cost := float64(e.InFlight()+e.OthersInFlight(now)) / float64(e.Slots())
 	if e.Info().FailureDomain != domain {
 		cost += otherDomainCost
 	}
-	if s := slowness(e, least, now); s > slowFactor {
+	if s := slowness(e, median, now); s > slowFactor {
 		cost += slowCost
 	}
 	if e.Cold(now) {
--- a/internal/target/instance.go
+++ b/internal/target/instance.go
@@ -421,11 +421,11 @@
 }
 
 // slowness returns the ratio of the upstream's duration of a unit of work to the
-// least one, at least 1.
-func slowness(e *Entry, least time.Duration, now time.Time) float64 {
+// median, at least 1.
+func slowness(e *Entry, median time.Duration, now time.Time) float64 {
 	unitTime := e.UnitTime(now)
-	if least == 0 || unitTime == 0 {
+	if median == 0 || unitTime == 0 {
 		return 1
 	}
-	return math.Max(1, float64(unitTime)/float64(least))
+	return math.Max(1, float64(unitTime)/float64(median))
 }
