--- a/internal/step/item.go
+++ b/internal/step/item.go
@@ -331,7 +331,7 @@
 	before := text
 	version := response.Version
 	events := eventstream.NewReader(response.Body)
-	meter := newSpeedMeter(time.Now())
+	meter := unitTimeMeter{started: time.Now()}
 	limit := textLimit{maxEvents: a.run.items[a.index].MaxEvents}
 	for {
 		e, err := events.Next()
@@ -374,11 +374,9 @@
 		a.entry.NoteRunningSince(a.startedAt)
 		text.add(e, version)
 		a.run.setText(a.index, text)
-		now := time.Now()
-		if unitTime, ok := meter.addEvent(now); ok {
-			a.entry.NoteUnitTime(unitTime, now)
-			a.need.prompt.noteReading(a.firstEventAfter - unitTime)
-			a.checkSpeed(unitTime, now)
+		if meter.addEvent() {
+			a.need.prompt.noteReading(a.firstEventAfter - meter.average(time.Now()))
+			a.checkSpeed(&meter)
 		}
 	}
 }
--- a/internal/step/move.go
+++ b/internal/step/move.go
@@ -1,7 +1,6 @@
 package step
 
 import (
-	"cmp"
 	"time"
 
 	"dogwoodpond/internal/target"
@@ -16,44 +15,69 @@
 	// stallCheckInterval is the interval at which a stalled item checks again for another engine
 	// with a free slot.
 	stallCheckInterval = 200 * time.Millisecond
-	// speedEvents is the number of events over which an attempt's speed is measured. A single event
-	// can be late because this VM had no processor time.
-	speedEvents = 2
+	// speedCheckEvents is the number of events between two checks of an attempt's speed.
+	speedCheckEvents = 4
+	// moveMinSlowdown is how many times slower than the median engine an engine must be for its
+	// items to move. A move costs another engine a slot and a second read of the prompt.
+	moveMinSlowdown = 1.8
+	// idleMoveMinSlowdown is how many times slower than an engine with a free slot an engine must
+	// be for its items to move there when no item of the step is pending. The longest items
+	// finish last, and those at slow engines decide when the step is complete.
+	idleMoveMinSlowdown = 1.2
 	// maxMoves is the largest number of moves of one item.
 	maxMoves = 4
 )
 
-// checkSpeed moves the item to another engine with a free slot when the move pays. An item under
-// suspicion stays: its engine may go on with it and end.
-func (a *attempt) checkSpeed(unitTime time.Duration, now time.Time) {
+// unitTimeMeter measures the average time between events.
+type unitTimeMeter struct {
+	started time.Time
+	events  int
+}
+
+// addEvent counts an event and reports whether the speed should be checked now.
+func (m *unitTimeMeter) addEvent() bool {
+	m.events++
+	return m.events%speedCheckEvents == 0
+}
+
+// average returns the average time between the events so far.
+func (m *unitTimeMeter) average(now time.Time) time.Duration {
+	return now.Sub(m.started) / time.Duration(m.events)
+}
+
+// checkSpeed moves the item to another engine with a free slot when its own engine is much
+// slower than the median, or, while no item of the step is pending, slower than the other
+// engine by idleMoveMinSlowdown. An item under suspicion stays: its engine may go on with it and
+// end.
+func (a *attempt) checkSpeed(meter *unitTimeMeter) {
+	now := time.Now()
+	average := meter.average(now)
+	a.entry.NoteUnitTime(average, now)
+	*meter = unitTimeMeter{started: now}
 	if a.run.moves(a.index) >= maxMoves || a.run.m.suspicions.Has(a.run.request(a.index), a.entry.Incarnation()) {
 		return
 	}
 	list := a.run.shortlists.get(a.run.m, a.need, now)
-	work := list.remainingWork(a.run, a.need.service)
-	read, tokens := a.run.text(a.index).lastEvent, a.run.items[a.index].ExpectedTokens
-	share := work.shareOfLongest(read, tokens)
-	if !delaysStep(share, unitTime, list.fastest) {
+	limit := moveMinSlowdown * float64(list.medianUnitTime)
+	slow := limit > 0 && float64(average) >= limit
+	nonePending := !a.run.hasPending()
+	if !slow && !nonePending {
 		return
 	}
 	other := place(list.pool, a.need, a.entry, now)
 	if other == nil {
 		return
 	}
-	m := move{
-		remaining: work.events(read, tokens), shareOfLongest: share,
-		here: unitTime, there: expectedUnitTime(other, list.pool.median, now),
-		reading: max(0, a.firstEventAfter-unitTime), othersPending: a.run.hasPending(),
-	}
-	if m.pays() {
+	if slow && float64(other.UnitTime(now)) < limit || nonePending && isWorthMove(average, other, now) {
 		a.cancel(errMoved)
 	}
 }
 
-// expectedUnitTime returns the expected time for an event of an item that moves to an engine: the
-// higher one of the short-term and the long-term time, or the median of all engines when neither is known.
-func expectedUnitTime(e *target.Entry, median time.Duration, now time.Time) time.Duration {
-	return cmp.Or(max(e.ExpectedUnitTime(now), e.LongTermUnitTime()), median)
+// isWorthMove reports whether another engine is known to be faster by idleMoveMinSlowdown, so
+// that an item with this time between events gains by a move if no other item needs the slot.
+func isWorthMove(unitTime time.Duration, other *target.Entry, now time.Time) bool {
+	otherTime := other.ExpectedUnitTime(now)
+	return otherTime > 0 && float64(unitTime) >= idleMoveMinSlowdown*float64(otherTime)
 }
 
 // handleStall records that an unresponsive engine may have ended under the item. It moves the item away
--- a/internal/step/run.go
+++ b/internal/step/run.go
@@ -270,19 +270,6 @@
 	return left / float64(max(len(r.items), 1))
 }
 
-// remainingWork returns the estimate of what remains of the run's items.
-func (r *run) remainingWork(service string) remainingWork {
-	w := remainingWork{eventsPerToken: r.m.eventRates.eventsPerToken(service)}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	for i := range r.progress {
-		if phase := r.list.phase(i); phase == phasePending || phase == phaseRunning {
-			w.longest = max(w.longest, w.size(r.progress[i].partial.lastEvent, r.items[i].ExpectedTokens))
-		}
-	}
-	return w
-}
-
 // remainingShare estimates which part of a text remains after a number of its events. When the
 // expected length is unknown, the estimate only falls with each event.
 func remainingShare(events int64, expected float64) float64 {
--- a/internal/step/shortlist.go
+++ b/internal/step/shortlist.go
@@ -31,13 +31,11 @@
 // shortlist holds the engines that suit an item with one need best.
 type shortlist struct {
 	builtAt time.Time
+	// medianUnitTime is the median of the recently measured unit times of all engines of the
+	// service.
+	medianUnitTime time.Duration
 	// pool holds the engines on the shortlist.
 	pool pool
-	// fastest is the shortest expected time for an event at an engine on the shortlist.
-	fastest time.Duration
-	// work estimates what remained of the run's items when it was first used.
-	work     remainingWork
-	workOnce sync.Once
 }
 
 // get returns the shortlist for a need, and builds it if there is none that is recent enough.
@@ -56,15 +54,9 @@
 	return list
 }
 
-// remainingWork returns the estimate of what remains of the run's items. It is as old as the shortlist.
-func (l *shortlist) remainingWork(r *run, service string) remainingWork {
-	l.workOnce.Do(func() { l.work = r.remainingWork(service) })
-	return l.work
-}
-
 // newShortlist returns the shortlist of a service's engines for a need.
 func newShortlist(engines []*target.Entry, n need, m *Manager, now time.Time) *shortlist {
-	list := &shortlist{builtAt: now}
+	list := &shortlist{builtAt: now, medianUnitTime: target.MedianUnitTime(engines, now)}
 	list.pool = m.newPool(engines, n, now)
 	var candidates []candidate
 	for i, e := range list.pool.engines {
@@ -78,9 +70,6 @@
 	best := make([]*target.Entry, 0, shortlistLength)
 	for _, c := range candidates[:min(len(candidates), shortlistLength)] {
 		best = append(best, c.entry)
-		if t := expectedUnitTime(c.entry, list.pool.median, now); list.fastest == 0 || t < list.fastest {
-			list.fastest = t
-		}
 	}
 	list.pool.engines = best
 	return list
--- a/internal/target/instance.go
+++ b/internal/target/instance.go
@@ -320,13 +320,6 @@
 	return time.Duration(e.longTermUnitTime)
 }
 
-// LongTermUnitTime returns the long-term average duration of a unit of work; 0 when unknown.
-func (e *Entry) LongTermUnitTime() time.Duration {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return time.Duration(e.longTermUnitTime)
-}
-
 // Version returns the newest weight version that the upstream is known to have of a
 // model; 0 when unknown.
 func (e *Entry) Version(model string) int64 {
