--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -74,8 +74,8 @@
 	checking bool
 }
 
-// outcomeOf ends the wait of a request.
-type outcomeOf struct {
+// waitResult ends the wait of a request.
+type waitResult struct {
 	entry *target.Entry
 	err   error
 }
@@ -148,7 +148,7 @@
 	}
 	w := &waiter{
 		Request: Request{ID: r.Call.ID, Account: r.Call.Account, Priority: r.Call.Priority, Objective: r.Call.Arrived.Add(objective), Deadline: deadline, Bytes: len(r.Call.Body)},
-		since:   now, granted: make(chan outcomeOf, 1),
+		since:   now, granted: make(chan waitResult, 1),
 	}
 	// A request that no upstream answers in time any more takes capacity from one that still can be,
 	// so it does not wait longer. If none could be from the start, it waits until its deadline.
@@ -160,7 +160,7 @@
 		if wait {
 			return false
 		}
-		w.granted <- outcomeOf{entry: e}
+		w.granted <- waitResult{entry: e}
 		return true
 	}
 	s := c.enqueue(r, w, now)
@@ -180,7 +180,7 @@
 }
 
 // granted returns the grant or the error with which the wait of a request ended.
-func (c *Controller) granted(ctx context.Context, s *serviceQueue, r forward.AdmissionRequest, w *waiter, o outcomeOf) (forward.Grant, error) {
+func (c *Controller) granted(ctx context.Context, s *serviceQueue, r forward.AdmissionRequest, w *waiter, o waitResult) (forward.Grant, error) {
 	if wait := time.Since(w.since); wait > 0 && o.err == nil && o.entry != nil && w.arrival > 0 {
 		c.observer.ObserveWait(s.name, w.Priority, wait)
 		c.events.Emit(event.RequestQueued, event.Subject{Request: r.Call.ID, Account: r.Call.Account, Detail: s.name, Count: wait.Milliseconds()})
@@ -283,7 +283,7 @@
 	c.observer.CountShed(s.name, w.Priority, reason)
 	c.events.Emit(event.RequestShed, event.Subject{Request: w.ID, Account: w.Account, Detail: fmt.Sprintf("%s: %s", s.name, reason), Count: wait.Milliseconds()})
 	wait = max(minRetryAfter, time.Duration(float64(wait)*(1+jitterShare*c.random())))
-	w.granted <- outcomeOf{err: fault.WithExecution(errors.WithStack(&fault.NoUpstream{Pool: s.name, Wait: wait}), fault.NotRun)}
+	w.granted <- waitResult{err: fault.WithExecution(errors.WithStack(&fault.NoUpstream{Pool: s.name, Wait: wait}), fault.NotRun)}
 }
 
 // reserve takes a place at an upstream with capacity. wait is true if there is none now. Without
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -29,7 +29,7 @@
 	arrival uint64
 	since   time.Time
 	// granted receives the outcome once; its buffer of one keeps the sender from blocking.
-	granted chan outcomeOf
+	granted chan waitResult
 	// place takes a place for the request at an upstream, if one has capacity.
 	place func(now time.Time) (taken bool)
 }
--- a/internal/admission/queue_test.go
+++ b/internal/admission/queue_test.go
@@ -25,7 +25,7 @@
 	return &waiter{Request: Request{Account: account, Priority: priority, Objective: queueStart.Add(due), Deadline: queueStart.Add(10 * due), Bytes: 1}}
 }
 
-func any1(*waiter) bool { return true }
+func acceptAny(*waiter) bool { return true }
 
 // Guards against a client account that gets the places of 80 others because it sends as many requests.
 func TestOneAccountAgainstEighty(t *testing.T) {
@@ -38,7 +38,7 @@
 	}
 	large := 0
 	for range 81 {
-		if q.next(queueStart, any1).Account == "large" {
+		if q.next(queueStart, acceptAny).Account == "large" {
 			large++
 		}
 	}
@@ -60,7 +60,7 @@
 			t.Fatalf("shed %+v", shed)
 		}
 	}
-	if got := []*waiter{q.next(queueStart, any1), q.next(queueStart, any1), q.next(queueStart, any1)}; !slices.Equal(got, []*waiter{soon, later, late}) {
+	if got := []*waiter{q.next(queueStart, acceptAny), q.next(queueStart, acceptAny), q.next(queueStart, acceptAny)}; !slices.Equal(got, []*waiter{soon, later, late}) {
 		t.Errorf("order %+v", got)
 	}
 }
@@ -92,7 +92,7 @@
 				ok = leave(q.add(w)...)
 			case 3:
 				before := q.length
-				w := q.next(now, any1)
+				w := q.next(now, acceptAny)
 				ok = (w == nil) == (before == 0) && (w == nil || leave(w))
 			case 4:
 				now = now.Add(time.Duration(s) * time.Millisecond)
@@ -116,7 +116,7 @@
 					q.add(newWaiter(fmt.Sprint(i), 0, time.Millisecond))
 				}
 			}
-			if q.next(queueStart, any1).Account == "victim" {
+			if q.next(queueStart, acceptAny).Account == "victim" {
 				return true
 			}
 		}
