Step: an item keeps its own backoff after a failed connection; a race in a test

With the backoff of the engine an item left an engine without a connection at once, so that items of an engine that had ended moved on together with the one that ended it.

--- a/internal/admission/burst_test.go
+++ b/internal/admission/burst_test.go
@@ -49,7 +49,9 @@
 
 func (u upstreams) arrivals() (n int) {
 	for _, s := range u {
+		s.mu.Lock()
 		n += s.arrivals
+		s.mu.Unlock()
 	}
 	return n
 }
--- a/internal/step/item.go
+++ b/internal/step/item.go
@@ -136,10 +136,9 @@
 		entry.NoteFailure(now)
 		r.requeue(i, r.interruptedBackoff(i, text))
 	case attemptUnreachable:
-		// The engine has a backoff, so the item needs none.
 		entry.NoteUnanswered()
 		entry.NoteFailure(now)
-		r.requeue(i, 0)
+		r.requeue(i, r.interruptedBackoff(i, text))
 	case attemptInterrupted, attemptUnanswered:
 		entry.NoteUnanswered()
 		entry.NoteFailure(now)
