--- a/review/standin/held.go
+++ b/review/standin/held.go
@@ -80,7 +80,7 @@
 	time.AfterFunc(length, func() {
 		e.state.Lock()
 		e.life++
-		e.id = fmt.Sprintf("%s-life-%d", before, e.life)
+		e.id = fmt.Sprintf("i-%s-%d-life-%d", lmService, e.number, e.life)
 		e.crashed, e.busy, e.sequence, e.born = false, false, 0, time.Now().UnixMilli()
 		e.start()
 		e.state.Unlock()
