--- a/review/standin/duplicate.go
+++ b/review/standin/duplicate.go
@@ -10,8 +10,8 @@
 	"time"
 )
 
-// caseDuplicate lets one of the two servers of a busy service send a second copy of some of their answers, late: in front
-// of the next answer on the connection.
+// caseDuplicate lets one of the two servers of a busy service send a second copy of some of its answers, late: in
+// front of the next answer on the connection. It is the fault that the report lists beside the cases.
 func caseDuplicate(w *world) int {
 	const (
 		slots     = 6
