suspicion: each end under a request counts; attempts wait for quiet instead

Callers saw: an item under which three engines had ended was sent on, up to 33 engines (virtual time), if others ended within 5 ms of its own.

Cause: a coincidence was taken for a proof. LiftCommonEnds took back the end of a last attempt if another engine ended at the same moment, on the premise that a request ends no engine but its own. An item that ends its neighbours too, or several whose engines end at a supervisor's tick, met it each time, and the number of lifts had no bound.

Change: nothing but a report of the same incarnation takes an end back. What the lift did for sound items is done by when and where they run: suspicion.Outlook estimates from the ends of the last 20 s the chance that an engine ends for a cause of its own under an attempt; the last attempt begins at 5 % at most, and not beside one of an item that lost an answer whenever several engines ended together. Rows no longer tell when an attempt began; older builds ignore the absence.

TestRowsTellHowAttemptsBegan goes with the fields. TestScoreCallUnderWhichUpstreamsEndIsHeldBack reads its list of upstreams, as VMs do: its third call is left to the next owner now, which waits for the list. A run of an engine's end that an attempt has left doesn't count in the check of the plays: such an engine may run on, and crash for another cause unnoticed.

--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -60,7 +60,8 @@
 	ItemHeldBack     Number = 1422
 	ItemReleased     Number = 1423
 	ItemRunsOn       Number = 1424
-	SuspicionLifted  Number = 1425
+	// 1425 was an end of an upstream that no longer counted against an item.
+	ItemPostponed Number = 1426
 
 	UpstreamEjected  Number = 1501
 	UpstreamRestored Number = 1502
@@ -149,9 +150,9 @@
 	{ResultsAdopted, zap.InfoLevel, "results adopted", "The early run that claimed the step adopted the Count results of the previous owner; Detail gives the state of their items in this run."},
 	{ItemListedTwice, zap.ErrorLevel, "item listed twice", "The item of the step has a second committed result, at Position; Detail gives the first position. A step must list each item once."},
 	{ItemHeldBack, zap.WarnLevel, "item held back", "Count upstreams may have ended under the item or, if Request names it, its score call, as many as are allowed: their answers to it were lost, and none has shown since that it still runs and has given the request up. The item is sent again only if one does. Detail names their incarnations."},
-	{ItemReleased, zap.InfoLevel, "item released", "An upstream that may have ended under the item still runs and has given it up, or has ended for another cause (DWP-1425), and the item may be sent again. Detail names the other incarnations."},
+	{ItemReleased, zap.InfoLevel, "item released", "An upstream that may have ended under the item still runs and has given it up, and the item may be sent again. Detail names the other incarnations."},
 	{ItemRunsOn, zap.InfoLevel, "item runs on", "The upstream's report lists a run of the item although its attempt has ended here: the upstream goes on with it and may still end under it, or the trainer has submitted the item again and another VM runs it there."},
-	{SuspicionLifted, zap.InfoLevel, "suspicion lifted", "Upstreams that ended under the item count no longer against it: another of the service ended at the same moment, at which no attempt had begun together with theirs. Detail names the incarnations; Count is the number left that may have ended under the item."},
+	{ItemPostponed, zap.InfoLevel, "item postponed", "Count upstreams may have ended under the item, and its next attempt waits, because upstreams of its service have lately ended for causes of their own, or because an item that may end several at once has its last attempt. An end under the attempt would count against the item."},
 	{UpstreamEjected, zap.WarnLevel, "upstream ejected", "The upstream failed too often and receives no work for a while."},
 	{UpstreamRestored, zap.InfoLevel, "upstream restored", "The upstream receives work again."},
 	{UpstreamLeaving, zap.InfoLevel, "upstream leaving", "The upstream is leaving and receives no new work."},
--- a/internal/step/dispatch.go
+++ b/internal/step/dispatch.go
@@ -71,7 +71,7 @@
 	now := time.Now()
 	rankings := make(map[needKey]*ranking)
 	prompts := make(promptRankings)
-	stable := make(stabilities)
+	expected := make(outlooks)
 	var suspects []suspectAttempt
 	m.chooseOrder(r, rankings, now)
 	for pos, ok := r.nextInPhase(phasePending, 0, now); ok; pos, ok = r.nextInPhase(phasePending, pos+1, now) {
@@ -82,7 +82,7 @@
 			continue
 		}
 		if m.suspicions.Count(r.request(i)) > 0 {
-			if attempt, ok := m.placeSuspect(r, i, n, stable.of(m, n.service, now), now); ok {
+			if attempt, ok := m.placeSuspect(r, i, n, expected.of(m, n.service, now), now); ok {
 				suspects = append(suspects, attempt)
 			}
 			continue
--- a/internal/step/late_end_test.go
+++ b/internal/step/late_end_test.go
@@ -43,6 +43,11 @@
 
 // serve runs an item under which the engine ends late.
 func (l lateEnd) serve(ctx context.Context, f *mortalEngines, e *mortalEngine, request *target.Request) (*target.Response, error) {
+	context.AfterFunc(ctx, func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		e.copies[request.ID]--
+	})
 	time.AfterFunc(l.after, func() {
 		select {
 		case <-e.ended:
--- a/internal/step/place.go
+++ b/internal/step/place.go
@@ -78,7 +78,7 @@
 // models on the engines these are few, so costlier decisions consider only them.
 func (m *Manager) newPool(engines []*target.Entry, n need, now time.Time) pool {
 	p := pool{median: target.MedianExpectedUnitTime(engines, now)}
-	for _, e := range m.suspects.withoutClosed(engines) {
+	for _, e := range m.suspects.withoutLast(engines) {
 		if canServe(e, n, now) {
 			p.engines = append(p.engines, e)
 		}
--- a/internal/step/query_of_death_test.go
+++ b/internal/step/query_of_death_test.go
@@ -44,7 +44,7 @@
 	info target.Instance
 	// running holds the items that run, left those that ran until a time.
 	running map[string]time.Time
-	// copies counts the attempts at each item that run, of several copies of a step.
+	// copies counts the attempts at each item that run, of several copies of a step. An item may run on without one.
 	copies map[string]int
 	left   map[string]time.Time
 	// ended is closed when the incarnation ends.
@@ -69,7 +69,7 @@
 	engine string
 	// culprit is the item that ended it; empty for a crash of another cause.
 	culprit string
-	// bystanders are the other items that ran.
+	// bystanders are the other items whose attempts ran.
 	bystanders []string
 	at         time.Time
 }
@@ -161,8 +161,8 @@
 	}
 	e.down, e.silent = true, silent
 	end := engineEnd{engine: e.info.ID, culprit: culprit, at: time.Now()}
-	for item := range e.running {
-		if item != culprit {
+	for item, attempts := range e.copies {
+		if item != culprit && attempts > 0 {
 			end.bystanders = append(end.bystanders, item)
 		}
 	}
--- a/internal/step/run.go
+++ b/internal/step/run.go
@@ -45,8 +45,8 @@
 	// of its start.
 	engine      *target.Entry
 	silentSince time.Time
-	// startedAt is when that attempt started.
-	startedAt time.Time
+	// postponed is true once it was told that the next attempt at the item, which is under suspicion, waits.
+	postponed bool
 	// cancelCall cancels the attempt or score call that started last; nil before the first.
 	cancelCall context.CancelCauseFunc
 }
@@ -335,15 +335,8 @@
 	r.m.suspicions.DropUnconfirmed(r.request(i), entry.Incarnation())
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	p, now := &r.progress[i], time.Now()
-	p.engine, p.startedAt, p.silentSince = entry, now, now
-}
-
-// attemptStart returns when the last attempt at an item started.
-func (r *run) attemptStart(i int) time.Time {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.progress[i].startedAt
+	p := &r.progress[i]
+	p.engine, p.silentSince, p.postponed = entry, time.Now(), false
 }
 
 // countFailure counts an answer that reported an item as failed, and returns the number of
--- a/internal/step/score.go
+++ b/internal/step/score.go
@@ -42,7 +42,7 @@
 func (m *Manager) dispatchScores(r *run) {
 	now := time.Now()
 	abandonable := m.canAbandon(r)
-	stable := make(stabilities)
+	expected := make(outlooks)
 	free := make(map[string]int)
 	for pos, ok := r.nextInPhase(phaseUnscored, 0, now); ok; pos, ok = r.nextInPhase(phaseUnscored, pos+1, now) {
 		i := r.order[pos]
@@ -58,7 +58,7 @@
 		if !r.unaccounted.Settle(r.scoreRequest(i), service, now, r.signalSave) || r.holdScore(i) {
 			continue
 		}
-		if r.isLastScoreCall(i) && stable.of(m, service, now) != suspicion.Settled {
+		if r.isLastScoreCall(i) && expected.of(m, service, now).Risk(callRoute.Objective) > maxLastRisk {
 			continue
 		}
 		if _, known := free[service]; !known {
@@ -99,7 +99,7 @@
 	item := r.items[i]
 	ctx, cancel := r.beginCall(i)
 	defer cancel(nil)
-	began, earlierLosses := time.Now(), r.unaccounted.PossibleEnds(r.scoreRequest(i))
+	earlierLosses := r.unaccounted.PossibleEnds(r.scoreRequest(i))
 	if !r.isLastScoreCall(i) {
 		// The last try is left for a call of its own, which waits until the upstreams are settled.
 		earlierLosses++
@@ -117,7 +117,7 @@
 		return
 	}
 	for _, incarnation := range forward.LostUpstreams(err) {
-		r.m.suspicions.AddLost(r.scoreRequest(i), incarnation, callRoute.Service(item.Score.ID), began, time.Now())
+		r.m.suspicions.AddLost(r.scoreRequest(i), incarnation, callRoute.Service(item.Score.ID), time.Now())
 		r.signalSave()
 	}
 	state, backoff := r.countScoreFailure(i, err)
--- a/internal/step/score_test.go
+++ b/internal/step/score_test.go
@@ -349,6 +349,7 @@
 		t.Run(fmt.Sprintf("owner killed %t", crash), func(t *testing.T) {
 			bubble(t, func(t *testing.T) {
 				cl := newCluster(t, "e1")
+				cl.readLists()
 				ended := int64(0)
 				cl.scorer.behave = func(_ context.Context, item string, _ int) error {
 					if item != "i0" {
--- a/internal/step/suspect.go
+++ b/internal/step/suspect.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -24,8 +23,6 @@
 	index int
 	need  need
 	entry *target.Entry
-	// settled is true if this is the last attempt and the upstreams of the service were settled when the slot was taken.
-	settled bool
 }
 
 // suspectEngines holds the engines that run items under suspicion. It is safe for concurrent use.
@@ -33,32 +30,42 @@
 	mu sync.Mutex
 	// items holds the number of items under suspicion that each engine runs.
 	items map[*target.Entry]int
-	// nextLastAt is when the next last attempt may begin.
-	nextLastAt time.Time
-	// closed holds the engines that get no other items for now.
-	closed map[*target.Entry]bool
+	// last holds the engines that run the last attempt at an item, and get no other items meanwhile. The value is true if
+	// the item may end other engines together with its own.
+	last map[*target.Entry]bool
 }
 
-// add counts an item at an engine. With alone, the engine gets no other items until the item is removed.
-func (s *suspectEngines) add(e *target.Entry, alone bool, now time.Time) {
+// add counts an item at an engine.
+func (s *suspectEngines) add(e *target.Entry) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.items == nil {
-		s.items, s.closed = make(map[*target.Entry]int), make(map[*target.Entry]bool)
+		s.items, s.last = make(map[*target.Entry]int), make(map[*target.Entry]bool)
 	}
 	s.items[e]++
-	if alone {
-		s.closed[e] = true
-		s.nextLastAt = now.Add(suspicion.AttemptSpacing + rand.N(suspicion.AttemptSpacing))
-	}
 }
 
-// mayBeginLast reports whether a last attempt may begin. Attempts that begin apart and end at the same moment have a
-// common cause. The time between them is random, so that attempts don't keep step with crashes at an interval.
-func (s *suspectEngines) mayBeginLast(now time.Time) bool {
+// addLast counts an item whose last attempt runs at an engine.
+func (s *suspectEngines) addLast(e *target.Entry, mayEndSeveral bool) {
+	s.add(e)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return !now.Before(s.nextLastAt)
+	s.last[e] = mayEndSeveral
+}
+
+// mayBeginLast reports whether the last attempt at an item may begin beside those that run.
+func (s *suspectEngines) mayBeginLast(mayEndSeveral bool) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if mayEndSeveral {
+		return len(s.last) == 0
+	}
+	for _, otherMay := range s.last {
+		if otherMay {
+			return false
+		}
+	}
+	return true
 }
 
 // remove removes an item that add counted.
@@ -67,7 +74,7 @@
 	defer s.mu.Unlock()
 	if s.items[e]--; s.items[e] == 0 {
 		delete(s.items, e)
-		delete(s.closed, e)
+		delete(s.last, e)
 	}
 }
 
@@ -78,20 +85,23 @@
 	return s.items[e] > 0
 }
 
-// withoutClosed returns the engines that may get other items.
-func (s *suspectEngines) withoutClosed(engines []*target.Entry) []*target.Entry {
+// withoutLast returns the engines that may get other items.
+func (s *suspectEngines) withoutLast(engines []*target.Entry) []*target.Entry {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if len(s.closed) == 0 {
+	if len(s.last) == 0 {
 		return engines
 	}
-	return slices.DeleteFunc(slices.Clone(engines), func(e *target.Entry) bool { return s.closed[e] })
+	return slices.DeleteFunc(slices.Clone(engines), func(e *target.Entry) bool {
+		_, last := s.last[e]
+		return last
+	})
 }
 
 // placeSuspect takes an engine for an item under suspicion. It holds the item back if as many engines as
 // are allowed may have ended under it. While its suspicions can't be saved, because the run is not
 // accepted or the store is away, the item waits.
-func (m *Manager) placeSuspect(r *run, i int, n need, stability suspicion.Stability, now time.Time) (suspectAttempt, bool) {
+func (m *Manager) placeSuspect(r *run, i int, n need, outlook suspicion.Outlook, now time.Time) (suspectAttempt, bool) {
 	request := r.request(i)
 	r.unaccounted.DropRecorded(request)
 	if !r.unaccounted.Settle(request, n.service, now, r.signalSave) {
@@ -102,11 +112,13 @@
 		r.hold(i)
 		return suspectAttempt{}, false
 	}
-	last := count == suspicion.MaxEnds-1
-	if last && !m.suspects.mayBeginLast(now) {
+	if !r.mayRunSuspects(now) || !m.StoreAvailable() {
 		return suspectAttempt{}, false
 	}
-	if !r.mayRunSuspects(now) || !m.StoreAvailable() || r.awaitsSettled(request, stability, now) {
+	last := count == suspicion.MaxEnds-1
+	mayEndSeveral := last && m.suspicions.MayEndSeveral(request, outlook)
+	if r.awaitsLowerRisk(i, outlook, r.expectedDuration(i, n, now), now) || last && r.awaitsTurn(i, mayEndSeveral, now) {
+		r.notePostponed(i)
 		return suspectAttempt{}, false
 	}
 	candidates := m.newPool(m.engines(n.service, now), n, now)
@@ -124,35 +136,74 @@
 	if entry == nil || !r.changePhase(i, phasePending, phaseRunning) {
 		return suspectAttempt{}, false
 	}
-	m.suspects.add(entry, last, now)
+	if last {
+		m.suspects.addLast(entry, mayEndSeveral)
+	} else {
+		m.suspects.add(entry)
+	}
 	entry.Begin()
-	return suspectAttempt{index: i, need: n, entry: entry, settled: last && stability == suspicion.Settled}, true
+	return suspectAttempt{index: i, need: n, entry: entry}, true
+}
+
+const (
+	// maxRepeatRisk and maxLastRisk bound the chance that an engine ends for a cause of its own under an attempt at an item
+	// under suspicion, and under the last one that is allowed. Such an end counts like any other.
+	maxRepeatRisk = 0.25
+	maxLastRisk   = 0.05
+	// maxRepeatWait is the longest time that an item waits for a lower risk after its answer was lost. Its last attempt waits
+	// for as long as it takes.
+	maxRepeatWait = 4 * time.Second
+	// maxTurnWait is the longest time that the last attempt at an item waits for those at others after its answer was lost.
+	maxTurnWait = 8 * time.Second
+)
+
+// awaitsLowerRisk reports whether an attempt at an item under suspicion waits, because an engine may well end under it
+// for a cause of its own.
+func (r *run) awaitsLowerRisk(i int, outlook suspicion.Outlook, duration time.Duration, now time.Time) bool {
+	request := r.request(i)
+	if r.unaccounted.PossibleEnds(request) >= suspicion.MaxEnds-1 {
+		return outlook.Risk(duration) > maxLastRisk || !r.unaccounted.KnowsEnds(now)
+	}
+	return outlook.RepeatedRisk(duration) > maxRepeatRisk && !r.m.suspicions.LostBefore(request, now.Add(-maxRepeatWait))
 }
 
-// maxSeriesWait is the longest time that an item waits for the end of a series after its answer was lost. Its last
-// attempt waits for as long as the service is not settled.
-const maxSeriesWait = 4 * time.Second
+// awaitsTurn reports whether the last attempt at an item waits for others, because they or the item itself may end
+// several engines together.
+func (r *run) awaitsTurn(i int, mayEndSeveral bool, now time.Time) bool {
+	return !r.m.suspects.mayBeginLast(mayEndSeveral) && !r.m.suspicions.LostBefore(r.request(i), now.Add(-maxTurnWait))
+}
 
-// awaitsSettled reports whether an attempt at an item under suspicion waits, because the upstreams of the service keep
-// ending, or, if one more end is the last one allowed, because any has ended lately. An end would say little about the
-// item, and count against it all the same.
-func (r *run) awaitsSettled(request suspicion.Request, stability suspicion.Stability, now time.Time) bool {
-	if r.unaccounted.PossibleEnds(request) >= suspicion.MaxEnds-1 {
-		return stability != suspicion.Settled || !r.unaccounted.KnowsEnds(now)
+// notePostponed tells, once an attempt, that the next attempt at an item under suspicion waits.
+func (r *run) notePostponed(i int) {
+	r.mu.Lock()
+	postponed := r.progress[i].postponed
+	r.progress[i].postponed = true
+	r.mu.Unlock()
+	if !postponed {
+		r.m.Events.Emit(event.ItemPostponed, r.suspicionSubject(i, r.request(i)))
+	}
+}
+
+// expectedDuration estimates how long the rest of an item's text takes; 0 if unknown.
+func (r *run) expectedDuration(i int, n need, now time.Time) time.Duration {
+	events := r.items[i].ExpectedTokens * r.m.eventRates.eventsPerToken(n.service)
+	if events <= 0 {
+		return 0
 	}
-	return stability == suspicion.InSeries && !r.m.suspicions.LostBefore(request, now.Add(-maxSeriesWait))
+	left := max(events-float64(r.text(i).lastEvent), 1)
+	return time.Duration(left * float64(target.MedianExpectedUnitTime(r.m.engines(n.service, now), now)))
 }
 
-// stabilities holds the stability of services during a pass of the dispatcher.
-type stabilities map[string]suspicion.Stability
+// outlooks holds the outlooks of services during a pass of the dispatcher.
+type outlooks map[string]suspicion.Outlook
 
-func (s stabilities) of(m *Manager, service string, now time.Time) suspicion.Stability {
-	stability, known := s[service]
+func (o outlooks) of(m *Manager, service string, now time.Time) suspicion.Outlook {
+	outlook, known := o[service]
 	if !known {
-		stability = m.suspicions.StabilityOf(service, m.Roster, now)
-		s[service] = stability
+		outlook = m.suspicions.OutlookOf(service, m.Roster, now)
+		o[service] = outlook
 	}
-	return stability
+	return outlook
 }
 
 // earlySuspectDelay is how long items under suspicion wait after the acceptance of an early run, until
@@ -191,7 +242,7 @@
 // owner will know of it, should this process end together with the engine. An engine that has ended must
 // not be recorded: it would count if the owner ended then.
 func (r *run) recordSuspectAttempt(a suspectAttempt) bool {
-	r.m.suspicions.Begin(r.request(a.index), a.entry.Incarnation(), time.Now(), a.settled)
+	r.m.suspicions.Begin(r.request(a.index), a.entry.Incarnation(), time.Now())
 	// Attempts that start together are saved together.
 	wait.For(r.itemCtx, dispatchBatchDelay)
 	ctx, cancel := context.WithTimeout(r.itemCtx, suspicionSaveTimeout)
@@ -271,7 +322,7 @@
 	request, incarnation := r.request(i), entry.Incarnation()
 	r.m.suspicions.NoteAnswering(incarnation)
 	if r.m.suspicions.Count(request) > 1 {
-		r.m.suspicions.Begin(request, incarnation, time.Now(), false)
+		r.m.suspicions.Begin(request, incarnation, time.Now())
 		return
 	}
 	r.m.suspicions.Remove(request, incarnation)
@@ -287,7 +338,7 @@
 
 // suspect records that an engine may have ended under an item, at a time or shortly after it.
 func (r *run) suspect(i int, entry *target.Entry, at time.Time) {
-	r.m.suspicions.AddLost(r.request(i), entry.Incarnation(), entry.Info().Service, r.attemptStart(i), at)
+	r.m.suspicions.AddLost(r.request(i), entry.Incarnation(), entry.Info().Service, at)
 	r.signalSave()
 	r.m.notifyDispatcher()
 }
@@ -366,18 +417,12 @@
 
 // reviewHeld releases an item that was held back, or abandons it.
 func (m *Manager) reviewHeld(r *run, i int) {
-	n, routed := r.needOf(i)
+	_, routed := r.needOf(i)
 	if !routed || m.canAbandon(r) {
 		r.abandonFrom(i, phaseHeld, routed)
 		return
 	}
 	request := r.request(i)
-	if lifted := m.suspicions.LiftCommonEnds(request, n.service, m.Roster); len(lifted) > 0 {
-		subject := r.suspicionSubject(i, request)
-		subject.Detail = suspicion.Describe(lifted)
-		m.Events.Emit(event.SuspicionLifted, subject)
-		r.signalSave()
-	}
 	if m.suspicions.Count(request) < suspicion.MaxEnds && r.changePhase(i, phaseHeld, phasePending) {
 		m.Events.Emit(event.ItemReleased, r.suspicionSubject(i, request))
 	}
--- a/internal/suspicion/ends_test.go
+++ b/internal/suspicion/ends_test.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap"
 
 	"dogwoodpond/internal/event"
+	"dogwoodpond/internal/rowstore"
 	"dogwoodpond/internal/target"
 )
 
@@ -27,77 +28,75 @@
 	r.Apply(target.ListedChange(target.Instance{ID: id, Service: service, Address: id, Slots: 4, Started: 2}))
 }
 
-// Guards against a sound request that is never sent again because engines crashed together under it.
-func TestEndTogetherWithIdleEngineIsLifted(t *testing.T) {
+// Guards against an end under a request that no longer counts because other engines ended at the same moment: the request
+// may have ended them all.
+func TestEndTogetherWithOthersCounts(t *testing.T) {
 	r, l, began := newRoster("e1", "e2", "e3"), NewLedger(), time.Now()
-	l.Begin(request, first, began, true)
-	l.AddLost(request, first, service, began, began.Add(time.Second))
-	restart(r, "e1", began.Add(time.Second))
-	if lifted := l.LiftCommonEnds(request, service, r); len(lifted) > 0 {
-		t.Errorf("%v was lifted although no other engine ended", lifted)
+	end := began.Add(time.Second)
+	l.Begin(request, first, began)
+	l.AddLost(request, first, service, end)
+	for _, id := range []string{"e1", "e2", "e3"} {
+		restart(r, id, end)
 	}
-	restart(r, "e2", began.Add(time.Second+sameMoment))
-	if lifted := l.LiftCommonEnds(request, service, r); len(lifted) != 1 || l.Count(request) != 0 {
-		t.Errorf("%v was lifted, %d are left", lifted, l.Count(request))
-	}
-}
-
-// Guards against requests that end their engines and pass for sound ones because others do the same.
-func TestEndsOfOtherCausesAreNotLifted(t *testing.T) {
-	other, second := Request{Account: "a", ID: "other"}, target.Incarnation{Upstream: "e2", Started: 1}
-	for name, play := range map[string]struct {
-		settled bool
-		// began and ended are when the other attempt did so, after that at the request.
-		began, ended time.Duration
-	}{
-		"begun while engines kept ending": {settled: false, began: AttemptSpacing},
-		"begun together":                  {settled: true, began: AttemptSpacing - time.Millisecond},
-		"ended later":                     {settled: true, began: AttemptSpacing, ended: sameMoment + time.Millisecond},
-	} {
-		t.Run(name, func(t *testing.T) {
-			r, l, began := newRoster("e1", "e2", "e3"), NewLedger(), time.Now()
-			end := began.Add(time.Second)
-			l.Begin(request, first, began, play.settled)
-			l.AddLost(request, first, service, began, end)
-			l.AddLost(other, second, service, began.Add(play.began), end.Add(play.ended))
-			restart(r, "e1", end)
-			restart(r, "e2", end.Add(play.ended))
-			if lifted := l.LiftCommonEnds(request, service, r); len(lifted) > 0 {
-				t.Errorf("%v was lifted", lifted)
-			}
-		})
+	for _, later := range []time.Duration{0, settlePeriod, maxSettlePeriod, outlookPeriod} {
+		l.OutlookOf(service, r, end.Add(later))
+		if l.Count(request) != 1 {
+			t.Errorf("%d ends count %s later, want 1", l.Count(request), later)
+		}
 	}
 }
 
-// Guards against a last attempt that begins while engines crash.
-func TestStabilityOfService(t *testing.T) {
+// Guards against a last attempt that begins while engines crash, and against one that waits for engines which answer.
+func TestOutlookOfService(t *testing.T) {
 	r, l, now := newRoster("e1", "e2", "e3", "e4"), NewLedger(), time.Now()
-	check := func(want Stability, at time.Time) {
+	check := func(want float64, at time.Time) {
 		t.Helper()
-		if got := l.StabilityOf(service, r, at); got != want {
-			t.Errorf("stability %d, want %d", got, want)
+		if got := l.OutlookOf(service, r, at).Risk(0); got != want {
+			t.Errorf("risk %g, want %g", got, want)
 		}
 	}
-	check(Settled, now)
+	check(0, now)
 	r.Incarnation("e1", 1).NoteDisconnected(now, false)
+	check(0.25, now)
+	check(0, now.Add(settlePeriod))
 	r.Incarnation("e2", 1).NoteDisconnected(now, false)
-	check(Shaken, now)
-	l.AddLost(request, target.Incarnation{Upstream: "e3", Started: 1}, service, now, now.Add(300*time.Millisecond))
-	check(InSeries, now.Add(300*time.Millisecond))
-	check(Shaken, now.Add(settlePeriod))
-	check(Settled, now.Add(300*time.Millisecond+settlePeriod))
+	check(0.5, now)
+	check(0.5, now.Add(burstSettlePeriod-time.Millisecond))
+	check(0, now.Add(burstSettlePeriod))
+	later := now.Add(outlookPeriod)
+	check(0, later)
+	l.AddLost(request, target.Incarnation{Upstream: "e3", Started: 1}, service, later)
+	check(0.25, later)
+	r.Incarnation("e3", 1).NoteLoad(target.Load{}, later.Add(time.Millisecond))
+	check(0, later.Add(2*time.Millisecond))
 }
 
-// Guards against an end that isn't found to be together with another one because the answer was lost only some time after
-// the connections.
-func TestAnswerLostAfterTheConnectionsIsLifted(t *testing.T) {
-	r, l, began := newRoster("e1", "e2", "e3"), NewLedger(), time.Now()
-	ended := began.Add(time.Second)
-	l.Begin(request, first, began, true)
-	l.AddLost(request, first, service, began, ended.Add(10*sameMoment))
-	restart(r, "e1", ended)
-	restart(r, "e2", ended)
-	if lifted := l.LiftCommonEnds(request, service, r); len(lifted) != 1 {
-		t.Errorf("%v was lifted", lifted)
+// Guards against last attempts that wait for each other although engines also end where the item did not run, and against
+// one beside an item that may end several engines.
+func TestRequestsThatMayEndSeveralUpstreams(t *testing.T) {
+	r, l, now := newRoster("e1", "e2", "e3", "e4", "e5", "e6", "e7", "e8"), NewLedger(), time.Now()
+	incarnation := func(id string) target.Incarnation { return target.Incarnation{Upstream: id, Started: 1} }
+	end := func(at time.Time, ids ...string) {
+		for _, id := range ids {
+			r.Incarnation(id, 1).NoteDisconnected(at, false)
+		}
+	}
+	check := func(want bool, request Request, at time.Time) {
+		t.Helper()
+		if got := l.MayEndSeveral(request, l.OutlookOf(service, r, at)); got != want {
+			t.Errorf("%s may end several upstreams: %t, want %t", request.ID, got, want)
+		}
 	}
+	other := Request{Account: "a", ID: "other"}
+	l.AddLost(request, first, service, now)
+	check(false, request, now)
+	end(now, "e1", "e2")
+	check(true, request, now)
+	second := now.Add(time.Second)
+	end(second, "e3", "e4")
+	l.AddLost(other, incarnation("e3"), service, second)
+	check(false, request, second)
+	check(false, other, second)
+	l.Observe([]rowstore.Row{row(t, 1, Record{Suspicion: Suspicion{other, incarnation("e1")}})}, second)
+	check(true, other, second)
 }
--- a/internal/suspicion/ledger.go
+++ b/internal/suspicion/ledger.go
@@ -38,10 +38,6 @@
 	canceled bool
 	// recorded is true if a row of another process holds the suspicion.
 	recorded bool
-	// began is when the attempt began; zero if this VM doesn't know.
-	began time.Time
-	// settled is true if the attempt began while the upstreams of its service were settled.
-	settled bool
 }
 
 // counts reports whether the suspicion counts against the request.
@@ -59,9 +55,9 @@
 }
 
 // Begin records that an attempt at a request under suspicion begins, under which the incarnation may end.
-// settled is true if the upstreams of its service are settled then. Add or Remove must follow.
-func (l *Ledger) Begin(request Request, incarnation target.Incarnation, at time.Time, settled bool) {
-	l.put(request, incarnation, state{at: at, open: true, began: at, settled: settled})
+// Add or Remove must follow.
+func (l *Ledger) Begin(request Request, incarnation target.Incarnation, at time.Time) {
+	l.put(request, incarnation, state{at: at, open: true})
 }
 
 // Add records that the incarnation may have ended under the request.
@@ -100,10 +96,6 @@
 	}
 	before := l.suspicions[request][incarnation]
 	s.recorded = s.recorded || before.recorded
-	s.settled = s.settled || before.settled
-	if s.began.IsZero() {
-		s.began = before.began
-	}
 	l.suspicions[request][incarnation] = s
 }
 
--- a/internal/suspicion/ledger_test.go
+++ b/internal/suspicion/ledger_test.go
@@ -88,7 +88,7 @@
 // Guards against an attempt that runs and no longer counts, because its upstream still ran after it began.
 func TestReportDoesNotLiftOpenAttempts(t *testing.T) {
 	l, began := NewLedger(), time.Unix(100, 0)
-	l.Begin(request, first, began, false)
+	l.Begin(request, first, began)
 	note(l, first, time.Second, began)
 	if _, lost := l.LostAt(request, first); lost || l.Count(request) != 1 {
 		t.Errorf("an open attempt: lost %t, count %d, want false, 1", lost, l.Count(request))
@@ -126,7 +126,7 @@
 		}
 	}
 	l := NewLedger()
-	l.Begin(request, first, canceledAt, false)
+	l.Begin(request, first, canceledAt)
 	if l.Cancel(request, first, canceledAt); l.Count(request) != 1 {
 		t.Error("a canceled attempt at a request under suspicion doesn't count any more")
 	}
--- a/internal/suspicion/rows.go
+++ b/internal/suspicion/rows.go
@@ -9,7 +9,6 @@
 	"time"
 
 	"dogwoodpond/internal/rowstore"
-	"dogwoodpond/internal/target"
 )
 
 // RowPrefix starts the names of the rows that hold suspicions, in the partition of a step in the table of state
@@ -20,28 +19,6 @@
 type Record struct {
 	Suspicion
 	Survived bool `json:"survived,omitempty"`
-	// Began is when the attempt began, in Unix milliseconds; 0 if unknown. Settled is true if the upstreams of its
-	// service were settled then.
-	Began   int64 `json:"began,omitempty"`
-	Settled bool  `json:"settled,omitempty"`
-}
-
-// newRecord returns the record of a suspicion.
-func newRecord(request Request, incarnation target.Incarnation, s state) Record {
-	r := Record{Suspicion: Suspicion{request, incarnation}, Settled: s.settled}
-	if !s.began.IsZero() {
-		r.Began = s.began.UnixMilli()
-	}
-	return r
-}
-
-// state returns what a record of another process, read at a time, says of a suspicion.
-func (r *Record) state(readAt time.Time) state {
-	s := state{at: readAt, recorded: true, settled: r.Settled}
-	if r.Began != 0 {
-		s.began = time.UnixMilli(r.Began)
-	}
-	return s
 }
 
 // IsRow reports whether a row holds suspicions.
@@ -87,9 +64,7 @@
 			s := l.suspicions[r.Request][r.Incarnation]
 			switch {
 			case !r.Survived:
-				read := r.state(now)
-				read.open = s.open
-				l.putLocked(r.Request, r.Incarnation, read)
+				l.putLocked(r.Request, r.Incarnation, state{at: now, recorded: true, open: s.open})
 			case !s.open:
 				l.removeLocked(r.Request, r.Incarnation)
 			}
@@ -131,7 +106,7 @@
 		for incarnation, s := range suspicions {
 			unstored := Suspicion{request, incarnation}
 			if _, ok := l.stored[unstored]; !ok && asked && !done && s.counts() {
-				records = append(records, newRecord(request, incarnation, s))
+				records = append(records, Record{Suspicion: unstored})
 			}
 		}
 	}
--- a/internal/suspicion/rows_test.go
+++ b/internal/suspicion/rows_test.go
@@ -45,17 +45,16 @@
 func TestOwnersTakeBackOnlyTheirOwnSuspicions(t *testing.T) {
 	l, at := NewLedger(), time.Unix(100, 0)
 	lost := Record{Suspicion: Suspicion{request, first}}
-	l.Begin(request, first, at, false)
+	l.Begin(request, first, at)
 	l.Observe([]rowstore.Row{row(t, 1, lost)}, at)
 	if l.Withdraw(request, first); l.Count(request) != 1 || len(l.Unstored(map[Request]bool{request: false})) > 0 {
 		t.Error("an attempt that did not run takes back a lost answer of another owner")
 	}
-	l.Begin(request, first, at, false)
-	own, survived := lost, lost
-	own.Began = at.UnixMilli()
+	l.Begin(request, first, at)
+	survived := lost
 	survived.Survived = true
 	l.Observe([]rowstore.Row{row(t, 2, survived)}, at)
-	if records := l.Unstored(map[Request]bool{request: false}); l.Count(request) != 1 || len(records) != 1 || records[0] != own {
+	if records := l.Unstored(map[Request]bool{request: false}); l.Count(request) != 1 || len(records) != 1 || records[0] != lost {
 		t.Errorf("count %d after another owner took back an attempt in progress; to be stored: %v", l.Count(request), records)
 	}
 }
@@ -75,13 +74,3 @@
 		t.Errorf("to be stored after the upstream survived: %v", records)
 	}
 }
-
-// Guards against a next owner that can't tell a common cause because it doesn't know when the attempt began.
-func TestRowsTellHowAttemptsBegan(t *testing.T) {
-	l, next, at := NewLedger(), NewLedger(), time.UnixMilli(100_000)
-	l.Begin(request, first, at, true)
-	next.Observe([]rowstore.Row{row(t, 1, l.Unstored(map[Request]bool{request: false})...)}, at.Add(time.Second))
-	if s := next.suspicions[request][first]; !s.settled || !s.began.Equal(at) {
-		t.Errorf("settled %v, began %v; want %v", s.settled, s.began, at)
-	}
-}
--- a/internal/suspicion/suspicion.go
+++ b/internal/suspicion/suspicion.go
@@ -9,11 +9,11 @@
 // with a request after its connection has closed, and end then. So the suspicion stays until that incarnation
 // shows that it runs, and no longer runs the request. It is not kept for an attempt that did not run.
 //
-// Upstreams also end for causes of their own, many of them together or one after the other. Such ends count as well,
-// because a request that ends its upstreams does so in any company. So the last attempt that the limit allows begins
-// only while the service is settled, at an upstream of its own, and earlier ones wait while upstreams end in series. An
-// end under a last attempt is lifted if another upstream ended at the same moment: a request ends the upstream that
-// runs it, and no other.
+// Upstreams also end for causes of their own, many of them together or one after the other. Such ends count as well: a
+// request that ends its upstreams does so in any company, and may end others together with them, so that no coincidence
+// shows that it is not the cause. Only a report of the same incarnation takes back what counts. To keep sound requests
+// under the limit, attempts wait until such ends are unlikely (Outlook), and the last one that the limit allows has an
+// upstream of its own.
 //
 // The ledger of a VM holds the suspicions that it knows. Rows in the partition of a step hold them for its next
 // owner and for later steps with the same item. A VM runs items once it has read all of these rows, and an item
@@ -23,7 +23,7 @@
 //
 //	path                 kept                   lifted by
 //	items                by rows, across steps  a report that doesn't list the item, SurvivalDelay after the lost
-//	                                            answer; UnlistedSurvivalDelay if the engine lists no runs; LiftCommonEnds
+//	                                            answer; UnlistedSurvivalDelay if the engine lists no runs
 //	score calls          by rows, across steps  the place in the list, UnlistedSurvivalDelay after the lost answer:
 //	                                            services give no report; the last call waits as well
 //	plain requests       during the call        nothing: the call ends before it could be
--- a/internal/target/roster.go
+++ b/internal/target/roster.go
@@ -276,16 +276,15 @@
 	}
 }
 
-// HasEnded reports whether an incarnation of an upstream has left the list, or a later one is listed at its address.
-func (r *Roster) HasEnded(incarnation Incarnation) bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	for _, e := range r.entriesByID[incarnation.Upstream] {
-		if e.Info().Started == incarnation.Started {
-			return e.Unlisted() || r.restartedLocked(e.Info())
-		}
+// HasAnsweredSince reports whether an incarnation of an upstream has reported its load with an answer after a time.
+func (r *Roster) HasAnsweredSince(incarnation Incarnation, at time.Time) bool {
+	e := r.Incarnation(incarnation.Upstream, incarnation.Started)
+	if e == nil {
+		return false
 	}
-	return true
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.loadAt.After(at)
 }
 
 // restartedLocked reports whether a later incarnation of an upstream is listed at its address.
