step: of two owners that begin an item at once, one withdraws its attempt

Callers saw: four engines ended under an item that was in two open steps, if their owners made attempts at the same time: when two VMs got the steps within 50 ms, and when the second step began early during an outage of the store.

Cause: each owner counted the ends that it knew of, then stored its attempt and sent the item. What the other one stored at the same moment counted for neither.

Change: after the row of an attempt is stored, the rows of all open steps of the account are read; the attempt is withdrawn if it is one too many. Either VM stores before it reads, so one at least knows of both.

--- a/internal/step/suspect.go
+++ b/internal/step/suspect.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -157,6 +158,9 @@
 	maxTurnWait = 8 * time.Second
 )
 
+// minRestShare is the share of a text that is expected to be left where it already has about the expected length or more.
+const minRestShare = 0.2
+
 // awaitsLowerRisk reports whether an attempt at an item under suspicion waits, because an engine may well end under it
 // for a cause of its own.
 func (r *run) awaitsLowerRisk(i int, outlook suspicion.Outlook, duration time.Duration, now time.Time) bool {
@@ -186,11 +190,8 @@
 
 // expectedDuration estimates how long the rest of an item's text takes; 0 if unknown.
 func (r *run) expectedDuration(i int, n need, now time.Time) time.Duration {
-	events := r.items[i].ExpectedTokens * r.m.eventRates.eventsPerToken(n.service)
-	if events <= 0 {
-		return 0
-	}
-	left := max(events-float64(r.text(i).lastEvent), 1)
+	events := r.m.eventRates.expectedEvents(n.service, r.items[i].ExpectedTokens)
+	left := max(events-float64(r.text(i).lastEvent), minRestShare*events)
 	return time.Duration(left * float64(target.MedianExpectedUnitTime(r.m.engines(n.service, now), now)))
 }
 
@@ -239,23 +240,24 @@
 }
 
 // recordSuspectAttempt records that an attempt at an item under suspicion begins, and reports whether the next
-// owner will know of it, should this process end together with the engine. An engine that has ended must
-// not be recorded: it would count if the owner ended then.
+// owner will know of it, should this process end together with the engine, and no owner of another step makes one too many
+// at the same time. An engine that has ended must not be recorded: it would count if the owner ended then.
 func (r *run) recordSuspectAttempt(a suspectAttempt) bool {
 	r.m.suspicions.Begin(r.request(a.index), a.entry.Incarnation(), time.Now())
 	// Attempts that start together are saved together.
 	wait.For(r.itemCtx, dispatchBatchDelay)
 	ctx, cancel := context.WithTimeout(r.itemCtx, suspicionSaveTimeout)
 	defer cancel()
-	return r.saveSuspicions(ctx)
+	return r.saveSuspicions(ctx) && r.confirmSuspicions(ctx) && r.m.suspicions.Count(r.request(a.index)) <= suspicion.MaxEnds
 }
 
-// withdraw takes back an attempt at an item under suspicion that was not sent.
+// withdraw takes back an attempt at an item under suspicion that was not sent. The backoff is random, because another VM
+// may have withdrawn one for this one.
 func (r *run) withdraw(a suspectAttempt) {
 	a.entry.End()
 	a.entry.NoteContact(target.Undecided, time.Now())
 	r.lift(r.request(a.index), func() { r.m.suspicions.Withdraw(r.request(a.index), a.entry.Incarnation()) })
-	r.requeue(a.index, retryBackoff)
+	r.requeue(a.index, retryBackoff+rand.N(maxRetryBackoff))
 }
 
 // noteAttemptEnd updates the suspicions against an item after an attempt at it.
--- a/internal/step/suspicionrows.go
+++ b/internal/step/suspicionrows.go
@@ -61,9 +61,47 @@
 		return false
 	}
 	r.m.suspicions.NoteStored(records, time.Now())
+	r.unconfirmed = true
 	return true
 }
 
+// confirmSuspicions reads what other VMs have stored of the items, if rows were saved since the last time, and reports
+// whether it did. Of two VMs that each store an attempt at an item and then read, one at least knows of both.
+func (r *run) confirmSuspicions(ctx context.Context) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case r.saveSlot <- struct{}{}:
+	}
+	defer func() { <-r.saveSlot }()
+	if !r.unconfirmed {
+		return true
+	}
+	for _, id := range r.m.openStepsOf(r.rec.Account) {
+		if err := r.m.readSuspicions(ctx, id); err != nil {
+			if ctx.Err() == nil {
+				r.m.Events.Emit(event.DependencyLost, event.Subject{Step: id, Detail: "lost answers: " + err.Error()})
+			}
+			return false
+		}
+	}
+	r.unconfirmed = false
+	return true
+}
+
+// openStepsOf returns the steps of an account that have not ended, as far as this VM knows. They may have the same items.
+func (m *Manager) openStepsOf(account string) []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var ids []string
+	for id, s := range m.states {
+		if s.Account == account && !s.Ended {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
 // saveSuspicionsLoop saves lost answers at once, until the run ends, and then once more: the trainer may
 // submit the items of an incomplete group again.
 func (r *run) saveSuspicionsLoop() {
--- a/internal/suspicion/suspicion.go
+++ b/internal/suspicion/suspicion.go
@@ -17,7 +17,8 @@
 //
 // The ledger of a VM holds the suspicions that it knows. Rows in the partition of a step hold them for its next
 // owner and for later steps with the same item. A VM runs items once it has read all of these rows, and an item
-// under suspicion only after the row of its attempt is stored.
+// under suspicion only after the row of its attempt is stored and the rows of all open steps of the account were read
+// once more: of two owners of the same item that begin at the same time, one at least knows of both attempts.
 //
 // The limit is MaxEnds on each path. What differs is how long a suspicion is known and what lifts it:
 //
