suspicion: the last attempt counts its own delay, and six gaps make a rhythm

Cause: its last attempt began between two crashes 0.2 s apart, since the rest of its text was expected to take 0.1 s. The row, the engine's queue and the prompt took longer. Three gaps were enough to expect the next one to be like them.

Change: 0.5 s are added to the expected duration; until six gaps are known, bursts of several engines are waited out for 3 s, after that for 1 s.

--- a/internal/step/suspect.go
+++ b/internal/step/suspect.go
@@ -158,8 +158,13 @@
 	maxTurnWait = 8 * time.Second
 )
 
-// minRestShare is the share of a text that is expected to be left where it already has about the expected length or more.
-const minRestShare = 0.2
+const (
+	// minRestShare is the share of a text that is expected to be left where it already has about the expected length or more.
+	minRestShare = 0.2
+	// attemptDelay is the time that an attempt at an item under suspicion takes beside its events: it is recorded, and the
+	// engine may be busy or read the prompt anew.
+	attemptDelay = 500 * time.Millisecond
+)
 
 // awaitsLowerRisk reports whether an attempt at an item under suspicion waits, because an engine may well end under it
 // for a cause of its own.
@@ -188,11 +193,15 @@
 	}
 }
 
-// expectedDuration estimates how long the rest of an item's text takes; 0 if unknown.
+// expectedDuration estimates how long an attempt at the rest of an item's text takes; 0 if unknown.
 func (r *run) expectedDuration(i int, n need, now time.Time) time.Duration {
 	events := r.m.eventRates.expectedEvents(n.service, r.items[i].ExpectedTokens)
+	unitTime := target.MedianExpectedUnitTime(r.m.engines(n.service, now), now)
+	if events == 0 || unitTime == 0 {
+		return 0
+	}
 	left := max(events-float64(r.text(i).lastEvent), minRestShare*events)
-	return time.Duration(left * float64(target.MedianExpectedUnitTime(r.m.engines(n.service, now), now)))
+	return attemptDelay + time.Duration(left*float64(unitTime))
 }
 
 // outlooks holds the outlooks of services during a pass of the dispatcher.
--- a/internal/suspicion/outlook.go
+++ b/internal/suspicion/outlook.go
@@ -13,10 +13,10 @@
 	burstGap = 50 * time.Millisecond
 	// gapTolerance is the factor by which the next gap between bursts may be shorter or longer than an earlier one.
 	gapTolerance = 1.5
-	// knownGaps is the number of gaps from which on the next one is not expected to be shorter than all of them.
-	knownGaps = 3
-	// settlePeriod is the shortest time without ends after which no further one is expected, and burstSettlePeriod that
-	// after several upstreams ended together, for a cause that may well recur.
+	// knownGaps is the number of gaps from which on the next one is expected to be like one of them.
+	knownGaps = 6
+	// settlePeriod is the shortest time without ends after which no further one is expected. Until the gaps are known, it is
+	// burstSettlePeriod after several upstreams ended together, for a cause that may well recur.
 	settlePeriod      = time.Second
 	burstSettlePeriod = 3 * time.Second
 	// maxSettlePeriod is the time without ends after which no further burst is expected, whatever was seen before.
@@ -42,6 +42,8 @@
 	share float64
 	// settledAfter is the shortest time without bursts after which no further one is expected.
 	settledAfter time.Duration
+	// gapsKnown is true if the next gap is expected to be like one of gaps.
+	gapsKnown bool
 	// quiet is the time since the last burst.
 	quiet time.Duration
 	// gaps holds the times between the bursts.
@@ -68,9 +70,6 @@
 	slices.Sort(sizes)
 	for _, size := range slices.Compact(sizes) {
 		s := burstSeries{share: min(1, float64(size)/float64(max(upstreams, 1))), settledAfter: settlePeriod}
-		if size > 1 {
-			s.settledAfter = burstSettlePeriod
-		}
 		var last time.Time
 		for _, b := range bursts {
 			if b.size < size {
@@ -82,6 +81,10 @@
 			last = b.at
 		}
 		s.quiet = now.Sub(last)
+		s.gapsKnown = len(s.gaps) >= knownGaps
+		if size > 1 && !s.gapsKnown {
+			s.settledAfter = burstSettlePeriod
+		}
 		o.series = append(o.series, s)
 	}
 	return o
@@ -105,7 +108,7 @@
 func (o Outlook) Risk(duration time.Duration) float64 {
 	risk := o.RepeatedRisk(duration)
 	for _, s := range o.series {
-		if len(s.gaps) < knownGaps && s.quiet < s.settledAfter {
+		if !s.gapsKnown && s.quiet < s.settledAfter {
 			risk = max(risk, s.share)
 		}
 	}
--- a/internal/suspicion/outlook_test.go
+++ b/internal/suspicion/outlook_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"testing"
 	"time"
 )
@@ -19,9 +20,15 @@
 // that wait for good.
 func TestRiskOfAnAttempt(t *testing.T) {
 	const ms = time.Millisecond
-	waves := []time.Duration{0, 0, 2000 * ms, 2000 * ms, 4000 * ms, 4000 * ms, 6000 * ms, 6000 * ms}
-	mixed := []time.Duration{0, 0, 150 * ms, 1200 * ms, 2000 * ms, 2000 * ms, 3100 * ms, 4000 * ms, 4000 * ms, 6000 * ms, 6000 * ms}
-	series := []time.Duration{0, 0, 200 * ms, 200 * ms, 400 * ms, 400 * ms}
+	// every returns n bursts of two ends.
+	every := func(gap time.Duration, n int) (ends []time.Duration) {
+		for i := range n {
+			ends = append(ends, time.Duration(i)*gap, time.Duration(i)*gap)
+		}
+		return ends
+	}
+	waves, series, longSeries := every(2*time.Second, 7), every(200*ms, 3), every(200*ms, 10)
+	mixed := slices.Sorted(slices.Values(append(every(2*time.Second, 7), 150*ms, 1200*ms, 3100*ms, 5900*ms)))
 	paused := []time.Duration{0, 0, 3000 * ms, 3000 * ms}
 	for name, play := range map[string]struct {
 		ends      []time.Duration
@@ -46,7 +53,9 @@
 		"a series, within it":                   {series, 8, 100 * ms, 200 * ms, 0.25, 0.25},
 		"a series, a long attempt within it":    {series, 8, 100 * ms, time.Minute, 1 - math.Pow(0.75, maxBursts), 1 - math.Pow(0.75, maxBursts)},
 		"a series, after it":                    {series, 8, burstSettlePeriod, time.Minute, 0, 0},
-		"single ends of many go on":             {[]time.Duration{0, 500 * ms, 1000 * ms, 1500 * ms}, 100, 100 * ms, time.Minute, 1 - math.Pow(0.99, maxBursts), 1 - math.Pow(0.99, maxBursts)},
+		"single ends of many go on":             {[]time.Duration{0, 500 * ms, 1000 * ms, 1500 * ms, 2000 * ms, 2500 * ms, 3000 * ms}, 100, 100 * ms, time.Minute, 1 - math.Pow(0.99, maxBursts), 1 - math.Pow(0.99, maxBursts)},
+		"a long series, some time after it":     {longSeries, 8, settlePeriod, time.Minute, 0, 0},
+		"a long series, within it":              {longSeries, 8, 100 * ms, 200 * ms, 0.25, 0.25},
 		"a pause that may recur":                {paused, 8, 3500 * ms, time.Second, 0.25, 0.25},
 		"a pause that is over":                  {paused, 8, 4500 * ms, time.Second, 0, 0},
 		"a pause that is too long to wait for":  {[]time.Duration{0, 0, 10 * time.Second, 10 * time.Second}, 8, maxSettlePeriod, time.Minute, 0, 0},
