target: entries of the list of upstreams that can't be right are left out

Another operator saw VMs end, or no longer follow the list, after another writer had left an odd entry. Here no VM ended and the list was followed: an entry that is nested 20,000 deep or holds 1e400 doesn't decode and was skipped before.

--- a/internal/upstreamdigest/digest.go
+++ b/internal/upstreamdigest/digest.go
@@ -258,10 +258,16 @@
 	}
 	list := make([]target.Instance, 0, len(upstreams))
 	for _, u := range upstreams {
-		list = append(list, target.Instance{
+		info := target.Instance{
 			ID: u.ID, Service: u.Service, Address: u.Address, FailureDomain: u.Domain, Slots: u.Slots,
 			Leaving: u.Leaving, Reclaimable: u.Reclaimable, Started: u.Started,
-		})
+		}
+		// A writer of an older build passes on entries with defects.
+		if defect := info.Defect(); defect != "" {
+			f.Events.Emit(event.RowUnreadable, event.Subject{Upstream: u.ID, Detail: writer.String() + ": " + string(defect)})
+			continue
+		}
+		list = append(list, info)
 	}
 	f.Roster.Replace(list)
 	f.applied = expected
