suspicion: short last attempts run between bursts once two gaps are known

Change: two gaps are enough for an attempt that ends before the shortest of them. The settle period after bursts goes by those of more than half the largest size, whose number varies with what a VM sees.

--- a/internal/step/suspect.go
+++ b/internal/step/suspect.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -118,8 +119,12 @@
 	}
 	last := count == suspicion.MaxEnds-1
 	mayEndSeveral := last && m.suspicions.MayEndSeveral(request, outlook)
-	if r.awaitsLowerRisk(i, outlook, r.expectedDuration(i, n, now), now) || last && r.awaitsTurn(i, mayEndSeveral, now) {
-		r.notePostponed(i)
+	switch duration := r.expectedDuration(i, n, now); {
+	case r.awaitsLowerRisk(i, outlook, duration, now):
+		r.notePostponed(i, fmt.Sprintf("risk %.2f in %s", outlook.Risk(duration), duration.Round(time.Millisecond)))
+		return suspectAttempt{}, false
+	case last && r.awaitsTurn(i, mayEndSeveral, now):
+		r.notePostponed(i, "last attempts of other items")
 		return suspectAttempt{}, false
 	}
 	candidates := m.newPool(m.engines(n.service, now), n, now)
@@ -183,13 +188,15 @@
 }
 
 // notePostponed tells, once an attempt, that the next attempt at an item under suspicion waits.
-func (r *run) notePostponed(i int) {
+func (r *run) notePostponed(i int, reason string) {
 	r.mu.Lock()
 	postponed := r.progress[i].postponed
 	r.progress[i].postponed = true
 	r.mu.Unlock()
 	if !postponed {
-		r.m.Events.Emit(event.ItemPostponed, r.suspicionSubject(i, r.request(i)))
+		subject := r.suspicionSubject(i, r.request(i))
+		subject.Detail = reason
+		r.m.Events.Emit(event.ItemPostponed, subject)
 	}
 }
 
--- a/internal/suspicion/outlook.go
+++ b/internal/suspicion/outlook.go
@@ -13,8 +13,9 @@
 	burstGap = 50 * time.Millisecond
 	// gapTolerance is the factor by which the next gap between bursts may be shorter or longer than an earlier one.
 	gapTolerance = 1.5
-	// knownGaps is the number of gaps from which on the next one is expected to be like one of them.
-	knownGaps = 6
+	// minGaps is the number of gaps from which on the next one is not expected to be shorter than all of them, and knownGaps
+	// that from which on it is not expected to be longer either.
+	minGaps, knownGaps = 2, 6
 	// settlePeriod is the shortest time without ends after which no further one is expected. Until the gaps are known, it is
 	// burstSettlePeriod after several upstreams ended together, for a cause that may well recur.
 	settlePeriod      = time.Second
@@ -29,21 +30,21 @@
 // Outlook is what the latest ends in a service let expect of its upstreams. It answers for attempts that may begin
 // while upstreams end for causes of their own: together, one after the other, or in bursts with pauses between them.
 type Outlook struct {
-	// series holds the bursts of at least each size that was seen. Small bursts between large ones, such as the ends that a
-	// request causes, say nothing of when the next large one is due.
+	// series holds the bursts of at least each size that was seen, all of them first. Small bursts between large ones, such
+	// as the ends that a request causes, say nothing of when the next large one is due.
 	series []burstSeries
+	// large is the series of the bursts of more than half the size of the largest one.
+	large burstSeries
 	// common holds when several upstreams ended together.
 	common []time.Time
 }
 
 // burstSeries is a series of bursts of ends.
 type burstSeries struct {
-	// share is the share of the upstreams that end in each burst, or more.
+	// share is the mean share of the upstreams that ended in a burst.
 	share float64
-	// settledAfter is the shortest time without bursts after which no further one is expected.
-	settledAfter time.Duration
-	// gapsKnown is true if the next gap is expected to be like one of gaps.
-	gapsKnown bool
+	// common is true if several upstreams end in each burst.
+	common bool
 	// quiet is the time since the last burst.
 	quiet time.Duration
 	// gaps holds the times between the bursts.
@@ -58,9 +59,9 @@
 
 // newOutlook returns the outlook of a service with a number of upstreams, given when some ended, in order.
 func newOutlook(ends []time.Time, upstreams int, now time.Time) Outlook {
+	var o Outlook
 	bursts := burstsOf(ends)
 	var sizes []int
-	var o Outlook
 	for _, b := range bursts {
 		sizes = append(sizes, b.size)
 		if b.size > 1 {
@@ -68,26 +69,34 @@
 		}
 	}
 	slices.Sort(sizes)
-	for _, size := range slices.Compact(sizes) {
-		s := burstSeries{share: min(1, float64(size)/float64(max(upstreams, 1))), settledAfter: settlePeriod}
-		var last time.Time
-		for _, b := range bursts {
-			if b.size < size {
-				continue
-			}
-			if !last.IsZero() {
-				s.gaps = append(s.gaps, b.at.Sub(last))
-			}
-			last = b.at
+	sizes = slices.Compact(sizes)
+	for _, size := range sizes {
+		o.series = append(o.series, newBurstSeries(bursts, size, upstreams, now))
+	}
+	if len(sizes) > 0 {
+		largest := sizes[len(sizes)-1]
+		o.large = newBurstSeries(bursts, largest/2+1, upstreams, now)
+	}
+	return o
+}
+
+// newBurstSeries returns the series of those bursts, which are in order, that have a size or more.
+func newBurstSeries(bursts []burst, size, upstreams int, now time.Time) burstSeries {
+	s := burstSeries{common: size > 1}
+	ended, n := 0, 0
+	var last time.Time
+	for _, b := range bursts {
+		if b.size < size {
+			continue
 		}
-		s.quiet = now.Sub(last)
-		s.gapsKnown = len(s.gaps) >= knownGaps
-		if size > 1 && !s.gapsKnown {
-			s.settledAfter = burstSettlePeriod
+		if n++; n > 1 {
+			s.gaps = append(s.gaps, b.at.Sub(last))
 		}
-		o.series = append(o.series, s)
+		ended, last = ended+b.size, b.at
 	}
-	return o
+	s.quiet = now.Sub(last)
+	s.share = min(1, float64(ended)/float64(n*max(upstreams, 1)))
+	return s
 }
 
 // burstsOf groups ends, which are in order.
@@ -106,9 +115,12 @@
 // Risk estimates the chance that an upstream ends for a cause of its own under an attempt which begins now. duration is
 // how long the attempt is expected to last; 0 if unknown.
 func (o Outlook) Risk(duration time.Duration) float64 {
+	if len(o.series) == 0 {
+		return 0
+	}
 	risk := o.RepeatedRisk(duration)
-	for _, s := range o.series {
-		if !s.gapsKnown && s.quiet < s.settledAfter {
+	for _, s := range []burstSeries{o.series[0], o.large} {
+		if s.quiet < s.settledAfter() && !s.isOverBeforeNext(duration) {
 			risk = max(risk, s.share)
 		}
 	}
@@ -124,17 +136,35 @@
 	return risk
 }
 
+// settledAfter returns the shortest time without bursts after which no further one is expected.
+func (s burstSeries) settledAfter() time.Duration {
+	if s.common && len(s.gaps) < knownGaps {
+		return burstSettlePeriod
+	}
+	return settlePeriod
+}
+
+// isOverBeforeNext reports whether an attempt that begins now ends before the next burst, if bursts come at intervals.
+func (s burstSeries) isOverBeforeNext(duration time.Duration) bool {
+	return len(s.gaps) >= minGaps && duration > 0 && !slices.ContainsFunc(s.gaps, func(gap time.Duration) bool { return s.meets(gap, duration) })
+}
+
+// meets reports whether an attempt that begins now may last until the next burst, if that follows after a gap.
+func (s burstSeries) meets(gap, duration time.Duration) bool {
+	return duration <= 0 || s.quiet+duration > time.Duration(float64(gap)/gapTolerance)
+}
+
 // risk is RepeatedRisk for the bursts of one series. Each gap between earlier bursts that the time since the last one
 // doesn't exceed is as likely as the others to be the next.
 func (s burstSeries) risk(duration time.Duration) float64 {
 	possible, sum := 0, 0.0
 	for _, gap := range s.gaps {
 		longest := time.Duration(gapTolerance * float64(gap))
-		if s.quiet >= min(max(longest, s.settledAfter), maxSettlePeriod) {
+		if s.quiet >= min(max(longest, s.settledAfter()), maxSettlePeriod) {
 			continue
 		}
 		possible++
-		if shortest := time.Duration(float64(gap) / gapTolerance); duration <= 0 || s.quiet+duration > shortest {
+		if s.meets(gap, duration) {
 			sum += 1 - math.Pow(1-s.share, burstsWithin(duration, gap))
 		}
 	}
