step: a rejected text takes back no end but that of its own engine

Callers saw: five engines ended under an item, and no bound, if one of its attempts between completed with weight versions that its step doesn't allow (a text resumed at an engine with another version).

A complete text cleared all ends that counted against the item, also where the text was rejected and the item ran again. That one engine survived an item says nothing of the others.

Change: a rejected text is a proof for its own engine only. An endless answer, which this VM cuts, counts like other canceled attempts: once the engine lists the item as still running.

--- a/internal/step/common_end_test.go
+++ b/internal/step/common_end_test.go
@@ -128,3 +128,16 @@
 		}
 	}
 }
+
+// Guards against an item whose ended engines are forgotten because one of its texts is complete, but of weight versions that
+// the step doesn't allow.
+func TestRejectedTextLeavesEndsCounted(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		p := newMortalPlay(t, 12, 1, endsMidStream)
+		p.sparedAttempt, p.step.SingleVersion = 3, true
+		submit(t, p.cluster.start("a"), p.step, p.items)
+		time.Sleep(commonEndPeriod)
+		p.logTimeline()
+		p.check()
+	})
+}
--- a/internal/step/query_of_death_test.go
+++ b/internal/step/query_of_death_test.go
@@ -84,6 +84,8 @@
 	fatalAfter time.Duration
 	// fatalAttempts, if set, is the last attempt at a fatal item that ends its engine.
 	fatalAttempts int
+	// sparedAttempt, if set, is an attempt at a fatal item that completes, by the next weight version.
+	sparedAttempt int
 	// late, if set, is how fatal items end their engines instead of fatal.
 	late   *lateEnd
 	events int
@@ -255,13 +257,17 @@
 	}
 	body, out := io.Pipe()
 	go f.write(ctx, e, out, request, n)
-	return &target.Response{Status: http.StatusOK, Version: 1, VersionField: "v", Body: body}, nil
+	version := int64(1)
+	if _, isFatal := f.fatal[request.ID]; isFatal && n == f.sparedAttempt {
+		version++
+	}
+	return &target.Response{Status: http.StatusOK, Version: version, VersionField: "v", Body: body}, nil
 }
 
 // fatality returns how an attempt at an item ends its engine; ok is false if it doesn't.
 func (f *mortalEngines) fatality(item string, attempt int) (how fatality, ok bool) {
 	how, ok = f.fatal[item]
-	return how, ok && (f.fatalAttempts == 0 || attempt <= f.fatalAttempts)
+	return how, ok && (f.fatalAttempts == 0 || attempt <= f.fatalAttempts) && attempt != f.sparedAttempt
 }
 
 // reportLag is how old the list of runs in an engine's report is.
--- a/internal/step/suspect.go
+++ b/internal/step/suspect.go
@@ -282,10 +282,15 @@
 	switch outcome {
 	case attemptUnanswered, attemptInterrupted, attemptStalled:
 		r.suspect(i, entry, time.Now())
-	case attemptInvalid, attemptMoved, attemptStale:
+	case attemptInvalid, attemptEndless, attemptMoved, attemptStale:
 		r.noteCanceled(i, entry)
 	case attemptComplete:
-		r.lift(request, func() { r.m.suspicions.Forget(request) })
+		// An item whose text is rejected runs again, and may have ended the other engines.
+		if versionsAllowed(r.text(i).versions, r.rec.Spec) {
+			r.lift(request, func() { r.m.suspicions.Forget(request) })
+		} else {
+			r.lift(request, func() { r.m.suspicions.Remove(request, incarnation) })
+		}
 	case attemptRefused, attemptUnreachable:
 		r.lift(request, func() { r.m.suspicions.Withdraw(request, incarnation) })
 	default:
