--- a/internal/step/suspect.go
+++ b/internal/step/suspect.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -27,79 +26,6 @@
 	entry *target.Entry
 }
 
-// suspectEngines holds the engines that run items under suspicion. It is safe for concurrent use.
-type suspectEngines struct {
-	mu sync.Mutex
-	// items holds the number of items under suspicion that each engine runs.
-	items map[*target.Entry]int
-	// last holds the engines that run the last attempt at an item, and get no other items meanwhile. The value is true if
-	// the item may end other engines together with its own.
-	last map[*target.Entry]bool
-}
-
-// add counts an item at an engine.
-func (s *suspectEngines) add(e *target.Entry) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.items == nil {
-		s.items, s.last = make(map[*target.Entry]int), make(map[*target.Entry]bool)
-	}
-	s.items[e]++
-}
-
-// addLast counts an item whose last attempt runs at an engine.
-func (s *suspectEngines) addLast(e *target.Entry, mayEndSeveral bool) {
-	s.add(e)
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.last[e] = mayEndSeveral
-}
-
-// mayBeginLast reports whether the last attempt at an item may begin beside those that run.
-func (s *suspectEngines) mayBeginLast(mayEndSeveral bool) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if mayEndSeveral {
-		return len(s.last) == 0
-	}
-	for _, otherMay := range s.last {
-		if otherMay {
-			return false
-		}
-	}
-	return true
-}
-
-// remove removes an item that add counted.
-func (s *suspectEngines) remove(e *target.Entry) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.items[e]--; s.items[e] == 0 {
-		delete(s.items, e)
-		delete(s.last, e)
-	}
-}
-
-// has reports whether an engine runs an item under suspicion.
-func (s *suspectEngines) has(e *target.Entry) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.items[e] > 0
-}
-
-// withoutLast returns the engines that may get other items.
-func (s *suspectEngines) withoutLast(engines []*target.Entry) []*target.Entry {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if len(s.last) == 0 {
-		return engines
-	}
-	return slices.DeleteFunc(slices.Clone(engines), func(e *target.Entry) bool {
-		_, last := s.last[e]
-		return last
-	})
-}
-
 // placeSuspect takes an engine for an item under suspicion. It holds the item back if as many engines as
 // are allowed may have ended under it. While its suspicions can't be saved, because the run is not
 // accepted or the store is away, the item waits.
@@ -119,12 +45,8 @@
 	}
 	last := count == suspicion.MaxEnds-1
 	mayEndSeveral := last && m.suspicions.MayEndSeveral(request, outlook)
-	switch duration := r.expectedDuration(i, n, now); {
-	case r.awaitsLowerRisk(i, outlook, duration, now):
-		r.notePostponed(i, fmt.Sprintf("risk %.2f in %s", outlook.Risk(duration), duration.Round(time.Millisecond)))
-		return suspectAttempt{}, false
-	case last && r.awaitsTurn(i, mayEndSeveral, now):
-		r.notePostponed(i, "last attempts of other items")
+	if reason := r.postpones(i, n, outlook, last, mayEndSeveral, now); reason != "" {
+		r.notePostponed(i, reason)
 		return suspectAttempt{}, false
 	}
 	candidates := m.newPool(m.engines(n.service, now), n, now)
@@ -151,78 +73,6 @@
 	return suspectAttempt{index: i, need: n, entry: entry}, true
 }
 
-const (
-	// maxRepeatRisk and maxLastRisk bound the chance that an engine ends for a cause of its own under an attempt at an item
-	// under suspicion, and under the last one that is allowed. Such an end counts like any other.
-	maxRepeatRisk = 0.25
-	maxLastRisk   = 0.05
-	// maxRepeatWait is the longest time that an item waits for a lower risk after its answer was lost. Its last attempt waits
-	// for as long as it takes.
-	maxRepeatWait = 4 * time.Second
-	// maxTurnWait is the longest time that the last attempt at an item waits for those at others after its answer was lost.
-	maxTurnWait = 8 * time.Second
-)
-
-const (
-	// minRestShare is the share of a text that is expected to be left where it already has about the expected length or more.
-	minRestShare = 0.2
-	// attemptDelay is the time that an attempt at an item under suspicion takes beside its events: it is recorded, and the
-	// engine may be busy or read the prompt anew.
-	attemptDelay = 500 * time.Millisecond
-)
-
-// awaitsLowerRisk reports whether an attempt at an item under suspicion waits, because an engine may well end under it
-// for a cause of its own.
-func (r *run) awaitsLowerRisk(i int, outlook suspicion.Outlook, duration time.Duration, now time.Time) bool {
-	request := r.request(i)
-	if r.unaccounted.PossibleEnds(request) >= suspicion.MaxEnds-1 {
-		return outlook.Risk(duration) > maxLastRisk || !r.unaccounted.KnowsEnds(now)
-	}
-	return outlook.RepeatedRisk(duration) > maxRepeatRisk && !r.m.suspicions.LostBefore(request, now.Add(-maxRepeatWait))
-}
-
-// awaitsTurn reports whether the last attempt at an item waits for others, because they or the item itself may end
-// several engines together.
-func (r *run) awaitsTurn(i int, mayEndSeveral bool, now time.Time) bool {
-	return !r.m.suspects.mayBeginLast(mayEndSeveral) && !r.m.suspicions.LostBefore(r.request(i), now.Add(-maxTurnWait))
-}
-
-// notePostponed tells, once an attempt, that the next attempt at an item under suspicion waits.
-func (r *run) notePostponed(i int, reason string) {
-	r.mu.Lock()
-	postponed := r.progress[i].postponed
-	r.progress[i].postponed = true
-	r.mu.Unlock()
-	if !postponed {
-		subject := r.suspicionSubject(i, r.request(i))
-		subject.Detail = reason
-		r.m.Events.Emit(event.ItemPostponed, subject)
-	}
-}
-
-// expectedDuration estimates how long an attempt at the rest of an item's text takes; 0 if unknown.
-func (r *run) expectedDuration(i int, n need, now time.Time) time.Duration {
-	events := r.m.eventRates.expectedEvents(n.service, r.items[i].ExpectedTokens)
-	unitTime := target.MedianExpectedUnitTime(r.m.engines(n.service, now), now)
-	if events == 0 || unitTime == 0 {
-		return 0
-	}
-	left := max(events-float64(r.text(i).lastEvent), minRestShare*events)
-	return attemptDelay + time.Duration(left*float64(unitTime))
-}
-
-// outlooks holds the outlooks of services during a pass of the dispatcher.
-type outlooks map[string]suspicion.Outlook
-
-func (o outlooks) of(m *Manager, service string, now time.Time) suspicion.Outlook {
-	outlook, known := o[service]
-	if !known {
-		outlook = m.suspicions.OutlookOf(service, m.Roster, now)
-		o[service] = outlook
-	}
-	return outlook
-}
-
 // earlySuspectDelay is how long items under suspicion wait after the acceptance of an early run, until
 // the runs of the step's other copies have stopped and saved what they know.
 const earlySuspectDelay = 500 * time.Millisecond
@@ -243,11 +93,12 @@
 			defer m.suspects.remove(a.entry)
 			if !m.checks.IsRunning(r.itemCtx, a.entry) {
 				a.entry.NoteFailure(time.Now())
-				r.withdraw(a)
+				r.withdraw(a, retryBackoff)
 				return
 			}
 			if !r.recordSuspectAttempt(a) {
-				r.withdraw(a)
+				// The random part separates this VM from one that has withdrawn an attempt at the same item.
+				r.withdraw(a, retryBackoff+rand.N(maxRetryBackoff))
 				return
 			}
 			r.runAttempt(a.index, a.need, a.entry)
@@ -267,13 +118,12 @@
 	return r.saveSuspicions(ctx) && r.confirmSuspicions(ctx) && r.m.suspicions.Count(r.request(a.index)) <= suspicion.MaxEnds
 }
 
-// withdraw takes back an attempt at an item under suspicion that was not sent. The backoff is random, because another VM
-// may have withdrawn one for this one.
-func (r *run) withdraw(a suspectAttempt) {
+// withdraw takes back an attempt at an item under suspicion that was not sent.
+func (r *run) withdraw(a suspectAttempt, backoff time.Duration) {
 	a.entry.End()
 	a.entry.NoteContact(target.Undecided, time.Now())
 	r.lift(r.request(a.index), func() { r.m.suspicions.Withdraw(r.request(a.index), a.entry.Incarnation()) })
-	r.requeue(a.index, retryBackoff+rand.N(maxRetryBackoff))
+	r.requeue(a.index, backoff)
 }
 
 // noteAttemptEnd updates the suspicions against an item after an attempt at it.
