--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -175,7 +175,7 @@
 	{PeerRemoved, zap.InfoLevel, "peer removed", "The status row of a VM without a heartbeat for Count milliseconds was removed; the VM writes it again if it returns."},
 	{DependencyLost, zap.WarnLevel, "dependency lost", "A dependency does not answer; Detail gives its name and the error."},
 	{DependencyRegained, zap.InfoLevel, "dependency regained", "The dependency in Detail is available again; Count is the length of the outage in milliseconds."},
-	{RowUnreadable, zap.WarnLevel, "row unreadable", "A row of the store can't be decoded and is skipped; Detail gives the row or the error."},
+	{RowUnreadable, zap.WarnLevel, "row unreadable", "A row of the store can't be decoded, or holds what can't be right, and is skipped; Detail gives the row and the part, or the error."},
 	{SettingsReloaded, zap.InfoLevel, "settings reloaded", "The settings file was reloaded; Detail gives the changes."},
 	{SettingsRejected, zap.ErrorLevel, "settings rejected", "The settings file contains invalid values, given in Detail; the previous settings stay in force."},
 	{DependencySlow, zap.WarnLevel, "dependency slow", "A dependency answered calls late. Count is the duration in milliseconds of the slowest one since the last such event, without the wait of a long poll; Detail gives the name and the latest of these calls."},
