step: an attempt is confirmed by a read that began after its row was stored

With an item in two steps that one VM runs, the row of an attempt may be stored by the other run, which then alone knew that rows of other VMs were to be read. By reading; no test showed it. The time of the last read takes the place of the flag.

--- a/internal/step/postpone.go
+++ b/internal/step/postpone.go
@@ -29,9 +29,9 @@
 	attemptDelay = 500 * time.Millisecond
 )
 
-// postpones returns why an attempt at an item under suspicion waits; empty if it doesn't. mayEndSeveral is true if the item may
+// postponeReason returns why an attempt at an item under suspicion waits; empty if it doesn't. mayEndSeveral is true if the item may
 // end other engines together with its own.
-func (r *run) postpones(i int, n need, outlook suspicion.Outlook, last, mayEndSeveral bool, now time.Time) (reason string) {
+func (r *run) postponeReason(i int, n need, outlook suspicion.Outlook, last, mayEndSeveral bool, now time.Time) (reason string) {
 	duration := r.expectedDuration(i, n, now)
 	switch {
 	case r.awaitsLowerRisk(i, outlook, duration, now):
--- a/internal/step/run.go
+++ b/internal/step/run.go
@@ -103,8 +103,8 @@
 
 	// saveCh signals saveSuspicionsLoop. saveSlot holds a value during a save, which may last as long as its context.
 	saveCh, saveSlot chan struct{}
-	// unconfirmed is true if rows were saved after those of other VMs were last read; saveSlot guards it.
-	unconfirmed bool
+	// confirmedAt is when the last read of other VMs' rows for an attempt began; saveSlot guards it.
+	confirmedAt time.Time
 	// unaccounted holds the requests of which a lost owner may have left an attempt that nobody knows.
 	unaccounted *suspicion.Unaccounted
 }
--- a/internal/step/suspect.go
+++ b/internal/step/suspect.go
@@ -45,7 +45,7 @@
 	}
 	last := count == suspicion.MaxEnds-1
 	mayEndSeveral := last && m.suspicions.MayEndSeveral(request, outlook)
-	if reason := r.postpones(i, n, outlook, last, mayEndSeveral, now); reason != "" {
+	if reason := r.postponeReason(i, n, outlook, last, mayEndSeveral, now); reason != "" {
 		r.notePostponed(i, reason)
 		return suspectAttempt{}, false
 	}
@@ -115,7 +115,7 @@
 	wait.For(r.itemCtx, dispatchBatchDelay)
 	ctx, cancel := context.WithTimeout(r.itemCtx, suspicionSaveTimeout)
 	defer cancel()
-	return r.saveSuspicions(ctx) && r.confirmSuspicions(ctx) && r.m.suspicions.Count(r.request(a.index)) <= suspicion.MaxEnds
+	return r.saveSuspicions(ctx) && r.confirmSuspicions(ctx, time.Now()) && r.m.suspicions.Count(r.request(a.index)) <= suspicion.MaxEnds
 }
 
 // withdraw takes back an attempt at an item under suspicion that was not sent.
--- a/internal/step/suspicionrows.go
+++ b/internal/step/suspicionrows.go
@@ -61,22 +61,22 @@
 		return false
 	}
 	r.m.suspicions.NoteStored(records, time.Now())
-	r.unconfirmed = true
 	return true
 }
 
-// confirmSuspicions reads what other VMs have stored of the items, if rows were saved since the last time, and reports
-// whether it did. Of two VMs that each store an attempt at an item and then read, one at least knows of both.
-func (r *run) confirmSuspicions(ctx context.Context) bool {
+// confirmSuspicions reports whether this VM has read, after a time, what other VMs have stored of the items, and reads it if
+// it hasn't. Of two VMs that each store an attempt at an item and then read, one at least knows of both.
+func (r *run) confirmSuspicions(ctx context.Context, after time.Time) bool {
 	select {
 	case <-ctx.Done():
 		return false
 	case r.saveSlot <- struct{}{}:
 	}
 	defer func() { <-r.saveSlot }()
-	if !r.unconfirmed {
+	if !r.confirmedAt.Before(after) {
 		return true
 	}
+	began := time.Now()
 	for _, id := range r.m.openStepsOf(r.rec.Account) {
 		if err := r.m.readSuspicions(ctx, id); err != nil {
 			if ctx.Err() == nil {
@@ -85,7 +85,7 @@
 			return false
 		}
 	}
-	r.unconfirmed = false
+	r.confirmedAt = began
 	return true
 }
 
