step: last attempts wait for each other from when they could begin

Traced: after a killed owner the items wait 6 s for the list; by then the 8 s after the lost answer, as the next owner had read it, were over, so that four last attempts began at once, one of them at the item that ends four engines.

Change: the 8 s count from when an item first waits for the others.

--- a/internal/step/postpone.go
+++ b/internal/step/postpone.go
@@ -17,7 +17,7 @@
 	// maxRepeatWait is the longest time that an item waits for a lower risk after its answer was lost. Its last attempt waits
 	// for as long as it takes.
 	maxRepeatWait = 4 * time.Second
-	// maxTurnWait is the longest time that the last attempt at an item waits for those at others after its answer was lost.
+	// maxTurnWait is the longest time that the last attempt at an item waits for those at others.
 	maxTurnWait = 8 * time.Second
 )
 
@@ -55,7 +55,16 @@
 // awaitsTurn reports whether the last attempt at an item waits for others, because they or the item itself may end
 // several engines together.
 func (r *run) awaitsTurn(i int, mayEndSeveral bool, now time.Time) bool {
-	return !r.m.suspects.mayBeginLast(mayEndSeveral) && !r.m.suspicions.LostBefore(r.request(i), now.Add(-maxTurnWait))
+	if r.m.suspects.mayBeginLast(mayEndSeveral) {
+		return false
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	p := &r.progress[i]
+	if p.awaitsTurnSince.IsZero() {
+		p.awaitsTurnSince = now
+	}
+	return now.Sub(p.awaitsTurnSince) < maxTurnWait
 }
 
 // notePostponed tells, once an attempt, that the next attempt at an item under suspicion waits.
--- a/internal/step/run.go
+++ b/internal/step/run.go
@@ -45,8 +45,10 @@
 	// of its start.
 	engine      *target.Entry
 	silentSince time.Time
-	// postponed is true once it was told that the next attempt at the item, which is under suspicion, waits.
-	postponed bool
+	// postponed is true once it was told that the next attempt at the item, which is under suspicion, waits; awaitsTurnSince
+	// is when it began to wait for the last attempts at others, zero if it doesn't.
+	postponed       bool
+	awaitsTurnSince time.Time
 	// cancelCall cancels the attempt or score call that started last; nil before the first.
 	cancelCall context.CancelCauseFunc
 }
@@ -338,7 +340,8 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	p := &r.progress[i]
-	p.engine, p.silentSince, p.postponed = entry, time.Now(), false
+	p.engine, p.silentSince = entry, time.Now()
+	p.postponed, p.awaitsTurnSince = false, time.Time{}
 }
 
 // countFailure counts an answer that reported an item as failed, and returns the number of
