drain: a request with an earlier time doesn't clear the durations of a route

Concurrent requests at the end of a period, or a clock that is set back, do the same in a VM: it then refuses what it could answer in time.

Change: the period before the current one is no reason to forget. Evidence: TestDurationsOutliveEarlierTimes fails before at 0 s and 2 s.

--- a/internal/drain/drain.go
+++ b/internal/drain/drain.go
@@ -124,7 +124,7 @@
 // advance moves to the period of a time.
 func (d *durations) advance(now time.Time) {
 	switch period := now.UnixNano() / int64(durationPeriod); period - d.period {
-	case 0:
+	case 0, -1: // a request may come with an earlier time, and clocks are set back
 	case 1:
 		d.period, d.before, d.longest = period, d.longest, 0
 	default:
--- a/internal/drain/drain_test.go
+++ b/internal/drain/drain_test.go
@@ -45,6 +45,19 @@
 	}
 }
 
+// Guards against a leaving VM that refuses what it can answer, because a request with an earlier time than the one before
+// made it forget how long requests take.
+func TestDurationsOutliveEarlierTimes(t *testing.T) {
+	start := time.Unix(1000, 0).Truncate(durationPeriod).Add(-time.Second)
+	g := NewGate()
+	g.NoteAnswered("r", time.Second, start)
+	for _, at := range []time.Duration{2 * time.Second, 0, 2 * time.Second} {
+		if _, known := g.longest("r", start.Add(at)); !known {
+			t.Errorf("the duration is not known at %s", at)
+		}
+	}
+}
+
 // Guards against a request that is admitted between the last look at the open requests and the end of the process.
 func TestNoRequestIsAdmittedAfterTheLastOne(t *testing.T) {
 	for range 200 {
