--- a/scripts/unit.sh
+++ b/scripts/unit.sh
@@ -7,8 +7,23 @@
 if [ -s KNOWN-RED.txt ]; then
   skip=$(cut -d' ' -f1 KNOWN-RED.txt | sed 's#/#$/^#; s#.*#^&$#' | paste -sd'|')
 fi
-args=(-race -count=1 -timeout=8m)
+args=(-count=1 -timeout=8m)
 if [ -n "$skip" ]; then
   args+=(-skip "$skip")
 fi
-go test "${args[@]}" ./...
+
+# On arm64 the race detector itself crashes in these packages: "ThreadSanitizer: CHECK
+# failed: tsan_rtl.cpp:346".
+without_race=()
+if [ "$(uname -m)" = aarch64 ]; then
+  without_race+=(dogwoodpond/internal/step)
+fi
+mapfile -t with_race < <(go list ./... | grep -vxF -f <(printf '%s\n' "${without_race[@]}"))
+
+failed=0
+go test -race "${args[@]}" "${with_race[@]}" || failed=1
+if [ "${#without_race[@]}" -gt 0 ]; then
+  echo "without the race detector, which crashes on this machine: ${without_race[*]}"
+  go test "${args[@]}" "${without_race[@]}" || failed=1
+fi
+exit "$failed"
