step: lost answers of an early run count for the copy that is accepted later

While the store is away a trainer submits a step at one VM after the other, and each copy runs early until its submission fails after 8 s. An item that ends its engine ends one under each copy.

Cause: lost answers of a run are stored with its step. The run of a failed submission stopped while its step was not in the store yet, and nothing stored them later, so that the accepted copy began its count at what it had lost itself.

Change: an early run that was stopped with lost answers stores them once this VM learns that another copy was accepted. Memory is bounded by the time after which items may be abandoned, and by the time for which lost answers are remembered.

What is left: more than three copies that run early in one outage know nothing of each other (5 or 6 ends with the store away for 40 s).

--- a/internal/step/common_end_test.go
+++ b/internal/step/common_end_test.go
@@ -141,3 +141,48 @@
 		p.check()
 	})
 }
+
+// Guards against copies of a step that run early at one VM after the other, and whose ended engines are forgotten because
+// another copy is accepted.
+func TestAcceptedCopyKnowsEnginesThatEndedUnderEarlierOnes(t *testing.T) {
+	for _, away := range []time.Duration{4 * time.Second, 12 * time.Second, 20 * time.Second} {
+		for _, how := range []fatality{endsBeforeAnswer, endsMidStream} {
+			t.Run(fmt.Sprintf("store away for %s, %s", away, how), func(t *testing.T) { playRetriedSubmission(t, away, how) })
+		}
+	}
+}
+
+// Guards against early runs of more copies of a step than engines may end under an item.
+func TestEarlyRunsKnowEnginesThatEndedUnderEarlierCopies(t *testing.T) {
+	for _, how := range []fatality{endsBeforeAnswer, endsMidStream} {
+		t.Run(how.String(), func(t *testing.T) { playRetriedSubmission(t, 40*time.Second, how) })
+	}
+}
+
+// playRetriedSubmission plays a step that a trainer submits at one VM after the other while the store is away.
+func playRetriedSubmission(t *testing.T, away time.Duration, how fatality) {
+	bubble(t, func(t *testing.T) {
+		p := newMortalPlay(t, 48, 1, how)
+		var vms []*testVM
+		for _, name := range []string{"a", "b", "c", "d", "e", "f"} {
+			vms = append(vms, p.cluster.start(name))
+		}
+		time.Sleep(time.Second)
+		p.cluster.store.SetDown(true)
+		time.AfterFunc(away, func() { p.cluster.store.SetDown(false) })
+		for _, v := range vms {
+			if v.Submit(t.Context(), p.step, p.items) == nil {
+				break
+			}
+		}
+		time.Sleep(25 * time.Second)
+		p.logTimeline()
+		p.checkLimit()
+		// All copies run the same items beside the fatal one, which may be held back as well.
+		for item, r := range p.results() {
+			if ends, _ := p.endsUnder(item); ends < maxEndsPerItem && r.Outcome != Completed {
+				t.Errorf("item %s has the result %q after %d ends", item, r.Outcome, ends)
+			}
+		}
+	})
+}
--- a/internal/step/query_of_death_test.go
+++ b/internal/step/query_of_death_test.go
@@ -419,6 +419,13 @@
 // check checks that no item was sent after it had ended maxEndsPerItem engines, and that all others
 // are complete.
 func (p *mortalPlay) check() {
+	p.t.Helper()
+	p.checkLimit()
+	p.checkSound()
+}
+
+// checkLimit checks that no item was sent after it had ended maxEndsPerItem engines.
+func (p *mortalPlay) checkLimit() {
 	p.t.Helper()
 	for item := range p.fatal {
 		ends, sentAfter := p.endsUnder(item)
@@ -426,7 +433,6 @@
 			p.t.Errorf("%d engines ended under item %s, which was sent %d times after the third end", ends, item, sentAfter)
 		}
 	}
-	p.checkSound()
 }
 
 // checkSound checks that all items that end no engine are complete.
--- a/internal/step/suspicionrows.go
+++ b/internal/step/suspicionrows.go
@@ -20,6 +20,8 @@
 	// maxSaveCommits bounds the commits of one save. Each further one follows a change of the step's
 	// state row.
 	maxSaveCommits = 4
+	// acceptancePollInterval is the time between two checks whether another copy of an early run's step is accepted.
+	acceptancePollInterval = 100 * time.Millisecond
 )
 
 // signalSave makes saveSuspicionsLoop save suspicions.
@@ -107,6 +109,7 @@
 func (r *run) saveSuspicionsLoop() {
 	select {
 	case <-r.ctx.Done():
+		r.saveOnceAccepted()
 		return
 	case <-r.acceptedCh:
 	}
@@ -125,6 +128,16 @@
 	}
 }
 
+// saveOnceAccepted saves the lost answers of an early run that was stopped, once another copy of its step is accepted: they count
+// for that one. What the items lost is forgotten in the end, like all that this VM knows of lost answers.
+func (r *run) saveOnceAccepted() {
+	for wait.For(r.m.ctx, acceptancePollInterval) && !r.m.canAbandon(r) {
+		if len(r.m.suspicions.Unstored(r.requests())) == 0 || r.saveChangedSuspicions() {
+			return
+		}
+	}
+}
+
 // commitSuspicions adds rows with lost answers to a step. It expects only that the step exists: what an
 // earlier owner or another copy of the step knows holds too.
 func (m *Manager) commitSuspicions(ctx context.Context, rec stateRecord, records []suspicion.Record) error {
