step: VMs tell each other of lost answers that can't be stored

While the store is away a trainer submits a step at one VM after the other, and each copy runs early. An item that ends its engine ended one under each copy: with the store away for 40 s, 5 or 6 engines ended under it in virtual time, 2 or 3 of its attempts after the third end.

Cause: owners know of each other's lost answers by rows of the store alone, and the rows of a step can be written only once the step is accepted.

Change: lost answers that can't be stored now, of early runs and of accepted ones, are told to all other VMs by a new call of the drpc service between VMs. It is best effort: an older build or an unreachable VM learns of them from the rows, as before. A VM that was told holds the item back from early runs, and stores what it was told with the step once it owns it. Attempts in progress are not told of: they may not be sent, and nothing would take them back.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -74,7 +74,7 @@
 	Orderers       []*scaling.Orderer
 	CallerHandler  http.Handler
 	MetricsHandler http.Handler
-	Relay          relay.CallFunc
+	Peers          relay.Handlers
 	// Background holds loops that run until the process ends: they watch the platform's
 	// tables and probe the store.
 	Background Loops
@@ -241,7 +241,7 @@
 	}
 	go func() { _ = s.callers.Serve(callers) }()
 	go func() { _ = s.ready.Serve(ready) }()
-	go func() { _ = relay.Serve(ctx, peers, n.Relay) }()
+	go func() { _ = relay.Serve(ctx, peers, n.Peers) }()
 	return s, n.listenMetrics(s)
 }
 
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -1,5 +1,5 @@
 // Package relay relays calls to the platform's store through another VM for a VM that can't
-// reach the store itself. The store may refuse some VMs while it serves others, and a network
+// reach the store itself, and tells other VMs of lost answers that can't be stored. The store may refuse some VMs while it serves others, and a network
 // partition may cut some VMs off; without relays a third of the fleet would be unusable for
 // minutes. The VMs of a fleet trust each other. A relayed commit is as safe as a direct one,
 // because its expectations protect it on either path.
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"golang.org/x/sync/errgroup"
 	"storj.io/drpc/drpcconn"
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcpool"
@@ -30,6 +31,10 @@
 	maxIdlePerPeer = 4
 	// peerMargin is added to the timeout of a call for the way to the peer and back.
 	peerMargin = 300 * time.Millisecond
+	// tellTimeout bounds one call that tells a peer of lost answers.
+	tellTimeout = time.Second
+	// maxConcurrentTells bounds the peers that are told at the same time.
+	maxConcurrentTells = 16
 )
 
 // Call is one HTTP call to the store.
@@ -51,16 +56,24 @@
 // sent is true if the call may have reached the store.
 type CallFunc func(ctx context.Context, call Call) (answer Answer, sent bool, err error)
 
-// Serve relays the calls that peers make on a listener, through callStore, until ctx ends.
-func Serve(ctx context.Context, listener net.Listener, callStore CallFunc) error {
+// Handlers handle the calls of peers.
+type Handlers struct {
+	// CallStore makes a call to the store for a peer.
+	CallStore CallFunc
+	// NoteLostAnswers takes note of the lost answers that a peer tells of.
+	NoteLostAnswers func(suspicions []byte)
+}
+
+// Serve handles the calls that peers make on a listener until ctx ends.
+func Serve(ctx context.Context, listener net.Listener, handlers Handlers) error {
 	mux := drpcmux.New()
-	if err := carrypb.DRPCRegisterCarrier(mux, &server{callStore: callStore}); err != nil {
+	if err := carrypb.DRPCRegisterCarrier(mux, &server{handlers}); err != nil {
 		return errors.WithStack(&fault.Internal{Where: "registration of the relay service"})
 	}
 	return drpcserver.New(mux).Serve(ctx, listener)
 }
 
-type server struct{ callStore CallFunc }
+type server struct{ handlers Handlers }
 
 // Carry implements carrypb.DRPCCarrierServer.
 func (s *server) Carry(ctx context.Context, in *carrypb.Call) (*carrypb.Answer, error) {
@@ -68,14 +81,20 @@
 		Method: in.GetMethod(), URI: in.GetUri(), Body: in.GetBody(), IfAbsent: in.GetIfAbsent(),
 		Timeout: time.Duration(in.GetTimeoutMillis()) * time.Millisecond,
 	}
-	answer, sent, err := s.callStore(ctx, call)
+	answer, sent, err := s.handlers.CallStore(ctx, call)
 	if err != nil {
 		return &carrypb.Answer{Sent: sent}, nil
 	}
 	return &carrypb.Answer{Status: int32(answer.Status), Body: answer.Body, Sent: true}, nil
 }
 
-// Client makes calls to the store through peers. It is safe for concurrent use.
+// NoteLostAnswers implements carrypb.DRPCCarrierServer.
+func (s *server) NoteLostAnswers(_ context.Context, in *carrypb.LostAnswers) (*carrypb.LostAnswersNoted, error) {
+	s.handlers.NoteLostAnswers(in.GetSuspicions())
+	return &carrypb.LostAnswersNoted{}, nil
+}
+
+// Client calls peers. It is safe for concurrent use.
 type Client struct {
 	pool *drpcpool.Pool[string, *drpcconn.Conn]
 }
@@ -95,12 +114,9 @@
 	defer cancel()
 	dialed := false
 	conn := c.pool.Get(ctx, address, func(ctx context.Context, address string) (*drpcconn.Conn, error) {
-		raw, err := (&net.Dialer{Timeout: dialTimeout}).DialContext(ctx, "tcp", address)
-		if err != nil {
-			return nil, err
-		}
-		dialed = true
-		return drpcconn.New(raw), nil
+		conn, err := dialPeer(ctx, address)
+		dialed = err == nil
+		return conn, err
 	})
 	defer func() { _ = conn.Close() }()
 	out, err := carrypb.NewDRPCCarrierClient(conn).Carry(ctx, &carrypb.Call{
@@ -118,6 +134,33 @@
 	return Answer{Status: int(out.GetStatus()), Body: out.GetBody()}, true, nil
 }
 
+// TellAll tells peers of lost answers, and returns once each has answered or can't be reached.
+func (c *Client) TellAll(ctx context.Context, addresses []string, suspicions []byte) {
+	var calls errgroup.Group
+	calls.SetLimit(maxConcurrentTells)
+	for _, address := range addresses {
+		calls.Go(func() error {
+			ctx, cancel := context.WithTimeout(ctx, tellTimeout)
+			defer cancel()
+			conn := c.pool.Get(ctx, address, dialPeer)
+			defer func() { _ = conn.Close() }()
+			// A peer that can't be reached reads what is stored later.
+			_, _ = carrypb.NewDRPCCarrierClient(conn).NoteLostAnswers(ctx, &carrypb.LostAnswers{Suspicions: suspicions})
+			return nil
+		})
+	}
+	_ = calls.Wait()
+}
+
+// dialPeer opens a connection to a peer.
+func dialPeer(ctx context.Context, address string) (*drpcconn.Conn, error) {
+	raw, err := (&net.Dialer{Timeout: dialTimeout}).DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	return drpcconn.New(raw), nil
+}
+
 // isDialError reports whether a call failed at the dial, before any byte was sent.
 func isDialError(err error) bool {
 	var op *net.OpError
--- a/internal/step/cluster_test.go
+++ b/internal/step/cluster_test.go
@@ -62,6 +62,8 @@
 	storeOf func(name string) rowstore.Store
 	// configuration is the configuration of VMs that are started from now on.
 	configuration *route.Snapshot
+	// isolated is true if the VMs can't call each other.
+	isolated bool
 	// observe, if set, is called with each event of a VM.
 	observe func(event.Record)
 }
@@ -153,6 +155,7 @@
 		PreferredOwner:   cl.preferredOwner,
 		StoreAvailable:   func() bool { return cl.storeAvailable == nil || cl.storeAvailable(name) },
 	}
+	config.TellPeers = func(_ context.Context, suspicions []byte) { cl.tellPeers(name, suspicions) }
 	if cl.scoring != nil {
 		config.Scorer = cl.scoring(config)
 	}
@@ -165,6 +168,17 @@
 	return v
 }
 
+// tellPeers tells the live VMs but one of lost answers.
+func (cl *cluster) tellPeers(sender string, suspicions []byte) {
+	cl.mu.Lock()
+	defer cl.mu.Unlock()
+	for name, v := range cl.vms {
+		if name != sender && !cl.dead[name] && !cl.isolated {
+			go v.NoteLostAnswers(suspicions)
+		}
+	}
+}
+
 // crash kills a VM without handing its steps over.
 func (cl *cluster) crash(v *testVM) {
 	cl.mu.Lock()
--- a/internal/step/common_end_test.go
+++ b/internal/step/common_end_test.go
@@ -142,12 +142,12 @@
 	})
 }
 
-// Guards against copies of a step that run early at one VM after the other, and whose ended engines are forgotten because
-// another copy is accepted.
+// Guards against copies of a step that run early at VMs which can't call each other, and whose ended engines are forgotten
+// because another copy is accepted.
 func TestAcceptedCopyKnowsEnginesThatEndedUnderEarlierOnes(t *testing.T) {
 	for _, away := range []time.Duration{4 * time.Second, 12 * time.Second, 20 * time.Second} {
 		for _, how := range []fatality{endsBeforeAnswer, endsMidStream} {
-			t.Run(fmt.Sprintf("store away for %s, %s", away, how), func(t *testing.T) { playRetriedSubmission(t, away, how) })
+			t.Run(fmt.Sprintf("store away for %s, %s", away, how), func(t *testing.T) { playRetriedSubmission(t, away, how, true) })
 		}
 	}
 }
@@ -155,14 +155,15 @@
 // Guards against early runs of more copies of a step than engines may end under an item.
 func TestEarlyRunsKnowEnginesThatEndedUnderEarlierCopies(t *testing.T) {
 	for _, how := range []fatality{endsBeforeAnswer, endsMidStream} {
-		t.Run(how.String(), func(t *testing.T) { playRetriedSubmission(t, 40*time.Second, how) })
+		t.Run(how.String(), func(t *testing.T) { playRetriedSubmission(t, 40*time.Second, how, false) })
 	}
 }
 
 // playRetriedSubmission plays a step that a trainer submits at one VM after the other while the store is away.
-func playRetriedSubmission(t *testing.T, away time.Duration, how fatality) {
+func playRetriedSubmission(t *testing.T, away time.Duration, how fatality, isolated bool) {
 	bubble(t, func(t *testing.T) {
 		p := newMortalPlay(t, 48, 1, how)
+		p.cluster.isolated = isolated
 		var vms []*testVM
 		for _, name := range []string{"a", "b", "c", "d", "e", "f"} {
 			vms = append(vms, p.cluster.start(name))
--- a/internal/step/manager.go
+++ b/internal/step/manager.go
@@ -79,6 +79,8 @@
 	PreferredOwner func(model string, residency route.Residency) (p Process, ok bool)
 	// StoreAvailable reports whether the store is available.
 	StoreAvailable func() bool
+	// TellPeers tells the other VMs of lost answers, for NoteLostAnswers there; nil for none.
+	TellPeers func(ctx context.Context, suspicions []byte)
 	// CallBudget limits the rate of the watch calls.
 	CallBudget *budget.Budget
 	// Retention is how long ended steps remain readable after their submission.
--- a/internal/step/run.go
+++ b/internal/step/run.go
@@ -105,6 +105,8 @@
 
 	// saveCh signals saveSuspicionsLoop. saveSlot holds a value during a save, which may last as long as its context.
 	saveCh, saveSlot chan struct{}
+	// told holds the suspicions that the other VMs were told of. Only saveSuspicionsLoop uses it.
+	told map[suspicion.Suspicion]bool
 	// confirmedAt is when the last read of other VMs' rows for an attempt began; saveSlot guards it.
 	confirmedAt time.Time
 	// unaccounted holds the requests of which a lost owner may have left an attempt that nobody knows.
@@ -126,7 +128,7 @@
 		commitSlot:  make(chan struct{}, 1),
 
 		acceptedCh: make(chan struct{}),
-		saveCh:     make(chan struct{}, 1), saveSlot: make(chan struct{}, 1),
+		saveCh:     make(chan struct{}, 1), saveSlot: make(chan struct{}, 1), told: make(map[suspicion.Suspicion]bool),
 	}
 	r.order = r.startOrders.byLength
 	r.ctx, r.cancel = context.WithCancel(m.ctx)
--- a/internal/step/suspicionrows.go
+++ b/internal/step/suspicionrows.go
@@ -107,12 +107,11 @@
 // saveSuspicionsLoop saves lost answers at once, until the run ends, and then once more: the trainer may
 // submit the items of an incomplete group again.
 func (r *run) saveSuspicionsLoop() {
-	select {
-	case <-r.ctx.Done():
+	if !r.tellPeersUntilAccepted() {
 		r.saveOnceAccepted()
 		return
-	case <-r.acceptedCh:
 	}
+	r.signalSave()
 	for ended := false; !ended; {
 		select {
 		case <-r.ctx.Done():
@@ -122,6 +121,7 @@
 			wait.For(r.ctx, dispatchBatchDelay)
 		}
 		if !r.saveChangedSuspicions() {
+			r.tellPeers()
 			wait.For(r.ctx, refusedCommitBackoff)
 			r.signalSave()
 		}
--- a/internal/suspicion/ledger.go
+++ b/internal/suspicion/ledger.go
@@ -36,7 +36,7 @@
 	// canceled is true if the attempt was canceled while the upstream answered. It counts only if runsOn
 	// is true as well.
 	canceled bool
-	// recorded is true if a row of another process holds the suspicion.
+	// recorded is true if another process has stored the suspicion, or has told this one of it.
 	recorded bool
 }
 
--- a/internal/suspicion/rows.go
+++ b/internal/suspicion/rows.go
@@ -73,6 +73,21 @@
 	return unreadable
 }
 
+// NoteTold joins suspicions that another process has told this one of, and reports whether any is new.
+func (l *Ledger) NoteTold(lost []Suspicion, now time.Time) (isNew bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, told := range lost {
+		s, known := l.suspicions[told.Request][told.Incarnation]
+		if known && s.recorded && s.counts() {
+			continue
+		}
+		l.putLocked(told.Request, told.Incarnation, state{at: now, recorded: true, open: s.open})
+		isNew = true
+	}
+	return isNew
+}
+
 // NoteStored records that the store has records of this process.
 func (l *Ledger) NoteStored(records []Record, now time.Time) {
 	l.mu.Lock()
@@ -89,6 +104,24 @@
 	}
 }
 
+// LostUnstored returns the suspicions against requests that only this process knows of, without those of attempts in progress:
+// they may not have been sent, and nothing would take them back.
+func (l *Ledger) LostUnstored(requests map[Request]bool) []Suspicion {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var lost []Suspicion
+	for request, suspicions := range l.suspicions {
+		done, asked := requests[request]
+		for incarnation, s := range suspicions {
+			suspicion := Suspicion{request, incarnation}
+			if _, ok := l.stored[suspicion]; !ok && asked && !done && s.counts() && !s.open && !s.recorded {
+				lost = append(lost, suspicion)
+			}
+		}
+	}
+	return lost
+}
+
 // Unstored returns the records by which the store has to be brought up to date about requests: the suspicions that
 // it lacks, unless the request is done, which is the value, and those that were lifted since.
 func (l *Ledger) Unstored(requests map[Request]bool) []Record {
--- a/internal/suspicion/rows_test.go
+++ b/internal/suspicion/rows_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"encoding/json"
+	"slices"
 	"strconv"
 	"sync"
 	"testing"
 	"time"
 
 	"dogwoodpond/internal/rowstore"
+	"dogwoodpond/internal/target"
 )
 
 // row returns a row of records that was written at a version.
@@ -74,3 +76,29 @@
 		t.Errorf("to be stored after the upstream survived: %v", records)
 	}
 }
+
+// Guards against lost answers that another VM has told of and that no VM stores or that an attempt here takes back, and
+// against attempts in progress that are told of although they may not be sent.
+func TestToldSuspicionsAreStoredAndNotToldAgain(t *testing.T) {
+	l, at, asked := NewLedger(), time.Unix(100, 0), map[Request]bool{request: false}
+	told := []Suspicion{{request, first}}
+	if !l.NoteTold(told, at) || l.NoteTold(told, at) {
+		t.Error("what another VM tells must be new once")
+	}
+	if records := l.Unstored(asked); l.Count(request) != 1 || len(records) != 1 || records[0].Suspicion != told[0] {
+		t.Errorf("count %d after another VM told of a lost answer; to be stored: %v", l.Count(request), records)
+	}
+	other := target.Incarnation{Upstream: "other", Started: 1}
+	l.Begin(request, other, at)
+	if lost := l.LostUnstored(asked); len(lost) > 0 {
+		t.Errorf("another VM's lost answers and attempts in progress are told of: %v", lost)
+	}
+	l.NoteTold([]Suspicion{{request, other}}, at)
+	if l.Withdraw(request, other); l.Count(request) != 2 {
+		t.Error("an attempt that did not run takes back a lost answer that another VM has told of")
+	}
+	own := target.Incarnation{Upstream: "own", Started: 1}
+	if l.Add(request, own, at); !slices.Equal(l.LostUnstored(asked), []Suspicion{{request, own}}) {
+		t.Errorf("told of: %v, want the answer that was lost here", l.LostUnstored(asked))
+	}
+}
