step: last attempts that may end several engines wait for those of other VMs

Two engines had ended with those of an item at another VM; then both VMs began the last attempts 3 s after the last end, at the same moment, and the other item ended its engine and the sound item's once more.

Cause: last attempts that may end several engines run one at a time, but only at one VM, and all VMs wait for the same ends, so that they begin at the same moment.

Change: such an attempt also waits while another VM may be running the last one at another item: before it is recorded, from the rows that the VM has read, and after it, from the rows that it reads then. Of two VMs one at least withdraws, and tries again after a random backoff. The wait is bounded by maxTurnWait as before.

--- a/internal/step/postpone.go
+++ b/internal/step/postpone.go
@@ -19,6 +19,8 @@
 	maxRepeatWait = 4 * time.Second
 	// maxTurnWait is the longest time that the last attempt at an item waits for those at others.
 	maxTurnWait = 8 * time.Second
+	// otherLastPeriod is how long the last attempt of another VM is taken to run, unless that VM has taken it back.
+	otherLastPeriod = 2 * time.Second
 )
 
 const (
@@ -55,9 +57,19 @@
 // awaitsTurn reports whether the last attempt at an item waits for others, because they or the item itself may end
 // several engines together.
 func (r *run) awaitsTurn(i int, mayEndSeveral bool, now time.Time) bool {
-	if r.m.suspects.mayBeginLast(mayEndSeveral) {
+	if r.m.suspects.mayBeginLast(mayEndSeveral) && !(mayEndSeveral && r.m.otherLastRuns(r.request(i), now)) {
 		return false
 	}
+	return r.mayAwaitTurn(i, now)
+}
+
+// otherLastRuns reports whether another VM may be running the last attempt at another item.
+func (m *Manager) otherLastRuns(request suspicion.Request, now time.Time) bool {
+	return m.suspicions.OtherLastAttempt(request, now.Add(-otherLastPeriod))
+}
+
+// mayAwaitTurn reports whether the last attempt at an item, which waits for others, may go on to wait.
+func (r *run) mayAwaitTurn(i int, now time.Time) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	p := &r.progress[i]
--- a/internal/step/suspect.go
+++ b/internal/step/suspect.go
@@ -24,6 +24,8 @@
 	index int
 	need  need
 	entry *target.Entry
+	// mayEndSeveral is true for the last attempt at an item that may end other engines together with its own.
+	mayEndSeveral bool
 }
 
 // placeSuspect takes an engine for an item under suspicion. It holds the item back if as many engines as
@@ -70,7 +72,7 @@
 		m.suspects.add(entry)
 	}
 	entry.Begin()
-	return suspectAttempt{index: i, need: n, entry: entry}, true
+	return suspectAttempt{index: i, need: n, entry: entry, mayEndSeveral: mayEndSeveral}, true
 }
 
 // earlySuspectDelay is how long items under suspicion wait after the acceptance of an early run, until
@@ -106,16 +108,22 @@
 	}
 }
 
-// recordSuspectAttempt records that an attempt at an item under suspicion begins, and reports whether the next
-// owner will know of it, should this process end together with the engine, and no owner of another step makes one too many
-// at the same time. An engine that has ended must not be recorded: it would count if the owner ended then.
+// recordSuspectAttempt records that an attempt at an item under suspicion begins, and reports whether it may be sent: the next
+// owner will know of it, should this process end together with the engine, and no other owner makes an attempt at the same time
+// that is one too many or that has to run apart from this one. An engine that has ended must not be recorded: it would count if
+// the owner ended then.
 func (r *run) recordSuspectAttempt(a suspectAttempt) bool {
 	r.m.suspicions.Begin(r.request(a.index), a.entry.Incarnation(), time.Now())
 	// Attempts that start together are saved together.
 	wait.For(r.itemCtx, dispatchBatchDelay)
 	ctx, cancel := context.WithTimeout(r.itemCtx, suspicionSaveTimeout)
 	defer cancel()
-	return r.saveSuspicions(ctx) && r.confirmSuspicions(ctx, time.Now()) && r.m.suspicions.Count(r.request(a.index)) <= suspicion.MaxEnds
+	request := r.request(a.index)
+	if !r.saveSuspicions(ctx) || !r.confirmSuspicions(ctx, time.Now()) || r.m.suspicions.Count(request) > suspicion.MaxEnds {
+		return false
+	}
+	now := time.Now()
+	return !a.mayEndSeveral || !r.m.otherLastRuns(request, now) || !r.mayAwaitTurn(a.index, now)
 }
 
 // withdraw takes back an attempt at an item under suspicion that was not sent.
--- a/internal/suspicion/ledger.go
+++ b/internal/suspicion/ledger.go
@@ -230,6 +230,29 @@
 	return false
 }
 
+// OtherLastAttempt reports whether this process has learned since a time of what another process may be running: the last
+// attempt at another request.
+func (l *Ledger) OtherLastAttempt(request Request, since time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for other, suspicions := range l.suspicions {
+		if other == request {
+			continue
+		}
+		count, isRecent := 0, false
+		for _, s := range suspicions {
+			if s.counts() {
+				count++
+				isRecent = isRecent || s.recorded && s.at.After(since)
+			}
+		}
+		if count >= MaxEnds && isRecent {
+			return true
+		}
+	}
+	return false
+}
+
 // Has reports whether an incarnation may have ended under a request.
 func (l *Ledger) Has(request Request, incarnation target.Incarnation) bool {
 	l.mu.Lock()
