smoke: a failed run prints the failed command, the processes that ended and the last log lines

The script now reports the line and command that failed, which processes are gone, and the last five lines of each log. Shown with a copy whose expected count was wrong; the unchanged run passes.

--- a/scripts/smoke.sh
+++ b/scripts/smoke.sh
@@ -13,7 +13,28 @@
 daemon=bin/dogwoodpondd
 work=$(mktemp -d)
 pids=()
+declare -A name_of
+# report_failure <status>: prints the command that failed, the processes that are gone, and the last lines of each log.
+report_failure() {
+  {
+    echo "smoke: FAILED with status $1${failed_line:+ at line $failed_line: $failed_command}"
+    for pid in "${pids[@]}"; do
+      kill -0 "$pid" 2>/dev/null || echo "process $pid (${name_of[$pid]}) has ended"
+    done
+    for log in "$work"/*.log "$work"/*.err; do
+      if [ -s "$log" ]; then
+        echo "--- last lines of $(basename "$log")"
+        tail -5 "$log"
+      fi
+    done
+  } >&2
+}
+set -E
+failed_line='' failed_command='' complete=
+trap 'failed_line=$LINENO failed_command=$BASH_COMMAND' ERR
 stop() {
+  local status=$?
+  if [ "$status" != 0 ] && [ -z "$complete" ]; then report_failure "$status"; fi
   for pid in "${pids[@]}"; do kill -CONT "$pid" 2>/dev/null || true; kill -TERM "$pid" 2>/dev/null || true; done
   wait 2>/dev/null || true
   rm -rf "$work" bin/run.env
@@ -36,6 +57,7 @@
   shift
   "$standin" "$@" >"$work/$name.out" 2>"$work/$name.err" &
   pids+=($!)
+  name_of[$!]=$name
   await "$work/$name.out" '^listening '
   bound=$(sed -n 's/^listening //p' "$work/$name.out" | head -1)
 }
@@ -92,6 +114,7 @@
     "$daemon" --settings "$work/$vm.json" 2>"$work/$vm.log" &
     vm_pid[$vm]=$!
     pids+=($!)
+    name_of[$!]=$vm
     vms+=("$vm")
   done
 done
@@ -228,6 +251,7 @@
 "$ctl" timeline --request "$request"
 echo "the same request, explained:"
 "$ctl" explain "$request"
+complete=true
 echo "smoke: ok: $served requests served, $samples samples delivered once each with their weight versions, ${#vms[@]} daemons (the owner $owner killed, $successor took over), $upstreams upstreams"
 if [ "$mode" = --stay ]; then
   # Environment for another terminal; the tour in README.md reads this file.
