--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -1,7 +1,8 @@
-// Package relay relays calls to the platform's store through another VM for a VM that can't
-// reach the store itself, and tells other VMs of lost answers that can't be stored. The store may refuse some VMs while it serves others, and a network
-// partition may cut some VMs off; without relays a third of the fleet would be unusable for
-// minutes. The VMs of a fleet trust each other. A relayed commit is as safe as a direct one,
+// Package relay holds the calls between VMs that stand in for the platform's store: a VM that
+// can't reach the store has its calls relayed by another one, and lost answers that can't be
+// stored are told to the other VMs. The store may refuse some VMs while it serves others, and a
+// network partition may cut some VMs off; without relays a third of the fleet would be unusable
+// for minutes. The VMs of a fleet trust each other. A relayed commit is as safe as a direct one,
 // because its expectations protect it on either path.
 package relay
 
