Failing test: the next owner makes last attempts at the same moment

Its owner had restarted; the next one does not know that engines had ended together, so that it made the last attempts at the fatal item and at the sound one at the same moment, 3 s after it began to run the step, and the companion of the former's engine was the latter's.

--- a/internal/step/two_owners_test.go
+++ b/internal/step/two_owners_test.go
@@ -39,3 +39,28 @@
 		}
 	}
 }
+
+// Guards against sound items that are abandoned because the next owner, which doesn't know when engines ended, makes their
+// last attempts beside that of an item that ends several engines together.
+func TestLastAttemptsOfNextOwnerRunOneAtATime(t *testing.T) {
+	for companions := 1; companions <= 4; companions++ {
+		for _, how := range []fatality{endsBeforeAnswer, endsMidStream} {
+			for _, after := range []time.Duration{400 * time.Millisecond, 700 * time.Millisecond, time.Second, 1500 * time.Millisecond} {
+				t.Run(fmt.Sprintf("%d companions, %s, after %s", companions, how, after), func(t *testing.T) {
+					bubble(t, func(t *testing.T) {
+						p := commonEnd{fatal: 1, companions: companions}.play(t, how)
+						a := p.cluster.start("a")
+						time.AfterFunc(after, func() {
+							p.cluster.crash(a)
+							p.cluster.start("b")
+						})
+						submit(t, a, p.step, p.items)
+						time.Sleep(commonEndPeriod)
+						p.logTimeline()
+						p.check()
+					})
+				})
+			}
+		}
+	}
+}
