step: the test of a run's acceptance waits for the VM's first read

The test recorded a state and started its run while the VM's first full read was in progress; that read wakes the takeover loop, which at times started the run of the recorded step first, so that startRun returned nil. The test now waits until the VM is idle, as its neighbors do; what it checks is unchanged.

--- a/internal/step/runs_test.go
+++ b/internal/step/runs_test.go
@@ -106,6 +106,7 @@
 	bubble(t, func(t *testing.T) {
 		cl := newCluster(t, "e1")
 		a := cl.start("a")
+		synctest.Wait()
 		rec := openStepRecord("s", "a", 1)
 		rec.OwnerIncarnation = a.Incarnation
 		a.recordState(rec)
