step: rows of lost answers say when, and the next owner takes turns as the last one did

After a takeover the next owner did not know that engines had ended together, and made the last attempts at an item that ends several engines and at sound ones at the same moment.

Cause: rows of lost answers named the incarnation alone. And an attempt that counts as the last one because the dead owner may have lost one more waited for a low risk, but not for its turn.

Change: a record holds the service and the time of the lost answer, also in what VMs tell each other; a reader learns from it which upstreams ended together, and compares each item's lost answers with that. Such an attempt takes its turn as well.

TestRowsSayWhichUpstreamsEndedTogether is new.

--- a/internal/step/suspect.go
+++ b/internal/step/suspect.go
@@ -45,7 +45,7 @@
 	if !r.mayRunSuspects(now) || !m.StoreAvailable() {
 		return suspectAttempt{}, false
 	}
-	last := count == suspicion.MaxEnds-1
+	last := r.unaccounted.PossibleEnds(request) >= suspicion.MaxEnds-1
 	mayEndSeveral := last && m.suspicions.MayEndSeveral(request, outlook)
 	if reason := r.postponeReason(i, n, outlook, last, mayEndSeveral, now); reason != "" {
 		r.notePostponed(i, reason)
--- a/internal/step/tellpeers.go
+++ b/internal/step/tellpeers.go
@@ -32,7 +32,7 @@
 	if r.m.TellPeers == nil {
 		return
 	}
-	untold := slices.DeleteFunc(r.m.suspicions.LostUnstored(r.requests()), func(s suspicion.Suspicion) bool { return r.told[s] })
+	untold := slices.DeleteFunc(r.m.suspicions.LostUnstored(r.requests()), func(lost suspicion.Record) bool { return r.told[lost.Suspicion] })
 	chunks, err := pack(untold, rowLimit)
 	if err != nil {
 		r.m.Events.Emit(event.DependencyLost, event.Subject{Step: r.rec.ID, Detail: "lost answers: " + err.Error()})
@@ -41,14 +41,14 @@
 	for _, chunk := range chunks {
 		r.m.tasks.Go(func() { r.m.TellPeers(r.m.ctx, chunk.body) })
 	}
-	for _, s := range untold {
-		r.told[s] = true
+	for _, lost := range untold {
+		r.told[lost.Suspicion] = true
 	}
 }
 
 // NoteLostAnswers takes note of lost answers that another VM has told of.
 func (m *Manager) NoteLostAnswers(body []byte) {
-	var told []suspicion.Suspicion
+	var told []suspicion.Record
 	if err := json.Unmarshal(body, &told); err != nil {
 		m.Events.Emit(event.RowUnreadable, event.Subject{Detail: "lost answers of a peer: " + err.Error()})
 		return
--- a/internal/suspicion/ends.go
+++ b/internal/suspicion/ends.go
@@ -18,7 +18,7 @@
 func (l *Ledger) AddLost(request Request, incarnation target.Incarnation, service string, at time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.putLocked(request, incarnation, state{at: at})
+	l.putLocked(request, incarnation, state{at: at, lostAt: at})
 	if _, known := l.ends[incarnation]; !known {
 		l.ends[incarnation] = end{service, at}
 	}
@@ -45,9 +45,9 @@
 			missed++
 		}
 	}
-	// This VM doesn't know when an answer to another one was lost.
+	// Any of the others may be at a time that this VM doesn't know.
 	for _, s := range l.suspicions[request] {
-		if s.recorded {
+		if s.lostAt.IsZero() {
 			missed--
 		}
 	}
@@ -57,7 +57,7 @@
 // lostAtLocked reports whether an answer to a request was lost when upstreams ended at a time.
 func (l *Ledger) lostAtLocked(request Request, ended time.Time) bool {
 	for _, s := range l.suspicions[request] {
-		if !s.recorded && s.at.Sub(ended).Abs() <= lossNotice {
+		if !s.lostAt.IsZero() && s.lostAt.Sub(ended).Abs() <= lossNotice {
 			return true
 		}
 	}
--- a/internal/suspicion/ledger.go
+++ b/internal/suspicion/ledger.go
@@ -29,8 +29,10 @@
 
 // state is what is known of a suspicion.
 type state struct {
-	// at is when the answer was lost, or when the attempt began.
+	// at is when the answer was lost, when the attempt began, or when this process learned of either from another one.
 	at time.Time
+	// lostAt is when the answer was lost, also by the clock of another process; zero if that is unknown.
+	lostAt time.Time
 	// open is true while the attempt runs, runsOn once a report has listed the request after that.
 	open, runsOn bool
 	// canceled is true if the attempt was canceled while the upstream answered. It counts only if runsOn
@@ -96,6 +98,9 @@
 	}
 	before := l.suspicions[request][incarnation]
 	s.recorded = s.recorded || before.recorded
+	if s.lostAt.IsZero() {
+		s.lostAt = before.lostAt
+	}
 	l.suspicions[request][incarnation] = s
 }
 
--- a/internal/suspicion/rows.go
+++ b/internal/suspicion/rows.go
@@ -19,6 +19,31 @@
 type Record struct {
 	Suspicion
 	Survived bool `json:"survived,omitempty"`
+	// Service is that of the incarnation, and Lost when the answer was lost, in Unix milliseconds; empty and 0
+	// if unknown. The next owner learns from them which upstreams ended together.
+	Service string `json:"service,omitempty"`
+	Lost    int64  `json:"lost,omitempty"`
+}
+
+// recordLocked returns the record of a suspicion.
+func (l *Ledger) recordLocked(suspicion Suspicion, s state) Record {
+	r := Record{Suspicion: suspicion}
+	if !s.lostAt.IsZero() {
+		r.Service, r.Lost = l.ends[suspicion.Incarnation].service, s.lostAt.UnixMilli()
+	}
+	return r
+}
+
+// joinLocked joins what another process has recorded.
+func (l *Ledger) joinLocked(r Record, now time.Time) {
+	s := state{at: now, recorded: true, open: l.suspicions[r.Request][r.Incarnation].open}
+	if r.Lost > 0 {
+		s.lostAt = time.UnixMilli(r.Lost)
+		if _, known := l.ends[r.Incarnation]; !known && r.Service != "" {
+			l.ends[r.Incarnation] = end{r.Service, s.lostAt}
+		}
+	}
+	l.putLocked(r.Request, r.Incarnation, s)
 }
 
 // IsRow reports whether a row holds suspicions.
@@ -64,7 +89,7 @@
 			s := l.suspicions[r.Request][r.Incarnation]
 			switch {
 			case !r.Survived:
-				l.putLocked(r.Request, r.Incarnation, state{at: now, recorded: true, open: s.open})
+				l.joinLocked(r, now)
 			case !s.open:
 				l.removeLocked(r.Request, r.Incarnation)
 			}
@@ -74,15 +99,15 @@
 }
 
 // NoteTold joins suspicions that another process has told this one of, and reports whether any is new.
-func (l *Ledger) NoteTold(lost []Suspicion, now time.Time) (isNew bool) {
+func (l *Ledger) NoteTold(lost []Record, now time.Time) (isNew bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, told := range lost {
 		s, known := l.suspicions[told.Request][told.Incarnation]
-		if known && s.recorded && s.counts() {
+		if told.Survived || known && s.recorded && s.counts() {
 			continue
 		}
-		l.putLocked(told.Request, told.Incarnation, state{at: now, recorded: true, open: s.open})
+		l.joinLocked(told, now)
 		isNew = true
 	}
 	return isNew
@@ -104,18 +129,18 @@
 	}
 }
 
-// LostUnstored returns the suspicions against requests that only this process knows of, without those of attempts in progress:
+// LostUnstored returns records of the suspicions against requests that only this process knows of, without those of attempts in progress:
 // they may not have been sent, and nothing would take them back.
-func (l *Ledger) LostUnstored(requests map[Request]bool) []Suspicion {
+func (l *Ledger) LostUnstored(requests map[Request]bool) []Record {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	var lost []Suspicion
+	var lost []Record
 	for request, suspicions := range l.suspicions {
 		done, asked := requests[request]
 		for incarnation, s := range suspicions {
 			suspicion := Suspicion{request, incarnation}
 			if _, ok := l.stored[suspicion]; !ok && asked && !done && s.counts() && !s.open && !s.recorded {
-				lost = append(lost, suspicion)
+				lost = append(lost, l.recordLocked(suspicion, s))
 			}
 		}
 	}
@@ -139,7 +164,7 @@
 		for incarnation, s := range suspicions {
 			unstored := Suspicion{request, incarnation}
 			if _, ok := l.stored[unstored]; !ok && asked && !done && s.counts() {
-				records = append(records, Record{Suspicion: unstored})
+				records = append(records, l.recordLocked(unstored, s))
 			}
 		}
 	}
--- a/internal/suspicion/rows_test.go
+++ b/internal/suspicion/rows_test.go
@@ -8,6 +8,9 @@
 	"testing"
 	"time"
 
+	"go.uber.org/zap"
+
+	"dogwoodpond/internal/event"
 	"dogwoodpond/internal/rowstore"
 	"dogwoodpond/internal/target"
 )
@@ -81,11 +84,11 @@
 // against attempts in progress that are told of although they may not be sent.
 func TestToldSuspicionsAreStoredAndNotToldAgain(t *testing.T) {
 	l, at, asked := NewLedger(), time.Unix(100, 0), map[Request]bool{request: false}
-	told := []Suspicion{{request, first}}
+	told := []Record{{Suspicion: Suspicion{request, first}}}
 	if !l.NoteTold(told, at) || l.NoteTold(told, at) {
 		t.Error("what another VM tells must be new once")
 	}
-	if records := l.Unstored(asked); l.Count(request) != 1 || len(records) != 1 || records[0].Suspicion != told[0] {
+	if records := l.Unstored(asked); l.Count(request) != 1 || len(records) != 1 || records[0] != told[0] {
 		t.Errorf("count %d after another VM told of a lost answer; to be stored: %v", l.Count(request), records)
 	}
 	other := target.Incarnation{Upstream: "other", Started: 1}
@@ -93,12 +96,33 @@
 	if lost := l.LostUnstored(asked); len(lost) > 0 {
 		t.Errorf("another VM's lost answers and attempts in progress are told of: %v", lost)
 	}
-	l.NoteTold([]Suspicion{{request, other}}, at)
+	l.NoteTold([]Record{{Suspicion: Suspicion{request, other}}}, at)
 	if l.Withdraw(request, other); l.Count(request) != 2 {
 		t.Error("an attempt that did not run takes back a lost answer that another VM has told of")
 	}
 	own := target.Incarnation{Upstream: "own", Started: 1}
-	if l.Add(request, own, at); !slices.Equal(l.LostUnstored(asked), []Suspicion{{request, own}}) {
+	if l.Add(request, own, at); !slices.Equal(l.LostUnstored(asked), []Record{{Suspicion: Suspicion{request, own}}}) {
 		t.Errorf("told of: %v, want the answer that was lost here", l.LostUnstored(asked))
 	}
 }
+
+// Guards against the next owner that doesn't know which upstreams ended together, and under which requests.
+func TestRowsSayWhichUpstreamsEndedTogether(t *testing.T) {
+	owner, next, at := NewLedger(), NewLedger(), time.Unix(100, 0)
+	alone, older := Request{Account: "a", ID: "alone"}, Request{Account: "a", ID: "older"}
+	incarnation := func(upstream string) target.Incarnation { return target.Incarnation{Upstream: upstream, Started: 1} }
+	owner.AddLost(request, incarnation("e1"), "lm", at)
+	owner.AddLost(Request{Account: "a", ID: "beside"}, incarnation("e2"), "lm", at)
+	owner.AddLost(alone, incarnation("e3"), "lm", at.Add(time.Second))
+	asked := map[Request]bool{request: false, {Account: "a", ID: "beside"}: false, alone: false}
+	now := at.Add(2 * time.Second)
+	next.Observe([]rowstore.Row{
+		row(t, 1, owner.Unstored(asked)...), row(t, 2, Record{Suspicion: Suspicion{older, incarnation("e4")}}),
+	}, now)
+	outlook := next.OutlookOf("lm", target.NewRoster(event.NewRecorder("vm", 8, event.NewClock(time.Now), zap.NewNop())), now)
+	for r, want := range map[Request]bool{request: true, alone: false, older: true} {
+		if got := next.MayEndSeveral(r, outlook); got != want {
+			t.Errorf("request %s may have ended several upstreams: %t, want %t", r.ID, got, want)
+		}
+	}
+}
