step: score calls under suspicion are recorded before they are made

Cause: one call could end two services, and the last call was made by both owners, since each knew of the other's calls only once their answers were lost.

Change: a call ends at its first lost answer. The next one is stored before it is made, like an attempt at an item, and withdrawn if it is one too many beside those of other owners; it waits for the acceptance of the step and for the store. Its service is not known in advance, so a name of the process stands for it until the call has ended. What a lost owner has recorded so is not counted a second time as unaccounted.

--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -64,6 +64,8 @@
 	Priority int
 	// EarlierLosses is the number of upstreams that may have ended under earlier calls of the request.
 	EarlierLosses int
+	// StopAfterLoss ends the call after its first lost answer, so that the caller can record that before the next call.
+	StopAfterLoss bool
 }
 
 // Answer is an upstream's answer for the caller. Body holds its first bytes. Rest, if
@@ -250,6 +252,9 @@
 // ended under it, whatever number of attempts the route allows. The caller waits, so there is no time
 // to find out whether they did.
 func (r *inflightRequest) mayEndAnother() bool {
+	if r.call.StopAfterLoss && r.unanswered > 0 {
+		return false
+	}
 	return r.call.EarlierLosses+r.unanswered+r.pendingCount < suspicion.MaxEnds
 }
 
--- a/internal/scoring/client.go
+++ b/internal/scoring/client.go
@@ -32,7 +32,7 @@
 }
 
 // Client makes score calls through a forwarder, like callers' idempotent requests: a
-// failed attempt is retried at another upstream, and a slow one is hedged. The forwarder
+// failed attempt is retried at another upstream, unless its answer was lost, and a slow one is hedged. The forwarder
 // must have its own meter and retry budget, since score calls are not charged to client
 // accounts and must not use up the retry budget of callers' requests.
 type Client struct{ Forwarder *forward.Forwarder }
@@ -48,7 +48,7 @@
 	answer, err := c.Forwarder.Do(ctx, forward.Call{
 		ID: call.ID, Route: idempotentRoute(callRoute), Arrived: time.Now(),
 		Method: http.MethodPost, URI: call.Path, Host: call.Host, Header: make(http.Header), Body: call.Body,
-		Residency: residency, EarlierLosses: earlierLosses,
+		Residency: residency, EarlierLosses: earlierLosses, StopAfterLoss: true,
 	})
 	if err != nil {
 		return "", err
--- a/internal/step/score.go
+++ b/internal/step/score.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"dogwoodpond/internal/event"
@@ -55,9 +56,13 @@
 			continue
 		}
 		service := callRoute.Service(r.items[i].Score.ID)
+		r.unaccounted.DropRecorded(r.scoreRequest(i))
 		if !r.unaccounted.Settle(r.scoreRequest(i), service, now, r.signalSave) || r.holdScore(i) {
 			continue
 		}
+		if m.suspicions.Count(r.scoreRequest(i)) > 0 && (!r.mayRunSuspects(now) || !m.StoreAvailable()) {
+			continue
+		}
 		if r.isLastScoreCall(i) && expected.of(m, service, now).Risk(callRoute.Objective) > maxLastRisk {
 			continue
 		}
@@ -104,10 +109,21 @@
 		// The last try is left for a call of its own, which waits until the upstreams are settled.
 		earlierLosses++
 	}
+	if !r.recordScoreCall(i) {
+		r.withdrawScoreCall(i)
+		r.moveAfter(i, retryBackoff+rand.N(maxRetryBackoff), phaseUnscored, phaseScoring)
+		return
+	}
 	score, err := r.m.Scorer.Score(ctx, *item.Score, callRoute, r.m.residency(r.rec.Account, callRoute), earlierLosses)
 	if r.isObsolete(i) {
+		r.withdrawScoreCall(i)
 		return
 	}
+	for _, incarnation := range forward.LostUpstreams(err) {
+		r.m.suspicions.AddLost(r.scoreRequest(i), incarnation, callRoute.Service(item.Score.ID), time.Now())
+		r.signalSave()
+	}
+	r.withdrawScoreCall(i)
 	subject := event.Subject{Step: r.rec.ID, Slot: item.ID, Account: r.rec.Account, Request: item.Score.ID}
 	if err == nil {
 		completedAt, engine := r.completedBy(i)
@@ -116,10 +132,6 @@
 		r.finishWithText(i, score)
 		return
 	}
-	for _, incarnation := range forward.LostUpstreams(err) {
-		r.m.suspicions.AddLost(r.scoreRequest(i), incarnation, callRoute.Service(item.Score.ID), time.Now())
-		r.signalSave()
-	}
 	state, backoff := r.countScoreFailure(i, err)
 	subject.Detail, subject.Count = string(fault.CodeOf(err)), int64(state.NegativeAnswers)
 	r.m.Events.Emit(event.ScoreFailed, subject)
@@ -130,6 +142,19 @@
 	r.moveAfter(i, backoff, phaseUnscored, phaseScoring)
 }
 
+// recordScoreCall records that an item's score call begins if it is under suspicion, and reports whether it may be made: two
+// owners of the item must not make calls that are one too many at the same time.
+func (r *run) recordScoreCall(i int) bool {
+	request := r.scoreRequest(i)
+	return r.m.suspicions.Count(request) == 0 || r.record(request, r.m.suspicions.CallInProgress())
+}
+
+// withdrawScoreCall takes back what recordScoreCall has recorded. The upstreams of the call are known now.
+func (r *run) withdrawScoreCall(i int) {
+	request := r.scoreRequest(i)
+	r.lift(request, func() { r.m.suspicions.Withdraw(request, r.m.suspicions.CallInProgress()) })
+}
+
 // scoreRequest returns the identity of an item's score call.
 func (r *run) scoreRequest(i int) suspicion.Request {
 	return suspicion.Request{Account: r.rec.Account, ID: "score/" + r.items[i].Score.ID}
--- a/internal/step/suspect.go
+++ b/internal/step/suspect.go
@@ -113,19 +113,25 @@
 // that is one too many or that has to run apart from this one. An engine that has ended must not be recorded: it would count if
 // the owner ended then.
 func (r *run) recordSuspectAttempt(a suspectAttempt) bool {
-	r.m.suspicions.Begin(r.request(a.index), a.entry.Incarnation(), time.Now())
-	// Attempts that start together are saved together.
-	wait.For(r.itemCtx, dispatchBatchDelay)
-	ctx, cancel := context.WithTimeout(r.itemCtx, suspicionSaveTimeout)
-	defer cancel()
 	request := r.request(a.index)
-	if !r.saveSuspicions(ctx) || !r.confirmSuspicions(ctx, time.Now()) || r.m.suspicions.Count(request) > suspicion.MaxEnds {
+	if !r.record(request, a.entry.Incarnation()) {
 		return false
 	}
 	now := time.Now()
 	return !a.mayEndSeveral || !r.m.otherLastRuns(request, now) || !r.mayAwaitTurn(a.index, now)
 }
 
+// record records that an attempt at a request under suspicion begins, and reports whether it is stored and not one too many
+// beside those of other owners.
+func (r *run) record(request suspicion.Request, incarnation target.Incarnation) bool {
+	r.m.suspicions.Begin(request, incarnation, time.Now())
+	// Attempts that start together are saved together.
+	wait.For(r.itemCtx, dispatchBatchDelay)
+	ctx, cancel := context.WithTimeout(r.itemCtx, suspicionSaveTimeout)
+	defer cancel()
+	return r.saveSuspicions(ctx) && r.confirmSuspicions(ctx, time.Now()) && r.m.suspicions.Count(request) <= suspicion.MaxEnds
+}
+
 // withdraw takes back an attempt at an item under suspicion that was not sent.
 func (r *run) withdraw(a suspectAttempt, backoff time.Duration) {
 	a.entry.End()
--- a/internal/suspicion/ledger.go
+++ b/internal/suspicion/ledger.go
@@ -62,6 +62,12 @@
 	l.put(request, incarnation, state{at: at, open: true})
 }
 
+// CallInProgress returns what stands for the upstream of a call under suspicion that this process makes: it is chosen only
+// during the call.
+func (l *Ledger) CallInProgress() target.Incarnation {
+	return target.Incarnation{Upstream: "call in progress, " + l.process}
+}
+
 // Add records that the incarnation may have ended under the request.
 func (l *Ledger) Add(request Request, incarnation target.Incarnation, at time.Time) {
 	l.put(request, incarnation, state{at: at})
--- a/internal/suspicion/suspicion.go
+++ b/internal/suspicion/suspicion.go
@@ -26,7 +26,7 @@
 //	items                by rows, across steps  a report that doesn't list the item, SurvivalDelay after the lost
 //	                                            answer; UnlistedSurvivalDelay if the engine lists no runs
 //	score calls          by rows, across steps  the place in the list, UnlistedSurvivalDelay after the lost answer:
-//	                                            services give no report; the last call waits as well
+//	                                            services give no report; waits and is recorded like an item
 //	plain requests       during the call        nothing: the call ends before it could be
 //	streams              during the call        nothing; each attempt that ran counts
 //	own interface        during the call        nothing
--- a/internal/suspicion/unaccounted.go
+++ b/internal/suspicion/unaccounted.go
@@ -100,7 +100,7 @@
 	}
 }
 
-// DropRecorded drops an item of which the lost owner has recorded a suspicion: that was its
+// DropRecorded drops a request of which the lost owner has recorded a suspicion: that was its
 // only attempt, or the later ones were recorded before they were sent.
 func (u *Unaccounted) DropRecorded(request Request) {
 	u.mu.Lock()
