--- a/internal/step/suspicionrows.go
+++ b/internal/step/suspicionrows.go
@@ -129,7 +129,7 @@
 }
 
 // saveOnceAccepted saves the lost answers of an early run that was stopped, once another copy of its step is accepted: they count
-// for that one. What the items lost is forgotten in the end, like all that this VM knows of lost answers.
+// for that one. It ends at the latest when the lost answers expire.
 func (r *run) saveOnceAccepted() {
 	for wait.For(r.m.ctx, acceptancePollInterval) && !r.m.canAbandon(r) {
 		if len(r.m.suspicions.Unstored(r.requests())) == 0 || r.saveChangedSuspicions() {
--- a/internal/suspicion/outlook.go
+++ b/internal/suspicion/outlook.go
@@ -27,8 +27,8 @@
 	maxBursts = 4.0
 )
 
-// Outlook is what the latest ends in a service let expect of its upstreams. It answers for attempts that may begin
-// while upstreams end for causes of their own: together, one after the other, or in bursts with pauses between them.
+// Outlook predicts from the latest ends in a service whether an upstream will end under an attempt that begins now, for a
+// cause of its own. Upstreams may end together, one after the other, or in bursts with pauses between them.
 type Outlook struct {
 	// series holds the bursts of at least each size that was seen, all of them first. Small bursts between large ones, such
 	// as the ends that a request causes, say nothing of when the next large one is due.
