--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -35,4 +35,4 @@
 	run()
 }
 
-var cases = map[string]func(){"added-route": addedRoute, "restart-loop": restartLoop, "read-bodies": readBodies, "stalled-step": stalledStep}
+var cases = map[string]func(){"added-route": addedRoute, "restart-loop": restartLoop, "read-bodies": readBodies, "stalled-step": stalledStep, "extra-answers": extraAnswers}
