review: case 5 plays eight rounds

A round fails in some three of five, as the phases of two polls decide; with four rounds a run could miss the fault.

--- a/review/standin-2/addedroute.go
+++ b/review/standin-2/addedroute.go
@@ -51,7 +51,7 @@
 	owner, submitter := findOwner(f, newBatch("b0", host, "/first/", userKey, "m0", 4, 4, 600, 0))
 	record("the results of the trainer's batch came through %s; the trainer submits at %s, in the same zone", owner.name, submitter.name)
 	routes := []map[string]any{rolloutRoute("r-0", "/first/")}
-	for round := 1; round <= 4; round++ {
+	for round := 1; round <= 8; round++ {
 		time.Sleep(5*time.Second + time.Duration(rand.IntN(1000))*time.Millisecond)
 		if trouble() {
 			silenced := owner.storeProxy.silence()
@@ -91,7 +91,7 @@
 		}
 		b.end(submitter)
 	}
-	finish(held, "held: all items of 4 batches completed")
+	finish(held, "held: all items of 8 batches completed")
 }
 
 // findOwner runs a batch and returns the machine through whose connections to the store its results came, and
