step: the test's timers that are due at once don't crash the race detector

Cause: endUnder called time.AfterFunc(0, ...) in most tests. In a synctest bubble the runtime runs a timer that is due at once in the calling goroutine, with the race context of the bubble.

Change: the timer is due 1 ns later at the earliest, so it runs in the bubble's own turn. No check changes.

--- a/internal/step/query_of_death_test.go
+++ b/internal/step/query_of_death_test.go
@@ -142,7 +142,9 @@
 		time.Sleep(f.endInterval - time.Since(f.started)%f.endInterval)
 	}
 	f.end(e, culprit, silent)
-	time.AfterFunc(f.companionLag, func() {
+	// A timer that is due at once runs in this goroutine with the race context of the synctest bubble, which
+	// crashes the race detector when several goroutines do so.
+	time.AfterFunc(max(f.companionLag, time.Nanosecond), func() {
 		n := f.companions
 		f.endWhere(func(other *mortalEngine) bool {
 			if n == 0 || other.down || other.info.ID == e.info.ID {
