ingress: connections and heads of requests are bounded by memory and descriptors

Seen: in the users' trial, clients that don't behave ended a process, which ran out of memory: requests of legal size made of very many short or odd header lines, heads over the limit or without end.

Cause: nothing counted what clients take before their request is understood. A parsed head takes some 180 bytes for a line of four and as much again in the copies for the call and the attempt. Heads were bounded at 64 KB one by one, at the readiness and metrics addresses at 1 MB, and connections not at all. The configuration's header_bytes, header_timeout_ms and idle_timeout_ms were read and never applied.

Change: package ingress wraps the accepted connections. It counts bytes and lines of a head while it arrives, hands the server no byte behind the head's end unseen (256 bytes behind a body), and reserves memory for large heads from a budget of an eighth of memory_mb until the request has its answer. Without room the request gets 503, which says that it has not run; over the limit 431. Small heads need no memory of the budget, and a new connection takes the place of the one that has waited longest for a request, so ordinary callers are still served. The configuration's limits apply.

--- a/internal/node/metrics_test.go
+++ b/internal/node/metrics_test.go
@@ -30,6 +30,7 @@
 	m.SetQueueLength("desk", 0)
 	m.ObserveWait("desk", 0, time.Millisecond)
 	m.CountShed("desk", 0, "queue full")
+	m.countClosedConnection("head too large")
 	m.RegisterListAge("configuration")()
 	m.CountPrompt("lm", 1, 1)
 	m.RegisterBackoffFactor(func() float64 { return 1 })
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -2,19 +2,16 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"runtime/debug"
 	"sync"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
 	"dogwoodpond/internal/buildinfo"
 	"dogwoodpond/internal/drain"
 	"dogwoodpond/internal/event"
-	"dogwoodpond/internal/fault"
 	"dogwoodpond/internal/member"
 	"dogwoodpond/internal/relay"
 	"dogwoodpond/internal/route"
@@ -26,13 +23,6 @@
 )
 
 const (
-	// readHeaderTimeout ends connections that never send a request.
-	readHeaderTimeout = 10 * time.Second
-	// idleTimeout closes idle connections of callers. It is much longer than the time
-	// for which callers reuse an idle connection.
-	idleTimeout = 75 * time.Second
-	// maxHeaderBytes is the maximum size of a request's header.
-	maxHeaderBytes = 64 << 10
 	// killMargin is the time between the end of the last requests and the end of the process's
 	// grace period, when the process is killed.
 	killMargin = 1200 * time.Millisecond
@@ -74,6 +64,7 @@
 	Orderers       []*scaling.Orderer
 	CallerHandler  http.Handler
 	MetricsHandler http.Handler
+	Metrics        *Metrics
 	Peers          relay.Handlers
 	// Background holds loops that run until the process ends: they watch the platform's
 	// tables and probe the store.
@@ -201,78 +192,3 @@
 func (n *Node) Ready() bool {
 	return !n.Incarnation.Leaving() && n.View.Load() != nil && n.Roster.HasUpstreams()
 }
-
-// servers holds the HTTP servers of the process. metrics is nil if metrics are not served.
-type servers struct {
-	callers, ready, metrics *http.Server
-}
-
-func (s *servers) shutdown() {
-	const shutdownTimeout = 300 * time.Millisecond
-	ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
-	defer cancel()
-	for _, server := range []*http.Server{s.callers, s.ready, s.metrics} {
-		if server != nil {
-			_ = server.Shutdown(ctx)
-		}
-	}
-}
-
-func (n *Node) listen(ctx context.Context) (*servers, error) {
-	callers, err := bind("callerAddress", n.Settings.CallerAddress)
-	if err != nil {
-		return nil, err
-	}
-	ready, err := bind("readyAddress", n.Settings.ReadyAddress)
-	if err != nil {
-		return nil, err
-	}
-	peers, err := bind("peerAddress", n.Settings.PeerAddress)
-	if err != nil {
-		return nil, err
-	}
-	errorLog := zap.NewStdLog(n.Log)
-	s := &servers{
-		callers: &http.Server{
-			Handler: n.CallerHandler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout,
-			MaxHeaderBytes: maxHeaderBytes, ErrorLog: errorLog,
-		},
-		ready: &http.Server{Handler: http.HandlerFunc(n.serveReady), ReadHeaderTimeout: readHeaderTimeout, ErrorLog: errorLog},
-	}
-	go func() { _ = s.callers.Serve(callers) }()
-	go func() { _ = s.ready.Serve(ready) }()
-	go func() { _ = relay.Serve(ctx, peers, n.Peers) }()
-	return s, n.listenMetrics(s)
-}
-
-func (n *Node) listenMetrics(s *servers) error {
-	if n.Settings.MetricsAddress == "" {
-		return nil
-	}
-	listener, err := bind("metricsAddress", n.Settings.MetricsAddress)
-	if err != nil {
-		return err
-	}
-	s.metrics = &http.Server{Handler: n.MetricsHandler, ReadHeaderTimeout: readHeaderTimeout}
-	go func() { _ = s.metrics.Serve(listener) }()
-	return nil
-}
-
-func (n *Node) serveReady(w http.ResponseWriter, _ *http.Request) {
-	if !n.Ready() {
-		w.WriteHeader(http.StatusServiceUnavailable)
-		return
-	}
-	w.WriteHeader(http.StatusOK)
-}
-
-// bind listens on the address of a setting. It fails with *fault.SettingsInvalid.
-func bind(setting, address string) (net.Listener, error) {
-	listener, err := net.Listen("tcp", address)
-	if err != nil {
-		return nil, errors.WithStack(&fault.SettingsInvalid{Faults: []fault.SettingFault{
-			{Field: setting, Value: address, Allowed: "an address of this VM that no process uses"},
-		}})
-	}
-	return listener, nil
-}
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -27,6 +27,8 @@
 	// MemoryMB is the memory limit of the process in megabytes; above it, the process is
 	// killed.
 	MemoryMB int
+	// FileDescriptors is the limit of the process's descriptors; 0 if it is unknown.
+	FileDescriptors int
 	// GracePeriod is the time from the stop signal until the process is killed.
 	GracePeriod time.Duration
 	LeaseTerm   time.Duration
