ingress: messages and connections at the address for other VMs are bounded

Seen: 100 connections that each send part of a large drpc message to the address for other VMs, and 900 that send nothing, exceed a VM's memory and descriptors.

Cause: drpc buffers a message of up to 4 MB for each connection, and nothing counted messages or connections.

Change: MessageListener bounds the connections, closing the one that has been silent longest, and reserves twice the bytes of calls of more than 64 KB from a budget of an eighth of memory_mb. The reader reuses its buffer, so the reservation lasts as long as the connection. A call that finds no room fails as one to an unreachable peer does, and the caller tries the next one.

--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -54,12 +54,14 @@
 	HeadTooLarge Reason = "head too large"
 	// HeadMemoryUsed: there is no memory for another large head.
 	HeadMemoryUsed Reason = "no memory for the head"
+	// MessageMemoryUsed: there is no memory for another large message.
+	MessageMemoryUsed Reason = "no memory for the message"
 )
 
 // Guard bounds what the clients of one address take. It is safe for concurrent use.
 type Guard struct {
 	maxConns int
-	// memory is the budget for large heads.
+	// memory is the budget for large heads or messages.
 	memory *semaphore.Weighted
 	limits func() RequestLimits
 	closed func(Reason)
@@ -91,7 +93,7 @@
 	}
 	// The guard applies the limit of the configuration, which may be higher than the server's default.
 	server.MaxHeaderBytes = maxServerHeaderBytes
-	return &guardedListener{Listener: listener, guard: g}
+	return &guardedListener{Listener: listener, guard: g, wrap: func(c *conn) net.Conn { return c }}
 }
 
 // maxServerHeaderBytes is the limit of the HTTP server itself.
@@ -100,6 +102,8 @@
 type guardedListener struct {
 	net.Listener
 	guard *Guard
+	// wrap returns the connection that Accept returns.
+	wrap func(*conn) net.Conn
 }
 
 // Accept implements net.Listener.
@@ -111,7 +115,7 @@
 		}
 		c := newConn(accepted, l.guard)
 		if l.guard.admit(c) {
-			return c, nil
+			return l.wrap(c), nil
 		}
 		_ = accepted.Close()
 	}
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -306,3 +306,48 @@
 		})
 	}
 }
+
+// Guards against messages that together exceed the memory, and against memory that is not returned.
+func TestMessagesAreLimitedByMemory(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	const budget = 4 * smallMessageBytes
+	memory := semaphore.NewWeighted(budget)
+	refused := make(chan Reason, 10)
+	listener = MessageListener(listener, 10, memory, func(r Reason) { refused <- r })
+	defer func() { _ = listener.Close() }()
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = conn.Close() }()
+				_, _ = io.Copy(io.Discard, conn)
+			}()
+		}
+	}()
+	dial := func() net.Conn {
+		conn, err := net.Dial("tcp", listener.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		return conn
+	}
+	small, large := dial(), dial()
+	defer func() { _ = small.Close() }()
+	send(t, small, strings.Repeat("a", smallMessageBytes))
+	go func() { _, _ = io.WriteString(large, strings.Repeat("a", budget)) }()
+	if reason := <-refused; reason != MessageMemoryUsed {
+		t.Errorf("refused because of %s", reason)
+	}
+	if _, err := large.Read(make([]byte, 1)); err == nil {
+		t.Error("the connection is still open")
+	}
+	if !memory.TryAcquire(budget) {
+		t.Error("memory was not returned")
+	}
+}
--- a/internal/node/listen.go
+++ b/internal/node/listen.go
@@ -29,10 +29,14 @@
 	// callerConnShare is the share of the sockets for callers. Each request may need another socket to its
 	// upstream.
 	callerConnShare = 0.5
+	// peerConnShare is the share of the sockets for other VMs.
+	peerConnShare = 0.125
 	// connMemoryShare is the share of the memory for connections of callers.
 	connMemoryShare = 0.25
-	// headMemoryShare is the share of the memory for large heads of requests.
+	// headMemoryShare is the share of the memory for large heads of requests, and peerMemoryShare that for large
+	// calls of other VMs.
 	headMemoryShare = 0.125
+	peerMemoryShare = 0.125
 	// maxReadyConns and maxMetricsConns bound the connections to addresses that only the platform uses.
 	maxReadyConns   = 32
 	maxMetricsConns = 16
@@ -40,20 +44,22 @@
 
 // clientLimits bound what the clients of this process take together.
 type clientLimits struct {
-	callerConns int
-	headMemory  *semaphore.Weighted
+	callerConns, peerConns int
+	headMemory, peerMemory *semaphore.Weighted
 }
 
 func newClientLimits(s Settings) clientLimits {
 	memory := float64(s.MemoryMB << 20)
 	conns := ingress.MaxConns(int64(memory * connMemoryShare))
 	l := clientLimits{
-		callerConns: conns,
-		headMemory:  semaphore.NewWeighted(int64(memory * headMemoryShare)),
+		callerConns: conns, peerConns: conns,
+		headMemory: semaphore.NewWeighted(int64(memory * headMemoryShare)),
+		peerMemory: semaphore.NewWeighted(int64(memory * peerMemoryShare)),
 	}
 	if s.FileDescriptors > 0 {
 		sockets := float64(max(s.FileDescriptors-reservedDescriptors, 0))
 		l.callerConns = min(conns, int(sockets*callerConnShare))
+		l.peerConns = min(conns, int(sockets*peerConnShare))
 	}
 	return l
 }
@@ -112,6 +118,7 @@
 		callers: n.serve(callers, n.CallerHandler, limits.callerConns, limits.headMemory),
 		ready:   n.serve(ready, http.HandlerFunc(n.serveReady), maxReadyConns, limits.headMemory),
 	}
+	peers = ingress.MessageListener(peers, limits.peerConns, limits.peerMemory, n.noteClosed)
 	go func() { _ = relay.Serve(ctx, peers, n.Peers) }()
 	if n.Settings.MetricsAddress == "" {
 		return s, nil
