--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net"
+	"net/http"
 	"sync/atomic"
 	"time"
 )
@@ -31,7 +32,9 @@
 const (
 	// awaiting: the connection is idle, or the head of a request arrives.
 	awaiting int32 = iota
-	// serving: a request has been handed to the server.
+	// receiving: the body of a request arrives.
+	receiving
+	// serving: the request was read.
 	serving
 	// evicted: the guard has closed the connection.
 	evicted
@@ -42,7 +45,8 @@
 	net.Conn
 	guard *Guard
 	phase atomic.Int32
-	// since is when the connection began to wait for a request, in nanoseconds since the epoch.
+	// since is when the connection began to wait for a request, or the last part of a body arrived, in nanoseconds
+	// since the epoch.
 	since atomic.Int64
 
 	head headScanner
@@ -68,7 +72,26 @@
 		c.surplus = nil
 	}
 	c.since.Store(time.Now().UnixNano())
-	c.phase.CompareAndSwap(serving, awaiting)
+	if !c.phase.CompareAndSwap(serving, awaiting) {
+		c.phase.CompareAndSwap(receiving, awaiting)
+	}
+}
+
+// connKey is the key of a request's connection in its context.
+type connKey struct{}
+
+// beginBody makes the connection of a request one that may be closed for another until endBody is called.
+func beginBody(r *http.Request) {
+	if c, ok := r.Context().Value(connKey{}).(*conn); ok {
+		c.since.Store(time.Now().UnixNano())
+		c.phase.CompareAndSwap(serving, receiving)
+	}
+}
+
+// endBody reports whether the connection of a request is still open. It is not closed for another any more.
+func endBody(r *http.Request) bool {
+	c, ok := r.Context().Value(connKey{}).(*conn)
+	return !ok || c.phase.CompareAndSwap(receiving, serving) || c.phase.Load() != evicted
 }
 
 // Read implements net.Conn.
@@ -76,10 +99,14 @@
 	switch {
 	case len(p) == 0:
 		return 0, nil
-	case c.phase.Load() != awaiting:
-		return c.readBody(p)
+	case c.phase.Load() == awaiting:
+		return c.readHead(p)
 	}
-	return c.readHead(p)
+	n, err := c.readBody(p)
+	if c.phase.Load() == receiving {
+		c.since.Store(time.Now().UnixNano())
+	}
+	return n, err
 }
 
 // readHead reads bytes of a head, and none behind its end.
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -4,10 +4,11 @@
 //
 // The load that it answers is that of many clients that send large heads, never end one, or hold connections open.
 // Ordinary heads are small and need no memory of the common budget, and a new connection takes the place of the
-// one that has waited longest for a request. So ordinary callers are still served.
+// one that has waited longest for its client. So ordinary callers are still served.
 package ingress
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"sync"
@@ -91,6 +92,7 @@
 			guarded.awaitRequest()
 		}
 	}
+	server.ConnContext = func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) }
 	// The guard applies the limit of the configuration, which may be higher than the server's default.
 	server.MaxHeaderBytes = maxServerHeaderBytes
 	return &guardedListener{Listener: listener, guard: g, wrap: func(c *conn) net.Conn { return c }}
@@ -121,7 +123,7 @@
 	}
 }
 
-// admit adds a connection. If there are too many, it closes the one that has waited longest for a request. It
+// admit adds a connection. If there are too many, it closes the one that has waited longest for its client. It
 // returns false if all others are being served.
 func (g *Guard) admit(c *conn) bool {
 	g.mu.Lock()
@@ -145,25 +147,25 @@
 	return admitted
 }
 
-// evict removes the connection that has waited longest for a request. It returns nil if none waits. g.mu must be held.
+// evict removes the connection that has waited longest for its client. It returns nil if none waits. g.mu must be held.
 func (g *Guard) evict() *conn {
 	for {
 		victim := g.longestAwaiting()
 		if victim == nil {
 			return nil
 		}
-		if victim.phase.CompareAndSwap(awaiting, evicted) {
+		if victim.phase.CompareAndSwap(awaiting, evicted) || victim.phase.CompareAndSwap(receiving, evicted) {
 			delete(g.conns, victim)
 			return victim
 		}
 	}
 }
 
-// longestAwaiting returns the connection that has waited longest for a request, nil if none waits. g.mu must be held.
+// longestAwaiting returns the connection that has waited longest for its client, nil if none waits. g.mu must be held.
 func (g *Guard) longestAwaiting() *conn {
 	var longest *conn
 	for c := range g.conns {
-		if c.phase.Load() == awaiting && (longest == nil || c.since.Load() < longest.since.Load()) {
+		if c.phase.Load() < serving && (longest == nil || c.since.Load() < longest.since.Load()) {
 			longest = c
 		}
 	}
