dial: an answer that is reset during the upload is not complete

A server answers a long upload at once with a 200 without a length, sends part of its body and resets the connection while the upload is still being written; the client gets that part as a complete answer.

Cause: the kernel reports a reset once. A write that gets the report leaves the read beside it an orderly end, which completes a body without a length.

Change: dial.Conn takes an end during a write, after a failed write, or before the whole request was written for a reset. dial.Transport tells the connection when the request is written (httptrace), and replaces the traces of its users. Ends that suspicions count as orderly are resets in this case, too.

Why it works: a read that comes first gets the error itself; a write that comes first is in progress, or marked as failed, when the read returns. The third rule needs no order of calls and holds wherever resets are reported otherwise.

--- a/internal/dial/conn.go
+++ b/internal/dial/conn.go
@@ -13,6 +13,9 @@
 // errWithdrawn is the error of writes of a withdrawn request.
 var errWithdrawn = errors.New("the request was withdrawn before its first byte was written")
 
+// errReset is the error of a read that the kernel reports as the orderly end of a connection that was reset.
+var errReset = errors.Wrap(syscall.ECONNRESET, "the connection ended before the request was written")
+
 // The states of the current request of a connection.
 const (
 	unwritten int32 = iota
@@ -30,6 +33,11 @@
 	received atomic.Int64
 	broken   atomic.Bool
 	check    atomic.Pointer[func() error]
+	// writes is the number of calls of Write in progress, writeFailed is true once one has failed, and unfinished is
+	// true while the current request is not known to be written, if a Transport writes it.
+	writes      atomic.Int32
+	writeFailed atomic.Bool
+	unfinished  atomic.Bool
 	// disconnected, if set, is called at the first failed read unless the connection was closed here.
 	disconnected func(orderly bool)
 }
@@ -41,6 +49,7 @@
 // overlap.
 func (c *Conn) Begin() {
 	c.received.Store(0)
+	c.unfinished.Store(true)
 	c.state.Store(unwritten)
 }
 
@@ -48,12 +57,21 @@
 func (c *Conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	c.received.Add(int64(n))
+	if err == io.EOF && c.mayBeReset() {
+		err = errReset
+	}
 	if err != nil && !c.broken.Swap(true) && c.disconnected != nil && !errors.Is(err, net.ErrClosed) {
 		c.disconnected(errors.Is(err, io.EOF))
 	}
 	return n, err
 }
 
+// mayBeReset reports whether the end of the connection may be a reset. The kernel reports a reset once. If a write gets
+// it, a read sees an orderly end. An end within the request can't be told from that with certainty.
+func (c *Conn) mayBeReset() bool {
+	return c.writes.Load() > 0 || c.writeFailed.Load() || c.unfinished.Load()
+}
+
 // Answering returns the number of bytes that the peer has sent since Begin, 0 if the connection has ended.
 // A peer that sends bytes still runs, whatever they are.
 func (c *Conn) Answering() int64 {
@@ -73,7 +91,12 @@
 	if !first && c.state.Load() == withdrawn {
 		return 0, errors.WithStack(errWithdrawn)
 	}
+	c.writes.Add(1)
 	n, err := c.write(p)
+	if err != nil {
+		c.writeFailed.Store(true)
+	}
+	c.writes.Add(-1)
 	if first && n == 0 {
 		// The peer had reset the connection already and received nothing.
 		c.state.Store(unwritten)
--- a/internal/dial/conn_test.go
+++ b/internal/dial/conn_test.go
@@ -4,6 +4,7 @@
 	"io"
 	"net"
 	"slices"
+	"syscall"
 	"testing"
 
 	"github.com/cockroachdb/errors"
@@ -92,3 +93,55 @@
 }
 
 func (c failingConn) Read([]byte) (int, error) { return 0, c.err }
+
+// endingConn is a connection whose writes fail and whose reads end in an orderly way.
+type endingConn struct {
+	net.Conn
+	// write is called by Write.
+	write func() error
+}
+
+func (c endingConn) Read([]byte) (int, error) { return 0, io.EOF }
+
+func (c endingConn) Write(p []byte) (int, error) {
+	if err := c.write(); err != nil {
+		return 0, err
+	}
+	return len(p), nil
+}
+
+// Guards against an answer that passes for complete because the reset of its connection was reported to a write.
+func TestEndIsOrderlyOnlyAfterTheRequest(t *testing.T) {
+	written, reset := func() error { return nil }, func() error { return syscall.ECONNRESET }
+	for name, c := range map[string]struct {
+		write   func() error
+		tracked bool
+		want    error
+	}{
+		"written":             {written, false, io.EOF},
+		"failed write":        {reset, false, syscall.ECONNRESET},
+		"not known as whole":  {written, true, syscall.ECONNRESET},
+		"tracked, then reset": {reset, true, syscall.ECONNRESET},
+	} {
+		t.Run(name, func(t *testing.T) {
+			conn := NewConn(endingConn{write: c.write})
+			if c.tracked {
+				new(Tracker).Begin(conn)
+			}
+			_, _ = conn.Write([]byte("POST"))
+			if _, err := conn.Read(make([]byte, 1)); !errors.Is(err, c.want) {
+				t.Errorf("Read: %v, want %v", err, c.want)
+			}
+		})
+	}
+	t.Run("during a write", func(t *testing.T) {
+		var conn *Conn
+		conn = NewConn(endingConn{write: func() error {
+			if _, err := conn.Read(make([]byte, 1)); !errors.Is(err, syscall.ECONNRESET) {
+				t.Errorf("Read: %v", err)
+			}
+			return nil
+		}})
+		_, _ = conn.Write([]byte("POST"))
+	})
+}
--- a/internal/dial/dial.go
+++ b/internal/dial/dial.go
@@ -1,5 +1,5 @@
-// Package dial opens connections that are reset when they are closed, and that record
-// whether the current request was written.
+// Package dial opens connections that record whether the current request was written, and that can be reset when they
+// are closed. Its Transport sends HTTP requests over them.
 package dial
 
 import (
@@ -43,6 +43,9 @@
 	return func(o *options) { o.unackedTimeout, o.refused = timeout, refused }
 }
 
+// Open returns a Func whose connections are of type *Conn.
+func Open(timeout time.Duration, opts ...Option) Func { return open(timeout, opts, false) }
+
 // ResetOnClose returns a Func whose connections are of type *Conn and are reset when they
 // are closed.
 //
@@ -52,7 +55,9 @@
 // would run although its step has ended, or an order would arrive after that of the next
 // holder of the lease. A reset discards the data. It loses nothing as long as a
 // connection is closed only when its answer was read completely or is no longer needed.
-func ResetOnClose(timeout time.Duration, opts ...Option) Func {
+func ResetOnClose(timeout time.Duration, opts ...Option) Func { return open(timeout, opts, true) }
+
+func open(timeout time.Duration, opts []Option, resetOnClose bool) Func {
 	var o options
 	for _, option := range opts {
 		option(&o)
@@ -64,7 +69,9 @@
 			return nil, errors.WithStack(err)
 		}
 		if tcp, ok := conn.(*net.TCPConn); ok {
-			err = tcp.SetLinger(0)
+			if resetOnClose {
+				err = tcp.SetLinger(0)
+			}
 			o.limitUnacked(tcp)
 		}
 		if err != nil {
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -6,9 +6,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
-	"net/http/httptrace"
 	"strconv"
-	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -65,13 +63,13 @@
 // NewClientWithTimeouts returns a client with the given stream timeouts.
 func NewClientWithTimeouts(timeouts StreamTimeouts, events *event.Recorder) *Client {
 	return &Client{
-		http: &http.Client{Transport: &http.Transport{
+		http: &http.Client{Transport: dial.Transport{Transport: &http.Transport{
 			DialContext:            dial.ResetOnClose(dialTimeout),
 			MaxIdleConnsPerHost:    256,
 			IdleConnTimeout:        time.Minute,
 			DisableCompression:     true,
 			MaxResponseHeaderBytes: dial.MaxHeadBytes,
-		}, CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }},
+		}}, CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }},
 		timeouts: timeouts,
 		events:   events,
 		orders:   fence.NewClient(dialTimeout, DefaultOrderTimeout, events),
@@ -212,11 +210,8 @@
 	if err != nil {
 		return nil, fault.WithExecution(errors.WithStack(&fault.Internal{Where: "engine request"}), fault.NotRun)
 	}
-	var connected atomic.Bool
-	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
-	})
-	request, err := http.NewRequestWithContext(traced, http.MethodPost, "http://"+target, bytes.NewReader(text))
+	var tracker dial.Tracker
+	request, err := http.NewRequestWithContext(tracker.Context(ctx), http.MethodPost, "http://"+target, bytes.NewReader(text))
 	if err != nil {
 		return nil, fault.WithExecution(upstreamFailed(target, "address"), fault.NotRun)
 	}
@@ -229,7 +224,7 @@
 	if err == nil {
 		return response, nil
 	}
-	if !connected.Load() {
+	if tracker.Conn() == nil {
 		return nil, fault.WithExecution(upstreamFailed(target, "no connection"), fault.NotRun)
 	}
 	return nil, fault.WithExecution(upstreamFailed(target, "no answer"), fault.Unknown)
--- a/internal/fence/fence.go
+++ b/internal/fence/fence.go
@@ -90,11 +90,11 @@
 	}
 	return &http.Client{
 		Timeout: callTimeout,
-		Transport: &http.Transport{
+		Transport: dial.Transport{Transport: &http.Transport{
 			DialContext:            dial.ResetOnClose(dialTimeout, dial.WithUnackedTimeout(unackedTimeout(callTimeout), refused)),
 			DisableKeepAlives:      true,
 			MaxResponseHeaderBytes: dial.MaxHeadBytes,
-		},
+		}},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 }
--- a/internal/fence/fence_test.go
+++ b/internal/fence/fence_test.go
@@ -16,6 +16,7 @@
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
+	"dogwoodpond/internal/dial"
 	"dogwoodpond/internal/dial/dialtest"
 	"dogwoodpond/internal/event"
 	"dogwoodpond/internal/fault"
@@ -192,7 +193,7 @@
 			WroteHeaders: func() { guard.lost.Store(lost) },
 		})
 		client := NewClient(time.Second, 10*time.Second, newRecorder())
-		client.Transport.(*http.Transport).TLSClientConfig = server.Client().Transport.(*http.Transport).TLSClientConfig
+		client.Transport.(dial.Transport).TLSClientConfig = server.Client().Transport.(*http.Transport).TLSClientConfig
 		request, err := http.NewRequestWithContext(ctx, http.MethodPost, server.URL, strings.NewReader("order"))
 		if err != nil {
 			t.Fatal(err)
--- a/internal/fence/late_receiver_test.go
+++ b/internal/fence/late_receiver_test.go
@@ -70,7 +70,7 @@
 func startOrder(t *testing.T, target string) startedOrder {
 	t.Helper()
 	client := NewClient(time.Minute, time.Minute, newRecorder())
-	transport, ok := client.Transport.(*http.Transport)
+	transport, ok := client.Transport.(dial.Transport)
 	if !ok {
 		t.Fatalf("the transport is a %T", client.Transport)
 	}
--- a/internal/platformapi/http.go
+++ b/internal/platformapi/http.go
@@ -5,12 +5,9 @@
 	"context"
 	"encoding/json"
 	"io"
-	"net"
 	"net/http"
-	"net/http/httptrace"
 	"net/url"
 	"strings"
-	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -84,12 +81,12 @@
 
 // NewClient returns a client for the platform at the base URL.
 func NewClient(base string, events *event.Recorder) *Client {
-	transport := &http.Transport{
-		DialContext:            (&net.Dialer{Timeout: dialTimeout}).DialContext,
+	transport := dial.Transport{Transport: &http.Transport{
+		DialContext:            dial.Open(dialTimeout),
 		MaxIdleConnsPerHost:    32,
 		IdleConnTimeout:        time.Minute,
 		MaxResponseHeaderBytes: dial.MaxHeadBytes,
-	}
+	}}
 	return &Client{
 		base: strings.TrimSuffix(base, "/"),
 		http: &http.Client{Transport: transport, Timeout: CallTimeout},
@@ -249,12 +246,9 @@
 // sendFenced sends an order or report. Without a connection no byte of it was written, so it
 // has no effect.
 func (c *Client) sendFenced(ctx context.Context, path string, request any) (int, Refusal, error) {
-	var connected atomic.Bool
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
-	})
-	status, refusal, err := c.send(ctx, c.fencedHTTP, path, request)
-	if fault.Is[*fault.StoreUnavailable](err) && !connected.Load() {
+	var tracker dial.Tracker
+	status, refusal, err := c.send(tracker.Context(ctx), c.fencedHTTP, path, request)
+	if fault.Is[*fault.StoreUnavailable](err) && tracker.Conn() == nil {
 		return 0, Refusal{}, errors.WithStack(&fault.StoreUnavailable{Operation: path})
 	}
 	return status, refusal, err
--- a/internal/service/client.go
+++ b/internal/service/client.go
@@ -8,10 +8,8 @@
 	"context"
 	"io"
 	"net/http"
-	"net/http/httptrace"
 	"net/url"
 	"strconv"
-	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -67,13 +65,13 @@
 // twice.
 func NewClient() *Client {
 	return &Client{http: &http.Client{
-		Transport: &http.Transport{
+		Transport: dial.Transport{Transport: &http.Transport{
 			DialContext:            dial.ResetOnClose(dialTimeout),
 			MaxIdleConnsPerHost:    64,
 			IdleConnTimeout:        time.Minute,
 			DisableCompression:     true,
 			MaxResponseHeaderBytes: dial.MaxHeadBytes,
-		},
+		}},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}}
 }
@@ -83,16 +81,13 @@
 // sent. The error states the execution accordingly: fault.NotRun if sent is false,
 // otherwise fault.Unknown; see fault.WithExecution.
 func (c *Client) Do(ctx context.Context, address string, call Call) (answer Answer, sent bool, err error) {
-	var connected atomic.Bool
-	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
-	})
-	request, err := newRequest(traced, address, call)
+	var tracker dial.Tracker
+	request, err := newRequest(tracker.Context(ctx), address, call)
 	if err != nil {
 		return Answer{}, false, fault.WithExecution(upstreamFailed(address, "address"), fault.NotRun)
 	}
 	response, err := c.http.Do(request)
-	if err != nil && !connected.Load() {
+	if err != nil && tracker.Conn() == nil {
 		return Answer{}, false, fault.WithExecution(upstreamFailed(address, "no connection"), fault.NotRun)
 	}
 	if err != nil {
