dial: an answer with a malformed head is no answer

Cause: http.Transport takes any status of three digits, or two with a sign, and any version, and names with blanks as they are. With "Content-Length :" or "Transfer-Encoding :" the body ends with the connection. Control bytes, tabs, bytes beyond ASCII and empty names it refuses.

Change: dial.Transport returns a final answer only if it is HTTP/1 with a status from 200 to 599 and names that are tokens (httpguts of golang.org/x/net, a new requirement). Any other one ends its connection and promises nothing, also if it says that the request has not run. The upstream runs, so no end of it counts.

--- a/internal/dial/transport.go
+++ b/internal/dial/transport.go
@@ -7,10 +7,18 @@
 	"net/http"
 	"net/http/httptrace"
 	"sync/atomic"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/net/http/httpguts"
 )
 
-// Transport is an http.Transport over connections of type *Conn. An answer without a length is complete only if its
-// connection ended in an orderly way after the whole request had been written.
+// ErrMalformed is the error of a request to which the peer sent what is no answer in HTTP/1. The peer runs, and may have
+// executed the request.
+var ErrMalformed = errors.New("a malformed head")
+
+// Transport is an http.Transport over connections of type *Conn. It returns no answer with a malformed head, and an
+// answer without a length is complete only if its connection ended in an orderly way after the whole request had been
+// written.
 type Transport struct{ *http.Transport }
 
 // RoundTrip implements http.RoundTripper.
@@ -23,7 +31,32 @@
 		GotConn:      func(info httptrace.GotConnInfo) { tracker.Begin(info.Conn) },
 		WroteRequest: tracker.noteWritten,
 	})
-	return t.Transport.RoundTrip(request.WithContext(ctx))
+	response, err := t.Transport.RoundTrip(request.WithContext(ctx))
+	if err != nil || isWellFormed(response) {
+		return response, err
+	}
+	// What follows on the connection belongs to no request.
+	if c := tracker.Conn(); c != nil {
+		_ = c.Close()
+	}
+	_ = response.Body.Close()
+	return nil, errors.WithStack(ErrMalformed)
+}
+
+// isWellFormed reports whether the head of a final answer is one in HTTP/1. http.Transport accepts any status of three
+// digits or two with a sign, and blanks in the names of fields, which it doesn't know then: also in those that frame
+// the body.
+func isWellFormed(response *http.Response) bool {
+	const minFinal, maxStatus = 200, 599
+	if response.ProtoMajor != 1 || response.StatusCode < minFinal || response.StatusCode > maxStatus {
+		return false
+	}
+	for name := range response.Header {
+		if !httpguts.ValidHeaderFieldName(name) {
+			return false
+		}
+	}
+	return true
 }
 
 // Tracker holds the connection on which a request is written.
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -227,5 +227,9 @@
 	if tracker.Conn() == nil {
 		return nil, fault.WithExecution(upstreamFailed(target, "no connection"), fault.NotRun)
 	}
+	if errors.Is(err, dial.ErrMalformed) {
+		malformed := errors.WithStack(&fault.UpstreamFailed{Upstream: target, Reason: dial.ErrMalformed.Error(), Answered: true})
+		return nil, fault.WithExecution(malformed, fault.Unknown)
+	}
 	return nil, fault.WithExecution(upstreamFailed(target, "no answer"), fault.Unknown)
 }
--- a/internal/engine/endless_test.go
+++ b/internal/engine/endless_test.go
@@ -18,3 +18,17 @@
 		return client.Stream(ctx, address, CompletionRequest{RequestID: "q"}, func(CompletionChunk) error { return nil })
 	})
 }
+
+// Guards against bytes that are no answer, and pass for an answer of an engine.
+func TestMalformedHeadsAreNoAnswers(t *testing.T) {
+	dialtest.CheckMalformedHeads(t, "", "{}", func(t *testing.T, address string) error {
+		_, err := newTestClient().LoadReport(t.Context(), address)
+		return err
+	})
+	dialtest.CheckMalformedHeads(t, "", "data: [DONE]\n\n", func(t *testing.T, address string) error {
+		return newTestClient().Stream(t.Context(), address, CompletionRequest{RequestID: "q"}, func(CompletionChunk) error { return nil })
+	})
+	dialtest.CheckMalformedHeads(t, "", "", func(t *testing.T, address string) error {
+		return newTestClient().Order(t.Context(), address, Order{ID: "o", Epoch: 1})
+	})
+}
--- a/internal/service/client.go
+++ b/internal/service/client.go
@@ -90,6 +90,10 @@
 	if err != nil && tracker.Conn() == nil {
 		return Answer{}, false, fault.WithExecution(upstreamFailed(address, "no connection"), fault.NotRun)
 	}
+	if errors.Is(err, dial.ErrMalformed) {
+		malformed := errors.WithStack(&fault.UpstreamFailed{Upstream: address, Reason: dial.ErrMalformed.Error(), Answered: true})
+		return Answer{}, true, fault.WithExecution(malformed, fault.Unknown)
+	}
 	if err != nil {
 		return Answer{}, true, fault.WithExecution(upstreamFailed(address, "no answer"), fault.Unknown)
 	}
--- a/internal/service/endless_test.go
+++ b/internal/service/endless_test.go
@@ -16,3 +16,11 @@
 		return err
 	})
 }
+
+// Guards against bytes that are no answer, and pass for an answer of a plain service.
+func TestMalformedHeadsAreNoAnswers(t *testing.T) {
+	dialtest.CheckMalformedHeads(t, "X-Request-Id: q\r\n", "body", func(t *testing.T, address string) error {
+		_, _, err := NewClient().Do(t.Context(), address, Call{RequestID: "q", Method: http.MethodGet, Path: "/"})
+		return err
+	})
+}
