daemon: the product's own interface has the bounds of package ingress

Seen: 600 clients that send 60 KB of short header lines to the callers' or operators' address of a daemon, or 2 MB of a message to the address for other VMs.

Change: daemon.listen uses ingress with fixed figures (docs/OPERATIONS.md). The bound on writes is a limit of a request now, since entry sets write deadlines of its own. The counter of closed connections is registered by package ingress for both.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -13,6 +13,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/zap"
+	"golang.org/x/sync/semaphore"
 
 	"dogwoodpond/internal/buildinfo"
 	"dogwoodpond/internal/config"
@@ -21,6 +22,7 @@
 	"dogwoodpond/internal/entry"
 	"dogwoodpond/internal/event"
 	"dogwoodpond/internal/fault"
+	"dogwoodpond/internal/ingress"
 	"dogwoodpond/internal/operator"
 	"dogwoodpond/internal/peer"
 	"dogwoodpond/internal/platformapi"
@@ -50,6 +52,7 @@
 	scheduler  *dispatch.Scheduler
 	poller     *upstream.Poller
 	history    *rollout.VersionHistory
+	ingress    *ingress.Metrics
 }
 
 const (
@@ -57,8 +60,17 @@
 	// maxListPollsPerSecond limits the polls of the whole fleet.
 	minListPollInterval   = 500 * time.Millisecond
 	maxListPollsPerSecond = 200
-	// readHeaderTimeout ends connections that never send a request.
+	// The limits of callers' and operators' requests.
+	maxHeaderBytes    = 64 << 10
 	readHeaderTimeout = 10 * time.Second
+	// headMemory is the memory for large heads of requests, and messageMemory that for large calls of other VMs, in
+	// bytes.
+	headMemory    = 32 << 20
+	messageMemory = 64 << 20
+	// The connections that are open at most.
+	maxCallerConns   = 4096
+	maxOperatorConns = 128
+	maxPeerConns     = 1024
 	// unreadyGracePeriod is how long /readyz answers 503 before new requests are refused
 	// and the listener closes, so that the load balancer has polled it by then.
 	unreadyGracePeriod = 2 * time.Second
@@ -120,14 +132,23 @@
 		callers:   &http.Server{Handler: d.entry.Handler(), ReadHeaderTimeout: readHeaderTimeout},
 		operators: &http.Server{Handler: d.operator.Handler(), ReadHeaderTimeout: readHeaderTimeout},
 	}
-	loops.Go(func() { _ = open.callers.Serve(callers) })
-	loops.Go(func() { _ = open.operators.Serve(operators) })
-	loops.Go(func() { _ = d.peers.Serve(ctx, peers) })
+	heads := semaphore.NewWeighted(headMemory)
+	guardedCallers := ingress.NewGuard(maxCallerConns, heads, requestLimits, d.ingress.CountClosed).Protect(open.callers, callers)
+	guardedOperators := ingress.NewGuard(maxOperatorConns, heads, requestLimits, d.ingress.CountClosed).Protect(open.operators, operators)
+	guardedPeers := ingress.MessageListener(peers, maxPeerConns, semaphore.NewWeighted(messageMemory), d.ingress.CountClosed)
+	loops.Go(func() { _ = open.callers.Serve(guardedCallers) })
+	loops.Go(func() { _ = open.operators.Serve(guardedOperators) })
+	loops.Go(func() { _ = d.peers.Serve(ctx, guardedPeers) })
 	bound := fmt.Sprintf("callers=%s operators=%s peers=%s", callers.Addr(), operators.Addr(), peers.Addr())
 	d.events.Emit(event.ProcessStarted, event.Subject{Detail: bound})
 	return open, nil
 }
 
+// requestLimits returns the limits of a single request. Body and answer have timeouts of their own in entry.
+func requestLimits() ingress.RequestLimits {
+	return ingress.RequestLimits{HeaderBytes: maxHeaderBytes, HeaderTimeout: readHeaderTimeout}
+}
+
 // bind listens on the address of a setting. It fails with *fault.SettingsInvalid, which
 // contains the setting, for example if another process uses the port.
 func bind(setting, address string) (net.Listener, error) {
--- a/internal/daemon/wire.go
+++ b/internal/daemon/wire.go
@@ -6,6 +6,7 @@
 	"github.com/google/wire"
 
 	"dogwoodpond/internal/contract"
+	"dogwoodpond/internal/ingress"
 	"dogwoodpond/internal/peer"
 	"dogwoodpond/internal/service"
 	"dogwoodpond/internal/settings"
@@ -51,6 +52,7 @@
 		newMeter,
 		newEntry,
 		newOperator,
+		ingress.NewMetrics,
 		wire.Struct(new(Daemon), "*"),
 	)
 	return nil, nil
--- a/internal/daemon/wire_gen.go
+++ b/internal/daemon/wire_gen.go
@@ -8,6 +8,7 @@
 
 import (
 	"dogwoodpond/internal/contract"
+	"dogwoodpond/internal/ingress"
 	"dogwoodpond/internal/peer"
 	"dogwoodpond/internal/service"
 	"dogwoodpond/internal/settings"
@@ -57,6 +58,7 @@
 	reporter := newReporter(s, client, recorder, gossip, view)
 	controller := newController(s, manager, client, engineClient, view, directory, updater, mover, provisioner, reporter, daemonHooks)
 	poller := newPoller(engineClient, loads, scheduler)
+	ingressMetrics := ingress.NewMetrics(registry)
 	daemon := &Daemon{
 		settings:   s,
 		log:        logger,
@@ -76,6 +78,7 @@
 		scheduler:  scheduler,
 		poller:     poller,
 		history:    versionHistory,
+		ingress:    ingressMetrics,
 	}
 	return daemon, nil
 }
--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -18,8 +18,6 @@
 	// refusalTimeout and maxRefusedBytes bound what a refused client may still send while it reads its answer.
 	refusalTimeout  = 300 * time.Millisecond
 	maxRefusedBytes = 256 << 10
-	// stalledWriteTimeout is how long a client may take to accept any byte of an answer.
-	stalledWriteTimeout = 30 * time.Second
 )
 
 // The answers to requests that are refused while their head arrives. Both say that the request has not run.
@@ -220,8 +218,10 @@
 
 // Write implements net.Conn.
 func (c *conn) Write(p []byte) (int, error) {
-	if err := c.Conn.SetWriteDeadline(time.Now().Add(stalledWriteTimeout)); err != nil {
-		return 0, err
+	if timeout := c.guard.limits().WriteTimeout; timeout > 0 {
+		if err := c.Conn.SetWriteDeadline(time.Now().Add(timeout)); err != nil {
+			return 0, err
+		}
 	}
 	return c.Conn.Write(p)
 }
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -42,6 +42,9 @@
 	HeaderTimeout time.Duration
 	// IdleTimeout is the time for which a connection may wait for the next request.
 	IdleTimeout time.Duration
+	// WriteTimeout is the time within which the client must accept any byte of an answer. Without it, deadlines that
+	// the server sets apply.
+	WriteTimeout time.Duration
 }
 
 // Reason is why a connection was closed or a request refused.
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -41,7 +41,7 @@
 }
 
 func (s *server) start(listener net.Listener, maxConns int) {
-	limits := RequestLimits{HeaderBytes: testHeaderBytes, HeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second}
+	limits := RequestLimits{HeaderBytes: testHeaderBytes, HeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second, WriteTimeout: 5 * time.Second}
 	guard := NewGuard(maxConns, s.memory, func() RequestLimits { return limits }, func(r Reason) {
 		s.mu.Lock()
 		defer s.mu.Unlock()
@@ -307,6 +307,24 @@
 	}
 }
 
+// Guards against clients that hold a connection and its request for ever because they don't read the answer.
+func TestClientThatDoesNotReadIsClosed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &server{t: t, memory: semaphore.NewWeighted(0), closed: make(map[Reason]int)}
+		listener := pipeListener{make(chan net.Conn, 1)}
+		near, far := net.Pipe()
+		listener.conns <- far
+		s.start(listener, 1)
+		send(t, near, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+		time.Sleep(5*time.Second + time.Millisecond)
+		synctest.Wait()
+		// The pipe holds nothing back, so that the answer is lost.
+		if n, err := near.Read(make([]byte, 1)); err == nil {
+			t.Errorf("the connection is still open, %d bytes", n)
+		}
+	})
+}
+
 // Guards against messages that together exceed the memory, and against memory that is not returned.
 func TestMessagesAreLimitedByMemory(t *testing.T) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
--- a/internal/node/listen.go
+++ b/internal/node/listen.go
@@ -22,6 +22,9 @@
 	defaultIdleTimeout   = 75 * time.Second
 )
 
+// writeTimeout is how long a caller may take to accept any byte of an answer.
+const writeTimeout = 30 * time.Second
+
 // The shares of the process's memory and descriptors that clients may use.
 const (
 	// reservedDescriptors are the descriptors that the platform reserves for files.
@@ -66,7 +69,9 @@
 
 // requestLimits returns the limits of a single request by the configuration in force.
 func (n *Node) requestLimits() ingress.RequestLimits {
-	l := ingress.RequestLimits{HeaderBytes: defaultHeaderBytes, HeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdleTimeout}
+	l := ingress.RequestLimits{
+		HeaderBytes: defaultHeaderBytes, HeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdleTimeout, WriteTimeout: writeTimeout,
+	}
 	snapshot := n.View.Load()
 	if snapshot == nil {
 		return l
@@ -118,7 +123,7 @@
 		callers: n.serve(callers, n.CallerHandler, limits.callerConns, limits.headMemory),
 		ready:   n.serve(ready, http.HandlerFunc(n.serveReady), maxReadyConns, limits.headMemory),
 	}
-	peers = ingress.MessageListener(peers, limits.peerConns, limits.peerMemory, n.noteClosed)
+	peers = ingress.MessageListener(peers, limits.peerConns, limits.peerMemory, n.Metrics.ingress.CountClosed)
 	go func() { _ = relay.Serve(ctx, peers, n.Peers) }()
 	if n.Settings.MetricsAddress == "" {
 		return s, nil
@@ -136,15 +141,12 @@
 	server := &http.Server{
 		Handler: handler, ReadHeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdleTimeout, ErrorLog: zap.NewStdLog(n.Log),
 	}
-	guard := ingress.NewGuard(maxConns, headMemory, n.requestLimits, n.noteClosed)
+	guard := ingress.NewGuard(maxConns, headMemory, n.requestLimits, n.Metrics.ingress.CountClosed)
 	listener = guard.Protect(server, listener)
 	go func() { _ = server.Serve(listener) }()
 	return server
 }
 
-// noteClosed counts a connection that was closed because of a limit.
-func (n *Node) noteClosed(reason ingress.Reason) { n.Metrics.countClosedConnection(string(reason)) }
-
 func (n *Node) serveReady(w http.ResponseWriter, _ *http.Request) {
 	if !n.Ready() {
 		w.WriteHeader(http.StatusServiceUnavailable)
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -12,6 +12,7 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"dogwoodpond/internal/event"
+	"dogwoodpond/internal/ingress"
 	"dogwoodpond/internal/logsink"
 )
 
@@ -37,7 +38,7 @@
 	queueLengths     *prometheus.GaugeVec
 	queueWaitSeconds *prometheus.HistogramVec
 	shedRequests     *prometheus.CounterVec
-	closedConns      *prometheus.CounterVec
+	ingress          *ingress.Metrics
 }
 
 // storeBuckets are in seconds. They cover the store's usual latency of 5 ms and slow answers
@@ -78,13 +79,13 @@
 			Buckets: []float64{.005, .01, .02, .04, .08, .15, .3, .6, 1.2},
 		}, []string{"service", "priority"}),
 		shedRequests:     prometheus.NewCounterVec(prometheus.CounterOpts{Name: "dogwoodpond_admission_shed_total", Help: "Plain requests that were refused while they waited for capacity or instead of waiting, by service, priority and reason."}, []string{"service", "priority", "reason"}),
-		closedConns:      prometheus.NewCounterVec(prometheus.CounterOpts{Name: "dogwoodpond_client_connections_closed_total", Help: "Connections of clients and other VMs that were closed because of a limit, by reason."}, []string{"reason"}),
 		promptHits:       prometheus.NewCounterVec(prometheus.CounterOpts{Name: "dogwoodpond_prompt_placements_total", Help: "Items with long prompts that were sent to an engine, by service and whether the engine is expected to keep a part of the prompt (hit) or none (miss)."}, []string{"service", "expected"}),
 		promptTokens:     prometheus.NewCounterVec(prometheus.CounterOpts{Name: "dogwoodpond_prompt_tokens_total", Help: "Tokens of these items' prompts, by service and whether the engine is expected to keep (saved) or read them."}, []string{"service", "expected"}),
 		promptDefects:    prometheus.NewCounter(prometheus.CounterOpts{Name: "dogwoodpond_prompt_list_defects_total", Help: "Lists of the parts of items' prompts that can't be used."}),
 		committedResults: prometheus.NewCounter(prometheus.CounterOpts{Name: "dogwoodpond_results_listed_total", Help: "Committed results of steps."}),
 	}
-	m.registry.MustRegister(m.events, m.refusals, m.failedAttempts, m.requestSeconds, m.committedResults, m.commitSeconds, m.storeCallSeconds, m.revision, m.scoreCalls, m.scoreWaitSeconds, m.reportDefects, m.promptHits, m.promptTokens, m.promptDefects, m.slowdowns, m.queueLengths, m.queueWaitSeconds, m.shedRequests, m.closedConns, collectors.NewGoCollector(),
+	m.ingress = ingress.NewMetrics(m.registry)
+	m.registry.MustRegister(m.events, m.refusals, m.failedAttempts, m.requestSeconds, m.committedResults, m.commitSeconds, m.storeCallSeconds, m.revision, m.scoreCalls, m.scoreWaitSeconds, m.reportDefects, m.promptHits, m.promptTokens, m.promptDefects, m.slowdowns, m.queueLengths, m.queueWaitSeconds, m.shedRequests, collectors.NewGoCollector(),
 		prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "dogwoodpond_open_requests", Help: "Requests that are being served."}, func() float64 { return float64(incarnation.Open()) }),
 		prometheus.NewCounterFunc(prometheus.CounterOpts{Name: "dogwoodpond_log_lines_dropped_total", Help: "Log lines dropped because the log buffer was full."}, func() float64 { return float64(sink.Dropped()) }),
 	)
@@ -132,9 +133,6 @@
 	m.storeCallSeconds.WithLabelValues(call, outcome).Observe(duration.Seconds())
 }
 
-// countClosedConnection counts a connection that was closed because of a limit.
-func (m *Metrics) countClosedConnection(reason string) { m.closedConns.WithLabelValues(reason).Inc() }
-
 // CountPrompt implements step.PromptMetrics.
 func (m *Metrics) CountPrompt(service string, kept, read int) {
 	expected := "miss"
--- a/internal/node/metrics_test.go
+++ b/internal/node/metrics_test.go
@@ -10,6 +10,7 @@
 
 	"dogwoodpond/internal/doccheck"
 	"dogwoodpond/internal/event"
+	"dogwoodpond/internal/ingress"
 	"dogwoodpond/internal/logsink"
 )
 
@@ -30,7 +31,7 @@
 	m.SetQueueLength("desk", 0)
 	m.ObserveWait("desk", 0, time.Millisecond)
 	m.CountShed("desk", 0, "queue full")
-	m.countClosedConnection("head too large")
+	m.ingress.CountClosed(ingress.HeadTooLarge)
 	m.RegisterListAge("configuration")()
 	m.CountPrompt("lm", 1, 1)
 	m.RegisterBackoffFactor(func() float64 { return 1 })
--- a/scripts/unit.sh
+++ b/scripts/unit.sh
@@ -24,5 +24,7 @@
   echo "without the race detector, which crashes on this machine: ${without_race[*]}"
   go test "${args[@]}" -skip "${skip:-^$}" "${without_race[@]}" || failed=1
 fi
-go test -race "${args[@]}" -skip "${skip:-^$}" -run "$crowds" ./platform/soak || failed=1
+for package in ./platform/soak ./internal/processtest; do
+  go test -race "${args[@]}" -skip "${skip:-^$}" -run "$crowds" "$package" || failed=1
+done
 exit "$failed"
