ingress: memory is returned if a connection is closed while it is read

By reading: http.Server and drpc may close a connection from another goroutine. A reservation that the read beside it made after that was never returned, so that the budget shrank until the process ended. reserve checks after it has taken the memory. TestMemoryIsReturnedIfAConnectionIsClosedDuringARead guards against it.

--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -10,7 +10,7 @@
 
 const (
 	// maxReadAhead bounds the bytes behind a body that the server may read unseen into its buffer of 4 KB. They
-	// may be the begin of the next request.
+	// may belong to the next request.
 	maxReadAhead = 256
 	// minDirectRead is the size of reads above which the server asks for bytes of a body of known length only,
 	// and doesn't read ahead.
@@ -50,8 +50,9 @@
 	head headScanner
 	// headDeadline is when the head that arrives must be complete; zero before its first byte.
 	headDeadline time.Time
-	// reserved is the memory of the guard's budget that the head takes.
+	// reserved is the memory of the guard's budget that the head takes, or a message.
 	reserved atomic.Int64
+	closed   atomic.Bool
 	// surplus holds bytes that were read from the connection and not yet by the server.
 	surplus []byte
 }
@@ -163,18 +164,32 @@
 	if limit := c.guard.limits().HeaderBytes; limit > 0 && c.head.bytes > limit+requestLineBytes {
 		return HeadTooLarge
 	}
-	reserved := c.reserved.Load()
-	more := headCost(c.head.bytes, c.head.lines) - reserved
-	if more <= 0 {
-		return ""
-	}
-	if !c.guard.memory.TryAcquire(more) {
+	if more := headCost(c.head.bytes, c.head.lines) - c.reserved.Load(); more > 0 && !c.reserve(more) {
 		return HeadMemoryUsed
 	}
-	c.reserved.Store(reserved + more)
 	return ""
 }
 
+// reserve takes memory of the guard's budget until release is called or the connection is closed. It reports whether
+// there is room.
+func (c *conn) reserve(bytes int64) bool {
+	if !c.guard.memory.TryAcquire(bytes) {
+		return false
+	}
+	c.reserved.Add(bytes)
+	if c.closed.Load() {
+		c.release()
+	}
+	return true
+}
+
+// release returns the reserved memory.
+func (c *conn) release() {
+	if reserved := c.reserved.Swap(0); reserved > 0 {
+		c.guard.memory.Release(reserved)
+	}
+}
+
 // limitHeadTime sets the deadline of the head that arrives.
 func (c *conn) limitHeadTime() {
 	if timeout := c.guard.limits().HeaderTimeout; timeout > 0 {
@@ -226,16 +241,10 @@
 	return c.Conn.Write(p)
 }
 
-// Close implements net.Conn.
+// Close implements net.Conn. It may be called during a read.
 func (c *conn) Close() error {
 	c.guard.remove(c)
+	c.closed.Store(true)
 	c.release()
 	return c.Conn.Close()
 }
-
-// release returns the memory that the head has reserved.
-func (c *conn) release() {
-	if reserved := c.reserved.Swap(0); reserved > 0 {
-		c.guard.memory.Release(reserved)
-	}
-}
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -1,10 +1,10 @@
 // Package ingress bounds what clients take of a process before their requests are understood: the number of open
-// connections, and the size, the time and the memory of the heads of requests. A parsed head takes far more
-// memory than its bytes, so the memory is counted by lines as well, while the head arrives.
+// connections, the size, the time and the memory of the heads of requests, and the memory and the time of bodies. A
+// parsed head takes far more memory than its bytes, so the memory is counted by lines as well, while the head arrives.
 //
-// The load that it answers is that of many clients that send large heads, never end one, or hold connections open.
-// Ordinary heads are small and need no memory of the common budget, and a new connection takes the place of the
-// one that has waited longest for its client. So ordinary callers are still served.
+// The load that it answers is that of many clients that send large heads, never end a head or a body, or hold
+// connections open. Small heads need no memory of the common budget, small bodies have a reserve, and a new connection
+// takes the place of the one that has waited longest for its client. So ordinary callers are still served.
 package ingress
 
 import (
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -369,3 +369,17 @@
 		t.Error("memory was not returned")
 	}
 }
+
+// Guards against memory that is never returned because a connection was closed while it was read.
+func TestMemoryIsReturnedIfAConnectionIsClosedDuringARead(t *testing.T) {
+	const budget = 1 << 20
+	memory := semaphore.NewWeighted(budget)
+	guard := NewGuard(1, memory, func() RequestLimits { return RequestLimits{} }, func(Reason) {})
+	near, far := net.Pipe()
+	defer func() { _ = near.Close() }()
+	c := newConn(far, guard)
+	_ = c.Close()
+	if !c.reserve(budget) || !memory.TryAcquire(budget) {
+		t.Error("memory was not returned")
+	}
+}
--- a/internal/ingress/message.go
+++ b/internal/ingress/message.go
@@ -48,12 +48,10 @@
 		return n, err
 	}
 	// At least twice as much as before, so that a long message needs few reservations.
-	more := max(received*messageByteCost-reserved, reserved)
-	if !c.guard.memory.TryAcquire(more) {
+	if !c.reserve(max(received*messageByteCost-reserved, reserved)) {
 		c.guard.closed(MessageMemoryUsed)
 		return 0, errors.WithStack(errNoMemory)
 	}
-	c.reserved.Store(reserved + more)
 	return n, err
 }
 
