--- a/internal/dial/dialtest/dialtest.go
+++ b/internal/dial/dialtest/dialtest.go
@@ -48,3 +48,27 @@
 	_, err = io.Copy(io.Discard, in)
 	return err
 }
+
+// NewPeer starts a peer on the loopback interface, which serves each connection and closes it then. It returns its
+// address.
+func NewPeer(t *testing.T, serve func(conn net.Conn)) (address string) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = conn.Close() }()
+				serve(conn)
+			}()
+		}
+	}()
+	return listener.Addr().String()
+}
--- a/internal/dial/dialtest/endless.go
+++ b/internal/dial/dialtest/endless.go
@@ -24,25 +24,10 @@
 // chunk again and again, until the connection ends.
 func NewEndlessPeer(t *testing.T, start, chunk string) (address string) {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go writeEndlessly(conn, []byte(start), []byte(chunk))
-		}
-	}()
-	return listener.Addr().String()
+	return NewPeer(t, func(conn net.Conn) { writeEndlessly(conn, []byte(start), []byte(chunk)) })
 }
 
 func writeEndlessly(conn net.Conn, start, chunk []byte) {
-	defer func() { _ = conn.Close() }()
 	if _, err := http.ReadRequest(bufio.NewReader(conn)); err != nil {
 		return
 	}
--- a/internal/dial/dialtest/malformed.go
+++ b/internal/dial/dialtest/malformed.go
@@ -40,7 +40,7 @@
 func CheckMalformedHeads(t *testing.T, fields, body string, call func(t *testing.T, address string) error) {
 	t.Helper()
 	t.Run("proper", func(t *testing.T) {
-		if err := call(t, newPeer(t, "HTTP/1.1 200 OK\r\n"+fields+"X-Other: a\r\n", body)); err != nil {
+		if err := call(t, newHeadPeer(t, "HTTP/1.1 200 OK\r\n"+fields+"X-Other: a\r\n", body)); err != nil {
 			t.Errorf("a proper answer: %v", err)
 		}
 	})
@@ -51,7 +51,7 @@
 				text = head.status + "\r\n" + fields + head.field + "\r\n"
 			}
 			t.Run(name+", "+order+" the others", func(t *testing.T) {
-				if err := call(t, newPeer(t, text, body)); err == nil {
+				if err := call(t, newHeadPeer(t, text, body)); err == nil {
 					t.Error("the answer was taken")
 				}
 			})
@@ -59,37 +59,21 @@
 	}
 }
 
-// newPeer starts a peer on the loopback interface that answers each request with a head and a body, and returns its
-// address.
-func newPeer(t *testing.T, head, body string) string {
+// newHeadPeer starts a peer that answers each request with a head and a body, and returns its address.
+func newHeadPeer(t *testing.T, head, body string) string {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = listener.Close() })
 	answer := fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", head, len(body), body)
-	go func() {
+	return NewPeer(t, func(conn net.Conn) {
+		in := bufio.NewReader(conn)
 		for {
-			conn, err := listener.Accept()
+			r, err := http.ReadRequest(in)
 			if err != nil {
 				return
 			}
-			go func() {
-				defer func() { _ = conn.Close() }()
-				in := bufio.NewReader(conn)
-				for {
-					r, err := http.ReadRequest(in)
-					if err != nil {
-						return
-					}
-					_, _ = io.Copy(io.Discard, r.Body)
-					if _, err := io.WriteString(conn, answer); err != nil {
-						return
-					}
-				}
-			}()
+			_, _ = io.Copy(io.Discard, r.Body)
+			if _, err := io.WriteString(conn, answer); err != nil {
+				return
+			}
 		}
-	}()
-	return listener.Addr().String()
+	})
 }
