step: a body of an item costs the memory of one object of its step

Twelve clients that read bodies of items of one batch of 30.7 MB, four at each of three VMs, end all three processes 51 or 52 times in 15 s.

Cause: a VM that doesn't run the step read all its items for each body, some 54 MB, and nothing bounded how many such reads run at once.

Change: Manager.Body reads one object at a time and decodes the wanted item alone.

--- a/internal/step/manager.go
+++ b/internal/step/manager.go
@@ -8,6 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/google/uuid"
+	"golang.org/x/sync/semaphore"
 
 	"dogwoodpond/internal/budget"
 	"dogwoodpond/internal/event"
@@ -85,6 +86,8 @@
 	CallBudget *budget.Budget
 	// Retention is how long ended steps remain readable after their submission.
 	Retention time.Duration
+	// ReadMemory bounds the memory in which items are read from the store for callers, in bytes. 0 sets no bound.
+	ReadMemory int64
 }
 
 // Manager accepts, owns, runs and reads steps. It is safe for concurrent use.
@@ -94,6 +97,8 @@
 	dispatchSignal chan struct{}
 	// callLimiter limits the score calls that are in progress at each service.
 	callLimiter *scoring.CallLimiter
+	// readMemory is the budget of ReadMemory bytes; nil without a bound.
+	readMemory *semaphore.Weighted
 	// takeoverSignal notifies the takeover loop, without waiting for its next tick.
 	takeoverSignal chan struct{}
 	// statesReadAt is when the state rows were last read, in Unix nanoseconds.
@@ -163,6 +168,9 @@
 		ctx:              ctx,
 		cancel:           cancel,
 	}
+	if c.ReadMemory > 0 {
+		m.readMemory = semaphore.NewWeighted(c.ReadMemory)
+	}
 	m.checks = &suspicion.Checks{
 		Ledger: m.suspicions, Roster: c.Roster, Engines: c.Engines, Events: c.Events, Go: m.tasks.Go, OnChecked: m.notifyDispatcher,
 	}
--- a/internal/step/read.go
+++ b/internal/step/read.go
@@ -73,27 +73,3 @@
 	case <-timer.C:
 	}
 }
-
-// Body returns the body of an item. It fails with *fault.StepUnknown when the step or
-// the item certainly does not exist.
-func (m *Manager) Body(ctx context.Context, id, account, item string) ([]byte, error) {
-	rec, err := m.findState(ctx, id, account)
-	if err != nil {
-		return nil, err
-	}
-	if r := m.runOf(id); r != nil {
-		if found, ok := r.item(item); ok {
-			return found.Body, nil
-		}
-	}
-	items, err := readItems(ctx, m.Store, rec.State)
-	if err != nil {
-		return nil, err
-	}
-	for _, candidate := range items {
-		if candidate.ID == item {
-			return candidate.Body, nil
-		}
-	}
-	return nil, errors.WithStack(&fault.StepUnknown{Step: id})
-}
--- a/internal/step/step_test.go
+++ b/internal/step/step_test.go
@@ -997,7 +997,7 @@
 		if _, _, err := a.Results(t.Context(), "s", "other", 0, 0); !fault.Is[*fault.StepUnknown](err) {
 			t.Errorf("results: %v", err)
 		}
-		if _, err := a.Body(t.Context(), "s", "other", "i0"); !fault.Is[*fault.StepUnknown](err) {
+		if _, _, err := a.Body(t.Context(), "s", "other", "i0"); !fault.Is[*fault.StepUnknown](err) {
 			t.Errorf("body: %v", err)
 		}
 		if err := a.End(t.Context(), "s", "other"); !fault.Is[*fault.StepUnknown](err) {
@@ -1015,7 +1015,7 @@
 		list := items(4)
 		list[2].Body = []byte(strings.Repeat("\x00b", 900<<10))
 		submit(t, a, spec("s"), list)
-		body, err := cl.start("b").Body(t.Context(), "s", "acc", "i2")
+		body, _, err := cl.start("b").Body(t.Context(), "s", "acc", "i2")
 		if err != nil || string(body) != string(list[2].Body) {
 			t.Errorf("the body has %d bytes, %v", len(body), err)
 		}
