step: an attempt that gets nothing has an end of its own

Cause: handleStall gave an attempt up only if another engine had a free slot. The slots that were missing were those that this process counts for the other stalled attempts, so each waited for the others. The suspicions against the items were lifted all the while, because the engines reported and didn't list the items: the VM knew that the answers were lost and drew no conclusion.

Change: a stalled attempt ends if the engine reports that it no longer runs the item (outcome "answer lost", no suspicion), after 4 s of silence if the engine can't be asked or doesn't list the item, and after 10 s if it does. The stall is recorded as a suspicion once, not at each check, so that its age counts.

The fake engines of the tests now list what they run in their reports.

--- a/internal/step/cluster_test.go
+++ b/internal/step/cluster_test.go
@@ -5,7 +5,9 @@
 	"context"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -142,7 +144,7 @@
 	if cl.transportOf != nil {
 		transport = cl.transportOf(name, incarnation)
 	}
-	var reports suspicion.EngineReports = runningEngines{}
+	var reports suspicion.EngineReports = runningEngines{cl.engines}
 	if cl.reports != nil {
 		reports = cl.reports
 	}
@@ -188,10 +190,10 @@
 }
 
 // runningEngines are the reports of engines that never end.
-type runningEngines struct{}
+type runningEngines struct{ engines *fakeEngines }
 
-func (runningEngines) RunReport(_ context.Context, e *target.Entry) (suspicion.RunReport, error) {
-	return suspicion.RunReport{Started: e.Info().Started, Complete: true}, nil
+func (r runningEngines) RunReport(_ context.Context, e *target.Entry) (suspicion.RunReport, error) {
+	return suspicion.RunReport{Started: e.Info().Started, Runs: r.engines.running(e.Info().ID), Complete: true}, nil
 }
 
 // fakeMembers is a fake member list, as seen by one VM.
@@ -277,6 +279,8 @@
 	resumed []string
 	// active is the number of responses that are being written.
 	active int
+	// runs holds the number of attempts at each item that each engine runs.
+	runs map[string]map[string]int
 	// finished counts the complete texts that were sent for each item.
 	finished map[string]int
 }
@@ -294,18 +298,55 @@
 		behave = e.behave[""]
 	}
 	e.mu.Unlock()
+	end := e.beginRun(id, request.ID)
 	r := goodReply
 	if behave != nil {
 		r = behave(request.ID, n)
 	}
 	if r.status == 0 {
+		end()
 		return nil, fault.WithExecution(errors.WithStack(&fault.UpstreamFailed{Upstream: id}), fault.Unknown)
 	}
 	body, out := io.Pipe()
-	go e.write(ctx, out, request, r)
+	go func() {
+		defer end()
+		e.write(ctx, out, request, r)
+	}()
 	return &target.Response{Status: r.status, NotRun: r.notRun, Version: r.version, VersionField: "v", Body: body}, nil
 }
 
+// beginRun records that an engine runs an item until end is called.
+func (e *fakeEngines) beginRun(engine, item string) (end func()) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.runs == nil {
+		e.runs = make(map[string]map[string]int)
+	}
+	if e.runs[engine] == nil {
+		e.runs[engine] = make(map[string]int)
+	}
+	e.runs[engine][item]++
+	return func() {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		if e.runs[engine][item]--; e.runs[engine][item] == 0 {
+			delete(e.runs[engine], item)
+		}
+	}
+}
+
+// running returns the items that an engine runs.
+func (e *fakeEngines) running(engine string) []string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return slices.Sorted(maps.Keys(e.runs[engine]))
+}
+
+// eventText returns event n of an item's text as it is sent.
+func eventText(item string, n int, pad string) string {
+	return fmt.Sprintf("id: %d\ndata: %s-%d%s\n\n", n, item, n, pad)
+}
+
 func (e *fakeEngines) write(ctx context.Context, out *io.PipeWriter, request *target.Request, r reply) {
 	e.mu.Lock()
 	e.active++
@@ -326,7 +367,7 @@
 		if n == r.skip {
 			continue
 		}
-		text := fmt.Sprintf("id: %d\ndata: %s-%d%s\n\n", n, request.ID, n, r.pad)
+		text := eventText(request.ID, n, r.pad)
 		if n == r.changeAt {
 			text = fmt.Sprintf("v: %d\n%s", r.version+1, text)
 		}
--- a/internal/step/item.go
+++ b/internal/step/item.go
@@ -48,6 +48,9 @@
 	attemptEndless
 	// attemptStalled: this VM canceled the attempt because no event arrived in time.
 	attemptStalled
+	// attemptAnswerLost: this VM canceled the attempt because the engine reported that it no longer ran the
+	// item, and the end of the text had not arrived.
+	attemptAnswerLost
 	// attemptRefused: the item was not run.
 	attemptRefused
 	// attemptFailed: the engine reported that the item failed.
@@ -60,12 +63,14 @@
 	attemptStale
 )
 
-// Cancellation causes of an attempt whose item moves to another engine.
+// Cancellation causes of an attempt whose item is tried again.
 var (
 	// errMoved: the engine is slow.
 	errMoved = errors.New("item moved to another engine")
 	// errStalled: the engine sent nothing for some time.
 	errStalled = errors.New("item moved away from an unresponsive engine")
+	// errAnswerLost: the engine no longer runs the item.
+	errAnswerLost = errors.New("the answer of the engine was lost")
 )
 
 // runAttempt makes one attempt at an item at an engine and handles its outcome.
@@ -86,6 +91,8 @@
 		outcome = attemptMoved
 	case errors.Is(cause, errStalled):
 		outcome = attemptStalled
+	case errors.Is(cause, errAnswerLost):
+		outcome = attemptAnswerLost
 	}
 	r.noteAttemptEnd(i, entry, outcome)
 	r.handleOutcome(i, n, entry, outcome)
@@ -135,6 +142,8 @@
 	case attemptInvalid:
 		entry.NoteFailure(now)
 		r.requeue(i, r.interruptedBackoff(i, text))
+	case attemptAnswerLost:
+		r.requeue(i, r.interruptedBackoff(i, text))
 	case attemptUnreachable:
 		entry.NoteUnanswered()
 		entry.NoteFailure(now)
@@ -163,7 +172,7 @@
 
 // String returns the name of the outcome in events and metrics.
 func (o attemptOutcome) String() string {
-	return [...]string{"whole", "broke off", "no connection", "no answer", "invalid answer", "endless answer", "stalled", "refused unrun", "failed", "impossible", "moved", "too old weights"}[o]
+	return [...]string{"whole", "broke off", "no connection", "no answer", "invalid answer", "endless answer", "stalled", "answer lost", "refused unrun", "failed", "impossible", "moved", "too old weights"}[o]
 }
 
 // handleComplete handles an item whose text is complete. A text whose weight versions the step
--- a/internal/step/matrix_test.go
+++ b/internal/step/matrix_test.go
@@ -66,7 +66,7 @@
 	m := NewManager(Config{
 		CallBudget: budget.New(budget.Rates{}),
 		VM:         name, Incarnation: incarnation, Domain: "x", Store: store, Clock: store, Members: list, View: view, Roster: roster,
-		Engines: runningEngines{}, Transport: c.engines, Scorer: c.scorer, Events: events, Retention: time.Hour,
+		Engines: runningEngines{c.engines}, Transport: c.engines, Scorer: c.scorer, Events: events, Retention: time.Hour,
 		AnnouncedVersion: func(string) (int64, bool) { return 1, true },
 		PreferredOwner:   func(string, route.Residency) (Process, bool) { return Process{}, false },
 		StoreAvailable:   func() bool { return true },
--- a/internal/step/move.go
+++ b/internal/step/move.go
@@ -12,9 +12,14 @@
 	// a free slot.
 	firstEventTimeout = 700 * time.Millisecond
 	nextEventTimeout  = 500 * time.Millisecond
-	// stallCheckInterval is the interval at which a stalled item checks again for another engine
-	// with a free slot.
+	// stallCheckInterval is the interval at which a stalled attempt checks again whether another engine
+	// has a free slot, and whether its answer is lost.
 	stallCheckInterval = 200 * time.Millisecond
+	// silenceTimeout is the longest time without an event at an engine that doesn't report that it runs the
+	// item. confirmedSilenceTimeout is that at an engine which does: it may be busy with others, or its
+	// connection may never deliver the rest of the text.
+	silenceTimeout          = 4 * time.Second
+	confirmedSilenceTimeout = 10 * time.Second
 	// speedCheckEvents is the number of events between two checks of an attempt's speed.
 	speedCheckEvents = 4
 	// moveMinSlowdown is how many times slower than the median engine an engine must be for its
@@ -80,20 +85,34 @@
 	return otherTime > 0 && float64(unitTime) >= idleMoveMinSlowdown*float64(otherTime)
 }
 
-// handleStall records that an unresponsive engine may have ended under the item. It moves the item away
-// if another engine has a free slot, and otherwise checks again after stallCheckInterval.
+// handleStall records that an unresponsive engine may have ended under the item. It ends the attempt if another
+// engine has a free slot, if the engine reports that it no longer runs the item, or if the silence has lasted too
+// long. Otherwise it checks again after stallCheckInterval. A stalled attempt takes a slot that other stalled items
+// wait for, so that none of them may depend on free slots alone.
 func (a *attempt) handleStall() {
 	if a.ended.Load() {
 		return
 	}
 	now := time.Now()
-	a.suspected.Store(true)
-	a.run.suspect(a.index, a.entry, now.Add(-nextEventTimeout))
-	if place(a.run.shortlists.get(a.run.m, a.need, now).pool, a.need, a.entry, now) == nil {
+	if a.suspected.CompareAndSwap(false, true) {
+		a.run.suspect(a.index, a.entry, now.Add(-nextEventTimeout))
+	}
+	suspicions, request, incarnation := a.run.m.suspicions, a.run.request(a.index), a.entry.Incarnation()
+	silence := now.Sub(a.run.silentSince(a.index))
+	switch {
+	case place(a.run.shortlists.get(a.run.m, a.need, now).pool, a.need, a.entry, now) != nil:
+		a.entry.NoteUnanswered()
+		a.entry.NoteFailure(now)
+		a.cancel(errStalled)
+	case !suspicions.Has(request, incarnation):
+		a.entry.NoteSilentConnection()
+		a.cancel(errAnswerLost)
+	case silence >= confirmedSilenceTimeout, silence >= silenceTimeout && !suspicions.RunsOn(request, incarnation):
+		a.entry.NoteSilentConnection()
+		a.entry.NoteUnanswered()
+		a.entry.NoteFailure(now)
+		a.cancel(errStalled)
+	default:
 		a.stallTimer.Reset(stallCheckInterval)
-		return
 	}
-	a.entry.NoteUnanswered()
-	a.entry.NoteFailure(now)
-	a.cancel(errStalled)
 }
--- a/internal/step/run.go
+++ b/internal/step/run.go
@@ -336,6 +336,13 @@
 	r.progress[i].silentSince = time.Now()
 }
 
+// silentSince returns when the attempt at an item that runs had its last event, or its start if it had none.
+func (r *run) silentSince(i int) time.Time {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.progress[i].silentSince
+}
+
 // noteAttemptStart records the engine of an attempt that starts.
 func (r *run) noteAttemptStart(i int, entry *target.Entry) {
 	r.m.suspicions.DropUnconfirmed(r.request(i), entry.Incarnation())
--- a/internal/suspicion/ledger.go
+++ b/internal/suspicion/ledger.go
@@ -272,6 +272,13 @@
 	return ok && s.counts()
 }
 
+// RunsOn reports whether a report has listed a request after its answer seemed lost.
+func (l *Ledger) RunsOn(request Request, incarnation target.Incarnation) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.suspicions[request][incarnation].runsOn
+}
+
 // IsSuspected reports whether an incarnation may have ended, or may still end, under any request.
 func (l *Ledger) IsSuspected(incarnation target.Incarnation) bool {
 	l.mu.Lock()
--- a/internal/target/instance.go
+++ b/internal/target/instance.go
@@ -64,6 +64,8 @@
 	failures     atomic.Int32
 	graceUntil   atomic.Int64
 	unlisted     atomic.Bool
+	// silentConnections counts the connections to the upstream that were found to be silent.
+	silentConnections atomic.Int64
 	// listedAt is when the upstream was last seen in the list, in Unix nanoseconds.
 	listedAt atomic.Int64
 	// evicted is true when no list holds the entry any more. The roster's mu guards it.
@@ -193,6 +195,13 @@
 	return backoff
 }
 
+// NoteSilentConnection records that a connection to the upstream delivers nothing any more, although it is open. Others
+// that were opened before may be silent as well.
+func (e *Entry) NoteSilentConnection() { e.silentConnections.Add(1) }
+
+// SilentConnections returns how many connections to the upstream were found to be silent.
+func (e *Entry) SilentConnections() int64 { return e.silentConnections.Load() }
+
 // NoteSuccess records a successful attempt. The upstream is no longer suspect.
 func (e *Entry) NoteSuccess() {
 	now := time.Now()
