step: absence from an old configuration is no removal

Cause: the owner, mostly another VM than the one that accepts a step, looked the route up in its own configuration, however old, and took "not there" for "removed". Its long poll for the configuration waited on a silent connection. Ruled out: that the owner dropped the route (it never had it), and that the accepting VM used a wrong one.

Change: the row of a step names the version of the configuration under which it was accepted. An owner with an older one runs nothing of the step, reads the configuration at once (event 1427) and hands the step over after 3 s; a VM with an older one takes no step over. A route that is absent counts as removed only after a read that began after this VM had learned of the step, which covers rows of older builds. Score calls, held items and placing use the same decision. A VM that is behind answers calls about such a step with 503, not 401 or 404.

Why it works: what was accepted under a version was in the store before the 202, so that each later read returns that version or a newer one.

--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -61,7 +61,8 @@
 	ItemReleased     Number = 1423
 	ItemRunsOn       Number = 1424
 	// 1425 was an end of an upstream that no longer counted against an item.
-	ItemPostponed Number = 1426
+	ItemPostponed        Number = 1426
+	ConfigurationAwaited Number = 1427
 
 	UpstreamEjected  Number = 1501
 	UpstreamRestored Number = 1502
@@ -138,7 +139,7 @@
 	{SlotHedged, zap.InfoLevel, "slot hedged", "A slow slot is generated a second time, by the peer; the first result is used."},
 	{WorkerFailed, zap.WarnLevel, "worker failed", "The peer failed to generate the slot, which is assigned to another worker."},
 	{StepEnded, zap.InfoLevel, "step ended", "The trainer ended the step; no more of its items run."},
-	{StepHandedOver, zap.InfoLevel, "step handed over", "The VM is leaving and released ownership of the step, so that another VM can take it over."},
+	{StepHandedOver, zap.InfoLevel, "step handed over", "The VM is leaving, or could not get the configuration under which the step was accepted. It released ownership of the step, so that another VM can take it over."},
 	{StepLost, zap.WarnLevel, "step lost", "The store rejected the VM's results, the first of which had the given Position: the step has ended, another VM owns it now, or Detail says that the rows exist."},
 	{ItemAbandoned, zap.WarnLevel, "item abandoned", "An item of the step was abandoned; Detail gives the reason."},
 	{StepStartedEarly, zap.InfoLevel, "step started early", "Count items of the step run before the store has accepted the step; no results are committed until then."},
@@ -153,6 +154,7 @@
 	{ItemReleased, zap.InfoLevel, "item released", "An upstream that may have ended under the item still runs and has given it up, and the item may be sent again. Detail names the other incarnations."},
 	{ItemRunsOn, zap.InfoLevel, "item runs on", "The upstream's report lists a run of the item although its attempt has ended here: the upstream goes on with it and may still end under it, or the trainer has submitted the item again and another VM runs it there."},
 	{ItemPostponed, zap.InfoLevel, "item postponed", "Count upstreams may have ended under the item, and its next attempt waits, because upstreams of its service have lately ended for causes of their own, or because an item that may end several at once has its last attempt. An end under the attempt would count against the item. Detail gives the reason: the risk of such an end and the expected duration, or the other items."},
+	{ConfigurationAwaited, zap.InfoLevel, "configuration awaited", "Nothing can be decided on items of the step under the configuration that the VM has, so that it reads the configuration from the store; Detail gives the reason. Revision is the version under which the step was accepted, if its row tells."},
 	{UpstreamEjected, zap.WarnLevel, "upstream ejected", "The upstream failed too often and receives no work for a while."},
 	{UpstreamRestored, zap.InfoLevel, "upstream restored", "The upstream receives work again."},
 	{UpstreamLeaving, zap.InfoLevel, "upstream leaving", "The upstream is leaving and receives no new work."},
--- a/internal/step/cluster_test.go
+++ b/internal/step/cluster_test.go
@@ -64,6 +64,10 @@
 	storeOf func(name string) rowstore.Store
 	// configuration is the configuration of VMs that are started from now on.
 	configuration *route.Snapshot
+	// storedConfiguration is the configuration in the store, nil if it is no newer than that of any VM.
+	// configurationReadable, if set, reports whether a VM can read it.
+	storedConfiguration   *route.Snapshot
+	configurationReadable func(name string) bool
 	// isolated is true if the VMs can't call each other.
 	isolated bool
 	// observe, if set, is called with each event of a VM.
@@ -157,6 +161,7 @@
 		PreferredOwner:   cl.preferredOwner,
 		StoreAvailable:   func() bool { return cl.storeAvailable == nil || cl.storeAvailable(name) },
 	}
+	config.ReadConfiguration = func(ctx context.Context) error { return cl.readConfiguration(ctx, name, view) }
 	config.TellPeers = func(_ context.Context, suspicions []byte) { cl.tellPeers(name, suspicions) }
 	if cl.scoring != nil {
 		config.Scorer = cl.scoring(config)
@@ -170,6 +175,20 @@
 	return v
 }
 
+// readConfiguration brings the view of a VM up to date.
+func (cl *cluster) readConfiguration(ctx context.Context, name string, view *route.View) error {
+	if !wait.For(ctx, 4*time.Millisecond) {
+		return ctx.Err()
+	}
+	if cl.configurationReadable != nil && !cl.configurationReadable(name) {
+		return errors.New("the store doesn't answer")
+	}
+	if cl.storedConfiguration != nil {
+		view.StoreIfNewer(cl.storedConfiguration)
+	}
+	return nil
+}
+
 // tellPeers tells the live VMs but one of lost answers.
 func (cl *cluster) tellPeers(sender string, suspicions []byte) {
 	cl.mu.Lock()
--- a/internal/step/dispatch.go
+++ b/internal/step/dispatch.go
@@ -43,6 +43,9 @@
 			reviewedAt = time.Now()
 		}
 		for _, r := range m.runsByDueTime() {
+			if m.handOverIfBehind(r, time.Now()) {
+				continue
+			}
 			if review {
 				r.unaccounted.NoteEnded(m.Roster, reviewedAt)
 				m.reviewSuspects(r)
--- a/internal/step/manager.go
+++ b/internal/step/manager.go
@@ -80,6 +80,8 @@
 	PreferredOwner func(model string, residency route.Residency) (p Process, ok bool)
 	// StoreAvailable reports whether the store is available.
 	StoreAvailable func() bool
+	// ReadConfiguration brings View up to date from the store.
+	ReadConfiguration func(ctx context.Context) error
 	// TellPeers tells the other VMs of lost answers, for NoteLostAnswers there; nil for none.
 	TellPeers func(ctx context.Context, suspicions []byte)
 	// CallBudget limits the rate of the watch calls.
@@ -112,6 +114,8 @@
 	suspicions *suspicion.Ledger
 	suspects   suspectEngines
 	checks     *suspicion.Checks
+	// configurationReads makes the reads of the configuration that decisions on steps wait for.
+	configurationReads configurationReads
 	// eventRates estimates how many events a text has.
 	eventRates eventRates
 	// prompts holds what is known of the prompts that the engines keep.
--- a/internal/step/matrix_test.go
+++ b/internal/step/matrix_test.go
@@ -70,6 +70,8 @@
 		AnnouncedVersion: func(string) (int64, bool) { return 1, true },
 		PreferredOwner:   func(string, route.Residency) (Process, bool) { return Process{}, false },
 		StoreAvailable:   func() bool { return true },
+
+		ReadConfiguration: func(context.Context) error { return nil },
 	})
 	c.mu.Lock()
 	c.vms[name] = m
--- a/internal/step/run.go
+++ b/internal/step/run.go
@@ -80,6 +80,12 @@
 	// due is when the step should be complete, in milliseconds of the store's clock.
 	due int64
 
+	// startedAt is when the run started.
+	startedAt time.Time
+	// awaitsConfiguration is true once the run had to wait for a configuration, handsOver once it is handed over
+	// because it waited too long.
+	awaitsConfiguration, handsOver atomic.Bool
+
 	// early is set for a run that started before the step was accepted.
 	early *earlyRun
 	// acceptedState is the state row under which results may be committed, nil until the step
@@ -123,6 +129,7 @@
 		due:         rec.SubmittedAt + rec.RunObjective.Milliseconds(),
 		progress:    make([]itemProgress, len(items)),
 		list:        newItemList(items),
+		startedAt:   time.Now(),
 		committedCh: make(chan struct{}),
 		queuedCh:    make(chan struct{}, 1),
 		commitSlot:  make(chan struct{}, 1),
@@ -427,15 +434,19 @@
 }
 
 // needOf returns what an item of the run requires of an engine. The service follows from
-// the configuration in force; ok is false when it no longer has a route for the item.
+// the configuration in force; ok is false when it no longer has a route for the item. While
+// that is not known, no engine meets the need.
 func (r *run) needOf(i int) (n need, ok bool) {
-	snapshot := r.m.View.Load()
+	snapshot, showsRemovals := r.configuration()
 	if snapshot == nil {
 		return need{}, true
 	}
 	matched, err := snapshot.Match(r.rec.Host, r.items[i].Path)
 	if err != nil {
-		return need{}, false
+		if !showsRemovals {
+			r.awaitConfiguration("it has no route for an item")
+		}
+		return need{}, !showsRemovals
 	}
 	return need{
 		service:    matched.Service(r.items[i].ID),
--- a/internal/step/score.go
+++ b/internal/step/score.go
@@ -86,7 +86,7 @@
 // routed is false when the item's own route was removed as well; nobody needs the item
 // then.
 func (r *run) scoreRoute(i int) (callRoute *route.Route, routed bool) {
-	snapshot := r.m.View.Load()
+	snapshot, _ := r.configuration()
 	if snapshot == nil {
 		return nil, true
 	}
--- a/internal/step/step.go
+++ b/internal/step/step.go
@@ -51,6 +51,8 @@
 	// AbandonAfter is the time after submission from which the items may be abandoned.
 	AbandonAfter time.Duration `json:"giveUp"`
 	Attempts     int           `json:"attempts"`
+	// ConfigurationVersion is the version of the configuration under which the step was accepted; 0 when unknown.
+	ConfigurationVersion int64 `json:"configuration,omitempty"`
 	// SingleVersion requires each sample to come from a single weight version.
 	SingleVersion bool `json:"singleVersion,omitempty"`
 }
--- a/internal/step/takeover.go
+++ b/internal/step/takeover.go
@@ -99,9 +99,14 @@
 }
 
 // canTakeOver reports whether this VM may take over a step that has had no live owner for
-// the given time. The step's residency must allow this VM's failure domain, and the delay
-// that follows from this VM's rank must have passed.
+// the given time. This VM must have the configuration under which the step was accepted, the
+// step's residency must allow this VM's failure domain, and the delay that follows from this
+// VM's rank must have passed.
 func (m *Manager) canTakeOver(r stateRecord, unownedFor time.Duration) bool {
+	if m.isAhead(r.Spec) {
+		m.readConfiguration()
+		return false
+	}
 	residency := m.stepResidency(r.Spec)
 	return residency.Allows(m.Domain) && unownedFor >= time.Duration(m.Members.RankWithinResidency(r.ID, residency))*takeoverRankDelay
 }
