dial: no connection carries two requests with one ID

Cause: checkResponse tells by the echoed ID which request an answer belongs to. A request that a full upstream has refused as not run goes there again with the same ID, mostly on the same connection, and the copy of the refusal passes for the answer to the new attempt. The records of the case show a refusal on the connection before each second run; a retry after a lost answer and a repeat by the transport itself are ruled out by them.

Change: dial.Transport sends a request on no connection that has lately carried its ID. It withdraws it before the first byte, which closes that connection, and takes another one. The clients of the product's own interface follow the same rule.

Why it works: each pair of ID and connection has one exchange, so that the ID decides again. Closing after each refusal would cost a connection for each; believing nothing would fail most repeated requests.

--- a/internal/dial/conn.go
+++ b/internal/dial/conn.go
@@ -4,6 +4,7 @@
 	"io"
 	"net"
 	"os"
+	"slices"
 	"sync/atomic"
 	"syscall"
 
@@ -38,13 +39,41 @@
 	writes      atomic.Int32
 	writeFailed atomic.Bool
 	unfinished  atomic.Bool
+	// carried holds the IDs of the requests that the connection has carried, the last maxCarried of them; exchanges
+	// counts all of its requests. The requests of a connection don't overlap.
+	carried   []string
+	exchanges atomic.Int64
 	// disconnected, if set, is called at the first failed read unless the connection was closed here.
 	disconnected func(orderly bool)
 }
 
+// maxCarried is the number of requests on a connection after which an answer to the first of them is no longer expected.
+// Extra copies of an answer arrive with the next one.
+const maxCarried = 16
+
 // NewConn returns a Conn that wraps conn.
 func NewConn(conn net.Conn) *Conn { return &Conn{Conn: conn} }
 
+// carry records the ID of the request that begins; empty if it has none. It reports whether no other one with the ID is
+// among those that the connection has carried lately.
+func (c *Conn) carry(id string) bool {
+	c.exchanges.Add(1)
+	if id == "" {
+		return true
+	}
+	if slices.Contains(c.carried, id) {
+		return false
+	}
+	if len(c.carried) == maxCarried {
+		c.carried = c.carried[:copy(c.carried, c.carried[1:])]
+	}
+	c.carried = append(c.carried, id)
+	return true
+}
+
+// Reused reports whether the connection had carried a request before the current one.
+func (c *Conn) Reused() bool { return c.exchanges.Load() > 1 }
+
 // Begin starts a new request on the connection. The requests of a connection must not
 // overlap.
 func (c *Conn) Begin() {
@@ -151,5 +180,7 @@
 }
 
 // Withdraw withdraws the current request unless a byte of it was written, and reports
-// whether it did.
-func (c *Conn) Withdraw() bool { return c.state.CompareAndSwap(unwritten, withdrawn) }
+// whether it is withdrawn.
+func (c *Conn) Withdraw() bool {
+	return c.state.CompareAndSwap(unwritten, withdrawn) || c.state.Load() == withdrawn
+}
--- a/internal/dial/transport.go
+++ b/internal/dial/transport.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/tls"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptrace"
@@ -18,7 +19,8 @@
 
 // Transport is an http.Transport over connections of type *Conn. It returns no answer with a malformed head, and an
 // answer without a length is complete only if its connection ended in an orderly way after the whole request had been
-// written.
+// written. A request whose Tracker has an ID is sent on a connection that has not carried that ID lately: a peer may send
+// an extra copy of its answer to the earlier request, and the ID could not tell the two apart.
 type Transport struct{ *http.Transport }
 
 // RoundTrip implements http.RoundTripper.
@@ -32,6 +34,14 @@
 		WroteRequest: tracker.noteWritten,
 	})
 	response, err := t.Transport.RoundTrip(request.WithContext(ctx))
+	for err != nil && tracker.repeated.Swap(false) {
+		// The connection had carried the ID and is closed now. Nothing was written.
+		again := request.WithContext(ctx)
+		if tracker.Body != nil {
+			again.Body = tracker.Body()
+		}
+		response, err = t.Transport.RoundTrip(again)
+	}
 	if err != nil || isWellFormed(response) {
 		return response, err
 	}
@@ -60,7 +70,16 @@
 }
 
 // Tracker holds the connection on which a request is written.
-type Tracker struct{ conn atomic.Pointer[Conn] }
+type Tracker struct {
+	// ID identifies the request in its answers, also when it is sent again; empty if it has none.
+	ID string
+	// Body returns the body of the request once more; nil if the request has none.
+	Body func() io.ReadCloser
+
+	conn atomic.Pointer[Conn]
+	// repeated is true if the request was withdrawn because its connection had carried the ID.
+	repeated atomic.Bool
+}
 
 type trackerKey struct{}
 
@@ -80,6 +99,7 @@
 	if c, ok := conn.(*Conn); ok {
 		c.Begin()
 		t.conn.Store(c)
+		t.repeated.Store(!c.carry(t.ID) && c.Withdraw())
 	}
 }
 
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -210,7 +210,7 @@
 	if err != nil {
 		return nil, fault.WithExecution(errors.WithStack(&fault.Internal{Where: "engine request"}), fault.NotRun)
 	}
-	var tracker dial.Tracker
+	tracker := dial.Tracker{ID: requestID, Body: func() io.ReadCloser { return io.NopCloser(bytes.NewReader(text)) }}
 	request, err := http.NewRequestWithContext(tracker.Context(ctx), http.MethodPost, "http://"+target, bytes.NewReader(text))
 	if err != nil {
 		return nil, fault.WithExecution(upstreamFailed(target, "address"), fault.NotRun)
--- a/internal/service/client.go
+++ b/internal/service/client.go
@@ -81,7 +81,7 @@
 // sent. The error states the execution accordingly: fault.NotRun if sent is false,
 // otherwise fault.Unknown; see fault.WithExecution.
 func (c *Client) Do(ctx context.Context, address string, call Call) (answer Answer, sent bool, err error) {
-	var tracker dial.Tracker
+	tracker := dial.Tracker{ID: call.RequestID, Body: func() io.ReadCloser { return bodyOf(call) }}
 	request, err := newRequest(tracker.Context(ctx), address, call)
 	if err != nil {
 		return Answer{}, false, fault.WithExecution(upstreamFailed(address, "address"), fault.NotRun)
@@ -127,7 +127,7 @@
 // retried outside the retry budget. For the same reason the caller's
 // Idempotency-Key is not forwarded: with it the transport would repeat a POST
 // without a body.
-func bodyOf(call Call) io.Reader {
+func bodyOf(call Call) io.ReadCloser {
 	if len(call.Body) == 0 && call.Method != http.MethodGet {
 		return http.NoBody
 	}
