eventstream: the events of all streams share a bound of memory

Cause: each stream may hold 1 MB of an event, in up to three copies. Nothing bounded them together.

A stream for whose event there is no room fails like one whose event has no end, and is tried elsewhere if it may be.

--- a/internal/eventstream/reader.go
+++ b/internal/eventstream/reader.go
@@ -70,26 +70,35 @@
 	in *bufio.Reader
 	// withoutID is the number of bytes between the last event with an ID and the current event.
 	withoutID int
+	// reserved is the memory of the current event.
+	reserved reservation
 }
 
-// NewReader returns a reader of a stream.
-func NewReader(in io.Reader) *Reader { return &Reader{in: bufio.NewReaderSize(in, 2048)} }
+// NewReader returns a reader of a stream that holds long events in a memory. Close must follow.
+func NewReader(in io.Reader, memory *Memory) *Reader {
+	return &Reader{in: bufio.NewReaderSize(in, 2048), reserved: reservation{memory: memory}}
+}
+
+// Close gives back the memory of the last event.
+func (r *Reader) Close() { r.reserved.release() }
 
-// Next returns the next complete event. It fails with io.EOF after the last one,
-// with io.ErrUnexpectedEOF if the stream ends inside an event, and with
-// *fault.BodyTooLarge if an event is too large or the stream has too much without an ID.
+// Next returns the next complete event; the memory of the one before may be used again. It fails
+// with io.EOF after the last one, with io.ErrUnexpectedEOF if the stream ends inside an event, and
+// with *fault.BodyTooLarge if an event is too large, or has no room in the memory, or the stream has
+// too much without an ID.
 func (r *Reader) Next() (*Event, error) {
+	r.reserved.release()
 	event := &Event{}
 	for {
 		line, err := r.in.ReadSlice('\n')
 		if err == bufio.ErrBufferFull {
-			line, err = r.readLongLine(line)
+			line, err = r.readLongLine(line, len(event.Raw))
 		}
 		if err != nil {
 			return nil, endError(event, line, err)
 		}
 		event.Raw = append(event.Raw, line...)
-		if len(event.Raw) > maxEventBytes || len(event.fields) > maxEventLines {
+		if len(event.Raw) > maxEventBytes || len(event.fields) > maxEventLines || !r.reserve(len(event.Raw)) {
 			return nil, errors.WithStack(&fault.BodyTooLarge{Limit: maxEventBytes})
 		}
 		content := bytes.TrimRight(line, "\r\n")
@@ -121,11 +130,14 @@
 	return err
 }
 
+// reserve reports whether there is memory for an event of n bytes.
+func (r *Reader) reserve(n int) bool { return r.reserved.growTo(copies * int64(n)) }
+
 // readLongLine reads the rest of a line that is longer than the buffer, and returns
-// the line.
-func (r *Reader) readLongLine(start []byte) ([]byte, error) {
+// the line. before is the size of the event before it.
+func (r *Reader) readLongLine(start []byte, before int) ([]byte, error) {
 	line := bytes.Clone(start)
-	for len(line) <= maxEventBytes {
+	for len(line) <= maxEventBytes && r.reserve(before+len(line)) {
 		more, err := r.in.ReadSlice('\n')
 		line = append(line, more...)
 		if err != bufio.ErrBufferFull {
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -14,6 +14,7 @@
 	"github.com/cockroachdb/errors"
 
 	"dogwoodpond/internal/event"
+	"dogwoodpond/internal/eventstream"
 	"dogwoodpond/internal/fault"
 	"dogwoodpond/internal/retry"
 	"dogwoodpond/internal/route"
@@ -120,6 +121,8 @@
 	RetryBudget *retry.Budget
 	// Domain is the failure domain of this VM.
 	Domain string
+	// StreamMemory bounds the memory of long events of streams. Without it there is no bound but that of each event.
+	StreamMemory *eventstream.Memory
 	// Admission lets plain requests wait for capacity. Without it they are sent at once.
 	Admission Admission
 }
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -146,7 +146,8 @@
 	// For a resumable stream the loop sets the timer to stallTimeout.
 	stallTimer := time.AfterFunc(time.Hour, cancel)
 	defer stallTimer.Stop()
-	events, passed := eventstream.NewReader(response.Body), 0
+	events, passed := eventstream.NewReader(response.Body, s.StreamMemory), 0
+	defer events.Close()
 	if s.call.Route.Resumable {
 		stallTimer.Reset(stallTimeout)
 	}
--- a/internal/step/item.go
+++ b/internal/step/item.go
@@ -338,7 +338,8 @@
 	text := a.run.text(a.index)
 	before := text
 	version := response.Version
-	events := eventstream.NewReader(response.Body)
+	events := eventstream.NewReader(response.Body, a.run.m.StreamMemory)
+	defer events.Close()
 	meter := unitTimeMeter{started: time.Now()}
 	limit := textLimit{maxEvents: a.run.items[a.index].MaxEvents}
 	for {
--- a/internal/step/manager.go
+++ b/internal/step/manager.go
@@ -12,6 +12,7 @@
 
 	"dogwoodpond/internal/budget"
 	"dogwoodpond/internal/event"
+	"dogwoodpond/internal/eventstream"
 	"dogwoodpond/internal/fault"
 	"dogwoodpond/internal/route"
 	"dogwoodpond/internal/rowstore"
@@ -88,6 +89,8 @@
 	CallBudget *budget.Budget
 	// Retention is how long ended steps remain readable after their submission.
 	Retention time.Duration
+	// StreamMemory bounds the memory of long events that attempts read; nil sets no bound but that of each of them.
+	StreamMemory *eventstream.Memory
 	// ReadMemory bounds the memory in which items are read from the store for callers, in bytes. 0 sets no bound.
 	ReadMemory int64
 }
