forward: a resumable stream leaves an upstream that is silent from the start

Callers would see: a stream on a silent connection, or at an upstream that hangs, gets no event until the caller leaves or its time is up, though other upstreams are idle.

Change: after 0.9 s, or twice the route's objective, without the head of an answer the stream moves if another attempt is allowed and, at a service that is not loaded, an upstream with spare capacity is left. Otherwise it waits on, and keeps its place in the queue.

--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -22,6 +22,7 @@
 	"dogwoodpond/internal/route"
 	"dogwoodpond/internal/suspicion"
 	"dogwoodpond/internal/target"
+	"dogwoodpond/internal/wait"
 )
 
 // fakeAnswer is the answer of a fake upstream to an attempt.
@@ -481,6 +482,50 @@
 	})
 }
 
+// Guards against a resumable stream that waits until its caller leaves because its upstream, or the connection, is silent
+// before the first byte. A stream that has no other attempt, or no upstream with spare capacity, waits on.
+func TestStreamWithoutAnAnswerMovesToASpareUpstream(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		attempts int
+		loaded   bool
+		moves    bool
+	}{
+		{"with an attempt left", 2, false, true},
+		{"with no attempt left", 1, false, false},
+		{"at a loaded service", 2, true, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				u := &fakeUpstreams{
+					sequence: []fakeAnswer{{delay: 4 * time.Second, status: 200, text: "id: 1\ndata: late\n\n"}},
+					fallback: fakeAnswer{status: 200, text: "id: 1\ndata: b\n\n"},
+				}
+				f := newForwarder(u)
+				call := newCall(route.Stream, c.attempts)
+				call.Route.Resumable = true
+				ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+				defer cancel()
+				go func() {
+					for c.loaded && wait.For(ctx, 100*time.Millisecond) {
+						for _, e := range f.Roster.Upstreams("desk") {
+							e.NoteLoad(target.Load{Running: 4, Waiting: 1, Slots: 4}, time.Now())
+						}
+					}
+				}()
+				out := &recordingSink{}
+				started := time.Now()
+				if _, err := f.Stream(ctx, call, out); err != nil {
+					t.Fatal(err)
+				}
+				if moved := u.sentCount() == 2; moved != c.moves || moved && time.Since(started) > 2*time.Second {
+					t.Errorf("sent %d times, complete after %s, text %q", u.sentCount(), time.Since(started), out.text)
+				}
+			})
+		})
+	}
+}
+
 // Guards against a resumed stream that ends as complete because an upstream answers the resumed run with a failure, or
 // with what is no stream.
 func TestAnswerThatIsNoStreamDoesNotEndResumedStream(t *testing.T) {
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -21,6 +22,14 @@
 // long compared to the time between events.
 const stallTimeout = 900 * time.Millisecond
 
+const (
+	// startObjectives is how long a resumable stream waits for the head of its answer at least, as a multiple of its
+	// route's latency objective: half of the time after which callers cancel it.
+	startObjectives = 2
+	// startCheckInterval is the interval at which a stream that has waited so long looks for another upstream.
+	startCheckInterval = 200 * time.Millisecond
+)
+
 // Sink delivers a stream to its caller.
 type Sink interface {
 	// Start delivers the status and header of the first answer.
@@ -77,7 +86,9 @@
 	r := &inflightRequest{Forwarder: s.Forwarder, call: s.call}
 	request := r.request(ctx)
 	request.LastEventID = s.lastEventID
+	stopWatch := s.watchStart(cancel, entry)
 	response, err := s.send(ctx, entry, request)
+	stopWatch()
 	if err != nil {
 		entry.NoteFailure(time.Now())
 		return err
@@ -95,6 +106,43 @@
 	return fault.WithExecution(err, fault.Ran)
 }
 
+// watchStart cancels the attempt at a resumable stream whose answer doesn't begin, once another attempt is allowed and
+// another upstream has spare capacity. The upstream may hang, or the connection may be silent. Under load the stream
+// keeps its place in the queue.
+func (s *inflightStream) watchStart(cancel context.CancelFunc, entry *target.Entry) (stop func()) {
+	if !s.call.Route.Resumable || s.ranAttempts+1 >= s.maxRuns() {
+		return func() {}
+	}
+	var answered atomic.Bool
+	var timer *time.Timer
+	timer = time.AfterFunc(time.Hour, func() {
+		switch {
+		case answered.Load():
+		case s.hasSpareUpstream():
+			entry.NoteSilentConnection()
+			cancel()
+		default:
+			timer.Reset(startCheckInterval)
+		}
+	})
+	timer.Reset(max(stallTimeout, startObjectives*s.call.Route.Objective))
+	return func() {
+		answered.Store(true)
+		timer.Stop()
+	}
+}
+
+// hasSpareUpstream reports whether the service is not loaded and an upstream is left that the stream was not sent to.
+func (s *inflightStream) hasSpareUpstream() bool {
+	now := time.Now()
+	return !s.Roster.Loaded(s.service, now) &&
+		s.Roster.Choose(target.Criteria{Service: s.service, Domain: s.Domain, Residency: s.call.Residency, Skip: s.tried, SpareOnly: true}, now) != nil
+}
+
+// maxRuns returns how many attempts may run the stream. Each that ran ended without a complete answer, so its upstream may
+// have ended.
+func (s *inflightStream) maxRuns() int { return min(s.call.Route.Attempts, suspicion.MaxEnds) }
+
 // copyAnswer passes one upstream's answer to the sink. The answer to a resumed run must be a stream: its end would
 // otherwise pass for the end of the whole.
 func (s *inflightStream) copyAnswer(ctx context.Context, cancel context.CancelFunc, response *target.Response, entry *target.Entry) error {
@@ -210,8 +258,7 @@
 		return s.notRunAttempts <= maxNotRunRetries
 	}
 	s.ranAttempts++
-	// Each attempt that ran ended without a complete answer, so its upstream may have ended.
-	if !s.call.Route.Resumable || s.started && !s.isStream || s.ranAttempts >= min(s.call.Route.Attempts, suspicion.MaxEnds) || !s.RetryBudget.Take() {
+	if !s.call.Route.Resumable || s.started && !s.isStream || s.ranAttempts >= s.maxRuns() || !s.RetryBudget.Take() {
 		return false
 	}
 	if s.started {
