--- a/internal/step/configuration.go
+++ b/internal/step/configuration.go
@@ -106,10 +106,17 @@
 	}
 }
 
+// acceptedBefore reports whether the run was accepted before a time.
+func (r *run) acceptedBefore(t time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return !r.acceptedAt.IsZero() && r.acceptedAt.Before(t)
+}
+
 // handOverIfBehind hands a run over that has waited too long for the configuration under which its step was accepted.
 // It reports whether it does.
 func (m *Manager) handOverIfBehind(r *run, now time.Time) bool {
-	if !r.accepted() || now.Sub(r.startedAt) < configurationTimeout || !m.isAhead(r.current().Spec) {
+	if !r.acceptedBefore(now.Add(-configurationTimeout)) || !m.isAhead(r.current().Spec) {
 		return false
 	}
 	if !r.handsOver.Swap(true) {
