--- a/internal/step/configuration.go
+++ b/internal/step/configuration.go
@@ -71,14 +71,14 @@
 	})
 }
 
-// IsAhead reports whether a step was accepted under a newer configuration than this VM has. What that configuration
-// lacks says nothing about the step.
-func (m *Manager) IsAhead(id string) bool {
+// NeedsNewerConfiguration reports whether a known step was accepted under a newer configuration than this VM has. What
+// this VM's configuration lacks says nothing about such a step.
+func (m *Manager) NeedsNewerConfiguration(id string) bool {
 	known, ok := m.lookUp(id)
-	return ok && m.isAhead(known.Spec)
+	return ok && m.needsNewerConfiguration(known.Spec)
 }
 
-func (m *Manager) isAhead(spec Spec) bool {
+func (m *Manager) needsNewerConfiguration(spec Spec) bool {
 	snapshot := m.View.Load()
 	return snapshot == nil || snapshot.Version < spec.ConfigurationVersion
 }
@@ -89,7 +89,7 @@
 func (r *run) configuration() (snapshot *route.Snapshot, showsRemovals bool) {
 	// A read that ends after this line must not vouch for a snapshot that was loaded before.
 	showsRemovals = r.m.configurationReads.currentSince(r.startedAt)
-	if r.m.isAhead(r.current().Spec) {
+	if r.m.needsNewerConfiguration(r.current().Spec) {
 		r.awaitConfiguration("the step was accepted under a newer one")
 		return nil, false
 	}
@@ -116,7 +116,7 @@
 // handOverIfBehind hands a run over that has waited too long for the configuration under which its step was accepted.
 // It reports whether it does.
 func (m *Manager) handOverIfBehind(r *run, now time.Time) bool {
-	if !r.acceptedBefore(now.Add(-configurationTimeout)) || !m.isAhead(r.current().Spec) {
+	if !r.acceptedBefore(now.Add(-configurationTimeout)) || !m.needsNewerConfiguration(r.current().Spec) {
 		return false
 	}
 	if !r.handsOver.Swap(true) {
--- a/internal/step/takeover.go
+++ b/internal/step/takeover.go
@@ -103,7 +103,7 @@
 // step's residency must allow this VM's failure domain, and the delay that follows from this
 // VM's rank must have passed.
 func (m *Manager) canTakeOver(r stateRecord, unownedFor time.Duration) bool {
-	if m.isAhead(r.Spec) {
+	if m.needsNewerConfiguration(r.Spec) {
 		m.readConfiguration()
 		return false
 	}
