step: a VM runs the steps that it can hold, and reads them in turn

Cause: a restarted VM took over all steps whose rows named it at once, with all objects, their JSON and the decoded bodies of each in memory; nothing bounded what a VM runs; and the row that it wrote at each start is a sign of life, so that no other VM waited long enough.

Change: a takeover holds one object at a time, from the memory of the reads for callers. The row counts the owners in a row that ended within 5 s: a VM takes its own step again once, then leaves it to others, and from the third on takeovers wait longer each time.

--- a/internal/step/accept.go
+++ b/internal/step/accept.go
@@ -40,9 +40,12 @@
 	ctx, cancel := context.WithTimeout(ctx, submitTimeout)
 	defer cancel()
 	spec.SubmittedAt = now
-	state := State{Spec: spec, Total: len(items), Epoch: 1, Nonce: uuid.NewString()}
+	state := State{Spec: spec, Total: len(items), Epoch: 1, Nonce: uuid.NewString(), ItemBytes: itemBytes(items), OwnerSince: now}
+	if m.StepMemory > 0 && state.ItemBytes > m.StepMemory {
+		return fault.WithExecution(errors.WithStack(&fault.BodyTooLarge{Limit: m.StepMemory}), fault.NotRun)
+	}
 	state.ExpectedTokens, state.VersionLag = expectedTokens(items), m.versionLag(spec)
-	state.Owner, state.OwnerIncarnation = m.ownerFor(spec)
+	state.Owner, state.OwnerIncarnation = m.ownerFor(state)
 	txn, state, err := creationTxn(ctx, m.Store, state, items)
 	if err != nil {
 		return notStored(err)
@@ -62,12 +65,14 @@
 // ownerFor chooses the owner of a new step: the process that owns the other steps of
 // the same model. That process knows how many slots of the model's engines are in use
 // and has connections to them, whereas two owners would fill the same slots. During an
-// outage of the store this VM becomes the owner, because its items can start here at once.
-func (m *Manager) ownerFor(spec Spec) (vm, incarnation string) {
-	if p, ok := m.PreferredOwner(spec.Model, m.stepResidency(spec)); ok && m.StoreAvailable() {
+// outage of the store this VM becomes the owner, because its items can start here at once. A VM
+// without room for the step leaves it to the others.
+func (m *Manager) ownerFor(state State) (vm, incarnation string) {
+	p, ok := m.PreferredOwner(state.Model, m.stepResidency(state.Spec))
+	if ok && m.StoreAvailable() && p.VM != m.VM {
 		return p.VM, p.Incarnation
 	}
-	if m.isLeaving() {
+	if m.isLeaving() || !m.hasRoom(state) {
 		return "", ""
 	}
 	return m.VM, m.Incarnation
@@ -124,6 +129,8 @@
 	case r.Owner != m.VM:
 	case early.accept(r, nil):
 		m.emitOwned(r, 0)
+	case !m.hasRoom(r.State):
+		// The takeover loop leaves the step to another VM.
 	default:
 		m.start(r, items, nil, nil)
 		m.releaseIfLeaving(ctx, r)
--- a/internal/step/cluster_test.go
+++ b/internal/step/cluster_test.go
@@ -58,6 +58,8 @@
 	scoring func(Config) Scorer
 	// reports, if set, are the engines' reports. Without it all engines still run.
 	reports suspicion.EngineReports
+	// stepMemory and readMemory are Config.StepMemory and Config.ReadMemory of all VMs.
+	stepMemory, readMemory int64
 	// domains maps VMs that are not in failure domain "x" to their domains.
 	domains map[string]string
 	// storeOf, if set, returns the store that a VM uses.
@@ -159,6 +161,8 @@
 		View: view, Roster: roster, Transport: transport, Engines: reports, Scorer: cl.scorer, Events: events, Retention: time.Minute,
 		AnnouncedVersion: func(string) (int64, bool) { return 1, true },
 		PreferredOwner:   cl.preferredOwner,
+		StepMemory:       cl.stepMemory,
+		ReadMemory:       cl.readMemory,
 		StoreAvailable:   func() bool { return cl.storeAvailable == nil || cl.storeAvailable(name) },
 	}
 	config.ReadConfiguration = func(ctx context.Context) error { return cl.readConfiguration(ctx, name, view) }
--- a/internal/step/early.go
+++ b/internal/step/early.go
@@ -46,13 +46,13 @@
 	decidedCh chan struct{}
 }
 
-// start runs the items, unless the outcome of the submission is already known. A VM that has not read the state
+// start runs the items, unless the outcome of the submission is already known or there is no room for the step. A VM that has not read the state
 // table yet doesn't: its items would wait for the store, and the error of the submission would claim that they ran.
 func (e *earlyRun) start() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	m := e.manager
-	if e.closed || e.state.Owner != m.VM || !m.statesRead.Load() {
+	if e.closed || e.state.Owner != m.VM || !m.statesRead.Load() || !m.hasRoom(e.state) {
 		return
 	}
 	e.run = m.startRun(stateRecord{State: e.state}, e.items, nil, nil, e)
--- a/internal/step/manager.go
+++ b/internal/step/manager.go
@@ -89,6 +89,8 @@
 	CallBudget *budget.Budget
 	// Retention is how long ended steps remain readable after their submission.
 	Retention time.Duration
+	// StepMemory bounds the memory of the items of all steps that this VM runs, in bytes. 0 sets no bound.
+	StepMemory int64
 	// StreamMemory bounds the memory of long events that attempts read; nil sets no bound but that of each of them.
 	StreamMemory *eventstream.Memory
 	// ReadMemory bounds the memory in which items are read from the store for callers, in bytes. 0 sets no bound.
@@ -136,7 +138,7 @@
 	acceptedVersions map[string]int64
 	// endsRead holds when this VM has read the end of a step, and so all rows that were written before.
 	endsRead map[string]time.Time
-	// takingOver holds the steps that this VM is taking over.
+	// takingOver holds the steps that this VM is taking over. The value is false if it is releasing the step instead.
 	takingOver map[string]bool
 	// unownedSince is when this VM first found that a step has no live owner.
 	unownedSince map[string]time.Time
--- a/internal/step/rows.go
+++ b/internal/step/rows.go
@@ -113,39 +113,6 @@
 	return names, nil
 }
 
-// readItems reads the items of a step.
-func readItems(ctx context.Context, store rowstore.Store, state State) ([]Item, error) {
-	var bodies [][]byte
-	for _, name := range state.Objects {
-		body, err := store.GetObject(ctx, name)
-		if err != nil {
-			return nil, err
-		}
-		bodies = append(bodies, body)
-	}
-	if len(state.Objects) == 0 {
-		rows, err := rowstore.ReadAll(ctx, store, itemsTable, state.ID)
-		if err != nil {
-			return nil, err
-		}
-		for _, row := range rows {
-			bodies = append(bodies, row.Value)
-		}
-	}
-	items := make([]Item, 0, state.Total)
-	for _, body := range bodies {
-		var chunk []Item
-		if err := json.Unmarshal(body, &chunk); err != nil {
-			return nil, errors.WithStack(&fault.Internal{Where: "items of step " + state.ID})
-		}
-		items = append(items, chunk...)
-	}
-	if len(items) != state.Total {
-		return nil, errors.WithStack(&fault.Internal{Where: "count of items of step " + state.ID})
-	}
-	return items, nil
-}
-
 // readState reads the state row of a step. It fails with *fault.StepUnknown when the
 // store has no such row.
 func readState(ctx context.Context, store rowstore.Store, id string) (stateRecord, error) {
--- a/internal/step/step.go
+++ b/internal/step/step.go
@@ -83,6 +83,10 @@
 	Owner string `json:"owner,omitempty"`
 	// OwnerIncarnation is the incarnation of the owner's process; empty when Owner is.
 	OwnerIncarnation string `json:"ownerLife,omitempty"`
+	// OwnerSince is when that process became the owner, in milliseconds of the store's clock; 0 when unknown.
+	OwnerSince int64 `json:"ownerSince,omitempty"`
+	// ShortOwners is the number of owners in a row that ended soon after they got the step.
+	ShortOwners int `json:"shortOwners,omitempty"`
 	// Epoch is the number of the current owner, counted from 1.
 	Epoch int `json:"epoch"`
 	// GeneratedShare is the share of the texts, between 0 and 1, that the owner had generated when it
@@ -93,6 +97,8 @@
 	// Objects are the names of the objects that hold the items when these are too
 	// large for one transaction.
 	Objects []string `json:"objects,omitempty"`
+	// ItemBytes is the memory of the items in bytes; 0 when unknown.
+	ItemBytes int64 `json:"itemBytes,omitempty"`
 	// ExpectedTokens is the expected number of output tokens of all items.
 	ExpectedTokens float64 `json:"work,omitempty"`
 	// VersionLag is the version lag at the submission: the number of versions from MinVersion
--- a/internal/step/takeover.go
+++ b/internal/step/takeover.go
@@ -1,7 +1,9 @@
 package step
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -26,8 +28,18 @@
 		case <-ticker.C:
 		case <-m.takeoverSignal:
 		}
-		for _, r := range m.selectForTakeover(time.Now()) {
-			m.tasks.Go(func() { m.takeOver(ctx, r) })
+		takeOvers, releases := m.selectForTakeover(time.Now())
+		for _, r := range takeOvers {
+			m.tasks.Go(func() {
+				defer m.endTakeover(r.ID)
+				m.takeOver(ctx, r)
+			})
+		}
+		for _, r := range releases {
+			m.tasks.Go(func() {
+				defer m.endTakeover(r.ID)
+				m.release(ctx, r)
+			})
 		}
 		if time.Since(lastSweep) > sweepInterval {
 			lastSweep = time.Now()
@@ -38,25 +50,26 @@
 }
 
 // selectForTakeover returns the steps that this VM should run but does not, and marks them
-// as being taken over. A step is taken over when its owner's process is dead, by the VM
-// that ranks first for the step. Each further VM waits longer, according to its rank.
+// as being taken over until endTakeover. A step is taken over when its owner's process is dead, by the VM
+// that ranks first for the step. Each further VM waits longer, according to its rank. releases are
+// the steps whose rows name this VM and that it must leave to others.
 //
 // Heartbeats may lag behind the state rows: while the store refuses some of the VMs, or after a
 // partition. A state row is therefore a sign of life of the owner that it names, and a takeover needs
 // the whole period without a heartbeat after it. Otherwise VMs that take each other for dead
 // exchange the step at the rate of their transactions.
-func (m *Manager) selectForTakeover(now time.Time) []stateRecord {
+func (m *Manager) selectForTakeover(now time.Time) (takeOvers, releases []stateRecord) {
 	if !m.Members.Ready() {
-		return nil
+		return nil, nil
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.leaving {
-		return nil
+		return nil, nil
 	}
-	var steps []stateRecord
-	for id, r := range m.states {
-		if r.Ended || m.runs[id] != nil || m.takingOver[id] {
+	for _, r := range m.openStatesLocked() {
+		id := r.ID
+		if _, busy := m.takingOver[id]; busy || m.runs[id] != nil {
 			continue
 		}
 		if r.Owner != "" && m.Members.Alive(r.Owner, r.OwnerIncarnation) && !m.isOwner(r) {
@@ -71,14 +84,38 @@
 		// A step whose owner is this VM needs no waiting: an earlier incarnation of this
 		// VM is certainly dead, even while its status row still makes it look alive to
 		// others, for example after a power failure of all VMs.
-		ownStep := r.Owner == m.VM
-		if !ownStep && !m.canTakeOver(r, now.Sub(m.deathCountsFrom(r, since))) {
-			continue
+		switch ownStep := r.Owner == m.VM; {
+		case ownStep && m.mustRelease(r):
+			m.takingOver[id] = false
+			releases = append(releases, r)
+		case ownStep || m.canTakeOver(r, now.Sub(m.deathCountsFrom(r, since))):
+			m.takingOver[id] = true
+			takeOvers = append(takeOvers, r)
+		}
+	}
+	return takeOvers, releases
+}
+
+// openStatesLocked returns the states of the steps that have not ended, in the order of their submission. mu must be
+// held.
+func (m *Manager) openStatesLocked() []stateRecord {
+	var open []stateRecord
+	for _, r := range m.states {
+		if !r.Ended {
+			open = append(open, r)
 		}
-		m.takingOver[id] = true
-		steps = append(steps, r)
 	}
-	return steps
+	slices.SortFunc(open, func(a, b stateRecord) int {
+		return cmp.Or(cmp.Compare(a.SubmittedAt, b.SubmittedAt), cmp.Compare(a.ID, b.ID))
+	})
+	return open
+}
+
+// endTakeover ends what selectForTakeover has begun for a step.
+func (m *Manager) endTakeover(id string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	delete(m.takingOver, id)
 }
 
 // deathCountsFrom returns the time from which on a step counts as without a live owner. That is since,
@@ -99,16 +136,20 @@
 }
 
 // canTakeOver reports whether this VM may take over a step that has had no live owner for
-// the given time. This VM must have the configuration under which the step was accepted, the
-// step's residency must allow this VM's failure domain, and the delay that follows from this
-// VM's rank must have passed.
+// the given time. This VM must have the configuration under which the step was accepted and
+// room for the step, the step's residency must allow this VM's failure domain, and the delay that
+// follows from this VM's rank and from the step's last owners must have passed. mu must be held.
 func (m *Manager) canTakeOver(r stateRecord, unownedFor time.Duration) bool {
 	if m.needsNewerConfiguration(r.Spec) {
 		m.readConfiguration()
 		return false
 	}
 	residency := m.stepResidency(r.Spec)
-	return residency.Allows(m.Domain) && unownedFor >= time.Duration(m.Members.RankWithinResidency(r.ID, residency))*takeoverRankDelay
+	if !residency.Allows(m.Domain) || !m.hasRoomLocked(r.State) {
+		return false
+	}
+	rank := m.Members.RankWithinResidency(r.ID, residency)
+	return unownedFor >= time.Duration(rank)*takeoverRankDelay+takeoverDelay(r.State)
 }
 
 // takeOver makes this VM the owner of a step and runs the items without a committed
@@ -116,13 +157,11 @@
 // commit any, so the read is complete. The row is left as it is if it names this process, which has
 // not run the step under it.
 func (m *Manager) takeOver(ctx context.Context, r stateRecord) {
-	defer func() {
-		m.mu.Lock()
-		defer m.mu.Unlock()
-		delete(m.takingOver, r.ID)
-	}()
 	if !m.isOwner(r) || m.hadRun(r) {
 		lost := m.lostOwnerOf(r)
+		if !m.isOwner(r) {
+			r.ShortOwners = m.shortOwnersAfter(r.State)
+		}
 		var ok bool
 		if r, ok = m.becomeOwner(ctx, r, 0); !ok {
 			return
@@ -130,7 +169,7 @@
 		r.lostOwner = lost
 	}
 	for ctx.Err() == nil && m.isCurrent(r) {
-		items, err := readItems(ctx, m.Store, r.State)
+		items, err := m.readItems(ctx, r.State)
 		var committed []Result
 		if err == nil {
 			committed, err = readAllResults(ctx, m.Store, r.ID)
@@ -163,6 +202,7 @@
 	next := r.State
 	next.Owner, next.OwnerIncarnation, next.Nonce = m.VM, m.Incarnation, uuid.NewString()
 	next.GeneratedShare = generated
+	next.OwnerSince, _ = m.Clock.StoreNow()
 	next.Epoch++
 	owned, ok, err := m.replaceState(ctx, r, next)
 	if err != nil {
