--- a/internal/step/early.go
+++ b/internal/step/early.go
@@ -46,8 +46,9 @@
 	decidedCh chan struct{}
 }
 
-// start runs the items, unless the outcome of the submission is already known or there is no room for the step. A VM that has not read the state
-// table yet doesn't: its items would wait for the store, and the error of the submission would claim that they ran.
+// start runs the items, unless the outcome of the submission is already known or there is no room for the step. A VM
+// that has not read the state table yet doesn't: its items would wait for the store, and the error of the submission
+// would claim that they ran.
 func (e *earlyRun) start() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
