--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -139,7 +139,7 @@
 	{SlotHedged, zap.InfoLevel, "slot hedged", "A slow slot is generated a second time, by the peer; the first result is used."},
 	{WorkerFailed, zap.WarnLevel, "worker failed", "The peer failed to generate the slot, which is assigned to another worker."},
 	{StepEnded, zap.InfoLevel, "step ended", "The trainer ended the step; no more of its items run."},
-	{StepHandedOver, zap.InfoLevel, "step handed over", "The VM is leaving, or could not get the configuration under which the step was accepted. It released ownership of the step, so that another VM can take it over."},
+	{StepHandedOver, zap.InfoLevel, "step handed over", "The VM released ownership of the step, so that another VM can take it over; Detail gives the reason."},
 	{StepLost, zap.WarnLevel, "step lost", "The store rejected the VM's results, the first of which had the given Position: the step has ended, another VM owns it now, or Detail says that the rows exist."},
 	{ItemAbandoned, zap.WarnLevel, "item abandoned", "An item of the step was abandoned; Detail gives the reason."},
 	{StepStartedEarly, zap.InfoLevel, "step started early", "Count items of the step run before the store has accepted the step; no results are committed until then."},
--- a/internal/step/capacity.go
+++ b/internal/step/capacity.go
@@ -94,8 +94,12 @@
 
 // release leaves a step, whose row names this VM, to others.
 func (m *Manager) release(ctx context.Context, r stateRecord) {
+	reason := reasonEndedSoon
+	if !m.hasRoom(r.State) {
+		reason = reasonNoRoom
+	}
 	r.ShortOwners = m.shortOwnersAfter(r.State)
-	m.releaseStep(ctx, r)
+	m.releaseStep(ctx, r, reason)
 }
 
 // takeoverDelay returns how much longer a takeover waits because the last owners of the step ended soon.
--- a/internal/step/configuration.go
+++ b/internal/step/configuration.go
@@ -123,7 +123,7 @@
 		m.tasks.Go(func() {
 			ctx, cancel := context.WithTimeout(m.ctx, handOverTimeout)
 			defer cancel()
-			m.handOver(ctx, r)
+			m.handOver(ctx, r, reasonNoConfiguration)
 		})
 	}
 	return true
--- a/internal/step/takeover.go
+++ b/internal/step/takeover.go
@@ -236,14 +236,14 @@
 	m.mu.Unlock()
 	var handOvers sync.WaitGroup
 	for _, r := range runs {
-		handOvers.Go(func() { m.handOver(ctx, r) })
+		handOvers.Go(func() { m.handOver(ctx, r, reasonLeaving) })
 	}
 	handOvers.Wait()
 }
 
 // handOver stops a run's items, commits the finished results, saves the partial texts and
 // clears the owner in the state row. A run that was not accepted is only stopped.
-func (m *Manager) handOver(ctx context.Context, r *run) {
+func (m *Manager) handOver(ctx context.Context, r *run, reason string) {
 	silent := r.silentAttempts(time.Now())
 	r.stopItems()
 	if !r.accepted() {
@@ -254,7 +254,7 @@
 	r.saveTexts(ctx, 1)
 	m.suspectEnded(ctx, r, silent)
 	r.saveSuspicions(ctx)
-	m.releaseStep(ctx, r.current())
+	m.releaseStep(ctx, r.current(), reason)
 	m.stop(r)
 }
 
@@ -262,15 +262,23 @@
 // Leave hands over only the steps that run.
 func (m *Manager) releaseIfLeaving(ctx context.Context, rec stateRecord) {
 	if m.isLeaving() && m.runOf(rec.ID) == nil {
-		m.releaseStep(ctx, rec)
+		m.releaseStep(ctx, rec, reasonLeaving)
 	}
 }
 
+// The reasons for which a VM releases a step, in the details of events.
+const (
+	reasonLeaving         = "the VM is leaving"
+	reasonNoConfiguration = "the VM could not get the configuration under which the step was accepted"
+	reasonNoRoom          = "the VM has no room for the step"
+	reasonEndedSoon       = "processes of the VM ended soon after they had got the step"
+)
+
 // releaseStep clears the owner in the state row of a step that this VM owns.
-func (m *Manager) releaseStep(ctx context.Context, rec stateRecord) {
+func (m *Manager) releaseStep(ctx context.Context, rec stateRecord, reason string) {
 	next := rec.State
 	next.Owner, next.OwnerIncarnation, next.Nonce = "", "", uuid.NewString()
 	if _, replaced, err := m.replaceState(ctx, rec, next); err == nil && replaced {
-		m.Events.Emit(event.StepHandedOver, event.Subject{Step: rec.ID, Account: rec.Account, Epoch: uint64(rec.Epoch)})
+		m.Events.Emit(event.StepHandedOver, event.Subject{Step: rec.ID, Account: rec.Account, Epoch: uint64(rec.Epoch), Detail: reason})
 	}
 }
